--- /dev/null
+++ b/Makefile
@@ -0,0 +1,57 @@
+# The one door to building, testing and running egretreach. `make help` lists the targets.
+SHELL := /bin/bash
+TOOLS := $(CURDIR)/.tools
+GOLANGCI_LINT_VERSION := v2.15.0
+GOFUMPT_VERSION := v0.12.0
+# Packages whose code runs in several goroutines are tested with the race detector.
+RACE_PACKAGES := ./internal/... ./cmd/...
+
+.DEFAULT_GOAL := help
+
+.PHONY: help
+help: ## List the targets.
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | sort | expand -t 16
+
+.PHONY: build
+build: ## Build the binary as bin/egretreach.
+	CGO_ENABLED=1 go build -o bin/egretreach .
+
+.PHONY: test
+test: ## Run every test, with known red ones passed over and printed.
+	go test -json ./... | go run ./internal/check/redlist
+
+.PHONY: race
+race: ## Run the tests of concurrent code under the race detector.
+	go test -json -race $(RACE_PACKAGES) | go run ./internal/check/redlist
+
+.PHONY: fuzz
+fuzz: ## Run each fuzz target on its seed corpus.
+	go test -run '^Fuzz' ./...
+
+.PHONY: tools
+tools: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION) $(TOOLS)/gofumpt-$(GOFUMPT_VERSION) ## Install the formatter and the linter.
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(TOOLS)/golangci-lint $@
+
+$(TOOLS)/gofumpt-$(GOFUMPT_VERSION):
+	GOBIN=$(TOOLS) go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	mv $(TOOLS)/gofumpt $@
+
+.PHONY: fmt
+fmt: tools ## Format the code.
+	$(TOOLS)/gofumpt-$(GOFUMPT_VERSION) -w .
+
+.PHONY: fmt-check
+fmt-check: tools ## Fail if any file is not formatted.
+	@out=$$($(TOOLS)/gofumpt-$(GOFUMPT_VERSION) -l .); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+
+.PHONY: lint
+lint: tools ## Run the linter and go vet.
+	go vet ./...
+	$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION) run ./...
+
+.PHONY: clean
+clean: ## Remove what the build made.
+	rm -rf bin
--- /dev/null
+++ b/internal/check/redlist/main.go
@@ -0,0 +1,128 @@
+// Command redlist reads the output of `go test -json` and passes over just the
+// failing tests that KNOWN-RED.txt lists, printing them. Any other failure, or a
+// run without a passing test, fails.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+)
+
+const redFile = "KNOWN-RED.txt"
+
+// testEvent is one line of `go test -json`.
+type testEvent struct {
+	Action  string
+	Package string
+	Test    string
+	Output  string
+}
+
+func main() {
+	ok, err := run(os.Stdin, os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "redlist:", err)
+	}
+	if err != nil || !ok {
+		os.Exit(1)
+	}
+}
+
+func run(in io.Reader, out io.Writer) (bool, error) {
+	known, err := readKnown(redFile)
+	if err != nil {
+		return false, err
+	}
+	sum, err := summarise(in, known)
+	if err != nil {
+		return false, err
+	}
+	sum.print(out)
+	return len(sum.failed) == 0 && sum.passed > 0, nil
+}
+
+// readKnown returns the first word of each entry: the test's name.
+func readKnown(path string) (map[string]bool, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	known := map[string]bool{}
+	for line := range strings.Lines(string(raw)) {
+		if fields := strings.Fields(line); len(fields) > 0 && !strings.HasPrefix(fields[0], "#") {
+			known[fields[0]] = true
+		}
+	}
+	return known, nil
+}
+
+type summary struct {
+	passed     int
+	failed     []string
+	passedOver []string
+	outputs    map[string]*strings.Builder
+}
+
+func summarise(r io.Reader, known map[string]bool) (*summary, error) {
+	sum := &summary{outputs: map[string]*strings.Builder{}}
+	decoder := json.NewDecoder(bufio.NewReader(r))
+	redPackages := map[string]bool{}
+	for {
+		var e testEvent
+		err := decoder.Decode(&e)
+		if err == io.EOF {
+			return sum, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		sum.add(e, known, redPackages)
+	}
+}
+
+func (s *summary) add(e testEvent, known, redPackages map[string]bool) {
+	name := e.Package + " " + e.Test
+	switch e.Action {
+	case "output", "build-output":
+		b := s.outputs[name]
+		if b == nil {
+			b = &strings.Builder{}
+			s.outputs[name] = b
+		}
+		b.WriteString(e.Output)
+	case "pass":
+		if e.Test != "" {
+			s.passed++
+		}
+		delete(s.outputs, name)
+	case "fail", "build-fail":
+		top, _, _ := strings.Cut(e.Test, "/")
+		switch {
+		case e.Test == "" && redPackages[e.Package]:
+		case known[top]:
+			redPackages[e.Package] = true
+			s.passedOver = append(s.passedOver, name)
+		default:
+			s.failed = append(s.failed, name)
+		}
+	}
+}
+
+func (s *summary) print(w io.Writer) {
+	sort.Strings(s.failed)
+	for _, name := range s.failed {
+		fmt.Fprintf(w, "FAIL %s\n", name)
+		if out := s.outputs[name]; out != nil {
+			fmt.Fprint(w, out.String())
+		}
+	}
+	for _, name := range s.passedOver {
+		fmt.Fprintf(w, "KNOWN RED, passed over: %s\n", name)
+	}
+	fmt.Fprintf(w, "%d passed, %d failed\n", s.passed, len(s.failed))
+}
--- /dev/null
+++ b/internal/fleet/replica/replica.go
@@ -0,0 +1,71 @@
+// Package replica describes replicas: groups of hosts that together serve one model.
+package replica
+
+import (
+	"github.com/egretreach/egretreach/internal/fleet/host"
+)
+
+// ID names a replica. It is never used twice.
+type ID string
+
+// Fence is a fencing number. Each claim of hosts carries a higher one than all before it.
+type Fence uint64
+
+// Spec is what a replica serves.
+type Spec struct {
+	Deployment string   `cbor:"1,keyasint" json:"deployment"`
+	Model      string   `cbor:"2,keyasint" json:"model"`
+	Version    string   `cbor:"3,keyasint" json:"version"`
+	Adapters   []string `cbor:"4,keyasint,omitempty" json:"adapters,omitempty"`
+	// Role is the engine role: "mixed", "prefill" or "decode".
+	Role string `cbor:"5,keyasint,omitempty" json:"role,omitempty"`
+}
+
+// State is a replica's stage of life.
+type State string
+
+// The states of a replica.
+const (
+	// StateLoading: hosts are claimed and load the model.
+	StateLoading State = "loading"
+	// StateServing: every member is loaded and the head takes work.
+	StateServing State = "serving"
+	// StateDegraded: a member is missing; the head takes no work.
+	StateDegraded State = "degraded"
+	// StateDraining: the replica takes no new work and finishes what runs.
+	StateDraining State = "draining"
+)
+
+// Replica is a claimed group of hosts.
+type Replica struct {
+	ID    ID    `cbor:"1,keyasint" json:"id"`
+	Fence Fence `cbor:"2,keyasint" json:"fence"`
+	Spec  Spec  `cbor:"3,keyasint" json:"spec"`
+	// Hosts are the members; the first is the head.
+	Hosts []host.ID `cbor:"4,keyasint" json:"hosts"`
+	State State     `cbor:"5,keyasint" json:"state"`
+}
+
+// Head returns the host that takes the replica's work.
+func (r Replica) Head() host.ID {
+	if len(r.Hosts) == 0 {
+		return ""
+	}
+	return r.Hosts[0]
+}
+
+// Has reports whether h is a member.
+func (r Replica) Has(h host.ID) bool {
+	for _, m := range r.Hosts {
+		if m == h {
+			return true
+		}
+	}
+	return false
+}
+
+// WithState returns a copy in state s.
+func (r Replica) WithState(s State) Replica {
+	r.State = s
+	return r
+}
--- /dev/null
+++ b/internal/link/identity/credentials.go
@@ -0,0 +1,100 @@
+package identity
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// Credentials hold a process's certificate and the authorities it trusts. They
+// may be replaced while connections are open; new handshakes use the new ones.
+type Credentials struct {
+	current atomic.Pointer[loaded]
+}
+
+type loaded struct {
+	self Identity
+	pair tls.Certificate
+	pool *x509.CertPool
+}
+
+// NewCredentials reads a process's pair and the PEM bundle of trusted authorities.
+func NewCredentials(pair Pair, authorities []byte) (*Credentials, error) {
+	c := &Credentials{}
+	return c, c.Replace(pair, authorities)
+}
+
+// Replace swaps in a new pair and bundle. On error the old ones stay in use.
+func (c *Credentials) Replace(pair Pair, authorities []byte) error {
+	cert, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+	if err != nil {
+		return errors.Wrap(err, "certificate and key")
+	}
+	leaf, err := x509.ParseCertificate(cert.Certificate[0])
+	if err != nil {
+		return errors.Wrap(err, "certificate")
+	}
+	self, err := FromCertificate(leaf)
+	if err != nil {
+		return err
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(authorities) {
+		return errors.New("authority bundle holds no certificate")
+	}
+	c.current.Store(&loaded{self: self, pair: cert, pool: roots})
+	return nil
+}
+
+// Self returns the identity in the process's own certificate.
+func (c *Credentials) Self() Identity { return c.current.Load().self }
+
+// Server returns the TLS configuration of a listener.
+func (c *Credentials) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{message.Protocol},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			now := c.current.Load()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				NextProtos:   []string{message.Protocol},
+				Certificates: []tls.Certificate{now.pair},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    now.pool,
+			}, nil
+		},
+	}
+}
+
+// Client returns the TLS configuration of a dialler. The peer is known by its
+// identity, not by a host name, so the chain is verified by hand.
+func (c *Credentials) Client() *tls.Config {
+	now := c.current.Load()
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		NextProtos:         []string{message.Protocol},
+		Certificates:       []tls.Certificate{now.pair},
+		InsecureSkipVerify: true, //nolint:gosec // VerifyConnection checks the chain; there are no host names.
+		VerifyConnection:   now.verifyServer,
+	}
+}
+
+func (l *loaded) verifyServer(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("peer gave no certificate")
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:     l.pool,
+		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	})
+	if err != nil {
+		return errors.Wrap(err, "peer certificate")
+	}
+	_, err = FromState(state)
+	return err
+}
--- /dev/null
+++ b/internal/link/message/frame.go
@@ -0,0 +1,139 @@
+// Package message defines the frames that the processes of the fleet exchange.
+//
+// A frame is a four-byte big-endian length, a one-byte kind and a CBOR body
+// (RFC 8949) with integer keys. The length counts the kind and the body.
+package message
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Protocol is the ALPN name of the link protocol. Processes of another version
+// are refused during the handshake.
+const Protocol = "egretreach/1"
+
+// MaxFrameBytes bounds one frame.
+const MaxFrameBytes = 8 << 20
+
+const headerBytes = 5
+
+// Kind numbers the message types on the wire. A number is never given again.
+type Kind uint8
+
+// Message is one typed frame. Only this package implements it.
+type Message interface {
+	kind() Kind
+}
+
+// ErrFrameTooLarge is a frame over MaxFrameBytes.
+type ErrFrameTooLarge struct{ Bytes int }
+
+func (e ErrFrameTooLarge) Error() string {
+	return fmt.Sprintf("frame of %d bytes is over the limit of %d", e.Bytes, MaxFrameBytes)
+}
+
+// IsErrFrameTooLarge reports whether err is an ErrFrameTooLarge.
+func IsErrFrameTooLarge(err error) bool {
+	var e ErrFrameTooLarge
+	return errors.As(err, &e)
+}
+
+// ErrUnknownKind is a frame of a kind that this version does not know.
+type ErrUnknownKind struct{ Kind Kind }
+
+func (e ErrUnknownKind) Error() string { return fmt.Sprintf("unknown frame kind %d", e.Kind) }
+
+// IsErrUnknownKind reports whether err is an ErrUnknownKind.
+func IsErrUnknownKind(err error) bool {
+	var e ErrUnknownKind
+	return errors.As(err, &e)
+}
+
+// ErrMalformed is a frame whose body does not decode.
+type ErrMalformed struct {
+	Kind   Kind
+	Reason string
+}
+
+func (e ErrMalformed) Error() string {
+	return fmt.Sprintf("malformed frame of kind %d: %s", e.Kind, e.Reason)
+}
+
+// IsErrMalformed reports whether err is an ErrMalformed.
+func IsErrMalformed(err error) bool {
+	var e ErrMalformed
+	return errors.As(err, &e)
+}
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 17,
+		MaxMapPairs:      1 << 16,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Append encodes m as one frame behind buf.
+func Append(buf []byte, m Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return buf, errors.Wrapf(err, "encode frame of kind %d", m.kind())
+	}
+	if len(body)+1 > MaxFrameBytes {
+		return buf, ErrFrameTooLarge{Bytes: len(body) + 1}
+	}
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(body)+1))
+	buf = append(buf, byte(m.kind()))
+	return append(buf, body...), nil
+}
+
+// Write encodes m and writes it as one frame.
+func Write(w io.Writer, m Message) error {
+	buf, err := Append(nil, m)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(buf)
+	return err
+}
+
+// Read reads one frame. At a clean end of the stream it returns io.EOF.
+func Read(r io.Reader) (Message, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:4])
+	if size > MaxFrameBytes {
+		return nil, ErrFrameTooLarge{Bytes: int(size)}
+	}
+	kind := Kind(header[4])
+	if size == 0 {
+		return nil, ErrMalformed{Kind: kind, Reason: "empty frame"}
+	}
+	m := newMessage(kind)
+	if m == nil {
+		return nil, ErrUnknownKind{Kind: kind}
+	}
+	body := make([]byte, size-1)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, errors.Wrap(err, "frame body")
+	}
+	if err := decMode.Unmarshal(body, m); err != nil {
+		return nil, ErrMalformed{Kind: kind, Reason: err.Error()}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/link/transport/conn.go
@@ -0,0 +1,81 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/egretreach/egretreach/internal/link/identity"
+)
+
+const (
+	codeClosed   quic.ApplicationErrorCode = 0
+	codeIdentity quic.ApplicationErrorCode = 1
+)
+
+// ErrDial is a link that could not be opened. Nothing was sent over it.
+type ErrDial struct {
+	Address string
+	Cause   error
+}
+
+func (e ErrDial) Error() string { return fmt.Sprintf("dial %s: %v", e.Address, e.Cause) }
+
+// Unwrap returns the cause.
+func (e ErrDial) Unwrap() error { return e.Cause }
+
+// IsErrDial reports whether err is an ErrDial.
+func IsErrDial(err error) bool {
+	var e ErrDial
+	return errors.As(err, &e)
+}
+
+// Conn is one link to a peer process.
+type Conn struct {
+	conn *quic.Conn
+	peer identity.Identity
+}
+
+func newConn(c *quic.Conn) (*Conn, error) {
+	peer, err := identity.FromState(c.ConnectionState().TLS)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{conn: c, peer: peer}, nil
+}
+
+// Peer returns the identity in the peer's certificate.
+func (c *Conn) Peer() identity.Identity { return c.peer }
+
+// Done is closed when the link has ended, also when it fell silent.
+func (c *Conn) Done() <-chan struct{} { return c.conn.Context().Done() }
+
+// Open starts a call.
+func (c *Conn) Open(ctx context.Context) (*Stream, error) {
+	s, err := c.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "open stream")
+	}
+	return newStream(s, c.peer), nil
+}
+
+// Close ends the link and every call on it.
+func (c *Conn) Close() { _ = c.conn.CloseWithError(codeClosed, "") }
+
+func (c *Conn) serve(ctx context.Context, handle Handler) {
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
+	for {
+		s, err := c.conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go func() {
+			stream := newStream(s, c.peer)
+			defer stream.Close()
+			handle(s.Context(), stream)
+		}()
+	}
+}
--- /dev/null
+++ b/internal/link/transport/stream.go
@@ -0,0 +1,78 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/egretreach/egretreach/internal/link/identity"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+const codeCancelled quic.StreamErrorCode = 1
+
+const readBufferBytes = 4 << 10
+
+// Stream is one call between two processes. One goroutine may receive while
+// others send.
+type Stream struct {
+	stream *quic.Stream
+	reader *bufio.Reader
+	peer   identity.Identity
+
+	sending sync.Mutex
+	buf     []byte
+}
+
+func newStream(s *quic.Stream, peer identity.Identity) *Stream {
+	return &Stream{stream: s, reader: bufio.NewReaderSize(s, readBufferBytes), peer: peer}
+}
+
+// Peer returns the identity in the peer's certificate.
+func (s *Stream) Peer() identity.Identity { return s.peer }
+
+// Send writes one frame. It blocks while the peer's receive window is full.
+func (s *Stream) Send(m message.Message) error {
+	s.sending.Lock()
+	defer s.sending.Unlock()
+	buf, err := message.Append(s.buf[:0], m)
+	if err != nil {
+		return err
+	}
+	s.buf = buf
+	_, err = s.stream.Write(buf)
+	return err
+}
+
+// Receive reads one frame. It returns io.EOF after the peer has closed its side.
+func (s *Stream) Receive() (message.Message, error) { return message.Read(s.reader) }
+
+// SetReadDeadline bounds Receive.
+func (s *Stream) SetReadDeadline(t time.Time) error { return s.stream.SetReadDeadline(t) }
+
+// CloseSend tells the peer that nothing more will be sent.
+func (s *Stream) CloseSend() error {
+	s.sending.Lock()
+	defer s.sending.Unlock()
+	return s.stream.Close()
+}
+
+// Close ends the call in good order on this side and stops reading.
+func (s *Stream) Close() {
+	_ = s.CloseSend()
+	s.stream.CancelRead(codeCancelled)
+}
+
+// Cancel ends the call at once in both directions.
+func (s *Stream) Cancel() {
+	s.stream.CancelWrite(codeCancelled)
+	s.stream.CancelRead(codeCancelled)
+}
+
+// CancelOn cancels the call when ctx ends, until the returned function is called.
+func (s *Stream) CancelOn(ctx context.Context) func() bool {
+	return context.AfterFunc(ctx, s.Cancel)
+}
--- /dev/null
+++ b/internal/link/transport/transport.go
@@ -0,0 +1,117 @@
+// Package transport carries message frames between the fleet's processes over
+// QUIC (RFC 9000) with mutual TLS. Each call is one bidirectional QUIC stream.
+package transport
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/egretreach/egretreach/internal/link/identity"
+)
+
+// Timing of a link. A link on which nothing arrives for idleTimeout is closed,
+// whatever the state in between holds.
+const (
+	keepAlive        = 500 * time.Millisecond
+	idleTimeout      = 2 * time.Second
+	handshakeTimeout = 2 * time.Second
+	maxStreams       = 1 << 16
+	initialWindow    = 256 << 10
+	streamWindow     = 512 << 10
+	connectionWindow = 4 << 20
+)
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		KeepAlivePeriod:                keepAlive,
+		MaxIdleTimeout:                 idleTimeout,
+		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIncomingStreams:             maxStreams,
+		MaxIncomingUniStreams:          -1,
+		InitialStreamReceiveWindow:     initialWindow,
+		MaxStreamReceiveWindow:         streamWindow,
+		InitialConnectionReceiveWindow: initialWindow,
+		MaxConnectionReceiveWindow:     connectionWindow,
+		DisablePathMTUDiscovery:        true,
+	}
+}
+
+// Endpoint is one UDP socket of a process, used to listen and to dial.
+type Endpoint struct {
+	transport   *quic.Transport
+	credentials *identity.Credentials
+}
+
+// plainConn hides the socket's system-call interface, so that quic-go uses neither
+// UDP segmentation offload nor ECN, which some kernels and networks lack.
+type plainConn struct{ net.PacketConn }
+
+// Options are the settings of an Endpoint.
+type Options struct {
+	// Offload lets quic-go use UDP segmentation offload and ECN.
+	Offload bool
+}
+
+// New uses pc for links under credentials. The endpoint owns pc.
+func New(pc net.PacketConn, credentials *identity.Credentials, opts Options) *Endpoint {
+	if !opts.Offload {
+		pc = plainConn{pc}
+	}
+	return &Endpoint{transport: &quic.Transport{Conn: pc}, credentials: credentials}
+}
+
+// Address returns the local address.
+func (e *Endpoint) Address() net.Addr { return e.transport.Conn.LocalAddr() }
+
+// Close ends all links of the endpoint.
+func (e *Endpoint) Close() error {
+	err := e.transport.Close()
+	if closeErr := e.transport.Conn.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Wrap(err, "close endpoint")
+}
+
+// Dial opens a link to the process at address, an IP address and port.
+func (e *Endpoint) Dial(ctx context.Context, address string) (*Conn, error) {
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, ErrDial{Address: address, Cause: err}
+	}
+	conn, err := e.transport.Dial(ctx, udp, e.credentials.Client(), quicConfig())
+	if err != nil {
+		return nil, ErrDial{Address: address, Cause: err}
+	}
+	return newConn(conn)
+}
+
+// Handler serves one call. The stream is closed when it returns.
+type Handler func(ctx context.Context, s *Stream)
+
+// Serve accepts links and hands each of their streams to handle until ctx ends.
+func (e *Endpoint) Serve(ctx context.Context, handle Handler) error {
+	listener, err := e.transport.Listen(e.credentials.Server(), quicConfig())
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	defer func() { _ = listener.Close() }()
+	for {
+		accepted, err := listener.Accept(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept")
+		}
+		conn, err := newConn(accepted)
+		if err != nil {
+			_ = accepted.CloseWithError(codeIdentity, err.Error())
+			continue
+		}
+		go conn.serve(ctx, handle)
+	}
+}
--- /dev/null
+++ b/internal/telemetry/event/process.go
@@ -0,0 +1,14 @@
+package event
+
+import "github.com/phuslu/log"
+
+// Events of links and of the process itself.
+var (
+	ProcessStarted  = register(400, "process_started", log.InfoLevel)
+	ProcessStopping = register(401, "process_stopping", log.InfoLevel)
+	ProcessStopped  = register(402, "process_stopped", log.InfoLevel)
+	SettingsInvalid = register(403, "settings_invalid", log.ErrorLevel)
+	LinkLost        = register(404, "link_lost", log.WarnLevel)
+	FrameRejected   = register(405, "frame_rejected", log.WarnLevel)
+	KeysReloaded    = register(406, "keys_reloaded", log.InfoLevel)
+)
