--- /dev/null
+++ b/internal/link/session/call.go
@@ -0,0 +1,110 @@
+package session
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+const callRetryDelay = 100 * time.Millisecond
+
+// ErrNoLeader is a call that reached no control leader. Nothing was changed.
+type ErrNoLeader struct{ Reason string }
+
+func (e ErrNoLeader) Error() string { return "no control leader: " + e.Reason }
+
+// IsErrNoLeader reports whether err is an ErrNoLeader.
+func IsErrNoLeader(err error) bool {
+	var e ErrNoLeader
+	return errors.As(err, &e)
+}
+
+// ErrRefused is a call that control refused.
+type ErrRefused struct {
+	Code   string
+	Reason string
+}
+
+func (e ErrRefused) Error() string { return fmt.Sprintf("control refused (%s): %s", e.Code, e.Reason) }
+
+// IsErrRefused reports whether err is an ErrRefused.
+func IsErrRefused(err error) bool {
+	var e ErrRefused
+	return errors.As(err, &e)
+}
+
+// ErrUncertain is a call whose answer was lost: the change may have taken effect.
+type ErrUncertain struct{ Cause error }
+
+func (e ErrUncertain) Error() string {
+	return fmt.Sprintf("control's answer was lost, the change may have taken effect: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e ErrUncertain) Unwrap() error { return e.Cause }
+
+// IsErrUncertain reports whether err is an ErrUncertain.
+func IsErrUncertain(err error) bool {
+	var e ErrUncertain
+	return errors.As(err, &e)
+}
+
+// Call sends one message to the control leader and returns its answer. It looks
+// for the leader until ctx ends; once a leader has been sent the message it is not
+// sent again, and a lost answer is ErrUncertain.
+func (s *Session) Call(ctx context.Context, m message.Message) (message.Message, error) {
+	reason := "none found"
+	for {
+		address := s.address()
+		answer, err := s.callOnce(ctx, address, m)
+		switch {
+		case err == nil:
+			return answer, nil
+		case !IsErrNoLeader(err):
+			return nil, err
+		}
+		reason = err.Error()
+		select {
+		case <-ctx.Done():
+			return nil, ErrNoLeader{Reason: reason}
+		case <-time.After(callRetryDelay):
+		}
+	}
+}
+
+func (s *Session) callOnce(ctx context.Context, address string, m message.Message) (message.Message, error) {
+	stream, err := s.opts.Pool.Open(ctx, address)
+	if err != nil {
+		s.failed(address)
+		return nil, ErrNoLeader{Reason: err.Error()}
+	}
+	defer stream.Close()
+	stop := stream.CancelOn(ctx)
+	defer stop()
+	if err := stream.Send(m); err != nil {
+		s.failed(address)
+		return nil, ErrUncertain{Cause: err}
+	}
+	answer, err := stream.Receive()
+	if err != nil {
+		s.failed(address)
+		return nil, ErrUncertain{Cause: err}
+	}
+	switch answer := answer.(type) {
+	case *message.NotLeader:
+		s.redirect(address, answer.Leader)
+		return nil, ErrNoLeader{Reason: "redirected from " + address}
+	case *message.Failure:
+		if answer.MayHaveApplied {
+			return nil, ErrUncertain{Cause: errors.New(answer.Reason)}
+		}
+		return nil, ErrRefused{Code: answer.Code, Reason: answer.Reason}
+	default:
+		return answer, nil
+	}
+}
+
--- /dev/null
+++ b/internal/link/session/session.go
@@ -0,0 +1,326 @@
+// Package session is a daemon's session with the control leader: it announces the
+// daemon, renews its lease and hands on what control pushes. It also makes single
+// calls to the leader.
+package session
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/link/lease"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+const (
+	reconnectDelay = 200 * time.Millisecond
+	answerTimeout  = 2 * time.Second
+)
+
+// Daemon is what a session needs of its daemon.
+type Daemon interface {
+	// Announce returns the opening of a session.
+	Announce() message.Announce
+	// Renewal returns the next renewal; the session fills in host, incarnation,
+	// sequence and revision.
+	Renewal() message.Renewal
+	// ApplyConfig puts a configuration in force. On error the old one stays.
+	ApplyConfig(revision view.Revision, yaml []byte) error
+	// Granted is told of each grant.
+	Granted(grant message.LeaseGrant)
+	// Welcomed is told of each new session, before anything else arrives on it.
+	Welcomed(welcome message.Welcome)
+	// Pushed is given every other message.
+	Pushed(ctx context.Context, m message.Message)
+}
+
+// Options are the settings of a Session.
+type Options struct {
+	Pool *pool.Pool
+	// Control are the link addresses of the control hosts.
+	Control []string
+	Daemon  Daemon
+	Logger  *log.Logger
+}
+
+// Session keeps a daemon in touch with the control leader. Use New.
+type Session struct {
+	opts  Options
+	renew chan struct{}
+
+	mu       sync.Mutex
+	lease    lease.Lease
+	held     view.Revision
+	ttl      time.Duration
+	leader   string
+	next     int
+	stream   *transport.Stream
+	stopping bool
+}
+
+// New returns a session that Run starts.
+func New(opts Options) *Session {
+	return &Session{opts: opts, renew: make(chan struct{}, 1)}
+}
+
+// Valid reports whether the daemon may take new work now. It reads the monotonic
+// clock, so a process that wakes from a pause finds its lease lapsed.
+func (s *Session) Valid() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.stopping && s.lease.Valid(time.Now(), s.held)
+}
+
+// Until returns when the lease lapses.
+func (s *Session) Until() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease.Until()
+}
+
+// Revision returns the configuration revision in force here.
+func (s *Session) Revision() view.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+// Renew sends a renewal soon, without waiting for the next tick.
+func (s *Session) Renew() {
+	select {
+	case s.renew <- struct{}{}:
+	default:
+	}
+}
+
+// Send sends a message to the leader on the running session.
+func (s *Session) Send(m message.Message) error {
+	s.mu.Lock()
+	stream := s.stream
+	s.mu.Unlock()
+	if stream == nil {
+		return ErrNoLeader{Reason: "no session with the control leader"}
+	}
+	return stream.Send(m)
+}
+
+// Goodbye gives the lease up and tells control.
+func (s *Session) Goodbye() error {
+	s.mu.Lock()
+	s.stopping = true
+	s.lease.Drop()
+	s.mu.Unlock()
+	return s.Send(&message.Goodbye{})
+}
+
+// Run keeps a session open until ctx ends.
+func (s *Session) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := s.once(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		event.LinkLost.On(s.opts.Logger).Str("peer", "control").Err(err).Msg("")
+		select {
+		case <-ctx.Done():
+		case <-time.After(reconnectDelay):
+		}
+	}
+	return nil
+}
+
+func (s *Session) once(ctx context.Context) error {
+	address := s.address()
+	stream, err := s.opts.Pool.Open(ctx, address)
+	if err != nil {
+		s.failed(address)
+		return err
+	}
+	defer stream.Cancel()
+	stop := stream.CancelOn(ctx)
+	defer stop()
+	welcome, err := s.open(stream, address)
+	if err != nil {
+		return err
+	}
+	s.opts.Daemon.Welcomed(*welcome)
+	return s.hold(ctx, stream, welcome)
+}
+
+func (s *Session) open(stream *transport.Stream, address string) (*message.Welcome, error) {
+	announce := s.opts.Daemon.Announce()
+	announce.Revision = s.Revision()
+	if err := stream.Send(&announce); err != nil {
+		s.failed(address)
+		return nil, err
+	}
+	_ = stream.SetReadDeadline(time.Now().Add(answerTimeout))
+	answer, err := stream.Receive()
+	if err != nil {
+		s.failed(address)
+		return nil, errors.Wrap(err, "announce")
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	switch m := answer.(type) {
+	case *message.Welcome:
+		s.welcomed(m, stream, address)
+		return m, nil
+	case *message.NotLeader:
+		s.redirect(address, m.Leader)
+		return nil, ErrNoLeader{Reason: "redirected from " + address}
+	case *message.Failure:
+		s.failed(address)
+		return nil, ErrRefused{Code: m.Code, Reason: m.Reason}
+	default:
+		s.failed(address)
+		return nil, errors.Errorf("announce answered by %T", answer)
+	}
+}
+
+func (s *Session) welcomed(w *message.Welcome, stream *transport.Stream, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease.Restart()
+	s.ttl = w.LeaseTTL
+	s.leader = address
+	s.stream = stream
+}
+
+// hold renews and receives until the stream ends. A leader that does not answer
+// renewals for a whole lease is left.
+func (s *Session) hold(ctx context.Context, stream *transport.Stream, w *message.Welcome) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	renewing := make(chan struct{})
+	go func() {
+		defer close(renewing)
+		s.renewals(ctx, stream, w.RenewEvery)
+	}()
+	err := s.receive(ctx, stream, w.LeaseTTL)
+	s.mu.Lock()
+	s.stream = nil
+	s.mu.Unlock()
+	cancel()
+	stream.Cancel()
+	<-renewing
+	return err
+}
+
+func (s *Session) renewals(ctx context.Context, stream *transport.Stream, every time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		if s.sendRenewal(stream) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.renew:
+		}
+	}
+}
+
+func (s *Session) sendRenewal(stream *transport.Stream) error {
+	renewal := s.opts.Daemon.Renewal()
+	announce := s.opts.Daemon.Announce()
+	s.mu.Lock()
+	if s.stopping {
+		s.mu.Unlock()
+		return nil
+	}
+	renewal.Host = announce.Info.ID
+	renewal.Incarnation = announce.Info.Incarnation
+	renewal.Revision = s.held
+	renewal.Sequence = s.lease.Renewing(time.Now())
+	s.mu.Unlock()
+	return stream.Send(&message.Renew{Renewals: []message.Renewal{renewal}})
+}
+
+func (s *Session) receive(ctx context.Context, stream *transport.Stream, ttl time.Duration) error {
+	for {
+		_ = stream.SetReadDeadline(time.Now().Add(ttl))
+		m, err := stream.Receive()
+		if err != nil {
+			return errors.Wrap(err, "session")
+		}
+		switch m := m.(type) {
+		case *message.Grant:
+			s.granted(m, ttl)
+		case *message.ConfigPush:
+			s.applyConfig(m)
+		case *message.NotLeader:
+			s.redirect(s.address(), m.Leader)
+			return ErrNoLeader{Reason: "the leader stepped down"}
+		default:
+			s.opts.Daemon.Pushed(ctx, m)
+		}
+	}
+}
+
+func (s *Session) granted(m *message.Grant, ttl time.Duration) {
+	self := s.opts.Daemon.Announce().Info.ID
+	for _, g := range m.Grants {
+		if g.Host != self {
+			continue
+		}
+		s.mu.Lock()
+		known := s.lease.Granted(g.Sequence, ttl, g.Revision)
+		s.mu.Unlock()
+		if known {
+			s.opts.Daemon.Granted(g)
+		}
+	}
+}
+
+// applyConfig never goes back to a lower revision.
+func (s *Session) applyConfig(m *message.ConfigPush) {
+	if m.Revision <= s.Revision() {
+		return
+	}
+	if err := s.opts.Daemon.ApplyConfig(m.Revision, m.YAML); err != nil {
+		event.ConfigRefused.On(s.opts.Logger).Uint64("revision", uint64(m.Revision)).Err(err).Msg("")
+		return
+	}
+	s.mu.Lock()
+	s.held = m.Revision
+	s.mu.Unlock()
+	event.ConfigInForce.On(s.opts.Logger).Uint64("revision", uint64(m.Revision)).Msg("")
+	s.Renew()
+}
+
+func (s *Session) address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader != "" {
+		return s.leader
+	}
+	return s.opts.Control[s.next%len(s.opts.Control)]
+}
+
+func (s *Session) failed(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader == address {
+		s.leader = ""
+	}
+	s.next++
+}
+
+func (s *Session) redirect(from, to string) {
+	if to == "" || to == from {
+		s.failed(from)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = to
+}
--- a/internal/telemetry/event/process.go
+++ b/internal/telemetry/event/process.go
@@ -11,4 +11,6 @@
 	LinkLost        = register(404, "link_lost", log.WarnLevel)
 	FrameRejected   = register(405, "frame_rejected", log.WarnLevel)
 	KeysReloaded    = register(406, "keys_reloaded", log.InfoLevel)
+	ConfigInForce   = register(407, "config_in_force", log.InfoLevel)
+	ConfigRefused   = register(408, "config_refused", log.ErrorLevel)
 )
