Make the session's loops lint clean

Cause: the linter found a dead assignment and an error hidden by a nil return. Change: both loops rewritten; behaviour as before.

--- a/internal/link/session/call.go
+++ b/internal/link/session/call.go
@@ -57,7 +57,6 @@
 // for the leader until ctx ends; once a leader has been sent the message it is not
 // sent again, and a lost answer is ErrUncertain.
 func (s *Session) Call(ctx context.Context, m message.Message) (message.Message, error) {
-	reason := "none found"
 	for {
 		address := s.address()
 		answer, err := s.callOnce(ctx, address, m)
@@ -67,10 +66,9 @@
 		case !IsErrNoLeader(err):
 			return nil, err
 		}
-		reason = err.Error()
 		select {
 		case <-ctx.Done():
-			return nil, ErrNoLeader{Reason: reason}
+			return nil, ErrNoLeader{Reason: err.Error()}
 		case <-time.After(callRetryDelay):
 		}
 	}
@@ -107,4 +105,3 @@
 		return answer, nil
 	}
 }
-
--- a/internal/link/session/session.go
+++ b/internal/link/session/session.go
@@ -123,11 +123,9 @@
 // Run keeps a session open until ctx ends.
 func (s *Session) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := s.once(ctx)
-		if ctx.Err() != nil {
-			return nil
+		if err := s.once(ctx); ctx.Err() == nil {
+			event.LinkLost.On(s.opts.Logger).Str("peer", "control").Err(err).Msg("")
 		}
-		event.LinkLost.On(s.opts.Logger).Str("peer", "control").Err(err).Msg("")
 		select {
 		case <-ctx.Done():
 		case <-time.After(reconnectDelay):
