Serve callers: the execution machine, its loop and the caller API

Cause: what a failed attempt proves has to be decided in one place, or a retry could run a sign-off twice. Ruled out: deciding in the loop that holds the sockets; its cases could only be reached by timing. The machine takes one event and gives one action, so each case is a golden session.

--- /dev/null
+++ b/internal/entry/api/read.go
@@ -0,0 +1,104 @@
+package api
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/entry/dispatch"
+	"github.com/egretreach/egretreach/internal/fleet/team"
+)
+
+// authorize finds the caller's team, or answers and reports false.
+func (a *API) authorize(c *call) bool {
+	scheme, token, _ := strings.Cut(c.r.Header.Get("Authorization"), " ")
+	id, ok := a.backend.Team(strings.TrimSpace(token))
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		c.w.Header().Set("WWW-Authenticate", "Bearer")
+		a.refuse(c, refusal{
+			status: http.StatusUnauthorized, code: "invalid_token",
+			message: "send a team's token as 'Authorization: Bearer TOKEN'",
+		})
+		return false
+	}
+	c.team = id
+	return true
+}
+
+// readBody reads the whole body, or answers and reports false.
+func (a *API) readBody(c *call) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &tooLarge):
+		a.refuse(c, refusal{
+			status: http.StatusRequestEntityTooLarge, code: "body_too_large",
+			message: fmt.Sprintf("the body is over %d bytes", MaxBodyBytes),
+		})
+	default:
+		a.refuse(c, refusal{status: http.StatusBadRequest, code: "body_unreadable", message: "the body did not arrive whole"})
+	}
+	return nil, false
+}
+
+// newWork fills in what all requests share, or answers and reports false.
+func (a *API) newWork(c *call, body []byte, idempotent bool) (dispatch.Work, bool) {
+	class := team.Class(c.r.Header.Get(HeaderClass))
+	if class == "" {
+		class = team.ClassInteractive
+	}
+	priority, timeout, ok := a.backend.Class(class)
+	if !ok {
+		a.refuse(c, refusal{status: http.StatusBadRequest, code: "unknown_class", message: fmt.Sprintf("there is no class %q", class)})
+		return dispatch.Work{}, false
+	}
+	if asked := c.r.Header.Get(HeaderTimeout); asked != "" {
+		d, err := time.ParseDuration(asked)
+		if err != nil || d <= 0 {
+			a.refuse(c, refusal{status: http.StatusBadRequest, code: "bad_timeout", message: HeaderTimeout + " is a duration such as 30s"})
+			return dispatch.Work{}, false
+		}
+		timeout = min(timeout, d)
+	}
+	work := dispatch.Work{
+		ID: c.id, Team: c.team, Class: class, Priority: priority,
+		Deadline: time.Now().Add(timeout), TraceParent: c.r.Header.Get(headerTraceParent),
+	}
+	return work, a.addKey(c, &work, body, idempotent)
+}
+
+// addKey makes work run at most once if the caller gave an Idempotency-Key or the
+// request is not idempotent by itself.
+func (a *API) addKey(c *call, work *dispatch.Work, body []byte, idempotent bool) bool {
+	key := c.r.Header.Get(HeaderIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		a.refuse(c, refusal{status: http.StatusBadRequest, code: "bad_idempotency_key", message: fmt.Sprintf("an Idempotency-Key has at most %d bytes", maxKeyBytes)})
+		return false
+	}
+	if key == "" && idempotent {
+		return true
+	}
+	if key == "" {
+		key = "minted-" + uuid.NewString()
+	}
+	work.AtMostOnce = true
+	work.Key = key
+	work.KeyHash = keyHash(c.r, body)
+	return true
+}
+
+// keyHash binds an idempotency key to method, path, query and body.
+func keyHash(r *http.Request, body []byte) []byte {
+	h := sha256.New()
+	fmt.Fprintf(h, "%s %s?%s\n", r.Method, r.URL.Path, r.URL.RawQuery)
+	h.Write(body)
+	return h.Sum(nil)
+}
--- /dev/null
+++ b/internal/entry/api/refusal.go
@@ -0,0 +1,98 @@
+package api
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/entry/dispatch"
+	"github.com/egretreach/egretreach/internal/entry/execution"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+)
+
+// refusal is an answer that says why there is no other. The zero outcome is not_run.
+type refusal struct {
+	status     int
+	code       string
+	message    string
+	outcome    request.Outcome
+	retryAfter time.Duration
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string          `json:"message"`
+	Type      string          `json:"type"`
+	Code      string          `json:"code"`
+	Outcome   request.Outcome `json:"outcome"`
+	RequestID string          `json:"request_id"`
+}
+
+func (r refusal) body(id request.ID) errorBody {
+	kind := "server_error"
+	if r.status < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	return errorBody{Error: errorDetail{
+		Message: r.message, Type: kind, Code: r.code, Outcome: r.outcome, RequestID: id.String(),
+	}}
+}
+
+func (a *API) refuse(c *call, r refusal) {
+	if r.outcome == "" {
+		r.outcome = request.OutcomeNotRun
+	}
+	h := c.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, string(r.outcome))
+	if r.retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.retryAfter.Seconds()))))
+	}
+	c.w.WriteHeader(r.status)
+	_ = json.NewEncoder(c.w).Encode(r.body(c.id))
+}
+
+// statusOf gives the HTTP status of each code that a result may carry.
+var statusOf = map[string]int{
+	execution.CodeNoControl:      http.StatusServiceUnavailable,
+	execution.CodeLedgerFull:     http.StatusServiceUnavailable,
+	execution.CodeKeyMismatch:    http.StatusUnprocessableEntity,
+	execution.CodeKeyUnknown:     http.StatusConflict,
+	execution.CodeAnswerNotKept:  http.StatusConflict,
+	execution.CodeDeadline:       http.StatusGatewayTimeout,
+	execution.CodeAgentLost:      http.StatusBadGateway,
+	execution.CodeEngineCrashed:  http.StatusBadGateway,
+	execution.CodeStillRunning:   http.StatusConflict,
+	execution.CodeNoReplica:      http.StatusServiceUnavailable,
+	execution.CodeEndpointFailed: http.StatusBadGateway,
+	"overloaded":                 http.StatusServiceUnavailable,
+	"team_limit":                 http.StatusTooManyRequests,
+	"quarantined":                http.StatusUnprocessableEntity,
+	"request_too_large":          http.StatusRequestEntityTooLarge,
+	"answer_too_large":           http.StatusBadGateway,
+	"not_ready":                  http.StatusServiceUnavailable,
+}
+
+func refusalOf(r dispatch.Result) refusal {
+	status, ok := statusOf[r.Code]
+	switch {
+	case ok:
+	case r.Outcome == request.OutcomeUnknown:
+		status = http.StatusBadGateway
+	default:
+		status = http.StatusServiceUnavailable
+	}
+	message := r.Reason
+	if message == "" {
+		message = "the request could not be served"
+	}
+	if r.Outcome == request.OutcomeUnknown {
+		message += "; it may have run"
+	}
+	return refusal{status: status, code: r.Code, message: message, outcome: r.Outcome, retryAfter: r.RetryAfter}
+}
--- /dev/null
+++ b/internal/entry/api/service.go
@@ -0,0 +1,83 @@
+package api
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/egretreach/egretreach/internal/entry/dispatch"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// notForwarded are headers that belong to one connection (RFC 9110, section 7.6.1)
+// or to this system.
+var notForwarded = []string{
+	"Authorization", "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	HeaderRequestID, HeaderOutcome, HeaderClass, HeaderTimeout,
+}
+
+func (a *API) service(c *call) {
+	if !a.authorize(c) {
+		return
+	}
+	name := c.params("service")
+	path := "/" + strings.TrimPrefix(c.params("path"), "/")
+	known, idempotent := a.backend.Service(name, c.r.Method, path)
+	if !known {
+		a.refuse(c, refusal{status: http.StatusNotFound, code: "unknown_service", message: fmt.Sprintf("there is no service %q", name)})
+		return
+	}
+	body, ok := a.readBody(c)
+	if !ok {
+		return
+	}
+	work, ok := a.newWork(c, body, idempotent)
+	if !ok {
+		return
+	}
+	work.BodyHash = a.backend.BodyHash(c.r.Method, c.r.URL.Path, body)
+	work.Body = dispatch.ServiceCall{Call: message.Call{
+		Service: name, Method: c.r.Method, Path: path, Query: c.r.URL.RawQuery,
+		Header: forwarded(c.r.Header), Body: body,
+	}}
+	result := a.backend.Serve(c.r.Context(), work, nil)
+	if result.Outcome != request.OutcomeComplete || result.Answer == nil {
+		a.refuse(c, refusalOf(result))
+		return
+	}
+	a.answer(c, result.Answer)
+}
+
+func (a *API) answer(c *call, answer *message.Answer) {
+	h := c.w.Header()
+	for name, values := range forwarded(answer.Header) {
+		h[http.CanonicalHeaderKey(name)] = values
+	}
+	h.Set(HeaderOutcome, string(request.OutcomeComplete))
+	status := answer.Status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	c.w.WriteHeader(status)
+	_, _ = c.w.Write(answer.Body)
+}
+
+// forwarded returns the headers that go through, without those that the Connection
+// header names.
+func forwarded(in map[string][]string) map[string][]string {
+	out := make(http.Header, len(in))
+	for name, values := range in {
+		out[http.CanonicalHeaderKey(name)] = values
+	}
+	for _, line := range out["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range notForwarded {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/api/stream.go
@@ -0,0 +1,75 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/egretreach/egretreach/internal/entry/dispatch"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+)
+
+// stream answers with server-sent events. Until the first token the status is still
+// open, so an early failure is an ordinary error. A failure after it is a last event
+// with an error and no [DONE]. The outcome then stands in the trailer.
+func (a *API) stream(c *call, work dispatch.Work, form completionForm, usage bool) {
+	s := &eventStream{call: c, form: form}
+	result := a.backend.Serve(c.r.Context(), work, s)
+	complete := result.Outcome == request.OutcomeComplete && result.Answer != nil
+	if !s.started && !complete {
+		a.refuse(c, refusalOf(result))
+		return
+	}
+	s.start()
+	if !complete {
+		_ = s.event(refusalOf(result).body(c.id))
+	} else {
+		_ = s.event(form.last(result))
+		if usage {
+			_ = s.event(form.usage(result))
+		}
+		_ = s.write("data: [DONE]\n\n")
+	}
+	c.w.Header().Set(HeaderOutcome, string(result.Outcome))
+}
+
+// eventStream writes tokens as server-sent events.
+type eventStream struct {
+	call    *call
+	form    completionForm
+	started bool
+}
+
+// Tokens implements dispatch.Sink. It blocks while the caller's connection is full.
+func (s *eventStream) Tokens(_ uint64, _ uint32, text []byte) error {
+	first := !s.started
+	s.start()
+	return s.event(s.form.chunk(string(text), first))
+}
+
+func (s *eventStream) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	h := s.call.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set("Trailer", HeaderOutcome)
+	s.call.w.WriteHeader(http.StatusOK)
+}
+
+func (s *eventStream) event(v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return s.write("data: " + string(raw) + "\n\n")
+}
+
+func (s *eventStream) write(text string) error {
+	if _, err := s.call.w.Write([]byte(text)); err != nil {
+		return err
+	}
+	s.call.w.Flush()
+	return s.call.r.Context().Err()
+}
--- /dev/null
+++ b/internal/entry/dispatch/attempt.go
@@ -0,0 +1,194 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/entry/execution"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+const openTimeout = 2 * time.Second
+
+// attempt hands the request to its target once and follows it to its end.
+func (e *executor) attempt(ctx context.Context, a execution.Dispatch) execution.Event {
+	start := time.Now()
+	ended := e.follow(ctx, a, start)
+	e.done(ended.Kind, ended.Code)
+	return ended
+}
+
+func (e *executor) follow(ctx context.Context, a execution.Dispatch, start time.Time) execution.Ended {
+	stream, err := e.open(ctx, a.Target.Address)
+	if err != nil {
+		return execution.Ended{Kind: execution.EndNotRun, Code: execution.CodeAgentLost, Reason: err.Error()}
+	}
+	defer stream.Close()
+	stop := stream.CancelOn(ctx)
+	defer stop()
+	ref := message.Ref{Request: e.work.ID, Attempt: a.Attempt}
+	// From here on the agent may have the request, whatever the error says.
+	if err := stream.Send(e.message(a, ref)); err != nil {
+		if message.IsErrFrameTooLarge(err) {
+			return execution.Ended{Kind: execution.EndNotRun, Code: "request_too_large", Reason: err.Error()}
+		}
+		return e.lost(ctx, err)
+	}
+	e.progress.begin(ref)
+	for {
+		m, err := stream.Receive()
+		if err != nil {
+			return e.lost(ctx, err)
+		}
+		if ended, ok := e.frame(m, ref, start); ok {
+			return ended
+		}
+	}
+}
+
+func (e *executor) open(ctx context.Context, address string) (*transport.Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	return e.dispatcher.opts.Pool.Open(ctx, address)
+}
+
+// frame takes one frame of the attempt; ok says that it was the last.
+func (e *executor) frame(m message.Message, ref message.Ref, start time.Time) (execution.Ended, bool) {
+	if got, ok := refOf(m); !ok || got != ref {
+		event.FrameRejected.On(e.dispatcher.opts.Logger).Str("request", ref.Request.String()).
+			Str("reason", "frame of another request").Msg("")
+		return execution.Ended{}, false
+	}
+	switch m := m.(type) {
+	case *message.Refused:
+		return execution.Ended{
+			Kind: execution.EndNotRun, Code: m.Code, Reason: m.Reason,
+			RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+		}, true
+	case *message.Head:
+		e.progress.head = m
+	case *message.Chunk:
+		return e.chunk(m, start)
+	case *message.End:
+		return e.end(m), true
+	default: // Accepted tells nothing that the first chunk does not.
+	}
+	return execution.Ended{}, false
+}
+
+func (e *executor) chunk(m *message.Chunk, start time.Time) (execution.Ended, bool) {
+	if !e.progress.started && e.route.FirstToken != nil {
+		e.route.FirstToken(time.Since(start))
+	}
+	e.progress.started = true
+	switch err := e.progress.take(m); {
+	case err == nil:
+		return execution.Ended{}, false
+	case isErrOffset(err):
+		event.FrameRejected.On(e.dispatcher.opts.Logger).Str("request", m.Ref.Request.String()).
+			Str("reason", err.Error()).Msg("")
+		return execution.Ended{Kind: execution.EndLost, Code: execution.CodeEndpointFailed, Reason: err.Error()}, true
+	case isErrAnswerTooLarge(err):
+		return execution.Ended{Kind: execution.EndLost, Code: "answer_too_large", Reason: err.Error(), Final: true}, true
+	default:
+		return execution.Ended{Kind: execution.EndLost, Code: "caller_gone", Reason: err.Error(), Final: true}, true
+	}
+}
+
+func (e *executor) end(m *message.End) execution.Ended {
+	switch m.Outcome {
+	case request.OutcomeComplete:
+		if m.Length != e.progress.length() {
+			return execution.Ended{
+				Kind: execution.EndLost, Code: execution.CodeEndpointFailed,
+				Reason: "the answer ended before its whole length had arrived",
+			}
+		}
+		e.progress.end = *m
+		return execution.Ended{Kind: execution.EndComplete, Answer: e.progress.kept()}
+	case request.OutcomeNotRun:
+		return execution.Ended{Kind: execution.EndNotRun, Code: m.Code, Reason: m.Reason}
+	case request.OutcomeUnknown:
+		return execution.Ended{Kind: execution.EndLost, Code: m.Code, Reason: m.Reason, Attested: true}
+	}
+	return execution.Ended{Kind: execution.EndLost, Code: m.Code, Reason: m.Reason}
+}
+
+func (e *executor) lost(ctx context.Context, err error) execution.Ended {
+	ended := execution.Ended{Kind: execution.EndLost, Code: execution.CodeAgentLost, Reason: "the link to the agent was lost"}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		ended.Code = "caller_gone"
+		ended.Final = true
+	}
+	if !errors.Is(err, io.EOF) {
+		event.LinkLost.On(e.dispatcher.opts.Logger).Str("request", e.work.ID.String()).Err(err).Msg("")
+	}
+	return ended
+}
+
+func (e *executor) message(a execution.Dispatch, ref message.Ref) *message.Dispatch {
+	m := &message.Dispatch{
+		Ref: ref, Team: e.work.Team, Class: e.work.Class, Incarnation: a.Target.Incarnation,
+		TimeoutMs: time.Until(e.work.Deadline).Milliseconds(), BodyHash: e.work.BodyHash,
+		AtMostOnce: e.work.AtMostOnce, Suspect: e.work.Suspect || e.route.Suspect,
+		Priority: e.work.Priority, TraceParent: e.work.TraceParent,
+	}
+	switch body := e.work.Body.(type) {
+	case Generation:
+		m.Generate = &message.Generate{
+			Replica: a.Target.Replica, Fence: a.Target.Fence, Path: body.Path, Body: body.Raw,
+			Adapter: body.Adapter, ResumeOffset: e.progress.offset, ResumeText: string(e.progress.text),
+		}
+	case ServiceCall:
+		call := body.Call
+		m.Call = &call
+	}
+	return m
+}
+
+func refOf(m message.Message) (message.Ref, bool) {
+	switch m := m.(type) {
+	case *message.Accepted:
+		return m.Ref, true
+	case *message.Refused:
+		return m.Ref, true
+	case *message.Head:
+		return m.Ref, true
+	case *message.Chunk:
+		return m.Ref, true
+	case *message.End:
+		return m.Ref, true
+	default:
+		return message.Ref{}, false
+	}
+}
+
+// ask asks an agent, over a fresh call, what became of an attempt.
+func (e *executor) ask(ctx context.Context, a execution.Ask) execution.Event {
+	stream, err := e.open(ctx, a.Address)
+	if err != nil {
+		return execution.Asked{}
+	}
+	defer stream.Close()
+	stop := stream.CancelOn(ctx)
+	defer stop()
+	question := a.Message
+	if stream.Send(&question) != nil {
+		return execution.Asked{}
+	}
+	answer, err := stream.Receive()
+	if err != nil {
+		return execution.Asked{}
+	}
+	result, ok := answer.(*message.AskResult)
+	if !ok || result.Ref != question.Ref {
+		return execution.Asked{}
+	}
+	return execution.Asked{Reached: true, State: result.State, Answer: result.Answer}
+}
--- /dev/null
+++ b/internal/entry/dispatch/batch.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+const (
+	batchItems    = 256
+	batchesAtOnce = 4
+	claimTimeout  = 5 * time.Second
+	settleTimeout = 2 * time.Second
+)
+
+// batcher joins calls of many requests into one message to control. While as many
+// batches are under way as may be, items gather for the next one.
+type batcher[In, Out any] struct {
+	send func(ctx context.Context, items []In) ([]Out, error)
+
+	mu      sync.Mutex
+	waiting []batchItem[In, Out]
+	running int
+}
+
+type batchItem[In, Out any] struct {
+	in  In
+	out chan batchResult[Out]
+}
+
+type batchResult[Out any] struct {
+	value Out
+	err   error
+}
+
+func (b *batcher[In, Out]) do(ctx context.Context, in In) (Out, error) {
+	item := batchItem[In, Out]{in: in, out: make(chan batchResult[Out], 1)}
+	b.mu.Lock()
+	b.waiting = append(b.waiting, item)
+	if b.running < batchesAtOnce {
+		b.running++
+		go b.drain()
+	}
+	b.mu.Unlock()
+	select {
+	case r := <-item.out:
+		return r.value, r.err
+	case <-ctx.Done():
+		var none Out
+		return none, ctx.Err()
+	}
+}
+
+func (b *batcher[In, Out]) drain() {
+	for {
+		items := b.take()
+		if items == nil {
+			return
+		}
+		b.run(items)
+	}
+}
+
+func (b *batcher[In, Out]) take() []batchItem[In, Out] {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.waiting) == 0 {
+		b.running--
+		return nil
+	}
+	n := min(len(b.waiting), batchItems)
+	items := append([]batchItem[In, Out](nil), b.waiting[:n]...)
+	b.waiting = append(b.waiting[:0], b.waiting[n:]...)
+	return items
+}
+
+func (b *batcher[In, Out]) run(items []batchItem[In, Out]) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	in := make([]In, len(items))
+	for i, item := range items {
+		in[i] = item.in
+	}
+	out, err := b.send(ctx, in)
+	if err == nil && len(out) != len(items) {
+		err = errors.Errorf("control answered %d of %d items", len(out), len(items))
+	}
+	for i, item := range items {
+		r := batchResult[Out]{err: err}
+		if err == nil {
+			r.value = out[i]
+		}
+		item.out <- r
+	}
+}
+
+func newClaims(control Control) *batcher[message.ClaimItem, message.ClaimItemResult] {
+	b := &batcher[message.ClaimItem, message.ClaimItemResult]{}
+	b.send = func(ctx context.Context, items []message.ClaimItem) ([]message.ClaimItemResult, error) {
+		answer, err := control.Call(ctx, &message.Claim{Items: items})
+		if err != nil {
+			return nil, err
+		}
+		result, ok := answer.(*message.ClaimResult)
+		if !ok {
+			return nil, errors.Errorf("claim answered by %T", answer)
+		}
+		return result.Items, nil
+	}
+	return b
+}
+
+func newSettles(control Control) *batcher[message.SettleItem, bool] {
+	b := &batcher[message.SettleItem, bool]{}
+	b.send = func(ctx context.Context, items []message.SettleItem) ([]bool, error) {
+		answer, err := control.Call(ctx, &message.Settle{Items: items})
+		if err != nil {
+			return nil, err
+		}
+		result, ok := answer.(*message.SettleResult)
+		if !ok {
+			return nil, errors.Errorf("settle answered by %T", answer)
+		}
+		return result.Recorded, nil
+	}
+	return b
+}
--- /dev/null
+++ b/internal/entry/dispatch/dispatcher.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/entry/execution"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/pool"
+)
+
+// Options are what a Dispatcher works with.
+type Options struct {
+	Pool    *pool.Pool
+	Control Control
+	Router  Router
+	Retrier execution.Retrier
+	Logger  *log.Logger
+}
+
+// Dispatcher carries requests out. Use New.
+type Dispatcher struct {
+	opts    Options
+	claims  *batcher[message.ClaimItem, message.ClaimItemResult]
+	settles *batcher[message.SettleItem, bool]
+}
+
+// New returns a dispatcher.
+func New(opts Options) *Dispatcher {
+	return &Dispatcher{opts: opts, claims: newClaims(opts.Control), settles: newSettles(opts.Control)}
+}
+
+// Do carries work out and returns its end. When ctx ends, an idempotent request is
+// cancelled; one that runs at most once goes on to its own end so that its claim is
+// settled, though nobody waits for it.
+func (d *Dispatcher) Do(ctx context.Context, work Work, sink Sink) Result {
+	if work.AtMostOnce {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
+	defer cancel()
+	e := &executor{dispatcher: d, work: work, progress: progress{work: work, sink: sink}}
+	return e.run(ctx)
+}
+
+// executor performs the actions of one request's machine.
+type executor struct {
+	dispatcher *Dispatcher
+	work       Work
+	progress   progress
+	route      Route
+}
+
+func (e *executor) run(ctx context.Context) Result {
+	machine := execution.New(execution.Plan{
+		Request: e.work.ID, Team: e.work.Team, Deadline: e.work.Deadline,
+		AtMostOnce: e.work.AtMostOnce, Key: e.work.Key, BodyHash: e.work.KeyHash,
+	}, e.dispatcher.opts.Retrier)
+	action := machine.Start()
+	for {
+		if finish, ok := action.(execution.Finish); ok {
+			return e.result(finish.Result)
+		}
+		action = machine.Step(time.Now(), e.perform(ctx, action))
+	}
+}
+
+func (e *executor) result(r execution.Result) Result {
+	result := Result{Result: r}
+	if r.Outcome == request.OutcomeComplete && r.Answer == nil {
+		result.Answer = e.progress.answer()
+		result.FinishReason = e.progress.end.FinishReason
+		result.Usage = e.progress.usage()
+	}
+	return result
+}
+
+func (e *executor) perform(ctx context.Context, a execution.Action) execution.Event {
+	switch a := a.(type) {
+	case execution.Route:
+		return e.choose(a)
+	case execution.Claim:
+		return e.claim(ctx, a)
+	case execution.Dispatch:
+		return e.attempt(ctx, a)
+	case execution.Ask:
+		return e.ask(ctx, a)
+	case execution.Settle:
+		e.settle(ctx, a)
+		return execution.Settled{}
+	case execution.Wait:
+		wait(ctx, a.For)
+		return execution.Waited{}
+	}
+	return execution.Ended{Kind: execution.EndLost, Code: execution.CodeEndpointFailed}
+}
+
+func (e *executor) choose(a execution.Route) execution.Event {
+	route, err := e.dispatcher.opts.Router.Route(time.Now(), e.work, a.Exclude)
+	var unroutable ErrUnroutable
+	switch {
+	case err == nil:
+		e.route = route
+		return execution.Routed{Target: route.Target}
+	case errors.As(err, &unroutable):
+		return execution.Unroutable{
+			Code: unroutable.Code, Reason: unroutable.Reason,
+			RetryAfter: unroutable.RetryAfter, Final: unroutable.Final,
+		}
+	default:
+		return execution.Unroutable{Code: execution.CodeNoReplica, Reason: err.Error()}
+	}
+}
+
+func (e *executor) claim(ctx context.Context, a execution.Claim) execution.Event {
+	result, err := e.dispatcher.claims.do(ctx, a.Item)
+	if err != nil {
+		e.done(execution.EndNotRun, execution.CodeNoControl)
+		return execution.ClaimFailed{Reason: err.Error()}
+	}
+	if result.State != message.ClaimGranted {
+		e.done(execution.EndNotRun, "")
+	}
+	return execution.Claimed{Result: result}
+}
+
+func (e *executor) settle(ctx context.Context, a execution.Settle) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	// A settle that is lost costs a resend one question to the agent, no more.
+	_, _ = e.dispatcher.settles.do(ctx, a.Item)
+}
+
+func (e *executor) done(kind execution.EndKind, code string) {
+	if e.route.Done != nil {
+		e.route.Done(kind, code)
+	}
+	e.route = Route{}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatch/progress.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// MaxAnswerBytes bounds the answer of a plain service, and the text of a
+// generation that can still be resumed.
+const MaxAnswerBytes = 4 << 20
+
+// maxKeptBytes bounds the answer that the ledger keeps for resends.
+const maxKeptBytes = 64 << 10
+
+type errOffset struct{ want, got uint64 }
+
+func (e errOffset) Error() string { return fmt.Sprintf("chunk at offset %d, not %d", e.got, e.want) }
+
+func isErrOffset(err error) bool {
+	var e errOffset
+	return errors.As(err, &e)
+}
+
+type errAnswerTooLarge struct{}
+
+func (errAnswerTooLarge) Error() string {
+	return fmt.Sprintf("the answer is over %d bytes", MaxAnswerBytes)
+}
+
+func isErrAnswerTooLarge(err error) bool {
+	var e errAnswerTooLarge
+	return errors.As(err, &e)
+}
+
+// progress is how much of an answer has arrived, over all attempts.
+type progress struct {
+	work    Work
+	sink    Sink
+	ref     message.Ref
+	head    *message.Head
+	offset  uint64
+	text    []byte
+	started bool
+	end     message.End
+}
+
+// begin starts an attempt. A generation goes on behind what has arrived; a call
+// begins anew, since none of its answer has been given to the caller.
+func (p *progress) begin(ref message.Ref) {
+	p.ref = ref
+	p.started = false
+	if _, ok := p.work.Body.(ServiceCall); ok {
+		p.head = nil
+		p.offset = 0
+		p.text = nil
+	}
+}
+
+func (p *progress) length() uint64 { return p.offset }
+
+// take accepts a chunk only if it goes on exactly where the answer stands.
+func (p *progress) take(c *message.Chunk) error {
+	if c.Offset != p.offset {
+		return errOffset{want: p.offset, got: c.Offset}
+	}
+	if len(p.text)+len(c.Data) > MaxAnswerBytes {
+		return errAnswerTooLarge{}
+	}
+	p.text = append(p.text, c.Data...)
+	p.offset += uint64(c.Count)
+	if _, ok := p.work.Body.(Generation); ok && p.sink != nil {
+		return p.sink.Tokens(c.Offset, c.Count, c.Data)
+	}
+	return nil
+}
+
+// answer is the whole answer as it stands.
+func (p *progress) answer() *message.Answer {
+	a := &message.Answer{Body: p.text}
+	if p.head != nil {
+		a.Status = p.head.Status
+		a.Header = p.head.Header
+	}
+	return a
+}
+
+// kept is the answer as the ledger keeps it.
+func (p *progress) kept() *message.Answer {
+	if !p.work.AtMostOnce {
+		return nil
+	}
+	a := p.answer()
+	if len(a.Body) > maxKeptBytes {
+		return &message.Answer{Status: a.Status, Dropped: true}
+	}
+	return a
+}
+
+func (p *progress) usage() Usage {
+	return Usage{
+		PromptTokens: p.end.PromptTokens, CompletionTokens: p.end.CompletionTokens,
+		CachedTokens: p.end.CachedTokens,
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatch/work.go
@@ -0,0 +1,102 @@
+// Package dispatch carries requests out: it performs the steps that the execution
+// machine decides, over links to control and to agents, and relays answers.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/entry/execution"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/fleet/team"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// Work is one caller's request, read and checked.
+type Work struct {
+	ID       request.ID
+	Team     team.ID
+	Class    team.Class
+	Priority int
+	Deadline time.Time
+	// AtMostOnce says that the request may not run twice; Key and KeyHash are then set.
+	AtMostOnce  bool
+	Key         string
+	KeyHash     []byte
+	BodyHash    uint64
+	Suspect     bool
+	TraceParent string
+	Body        Body
+}
+
+// Body is what is asked for: Generation or ServiceCall.
+type Body interface{ body() }
+
+// Generation is work for a model.
+type Generation struct {
+	Path         string
+	Model        string
+	Version      string
+	Adapter      string
+	Prompt       []byte
+	PromptTokens int
+	Raw          []byte
+}
+
+// ServiceCall is work for a plain service.
+type ServiceCall struct{ Call message.Call }
+
+func (Generation) body()  {}
+func (ServiceCall) body() {}
+
+// Sink takes the answer as it arrives. A call blocks while the caller is slow.
+type Sink interface {
+	// Tokens takes a run of count tokens; offset is the number before it.
+	Tokens(offset uint64, count uint32, text []byte) error
+}
+
+// Usage counts the tokens of a generation.
+type Usage struct {
+	PromptTokens     int
+	CompletionTokens int
+	CachedTokens     int
+}
+
+// Result is how a request ended.
+type Result struct {
+	execution.Result
+	FinishReason string
+	Usage        Usage
+}
+
+// Route is where an attempt goes, and how its end is told to the policy.
+type Route struct {
+	Target execution.Target
+	// FirstToken and Done may be nil.
+	FirstToken func(after time.Duration)
+	Done       func(kind execution.EndKind, code string)
+	Suspect    bool
+}
+
+// Router chooses targets.
+type Router interface {
+	// Route returns a target for work away from the excluded hosts.
+	Route(now time.Time, work Work, exclude map[host.ID]bool) (Route, error)
+}
+
+// ErrUnroutable is work that has no target now.
+type ErrUnroutable struct {
+	Code       string
+	Reason     string
+	RetryAfter time.Duration
+	// Final says that waiting does not help.
+	Final bool
+}
+
+func (e ErrUnroutable) Error() string { return e.Code + ": " + e.Reason }
+
+// Control makes calls to the control leader.
+type Control interface {
+	Call(ctx context.Context, m message.Message) (message.Message, error)
+}
