Read and check the fleet configuration

Cause: daemons had no fleet configuration to act on; the issue asks for strict YAML with defaults, exceptions with reasons, and every problem named.

Ruled out: goccy's strict decoder alone, which stops at the first problem and gives no line for a custom type; a second set of structs with pointers for the exceptions, which would have to follow the first by hand. Team limits are defaults and exceptions rather than a third place beside them.

Change: internal/fleet/document walks the syntax tree against the Go type and lists all problems with file, line and key; internal/fleet/config decodes each exception over the defaults.

--- /dev/null
+++ b/internal/fleet/config/explain.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+
+	"github.com/egretreach/egretreach/internal/fleet/document"
+	"github.com/egretreach/egretreach/internal/fleet/domain"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+)
+
+// Explanation is one effective value and where it comes from.
+type Explanation struct {
+	// Key is the path of the value, such as "repair.return_wait".
+	Key   string `json:"key"`
+	Value string `json:"value"`
+	// Exception is the index of the exception in force, or -1 for the default.
+	Exception int `json:"exception"`
+	// Reason is the exception's reason.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Explain returns each value in force for a host, in the order of Values.
+func (f *Fleet) Explain(id host.ID, failure domain.Failure, fabric domain.Fabric) []Explanation {
+	return f.ExplainFor(Subject{Host: id, FailureDomain: failure, FabricDomain: fabric})
+}
+
+// ExplainFor returns each value in force for subject, in the order of Values.
+func (f *Fleet) ExplainFor(subject Subject) []Explanation {
+	from := map[string]int{}
+	for i, e := range f.Exceptions {
+		if !e.Selector.Matches(subject) {
+			continue
+		}
+		for _, key := range e.Values.keys {
+			from[key] = i
+		}
+	}
+	var all []Explanation
+	sections := reflect.ValueOf(f.For(subject))
+	for i := range sections.NumField() {
+		name := document.FieldName(sections.Type().Field(i))
+		section := sections.Field(i)
+		for j := range section.NumField() {
+			key := name + "." + document.FieldName(section.Type().Field(j))
+			all = append(all, f.explanation(key, section.Field(j), from))
+		}
+	}
+	return all
+}
+
+func (f *Fleet) explanation(key string, value reflect.Value, from map[string]int) Explanation {
+	e := Explanation{Key: key, Value: fmt.Sprint(value.Interface()), Exception: -1}
+	if i, changed := from[key]; changed {
+		e.Exception = i
+		e.Reason = f.Exceptions[i].Reason
+	}
+	return e
+}
--- /dev/null
+++ b/internal/fleet/config/parse.go
@@ -0,0 +1,80 @@
+package config
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/egretreach/egretreach/internal/fleet/document"
+	"github.com/egretreach/egretreach/internal/fleet/team"
+)
+
+// Problem is one fault of a configuration.
+type Problem = document.Problem
+
+// ErrInvalid is a configuration that was refused, with all its problems.
+type ErrInvalid = document.ErrInvalid
+
+// IsErrInvalid reports whether err is an ErrInvalid.
+func IsErrInvalid(err error) bool { return document.IsErrInvalid(err) }
+
+// Parse reads and checks a fleet configuration. The name stands for the file in
+// the problems of an ErrInvalid.
+func Parse(name string, data []byte) (*Fleet, error) {
+	fleet := &Fleet{Defaults: DefaultValues()}
+	doc, err := document.Decode(name, data, fleet)
+	if err != nil {
+		return nil, err
+	}
+	fleet.complete(doc)
+	for i := range fleet.Exceptions {
+		fleet.Exceptions[i].Values.keys = leaves(doc.Under(fmt.Sprintf("exceptions[%d].values", i)))
+	}
+	c := checker{doc: doc, fleet: fleet}
+	c.check()
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	fleet.tokens = newTokenIndex(fleet.Teams)
+	return fleet, nil
+}
+
+// complete fills in what the file may leave out.
+func (f *Fleet) complete(doc *document.Document) {
+	if len(f.Classes) == 0 {
+		f.Classes = defaultClasses()
+	}
+	for i := range f.Teams {
+		if !doc.Names(fmt.Sprintf("teams[%d].weight", i)) {
+			f.Teams[i].Weight = 1
+		}
+	}
+	for i := range f.Deployments {
+		if f.Deployments[i].Role == "" {
+			f.Deployments[i].Role = RoleMixed
+		}
+	}
+}
+
+func defaultClasses() []Class {
+	return []Class{
+		{Name: team.ClassInteractive, Priority: 10, Deadline: defaultInteractiveDeadline},
+		{Name: team.ClassBatch, Priority: 1, Deadline: defaultBatchDeadline},
+	}
+}
+
+// leaves drops the paths that have others below them.
+func leaves(paths []string) []string {
+	sort.Strings(paths)
+	var kept []string
+	for i, path := range paths {
+		if i+1 < len(paths) && isBelow(paths[i+1], path) {
+			continue
+		}
+		kept = append(kept, path)
+	}
+	return kept
+}
+
+func isBelow(path, above string) bool {
+	return len(path) > len(above) && path[:len(above)] == above && (path[len(above)] == '.' || path[len(above)] == '[')
+}
--- /dev/null
+++ b/internal/fleet/config/scope.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/egretreach/egretreach/internal/fleet/document"
+)
+
+// Fields of a selector.
+const (
+	byHost       = "host"
+	byFailure    = "failure_domain"
+	byFabric     = "fabric_domain"
+	byTeam       = "team"
+	byDeployment = "deployment"
+)
+
+// scopes lists for each section of Values the selector fields that an exception
+// for it may use. A section without any is the same for the whole fleet.
+var scopes = map[string][]string{
+	"limits":     {byTeam},
+	"queue":      {byTeam},
+	"request":    {byTeam},
+	"retry":      {byTeam},
+	"objectives": {byDeployment},
+	"repair":     {byDeployment, byHost, byFailure, byFabric},
+	"placement":  {byHost, byFailure, byFabric},
+	"quarantine": nil,
+	"ledger":     nil,
+	"lease":      nil,
+}
+
+func (s Selector) fields() []string {
+	var set []string
+	for _, f := range []struct{ name, value string }{
+		{byHost, string(s.Host)},
+		{byFailure, string(s.FailureDomain)},
+		{byFabric, string(s.FabricDomain)},
+		{byTeam, string(s.Team)},
+		{byDeployment, s.Deployment},
+	} {
+		if f.value != "" {
+			set = append(set, f.name)
+		}
+	}
+	return set
+}
+
+func (c checker) checkExceptions() {
+	for i, e := range c.fleet.Exceptions {
+		key := fmt.Sprintf("exceptions[%d]", i)
+		if len(e.Selector.fields()) == 0 {
+			c.doc.Report(key+".selector", "selects nothing")
+		}
+		if strings.TrimSpace(e.Reason) == "" && e.Reason != "" {
+			c.doc.Report(key+".reason", "is missing")
+		}
+		if len(e.Values.keys) == 0 {
+			c.doc.Report(key+".values", "changes nothing")
+		}
+		c.checkSelected(key+".selector", e.Selector)
+		c.checkScope(key, e)
+		c.checkOverrides(key+".values", e)
+	}
+}
+
+func (c checker) checkSelected(key string, s Selector) {
+	if _, ok := c.fleet.Team(s.Team); s.Team != "" && !ok {
+		c.doc.Report(key+".team", fmt.Sprintf("no team is named %q", s.Team))
+	}
+	if _, ok := c.fleet.Deployment(s.Deployment); s.Deployment != "" && !ok {
+		c.doc.Report(key+".deployment", fmt.Sprintf("no deployment is named %q", s.Deployment))
+	}
+	known := func(d FabricDomain) bool { return d.Name == s.FabricDomain }
+	if s.FabricDomain != "" && len(c.fleet.FabricDomains) > 0 && !slices.ContainsFunc(c.fleet.FabricDomains, known) {
+		c.doc.Report(key+".fabric_domain", fmt.Sprintf("no fabric domain is named %q", s.FabricDomain))
+	}
+}
+
+// checkScope refuses values that the selector could never bring into force.
+func (c checker) checkScope(key string, e Exception) {
+	for _, path := range e.Values.keys {
+		section, _, _ := strings.Cut(path, ".")
+		allowed := scopes[section]
+		if len(allowed) == 0 {
+			c.doc.Report(key+".values."+path, "is the same for the whole fleet; set it under defaults")
+			continue
+		}
+		for _, field := range e.Selector.fields() {
+			if !slices.Contains(allowed, field) {
+				c.doc.Report(key+".values."+path, fmt.Sprintf("cannot be selected by %s, only by %s", field, strings.Join(allowed, ", ")))
+			}
+		}
+	}
+}
+
+// checkOverrides reports the problems that the exception brings to the defaults.
+func (c checker) checkOverrides(key string, e Exception) {
+	before := valueProblems(c.fleet.Defaults)
+	for _, p := range valueProblems(e.Values.apply(c.fleet.Defaults)) {
+		if slices.Contains(e.Values.keys, p.Key) || !slices.Contains(before, p) {
+			c.doc.Report(key+"."+p.Key, p.Reason)
+		}
+	}
+}
+
+func valueProblems(v Values) []Problem {
+	return append(document.Violations(v), timingProblems(v)...)
+}
--- /dev/null
+++ b/internal/fleet/document/document.go
@@ -0,0 +1,113 @@
+package document
+
+import (
+	"reflect"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/pkg/errors"
+)
+
+// MaxBytes bounds a file.
+const MaxBytes = 4 << 20
+
+// Document is a file that fits its type. Further checks report to it.
+type Document struct {
+	file     string
+	lines    map[string]int
+	problems []Problem
+}
+
+// Decode reads data into the struct that into points to. Values that the file does
+// not name keep what they hold. The file must end with a newline, so that one cut
+// off in the middle of a line is not taken for whole.
+func Decode(file string, data []byte, into any) (*Document, error) {
+	if reason := unreadable(data); reason != "" {
+		return nil, ErrInvalid{Problems: []Problem{{File: file, Reason: reason}}}
+	}
+	tree, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return nil, syntaxProblem(file, err)
+	}
+	w := &walker{file: file, lines: map[string]int{}}
+	switch {
+	case len(tree.Docs) > 1:
+		w.report(tree.Docs[1].GetToken().Position.Line, "", "holds more than one document")
+	case len(tree.Docs) == 0 || tree.Docs[0].Body == nil:
+		w.report(0, "", "is empty")
+	default:
+		w.walk(tree.Docs[0].Body, reflect.TypeOf(into), "", 1)
+	}
+	if err := invalid(w.problems); err != nil {
+		return nil, err
+	}
+	if err := yaml.UnmarshalWithOptions(data, into, yaml.Strict()); err != nil {
+		return nil, syntaxProblem(file, err)
+	}
+	return &Document{file: file, lines: w.lines}, nil
+}
+
+func unreadable(data []byte) string {
+	switch {
+	case len(strings.TrimSpace(string(data))) == 0:
+		return "is empty"
+	case len(data) > MaxBytes:
+		return "is larger than " + Size(MaxBytes).String()
+	case !utf8.Valid(data):
+		return "is not UTF-8 text"
+	case data[len(data)-1] != '\n':
+		return "does not end with a newline; it may be only half written"
+	default:
+		return ""
+	}
+}
+
+func syntaxProblem(file string, err error) error {
+	p := Problem{File: file, Reason: err.Error()}
+	var syntax yaml.Error
+	if errors.As(err, &syntax) {
+		p.Reason = syntax.GetMessage()
+		if token := syntax.GetToken(); token != nil {
+			p.Line = token.Position.Line
+		}
+	}
+	return ErrInvalid{Problems: []Problem{p}}
+}
+
+// Report adds a problem of the value at key.
+func (d *Document) Report(key, reason string) {
+	d.problems = append(d.problems, Problem{File: d.file, Line: d.Line(key), Key: key, Reason: reason})
+}
+
+// Line returns the line of key, or of the nearest key above it that the file names.
+func (d *Document) Line(key string) int {
+	for key != "" {
+		if line, ok := d.lines[key]; ok {
+			return line
+		}
+		key = key[:max(strings.LastIndexAny(key, ".["), 0)]
+	}
+	return 0
+}
+
+// Names reports whether the file gives a value to key.
+func (d *Document) Names(key string) bool {
+	_, ok := d.lines[key]
+	return ok
+}
+
+// Under returns the keys that the file names below prefix, without the prefix.
+func (d *Document) Under(prefix string) []string {
+	var keys []string
+	for key := range d.lines {
+		if rest, ok := strings.CutPrefix(key, prefix+"."); ok {
+			keys = append(keys, rest)
+		}
+	}
+	return keys
+}
+
+// Err returns an ErrInvalid of all reported problems, or nil.
+func (d *Document) Err() error { return invalid(d.problems) }
--- /dev/null
+++ b/internal/fleet/document/problem.go
@@ -0,0 +1,65 @@
+// Package document reads YAML files strictly and reports everything that is wrong
+// with one, each problem with its file, line and key.
+package document
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Problem is one fault of a file.
+type Problem struct {
+	File string
+	// Line counts from 1; 0 is the whole file.
+	Line int
+	// Key is the path of the value, such as "deployments[1].replicas".
+	Key    string
+	Reason string
+}
+
+// String returns "FILE:LINE: KEY: REASON".
+func (p Problem) String() string {
+	var b strings.Builder
+	b.WriteString(p.File)
+	if p.Line > 0 {
+		fmt.Fprintf(&b, ":%d", p.Line)
+	}
+	b.WriteString(": ")
+	if p.Key != "" {
+		b.WriteString(p.Key + ": ")
+	}
+	b.WriteString(p.Reason)
+	return b.String()
+}
+
+// ErrInvalid is a file that was refused, with all its problems in the order of
+// their lines.
+type ErrInvalid struct{ Problems []Problem }
+
+func (e ErrInvalid) Error() string { return strings.Join(e.Lines(), "\n") }
+
+// Lines returns one line of text for each problem.
+func (e ErrInvalid) Lines() []string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, p.String())
+	}
+	return lines
+}
+
+// IsErrInvalid reports whether err is an ErrInvalid.
+func IsErrInvalid(err error) bool {
+	var e ErrInvalid
+	return errors.As(err, &e)
+}
+
+func invalid(problems []Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Line < problems[j].Line })
+	return ErrInvalid{Problems: problems}
+}
