Add the frame by which entries clear suspects

A suspect body that completes under the suspect's restriction is innocent, and control had no frame to learn it by: QuarantineClear is an operator's call and frees quarantined bodies too. Ruled out: freeing on the agent's word in a renewal, since the entry knows whether the whole answer arrived. No behaviour measured.

--- a/internal/link/message/claim.go
+++ b/internal/link/message/claim.go
@@ -111,6 +111,12 @@
 	Crash request.ID `cbor:"4,keyasint"`
 }
 
+// SuspectsCleared names suspect bodies that have run to their end under the
+// suspect's restriction. Control frees them; quarantined bodies stay.
+type SuspectsCleared struct {
+	BodyHashes []uint64 `cbor:"1,keyasint"`
+}
+
 // Ack answers a call that has no result of its own.
 type Ack struct{}
 
@@ -133,6 +139,8 @@
 
 func (*CrashReport) kind() Kind { return kindCrashReport }
 
+func (*SuspectsCleared) kind() Kind { return kindSuspectsCleared }
+
 func (*Ack) kind() Kind { return kindAck }
 
 func (*Failure) kind() Kind { return kindFailure }
--- a/internal/link/message/kind.go
+++ b/internal/link/message/kind.go
@@ -25,6 +25,7 @@
 	kindCrashReport
 	kindAck
 	kindFailure
+	kindSuspectsCleared
 )
 
 const (
@@ -84,6 +85,7 @@
 	kindCrashReport:      func() Message { return &CrashReport{} },
 	kindAck:              func() Message { return &Ack{} },
 	kindFailure:          func() Message { return &Failure{} },
+	kindSuspectsCleared:  func() Message { return &SuspectsCleared{} },
 	kindDispatch:         func() Message { return &Dispatch{} },
 	kindAccepted:         func() Message { return &Accepted{} },
 	kindRefused:          func() Message { return &Refused{} },
