Apply exceptions by field rather than by decoding them again

Cause: For decoded an exception's YAML on every call, and entries ask for a team's values at each request. Ruled out: caching by subject, which needs a bound and a lock. Change: Parse keeps the decoded values and the fields that the exception names; apply copies just these. Explain walks the same fields. Conclusion: the same tests pass (go test ./internal/fleet/config).

--- a/internal/fleet/config/exception.go
+++ b/internal/fleet/config/exception.go
@@ -1,8 +1,12 @@
 package config
 
 import (
+	"reflect"
+	"slices"
+
 	"github.com/goccy/go-yaml"
 
+	"github.com/egretreach/egretreach/internal/fleet/document"
 	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/team"
@@ -43,31 +47,51 @@
 
 // Overrides are the values that an exception changes; all others stay.
 type Overrides struct {
-	yaml []byte
-	keys []string
+	values Values
+	keys   []string
+	fields [][]int
 }
 
 // Shape implements document.Shaped.
 func (Overrides) Shape() any { return Values{} }
 
 // UnmarshalYAML implements yaml.BytesUnmarshaler.
-func (o *Overrides) UnmarshalYAML(data []byte) error {
-	o.yaml = append([]byte(nil), data...)
-	return yaml.Unmarshal(data, &Values{})
-}
+func (o *Overrides) UnmarshalYAML(data []byte) error { return yaml.Unmarshal(data, &o.values) }
 
 // Keys returns the changed values by their paths, such as "limits.concurrency",
 // sorted.
 func (o Overrides) Keys() []string { return o.keys }
 
+// withKeys returns o changing just the values under keys.
+func (o Overrides) withKeys(keys []string) Overrides {
+	o.keys = keys
+	o.fields = nil
+	eachValue(&o.values, func(key string, field []int, _ reflect.Value) {
+		if slices.Contains(keys, key) {
+			o.fields = append(o.fields, field)
+		}
+	})
+	return o
+}
+
 // apply returns v with the changes.
 func (o Overrides) apply(v Values) Values {
-	if len(o.yaml) == 0 {
-		return v
+	from := reflect.ValueOf(&o.values).Elem()
+	to := reflect.ValueOf(&v).Elem()
+	for _, field := range o.fields {
+		to.FieldByIndex(field).Set(from.FieldByIndex(field))
 	}
-	changed := v
-	if err := yaml.Unmarshal(o.yaml, &changed); err != nil {
-		return v // Parse has refused such YAML.
+	return v
+}
+
+// eachValue calls f for every value of v, in order, with its path and its field.
+func eachValue(v *Values, f func(key string, field []int, value reflect.Value)) {
+	sections := reflect.ValueOf(v).Elem()
+	for i := range sections.NumField() {
+		section := sections.Field(i)
+		prefix := document.FieldName(sections.Type().Field(i)) + "."
+		for j := range section.NumField() {
+			f(prefix+document.FieldName(section.Type().Field(j)), []int{i, j}, section.Field(j))
+		}
 	}
-	return changed
 }
--- a/internal/fleet/config/explain.go
+++ b/internal/fleet/config/explain.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"reflect"
 
-	"github.com/egretreach/egretreach/internal/fleet/document"
 	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 )
@@ -37,23 +36,14 @@
 		}
 	}
 	var all []Explanation
-	sections := reflect.ValueOf(f.For(subject))
-	for i := range sections.NumField() {
-		name := document.FieldName(sections.Type().Field(i))
-		section := sections.Field(i)
-		for j := range section.NumField() {
-			key := name + "." + document.FieldName(section.Type().Field(j))
-			all = append(all, f.explanation(key, section.Field(j), from))
+	values := f.For(subject)
+	eachValue(&values, func(key string, _ []int, value reflect.Value) {
+		e := Explanation{Key: key, Value: fmt.Sprint(value.Interface()), Exception: -1}
+		if i, changed := from[key]; changed {
+			e.Exception = i
+			e.Reason = f.Exceptions[i].Reason
 		}
-	}
+		all = append(all, e)
+	})
 	return all
 }
-
-func (f *Fleet) explanation(key string, value reflect.Value, from map[string]int) Explanation {
-	e := Explanation{Key: key, Value: fmt.Sprint(value.Interface()), Exception: -1}
-	if i, changed := from[key]; changed {
-		e.Exception = i
-		e.Reason = f.Exceptions[i].Reason
-	}
-	return e
-}
--- a/internal/fleet/config/parse.go
+++ b/internal/fleet/config/parse.go
@@ -27,7 +27,8 @@
 	}
 	fleet.complete(doc)
 	for i := range fleet.Exceptions {
-		fleet.Exceptions[i].Values.keys = leaves(doc.Under(fmt.Sprintf("exceptions[%d].values", i)))
+		keys := leaves(doc.Under(fmt.Sprintf("exceptions[%d].values", i)))
+		fleet.Exceptions[i].Values = fleet.Exceptions[i].Values.withKeys(keys)
 	}
 	c := checker{doc: doc, fleet: fleet}
 	c.check()
