Read and check the settings of each daemon

Cause: daemons need their addresses, domains, keys and endpoints from a file, and a half-written file must be a clear error. Ruled out: reading a key file by a list of three paths, as one folder is enough; accepting host names, as processes look up none. Change: LoadEntry, LoadControl and LoadAgent decode strictly over defaults and report every problem with file, line and key. Relative paths start at the file. Seen: TestHalfWrittenFileIsRefused cuts a good file at every byte; none is taken. Conclusion: settings are usable by the daemons.

--- /dev/null
+++ b/internal/process/settings/agent.go
@@ -0,0 +1,128 @@
+package settings
+
+import (
+	"fmt"
+
+	"github.com/egretreach/egretreach/internal/fleet/document"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+)
+
+// Agent is the settings of an agent daemon.
+type Agent struct {
+	Host   Host   `yaml:"host"`
+	Link   Link   `yaml:"link"`
+	Health Health `yaml:"health"`
+	Keys   Keys   `yaml:"keys"`
+	// Control are the link addresses of the control hosts.
+	Control []Address `yaml:"control" validate:"min=1,max=7"`
+	// Endpoints are the back ends that the agent announces: at most one engine,
+	// and any number of plain services.
+	Endpoints []Endpoint `yaml:"endpoints" validate:"min=1,max=100,dive"`
+	Log       Log        `yaml:"log"`
+	Stop      Stop       `yaml:"stop"`
+}
+
+// Endpoint is one back end.
+type Endpoint struct {
+	Kind host.Kind `yaml:"kind" validate:"required,oneof=engine service"`
+	// Name is the service's name. An engine has the name of its host.
+	Name string `yaml:"name" validate:"omitempty,hostname_rfc1123"`
+	URL  URL    `yaml:"url" validate:"required"`
+	// Fences says that the endpoint refuses orders with an old fencing number.
+	Fences bool `yaml:"fences"`
+	// ChecksOrderer says that the endpoint checks who gives it an order.
+	ChecksOrderer bool `yaml:"checks_orderer"`
+	// Accelerators is the number of accelerators behind an engine.
+	Accelerators int `yaml:"accelerators" validate:"min=0,max=1024"`
+}
+
+// Announced returns the endpoint as the agent announces it.
+func (e Endpoint) Announced() host.Endpoint {
+	return host.Endpoint{
+		Name:          e.Name,
+		Kind:          e.Kind,
+		Fences:        e.Fences,
+		ChecksOrderer: e.ChecksOrderer,
+		Accelerators:  e.Accelerators,
+	}
+}
+
+// DefaultAgent is in force where a file says nothing.
+func DefaultAgent() Agent {
+	stop := defaultStop()
+	stop.Notice = 0
+	return Agent{Keys: defaultKeys(), Log: defaultLog(), Stop: stop}
+}
+
+// LoadAgent reads and checks the settings file of an agent.
+func LoadAgent(file string) (Agent, error) {
+	data, err := read(file)
+	if err != nil {
+		return Agent{}, err
+	}
+	return ParseAgent(file, data)
+}
+
+// ParseAgent reads and checks the settings of an agent. Relative paths start at
+// the folder of file.
+func ParseAgent(file string, data []byte) (Agent, error) {
+	s := DefaultAgent()
+	err := parse(file, data, &s, func(doc *document.Document) {
+		checkLink(doc, s.Link)
+		checkControl(doc, s.Control)
+		checkEndpoints(doc, s)
+	})
+	if err != nil {
+		return Agent{}, err
+	}
+	s.Keys.Folder = beside(file, s.Keys.Folder)
+	for i := range s.Endpoints {
+		if s.Endpoints[i].Kind == host.KindEngine {
+			s.Endpoints[i].Name = string(s.Host.ID)
+		}
+	}
+	return s, nil
+}
+
+func checkEndpoints(doc *document.Document, s Agent) {
+	engines := 0
+	names := map[string]bool{}
+	for i, e := range s.Endpoints {
+		key := fmt.Sprintf("endpoints[%d]", i)
+		switch e.Kind {
+		case host.KindEngine:
+			engines++
+			checkEngine(doc, key, s, e)
+		case host.KindService:
+			checkService(doc, key, e)
+		}
+		if e.Name != "" && names[e.Name] {
+			doc.Report(key+".name", "is given twice")
+		}
+		names[e.Name] = true
+		if engines > 1 {
+			doc.Report(key+".kind", "is a second engine; a host has at most one")
+		}
+	}
+}
+
+func checkEngine(doc *document.Document, key string, s Agent, e Endpoint) {
+	if e.Name != "" && e.Name != string(s.Host.ID) {
+		doc.Report(key+".name", "an engine has the name of its host; leave it out")
+	}
+	if e.Accelerators == 0 {
+		doc.Report(key+".accelerators", "is missing")
+	}
+	if s.Host.FabricDomain == "" {
+		doc.Report("host.fabric_domain", "is missing; a host with an engine needs one")
+	}
+}
+
+func checkService(doc *document.Document, key string, e Endpoint) {
+	if e.Name == "" {
+		doc.Report(key+".name", "is missing")
+	}
+	if e.Accelerators > 0 {
+		doc.Report(key+".accelerators", "a plain service has none")
+	}
+}
--- /dev/null
+++ b/internal/process/settings/settings_test.go
@@ -0,0 +1,88 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+)
+
+const wholeAgent = `host: {id: host-3, failure_domain: b, fabric_domain: rack-2}
+link: {address: 127.0.2.3:7000}
+keys: {folder: keys}
+control: ["127.0.1.1:7000"]
+endpoints:
+  - {kind: engine, url: "http://127.0.0.1:8000", fences: true, accelerators: 8}
+`
+
+func TestAgentDefaultsAndPaths(t *testing.T) {
+	s, err := ParseAgent("/etc/egretreach/agent.yaml", []byte(wholeAgent))
+	require.NoError(t, err)
+	require.Equal(t, "/etc/egretreach/keys", s.Keys.Folder)
+	require.Equal(t, time.Minute, s.Keys.CheckEvery)
+	require.Equal(t, Log{Level: "info", Format: "json"}, s.Log)
+	require.Equal(t,
+		host.Endpoint{Name: "host-3", Kind: host.KindEngine, Fences: true, Accelerators: 8},
+		s.Endpoints[0].Announced())
+}
+
+// TestHalfWrittenFileIsRefused cuts a good file at every byte: what is left must
+// not be taken for settings.
+func TestHalfWrittenFileIsRefused(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "agent.yaml")
+	for length := range len(wholeAgent) {
+		require.NoError(t, os.WriteFile(file, []byte(wholeAgent[:length]), 0o600))
+		_, err := LoadAgent(file)
+		require.True(t, IsErrInvalid(err), "cut at %d: %v", length, err)
+		require.ErrorContains(t, err, file)
+	}
+	_, err := LoadAgent(file + ".missing")
+	require.True(t, IsErrInvalid(err))
+}
+
+func TestBadSettingsAreNamedByKey(t *testing.T) {
+	parseEntry := func(text string) error { _, err := ParseEntry("e", []byte(text)); return err }
+	parseControl := func(text string) error { _, err := ParseControl("c", []byte(text)); return err }
+	parseAgent := func(text string) error { _, err := ParseAgent("a", []byte(text)); return err }
+	for _, c := range []struct {
+		parse func(string) error
+		text  string
+		wants []string
+	}{
+		{parseEntry, "api: {address: localhost:80}\n", []string{"e:1: api.address: \"localhost:80\" is not an IP"}},
+		{parseEntry, "api: {max_header: 32}\nlog: {level: info}\n", []string{"e:1: api.max_header: \"32\" is not a size"}},
+		{
+			parseEntry, "link: {address: \"0.0.0.0:7000\"}\nlog: {level: loud}\ncontrol: [127.0.0.1:1, 127.0.0.1:1]\n",
+			[]string{"host.id: is missing", "e:1: link.address: must be the address", "e:2: log.level: must be one of", "e:3: control[1]: is given twice"},
+		},
+		{
+			parseControl, "host: {id: c1, failure_domain: a}\nlink: {address: 127.0.1.1:7}\nmembers:\n  - {host: c1, address: 127.0.1.1:8}\n  - {host: c1, address: 127.0.1.1:8}\n",
+			[]string{"data_folder: is missing", "c:4: members[0].address: is not link.address", "c:5: members[1].host: is given twice", "c:3: members: must be an odd number"},
+		},
+		{
+			parseControl, "host: {id: c1, failure_domain: a}\nmembers: [{host: c2, address: 127.0.1.1:8}]\n",
+			[]string{"c:2: members: does not name this host"},
+		},
+		{
+			parseAgent, "host: {id: h, failure_domain: a}\nendpoints:\n  - {kind: engine, url: \"http://engine:1\"}\n",
+			[]string{"a:3: endpoints[0].url: \"http://engine:1\" is not a URL"},
+		},
+		{
+			parseAgent, "host: {id: h, failure_domain: a}\nendpoints:\n  - {kind: engine}\n  - {kind: engine, accelerators: 1}\n  - {kind: service}\n  - {kind: oven}\n",
+			[]string{
+				"a:1: host.fabric_domain: is missing", "a:3: endpoints[0].accelerators: is missing", "endpoints[0].url: is missing",
+				"a:4: endpoints[1].kind: is a second engine", "a:5: endpoints[2].name: is missing", "a:6: endpoints[3].kind: must be one of",
+			},
+		},
+	} {
+		err := c.parse(c.text)
+		require.True(t, IsErrInvalid(err), c.text)
+		for _, want := range c.wants {
+			require.ErrorContains(t, err, want)
+		}
+	}
+}
