--- /dev/null
+++ b/internal/process/health/health.go
@@ -0,0 +1,98 @@
+// Package health serves a daemon's /metrics, /healthz and /readyz over HTTP.
+package health
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	pkgerrors "github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/telemetry/metric"
+)
+
+const (
+	headerTimeout  = 2 * time.Second
+	readTimeout    = 5 * time.Second
+	writeTimeout   = 10 * time.Second
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 8 << 10
+	closeTimeout   = time.Second
+)
+
+// Server answers for one daemon. The zero value is a server without metrics that
+// is always ready.
+type Server struct {
+	Metrics *metric.Registry
+	// Ready says why the daemon takes no new work, or nil.
+	Ready func() error
+}
+
+// Handler returns the three pages. A daemon that answers at all is healthy.
+func (s Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", s.metrics)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "healthy") })
+	mux.HandleFunc("GET /readyz", s.ready)
+	return mux
+}
+
+func (s Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", metric.ContentType)
+	_, _ = s.Metrics.WriteTo(w)
+}
+
+func (s Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.Ready != nil {
+		if err := s.Ready(); err != nil {
+			http.Error(w, "not ready: "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// Run listens on address, an IP address and TCP port, until ctx ends. With an
+// empty address it only waits.
+func (s Server) Run(ctx context.Context, address string) error {
+	if address == "" {
+		<-ctx.Done()
+		return nil
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return pkgerrors.Wrap(err, "health listener")
+	}
+	return s.Serve(ctx, listener)
+}
+
+// Serve answers on listener until ctx ends, and closes it.
+func (s Server) Serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		if server.Shutdown(closing) != nil {
+			_ = server.Close()
+		}
+	})
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-stopped
+		return nil
+	}
+	stop()
+	return pkgerrors.Wrap(err, "health server")
+}
