Let an entry's renewal tell the shares it holds

The leader may give a share again only when no entry can still be using it. Without this field it would have to wait for the end of a lease each time that traffic moves, and a new leader could not tell what is in use. Ruled out: taking a renewal as proof that the last grant came, since grants are lost too. Field 8 of Renewal; absent from older frames. Nothing measured.

--- a/internal/link/message/session.go
+++ b/internal/link/message/session.go
@@ -71,6 +71,8 @@
 	Held          []HeldReplica `cbor:"6,keyasint,omitempty"`
 	// Demand is an entry's recent demand by team, in requests per second.
 	Demand map[string]float64 `cbor:"7,keyasint,omitempty"`
+	// Shares are the shares of team limits that an entry holds, 0 to 1.
+	Shares map[string]float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Grant extends leases.
