--- /dev/null
+++ b/internal/entry/retry/retry_test.go
@@ -0,0 +1,59 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/request"
+)
+
+func newBudget(policy Policy) *Budget { return New(rand.New(rand.NewPCG(1, 1)), policy) }
+
+func TestDecide(t *testing.T) {
+	now := time.Unix(0, 0)
+	notRun := Failure{Outcome: request.OutcomeNotRun, Attempt: 1}
+	cases := []struct {
+		name    string
+		change  func(*Failure)
+		reason  Reason
+		outcome request.Outcome
+	}{
+		{"proved not run", func(*Failure) {}, "", ""},
+		{"idempotent", func(f *Failure) { f.Outcome, f.Idempotent = request.OutcomeUnknown, true }, "", ""},
+		{"may have run", func(f *Failure) { f.Outcome = request.OutcomeUnknown }, ReasonMayHaveRun, request.OutcomeUnknown},
+		{"no outcome is unknown", func(f *Failure) { f.Outcome = "" }, ReasonMayHaveRun, request.OutcomeUnknown},
+		{"attempts", func(f *Failure) { f.Attempt = DefaultMaxAttempts }, ReasonAttempts, request.OutcomeNotRun},
+		{"needs more than is left", func(f *Failure) { f.Deadline, f.Needs = now.Add(time.Second), time.Second }, ReasonDeadline, request.OutcomeNotRun},
+		{"replica's wish is past the deadline", func(f *Failure) { f.Deadline, f.RetryAfter = now.Add(time.Second), time.Second }, ReasonDeadline, request.OutcomeNotRun},
+	}
+	for _, c := range cases {
+		f := notRun
+		c.change(&f)
+		decision := newBudget(Policy{}).Decide(now, f)
+		if c.reason == "" {
+			require.IsType(t, Retry{}, decision, c.name)
+			continue
+		}
+		gaveUp, ok := decision.(GiveUp)
+		require.True(t, ok, c.name)
+		require.Equal(t, c.reason, gaveUp.Reason, c.name)
+		require.Equal(t, c.outcome, gaveUp.Outcome, c.name)
+		require.Positive(t, gaveUp.RetryAfter, c.name)
+	}
+}
+
+func TestBackoffIsJitteredAndBounded(t *testing.T) {
+	b := newBudget(Policy{Reserve: 1e9, MaxAttempts: 100})
+	for attempt := request.Attempt(1); attempt < 20; attempt++ {
+		seen := make(map[time.Duration]bool)
+		for range 50 {
+			retry := b.Decide(time.Unix(0, 0), Failure{Outcome: request.OutcomeNotRun, Attempt: attempt}).(Retry)
+			require.LessOrEqual(t, retry.After, min(DefaultCap, DefaultBase<<(attempt-1)))
+			seen[retry.After] = true
+		}
+		require.Greater(t, len(seen), 40, "the waits are spread")
+	}
+}
--- /dev/null
+++ b/internal/entry/routing/routing_test.go
@@ -0,0 +1,119 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func route(id replica.ID, change ...func(*view.Route)) view.Route {
+	r := view.Route{
+		Replica: replica.Replica{
+			ID: id, State: replica.StateServing,
+			Spec: replica.Spec{Deployment: "drafting", Model: "m", Version: "1"},
+		},
+		Load: view.Load{PrefillRate: 4000, Capacity: 16, Sequence: 1},
+	}
+	for _, c := range change {
+		c(&r)
+	}
+	return r
+}
+
+func newRouter(routes ...view.Route) *Router {
+	r := New(rand.New(rand.NewPCG(1, 2)), Policy{})
+	r.SetView(epoch, view.View{Routes: routes})
+	return r
+}
+
+func ExampleRouter() {
+	r := newRouter(route("r1"), route("r2", func(v *view.Route) { v.Load.WaitingTokens = 9000 }))
+	req := Request{Deployment: "drafting", PromptTokens: 800}
+	choice, err := r.Pick(epoch, req)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	ticket := r.Dispatched(epoch, req, choice)
+	r.FirstToken(epoch.Add(200*time.Millisecond), ticket)
+	r.Finished(epoch.Add(time.Second), ticket, Result{Complete: true, CachedTokens: -1})
+	fmt.Println(choice.Route.Replica.ID, choice.FirstToken)
+	// Output: r1 200ms
+}
+
+func TestPickMatches(t *testing.T) {
+	r := newRouter(
+		route("plain"),
+		route("next", func(v *view.Route) { v.Replica.Spec.Version = "2" }),
+		route("adapted", func(v *view.Route) {
+			v.Replica.Spec.Version, v.Replica.Spec.Adapters = "3", []string{"safety"}
+		}),
+		route("decode", func(v *view.Route) { v.Replica.Spec.Version, v.Replica.Spec.Role = "4", "decode" }),
+		route("loading", func(v *view.Route) {
+			v.Replica.Spec.Deployment, v.Replica.State = "other", replica.StateLoading
+		}),
+	)
+	cases := []struct {
+		req  Request
+		want replica.ID
+		is   func(error) bool
+	}{
+		{Request{Deployment: "drafting", Version: "2"}, "next", nil},
+		{Request{Deployment: "m", Version: "2"}, "next", nil},
+		{Request{Deployment: "m", Adapter: "safety"}, "adapted", nil},
+		{Request{Deployment: "m", Version: "4", Role: "decode"}, "decode", nil},
+		{Request{Deployment: "m", Version: "4", Role: "prefill"}, "", IsErrNoModel},
+		{Request{Deployment: "none"}, "", IsErrNoModel},
+		{Request{Deployment: "other"}, "", IsErrNoReplica},
+		{Request{Deployment: "m", Version: "2", Exclude: map[replica.ID]bool{"next": true}}, "", IsErrNoReplica},
+	}
+	for _, c := range cases {
+		choice, err := r.Pick(epoch, c.req)
+		if c.is != nil {
+			require.True(t, c.is(err), "%v: %v", c.req, err)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, c.want, choice.Route.Replica.ID)
+	}
+}
+
+func TestSuspectsRunOneForEachReplica(t *testing.T) {
+	r := newRouter(route("a"), route("b"))
+	suspect := Request{Deployment: "m", Suspect: true}
+	var tickets []Ticket
+	for range 2 {
+		choice, err := r.Pick(epoch, suspect)
+		require.NoError(t, err)
+		tickets = append(tickets, r.Dispatched(epoch, suspect, choice))
+	}
+	_, err := r.Pick(epoch, suspect)
+	require.True(t, IsErrSuspectsBusy(err))
+	_, err = r.Pick(epoch, Request{Deployment: "m"})
+	require.NoError(t, err)
+	r.Finished(epoch, tickets[0], Result{})
+	_, err = r.Pick(epoch, suspect)
+	require.NoError(t, err)
+}
+
+func TestServices(t *testing.T) {
+	s := NewServices(rand.New(rand.NewPCG(1, 2)))
+	s.SetView(view.View{Services: []view.Service{{Name: "records", Host: "a"}, {Name: "records", Host: "b"}}})
+	first, err := s.Pick("records", nil)
+	require.NoError(t, err)
+	s.Dispatched(first)
+	second, err := s.Pick("records", nil)
+	require.NoError(t, err)
+	require.NotEqual(t, first, second, "the endpoint with fewer calls")
+	_, err = s.Pick("records", map[host.ID]bool{"a": true, "b": true})
+	require.True(t, IsErrNoService(err))
+}
--- /dev/null
+++ b/internal/entry/suspicion/suspicion.go
@@ -0,0 +1,178 @@
+// Package suspicion tells an entry which request bodies may crash engines.
+//
+// The fleet-wide word is control's quarantine, which reaches the entry with its
+// view. A Tracker adds what the entry has seen itself since, so that a caller that
+// resends at once meets it, and keeps copies of one body together on one replica.
+//
+// The package holds no clock, goroutine or lock: the caller gives the time and
+// serialises the calls.
+package suspicion
+
+import (
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+)
+
+// LocalFor is how long the entry's own word on a body holds without control's.
+const LocalFor = time.Minute
+
+// maxLocal bounds the bodies on which the entry keeps its own word.
+const maxLocal = 8192
+
+// Verdict is what may be done with a body. It is one of Free, Suspect and Quarantined.
+type Verdict interface {
+	verdict()
+}
+
+// Free says that the body runs like any other.
+type Free struct{}
+
+// Suspect says that the body may run only where no other suspect runs.
+type Suspect struct{}
+
+// Quarantined says that the body may not run.
+type Quarantined struct {
+	// RetryAfter is the rest of the quarantine.
+	RetryAfter time.Duration
+}
+
+func (Free) verdict() {}
+
+func (Suspect) verdict() {}
+
+func (Quarantined) verdict() {}
+
+// crashKey tells one crash from another, as far as an entry can.
+type crashKey struct {
+	replica replica.ID
+	fence   replica.Fence
+}
+
+// local is the entry's own word on a body.
+type local struct {
+	crashes map[crashKey]bool
+	until   time.Time
+}
+
+// Tracker holds the verdicts and the bodies in flight at one entry. Create it with New.
+type Tracker struct {
+	fleet   map[uint64]view.Quarantine
+	local   map[uint64]*local
+	running map[uint64][]replica.ID
+}
+
+// New returns a Tracker that suspects nothing.
+func New() *Tracker {
+	return &Tracker{
+		fleet:   make(map[uint64]view.Quarantine),
+		local:   make(map[uint64]*local),
+		running: make(map[uint64][]replica.ID),
+	}
+}
+
+// SetView replaces control's word. What an operator has cleared is free as soon as
+// the entry's own word has run out too.
+func (t *Tracker) SetView(now time.Time, entries []view.Quarantine) {
+	clear(t.fleet)
+	for _, q := range entries {
+		t.fleet[q.BodyHash] = q
+	}
+	t.expire(now)
+}
+
+// Check returns what may be done with a body.
+func (t *Tracker) Check(now time.Time, hash uint64) Verdict {
+	q, listed := t.fleet[hash]
+	left := time.UnixMilli(q.ExpiresUnixMs).Sub(now)
+	if listed && !q.Suspect && left > 0 {
+		return Quarantined{RetryAfter: left}
+	}
+	l := t.local[hash]
+	seen := 0
+	if l != nil && l.until.After(now) {
+		seen = len(l.crashes)
+	}
+	switch {
+	case seen >= 2:
+		return Quarantined{RetryAfter: l.until.Sub(now)}
+	case seen == 1, listed:
+		return Suspect{}
+	default:
+		return Free{}
+	}
+}
+
+// Crashed records that a body was in flight where an engine crashed. Attempts that
+// end by the same crash count once.
+func (t *Tracker) Crashed(now time.Time, hash uint64, id replica.ID, fence replica.Fence) {
+	l := t.local[hash]
+	if l == nil {
+		if len(t.local) >= maxLocal {
+			t.expire(now)
+		}
+		if len(t.local) >= maxLocal {
+			return
+		}
+		l = &local{crashes: make(map[crashKey]bool)}
+		t.local[hash] = l
+	}
+	l.crashes[crashKey{id, fence}] = true
+	l.until = now.Add(LocalFor)
+}
+
+// Completed clears a suspect that has run to its end as a suspect, and reports
+// whether control is to be told (message.SuspectsCleared).
+func (t *Tracker) Completed(hash uint64) bool {
+	if l := t.local[hash]; l != nil && len(l.crashes) < 2 {
+		delete(t.local, hash)
+	}
+	q, listed := t.fleet[hash]
+	if listed && q.Suspect {
+		delete(t.fleet, hash)
+		return true
+	}
+	return false
+}
+
+// Begin records that a body was dispatched to a replica.
+func (t *Tracker) Begin(hash uint64, id replica.ID) {
+	t.running[hash] = append(t.running[hash], id)
+}
+
+// End records that a dispatch of a body ended.
+func (t *Tracker) End(hash uint64, id replica.ID) {
+	running := t.running[hash]
+	for i, r := range running {
+		if r != id {
+			continue
+		}
+		running[i] = running[len(running)-1]
+		running = running[:len(running)-1]
+		break
+	}
+	if len(running) == 0 {
+		delete(t.running, hash)
+		return
+	}
+	t.running[hash] = running
+}
+
+// Running returns a replica on which a copy of the body runs. Another copy should
+// go there too, so that copies sent together cannot crash one replica each.
+func (t *Tracker) Running(hash uint64) (replica.ID, bool) {
+	running := t.running[hash]
+	if len(running) == 0 {
+		return "", false
+	}
+	return running[0], true
+}
+
+func (t *Tracker) expire(now time.Time) {
+	for hash, l := range t.local {
+		if !l.until.After(now) {
+			delete(t.local, hash)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/suspicion/suspicion_test.go
@@ -0,0 +1,66 @@
+package suspicion
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/view"
+)
+
+func TestBodyHash(t *testing.T) {
+	const path = "/v1/chat/completions"
+	base := BodyHash("POST", path, []byte(`{"model":"m","n":1,"messages":[{"role":"user","content":"a"}]}`))
+	same := []string{
+		` { "n" : 1.0, "messages":[{"content":"\u0061","role":"user"}], "model":"m" } `,
+		`{"model":"m","n":1e0,"stream":true,"user":"x","metadata":{"k":1},"messages":[{"role":"user","content":"a"}]}`,
+	}
+	for _, body := range same {
+		require.Equal(t, base, BodyHash("POST", path, []byte(body)), body)
+	}
+	other := []string{
+		`{"model":"m","n":2,"messages":[{"role":"user","content":"a"}]}`,
+		`{"model":"m","n":1,"messages":[{"role":"user","content":"a","user":"x"}]}`,
+		`{"model":"m","n":1,"messages":[{"role":"user","content":"a"}]}{}`,
+		`not json`,
+		``,
+	}
+	for _, body := range other {
+		require.NotEqual(t, base, BodyHash("POST", path, []byte(body)), body)
+	}
+	require.NotEqual(t, base, BodyHash("PUT", path, []byte(same[0])))
+}
+
+func TestTracker(t *testing.T) {
+	now := time.UnixMilli(1000)
+	tracker := New()
+	require.Equal(t, Free{}, tracker.Check(now, 7))
+	tracker.Crashed(now, 7, "a", 1)
+	tracker.Crashed(now, 7, "a", 1)
+	require.Equal(t, Suspect{}, tracker.Check(now, 7), "one crash seen by two attempts")
+	tracker.Crashed(now, 7, "b", 1)
+	require.Equal(t, Quarantined{RetryAfter: LocalFor}, tracker.Check(now, 7))
+	require.False(t, tracker.Completed(7))
+	require.IsType(t, Quarantined{}, tracker.Check(now, 7), "a late completion does not free it")
+	require.Equal(t, Free{}, tracker.Check(now.Add(LocalFor), 7))
+
+	tracker.SetView(now, []view.Quarantine{{BodyHash: 8, ExpiresUnixMs: 3000}, {BodyHash: 9, Suspect: true, ExpiresUnixMs: 9000}})
+	require.Equal(t, Quarantined{RetryAfter: 2 * time.Second}, tracker.Check(now, 8))
+	require.Equal(t, Suspect{}, tracker.Check(time.UnixMilli(3000), 8), "a suspect when the quarantine ends")
+	require.True(t, tracker.Completed(9))
+	require.Equal(t, Free{}, tracker.Check(now, 9))
+}
+
+func TestCopiesInFlightShareAReplica(t *testing.T) {
+	tracker := New()
+	tracker.Begin(7, "a")
+	tracker.Begin(7, "a")
+	tracker.End(7, "a")
+	id, ok := tracker.Running(7)
+	require.True(t, ok)
+	require.EqualValues(t, "a", id)
+	tracker.End(7, "a")
+	_, ok = tracker.Running(7)
+	require.False(t, ok)
+}
