Add the entry daemon: policy under one mutex, lanes, metrics

Cause: the caller API needs a daemon that admits, routes and measures. Ruled out: a goroutine that owns the policy; each decision takes microseconds, and a mutex keeps refusals synchronous with the request. Change: internal/entry/server; view deltas; retries decided by the budget. Measured: unit tests of the parts pass; the whole path is not run yet. Conclusion: ready to be joined to control and agents.

--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -42,6 +42,15 @@
 	Adapter string
 }
 
+// Class is a request class as one team may use it.
+type Class struct {
+	Name     team.Class
+	Priority int
+	// Timeout is in force where the caller gives none, MaxTimeout bounds the caller's.
+	Timeout    time.Duration
+	MaxTimeout time.Duration
+}
+
 // Backend serves what the handlers have read.
 type Backend interface {
 	// Team returns the team that a bearer token belongs to.
@@ -53,8 +62,10 @@
 	// Service reports whether a plain service is known, and whether a call of it is
 	// idempotent.
 	Service(name, method, path string) (known, idempotent bool)
-	// Class returns the priority and the default timeout of a class.
-	Class(class team.Class) (priority int, timeout time.Duration, ok bool)
+	// Configured reports whether the entry has a configuration at all.
+	Configured() bool
+	// Class returns a class that the team may use; empty asks for its default.
+	Class(id team.ID, wanted team.Class) (Class, bool)
 	// BodyHash returns the hash that stands for a body in the quarantine.
 	BodyHash(method, path string, body []byte) uint64
 	// Serve carries work out. It returns a refusal at once when work cannot be taken.
--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -39,8 +39,10 @@
 	return name == "records", method == http.MethodGet
 }
 
-func (f *fakeBackend) Class(class team.Class) (int, time.Duration, bool) {
-	return 1, time.Minute, class == team.ClassInteractive
+func (f *fakeBackend) Configured() bool { return true }
+
+func (f *fakeBackend) Class(_ team.ID, wanted team.Class) (Class, bool) {
+	return Class{Name: "interactive", Timeout: time.Minute, MaxTimeout: time.Hour}, wanted == ""
 }
 
 func (f *fakeBackend) BodyHash(string, string, []byte) uint64 { return 7 }
--- a/internal/entry/api/read.go
+++ b/internal/entry/api/read.go
@@ -15,8 +15,17 @@
 	"github.com/egretreach/egretreach/internal/fleet/team"
 )
 
+const retryAfterNotReady = time.Second
+
 // authorize finds the caller's team, or answers and reports false.
 func (a *API) authorize(c *call) bool {
+	if !a.backend.Configured() {
+		a.refuse(c, refusal{
+			status: http.StatusServiceUnavailable, code: "not_ready",
+			message: "this entry has no configuration yet", retryAfter: retryAfterNotReady,
+		})
+		return false
+	}
 	scheme, token, _ := strings.Cut(c.r.Header.Get("Authorization"), " ")
 	id, ok := a.backend.Team(strings.TrimSpace(token))
 	if !ok || !strings.EqualFold(scheme, "Bearer") {
@@ -51,25 +60,23 @@
 
 // newWork fills in what all requests share, or answers and reports false.
 func (a *API) newWork(c *call, body []byte, idempotent bool) (dispatch.Work, bool) {
-	class := team.Class(c.r.Header.Get(HeaderClass))
-	if class == "" {
-		class = team.ClassInteractive
-	}
-	priority, timeout, ok := a.backend.Class(class)
+	wanted := team.Class(c.r.Header.Get(HeaderClass))
+	class, ok := a.backend.Class(c.team, wanted)
 	if !ok {
-		a.refuse(c, refusal{status: http.StatusBadRequest, code: "unknown_class", message: fmt.Sprintf("there is no class %q", class)})
+		a.refuse(c, refusal{status: http.StatusBadRequest, code: "unknown_class", message: fmt.Sprintf("the team may not use a class %q", wanted)})
 		return dispatch.Work{}, false
 	}
+	timeout := class.Timeout
 	if asked := c.r.Header.Get(HeaderTimeout); asked != "" {
 		d, err := time.ParseDuration(asked)
 		if err != nil || d <= 0 {
 			a.refuse(c, refusal{status: http.StatusBadRequest, code: "bad_timeout", message: HeaderTimeout + " is a duration such as 30s"})
 			return dispatch.Work{}, false
 		}
-		timeout = min(timeout, d)
+		timeout = min(class.MaxTimeout, d)
 	}
 	work := dispatch.Work{
-		ID: c.id, Team: c.team, Class: class, Priority: priority,
+		ID: c.id, Team: c.team, Class: class.Name, Priority: class.Priority,
 		Deadline: time.Now().Add(timeout), TraceParent: c.r.Header.Get(headerTraceParent),
 	}
 	return work, a.addKey(c, &work, body, idempotent)
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -20,7 +20,11 @@
 func (e *executor) attempt(ctx context.Context, a execution.Dispatch) execution.Event {
 	start := time.Now()
 	ended := e.follow(ctx, a, start)
-	e.done(ended.Kind, ended.Code)
+	end := AttemptEnd{Kind: ended.Kind, Code: ended.Code, TokenGap: e.progress.gap(), CachedTokens: -1}
+	if ended.Kind == execution.EndComplete {
+		end.CachedTokens = e.progress.end.CachedTokens
+	}
+	e.done(end)
 	return ended
 }
 
@@ -83,11 +87,10 @@
 }
 
 func (e *executor) chunk(m *message.Chunk, start time.Time) (execution.Ended, bool) {
-	if !e.progress.started && e.route.FirstToken != nil {
+	if e.progress.count == 0 && e.route.FirstToken != nil {
 		e.route.FirstToken(time.Since(start))
 	}
-	e.progress.started = true
-	switch err := e.progress.take(m); {
+	switch err := e.progress.take(time.Now(), m); {
 	case err == nil:
 		return execution.Ended{}, false
 	case isErrOffset(err):
--- a/internal/entry/dispatch/dispatcher.go
+++ b/internal/entry/dispatch/dispatcher.go
@@ -70,11 +70,12 @@
 }
 
 func (e *executor) result(r execution.Result) Result {
-	result := Result{Result: r}
-	if r.Outcome == request.OutcomeComplete && r.Answer == nil {
+	result := Result{Result: r, FinishReason: e.progress.end.FinishReason, Usage: e.progress.usage()}
+	if r.Outcome == request.OutcomeComplete && r.Answer == nil && r.Code == "" {
 		result.Answer = e.progress.answer()
-		result.FinishReason = e.progress.end.FinishReason
-		result.Usage = e.progress.usage()
+	}
+	if err := e.progress.rest(result.Answer); err != nil {
+		result.Answer = nil
 	}
 	return result
 }
@@ -119,11 +120,11 @@
 func (e *executor) claim(ctx context.Context, a execution.Claim) execution.Event {
 	result, err := e.dispatcher.claims.do(ctx, a.Item)
 	if err != nil {
-		e.done(execution.EndNotRun, execution.CodeNoControl)
+		e.done(AttemptEnd{Kind: execution.EndNotRun, Code: execution.CodeNoControl, CachedTokens: -1})
 		return execution.ClaimFailed{Reason: err.Error()}
 	}
 	if result.State != message.ClaimGranted {
-		e.done(execution.EndNotRun, "")
+		e.done(AttemptEnd{Kind: execution.EndNotRun, CachedTokens: -1})
 	}
 	return execution.Claimed{Result: result}
 }
@@ -135,9 +136,9 @@
 	_, _ = e.dispatcher.settles.do(ctx, a.Item)
 }
 
-func (e *executor) done(kind execution.EndKind, code string) {
+func (e *executor) done(end AttemptEnd) {
 	if e.route.Done != nil {
-		e.route.Done(kind, code)
+		e.route.Done(end)
 	}
 	e.route = Route{}
 }
--- a/internal/entry/dispatch/progress.go
+++ b/internal/entry/dispatch/progress.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"bytes"
 	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -37,21 +39,24 @@
 
 // progress is how much of an answer has arrived, over all attempts.
 type progress struct {
-	work    Work
-	sink    Sink
-	ref     message.Ref
-	head    *message.Head
-	offset  uint64
-	text    []byte
-	started bool
-	end     message.End
+	work   Work
+	sink   Sink
+	ref    message.Ref
+	head   *message.Head
+	offset uint64
+	text   []byte
+	end    message.End
+
+	// first, last and count are of the present attempt's chunks.
+	first, last time.Time
+	count       uint64
 }
 
 // begin starts an attempt. A generation goes on behind what has arrived; a call
 // begins anew, since none of its answer has been given to the caller.
 func (p *progress) begin(ref message.Ref) {
 	p.ref = ref
-	p.started = false
+	p.count = 0
 	if _, ok := p.work.Body.(ServiceCall); ok {
 		p.head = nil
 		p.offset = 0
@@ -62,7 +67,7 @@
 func (p *progress) length() uint64 { return p.offset }
 
 // take accepts a chunk only if it goes on exactly where the answer stands.
-func (p *progress) take(c *message.Chunk) error {
+func (p *progress) take(now time.Time, c *message.Chunk) error {
 	if c.Offset != p.offset {
 		return errOffset{want: p.offset, got: c.Offset}
 	}
@@ -71,12 +76,37 @@
 	}
 	p.text = append(p.text, c.Data...)
 	p.offset += uint64(c.Count)
+	if p.count == 0 {
+		p.first = now
+	}
+	p.last = now
+	p.count += uint64(c.Count)
 	if _, ok := p.work.Body.(Generation); ok && p.sink != nil {
 		return p.sink.Tokens(c.Offset, c.Count, c.Data)
 	}
 	return nil
 }
 
+// gap is the mean time between the present attempt's tokens.
+func (p *progress) gap() time.Duration {
+	if _, ok := p.work.Body.(Generation); !ok || p.count < 2 {
+		return 0
+	}
+	return p.last.Sub(p.first) / time.Duration(p.count-1)
+}
+
+// rest gives the caller what it lacks of a generation's answer that came from the
+// ledger or from an agent's memory.
+func (p *progress) rest(a *message.Answer) error {
+	if _, ok := p.work.Body.(Generation); !ok || a == nil || p.sink == nil || len(a.Body) <= len(p.text) {
+		return nil
+	}
+	if !bytes.HasPrefix(a.Body, p.text) {
+		return errors.New("the answer kept is not the one that was begun")
+	}
+	return p.sink.Tokens(p.offset, 1, a.Body[len(p.text):])
+}
+
 // answer is the whole answer as it stands.
 func (p *progress) answer() *message.Answer {
 	a := &message.Answer{Body: p.text}
--- a/internal/entry/dispatch/work.go
+++ b/internal/entry/dispatch/work.go
@@ -41,6 +41,8 @@
 	Adapter      string
 	Prompt       []byte
 	PromptTokens int
+	// PrefixHashes are the block hashes of the prompt.
+	PrefixHashes []uint64
 	Raw          []byte
 }
 
@@ -75,10 +77,21 @@
 	Target execution.Target
 	// FirstToken and Done may be nil.
 	FirstToken func(after time.Duration)
-	Done       func(kind execution.EndKind, code string)
+	Done       func(end AttemptEnd)
 	Suspect    bool
 }
 
+// AttemptEnd is what the policy learns from an attempt.
+type AttemptEnd struct {
+	Kind execution.EndKind
+	Code string
+	// TokenGap is the mean time between the attempt's tokens, 0 if it had too few.
+	TokenGap time.Duration
+	// CachedTokens is the number of prompt tokens that the engine had cached, -1 if
+	// it did not say.
+	CachedTokens int
+}
+
 // Router chooses targets.
 type Router interface {
 	// Route returns a target for work away from the excluded hosts.
--- a/internal/entry/execution/execution.go
+++ b/internal/entry/execution/execution.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/egretreach/egretreach/internal/entry/retry"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/request"
@@ -67,9 +68,9 @@
 	Answer *message.Answer
 }
 
-// Retrier decides whether another attempt may be made and when.
+// Retrier decides whether a failed attempt is followed by another one.
 type Retrier interface {
-	Retry(now time.Time, attempt request.Attempt, deadline time.Time) (after time.Duration, ok bool)
+	Decide(now time.Time, f retry.Failure) retry.Decision
 }
 
 // Machine executes one request. Use New.
@@ -290,8 +291,11 @@
 // failed tries again elsewhere if the retrier allows it, and otherwise ends with r.
 func (m *Machine) failed(now time.Time, r Result, final bool) Action {
 	if !final {
-		if after, ok := m.retrier.Retry(now, m.attempt, m.plan.Deadline); ok {
-			return Wait{For: after}
+		switch d := m.retrier.Decide(now, m.failure(r)).(type) {
+		case retry.Retry:
+			return Wait{For: d.After}
+		case retry.GiveUp:
+			r.RetryAfter = max(r.RetryAfter, d.RetryAfter)
 		}
 	}
 	if m.supersedes != nil {
@@ -300,6 +304,13 @@
 	return m.finish(r)
 }
 
+func (m *Machine) failure(r Result) retry.Failure {
+	return retry.Failure{
+		Outcome: r.Outcome, Idempotent: !m.plan.AtMostOnce, Attempt: m.attempt,
+		Deadline: m.plan.Deadline, RetryAfter: r.RetryAfter,
+	}
+}
+
 func (m *Machine) askLater() Action {
 	m.askNext = true
 	return Wait{For: askDelay}
--- a/internal/entry/execution/execution_test.go
+++ b/internal/entry/execution/execution_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/entry/retry"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -21,9 +22,11 @@
 // fixedRetrier allows a number of retries.
 type fixedRetrier struct{ left int }
 
-func (r *fixedRetrier) Retry(time.Time, request.Attempt, time.Time) (time.Duration, bool) {
-	r.left--
-	return 50 * time.Millisecond, r.left >= 0
+func (r *fixedRetrier) Decide(time.Time, retry.Failure) retry.Decision {
+	if r.left--; r.left < 0 {
+		return retry.GiveUp{}
+	}
+	return retry.Retry{After: 50 * time.Millisecond}
 }
 
 var (
--- /dev/null
+++ b/internal/entry/server/backend.go
@@ -0,0 +1,220 @@
+package server
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/entry/admission"
+	"github.com/egretreach/egretreach/internal/entry/api"
+	"github.com/egretreach/egretreach/internal/entry/dispatch"
+	"github.com/egretreach/egretreach/internal/entry/execution"
+	"github.com/egretreach/egretreach/internal/entry/routing"
+	"github.com/egretreach/egretreach/internal/entry/suspicion"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/fleet/team"
+)
+
+const (
+	retryAfterNotReady = time.Second
+	// outputTokens is what a generation is taken to cost beyond its prompt before
+	// its end is known.
+	outputTokens = 256
+	// serviceCost is the cost of a service call in the same measure.
+	serviceCost = 1
+)
+
+// Team implements api.Backend.
+func (s *Server) Team(token string) (team.ID, bool) {
+	fleet := s.policy.config()
+	if fleet == nil {
+		return "", false
+	}
+	t, ok := fleet.Authenticate(token)
+	return t.Name, ok
+}
+
+// Configured implements api.Backend.
+func (s *Server) Configured() bool { return s.policy.config() != nil }
+
+// Models implements api.Backend. Each deployment gives its model, the model with
+// its version, and each adapter.
+func (s *Server) Models() []api.Model {
+	fleet := s.policy.config()
+	if fleet == nil {
+		return nil
+	}
+	var models []api.Model
+	seen := map[string]bool{}
+	add := func(m api.Model) {
+		if !seen[m.ID] {
+			seen[m.ID] = true
+			models = append(models, m)
+		}
+	}
+	for _, d := range fleet.Deployments {
+		add(api.Model{ID: d.Model, Model: d.Model})
+		add(api.Model{ID: d.Model + "@" + d.Version, Model: d.Model, Version: d.Version})
+		for _, adapter := range d.Adapters {
+			add(api.Model{ID: d.Model + ":" + adapter, Model: d.Model, Adapter: adapter})
+		}
+	}
+	return models
+}
+
+// Resolve implements api.Backend. A name is MODEL[@VERSION][:ADAPTER].
+func (s *Server) Resolve(name string) (api.Model, bool) {
+	m := api.Model{ID: name}
+	rest, adapter, _ := strings.Cut(name, ":")
+	m.Model, m.Version, _ = strings.Cut(rest, "@")
+	m.Adapter = adapter
+	fleet := s.policy.config()
+	if fleet == nil {
+		return m, false
+	}
+	for _, d := range fleet.Deployments {
+		if d.Model == m.Model && (m.Version == "" || m.Version == d.Version) && (adapter == "" || contains(d.Adapters, adapter)) {
+			return m, true
+		}
+	}
+	return m, false
+}
+
+func contains(list []string, wanted string) bool {
+	for _, have := range list {
+		if have == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// Service implements api.Backend.
+func (s *Server) Service(name, method, path string) (known, idempotent bool) {
+	fleet := s.policy.config()
+	if fleet == nil {
+		return false, false
+	}
+	service, ok := fleet.Service(name)
+	if !ok {
+		return false, false
+	}
+	return true, service.Idempotent(method, path)
+}
+
+// Class implements api.Backend.
+func (s *Server) Class(id team.ID, wanted team.Class) (api.Class, bool) {
+	fleet := s.policy.config()
+	if fleet == nil {
+		return api.Class{}, false
+	}
+	t, ok := fleet.Team(id)
+	if !ok {
+		return api.Class{}, false
+	}
+	class, ok := fleet.ClassFor(t, wanted)
+	return api.Class{
+		Name: class.Name, Priority: class.Priority, Timeout: class.Deadline,
+		MaxTimeout: fleet.ForTeam(id).Request.MaxDeadline,
+	}, ok
+}
+
+// BodyHash implements api.Backend.
+func (s *Server) BodyHash(method, path string, body []byte) uint64 {
+	return suspicion.BodyHash(method, path, body)
+}
+
+// Serve implements api.Backend.
+func (s *Server) Serve(ctx context.Context, work dispatch.Work, sink dispatch.Sink) dispatch.Result {
+	s.inFlight.Add(1)
+	defer s.inFlight.Done()
+	observer := s.meter.begin(work)
+	if refused := s.refuse(&work); refused != nil {
+		return observer.end(dispatch.Result{Result: *refused})
+	}
+	var result dispatch.Result
+	switch body := work.Body.(type) {
+	case dispatch.Generation:
+		body.PrefixHashes = routing.PrefixHashes(body.Prompt)
+		work.Body = body
+		result = s.generate(ctx, work, body, sink, observer)
+	case dispatch.ServiceCall:
+		result = s.call(ctx, work, observer)
+	}
+	return observer.end(result)
+}
+
+// refuse gives the reasons for refusing work before it waits for anything.
+func (s *Server) refuse(work *dispatch.Work) *execution.Result {
+	if s.refusing.Load() || !s.session.Valid() {
+		return &execution.Result{
+			Outcome: request.OutcomeNotRun, Code: "not_ready",
+			Reason: "this entry takes no new work now", RetryAfter: retryAfterNotReady,
+		}
+	}
+	s.policy.mu.Lock()
+	defer s.policy.mu.Unlock()
+	switch v := s.policy.tracker.Check(time.Now(), work.BodyHash).(type) {
+	case suspicion.Quarantined:
+		return &execution.Result{
+			Outcome: request.OutcomeNotRun, Code: "quarantined",
+			Reason: "this request has crashed endpoints and is held back", RetryAfter: v.RetryAfter,
+		}
+	case suspicion.Suspect:
+		work.Suspect = true
+	}
+	return nil
+}
+
+func (s *Server) generate(ctx context.Context, work dispatch.Work, body dispatch.Generation, sink dispatch.Sink, o *observation) dispatch.Result {
+	cost := float64(body.PromptTokens + outputTokens)
+	if refused := s.policy.take(work.Team, cost); refused != nil {
+		return dispatch.Result{Result: *refused}
+	}
+	r := admission.Request{
+		ID: work.ID, Team: work.Team, Class: work.Class, Priority: work.Priority, Deadline: work.Deadline, Cost: cost,
+	}
+	if refused := s.policy.admit(ctx, body.Model, r); refused != nil {
+		s.policy.give(work.Team, 0)
+		return dispatch.Result{Result: *refused}
+	}
+	o.admitted()
+	start := time.Now()
+	result := s.dispatcher.Do(ctx, work, o.watch(sink))
+	ran := time.Duration(0)
+	if result.Outcome == request.OutcomeComplete {
+		ran = time.Since(start)
+	}
+	s.policy.release(body.Model, r, ran)
+	used := float64(result.Usage.PromptTokens + result.Usage.CompletionTokens)
+	s.policy.give(work.Team, used-cost)
+	return result
+}
+
+func (s *Server) call(ctx context.Context, work dispatch.Work, o *observation) dispatch.Result {
+	if refused := s.policy.take(work.Team, serviceCost); refused != nil {
+		return dispatch.Result{Result: *refused}
+	}
+	defer s.policy.give(work.Team, 0)
+	o.admitted()
+	return s.dispatcher.Do(ctx, work, nil)
+}
+
+func (p *policy) take(id team.ID, tokens float64) *execution.Result {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	refused, ok := p.quota.Take(time.Now(), id, tokens)
+	if ok {
+		return nil
+	}
+	return &execution.Result{
+		Outcome: request.OutcomeNotRun, Code: string(refused.Code),
+		Reason: "the team has reached a limit of its own", RetryAfter: refused.RetryAfter,
+	}
+}
+
+func (p *policy) give(id team.ID, used float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.quota.Release(id, used)
+}
--- /dev/null
+++ b/internal/entry/server/session.go
@@ -0,0 +1,49 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/config"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// Announce implements session.Daemon.
+func (s *Server) Announce() message.Announce {
+	return message.Announce{Role: host.RoleEntry, Info: host.Info{
+		ID: s.opts.Host, Incarnation: s.incarnation, Failure: s.opts.Failure,
+		Address: s.opts.Link.Address().String(),
+	}}
+}
+
+// Renewal implements session.Daemon.
+func (s *Server) Renewal() message.Renewal { return s.policy.renewal(time.Now()) }
+
+// ApplyConfig implements session.Daemon.
+func (s *Server) ApplyConfig(revision view.Revision, yaml []byte) error {
+	fleet, err := config.Parse("accepted configuration", yaml)
+	if err != nil {
+		return err
+	}
+	s.policy.setFleet(revision, fleet)
+	return nil
+}
+
+// Granted implements session.Daemon.
+func (s *Server) Granted(grant message.LeaseGrant) {
+	if grant.Shares != nil {
+		s.policy.setShares(time.Now(), grant.Shares)
+	}
+}
+
+// Welcomed implements session.Daemon.
+func (s *Server) Welcomed(message.Welcome) {}
+
+// Pushed implements session.Daemon.
+func (s *Server) Pushed(_ context.Context, m message.Message) {
+	if push, ok := m.(*message.ViewPush); ok {
+		s.policy.push(time.Now(), push)
+	}
+}
--- /dev/null
+++ b/internal/fleet/view/merge.go
@@ -0,0 +1,35 @@
+package view
+
+// Merge returns v changed by a delta: routes and services of the same identity are
+// replaced, those named in removed are gone, and the quarantine is the delta's.
+func (v View) Merge(delta View, removed []string) View {
+	gone := make(map[string]bool, len(removed))
+	for _, key := range removed {
+		gone[key] = true
+	}
+	merged := delta
+	merged.Routes = mergeBy(v.Routes, delta.Routes, Route.Key, gone)
+	merged.Services = mergeBy(v.Services, delta.Services, Service.Key, gone)
+	return merged
+}
+
+// Key is the route's identity in a delta.
+func (r Route) Key() string { return "replica/" + string(r.Replica.ID) }
+
+// Key is the service endpoint's identity in a delta.
+func (s Service) Key() string { return "service/" + s.Name + "/" + string(s.Host) }
+
+func mergeBy[T any](old, changed []T, key func(T) string, gone map[string]bool) []T {
+	merged := make([]T, 0, len(old)+len(changed))
+	replaced := make(map[string]bool, len(changed))
+	for _, item := range changed {
+		replaced[key(item)] = true
+		merged = append(merged, item)
+	}
+	for _, item := range old {
+		if k := key(item); !replaced[k] && !gone[k] {
+			merged = append(merged, item)
+		}
+	}
+	return merged
+}
