Let heartbeats prove presence by the head's own clock

A beat that a slow network or a paused head delays looked as fresh as a new one. Also: a draining mark on beats with an idle mark on acks, for members that leave, and an at-most-once mark on Ask.

--- a/internal/link/message/session.go
+++ b/internal/link/message/session.go
@@ -151,6 +151,12 @@
 	Host        host.ID          `cbor:"3,keyasint"`
 	Incarnation host.Incarnation `cbor:"4,keyasint"`
 	Sequence    uint64           `cbor:"5,keyasint"`
+	// Echo is the sequence of the last BeatAck that the member received. The beat
+	// proves the member present at a time after the head sent that ack, so the
+	// head counts freshness by its own clock, however long the beat was on its way.
+	Echo uint64 `cbor:"6,keyasint,omitempty"`
+	// Draining says that the member is to leave: the head takes no new work.
+	Draining bool `cbor:"7,keyasint,omitempty"`
 }
 
 // BeatAck answers a beat; Stale says that the head does not know this member
@@ -158,6 +164,9 @@
 type BeatAck struct {
 	Sequence uint64 `cbor:"1,keyasint"`
 	Stale    bool   `cbor:"2,keyasint"`
+	// Idle tells a draining member that the head runs nothing and will take no
+	// more, so that the member may leave.
+	Idle bool `cbor:"3,keyasint,omitempty"`
 }
 
 func (*Announce) kind() Kind { return kindAnnounce }
--- a/internal/link/message/work.go
+++ b/internal/link/message/work.go
@@ -117,6 +117,9 @@
 	Tombstone bool `cbor:"3,keyasint"`
 	// Wait asks the agent to answer only when a running attempt has ended.
 	Wait bool `cbor:"4,keyasint"`
+	// AtMostOnce says that the attempt was dispatched as at-most-once. Agents
+	// remember those for longer than idempotent ones.
+	AtMostOnce bool `cbor:"5,keyasint,omitempty"`
 }
 
 // AskState is the agent's word on an attempt.
