--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -16,6 +16,8 @@
 )
 
 type commandLine struct {
+	Engine  engineCommand  `cmd:"" help:"Run the stand-in for a model engine."`
+	Service serviceCommand `cmd:"" help:"Run the stand-in for a plain service."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/agent/attempt/errors.go
@@ -0,0 +1,47 @@
+package attempt
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// ErrTombstone is an attempt that this agent has attested not to run.
+type ErrTombstone struct{ Ref message.Ref }
+
+func (e ErrTombstone) Error() string {
+	return fmt.Sprintf("attempt %d of request %s was given up before it came", e.Ref.Attempt, e.Ref.Request)
+}
+
+// IsErrTombstone reports whether err is an ErrTombstone.
+func IsErrTombstone(err error) bool {
+	var e ErrTombstone
+	return errors.As(err, &e)
+}
+
+// ErrDuplicate is an attempt that has come before, or may have: it must not be
+// said that it did not run.
+type ErrDuplicate struct{ Ref message.Ref }
+
+func (e ErrDuplicate) Error() string {
+	return fmt.Sprintf("attempt %d of request %s came before", e.Ref.Attempt, e.Ref.Request)
+}
+
+// IsErrDuplicate reports whether err is an ErrDuplicate.
+func IsErrDuplicate(err error) bool {
+	var e ErrDuplicate
+	return errors.As(err, &e)
+}
+
+// ErrFull is an attempt for which the agent has no room.
+type ErrFull struct{ Limit int }
+
+func (e ErrFull) Error() string { return fmt.Sprintf("%d attempts already run at this agent", e.Limit) }
+
+// IsErrFull reports whether err is an ErrFull.
+func IsErrFull(err error) bool {
+	var e ErrFull
+	return errors.As(err, &e)
+}
--- /dev/null
+++ b/internal/agent/attempt/expiry.go
@@ -0,0 +1,77 @@
+package attempt
+
+import (
+	"time"
+
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// queue holds attempts, oldest first. The zero value is empty.
+type queue struct {
+	refs []message.Ref
+	head int
+}
+
+func (q *queue) push(ref message.Ref) { q.refs = append(q.refs, ref) }
+
+func (q *queue) len() int { return len(q.refs) - q.head }
+
+func (q *queue) oldest() message.Ref { return q.refs[q.head] }
+
+func (q *queue) pop() message.Ref {
+	ref := q.refs[q.head]
+	q.head++
+	if q.head*2 >= len(q.refs) {
+		q.refs = append(q.refs[:0:0], q.refs[q.head:]...)
+		q.head = 0
+	}
+	return ref
+}
+
+// Expire drops answers that are too old or too many, and then records over the
+// limits. The fact of an at-most-once attempt is kept in the filter.
+func (t *Table) Expire(now time.Time) {
+	for t.answers.len() > 0 {
+		r := t.records[t.answers.oldest()]
+		if r != nil && t.kept <= t.limits.TotalBytes && now.Sub(r.endedAt) < t.limits.AnswerAge {
+			break
+		}
+		t.answers.pop()
+		t.dropAnswer(r)
+	}
+	t.trim()
+}
+
+func (t *Table) dropAnswer(r *record) {
+	if r == nil || r.answer == nil {
+		return
+	}
+	t.kept -= size(r.answer)
+	r.answer = &message.Answer{Status: r.answer.Status, Dropped: true}
+	t.kept += size(r.answer)
+}
+
+// size estimates the memory that an answer holds, in bytes.
+func size(a *message.Answer) int {
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
+}
+
+func (t *Table) trim() {
+	for t.facts.len() > t.limits.Facts {
+		ref := t.facts.pop()
+		t.dropAnswer(t.records[ref])
+		delete(t.records, ref)
+		t.dropped.add(ref)
+	}
+	for t.recent.len() > t.limits.Recent {
+		delete(t.records, t.recent.pop())
+		t.forgotRecent = true
+	}
+}
--- /dev/null
+++ b/internal/agent/attempt/table.go
@@ -0,0 +1,267 @@
+// Package attempt is an agent's memory of the attempts it was given: which run,
+// which have ended and how, and which it has promised never to run. It is a state
+// machine without clock or goroutine, in bounded memory, and never attests "not
+// run" of an attempt that it may have forgotten.
+package attempt
+
+import (
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// Limits bound a Table. Zero values take the defaults.
+type Limits struct {
+	// Running is the number of attempts in progress.
+	Running int
+	// Facts is the number of ended at-most-once attempts and tombstones that are
+	// remembered each by itself; those dropped stay in a filter.
+	Facts int
+	// Recent is the number of ended idempotent attempts remembered.
+	Recent int
+	// AnswerBytes bounds one kept answer and TotalBytes all of them.
+	AnswerBytes int
+	TotalBytes  int
+	// AnswerAge is how long an answer is kept.
+	AnswerAge time.Duration
+}
+
+// Defaults of Limits.
+const (
+	DefaultRunning     = 1024
+	DefaultFacts       = 1 << 16
+	DefaultRecent      = 1 << 12
+	DefaultAnswerBytes = 1 << 20
+	DefaultTotalBytes  = 16 << 20
+	DefaultAnswerAge   = 15 * time.Minute
+)
+
+func (l Limits) withDefaults() Limits {
+	if l.Running == 0 {
+		l.Running = DefaultRunning
+	}
+	if l.Facts == 0 {
+		l.Facts = DefaultFacts
+	}
+	if l.Recent == 0 {
+		l.Recent = DefaultRecent
+	}
+	if l.AnswerBytes == 0 {
+		l.AnswerBytes = DefaultAnswerBytes
+	}
+	if l.TotalBytes == 0 {
+		l.TotalBytes = DefaultTotalBytes
+	}
+	if l.AnswerAge == 0 {
+		l.AnswerAge = DefaultAnswerAge
+	}
+	return l
+}
+
+// Waiter names one who waits for an attempt to end.
+type Waiter uint64
+
+// Delivery is an answer for a waiter.
+type Delivery struct {
+	Waiter Waiter
+	Result message.AskResult
+}
+
+type state uint8
+
+const (
+	stateAccepted state = iota
+	stateRunning
+	stateComplete
+	stateNotRun
+	stateUnknown
+)
+
+type record struct {
+	state      state
+	atMostOnce bool
+	answer     *message.Answer
+	endedAt    time.Time
+	waiters    []Waiter
+}
+
+// Table holds the attempts of one incarnation of an agent. Use New.
+type Table struct {
+	incarnation host.Incarnation
+	limits      Limits
+
+	records map[message.Ref]*record
+	running int
+	facts   queue
+	recent  queue
+	answers queue
+	kept    int
+	dropped filter
+	// forgotRecent says that ended idempotent attempts were dropped without trace.
+	forgotRecent bool
+}
+
+// New returns an empty table.
+func New(incarnation host.Incarnation, limits Limits) *Table {
+	return &Table{incarnation: incarnation, limits: limits.withDefaults(), records: map[message.Ref]*record{}}
+}
+
+// Accept takes an attempt in. It is not passed on before Pass.
+func (t *Table) Accept(ref message.Ref, atMostOnce bool) error {
+	if known := t.records[ref]; known != nil {
+		if known.state == stateNotRun {
+			return ErrTombstone{Ref: ref}
+		}
+		return ErrDuplicate{Ref: ref}
+	}
+	if t.dropped.has(ref) {
+		return ErrDuplicate{Ref: ref}
+	}
+	if t.running >= t.limits.Running {
+		return ErrFull{Limit: t.limits.Running}
+	}
+	t.records[ref] = &record{atMostOnce: atMostOnce}
+	t.running++
+	return nil
+}
+
+// Pass records that the attempt is about to be passed on. It fails if a tombstone
+// came first.
+func (t *Table) Pass(ref message.Ref) error {
+	r := t.records[ref]
+	if r == nil || r.state != stateAccepted {
+		return ErrTombstone{Ref: ref}
+	}
+	r.state = stateRunning
+	return nil
+}
+
+// End records how an accepted attempt ended and returns what its waiters are to be
+// told. The answer of an at-most-once attempt is kept.
+func (t *Table) End(ref message.Ref, outcome request.Outcome, answer *message.Answer, now time.Time) []Delivery {
+	r := t.records[ref]
+	if r == nil {
+		return nil
+	}
+	if r.state <= stateRunning {
+		t.running--
+		r.endedAt = now
+		r.state = endState(outcome)
+		t.keep(ref, r, answer)
+		t.Expire(now)
+	}
+	waiters := r.waiters
+	r.waiters = nil
+	deliveries := make([]Delivery, 0, len(waiters))
+	for _, w := range waiters {
+		deliveries = append(deliveries, Delivery{Waiter: w, Result: r.result(ref)})
+	}
+	return deliveries
+}
+
+func endState(outcome request.Outcome) state {
+	switch outcome {
+	case request.OutcomeComplete:
+		return stateComplete
+	case request.OutcomeNotRun:
+		return stateNotRun
+	default:
+		return stateUnknown
+	}
+}
+
+// keep files an ended record and its answer within the limits.
+func (t *Table) keep(ref message.Ref, r *record, answer *message.Answer) {
+	if !r.atMostOnce && r.state != stateNotRun {
+		t.recent.push(ref)
+		return
+	}
+	t.facts.push(ref)
+	if !r.atMostOnce || answer == nil || r.state != stateComplete {
+		return
+	}
+	kept := *answer
+	if len(kept.Body) > t.limits.AnswerBytes {
+		kept.Body = nil
+		kept.Dropped = true
+	}
+	r.answer = &kept
+	t.kept += size(r.answer)
+	t.answers.push(ref)
+}
+
+// Ask says what became of an attempt. If pending, the waiter gets a Delivery when
+// the attempt ends; the result says that it runs.
+func (t *Table) Ask(ask *message.Ask, waiter Waiter) (result message.AskResult, pending bool) {
+	if ask.Incarnation != t.incarnation {
+		return message.AskResult{Ref: ask.Ref, State: message.AskUnknown}, false
+	}
+	r := t.records[ask.Ref]
+	if r == nil {
+		return t.unseen(ask), false
+	}
+	if r.state == stateAccepted && ask.Tombstone {
+		// The holder of the attempt learns of it from Pass, and ends it.
+		r.state = stateNotRun
+		t.running--
+		t.facts.push(ask.Ref)
+		t.trim()
+	}
+	if r.state <= stateRunning && ask.Wait {
+		r.waiters = append(r.waiters, waiter)
+		return r.result(ask.Ref), true
+	}
+	return r.result(ask.Ref), false
+}
+
+// unseen answers for an attempt of which there is no record: with a tombstone it
+// is attested not to run, unless it may have been forgotten.
+func (t *Table) unseen(ask *message.Ask) message.AskResult {
+	unknown := message.AskResult{Ref: ask.Ref, State: message.AskUnknown}
+	forgotten := t.dropped.has(ask.Ref) || !ask.AtMostOnce && t.forgotRecent
+	if forgotten || !ask.Tombstone {
+		return unknown
+	}
+	r := &record{state: stateNotRun, atMostOnce: ask.AtMostOnce}
+	t.records[ask.Ref] = r
+	t.facts.push(ask.Ref)
+	t.trim()
+	return r.result(ask.Ref)
+}
+
+// Leave forgets a waiter.
+func (t *Table) Leave(ref message.Ref, waiter Waiter) {
+	r := t.records[ref]
+	if r == nil {
+		return
+	}
+	for i, w := range r.waiters {
+		if w == waiter {
+			r.waiters = append(r.waiters[:i], r.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// Running returns the number of attempts in progress.
+func (t *Table) Running() int { return t.running }
+
+func (r *record) result(ref message.Ref) message.AskResult {
+	result := message.AskResult{Ref: ref, Answer: r.answer}
+	switch r.state {
+	case stateAccepted, stateRunning:
+		result.State = message.AskRunning
+	case stateComplete:
+		result.State = message.AskComplete
+	case stateNotRun:
+		result.State = message.AskNotRun
+	default:
+		result.State = message.AskUnknown
+	}
+	return result
+}
+
+// AnswerBytes returns the size over which an answer is not kept.
+func (t *Table) AnswerBytes() int { return t.limits.AnswerBytes }
--- /dev/null
+++ b/internal/agent/engine/client.go
@@ -0,0 +1,173 @@
+// Package engine is the agent's client of the model engine beside it. All that is
+// particular to the engine's protocol stays in this package; the protocol is the
+// stand-in's, described in docs/STANDINS.md.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleConnTimeout = 30 * time.Second
+	maxIdleConns    = 64
+	maxReportBytes  = 1 << 20
+	jsonContentType = "application/json"
+)
+
+// Options are the settings of a Client.
+type Options struct {
+	// URL is the engine's base URL; its host is an IP address.
+	URL string
+	// Orderer is the token shown to an engine that checks who gives it orders.
+	Orderer string
+	// Transport replaces the TCP transport, for tests.
+	Transport http.RoundTripper
+}
+
+// Client speaks to one engine. Use New.
+type Client struct {
+	base      string
+	orderer   string
+	transport http.RoundTripper
+}
+
+// New returns a client of the engine at opts.URL. It opens no connection yet.
+func New(opts Options) *Client {
+	transport := opts.Transport
+	if transport == nil {
+		transport = newTransport()
+	}
+	return &Client{base: strings.TrimSuffix(opts.URL, "/"), orderer: opts.Orderer, transport: transport}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConns:        maxIdleConns,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+		TLSHandshakeTimeout: dialTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Load orders the engine to load the replica's model. The engine answers at once;
+// Report tells when it has loaded.
+func (c *Client) Load(ctx context.Context, r replica.Replica, head bool) error {
+	order := Order{
+		Action: ActionLoad, Replica: string(r.ID), Fence: uint64(r.Fence),
+		Model: r.Spec.Model, Version: r.Spec.Version, Adapters: r.Spec.Adapters, Role: r.Spec.Role,
+		Head: head,
+	}
+	for _, h := range r.Hosts {
+		order.Members = append(order.Members, string(h))
+	}
+	return c.post(ctx, PathOrders, order)
+}
+
+// Release orders the engine to free what it holds for the replica.
+func (c *Client) Release(ctx context.Context, r replica.Replica) error {
+	return c.post(ctx, PathOrders, Order{Action: ActionRelease, Replica: string(r.ID), Fence: uint64(r.Fence)})
+}
+
+// Cancel gives a generation up.
+func (c *Client) Cancel(ctx context.Context, ref message.Ref) error {
+	return c.post(ctx, PathCancel, CancelRequest{RequestID: ref.Request.String(), Attempt: uint32(ref.Attempt)})
+}
+
+// Report asks the engine for its state and load. It serves as the health check.
+func (c *Client) Report(ctx context.Context) (Report, error) {
+	var report Report
+	return report, c.get(ctx, PathLoad, &report)
+}
+
+// CacheEvents asks for the prefix cache events after the given sequence.
+func (c *Client) CacheEvents(ctx context.Context) ([]CacheEvent, error) {
+	var events []CacheEvent
+	return events, c.get(ctx, PathEvents, &events)
+}
+
+func (c *Client) get(ctx context.Context, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
+	if err != nil {
+		return ErrNotSent{Cause: err}
+	}
+	resp, err := c.roundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(into); err != nil {
+		return ErrCut{Cause: err}
+	}
+	return nil
+}
+
+func (c *Client) post(ctx context.Context, path string, body any) error {
+	resp, err := c.send(ctx, path, body)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReportBytes))
+	_ = resp.Body.Close()
+	if err != nil {
+		return ErrCut{Cause: err}
+	}
+	return nil
+}
+
+func (c *Client) send(ctx context.Context, path string, body any) (*http.Response, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, ErrNotSent{Cause: errors.Wrap(err, "encode")}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, ErrNotSent{Cause: err}
+	}
+	// Without GetBody the transport sends a body at most once.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", jsonContentType)
+	if c.orderer != "" && path == PathOrders {
+		req.Header.Set(OrdererHeader, c.orderer)
+	}
+	return c.roundTrip(req)
+}
+
+// roundTrip sends req. A call for which the transport never had a connection was
+// not sent; after that it may have run.
+func (c *Client) roundTrip(req *http.Request) (*http.Response, error) {
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	switch {
+	case err != nil && !connected:
+		return nil, ErrNotSent{Cause: err}
+	case err != nil:
+		return nil, ErrCut{Cause: err}
+	case resp.StatusCode != http.StatusOK:
+		return nil, refusal(resp)
+	}
+	return resp, nil
+}
+
+func refusal(resp *http.Response) error {
+	defer func() { _ = resp.Body.Close() }()
+	var r Refusal
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&r); err != nil || r.Code == "" {
+		return ErrCut{Cause: errors.Errorf("status %d without a reason", resp.StatusCode)}
+	}
+	return ErrRefused{Status: resp.StatusCode, Code: r.Code, Reason: r.Reason}
+}
--- /dev/null
+++ b/internal/agent/engine/errors.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNotSent is a call of which no byte reached the engine: it did not run.
+type ErrNotSent struct{ Cause error }
+
+func (e ErrNotSent) Error() string { return fmt.Sprintf("engine not reached: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e ErrNotSent) Unwrap() error { return e.Cause }
+
+// IsErrNotSent reports whether err is an ErrNotSent.
+func IsErrNotSent(err error) bool {
+	var e ErrNotSent
+	return errors.As(err, &e)
+}
+
+// ErrRefused is a call that the engine refused: it did not run.
+type ErrRefused struct {
+	Status int
+	Code   string
+	Reason string
+}
+
+func (e ErrRefused) Error() string {
+	return fmt.Sprintf("engine refused with status %d (%s): %s", e.Status, e.Code, e.Reason)
+}
+
+// IsErrRefused reports whether err is an ErrRefused.
+func IsErrRefused(err error) bool {
+	var e ErrRefused
+	return errors.As(err, &e)
+}
+
+// ErrCut is a call that may have run and whose answer broke off.
+type ErrCut struct{ Cause error }
+
+func (e ErrCut) Error() string { return fmt.Sprintf("engine's answer broke off: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e ErrCut) Unwrap() error { return e.Cause }
+
+// IsErrCut reports whether err is an ErrCut.
+func IsErrCut(err error) bool {
+	var e ErrCut
+	return errors.As(err, &e)
+}
+
+// ErrGap is an answer in which tokens are missing.
+type ErrGap struct {
+	Want uint64
+	Got  uint64
+}
+
+func (e ErrGap) Error() string {
+	return fmt.Sprintf("engine's answer goes on at token %d, not %d", e.Got, e.Want)
+}
+
+// IsErrGap reports whether err is an ErrGap.
+func IsErrGap(err error) bool {
+	var e ErrGap
+	return errors.As(err, &e)
+}
--- /dev/null
+++ b/internal/agent/engine/generate.go
@@ -0,0 +1,164 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+const (
+	readBufferBytes = 32 << 10
+	// maxChunkBytes bounds the tokens that are joined into one chunk.
+	maxChunkBytes = 16 << 10
+)
+
+// Result is the end of a whole generation.
+type Result struct {
+	// Length is the number of tokens of the whole answer, with those before a resume.
+	Length           uint64
+	FinishReason     string
+	PromptTokens     int
+	CompletionTokens int
+	CachedTokens     int
+	// Rejected counts events that were dropped: of another request, repeated, or
+	// behind the end.
+	Rejected int
+}
+
+// Tokens is a run of tokens that were ready together.
+type Tokens struct {
+	Offset uint64
+	Count  uint32
+	Text   []byte
+}
+
+// Generate runs a generation and hands its tokens to emit, joined where several
+// are ready. The engine is read no faster than emit returns. Text is valid until
+// emit returns.
+func (c *Client) Generate(ctx context.Context, d *message.Dispatch, emit func(Tokens) error) (Result, error) {
+	g := d.Generate
+	resp, err := c.send(ctx, PathGenerate, GenerateRequest{
+		RequestID: d.Ref.Request.String(), Attempt: uint32(d.Ref.Attempt),
+		Replica: string(g.Replica), Fence: uint64(g.Fence), Path: g.Path, Adapter: g.Adapter,
+		Priority: d.Priority, ResumeOffset: g.ResumeOffset, ResumeText: g.ResumeText, Body: g.Body,
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r := relay{
+		reader: bufio.NewReaderSize(resp.Body, readBufferBytes),
+		id:     d.Ref.Request.String(), attempt: uint32(d.Ref.Attempt),
+		next: g.ResumeOffset, emit: emit,
+	}
+	return r.run()
+}
+
+// relay reads the events of one generation and passes on those that belong to it.
+type relay struct {
+	reader  *bufio.Reader
+	id      string
+	attempt uint32
+	next    uint64
+	emit    func(Tokens) error
+
+	pending Tokens
+	result  Result
+}
+
+func (r *relay) run() (Result, error) {
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		if err != nil {
+			_ = r.flush()
+			return r.result, ErrCut{Cause: brokenOff(err)}
+		}
+		ended, err := r.line(line)
+		if err != nil || ended {
+			return r.result, err
+		}
+		if !r.more() {
+			if err := r.flush(); err != nil {
+				return r.result, err
+			}
+		}
+	}
+}
+
+func brokenOff(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// more reports whether another whole line has already arrived.
+func (r *relay) more() bool {
+	if len(r.pending.Text) >= maxChunkBytes {
+		return false
+	}
+	ready, _ := r.reader.Peek(r.reader.Buffered())
+	return bytes.IndexByte(ready, '\n') >= 0
+}
+
+func (r *relay) line(line []byte) (bool, error) {
+	var e Event
+	if err := json.Unmarshal(line, &e); err != nil {
+		return false, ErrCut{Cause: errors.Wrap(err, "event")}
+	}
+	switch {
+	case e.RequestID != r.id || e.Attempt != r.attempt, !e.End && e.Offset < r.next:
+		r.result.Rejected++
+		return false, nil
+	case e.Offset > r.next || e.Offset < r.next:
+		_ = r.flush()
+		return false, ErrGap{Want: r.next, Got: e.Offset}
+	case e.End:
+		return true, r.end(e)
+	}
+	r.add(e)
+	return false, nil
+}
+
+func (r *relay) add(e Event) {
+	if r.pending.Count == 0 {
+		r.pending.Offset = e.Offset
+	}
+	r.pending.Count++
+	r.pending.Text = append(r.pending.Text, e.Text...)
+	r.next++
+}
+
+func (r *relay) flush() error {
+	if r.pending.Count == 0 {
+		return nil
+	}
+	tokens := r.pending
+	r.pending = Tokens{Text: tokens.Text[:0]}
+	return r.emit(tokens)
+}
+
+func (r *relay) end(e Event) error {
+	if err := r.flush(); err != nil {
+		return err
+	}
+	r.result.Length = e.Offset
+	r.result.FinishReason = e.FinishReason
+	r.result.PromptTokens = e.PromptTokens
+	r.result.CompletionTokens = e.CompletionTokens
+	r.result.CachedTokens = e.CachedTokens
+	r.result.Rejected += r.behind()
+	return nil
+}
+
+// behind counts the events that have arrived behind the end.
+func (r *relay) behind() int {
+	ready, _ := r.reader.Peek(r.reader.Buffered())
+	return bytes.Count(ready, []byte{'\n'})
+}
--- /dev/null
+++ b/internal/agent/engine/protocol.go
@@ -0,0 +1,112 @@
+package engine
+
+import "encoding/json"
+
+// Paths of the engine protocol, described in docs/STANDINS.md.
+const (
+	PathGenerate = "/v1/generate"
+	PathCancel   = "/v1/cancel"
+	PathOrders   = "/v1/orders"
+	PathLoad     = "/v1/load"
+	PathEvents   = "/v1/events"
+	PathHealth   = "/healthz"
+)
+
+// OrdererHeader carries the token of whoever gives an order, for engines that check it.
+const OrdererHeader = "Egretreach-Orderer"
+
+// The actions of an Order.
+const (
+	ActionLoad    = "load"
+	ActionRelease = "release"
+)
+
+// Codes with which an engine refuses. A refused generation did not run.
+const (
+	CodeStaleFence = "stale_fence"
+	CodeNotLoaded  = "not_loaded"
+	CodeNotHead    = "not_head"
+	CodeOrderer    = "orderer_refused"
+	CodeInvalid    = "invalid_request"
+	CodeOverloaded = "overloaded"
+)
+
+// GenerateRequest asks for a generation. Body is the caller's OpenAI body.
+type GenerateRequest struct {
+	RequestID    string          `json:"request_id"`
+	Attempt      uint32          `json:"attempt"`
+	Replica      string          `json:"replica"`
+	Fence        uint64          `json:"fence"`
+	Path         string          `json:"path"`
+	Adapter      string          `json:"adapter,omitempty"`
+	Priority     int             `json:"priority,omitempty"`
+	ResumeOffset uint64          `json:"resume_offset,omitempty"`
+	ResumeText   string          `json:"resume_text,omitempty"`
+	Body         json.RawMessage `json:"body"`
+}
+
+// Event is one line of a generation: a token at an offset, or its end.
+type Event struct {
+	RequestID        string `json:"request_id"`
+	Attempt          uint32 `json:"attempt"`
+	Offset           uint64 `json:"offset"`
+	Text             string `json:"text,omitempty"`
+	End              bool   `json:"end,omitempty"`
+	FinishReason     string `json:"finish_reason,omitempty"`
+	PromptTokens     int    `json:"prompt_tokens,omitempty"`
+	CompletionTokens int    `json:"completion_tokens,omitempty"`
+	CachedTokens     int    `json:"cached_tokens,omitempty"`
+}
+
+// CancelRequest gives a generation up.
+type CancelRequest struct {
+	RequestID string `json:"request_id"`
+	Attempt   uint32 `json:"attempt"`
+}
+
+// Order asks the engine to load a model or to release what it holds.
+type Order struct {
+	Action   string   `json:"action"`
+	Replica  string   `json:"replica"`
+	Fence    uint64   `json:"fence"`
+	Model    string   `json:"model,omitempty"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"`
+	// Members are the replica's hosts; Head says that this one takes the work.
+	Members []string `json:"members,omitempty"`
+	Head    bool     `json:"head,omitempty"`
+}
+
+// Refusal is the body of every status other than 200.
+type Refusal struct {
+	Code   string `json:"code"`
+	Reason string `json:"reason"`
+}
+
+// Report is the engine's account of itself; its load figures lag.
+type Report struct {
+	// Start tells one start of the engine from the next.
+	Start       string `json:"start"`
+	Replica     string `json:"replica,omitempty"`
+	Fence       uint64 `json:"fence,omitempty"`
+	Loaded      bool   `json:"loaded"`
+	LoadPercent int    `json:"load_percent"`
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+	// WaitingTokens is the prompt tokens not yet prefilled.
+	WaitingTokens int `json:"waiting_tokens"`
+	// PrefillRate is prompt tokens per second.
+	PrefillRate float64 `json:"prefill_rate"`
+	// TokenGapMs is the time between tokens of one stream, in milliseconds.
+	TokenGapMs float64 `json:"token_gap_ms"`
+	Capacity   int     `json:"capacity"`
+}
+
+// CacheEvent says that a prefix block entered or left the prefix cache.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	// Block is the hash of the prompt up to and with the block.
+	Block   uint64 `json:"block"`
+	Removed bool   `json:"removed,omitempty"`
+}
--- /dev/null
+++ b/internal/agent/gate/errors.go
@@ -0,0 +1,105 @@
+package gate
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+)
+
+// Codes of an ErrClosed.
+const (
+	CodeDraining       = "draining"
+	CodeLeaseLapsed    = "lease_lapsed"
+	CodeNoReplica      = "no_replica"
+	CodeWrongReplica   = "wrong_replica"
+	CodeNotHead        = "not_head"
+	CodeNotLoaded      = "not_loaded"
+	CodeEngineDown     = "engine_unhealthy"
+	CodeMemberLost     = "member_lost"
+	CodeMemberDraining = "member_draining"
+)
+
+// ErrClosed is work that the gate does not let in.
+type ErrClosed struct {
+	Code   string
+	Reason string
+}
+
+func (e ErrClosed) Error() string {
+	return fmt.Sprintf("serving gate closed (%s): %s", e.Code, e.Reason)
+}
+
+// IsErrClosed reports whether err is an ErrClosed.
+func IsErrClosed(err error) bool {
+	var e ErrClosed
+	return errors.As(err, &e)
+}
+
+// ErrStaleFence is an order whose fencing number is older than one already seen.
+type ErrStaleFence struct {
+	Fence   replica.Fence
+	Highest replica.Fence
+}
+
+func (e ErrStaleFence) Error() string {
+	return fmt.Sprintf("order's fence %d is older than %d", e.Fence, e.Highest)
+}
+
+// IsErrStaleFence reports whether err is an ErrStaleFence.
+func IsErrStaleFence(err error) bool {
+	var e ErrStaleFence
+	return errors.As(err, &e)
+}
+
+// ErrFenceUnknown is an order that comes before the agent has learned the fence
+// floor of its host.
+type ErrFenceUnknown struct{}
+
+func (ErrFenceUnknown) Error() string { return "the host's fence floor is not known yet" }
+
+// IsErrFenceUnknown reports whether err is an ErrFenceUnknown.
+func IsErrFenceUnknown(err error) bool {
+	var e ErrFenceUnknown
+	return errors.As(err, &e)
+}
+
+// ErrNoLease is an order that comes while the agent's lease has lapsed.
+type ErrNoLease struct{}
+
+func (ErrNoLease) Error() string { return "the agent's lease has lapsed" }
+
+// IsErrNoLease reports whether err is an ErrNoLease.
+func IsErrNoLease(err error) bool {
+	var e ErrNoLease
+	return errors.As(err, &e)
+}
+
+// ErrFenceReused is an order that gives the fencing number of one replica to another.
+type ErrFenceReused struct {
+	Fence replica.Fence
+	Held  replica.ID
+	Asked replica.ID
+}
+
+func (e ErrFenceReused) Error() string {
+	return fmt.Sprintf("fence %d belongs to replica %s, not %s", e.Fence, e.Held, e.Asked)
+}
+
+// IsErrFenceReused reports whether err is an ErrFenceReused.
+func IsErrFenceReused(err error) bool {
+	var e ErrFenceReused
+	return errors.As(err, &e)
+}
+
+// ErrLeft is an order to load a replica that the host has already given up.
+type ErrLeft struct{ Replica replica.ID }
+
+func (e ErrLeft) Error() string { return fmt.Sprintf("the host has left replica %s", e.Replica) }
+
+// IsErrLeft reports whether err is an ErrLeft.
+func IsErrLeft(err error) bool {
+	var e ErrLeft
+	return errors.As(err, &e)
+}
--- /dev/null
+++ b/internal/agent/gate/held.go
@@ -0,0 +1,21 @@
+package gate
+
+import (
+	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// Held returns the host's own record of its place, for control.
+func (g *Gate) Held(at Reading, load view.Load) []message.HeldReplica {
+	if g.place.ID == "" {
+		return nil
+	}
+	held := message.HeldReplica{
+		Replica: g.place.ID, Fence: g.place.Fence, Loaded: g.loaded, LoadPercent: g.percent, Load: load,
+	}
+	if g.IsHead() {
+		held.Missing = g.Missing(at.Now)
+		held.Serving = g.MayAccept(at, g.place.ID, g.place.Fence) == nil
+	}
+	return []message.HeldReplica{held}
+}
--- /dev/null
+++ b/internal/agent/plain/client.go
@@ -0,0 +1,143 @@
+// Package plain is the agent's client of the plain services beside it.
+package plain
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// RequestIDHeader tells the service the ID of the request.
+const RequestIDHeader = "Egretreach-Request-Id"
+
+const (
+	traceParentHeader = "Traceparent"
+	copyBytes         = 32 << 10
+)
+
+// hopByHop are the header fields that end at each hop (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Options are the settings of a Client.
+type Options struct {
+	// URL is the service's base URL; its host is an IP address.
+	URL string
+	// Transport replaces the TCP transport, for tests. It must not keep connections.
+	Transport http.RoundTripper
+}
+
+// Client speaks to one service. Use New.
+type Client struct {
+	base      string
+	transport http.RoundTripper
+}
+
+// New returns a client of the service at opts.URL. It opens no connection yet.
+func New(opts Options) *Client {
+	transport := opts.Transport
+	if transport == nil {
+		// net/http sends a request again over a kept connection that closed under it,
+		// a POST too if it carries an Idempotency-Key. A fresh connection never does.
+		transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	}
+	return &Client{base: strings.TrimSuffix(opts.URL, "/"), transport: transport}
+}
+
+// Sink takes a service's answer as it arrives. Data is valid until Data returns.
+type Sink interface {
+	Head(status int, header http.Header) error
+	Data(data []byte) error
+}
+
+// Call sends a call once and hands its answer to sink. The service is read no
+// faster than sink returns.
+func (c *Client) Call(ctx context.Context, d *message.Dispatch, sink Sink) error {
+	req, err := c.request(ctx, d)
+	if err != nil {
+		return ErrNotSent{Cause: err}
+	}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	switch {
+	case err != nil && !connected:
+		return ErrNotSent{Cause: err}
+	case err != nil:
+		return ErrCut{Cause: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
+		return ErrCut{Cause: errors.New("the answer has neither a length nor chunks, so its end can't be told")}
+	}
+	removeHopByHop(resp.Header)
+	if err := sink.Head(resp.StatusCode, resp.Header); err != nil {
+		return err
+	}
+	return relay(resp.Body, sink)
+}
+
+func relay(body io.Reader, sink Sink) error {
+	buf := make([]byte, copyBytes)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if sinkErr := sink.Data(buf[:n]); sinkErr != nil {
+				return sinkErr
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return ErrCut{Cause: err}
+		}
+	}
+}
+
+func (c *Client) request(ctx context.Context, d *message.Dispatch) (*http.Request, error) {
+	call := d.Call
+	target, err := url.Parse(c.base)
+	if err != nil {
+		return nil, errors.Wrap(err, "service URL")
+	}
+	target = target.JoinPath(call.Path)
+	target.RawQuery = call.Query
+	req, err := http.NewRequestWithContext(ctx, call.Method, target.String(), bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	req.GetBody = nil
+	for name, values := range call.Header {
+		req.Header[http.CanonicalHeaderKey(name)] = append([]string(nil), values...)
+	}
+	removeHopByHop(req.Header)
+	req.Header.Del("Host")
+	req.Header.Del("Content-Length")
+	req.Header.Set(RequestIDHeader, d.Ref.Request.String())
+	if d.TraceParent != "" {
+		req.Header.Set(traceParentHeader, d.TraceParent)
+	}
+	return req, nil
+}
+
+func removeHopByHop(h http.Header) {
+	for _, line := range h.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/agent/server/beats.go
@@ -0,0 +1,111 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/agent/gate"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/transport"
+)
+
+// beats answers the heartbeats of one member.
+func (s *Server) beats(stream *transport.Stream, first *message.Beat) {
+	var m message.Message = first
+	for {
+		b, ok := m.(*message.Beat)
+		if !ok || b.Host != stream.Peer().Host {
+			s.notAllowed(stream, m)
+			return
+		}
+		s.mu.Lock()
+		now := time.Now()
+		ack := s.gate.Beat(now, b)
+		ack.Idle = b.Draining && s.generationsLocked() == 0
+		s.mu.Unlock()
+		wake(s.changed)
+		if err := stream.Send(&ack); err != nil {
+			return
+		}
+		var err error
+		if m, err = stream.Receive(); err != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) generationsLocked() int {
+	n := 0
+	for _, r := range s.running {
+		if r.dispatch.Generate != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// beat tells the head of the host's replica that this member is present, for as
+// long as it is.
+func (s *Server) beat(ctx context.Context) error {
+	if s.engine == nil {
+		return nil
+	}
+	ticker := time.NewTicker(gate.BeatInterval)
+	defer ticker.Stop()
+	var to *beatLink
+	defer func() { to.close() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		to = s.beatOnce(ctx, to)
+	}
+}
+
+// beatOnce sends one heartbeat and returns the link to use next time.
+func (s *Server) beatOnce(ctx context.Context, to *beatLink) *beatLink {
+	at := s.reading()
+	s.mu.Lock()
+	place, addresses, _ := s.gate.Place()
+	may := s.gate.MayBeat(at)
+	stopping := s.gate.Stopping()
+	s.mu.Unlock()
+	if !may || len(addresses) == 0 {
+		to.close()
+		return nil
+	}
+	if !to.serves(place, at.Now) {
+		to.close()
+		to = s.dialHead(ctx, place, addresses[0])
+	}
+	if to == nil {
+		return nil
+	}
+	to.sequence++
+	err := to.stream.Send(&message.Beat{
+		Replica: place.ID, Fence: place.Fence, Host: s.opts.Info.ID, Incarnation: s.opts.Info.Incarnation,
+		Sequence: to.sequence, Echo: to.echo.Load(), Draining: stopping,
+	})
+	if err != nil {
+		to.close()
+		return nil
+	}
+	return to
+}
+
+func (s *Server) dialHead(ctx context.Context, place replica.Replica, address string) *beatLink {
+	ctx, cancel := context.WithTimeout(ctx, gate.BeatTimeout)
+	defer cancel()
+	stream, err := s.opts.Pool.Open(ctx, address)
+	if err != nil {
+		return nil
+	}
+	to := &beatLink{server: s, stream: stream, replica: place.ID, fence: place.Fence, address: address}
+	to.sequence = uint64(time.Now().UnixNano())
+	to.acked.Store(time.Now().UnixNano())
+	go to.receive()
+	return to
+}
--- /dev/null
+++ b/internal/agent/server/crash.go
@@ -0,0 +1,88 @@
+package server
+
+import (
+	"context"
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/session"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// checkCrash tells a crash from an answer that broke off by itself: the engine
+// fails its health check, or has started anew.
+func (s *Server) checkCrash() bool {
+	ctx := s.context()
+	report, err := s.report(ctx)
+	if ctx.Err() != nil {
+		return false
+	}
+	s.mu.Lock()
+	crashed := err != nil && !isTimeout(err) || err == nil && s.start != "" && report.Start != s.start
+	s.mu.Unlock()
+	if crashed {
+		s.crashed()
+		wake(s.polled)
+	}
+	return crashed
+}
+
+// crashed fails over what is in flight and tells control of its bodies, once for
+// each crash: the gate stays closed until the engine is well again.
+func (s *Server) crashed() {
+	s.mu.Lock()
+	place, _, _ := s.gate.Place()
+	var suspects []uint64
+	seen := map[uint64]bool{}
+	for _, r := range s.running {
+		if r.dispatch.Generate == nil || r.crashed {
+			continue
+		}
+		r.crashed = true
+		if hash := r.dispatch.BodyHash; !seen[hash] {
+			seen[hash] = true
+			suspects = append(suspects, hash)
+		}
+	}
+	s.gate.EngineLost()
+	s.mu.Unlock()
+	wake(s.changed)
+	if len(suspects) == 0 {
+		return
+	}
+	sort.Slice(suspects, func(i, j int) bool { return suspects[i] < suspects[j] })
+	event.EngineCrashed.On(s.opts.Logger).Int("suspects", len(suspects)).Msg("")
+	go s.tellCrash(&message.CrashReport{
+		Replica: place.ID, Fence: place.Fence, Suspects: suspects, Crash: request.NewID(),
+	})
+}
+
+// tellCrash sends a report until control has it: the same crash counts once.
+func (s *Server) tellCrash(report *message.CrashReport) {
+	ctx, cancel := context.WithTimeout(s.context(), reportTimeout)
+	defer cancel()
+	for {
+		_, err := s.session.Call(ctx, report)
+		if err == nil {
+			return
+		}
+		if !session.IsErrUncertain(err) || !sleep(ctx, orderRetryDelay) {
+			event.CrashUnreported.On(s.opts.Logger).Str("reason", err.Error()).Msg("")
+			return
+		}
+	}
+}
+
+func (s *Server) context() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.base
+}
--- /dev/null
+++ b/internal/agent/server/daemon.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"context"
+
+	"github.com/egretreach/egretreach/internal/agent/gate"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/session"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+var _ session.Daemon = (*Server)(nil)
+
+// Announce implements session.Daemon.
+func (s *Server) Announce() message.Announce {
+	return message.Announce{Role: host.RoleAgent, Info: s.opts.Info, Held: s.held()}
+}
+
+// Renewal implements session.Daemon.
+func (s *Server) Renewal() message.Renewal {
+	held := s.held()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return message.Renewal{EngineHealthy: s.engine == nil || s.gate.Healthy(), Held: held}
+}
+
+func (s *Server) held() []message.HeldReplica {
+	at := s.reading()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Held(at, s.load)
+}
+
+// ApplyConfig implements session.Daemon.
+func (s *Server) ApplyConfig(_ view.Revision, yaml []byte) error {
+	if s.opts.CheckConfig == nil {
+		return nil
+	}
+	return s.opts.CheckConfig(yaml)
+}
+
+// Granted implements session.Daemon.
+func (s *Server) Granted(message.LeaseGrant) { wake(s.changed) }
+
+// Welcomed implements session.Daemon.
+func (s *Server) Welcomed(w message.Welcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Welcomed(w.FenceFloor)
+}
+
+// Pushed implements session.Daemon.
+func (s *Server) Pushed(_ context.Context, m message.Message) {
+	switch m := m.(type) {
+	case *message.Order:
+		s.queue(m)
+	case *message.Failure:
+		if m.Code == codeSuperseded {
+			s.superseded(m.Reason)
+		}
+	}
+}
+
+// queue never blocks the session. Control gives an order again that was dropped.
+func (s *Server) queue(o *message.Order) {
+	select {
+	case s.orders <- o:
+	default:
+		event.OrderDropped.On(s.opts.Logger).Uint64("order", o.ID).Str("reason", "too many orders wait").Msg("")
+	}
+}
+
+// superseded stops serving at once: another agent now answers for the host.
+func (s *Server) superseded(reason string) {
+	event.AgentSuperseded.On(s.opts.Logger).Str("reason", reason).Msg("")
+	s.mu.Lock()
+	s.gate.Stop()
+	stop := s.stop
+	s.mu.Unlock()
+	s.failOver(gate.ErrClosed{Code: codeSuperseded, Reason: reason})
+	stop(ErrSuperseded{Reason: reason})
+}
--- /dev/null
+++ b/internal/agent/server/errors.go
@@ -0,0 +1,47 @@
+package server
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// ErrSuperseded ends an agent whose host another agent has announced.
+type ErrSuperseded struct{ Reason string }
+
+func (e ErrSuperseded) Error() string { return "another agent announced this host: " + e.Reason }
+
+// IsErrSuperseded reports whether err is an ErrSuperseded.
+func IsErrSuperseded(err error) bool {
+	var e ErrSuperseded
+	return errors.As(err, &e)
+}
+
+// errStopped ends an attempt before its time. It becomes the attempt's End.
+type errStopped struct {
+	Code   string
+	Reason string
+}
+
+func (e errStopped) Error() string { return fmt.Sprintf("%s: %s", e.Code, e.Reason) }
+
+// Codes of Refused and End that the agent adds to those of the gate.
+const (
+	codeIncarnation  = "wrong_incarnation"
+	codeMalformed    = "malformed"
+	codeNotAllowed   = "not_allowed"
+	codeNoService    = "no_such_service"
+	codeOverloaded   = "overloaded"
+	codeSuspectBusy  = "suspect_busy"
+	codeTombstone    = "given_up"
+	codeDuplicate    = "duplicate"
+	codeCancelled    = "cancelled"
+	codeEntryGone    = "entry_gone"
+	codeDeadline     = "deadline"
+	codeStopped      = "agent_stopped"
+	codeUnreachable  = "endpoint_unreachable"
+	codeCut          = "answer_cut"
+	codeCrashed      = "engine_crashed"
+	codeSuperseded   = "superseded"
+	retryAfterBusyMs = 200
+)
--- /dev/null
+++ b/internal/agent/server/links.go
@@ -0,0 +1,95 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/agent/attempt"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/transport"
+)
+
+// firstFrameTimeout bounds the wait for a call's first frame.
+const firstFrameTimeout = 5 * time.Second
+
+// handle serves one call of a peer. Work comes only from entries, heartbeats only
+// from agents.
+func (s *Server) handle(ctx context.Context, stream *transport.Stream) {
+	_ = stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
+	m, err := stream.Receive()
+	if err != nil {
+		if message.IsErrMalformed(err) || message.IsErrUnknownKind(err) || message.IsErrFrameTooLarge(err) {
+			s.reject(stream.Peer().String(), err.Error(), 1)
+			_ = stream.Send(&message.Failure{Code: codeMalformed, Reason: err.Error()})
+		}
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	switch stream.Peer().Role {
+	case host.RoleEntry:
+		s.handleEntry(ctx, stream, m)
+	case host.RoleAgent:
+		s.handleAgent(stream, m)
+	default:
+		s.notAllowed(stream, m)
+	}
+}
+
+func (s *Server) handleEntry(ctx context.Context, stream *transport.Stream, m message.Message) {
+	switch m := m.(type) {
+	case *message.Dispatch:
+		s.dispatch(ctx, stream, m)
+	case *message.Cancel:
+		s.cancel(m.Ref, errStopped{Code: codeCancelled, Reason: "the entry gave the attempt up"})
+		_ = stream.Send(&message.Ack{})
+	case *message.Ask:
+		s.ask(ctx, stream, m)
+	default:
+		s.notAllowed(stream, m)
+	}
+}
+
+func (s *Server) handleAgent(stream *transport.Stream, m message.Message) {
+	if first, ok := m.(*message.Beat); ok {
+		s.beats(stream, first)
+		return
+	}
+	s.notAllowed(stream, m)
+}
+
+func (s *Server) notAllowed(stream *transport.Stream, m message.Message) {
+	reason := fmt.Sprintf("%T is not taken from a %s", m, stream.Peer().Role)
+	s.reject(stream.Peer().String(), reason, 1)
+	_ = stream.Send(&message.Failure{Code: codeNotAllowed, Reason: reason})
+}
+
+// ask answers what became of an attempt, when it has ended if the entry waits.
+func (s *Server) ask(ctx context.Context, stream *transport.Stream, ask *message.Ask) {
+	s.mu.Lock()
+	s.waiter++
+	waiter := s.waiter
+	result, pending := s.attempts.Ask(ask, waiter)
+	delivered := make(chan message.AskResult, 1)
+	if pending {
+		s.waiters[waiter] = delivered
+	}
+	s.mu.Unlock()
+	if pending {
+		select {
+		case result = <-delivered:
+		case <-ctx.Done():
+			s.unwait(ask.Ref, waiter)
+			return
+		}
+	}
+	_ = stream.Send(&result)
+}
+
+func (s *Server) unwait(ref message.Ref, waiter attempt.Waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiters, waiter)
+	s.attempts.Leave(ref, waiter)
+}
--- /dev/null
+++ b/internal/agent/server/orders.go
@@ -0,0 +1,175 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/agent/engine"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+// carryOut carries out orders one at a time, in the order of their coming.
+func (s *Server) carryOut(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case o := <-s.orders:
+			s.execute(ctx, o)
+		}
+	}
+}
+
+func (s *Server) execute(ctx context.Context, o *message.Order) {
+	switch o.Action {
+	case message.OrderLoad:
+		s.executeLoad(ctx, o)
+	case message.OrderRelease:
+		s.executeRelease(ctx, o)
+	case message.OrderDrain:
+		s.executeDrain(ctx, o)
+	default:
+		s.done(o.ID, "unknown action")
+	}
+}
+
+// executeLoad joins the replica before the engine is told, so that work and beats
+// for the place before end first.
+func (s *Server) executeLoad(ctx context.Context, o *message.Order) {
+	at := s.reading()
+	s.mu.Lock()
+	err := s.gate.MayLoad(at, o.Replica)
+	if err == nil {
+		s.gate.Join(o.Replica, o.Addresses)
+		s.loading = o.ID
+	}
+	s.mu.Unlock()
+	if err != nil {
+		s.dropOrder(o, err)
+		return
+	}
+	wake(s.changed)
+	head := o.Replica.Head() == s.opts.Info.ID
+	err = s.pass(ctx, o, func(ctx context.Context) error { return s.engine.Load(ctx, o.Replica, head) })
+	if err == nil {
+		wake(s.polled)
+	}
+}
+
+func (s *Server) executeRelease(ctx context.Context, o *message.Order) {
+	if err := s.mayPass(o.Replica); err != nil {
+		s.dropOrder(o, err)
+		return
+	}
+	s.drainPlace(o.Replica)
+	s.awaitIdle(ctx, releaseWait)
+	// The wait may have been long: the order is checked again.
+	at := s.reading()
+	s.mu.Lock()
+	err := s.gate.MayPass(at, o.Replica)
+	if err == nil {
+		s.gate.Leave(o.Replica)
+	}
+	s.mu.Unlock()
+	if err != nil {
+		s.dropOrder(o, err)
+		return
+	}
+	wake(s.changed)
+	err = s.pass(ctx, o, func(ctx context.Context) error { return s.engine.Release(ctx, o.Replica) })
+	if err == nil {
+		s.done(o.ID, "")
+		s.session.Renew()
+	}
+}
+
+func (s *Server) executeDrain(ctx context.Context, o *message.Order) {
+	if err := s.mayPass(o.Replica); err != nil {
+		s.dropOrder(o, err)
+		return
+	}
+	s.drainPlace(o.Replica)
+	s.session.Renew()
+	go func() {
+		s.awaitIdle(ctx, 0)
+		s.done(o.ID, "")
+	}()
+}
+
+func (s *Server) drainPlace(r replica.Replica) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if place, _, ok := s.gate.Place(); ok && place.ID == r.ID {
+		s.gate.Drain()
+	}
+}
+
+func (s *Server) mayPass(r replica.Replica) error {
+	at := s.reading()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.MayPass(at, r)
+}
+
+// pass makes one engine call for an order. Just before each try the order is
+// checked once more: the process may have been paused since the last check.
+func (s *Server) pass(ctx context.Context, o *message.Order, call func(context.Context) error) error {
+	var err error
+	for range orderTries {
+		if err = s.mayPass(o.Replica); err != nil {
+			s.dropOrder(o, err)
+			return err
+		}
+		if err = s.callEngine(ctx, call); err == nil {
+			event.OrderPassed.On(s.opts.Logger).Uint64("order", o.ID).Str("action", string(o.Action)).
+				Str("replica", string(o.Replica.ID)).Uint64("fence", uint64(o.Replica.Fence)).Msg("")
+			return nil
+		}
+		if engine.IsErrRefused(err) || !sleep(ctx, orderRetryDelay) {
+			break
+		}
+	}
+	event.OrderFailed.On(s.opts.Logger).Uint64("order", o.ID).Str("action", string(o.Action)).
+		Str("replica", string(o.Replica.ID)).Uint64("fence", uint64(o.Replica.Fence)).Str("reason", err.Error()).Msg("")
+	s.done(o.ID, err.Error())
+	return err
+}
+
+func (s *Server) callEngine(ctx context.Context, call func(context.Context) error) error {
+	if s.engine == nil {
+		return engine.ErrRefused{Code: "no_engine", Reason: "this host has no engine"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return call(ctx)
+}
+
+func (s *Server) dropOrder(o *message.Order, err error) {
+	event.OrderDropped.On(s.opts.Logger).Uint64("order", o.ID).Str("action", string(o.Action)).
+		Str("replica", string(o.Replica.ID)).Uint64("fence", uint64(o.Replica.Fence)).Str("reason", err.Error()).Msg("")
+	s.done(o.ID, err.Error())
+}
+
+// done reports an order's end. Control learns of a lost report from renewals.
+func (s *Server) done(id uint64, reason string) {
+	s.mu.Lock()
+	if s.loading == id {
+		s.loading = 0
+	}
+	s.mu.Unlock()
+	_ = s.session.Send(&message.OrderDone{ID: id, OK: reason == "", Error: reason})
+}
+
+// sleep reports whether d passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/agent/server/poll.go
@@ -0,0 +1,111 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/agent/engine"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+// poll asks the engine for its state: often while it loads, slowly otherwise.
+func (s *Server) poll(ctx context.Context) error {
+	if s.engine == nil {
+		return nil
+	}
+	for ctx.Err() == nil {
+		s.pollOnce(ctx)
+		timer := time.NewTimer(s.pollPause())
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-s.polled:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+func (s *Server) pollPause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loading != 0 {
+		return loadingInterval
+	}
+	return pollInterval
+}
+
+func (s *Server) pollOnce(ctx context.Context) {
+	report, err := s.report(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return
+	case err != nil:
+		s.engineLost(err)
+	default:
+		s.engineReported(report)
+	}
+}
+
+func (s *Server) report(ctx context.Context) (engine.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	return s.engine.Report(ctx)
+}
+
+// engineLost closes the gate. A connection that broke with work in flight is a
+// crash; an engine that only does not answer is not.
+func (s *Server) engineLost(err error) {
+	if !isTimeout(err) {
+		s.crashed()
+	}
+	s.mu.Lock()
+	was := s.gate.Healthy()
+	s.gate.EngineLost()
+	s.mu.Unlock()
+	if was {
+		event.EngineUnhealthy.On(s.opts.Logger).Str("reason", err.Error()).Msg("")
+		s.session.Renew()
+		wake(s.changed)
+	}
+}
+
+func (s *Server) engineReported(r engine.Report) {
+	s.mu.Lock()
+	restarted := s.start != "" && s.start != r.Start
+	s.mu.Unlock()
+	if restarted {
+		s.crashed()
+	}
+	s.mu.Lock()
+	was, loaded := s.gate.Healthy(), s.gate.Loaded()
+	s.start = r.Start
+	s.gate.Engine(true, replica.ID(r.Replica), replica.Fence(r.Fence), r.Loaded, r.LoadPercent)
+	s.load = loadOf(r, s.load.Sequence+1)
+	order := uint64(0)
+	if s.gate.Loaded() {
+		order, s.loading = s.loading, 0
+	}
+	changed := was != s.gate.Healthy() || loaded != s.gate.Loaded()
+	s.mu.Unlock()
+	if !was {
+		event.EngineHealthy.On(s.opts.Logger).Str("start", r.Start).Msg("")
+	}
+	if order != 0 {
+		s.done(order, "")
+	}
+	if changed {
+		s.session.Renew()
+		wake(s.changed)
+	}
+}
+
+func loadOf(r engine.Report, sequence uint64) view.Load {
+	return view.Load{
+		Running: r.Running, Waiting: r.Waiting, WaitingTokens: r.WaitingTokens, PrefillRate: r.PrefillRate,
+		TokenGap: time.Duration(r.TokenGapMs * float64(time.Millisecond)),
+		Capacity: r.Capacity, Sequence: sequence,
+	}
+}
--- /dev/null
+++ b/internal/agent/server/server_test.go
@@ -0,0 +1,30 @@
+package server
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/standin/engine"
+)
+
+func TestAnswersThroughWholePath(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		head := f.agent(1, engine.Options{})
+		f.agent(2, engine.Options{})
+		r := f.replica("r-1", 1, 2)
+		d := generation(head, r, "summarise bay four", 20)
+		got := f.do(head, d)
+		want, length, err := engine.Answer(d.Generate.Body)
+		require.NoError(t, err)
+		require.Equal(t, request.OutcomeComplete, got.end.Outcome, got.end.Reason)
+		require.Equal(t, want, got.text)
+		require.Equal(t, length, got.end.Length)
+		require.Equal(t, "length", got.end.FinishReason)
+
+		signed := f.do(head, signoff(head, "badge"))
+		require.Equal(t, 201, signed.head.Status)
+		require.JSONEq(t, `{"signoff":1}`, signed.text)
+	})
+}
--- /dev/null
+++ b/internal/agent/server/watch.go
@@ -0,0 +1,67 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/agent/gate"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+// idleWatch is how often the gate is looked at when nothing is due.
+const idleWatch = 5 * time.Second
+
+// watch fails work over as soon as the gate closes under it, and tells control of
+// each change.
+func (s *Server) watch(ctx context.Context) error {
+	open := false
+	for ctx.Err() == nil {
+		due := s.check(&open)
+		timer := time.NewTimer(due)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-s.changed:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// check returns how long to wait before the next look.
+func (s *Server) check(open *bool) time.Duration {
+	at := s.reading()
+	s.mu.Lock()
+	place, _, _ := s.gate.Place()
+	err := s.gate.MayRun(at)
+	accepts := s.gate.MayAccept(at, place.ID, place.Fence)
+	due := idleWatch
+	if expiry := s.gate.Expiry(); err == nil && !expiry.IsZero() {
+		due = min(due, expiry.Sub(at.Now))
+	}
+	if until := s.session.Until(); at.Leased {
+		due = min(due, until.Sub(at.Now))
+	}
+	s.mu.Unlock()
+	s.failOver(err)
+	if now := accepts == nil; now != *open {
+		*open = now
+		s.session.Renew()
+		s.logGate(accepts)
+	}
+	return max(due, 0)
+}
+
+func (s *Server) logGate(err error) {
+	s.mu.Lock()
+	place, _, _ := s.gate.Place()
+	s.mu.Unlock()
+	if err == nil {
+		event.GateOpened.On(s.opts.Logger).Str("replica", string(place.ID)).Uint64("fence", uint64(place.Fence)).Msg("")
+		return
+	}
+	var closed gate.ErrClosed
+	closed, _ = err.(gate.ErrClosed) //nolint:errorlint // The gate returns it bare.
+	event.GateClosed.On(s.opts.Logger).Str("replica", string(place.ID)).Uint64("fence", uint64(place.Fence)).
+		Str("code", closed.Code).Str("reason", closed.Reason).Msg("")
+}
--- /dev/null
+++ b/internal/agent/server/work.go
@@ -0,0 +1,236 @@
+package server
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/agent/attempt"
+	"github.com/egretreach/egretreach/internal/agent/gate"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/transport"
+)
+
+// run is one attempt in progress.
+type run struct {
+	dispatch *message.Dispatch
+	cancel   context.CancelCauseFunc
+	// crashed says that the attempt was in flight when the engine crashed.
+	crashed bool
+}
+
+// dispatch takes an attempt from an entry, runs it and sends its answer.
+func (s *Server) dispatch(ctx context.Context, stream *transport.Stream, d *message.Dispatch) {
+	r := &run{dispatch: d}
+	ctx, stop := s.lifetime(ctx, r)
+	defer stop()
+	if err := s.admit(r); err != nil {
+		s.refuse(stream, d.Ref, err)
+		return
+	}
+	answer := &message.Answer{}
+	end := s.perform(ctx, stream, r, answer)
+	end.Ref = d.Ref
+	s.finish(r, end, answer)
+	_ = stream.Send(end)
+}
+
+// lifetime returns the context of an attempt. An idempotent one ends with its
+// stream and its deadline. An at-most-once one goes on when only the entry is
+// gone, so that its answer can be asked for.
+func (s *Server) lifetime(ctx context.Context, r *run) (context.Context, context.CancelFunc) {
+	base := s.context()
+	limit := s.opts.CallLimit
+	if !r.dispatch.AtMostOnce && r.dispatch.TimeoutMs > 0 {
+		limit = time.Duration(r.dispatch.TimeoutMs) * time.Millisecond
+	}
+	runCtx, cancel := context.WithCancelCause(base)
+	r.cancel = cancel
+	runCtx, stopTimer := context.WithTimeoutCause(runCtx, limit, errStopped{Code: codeDeadline, Reason: "the deadline passed"})
+	unfollow := func() bool { return true }
+	if !r.dispatch.AtMostOnce {
+		unfollow = context.AfterFunc(ctx, func() {
+			cancel(errStopped{Code: codeEntryGone, Reason: "the entry's call ended"})
+		})
+	}
+	return runCtx, func() {
+		unfollow()
+		stopTimer()
+		cancel(nil)
+	}
+}
+
+// admit checks an attempt and records it as accepted, in one step.
+func (s *Server) admit(r *run) error {
+	d := r.dispatch
+	if (d.Generate == nil) == (d.Call == nil) {
+		return gate.ErrClosed{Code: codeMalformed, Reason: "a dispatch carries either a generation or a call"}
+	}
+	if d.Incarnation != s.opts.Info.Incarnation {
+		return gate.ErrClosed{Code: codeIncarnation, Reason: "this agent has restarted since"}
+	}
+	at := s.reading()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.mayAcceptLocked(at, d); err != nil {
+		return err
+	}
+	if d.Suspect && s.suspectRunsLocked() {
+		return gate.ErrClosed{Code: codeSuspectBusy, Reason: "another suspect request runs here"}
+	}
+	if err := s.attempts.Accept(d.Ref, d.AtMostOnce); err != nil {
+		return err
+	}
+	s.running[d.Ref] = r
+	return nil
+}
+
+func (s *Server) mayAcceptLocked(at gate.Reading, d *message.Dispatch) error {
+	if d.Generate != nil {
+		return s.gate.MayAccept(at, d.Generate.Replica, d.Generate.Fence)
+	}
+	switch {
+	case s.services[d.Call.Service] == nil:
+		return gate.ErrClosed{Code: codeNoService, Reason: "this host has no service " + d.Call.Service}
+	case s.gate.Stopping():
+		return gate.ErrClosed{Code: gate.CodeDraining, Reason: "this endpoint is leaving"}
+	case !at.Leased:
+		return gate.ErrClosed{Code: gate.CodeLeaseLapsed, Reason: "the agent's lease has lapsed"}
+	}
+	return nil
+}
+
+func (s *Server) suspectRunsLocked() bool {
+	for _, r := range s.running {
+		if r.dispatch.Suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse answers an attempt that was not taken. Of a duplicate it can't be said
+// that it did not run.
+func (s *Server) refuse(stream *transport.Stream, ref message.Ref, err error) {
+	refused := &message.Refused{Ref: ref, Reason: err.Error()}
+	var closed gate.ErrClosed
+	switch {
+	case attempt.IsErrDuplicate(err):
+		s.reject(stream.Peer().String(), err.Error(), 1)
+		_ = stream.Send(&message.End{Ref: ref, Outcome: request.OutcomeUnknown, Code: codeDuplicate, Reason: err.Error()})
+		return
+	case attempt.IsErrTombstone(err):
+		refused.Code = codeTombstone
+	case attempt.IsErrFull(err):
+		refused.Code = codeOverloaded
+		refused.RetryAfterMs = retryAfterBusyMs
+	case errors.As(err, &closed):
+		refused.Code = closed.Code
+		refused.Reason = closed.Reason
+	}
+	_ = stream.Send(refused)
+}
+
+// perform passes an accepted attempt on. Just before, it is checked once more.
+func (s *Server) perform(ctx context.Context, stream *transport.Stream, r *run, answer *message.Answer) *message.End {
+	d := r.dispatch
+	if err := stream.Send(&message.Accepted{Ref: d.Ref}); err != nil {
+		return notRun(codeEntryGone, err)
+	}
+	go s.listen(stream, r)
+	at := s.reading()
+	s.mu.Lock()
+	err := s.mayAcceptLocked(at, d)
+	if err == nil {
+		err = s.attempts.Pass(d.Ref)
+	}
+	s.mu.Unlock()
+	var closed gate.ErrClosed
+	switch {
+	case errors.As(err, &closed):
+		return notRun(closed.Code, err)
+	case err != nil:
+		return notRun(codeTombstone, err)
+	case d.Generate != nil:
+		return s.generate(ctx, stream, r, answer)
+	default:
+		return s.call(ctx, stream, r, answer)
+	}
+}
+
+func notRun(code string, err error) *message.End {
+	return &message.End{Outcome: request.OutcomeNotRun, Code: code, Reason: err.Error()}
+}
+
+func unknown(code string, err error) *message.End {
+	return &message.End{Outcome: request.OutcomeUnknown, Code: code, Reason: err.Error()}
+}
+
+// listen waits for the entry to cancel. An entry whose side of the stream breaks
+// is gone; one that only closes its side still listens.
+func (s *Server) listen(stream *transport.Stream, r *run) {
+	for {
+		m, err := stream.Receive()
+		switch {
+		case errors.Is(err, io.EOF):
+			return
+		case err != nil:
+			if !r.dispatch.AtMostOnce {
+				r.cancel(errStopped{Code: codeEntryGone, Reason: "the entry's call ended"})
+			}
+			return
+		}
+		cancel, ok := m.(*message.Cancel)
+		if !ok || cancel.Ref != r.dispatch.Ref {
+			s.reject(stream.Peer().String(), "a frame for another attempt", 1)
+			continue
+		}
+		r.cancel(errStopped{Code: codeCancelled, Reason: "the entry gave the attempt up"})
+	}
+}
+
+func (s *Server) cancel(ref message.Ref, cause error) {
+	s.mu.Lock()
+	r := s.running[ref]
+	s.mu.Unlock()
+	if r != nil {
+		r.cancel(cause)
+	}
+}
+
+// finish records how an attempt ended and answers those who wait for it.
+func (s *Server) finish(r *run, end *message.End, answer *message.Answer) {
+	if end.Outcome != request.OutcomeComplete {
+		answer = nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, r.dispatch.Ref)
+	for _, d := range s.attempts.End(r.dispatch.Ref, end.Outcome, answer, time.Now()) {
+		if waiting := s.waiters[d.Waiter]; waiting != nil {
+			waiting <- d.Result
+			delete(s.waiters, d.Waiter)
+		}
+	}
+	if len(s.running) == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
+}
+
+// failOver ends the generations in flight.
+func (s *Server) failOver(err error) {
+	if err == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.running {
+		if r.dispatch.Generate != nil {
+			r.cancel(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/batch.go
@@ -0,0 +1,93 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	protocol "github.com/egretreach/egretreach/internal/agent/engine"
+)
+
+// batch models continuous batching: prefills follow one another, then a request
+// takes a decoding slot, and each token takes longer the fuller the batch is.
+type batch struct {
+	opts    Options
+	prefill chan struct{}
+	slots   chan struct{}
+
+	mu            sync.Mutex
+	waiting       int
+	waitingTokens int
+}
+
+func newBatch(opts Options) *batch {
+	return &batch{opts: opts, prefill: make(chan struct{}, 1), slots: make(chan struct{}, opts.Capacity)}
+}
+
+// enter waits for a decoding slot and prefills tokens. leave gives the slot back.
+func (b *batch) enter(ctx context.Context, tokens int) (leave func(), err error) {
+	b.queued(1, tokens)
+	defer b.queued(-1, -tokens)
+	if err := take(ctx, b.slots); err != nil {
+		return nil, err
+	}
+	leave = func() { <-b.slots }
+	if err := take(ctx, b.prefill); err != nil {
+		leave()
+		return nil, err
+	}
+	err = pause(ctx, time.Duration(float64(tokens)/b.opts.PrefillRate*float64(time.Second)))
+	<-b.prefill
+	if err != nil {
+		leave()
+		return nil, err
+	}
+	return leave, nil
+}
+
+func take(ctx context.Context, semaphore chan struct{}) error {
+	select {
+	case semaphore <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (b *batch) queued(requests, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting += requests
+	b.waitingTokens += tokens
+}
+
+// gap is the present time between tokens: a full batch decodes at half the speed
+// of a single request.
+func (b *batch) gap() time.Duration {
+	share := float64(len(b.slots)) / float64(b.opts.Capacity)
+	return time.Duration(float64(b.opts.TokenGap) * (1 + share))
+}
+
+func (b *batch) report() protocol.Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return protocol.Report{
+		Running: len(b.slots), Waiting: b.waiting, WaitingTokens: b.waitingTokens,
+		PrefillRate: b.opts.PrefillRate, Capacity: b.opts.Capacity,
+		TokenGapMs: float64(b.gap()) / float64(time.Millisecond),
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,216 @@
+// Package engine is a stand-in for the platform's model engine: an HTTP server
+// with a small model of continuous batching, prefill, decode and a prefix cache.
+// Its text is a pure function of prompt and offset, so that any replica continues
+// a stream exactly. It neither exports nor imports KV cache.
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	protocol "github.com/egretreach/egretreach/internal/agent/engine"
+)
+
+// Defaults of Options.
+const (
+	DefaultTokenGap    = 20 * time.Millisecond
+	DefaultPrefillRate = 8000.0
+	DefaultCapacity    = 32
+	DefaultCacheBlocks = 4096
+	DefaultReportLag   = 250 * time.Millisecond
+	DefaultLateBy      = 30 * time.Second
+)
+
+// Options are the settings of an Engine. Zero values take the defaults.
+type Options struct {
+	// LoadTime is how long loading a model takes.
+	LoadTime time.Duration
+	// TokenGap is the time between tokens of a stream when nothing else runs.
+	TokenGap time.Duration
+	// PrefillRate is prompt tokens per second.
+	PrefillRate float64
+	// Capacity is the number of requests decoded at once.
+	Capacity int
+	// CacheBlocks is the size of the prefix cache, in blocks of 16 tokens.
+	CacheBlocks int
+	// ReportLag is the age of the load figures in a report.
+	ReportLag time.Duration
+	// EventLag delays cache events, and every EventGap-th is lost.
+	EventLag time.Duration
+	EventGap int
+	// Fences makes the engine refuse a fencing number lower than one it has seen.
+	Fences bool
+	// Orderer, if set, is the token without which the engine takes no order.
+	Orderer string
+	// A prompt that contains one of these markers brings the failure about.
+	CrashMarker string
+	HangMarker  string
+	LateMarker  string
+	TwiceMarker string
+	CrossMarker string
+	// LateBy is how late an answer to a prompt with LateMarker is.
+	LateBy time.Duration
+	// RestartAfter ends a crash; 0 leaves the engine down until Restart.
+	RestartAfter time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.TokenGap == 0 {
+		o.TokenGap = DefaultTokenGap
+	}
+	if o.PrefillRate == 0 {
+		o.PrefillRate = DefaultPrefillRate
+	}
+	if o.Capacity == 0 {
+		o.Capacity = DefaultCapacity
+	}
+	if o.CacheBlocks == 0 {
+		o.CacheBlocks = DefaultCacheBlocks
+	}
+	if o.ReportLag == 0 {
+		o.ReportLag = DefaultReportLag
+	}
+	if o.LateBy == 0 {
+		o.LateBy = DefaultLateBy
+	}
+	return o
+}
+
+// starts tells the starts of all engines of a process apart.
+var starts atomic.Uint64
+
+// Engine is one model engine. Use New.
+type Engine struct {
+	opts  Options
+	batch *batch
+	cache *prefixCache
+
+	mu       sync.Mutex
+	start    string
+	down     chan struct{}
+	isDown   bool
+	fence    uint64
+	place    protocol.Order
+	loadedAt time.Time
+	loadFrom time.Time
+	running  map[runKey]func()
+	runs     map[runKey]int
+	orders   []protocol.Order
+	reported protocol.Report
+	asOf     time.Time
+}
+
+type runKey struct {
+	request string
+	attempt uint32
+}
+
+// New returns an engine that holds no model.
+func New(opts Options) *Engine {
+	opts = opts.withDefaults()
+	e := &Engine{opts: opts, runs: map[runKey]int{}}
+	e.reset()
+	return e
+}
+
+func (e *Engine) reset() {
+	e.start = strconv.FormatInt(time.Now().UnixNano(), 36) + "." + strconv.FormatUint(starts.Add(1), 36)
+	e.down = make(chan struct{})
+	e.isDown = false
+	e.fence = 0
+	e.place = protocol.Order{}
+	e.loadedAt = time.Time{}
+	e.running = map[runKey]func(){}
+	e.batch = newBatch(e.opts)
+	e.cache = newPrefixCache(e.opts)
+	e.reported = protocol.Report{}
+	e.asOf = time.Time{}
+}
+
+// Handler serves the engine protocol.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+protocol.PathGenerate, e.generate)
+	mux.HandleFunc("POST "+protocol.PathCancel, e.cancel)
+	mux.HandleFunc("POST "+protocol.PathOrders, e.order)
+	mux.HandleFunc("GET "+protocol.PathLoad, e.load)
+	mux.HandleFunc("GET "+protocol.PathEvents, e.events)
+	mux.HandleFunc("GET "+protocol.PathHealth, e.health)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		down := e.isDown
+		e.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// Crash drops every connection and fails health checks until Restart, or for
+// RestartAfter.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isDown {
+		return
+	}
+	e.isDown = true
+	close(e.down)
+	if e.opts.RestartAfter > 0 {
+		time.AfterFunc(e.opts.RestartAfter, e.Restart)
+	}
+}
+
+// Restart brings a crashed engine back without a model, its memory lost.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isDown {
+		e.reset()
+	}
+}
+
+// Runs returns how often the engine started an attempt.
+func (e *Engine) Runs(request string, attempt uint32) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[runKey{request, attempt}]
+}
+
+// Running returns the number of generations in progress.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
+// Orders returns the orders that the engine has carried out.
+func (e *Engine) Orders() []protocol.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]protocol.Order(nil), e.orders...)
+}
+
+func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (e *Engine) events(w http.ResponseWriter, _ *http.Request) {
+	answer(w, e.cache.published(time.Now()))
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func refuse(w http.ResponseWriter, status int, code, reason string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(protocol.Refusal{Code: code, Reason: reason})
+}
--- /dev/null
+++ b/internal/standin/engine/generate.go
@@ -0,0 +1,163 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	protocol "github.com/egretreach/egretreach/internal/agent/engine"
+)
+
+const maxGenerateBytes = 16 << 20
+
+// foreignRequest is the request ID on crossed events.
+const foreignRequest = "00000000-0000-4000-8000-000000000000"
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var req protocol.GenerateRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxGenerateBytes)).Decode(&req); err != nil {
+		refuse(w, http.StatusBadRequest, protocol.CodeInvalid, err.Error())
+		return
+	}
+	p, err := parsePrompt(req.Body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, protocol.CodeInvalid, err.Error())
+		return
+	}
+	run, ok := e.begin(r.Context(), w, req, p)
+	if !ok {
+		return
+	}
+	defer run.finish()
+	if has(p, e.opts.CrashMarker) {
+		e.Crash()
+	}
+	if run.stream(w) != nil {
+		// A cut connection, not a short answer, says that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func has(p prompt, marker string) bool {
+	return marker != "" && strings.Contains(p.text, marker)
+}
+
+// run is one generation in progress.
+type run struct {
+	engine *Engine
+	ctx    context.Context
+	req    protocol.GenerateRequest
+	prompt prompt
+	finish func()
+	cache  *prefixCache
+	batch  *batch
+}
+
+// begin takes a generation in, or refuses it. A run ends with its connection, with
+// Cancel and with a crash.
+func (e *Engine) begin(parent context.Context, w http.ResponseWriter, req protocol.GenerateRequest, p prompt) (*run, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.opts.Fences && req.Fence != e.place.Fence:
+		refuse(w, http.StatusConflict, protocol.CodeStaleFence, "the replica's fence has changed")
+		return nil, false
+	case !e.loadedLocked(time.Now()):
+		refuse(w, http.StatusConflict, protocol.CodeNotLoaded, "no model is loaded")
+		return nil, false
+	case !e.place.Head:
+		refuse(w, http.StatusConflict, protocol.CodeNotHead, "this member only holds weights")
+		return nil, false
+	}
+	ctx, stop := context.WithCancel(parent)
+	key := runKey{req.RequestID, req.Attempt}
+	e.runs[key]++
+	e.running[key] = stop
+	down := e.down
+	go func() {
+		select {
+		case <-down:
+			stop()
+		case <-ctx.Done():
+		}
+	}()
+	finish := func() {
+		stop()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.running, key)
+	}
+	return &run{engine: e, ctx: ctx, req: req, prompt: p, finish: finish, cache: e.cache, batch: e.batch}, true
+}
+
+func (r *run) stream(w http.ResponseWriter) error {
+	opts := r.engine.opts
+	tokens := strings.Fields(r.prompt.text + r.req.ResumeText)
+	cached := r.cache.use(tokens, time.Now())
+	leave, err := r.batch.enter(r.ctx, len(tokens)-cached)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	if has(r.prompt, opts.HangMarker) {
+		<-r.ctx.Done()
+	}
+	if has(r.prompt, opts.LateMarker) {
+		if err := pause(r.ctx, opts.LateBy); err != nil {
+			return err
+		}
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	if err := r.tokens(w, len(tokens), cached); err != nil || !has(r.prompt, opts.TwiceMarker) {
+		return err
+	}
+	return r.tokens(w, len(tokens), cached)
+}
+
+func (r *run) tokens(w http.ResponseWriter, promptTokens, cached int) error {
+	length, reason := r.prompt.length()
+	encoder := json.NewEncoder(w)
+	flusher := http.NewResponseController(w)
+	event := protocol.Event{RequestID: r.req.RequestID, Attempt: r.req.Attempt, Offset: r.req.ResumeOffset}
+	for ; event.Offset < length; event.Offset++ {
+		if err := pause(r.ctx, r.batch.gap()); err != nil {
+			return err
+		}
+		event.Text = r.prompt.token(event.Offset)
+		if has(r.prompt, r.engine.opts.CrossMarker) {
+			crossed := event
+			crossed.RequestID = foreignRequest
+			_ = encoder.Encode(crossed)
+		}
+		if err := encoder.Encode(event); err != nil {
+			return err
+		}
+		if err := flusher.Flush(); err != nil {
+			return err
+		}
+	}
+	event.Text = ""
+	event.End = true
+	event.FinishReason = reason
+	event.PromptTokens = promptTokens
+	event.CompletionTokens = int(length)
+	event.CachedTokens = cached
+	return encoder.Encode(event)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	var req protocol.CancelRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOrderBytes)).Decode(&req); err != nil {
+		refuse(w, http.StatusBadRequest, protocol.CodeInvalid, err.Error())
+		return
+	}
+	e.mu.Lock()
+	stop := e.running[runKey{req.RequestID, req.Attempt}]
+	e.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+	answer(w, struct{}{})
+}
--- /dev/null
+++ b/internal/telemetry/event/agent.go
@@ -0,0 +1,17 @@
+package event
+
+import "github.com/phuslu/log"
+
+// Events of the agent.
+var (
+	OrderPassed     = register(200, "order_passed", log.InfoLevel)
+	OrderDropped    = register(201, "order_dropped", log.WarnLevel)
+	OrderFailed     = register(202, "order_failed", log.ErrorLevel)
+	GateOpened      = register(203, "gate_opened", log.InfoLevel)
+	GateClosed      = register(204, "gate_closed", log.WarnLevel)
+	EngineUnhealthy = register(205, "engine_unhealthy", log.WarnLevel)
+	EngineHealthy   = register(206, "engine_healthy", log.InfoLevel)
+	EngineCrashed   = register(207, "engine_crashed", log.ErrorLevel)
+	AgentSuperseded = register(208, "agent_superseded", log.ErrorLevel)
+	CrashUnreported = register(209, "crash_unreported", log.ErrorLevel)
+)
