Keep keys in folders, rotate the authority and reload certificates in place

Cause: operators need to make, issue and rotate keys without an outage, and a process must take a new certificate without a restart. Private keys are 0600, nothing is overwritten unasked, and a certificate for another host is refused.

--- a/internal/link/identity/credentials.go
+++ b/internal/link/identity/credentials.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -20,6 +21,8 @@
 	self Identity
 	pair tls.Certificate
 	pool *x509.CertPool
+	// notAfter is the end of the certificate's validity.
+	notAfter time.Time
 }
 
 // NewCredentials reads a process's pair and the PEM bundle of trusted authorities.
@@ -28,7 +31,8 @@
 	return c, c.Replace(pair, authorities)
 }
 
-// Replace swaps in a new pair and bundle. On error the old ones stay in use.
+// Replace swaps in a new pair and bundle, for the same identity. On error the old
+// ones stay in use.
 func (c *Credentials) Replace(pair Pair, authorities []byte) error {
 	cert, err := tls.X509KeyPair(pair.Certificate, pair.Key)
 	if err != nil {
@@ -42,11 +46,14 @@
 	if err != nil {
 		return err
 	}
+	if old := c.current.Load(); old != nil && old.self != self {
+		return errors.Errorf("the new certificate is for %s, not for %s", self, old.self)
+	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(authorities) {
 		return errors.New("authority bundle holds no certificate")
 	}
-	c.current.Store(&loaded{self: self, pair: cert, pool: roots})
+	c.current.Store(&loaded{self: self, pair: cert, pool: roots, notAfter: leaf.NotAfter})
 	return nil
 }
 
--- /dev/null
+++ b/internal/link/identity/folder.go
@@ -0,0 +1,169 @@
+package identity
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Files of a process's keys folder.
+const (
+	CertificateFile = "certificate.pem"
+	KeyFile         = "key.pem"
+	AuthoritiesFile = "authorities.pem"
+)
+
+const (
+	privateMode fs.FileMode = 0o600
+	publicMode  fs.FileMode = 0o644
+	folderMode  fs.FileMode = 0o700
+	// othersMode are the permission bits that a private key may not have.
+	othersMode fs.FileMode = 0o077
+)
+
+// ErrKeys is a keys folder that cannot be used.
+type ErrKeys struct {
+	// Path is the folder or the file in it.
+	Path  string
+	Cause error
+}
+
+func (e ErrKeys) Error() string { return fmt.Sprintf("keys at %s: %v", e.Path, e.Cause) }
+
+// Unwrap returns the cause.
+func (e ErrKeys) Unwrap() error { return e.Cause }
+
+// IsErrKeys reports whether err is an ErrKeys.
+func IsErrKeys(err error) bool {
+	var e ErrKeys
+	return errors.As(err, &e)
+}
+
+// Open reads the credentials in a process's keys folder. They must be for want.
+func Open(folder string, want Identity) (*Credentials, error) {
+	credentials := &Credentials{}
+	if err := credentials.reload(folder); err != nil {
+		return nil, err
+	}
+	if self := credentials.Self(); self != want {
+		return nil, ErrKeys{Path: folder, Cause: errors.Errorf("the certificate is for %s, not for %s", self, want)}
+	}
+	return credentials, nil
+}
+
+func (c *Credentials) reload(folder string) error {
+	pair, err := readPair(filepath.Join(folder, CertificateFile), filepath.Join(folder, KeyFile))
+	if err != nil {
+		return err
+	}
+	authorities, err := readFile(filepath.Join(folder, AuthoritiesFile))
+	if err != nil {
+		return err
+	}
+	if err := c.Replace(pair, authorities); err != nil {
+		return ErrKeys{Path: folder, Cause: err}
+	}
+	return nil
+}
+
+func readPair(certificate, key string) (Pair, error) {
+	info, err := os.Stat(key)
+	if err != nil {
+		return Pair{}, ErrKeys{Path: key, Cause: err}
+	}
+	if mode := info.Mode().Perm(); mode&othersMode != 0 {
+		return Pair{}, ErrKeys{Path: key, Cause: errors.Errorf("mode %#o lets others read the private key; set it to %#o", mode, privateMode)}
+	}
+	keyPEM, err := readFile(key)
+	if err != nil {
+		return Pair{}, err
+	}
+	certificatePEM, err := readFile(certificate)
+	if err != nil {
+		return Pair{}, err
+	}
+	return Pair{Certificate: certificatePEM, Key: keyPEM}, nil
+}
+
+func readFile(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, ErrKeys{Path: path, Cause: err}
+	}
+	return data, nil
+}
+
+// WriteFolder writes a process's keys folder. Without replace it refuses to
+// overwrite any file.
+func WriteFolder(folder string, pair Pair, authorities []byte, replace bool) error {
+	return writeFiles(folder, replace, []keyFile{
+		{AuthoritiesFile, authorities, publicMode},
+		{KeyFile, pair.Key, privateMode},
+		{CertificateFile, pair.Certificate, publicMode},
+	})
+}
+
+type keyFile struct {
+	name string
+	data []byte
+	mode fs.FileMode
+}
+
+func writeFiles(folder string, replace bool, files []keyFile) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return ErrKeys{Path: folder, Cause: err}
+	}
+	if !replace {
+		if err := refuseExisting(folder, files); err != nil {
+			return err
+		}
+	}
+	for _, f := range files {
+		path := filepath.Join(folder, f.name)
+		if err := writeFile(path, f.data, f.mode); err != nil {
+			return ErrKeys{Path: path, Cause: err}
+		}
+	}
+	return nil
+}
+
+func refuseExisting(folder string, files []keyFile) error {
+	for _, f := range files {
+		path := filepath.Join(folder, f.name)
+		if _, err := os.Lstat(path); !errors.Is(err, fs.ErrNotExist) {
+			return ErrKeys{Path: path, Cause: errors.New("is there already and is not overwritten")}
+		}
+	}
+	return nil
+}
+
+// writeFile writes aside, syncs and renames, so that a reader sees the old file
+// or the whole new one.
+func writeFile(path string, data []byte, mode fs.FileMode) error {
+	aside, err := os.CreateTemp(filepath.Dir(path), ".new-*")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.Remove(aside.Name()) }()
+	_, err = aside.Write(data)
+	for _, step := range []func() error{
+		func() error { return aside.Chmod(mode) },
+		aside.Sync,
+		aside.Close,
+	} {
+		if stepErr := step(); err == nil {
+			err = stepErr
+		}
+	}
+	if err != nil {
+		return err
+	}
+	return os.Rename(aside.Name(), path)
+}
+
+// NotAfter returns the end of the certificate's validity.
+func (c *Credentials) NotAfter() time.Time { return c.current.Load().notAfter }
--- /dev/null
+++ b/internal/link/identity/vault.go
@@ -0,0 +1,119 @@
+package identity
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Files of a vault. authorities.pem beside them is the bundle for the processes.
+const (
+	authorityFile    = "authority.pem"
+	authorityKeyFile = "authority_key.pem"
+	previousFile     = "previous_authority.pem"
+)
+
+// Vault is the folder in which an operator keeps the fleet's authority. It belongs
+// on no host of the fleet.
+type Vault struct{ Folder string }
+
+// Init makes a new authority in an empty vault.
+func (v Vault) Init(now time.Time) error {
+	authority, err := NewAuthority(now, DefaultAuthorityLife)
+	if err != nil {
+		return err
+	}
+	pair, err := authority.Pair()
+	if err != nil {
+		return err
+	}
+	return writeFiles(v.Folder, false, []keyFile{
+		{authorityKeyFile, pair.Key, privateMode},
+		{authorityFile, pair.Certificate, publicMode},
+		{AuthoritiesFile, pair.Certificate, publicMode},
+	})
+}
+
+// Issue writes a new keys folder for a process.
+func (v Vault) Issue(id Identity, folder string, replace bool, now time.Time, life time.Duration) error {
+	authority, err := v.authority()
+	if err != nil {
+		return err
+	}
+	bundle, err := readFile(v.path(AuthoritiesFile))
+	if err != nil {
+		return err
+	}
+	pair, err := authority.Issue(id, now, life)
+	if err != nil {
+		return err
+	}
+	return WriteFolder(folder, pair, bundle, replace)
+}
+
+// Rotate makes a new authority and a bundle that trusts both it and the one
+// before. Every process must hold that bundle before a certificate of the new
+// authority is put to use.
+func (v Vault) Rotate(now time.Time) error {
+	old, err := v.authority()
+	if err != nil {
+		return err
+	}
+	oldPair, err := old.Pair()
+	if err != nil {
+		return err
+	}
+	next, err := NewAuthority(now, DefaultAuthorityLife)
+	if err != nil {
+		return err
+	}
+	pair, err := next.Pair()
+	if err != nil {
+		return err
+	}
+	previous := []keyFile{{previousFile, oldPair.Certificate, publicMode}}
+	if err := writeFiles(v.Folder, false, previous); err != nil {
+		return errors.Wrap(err, "the rotation before is not finished")
+	}
+	bundle := append(append([]byte(nil), pair.Certificate...), oldPair.Certificate...)
+	return writeFiles(v.Folder, true, []keyFile{
+		{AuthoritiesFile, bundle, publicMode},
+		{authorityKeyFile, pair.Key, privateMode},
+		{authorityFile, pair.Certificate, publicMode},
+	})
+}
+
+// Finish ends a rotation: the bundle trusts the new authority only.
+func (v Vault) Finish() error {
+	if _, err := os.Stat(v.path(previousFile)); errors.Is(err, fs.ErrNotExist) {
+		return ErrKeys{Path: v.Folder, Cause: errors.New("no rotation is under way")}
+	}
+	certificate, err := readFile(v.path(authorityFile))
+	if err != nil {
+		return err
+	}
+	if err := writeFiles(v.Folder, true, []keyFile{{AuthoritiesFile, certificate, publicMode}}); err != nil {
+		return err
+	}
+	if err := os.Remove(v.path(previousFile)); err != nil {
+		return ErrKeys{Path: v.path(previousFile), Cause: err}
+	}
+	return nil
+}
+
+func (v Vault) path(name string) string { return filepath.Join(v.Folder, name) }
+
+func (v Vault) authority() (*Authority, error) {
+	pair, err := readPair(v.path(authorityFile), v.path(authorityKeyFile))
+	if err != nil {
+		return nil, err
+	}
+	authority, err := LoadAuthority(pair)
+	if err != nil {
+		return nil, ErrKeys{Path: v.Folder, Cause: err}
+	}
+	return authority, nil
+}
--- a/internal/telemetry/event/process.go
+++ b/internal/telemetry/event/process.go
@@ -13,4 +13,5 @@
 	KeysReloaded    = register(406, "keys_reloaded", log.InfoLevel)
 	ConfigInForce   = register(407, "config_in_force", log.InfoLevel)
 	ConfigRefused   = register(408, "config_refused", log.ErrorLevel)
+	KeysRefused     = register(410, "keys_refused", log.ErrorLevel)
 )
