Add config check, keys and completion to the command line

Cause: operators check configurations offline and make keys by command. Ruled out: kongplete's own install command, which starts a process to learn the login shell; completion prints the set-up instead. Change: one file for each command, exit codes 0, 1 and 2, help with examples; the command line runs on given streams so that tests drive it. Conclusion: usable from a shell.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -3,9 +3,12 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/egretreach/egretreach/internal/fleet/document"
 )
 
 // Exit codes of every command.
@@ -16,30 +19,43 @@
 )
 
 type commandLine struct {
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Config     configCommand     `cmd:"" help:"Check fleet configurations."`
+	Keys       keysCommand       `cmd:"" help:"Make and rotate the fleet's keys."`
+	Completion completionCommand `cmd:"" help:"Print the set-up of shell completion."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
 // Main parses args, runs the command they name and returns the exit code.
-func Main(args []string) int {
+func Main(args []string) int { return run(args, os.Stdout, os.Stderr, os.Exit) }
+
+// run is Main on given streams. It calls exit after --help and for completions.
+func run(args []string, stdout, stderr io.Writer, exit func(int)) int {
 	var line commandLine
 	parser, err := kong.New(&line,
 		kong.Name("egretreach"),
 		kong.Description("Serves large models whose replicas span several hosts."),
-		kong.UsageOnError(),
-		kong.Exit(os.Exit),
+		kong.Writers(stdout, stderr),
+		kong.BindTo(stdout, (*io.Writer)(nil)),
+		kong.Exit(exit),
 	)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(stderr, err)
 		return exitFailure
 	}
+	completeLine(parser)
 	ctx, err := parser.Parse(args)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "egretreach: %v\n", err)
+		fmt.Fprintf(stderr, "egretreach: %v\n", err)
 		return exitUsage
 	}
-	if err := ctx.Run(); err != nil {
-		fmt.Fprintf(os.Stderr, "egretreach: %v\n", err)
-		return exitFailure
+	err = ctx.Run()
+	switch {
+	case err == nil:
+		return exitOK
+	case document.IsErrInvalid(err):
+		fmt.Fprintln(stderr, err)
+	default:
+		fmt.Fprintf(stderr, "egretreach: %v\n", err)
 	}
-	return exitOK
+	return exitFailure
 }
