--- /dev/null
+++ b/internal/process/settings/sample_test.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"os"
+	"reflect"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/config"
+	"github.com/egretreach/egretreach/internal/fleet/document"
+)
+
+// structKeys adds the path of every key of a struct type to keys.
+func structKeys(t reflect.Type, path string, keys map[string]bool) {
+	for t.Kind() == reflect.Slice || t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if _, shaped := reflect.Zero(t).Interface().(document.Shaped); shaped {
+		return // An exception names some of the keys below defaults.
+	}
+	if t.Kind() != reflect.Struct {
+		return
+	}
+	for i := range t.NumField() {
+		if name := document.FieldName(t.Field(i)); name != "" {
+			keys[path+"."+name] = true
+			structKeys(t.Field(i).Type, path+"."+name, keys)
+		}
+	}
+}
+
+// fileKeys adds the path of every key that a file names to keys.
+func fileKeys(value any, path string, keys map[string]bool) {
+	switch v := value.(type) {
+	case map[string]any:
+		for name, inner := range v {
+			keys[path+"."+name] = true
+			fileKeys(inner, path+"."+name, keys)
+		}
+	case []any:
+		for _, inner := range v {
+			fileKeys(inner, path, keys)
+		}
+	}
+}
+
+// TestSamplesNameEverySetting keeps the samples in step with the code.
+func TestSamplesNameEverySetting(t *testing.T) {
+	for name, c := range map[string]struct {
+		shape any
+		parse func(file string, data []byte) (any, error)
+	}{
+		"fleet.yaml":   {config.Fleet{}, func(f string, d []byte) (any, error) { return config.Parse(f, d) }},
+		"entry.yaml":   {Entry{}, func(f string, d []byte) (any, error) { return ParseEntry(f, d) }},
+		"control.yaml": {Control{}, func(f string, d []byte) (any, error) { return ParseControl(f, d) }},
+		"agent.yaml":   {Agent{}, func(f string, d []byte) (any, error) { return ParseAgent(f, d) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data, err := os.ReadFile("../../../examples/" + name)
+			require.NoError(t, err)
+			_, err = c.parse(name, data)
+			require.NoError(t, err)
+			var content any
+			require.NoError(t, yaml.Unmarshal(data, &content))
+			named, wanted := map[string]bool{}, map[string]bool{}
+			fileKeys(content, "", named)
+			structKeys(reflect.TypeOf(c.shape), "", wanted)
+			for key := range wanted {
+				require.True(t, named[key], "the sample lacks %s", key)
+			}
+		})
+	}
+}
+
+// TestSamplesShowTheDefaults holds the samples to what they say of themselves.
+func TestSamplesShowTheDefaults(t *testing.T) {
+	data, err := os.ReadFile("../../../examples/fleet.yaml")
+	require.NoError(t, err)
+	fleet, err := config.Parse("fleet.yaml", data)
+	require.NoError(t, err)
+	require.Equal(t, config.DefaultValues(), fleet.Defaults)
+
+	entry, err := LoadEntry("../../../examples/entry.yaml")
+	require.NoError(t, err)
+	api := DefaultEntry().API
+	api.Address = entry.API.Address
+	require.Equal(t, api, entry.API)
+	require.Equal(t, defaultStop(), entry.Stop)
+	require.Equal(t, defaultLog(), entry.Log)
+}
