Run a control daemon over a state in memory

Cause: the agents and entries need a control leader to announce themselves to. Ruled out: granting a second process of a host at once, even after a change of leader. The admitted incarnation is part of the replicated state, so a new leader knows to whom its predecessor can have granted; another incarnation is admitted once that lease has lapsed or was given up. Change: the ledger, the replicated state, the membership table and the server with sessions, grants, configuration, views, orders and the ledger's calls. The log is in memory and placement takes the first free hosts of a fabric domain. Conclusion: TestFleetForms forms two replicas of two hosts and shows them to an entry over real links in virtual time, also under the race detector.

--- /dev/null
+++ b/internal/control/ledger/claim.go
@@ -0,0 +1,74 @@
+package ledger
+
+import (
+	"container/list"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/fleet/team"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+type key struct {
+	team team.ID
+	name string
+}
+
+// claim is one key and its present holder.
+type claim struct {
+	Team     team.ID `cbor:"1,keyasint"`
+	Key      string  `cbor:"2,keyasint"`
+	BodyHash []byte  `cbor:"3,keyasint"`
+	// State is running, complete or unknown.
+	State       message.ClaimState `cbor:"4,keyasint"`
+	Request     request.ID         `cbor:"5,keyasint"`
+	Attempt     request.Attempt    `cbor:"6,keyasint"`
+	Host        host.ID            `cbor:"7,keyasint"`
+	Incarnation host.Incarnation   `cbor:"8,keyasint"`
+	Address     string             `cbor:"9,keyasint"`
+	// UnixMs is when the claim was made, or completed.
+	UnixMs int64           `cbor:"10,keyasint"`
+	Answer *message.Answer `cbor:"11,keyasint,omitempty"`
+
+	element *list.Element
+}
+
+func (c *claim) key() key { return key{team: c.Team, name: c.Key} }
+
+// isHolder reports whether item is the very claim that is held.
+func (c *claim) isHolder(item message.ClaimItem) bool {
+	return c.Request == item.Request && c.Attempt == item.Attempt &&
+		c.Host == item.Host && c.Incarnation == item.Incarnation
+}
+
+// supersededBy reports whether item attests that the present holder did not run.
+func (c *claim) supersededBy(item message.ClaimItem) bool {
+	if c.State == message.ClaimComplete || item.Supersedes == nil {
+		return false
+	}
+	if item.Request == c.Request && item.Attempt == c.Attempt {
+		return false // An attempt that never runs cannot take over from itself.
+	}
+	return item.Supersedes.Request == c.Request && item.Supersedes.Attempt == c.Attempt
+}
+
+func (c *claim) result(state message.ClaimState) message.ClaimItemResult {
+	return message.ClaimItemResult{
+		State: state, Request: c.Request, Attempt: c.Attempt,
+		Host: c.Host, Incarnation: c.Incarnation, Address: c.Address, Answer: c.Answer,
+	}
+}
+
+func answerBytes(a *message.Answer) int {
+	if a == nil {
+		return 0
+	}
+	size := len(a.Body)
+	for name, values := range a.Header {
+		size += len(name)
+		for _, v := range values {
+			size += len(v)
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/internal/control/ledger/snapshot.go
@@ -0,0 +1,37 @@
+package ledger
+
+import (
+	"container/list"
+)
+
+// Snapshot is the whole ledger in the order of expiry.
+type Snapshot struct {
+	Pending  []*claim `cbor:"1,keyasint,omitempty"`
+	Complete []*claim `cbor:"2,keyasint,omitempty"`
+}
+
+// Snapshot returns the ledger's content. It shares the claims with the ledger, so
+// it is to be encoded before the next change.
+func (l *Ledger) Snapshot() Snapshot {
+	return Snapshot{Pending: claimsOf(&l.pending), Complete: claimsOf(&l.complete)}
+}
+
+func claimsOf(queue *list.List) []*claim {
+	claims := make([]*claim, 0, queue.Len())
+	for e := queue.Front(); e != nil; e = e.Next() {
+		claims = append(claims, e.Value.(*claim))
+	}
+	return claims
+}
+
+// Restore returns the ledger that s was taken of.
+func Restore(policy Policy, s Snapshot) *Ledger {
+	l := &Ledger{Policy: policy}
+	for _, c := range s.Pending {
+		l.insert(c.key(), c)
+	}
+	for _, c := range s.Complete {
+		l.insert(c.key(), c)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/control/server/board.go
@@ -0,0 +1,150 @@
+package server
+
+import (
+	"reflect"
+	"slices"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// board holds the fleet view with the version at which each part last changed, so
+// that each entry is sent only what it has not had.
+type board struct {
+	version  uint64
+	term     uint64
+	revision view.Revision
+	routes   map[string]posted[view.Route]
+	services map[string]posted[view.Service]
+	// removed are the versions at which routes and services went.
+	removed map[string]uint64
+	// ready says that the view is fit to be pushed.
+	ready bool
+}
+
+type posted[T any] struct {
+	value   T
+	version uint64
+}
+
+func newBoard() *board {
+	return &board{
+		routes:   map[string]posted[view.Route]{},
+		services: map[string]posted[view.Service]{},
+		removed:  map[string]uint64{},
+	}
+}
+
+// update posts the view of a picture.
+func (b *board) update(p *picture) {
+	b.term = p.term
+	b.revision = p.revision
+	next := b.version + 1
+	changed := post(b.routes, b.removed, p.routes(), next)
+	changed = post(b.services, b.removed, p.services(), next) || changed
+	if changed || !b.ready {
+		b.version = next
+	}
+	b.ready = true
+}
+
+func post[T any](have map[string]posted[T], removed map[string]uint64, want map[string]T, version uint64) bool {
+	changed := false
+	for id, value := range want {
+		if old, ok := have[id]; ok && reflect.DeepEqual(old.value, value) {
+			continue
+		}
+		have[id] = posted[T]{value: value, version: version}
+		delete(removed, id)
+		changed = true
+	}
+	for id := range have {
+		if _, ok := want[id]; ok {
+			continue
+		}
+		delete(have, id)
+		removed[id] = version
+		changed = true
+	}
+	return changed
+}
+
+// since returns a push of what changed after a version; 0 asks for the whole view.
+func (b *board) since(version uint64) *message.ViewPush {
+	push := &message.ViewPush{Delta: version > 0}
+	push.View.Epoch = b.term
+	push.View.Sequence = b.version
+	push.View.Revision = b.revision
+	for _, id := range slices.Sorted(keysOf(b.routes)) {
+		if r := b.routes[id]; r.version > version {
+			push.View.Routes = append(push.View.Routes, r.value)
+		}
+	}
+	for _, id := range slices.Sorted(keysOf(b.services)) {
+		if s := b.services[id]; s.version > version {
+			push.View.Services = append(push.View.Services, s.value)
+		}
+	}
+	if version == 0 {
+		return push
+	}
+	for _, id := range slices.Sorted(keysOf(b.removed)) {
+		if b.removed[id] > version {
+			push.Removed = append(push.Removed, id)
+		}
+	}
+	return push
+}
+
+func keysOf[V any](m map[string]V) func(yield func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// serviceKey names one endpoint of a plain service in ViewPush.Removed.
+func serviceKey(name string, h host.ID) string { return name + "@" + string(h) }
+
+// routes returns the replicas that entries may know of, by their IDs.
+func (p *picture) routes() map[string]view.Route {
+	routes := map[string]view.Route{}
+	for _, r := range p.replicas {
+		st := p.stateOf(r)
+		if st != replica.StateServing && st != replica.StateDraining {
+			continue
+		}
+		head := p.daemons[r.Head()]
+		held, _ := heldBy(head, r.ID, r.Fence)
+		routes[string(r.ID)] = view.Route{
+			Replica: r.WithState(st), Address: head.Info.Address,
+			Incarnation: head.Info.Incarnation, Load: held.Load,
+		}
+	}
+	return routes
+}
+
+// services returns the endpoints of plain services that may be given calls.
+func (p *picture) services() map[string]view.Service {
+	services := map[string]view.Service{}
+	for _, h := range p.hosts {
+		d, known := p.daemons[h.Info.ID]
+		if !known || !d.Alive || d.Leaving || h.Drained {
+			continue
+		}
+		for _, e := range h.Info.Endpoints {
+			if e.Kind != host.KindService {
+				continue
+			}
+			services[serviceKey(e.Name, h.Info.ID)] = view.Service{
+				Name: e.Name, Host: h.Info.ID, Address: d.Info.Address, Incarnation: d.Info.Incarnation,
+			}
+		}
+	}
+	return services
+}
--- /dev/null
+++ b/internal/control/server/call.go
@@ -0,0 +1,153 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/control/state"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+// The codes of message.Failure.
+const (
+	codeForbidden   = "forbidden"
+	codeMalformed   = "malformed"
+	codeSuperseded  = "superseded"
+	codeUnavailable = "unavailable"
+	codeUncertain   = "uncertain"
+	codeRefused     = "refused"
+	codeNotFound    = "not_found"
+)
+
+// firstFrameTimeout bounds the wait for a stream's first frame.
+const firstFrameTimeout = 5 * time.Second
+
+// ErrCall is a call that is answered by a message.Failure.
+type ErrCall struct {
+	Code   string
+	Reason string
+}
+
+func (e ErrCall) Error() string { return e.Code + ": " + e.Reason }
+
+// IsErrCall reports whether err is an ErrCall.
+func IsErrCall(err error) bool {
+	var e ErrCall
+	return errors.As(err, &e)
+}
+
+func unexpected(result any) error {
+	if refused, ok := result.(state.Refused); ok {
+		return ErrCall{Code: codeRefused, Reason: refused.Reason}
+	}
+	return errors.Errorf("command answered by %T", result)
+}
+
+// handle serves one stream.
+func (s *Server) handle(ctx context.Context, stream *transport.Stream) {
+	_ = stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
+	first, err := stream.Receive()
+	if err != nil {
+		event.FrameRejected.On(s.opts.Logger).Str("peer", stream.Peer().String()).Str("reason", err.Error()).Msg("")
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	if role := callers(first); stream.Peer().Role != role && !isDaemonOpening(first, stream) {
+		_ = stream.Send(&message.Failure{Code: codeForbidden, Reason: "the certificate's role may not make this call"})
+		return
+	}
+	switch m := first.(type) {
+	case *message.Quorum:
+		s.log.Serve(ctx, stream, m)
+	case *message.Announce:
+		s.session(ctx, stream, m)
+	default:
+		s.call(ctx, stream, first)
+	}
+}
+
+// callers returns the role that may make a call.
+func callers(m message.Message) host.Role {
+	switch m.(type) {
+	case *message.Quorum:
+		return host.RoleControl
+	case *message.Claim, *message.Settle:
+		return host.RoleEntry
+	case *message.CrashReport:
+		return host.RoleAgent
+	default:
+		return host.RoleOperator
+	}
+}
+
+func isDaemonOpening(m message.Message, stream *transport.Stream) bool {
+	_, ok := m.(*message.Announce)
+	role := stream.Peer().Role
+	return ok && (role == host.RoleAgent || role == host.RoleEntry)
+}
+
+// call answers one call and ends the stream.
+func (s *Server) call(ctx context.Context, stream *transport.Stream, m message.Message) {
+	s.calls.Add(1)
+	defer s.calls.Done()
+	l := s.leader.Load()
+	if l == nil {
+		_ = stream.Send(s.notLeader())
+		return
+	}
+	answer, err := l.answer(ctx, stream.Peer(), m)
+	if err != nil {
+		answer = s.failure(err)
+	}
+	_ = stream.Send(answer)
+}
+
+func (s *Server) notLeader() *message.NotLeader {
+	status := s.log.Status()
+	if status.Leading {
+		return &message.NotLeader{} // The leader is not ready yet, or stops.
+	}
+	return &message.NotLeader{Leader: s.opts.Peers[status.Leader]}
+}
+
+// failure turns the errors of the layers below into an answer.
+func (s *Server) failure(err error) message.Message {
+	var call ErrCall
+	switch {
+	case IsErrNotLeader(err):
+		return s.notLeader()
+	case IsErrUncertain(err):
+		return &message.Failure{Code: codeUncertain, Reason: err.Error(), MayHaveApplied: true}
+	case errors.As(err, &call):
+		return &message.Failure{Code: call.Code, Reason: call.Reason}
+	default:
+		return &message.Failure{Code: codeUnavailable, Reason: err.Error()}
+	}
+}
+
+// propose commits a command and returns its result. A refusal is an ErrCall.
+func (s *Server) propose(ctx context.Context, c state.Command) (state.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timing.ProposeTimeout)
+	defer cancel()
+	data, err := state.Encode(time.Now(), c)
+	if err != nil {
+		return nil, ErrCall{Code: codeMalformed, Reason: err.Error()}
+	}
+	result, err := s.log.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	if refused, ok := result.(state.Refused); ok {
+		return nil, ErrCall{Code: codeRefused, Reason: refused.Reason}
+	}
+	answer, ok := result.(state.Result)
+	if !ok {
+		return nil, errors.Errorf("command answered by %T", result)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/control/server/config.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/fleet/config"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+)
+
+const configName = "fleet.yaml"
+
+// configCache holds the latest configuration in parsed form. The zero value holds
+// an empty one.
+type configCache struct {
+	revision view.Revision
+	current  *config.Fleet
+}
+
+// get returns the parsed configuration of a revision. Text that was accepted by
+// another version of the program and does not parse here leaves the former one in
+// force for placement.
+func (c *configCache) get(revision view.Revision, yaml []byte) *config.Fleet {
+	if c.current == nil {
+		c.current = &config.Fleet{Defaults: config.DefaultValues()}
+	}
+	if revision == c.revision {
+		return c.current
+	}
+	c.revision = revision
+	if parsed, err := config.Parse(configName, yaml); err == nil {
+		c.current = parsed
+	}
+	return c.current
+}
+
+func teamNames(f *config.Fleet) []string {
+	names := make([]string, len(f.Teams))
+	for i, t := range f.Teams {
+		names[i] = string(t.Name)
+	}
+	return names
+}
+
+// problems returns the faults of a refused configuration, a line each.
+func problems(err error) []string {
+	var invalid config.ErrInvalid
+	if errors.As(err, &invalid) {
+		return invalid.Lines()
+	}
+	return []string{err.Error()}
+}
+
+func specOf(d config.Deployment) replica.Spec {
+	return replica.Spec{
+		Deployment: d.Name, Model: d.Model, Version: d.Version, Adapters: d.Adapters, Role: string(d.Role),
+	}
+}
--- /dev/null
+++ b/internal/control/server/leader.go
@@ -0,0 +1,195 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/egretreach/egretreach/internal/control/membership"
+	"github.com/egretreach/egretreach/internal/control/quota"
+	"github.com/egretreach/egretreach/internal/control/state"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/link/lease"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+const (
+	// minStep is the least time between two looks at the fleet.
+	minStep = 20 * time.Millisecond
+	// maxProposals bounds the proposals that wait for the log at once.
+	maxProposals = 32
+)
+
+// leader is what a control host holds while it leads.
+type leader struct {
+	server *Server
+	term   uint64
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	table    *membership.Table
+	sessions map[process]*session
+	orders   *orderBook
+	board    *board
+	fleet    configCache
+	quota    *quota.Allocator
+}
+
+func newLeader(s *Server, term uint64) *leader {
+	now := time.Now()
+	l := &leader{
+		server: s, term: term, wake: make(chan struct{}, 1),
+		table:    membership.New(now, s.timing.LeaseTTL),
+		sessions: map[process]*session{},
+		orders:   newOrderBook(),
+		board:    newBoard(),
+		quota:    quota.New(now, lease.Reclaimable(s.timing.LeaseTTL)),
+	}
+	l.admitFromState(now)
+	return l
+}
+
+// kick makes the leader look the fleet over soon.
+func (l *leader) kick() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run looks the fleet over on every event, and every StepEvery if there is none.
+func (l *leader) run(ctx context.Context) {
+	ticker := time.NewTicker(l.server.timing.StepEvery)
+	defer ticker.Stop()
+	for {
+		l.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(minStep):
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-l.wake:
+		case <-l.server.store.changed:
+		}
+	}
+}
+
+// step brings the soft state up to date, tells the daemons what has changed and
+// proposes what follows.
+func (l *leader) step(ctx context.Context) {
+	commands := l.observe(time.Now())
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxProposals)
+	for _, c := range commands {
+		group.Go(func() error {
+			if _, err := l.server.propose(ctx, c); err != nil {
+				event.ProposalFailed.On(l.server.opts.Logger).Str("command", commandName(c)).Err(err).Msg("")
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	if len(commands) > 0 {
+		l.kick()
+	}
+}
+
+func (l *leader) observe(now time.Time) []state.Command {
+	l.admitFromState(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range l.table.Lapse(now) {
+		event.HostLost.On(l.server.opts.Logger).Str("host", string(id)).Msg("")
+	}
+	p := l.pictureLocked(now)
+	l.quota.SetTeams(teamNames(p.config))
+	l.orders.update(p)
+	l.board.update(p)
+	l.endSuperseded(p)
+	for _, session := range l.sessions {
+		session.kick()
+	}
+	commands := admissions(l.table.Admissible(now))
+	commands = append(commands, p.releases(l.orders)...)
+	commands = append(commands, p.advances()...)
+	return append(commands, p.placements(l.orders)...)
+}
+
+// admitFromState tells the membership table who is admitted.
+func (l *leader) admitFromState(now time.Time) {
+	l.server.store.read(func(m *state.Machine) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, h := range m.Hosts() {
+			l.table.Admitted(now, h.Role, h.Info)
+		}
+	})
+}
+
+// endSuperseded tells the processes that have lost their host's place to a later one.
+func (l *leader) endSuperseded(p *picture) {
+	for _, h := range p.hosts {
+		for _, former := range h.Former {
+			key := process{host: h.Info.ID, incarnation: former}
+			if session := l.sessions[key]; session != nil {
+				session.end(superseded())
+				delete(l.sessions, key)
+			}
+		}
+	}
+}
+
+func admissions(candidates []membership.Candidate) []state.Command {
+	commands := make([]state.Command, len(candidates))
+	for i, c := range candidates {
+		commands[i] = state.Admit{Role: c.Role, Info: c.Info}
+	}
+	return commands
+}
+
+// picture returns the fleet as it is now.
+func (l *leader) picture() *picture {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pictureLocked(time.Now())
+}
+
+// config returns the latest configuration.
+func (l *leader) config() (view.Revision, []byte) {
+	var revision view.Revision
+	var yaml []byte
+	l.server.store.read(func(m *state.Machine) { revision, yaml, _ = m.Config(0) })
+	return revision, yaml
+}
+
+// close ends all sessions with the word that this host leads no more.
+func (l *leader) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, session := range l.sessions {
+		session.end(l.server.notLeader())
+	}
+}
+
+func (l *leader) controlStatus(log LogStatus) []message.ControlStatus {
+	var all []message.ControlStatus
+	for id, address := range l.server.opts.Peers {
+		s := message.ControlStatus{Host: id, Address: address, State: "silent"}
+		if match, heard := log.Match[id]; heard {
+			s.State = "follower"
+			s.Match = match
+		}
+		if id == log.Leader {
+			s.State = "leader"
+		}
+		all = append(all, s)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/control/server/operator.go
@@ -0,0 +1,109 @@
+package server
+
+import (
+	"context"
+
+	"github.com/egretreach/egretreach/internal/control/state"
+	"github.com/egretreach/egretreach/internal/fleet/config"
+	"github.com/egretreach/egretreach/internal/link/identity"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// answer carries out one call. The peer's role has been checked.
+func (l *leader) answer(ctx context.Context, peer identity.Identity, m message.Message) (message.Message, error) {
+	s := l.server
+	switch m := m.(type) {
+	case *message.Claim:
+		items, err := s.claims.submit(ctx, m.Items)
+		return &message.ClaimResult{Items: items}, err
+	case *message.Settle:
+		recorded, err := s.ends.submit(ctx, m.Items)
+		return &message.SettleResult{Recorded: recorded}, err
+	case *message.ApplyConfig:
+		m.Operator = string(peer.Host)
+		return l.applyConfig(ctx, m)
+	case *message.Drain:
+		_, err := s.propose(ctx, state.Drain{Host: m.Host, Undo: m.Undo, Reason: m.Reason})
+		return &message.Ack{}, err
+	default:
+		return l.query(ctx, m)
+	}
+}
+
+// query answers a call that changes nothing, from a state that the quorum confirms.
+func (l *leader) query(ctx context.Context, m message.Message) (message.Message, error) {
+	s := l.server
+	if err := s.log.Barrier(ctx); err != nil {
+		return nil, err
+	}
+	switch m := m.(type) {
+	case *message.ConfigQuery:
+		return l.queryConfig(m)
+	case *message.StatusQuery:
+		return l.status(), nil
+	case *message.RequestQuery:
+		var result message.RequestResult
+		s.store.read(func(machine *state.Machine) { result = machine.Request(m.Request) })
+		return &result, nil
+	default:
+		return nil, ErrCall{Code: codeMalformed, Reason: "not a call to control"}
+	}
+}
+
+func (l *leader) applyConfig(ctx context.Context, m *message.ApplyConfig) (message.Message, error) {
+	if _, err := config.Parse(configName, m.YAML); err != nil {
+		return &message.ApplyResult{Problems: problems(err)}, nil
+	}
+	if m.ChangeID == "" {
+		return nil, ErrCall{Code: codeMalformed, Reason: "a change needs an ID"}
+	}
+	revision, inForce := l.config()
+	diff := config.Diff(inForce, m.YAML)
+	if m.DryRun {
+		return &message.ApplyResult{Revision: revision, Diff: diff}, nil
+	}
+	result, err := l.server.propose(ctx, state.ApplyConfig{
+		YAML: m.YAML, Base: m.Base, ChangeID: m.ChangeID, Operator: m.Operator,
+	})
+	if err != nil {
+		return nil, err
+	}
+	applied, ok := result.(state.ConfigApplied)
+	if !ok {
+		return nil, unexpected(result)
+	}
+	return &message.ApplyResult{
+		Accepted: applied.Accepted, Revision: applied.Revision, Conflict: applied.Conflict, Diff: diff,
+	}, nil
+}
+
+func (l *leader) queryConfig(m *message.ConfigQuery) (message.Message, error) {
+	var result message.ConfigResult
+	found := false
+	l.server.store.read(func(machine *state.Machine) {
+		result.Revision, result.YAML, found = machine.Config(m.Revision)
+		if m.History {
+			result.History = machine.History()
+		}
+	})
+	if !found && m.Revision != 0 {
+		return nil, ErrCall{Code: codeNotFound, Reason: "no text of that revision is kept"}
+	}
+	return &result, nil
+}
+
+// status sums the fleet up.
+func (l *leader) status() *message.StatusResult {
+	s := l.server
+	log := s.log.Status()
+	result := &message.StatusResult{Leader: s.opts.Peers[log.Leader], Term: log.Term}
+	result.Revision, _ = l.config()
+	result.Control = l.controlStatus(log)
+	p := l.picture()
+	result.Hosts = p.hostStatus()
+	for _, r := range p.replicas {
+		result.Replicas = append(result.Replicas, r.WithState(p.stateOf(r)))
+	}
+	result.Deployments = p.deploymentStatus()
+	return result
+}
--- /dev/null
+++ b/internal/control/state/machine.go
@@ -0,0 +1,130 @@
+// Package state is the replicated state of the control hosts: the configuration
+// with its history, the hosts admitted, the replicas with the claims on their
+// hosts, and the ledger.
+//
+// Equal commands in equal order give equal states. The time comes in each command,
+// by the proposing leader's clock, and never runs backwards.
+package state
+
+import (
+	"time"
+
+	"github.com/egretreach/egretreach/internal/control/ledger"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// Machine applies commands. It is not safe for use by several goroutines. Use New.
+type Machine struct {
+	nowMs    int64
+	fence    replica.Fence
+	config   history
+	hosts    map[host.ID]*Host
+	replicas map[replica.ID]*Replica
+	ledger   *ledger.Ledger
+}
+
+// Host is what is durable about one host.
+type Host struct {
+	Role host.Role `cbor:"1,keyasint"`
+	// Info is that of the admitted incarnation.
+	Info host.Info `cbor:"2,keyasint"`
+	// Former are incarnations that have lost their place, the latest last.
+	Former []host.Incarnation `cbor:"3,keyasint,omitempty"`
+	// Floor is the highest fencing number given for the host.
+	Floor replica.Fence `cbor:"4,keyasint,omitempty"`
+	// Claim is the host's place in a replica, or nil.
+	Claim *HostClaim `cbor:"5,keyasint,omitempty"`
+	// Drained says that an operator wants the host to leave.
+	Drained     bool   `cbor:"6,keyasint,omitempty"`
+	DrainReason string `cbor:"7,keyasint,omitempty"`
+}
+
+// HostClaim is a host's place in a replica.
+type HostClaim struct {
+	Replica replica.ID    `cbor:"1,keyasint"`
+	Fence   replica.Fence `cbor:"2,keyasint"`
+	// Releasing says that the replica has ended and the host is not free yet.
+	Releasing bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Replica is a replica and when it was formed.
+type Replica struct {
+	replica.Replica `cbor:"1,keyasint"`
+	FormedMs        int64 `cbor:"2,keyasint"`
+	// Generation counts the changes of what the replica serves.
+	Generation uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+const maxFormer = 8
+
+// New returns an empty state whose ledger keeps to policy.
+func New(policy ledger.Policy) *Machine {
+	return &Machine{
+		hosts:    map[host.ID]*Host{},
+		replicas: map[replica.ID]*Replica{},
+		ledger:   &ledger.Ledger{Policy: policy},
+	}
+}
+
+// Apply carries out one command of the log and returns its Result.
+func (m *Machine) Apply(_ uint64, data []byte) any {
+	command, unixMs, err := decode(data)
+	if err != nil {
+		return Refused{Reason: err.Error()}
+	}
+	m.nowMs = max(m.nowMs, unixMs)
+	return m.apply(command)
+}
+
+func (m *Machine) apply(command Command) Result {
+	switch c := command.(type) {
+	case ApplyConfig:
+		return m.config.apply(m.nowMs, c)
+	case Admit:
+		return m.admit(c)
+	case Form:
+		return m.form(nil, c.Spec, c.Hosts)
+	case Swap:
+		return m.form(c.Old, c.Spec, c.Hosts)
+	case Update:
+		return m.update(c)
+	case Advance:
+		return m.advance(c)
+	case Dissolve:
+		return m.dissolve(c)
+	case Release:
+		return m.release(c)
+	case Drain:
+		return m.drain(c)
+	case Claim:
+		return m.claim(c)
+	case Settle:
+		return m.settle(c)
+	default:
+		return Refused{Reason: "unknown command"}
+	}
+}
+
+func (m *Machine) claim(c Claim) Result {
+	results := make([]message.ClaimItemResult, len(c.Items))
+	for i, item := range c.Items {
+		results[i] = m.ledger.Claim(m.now(), item)
+	}
+	return Claimed{Items: results}
+}
+
+func (m *Machine) settle(c Settle) Result {
+	recorded := make([]bool, len(c.Items))
+	for i, item := range c.Items {
+		recorded[i] = m.ledger.Settle(m.now(), item)
+	}
+	return Settled{Recorded: recorded}
+}
+
+func (m *Machine) now() time.Time { return time.UnixMilli(m.nowMs) }
+
+// Request returns what is known about a claimed request.
+func (m *Machine) Request(id request.ID) message.RequestResult { return m.ledger.Request(id) }
