Serve the whole path: dev in one process, and in virtual time

Cause: a newcomer needs one command that answers through every kind of process, and failures need whole sessions that can be repeated. Change: internal/standin/fleet, the dev, entry and agent commands, the frame of a daemon's process, readiness that waits for a share of the teams' limits.

--- /dev/null
+++ b/cmd/agent.go
@@ -0,0 +1,72 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/agent/server"
+	"github.com/egretreach/egretreach/internal/fleet/config"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/process/daemon"
+	"github.com/egretreach/egretreach/internal/process/settings"
+)
+
+type agentCommand struct {
+	Config string `help:"Settings file." required:"" type:"existingfile"`
+}
+
+// Run runs an agent daemon until a signal ends it.
+func (c agentCommand) Run() error {
+	file, err := settings.LoadAgent(c.Config)
+	if err != nil {
+		return daemon.ReportInvalid(err)
+	}
+	return daemon.Run(context.Background(), daemon.Setup{
+		Role: host.RoleAgent, Host: file.Host, Link: file.Link, Health: file.Health, Keys: file.Keys,
+		Log: file.Log, Stop: file.Stop,
+		Build: func(parts daemon.Parts) (daemon.Daemon, error) { return buildAgent(file, parts), nil },
+	})
+}
+
+func buildAgent(file settings.Agent, parts daemon.Parts) daemon.Daemon {
+	agent := server.New(agentOptions(file, parts))
+	return daemon.Daemon{
+		Run: agent.Run,
+		Ready: func() error {
+			if !agent.Ready() {
+				return errors.New("no lease, or the agent is stopping")
+			}
+			return nil
+		},
+		Shutdown: func(ctx context.Context) { _ = agent.Shutdown(ctx) },
+	}
+}
+
+func agentOptions(file settings.Agent, parts daemon.Parts) server.Options {
+	opts := server.Options{
+		Info: host.Info{
+			ID: file.Host.ID, Failure: file.Host.FailureDomain, Fabric: file.Host.FabricDomain,
+			Address: file.Link.Address.String(),
+		},
+		Services: map[string]string{}, Endpoint: parts.Link, Pool: pool.New(parts.Link),
+		Control: addresses(file.Control), CheckConfig: checkConfig, Logger: parts.Logger,
+	}
+	for _, e := range file.Endpoints {
+		announced := e.Announced()
+		if announced.Kind == host.KindEngine {
+			announced.Name = string(file.Host.ID)
+			opts.EngineURL = e.URL.String()
+		} else {
+			opts.Services[announced.Name] = e.URL.String()
+		}
+		opts.Info.Endpoints = append(opts.Info.Endpoints, announced)
+	}
+	return opts
+}
+
+func checkConfig(yaml []byte) error {
+	_, err := config.Parse("accepted configuration", yaml)
+	return err
+}
--- a/internal/control/server/session.go
+++ b/internal/control/server/session.go
@@ -213,7 +213,7 @@
 	l.orders.report(s.info.ID, s.info.Incarnation, done)
 	l.mu.Unlock()
 	if !done.OK {
-		event.OrderFailed.On(l.server.opts.Logger).Str("host", string(s.info.ID)).
+		event.OrderNotDone.On(l.server.opts.Logger).Str("host", string(s.info.ID)).
 			Uint64("order", done.ID).Str("reason", done.Error).Msg("")
 	}
 	l.kick()
--- a/internal/entry/admission/quota.go
+++ b/internal/entry/admission/quota.go
@@ -50,8 +50,10 @@
 	for id, share := range shares {
 		u := q.usage(team.ID(id))
 		limits := q.limits[team.ID(id)]
-		u.requests.refill(now, limits.RequestsPerSecond*u.share)
-		u.tokens.refill(now, limits.TokensPerSecond*u.share)
+		if u.share > 0 {
+			u.requests.refill(now, limits.RequestsPerSecond*u.share)
+			u.tokens.refill(now, limits.TokensPerSecond*u.share)
+		}
 		u.share = min(1, max(0, share))
 	}
 }
--- a/internal/entry/server/backend.go
+++ b/internal/entry/server/backend.go
@@ -146,7 +146,7 @@
 
 // refuse gives the reasons for refusing work before it waits for anything.
 func (s *Server) refuse(work *dispatch.Work) *execution.Result {
-	if s.refusing.Load() || !s.session.Valid() {
+	if s.refusing.Load() || !s.session.Valid() || !s.policy.holdsShares() {
 		return &execution.Result{
 			Outcome: request.OutcomeNotRun, Code: "not_ready",
 			Reason: "this entry takes no new work now", RetryAfter: retryAfterNotReady,
--- a/internal/entry/server/policy.go
+++ b/internal/entry/server/policy.go
@@ -99,6 +99,13 @@
 	p.quota.SetShares(now, shares)
 }
 
+// holdsShares reports whether this entry may use any part of the teams' limits.
+func (p *policy) holdsShares() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fleet != nil && (len(p.fleet.Teams) == 0 || len(p.quota.Shares()) > 0)
+}
+
 func (p *policy) renewal(now time.Time) message.Renewal {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/egretreach/egretreach/internal/entry/api"
@@ -31,7 +32,7 @@
 	Host    host.ID
 	Failure domain.Failure
 	Control []string
-	// Link is the process's socket for links; the server owns it.
+	// Link is the process's socket for links.
 	Link    *transport.Endpoint
 	Metrics *metric.Registry
 	Logger  *log.Logger
@@ -40,6 +41,8 @@
 	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
 	MaxHeader     int
+	// MaxConnections bounds the callers' open connections; 0 is no bound.
+	MaxConnections int
 	// Notice is how long a planned stop goes on taking work after readiness failed.
 	Notice time.Duration
 	// Longest bounds the wait for work in flight at a planned stop.
@@ -91,7 +94,7 @@
 func New(opts Options) (*Server, error) {
 	opts = opts.withDefaults()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Load balancing needs no secret randomness.
-	s := &Server{opts: opts, incarnation: host.Incarnation(rand.Uint64()), policy: newPolicy(rng)}
+	s := &Server{opts: opts, incarnation: host.Incarnation(rng.Uint64()), policy: newPolicy(rng)}
 	s.meter = newMeter(opts.Metrics, s.policy)
 	links := pool.New(opts.Link)
 	s.session = session.New(session.Options{Pool: links, Control: opts.Control, Daemon: s, Logger: opts.Logger})
@@ -116,6 +119,8 @@
 		return errors.New("the entry is stopping")
 	case !s.session.Valid():
 		return errors.New("no lease, or no configuration confirmed by control")
+	case !s.policy.holdsShares():
+		return errors.New("no share of the teams' limits yet")
 	default:
 		return nil
 	}
@@ -126,6 +131,9 @@
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if s.opts.MaxConnections > 0 {
+		listener = netutil.LimitListener(listener, s.opts.MaxConnections)
+	}
 	callers := &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: s.opts.HeaderTimeout, ReadTimeout: s.opts.BodyTimeout,
 		IdleTimeout: s.opts.IdleTimeout, MaxHeaderBytes: s.opts.MaxHeader,
@@ -145,9 +153,7 @@
 		<-ctx.Done()
 		return callers.Close()
 	})
-	err := group.Wait()
-	_ = s.opts.Link.Close()
-	return err
+	return group.Wait()
 }
 
 // Shutdown carries out a planned stop: readiness fails at once, work is taken for
--- a/internal/link/transport/transport.go
+++ b/internal/link/transport/transport.go
@@ -50,6 +50,22 @@
 // UDP segmentation offload nor ECN, which some kernels and networks lack.
 type plainConn struct{ net.PacketConn }
 
+// SetReadBuffer sets the socket's receive buffer where there is one.
+func (c plainConn) SetReadBuffer(bytes int) error {
+	if socket, ok := c.PacketConn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		return socket.SetReadBuffer(bytes)
+	}
+	return nil
+}
+
+// SetWriteBuffer sets the socket's send buffer where there is one.
+func (c plainConn) SetWriteBuffer(bytes int) error {
+	if socket, ok := c.PacketConn.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		return socket.SetWriteBuffer(bytes)
+	}
+	return nil
+}
+
 // Options are the settings of an Endpoint.
 type Options struct {
 	// Offload lets quic-go use UDP segmentation offload and ECN.
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,158 @@
+// Package daemon runs one daemon as a process: its keys, its link socket, its health
+// pages and its planned stop at SIGTERM.
+package daemon
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/identity"
+	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/process/health"
+	"github.com/egretreach/egretreach/internal/process/logging"
+	"github.com/egretreach/egretreach/internal/process/settings"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+	"github.com/egretreach/egretreach/internal/telemetry/metric"
+)
+
+// Daemon is what runs.
+type Daemon struct {
+	// Run serves until its context ends.
+	Run func(ctx context.Context) error
+	// Ready says why the daemon takes no new work, or nil.
+	Ready func() error
+	// Shutdown carries out a planned stop that cuts nothing off; after it, Run's
+	// context ends. It ends early when its own context ends.
+	Shutdown func(ctx context.Context)
+}
+
+// Parts are what a daemon is built from.
+type Parts struct {
+	Link    *transport.Endpoint
+	Metrics *metric.Registry
+	Logger  *log.Logger
+}
+
+// Setup is the part of the settings that all daemons share.
+type Setup struct {
+	Role   host.Role
+	Host   settings.Host
+	Link   settings.Link
+	Health settings.Health
+	Keys   settings.Keys
+	Log    settings.Log
+	Stop   settings.Stop
+	Build  func(Parts) (Daemon, error)
+}
+
+// Run runs a daemon until SIGINT or SIGTERM, which begin a planned stop; a second
+// signal ends the process at once.
+func Run(ctx context.Context, setup Setup) error {
+	logger := logging.New(setup.Log, os.Stderr)
+	credentials, err := identity.Open(setup.Keys.Folder, identity.Identity{Role: setup.Role, Host: setup.Host.ID})
+	if err != nil {
+		return err
+	}
+	socket, err := listen(setup.Link.Address)
+	if err != nil {
+		return err
+	}
+	parts := Parts{
+		Link:    transport.New(socket, credentials, transport.Options{Offload: setup.Link.Offload}),
+		Metrics: metric.New(),
+		Logger:  logger,
+	}
+	defer func() { _ = parts.Link.Close() }()
+	d, err := setup.Build(parts)
+	if err != nil {
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	watcher := identity.Watcher{
+		Credentials: credentials, Folder: setup.Keys.Folder, Every: setup.Keys.CheckEvery, Reload: reload, Logger: logger,
+	}
+	pages := health.Server{Metrics: parts.Metrics, Ready: d.Ready}
+	watch := func(ctx context.Context) error {
+		watcher.Run(ctx)
+		return nil
+	}
+	serve := func(ctx context.Context) error { return pages.Run(ctx, setup.Health.Address.String()) }
+	return supervise(ctx, d, setup.Stop, watch, serve)
+}
+
+// supervise runs d and what stands beside it, until a signal has stopped d.
+func supervise(ctx context.Context, d Daemon, stop settings.Stop, beside ...func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		defer cancel()
+		return d.Run(ctx)
+	})
+	for _, run := range beside {
+		group.Go(func() error { return run(ctx) })
+	}
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+		}
+		shutdown(ctx, d, stop, signals)
+		cancel()
+		return nil
+	})
+	return group.Wait()
+}
+
+func shutdown(ctx context.Context, d Daemon, stop settings.Stop, signals <-chan os.Signal) {
+	ctx, cancel := context.WithTimeout(ctx, stop.Notice+stop.Longest)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.Shutdown(ctx)
+	}()
+	select {
+	case <-done:
+	case <-signals:
+		cancel()
+		<-done
+	}
+}
+
+func listen(address settings.Address) (net.PacketConn, error) {
+	udp, err := net.ResolveUDPAddr("udp", address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "link address")
+	}
+	socket, err := net.ListenUDP("udp", udp)
+	return socket, errors.Wrap(err, "link socket")
+}
+
+// Listen opens the callers' listener.
+func Listen(ctx context.Context, address settings.Address) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address.String())
+	return listener, errors.Wrap(err, "listener")
+}
+
+// ReportInvalid logs a refused settings file as a numbered event.
+func ReportInvalid(err error) error {
+	logger := logging.New(settings.Log{}, os.Stderr)
+	event.SettingsInvalid.On(logger).Str("reason", err.Error()).Msg("")
+	return err
+}
--- /dev/null
+++ b/internal/standin/fleet/daemon.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/google/uuid"
+
+	agent "github.com/egretreach/egretreach/internal/agent/server"
+	control "github.com/egretreach/egretreach/internal/control/server"
+	entry "github.com/egretreach/egretreach/internal/entry/server"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/standin/engine"
+	"github.com/egretreach/egretreach/internal/standin/service"
+)
+
+// daemon is one running daemon.
+type daemon struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Kill ends the daemon at once, without a planned stop.
+func (d *daemon) Kill() {
+	d.cancel()
+	<-d.done
+}
+
+// run runs a daemon and closes its link socket when it has ended.
+func (f *Fleet) run(link *transport.Endpoint, run func(ctx context.Context) error) *daemon {
+	ctx, cancel := context.WithCancel(f.ctx)
+	d := &daemon{cancel: cancel, done: make(chan struct{})}
+	f.daemons = append(f.daemons, d)
+	go func() {
+		defer close(d.done)
+		_ = run(ctx)
+		_ = link.Close()
+	}()
+	return d
+}
+
+// Control is a running control host.
+type Control struct {
+	*daemon
+	*control.Server
+	Host host.ID
+}
+
+// Agent is a running agent with its stand-ins.
+type Agent struct {
+	*daemon
+	*agent.Server
+	Engine  *engine.Engine
+	Service *service.Service
+}
+
+// Entry is a running entry.
+type Entry struct {
+	*daemon
+	*entry.Server
+	Address string
+}
+
+func applyMessage(base uint64, yaml []byte) message.Message {
+	return &message.ApplyConfig{YAML: yaml, Base: view.Revision(base), ChangeID: uuid.NewString()}
+}
+
+func (f *Fleet) startControls() error {
+	for i := range f.opts.Controls {
+		id := host.ID(fmt.Sprintf("control-%d", i+1))
+		link, err := f.link(host.RoleControl, id)
+		if err != nil {
+			return err
+		}
+		address := link.Address().String()
+		f.addresses = append(f.addresses, address)
+		server, err := control.New(control.Options{
+			ID: id, Endpoint: link, Pool: pool.New(link), Peers: map[host.ID]string{id: address}, Logger: f.opts.Logger,
+		})
+		if err != nil {
+			return err
+		}
+		d := f.run(link, server.Run)
+		f.controls = append(f.controls, &Control{daemon: d, Server: server, Host: id})
+	}
+	return nil
+}
+
+func (f *Fleet) startEngine(spec Engine) error {
+	listener, roundTripper, err := f.opts.Sockets.Stream(string(spec.ID) + "-engine")
+	if err != nil {
+		return err
+	}
+	e := engine.New(spec.Options)
+	f.serve(listener, e.Handler())
+	opts := agent.Options{
+		EngineURL: "http://" + listener.Addr().String(), EngineTransport: roundTripper, Orderer: spec.Options.Orderer,
+	}
+	announced := host.Endpoint{
+		Name: string(spec.ID), Kind: host.KindEngine, Fences: spec.Options.Fences,
+		ChecksOrderer: spec.Options.Orderer != "", Accelerators: spec.Accelerators,
+	}
+	return f.startAgent(spec.Member, opts, announced, &Agent{Engine: e})
+}
+
+func (f *Fleet) startService(spec Member) error {
+	listener, roundTripper, err := f.opts.Sockets.Stream(string(spec.ID) + "-service")
+	if err != nil {
+		return err
+	}
+	s := service.New()
+	f.serve(listener, s.Handler())
+	opts := agent.Options{
+		Services: map[string]string{ServiceName: "http://" + listener.Addr().String()}, ServiceTransport: roundTripper,
+	}
+	return f.startAgent(spec, opts, host.Endpoint{Name: ServiceName, Kind: host.KindService}, &Agent{Service: s})
+}
+
+// ServiceName is the plain service of the stand-in fleet.
+const ServiceName = "records"
+
+func (f *Fleet) startAgent(spec Member, opts agent.Options, announced host.Endpoint, a *Agent) error {
+	link, err := f.link(host.RoleAgent, spec.ID)
+	if err != nil {
+		return err
+	}
+	opts.Endpoint = link
+	opts.Pool = pool.New(link)
+	opts.Control = f.addresses
+	opts.Logger = f.opts.Logger
+	opts.Info = host.Info{
+		ID: spec.ID, Failure: spec.Failure, Fabric: spec.Fabric, Address: link.Address().String(),
+		Endpoints: []host.Endpoint{announced},
+	}
+	a.Server = agent.New(opts)
+	a.daemon = f.run(link, a.Run)
+	f.agents[spec.ID] = a
+	return nil
+}
+
+func (f *Fleet) startEntry(id host.ID) error {
+	link, err := f.link(host.RoleEntry, id)
+	if err != nil {
+		return err
+	}
+	listener, _, err := f.opts.Sockets.Stream(string(id))
+	if err != nil {
+		return err
+	}
+	server, err := entry.New(entry.Options{
+		Host: id, Control: f.addresses, Link: link, Metrics: f.opts.Metrics, Logger: f.opts.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	d := f.run(link, func(ctx context.Context) error { return server.Run(ctx, listener) })
+	f.entries = append(f.entries, &Entry{daemon: d, Server: server, Address: listener.Addr().String()})
+	return nil
+}
+
+// serve serves a stand-in until the fleet ends.
+func (f *Fleet) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: standinHeaderTimeout}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(listener)
+	}()
+	f.closers = append(f.closers, func() {
+		_ = server.Close()
+		<-done
+	})
+}
--- /dev/null
+++ b/internal/standin/fleet/sockets.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/standin/packet"
+)
+
+const standinHeaderTimeout = 5 * time.Second
+
+// Loopback opens real sockets on free ports of 127.0.0.1. CallerAddress, if set, is
+// where the first entry listens for callers.
+type Loopback struct{ CallerAddress string }
+
+// Packet implements Sockets.
+func (Loopback) Packet(host.ID) (net.PacketConn, error) {
+	return net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+}
+
+// Stream implements Sockets.
+func (l Loopback) Stream(name string) (net.Listener, http.RoundTripper, error) {
+	address := "127.0.0.1:0"
+	if name == "entry-1" && l.CallerAddress != "" {
+		address = l.CallerAddress
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	return listener, nil, err
+}
+
+// Memory opens sockets on an in-memory network. Each host has an IP address of its
+// own, in the order in which hosts are started, from 10.0.0.1 on.
+type Memory struct {
+	Network packet.Network
+
+	mu        sync.Mutex
+	addresses map[host.ID]string
+}
+
+const memoryPort = 7000
+
+// Packet implements Sockets.
+func (m *Memory) Packet(id host.ID) (net.PacketConn, error) {
+	return m.Network.Listen(fmt.Sprintf("%s:%d", m.IP(id), memoryPort))
+}
+
+// IP returns a host's address.
+func (m *Memory) IP(id host.ID) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.addresses == nil {
+		m.addresses = map[host.ID]string{}
+	}
+	if m.addresses[id] == "" {
+		m.addresses[id] = fmt.Sprintf("10.0.0.%d", len(m.addresses)+1)
+	}
+	return m.addresses[id]
+}
+
+// Stream implements Sockets.
+func (m *Memory) Stream(name string) (net.Listener, http.RoundTripper, error) {
+	listener := packet.NewListener(name)
+	return listener, &http.Transport{DialContext: listener.Dial}, nil
+}
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -9,7 +9,7 @@
 	DaemonAnnounced = register(102, "daemon_announced", log.InfoLevel)
 	DaemonLeft      = register(103, "daemon_left", log.InfoLevel)
 	HostLost        = register(104, "host_lost", log.WarnLevel)
-	OrderFailed     = register(105, "order_failed", log.WarnLevel)
+	OrderNotDone    = register(105, "order_not_done", log.WarnLevel)
 	ProposalFailed  = register(106, "proposal_failed", log.WarnLevel)
 	PlacementAction = register(107, "placement_decided", log.InfoLevel)
 )
