Let a goodbye arrive, and tell a daemon why its announcement was refused

Change: Goodbye waits up to 500 ms for control to end the session, Run opens none after it, and a Failure that answers an Announce is handed to the daemon.

--- a/internal/link/session/session.go
+++ b/internal/link/session/session.go
@@ -22,6 +22,7 @@
 const (
 	reconnectDelay = 200 * time.Millisecond
 	answerTimeout  = 2 * time.Second
+	goodbyeTimeout = 500 * time.Millisecond
 )
 
 // Daemon is what a session needs of its daemon.
@@ -37,7 +38,7 @@
 	Granted(grant message.LeaseGrant)
 	// Welcomed is told of each new session, before anything else arrives on it.
 	Welcomed(welcome message.Welcome)
-	// Pushed is given every other message.
+	// Pushed is given every other message, and the Failure that refuses an Announce.
 	Pushed(ctx context.Context, m message.Message)
 }
 
@@ -62,6 +63,7 @@
 	leader   string
 	next     int
 	stream   *transport.Stream
+	over     chan struct{}
 	stopping bool
 }
 
@@ -111,18 +113,36 @@
 	return stream.Send(m)
 }
 
-// Goodbye gives the lease up and tells control.
+// Goodbye gives the lease up and tells control. It waits a little for control to
+// end the session, since closing the link at once may lose the frame. No session
+// is opened after it.
 func (s *Session) Goodbye() error {
 	s.mu.Lock()
 	s.stopping = true
 	s.lease.Drop()
+	over := s.over
 	s.mu.Unlock()
-	return s.Send(&message.Goodbye{})
+	if err := s.Send(&message.Goodbye{}); err != nil {
+		return err
+	}
+	timer := time.NewTimer(goodbyeTimeout)
+	defer timer.Stop()
+	select {
+	case <-over:
+	case <-timer.C:
+	}
+	return nil
+}
+
+func (s *Session) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
 }
 
-// Run keeps a session open until ctx ends.
+// Run keeps a session open until ctx ends or Goodbye was said.
 func (s *Session) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !s.ended() {
 		if err := s.once(ctx); ctx.Err() == nil {
 			event.LinkLost.On(s.opts.Logger).Str("peer", "control").Err(err).Msg("")
 		}
@@ -144,7 +164,7 @@
 	defer stream.Cancel()
 	stop := stream.CancelOn(ctx)
 	defer stop()
-	welcome, err := s.open(stream, address)
+	welcome, err := s.open(ctx, stream, address)
 	if err != nil {
 		return err
 	}
@@ -152,7 +172,7 @@
 	return s.hold(ctx, stream, welcome)
 }
 
-func (s *Session) open(stream *transport.Stream, address string) (*message.Welcome, error) {
+func (s *Session) open(ctx context.Context, stream *transport.Stream, address string) (*message.Welcome, error) {
 	announce := s.opts.Daemon.Announce()
 	announce.Revision = s.Revision()
 	if err := stream.Send(&announce); err != nil {
@@ -175,6 +195,7 @@
 		return nil, ErrNoLeader{Reason: "redirected from " + address}
 	case *message.Failure:
 		s.failed(address)
+		s.opts.Daemon.Pushed(ctx, m)
 		return nil, ErrRefused{Code: m.Code, Reason: m.Reason}
 	default:
 		s.failed(address)
@@ -189,6 +210,7 @@
 	s.ttl = w.LeaseTTL
 	s.leader = address
 	s.stream = stream
+	s.over = make(chan struct{})
 }
 
 // hold renews and receives until the stream ends. A leader that does not answer
@@ -204,6 +226,7 @@
 	err := s.receive(ctx, stream, w.LeaseTTL)
 	s.mu.Lock()
 	s.stream = nil
+	close(s.over)
 	s.mu.Unlock()
 	cancel()
 	stream.Cancel()
