Bring the agent's failures about in virtual time

Cause: the first agent was shown to answer, not to fail rightly. Two faults found and mended: an agent that stopped or was superseded closed its link before its last End had arrived, so calls now linger until the entry has closed its side; waiting for idleness counts those calls. Ruled out: closing the gate when a member's link ends, since a cut never ends it.

--- a/internal/agent/server/daemon.go
+++ b/internal/agent/server/daemon.go
@@ -80,5 +80,8 @@
 	stop := s.stop
 	s.mu.Unlock()
 	s.failOver(gate.ErrClosed{Code: codeSuperseded, Reason: reason})
-	stop(ErrSuperseded{Reason: reason})
+	go func() {
+		s.awaitIdle(s.context(), supersededWait)
+		stop(ErrSuperseded{Reason: reason})
+	}()
 }
--- a/internal/agent/server/fleet_test.go
+++ b/internal/agent/server/fleet_test.go
@@ -40,16 +40,21 @@
 	entry     *pool.Pool
 	agents    map[host.ID]*member
 	closers   []func()
+	// wrap stands between an agent and its engine, if set.
+	wrap func(http.RoundTripper) http.RoundTripper
 }
 
 type member struct {
-	server   *Server
-	engine   *engine.Engine
-	service  *service.Service
-	listener *packet.Listener
-	address  string
-	stop     context.CancelFunc
-	done     chan error
+	server  *Server
+	engine  *engine.Engine
+	service *service.Service
+	orderer string
+	records *packet.Listener
+	address string
+	stop    context.CancelFunc
+	done    chan error
+	// ends is the error with which the agent is to end.
+	ends error
 }
 
 // inFleet runs test in virtual time and ends all daemons after it.
@@ -78,7 +83,7 @@
 func (f *fleet) close() {
 	for _, m := range f.agents {
 		m.stop()
-		<-m.done
+		require.ErrorIs(f.t, <-m.done, m.ends)
 	}
 	for i := len(f.closers) - 1; i >= 0; i-- {
 		f.closers[i]()
@@ -119,7 +124,7 @@
 
 // agent starts the n-th agent with an engine and a plain service beside it.
 func (f *fleet) agent(n int, opts engine.Options) *member {
-	m := &member{engine: engine.New(opts), service: service.New()}
+	m := &member{engine: engine.New(opts)}
 	f.start(n, m, opts.Orderer)
 	return m
 }
@@ -127,16 +132,20 @@
 // start runs a new agent process beside m's engine and service.
 func (f *fleet) start(n int, m *member, orderer string) {
 	id := host.ID(fmt.Sprintf("host-%d", n))
-	listener, engineTransport := f.httpServer(m.engine.Handler())
-	_, serviceTransport := f.httpServer(m.service.Handler())
+	m.orderer = orderer
+	if m.service == nil {
+		m.service = service.New()
+	}
+	_, engineTransport := f.httpServer(m.engine.Handler())
+	records, serviceTransport := f.httpServer(m.service.Handler())
 	serviceTransport.DisableKeepAlives = true
-	m.listener = listener
+	m.records = records
 	m.address = fmt.Sprintf("10.0.1.%d:7000", n)
 	endpoint := f.endpoint(host.RoleAgent, id, m.address)
 	m.server = New(Options{
 		Info: host.Info{ID: id, Address: m.address},
 		// The URLs are labels: the transports reach the stand-ins in memory.
-		EngineURL: "http://engine", EngineTransport: engineTransport, Orderer: orderer,
+		EngineURL: "http://engine", EngineTransport: f.wrapped(engineTransport), Orderer: orderer,
 		Services: map[string]string{"records": "http://records"}, ServiceTransport: serviceTransport,
 		Endpoint: endpoint, Pool: pool.New(endpoint), Control: []string{controlAddress},
 	})
@@ -152,6 +161,34 @@
 	f.agents[id] = m
 }
 
+func (f *fleet) wrapped(inner http.RoundTripper) http.RoundTripper {
+	if f.wrap == nil {
+		return inner
+	}
+	return f.wrap(inner)
+}
+
+// restart kills an agent and starts another process in its place.
+func (f *fleet) restart(n int) {
+	m := f.agents[host.ID(fmt.Sprintf("host-%d", n))]
+	m.stop()
+	require.NoError(f.t, <-m.done)
+	f.control.forget(host.ID(fmt.Sprintf("host-%d", n)))
+	f.start(n, m, m.orderer)
+}
+
+// as sends one frame under a certificate of that role and returns the answer.
+func (f *fleet) as(role host.Role, m *member, sent message.Message) message.Message {
+	peer := pool.New(f.endpoint(role, "other", fmt.Sprintf("10.0.9.%d:7000", len(f.closers))))
+	stream, err := peer.Open(f.ctx, m.address)
+	require.NoError(f.t, err)
+	defer stream.Cancel()
+	require.NoError(f.t, stream.Send(sent))
+	answer, err := stream.Receive()
+	require.NoError(f.t, err)
+	return answer
+}
+
 // replica forms a replica of the first n agents, and waits until its gate is open.
 func (f *fleet) replica(id replica.ID, fence replica.Fence, n int) replica.Replica {
 	r, addresses := f.group(id, fence, n)
@@ -242,7 +279,9 @@
 	}
 }
 
-func (c *controlLeader) order(id host.ID, o *message.Order) error {
+func (c *controlLeader) order(id host.ID, o *message.Order) error { return c.push(id, o) }
+
+func (c *controlLeader) push(id host.ID, m message.Message) error {
 	var stream *transport.Stream
 	for stream == nil {
 		c.mu.Lock()
@@ -250,7 +289,44 @@
 		c.mu.Unlock()
 		time.Sleep(10 * time.Millisecond) // Virtual time.
 	}
-	return stream.Send(o)
+	return stream.Send(m)
+}
+
+// dropped returns the orders that failed.
+func (c *controlLeader) dropped() []message.OrderDone {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var dropped []message.OrderDone
+	for _, d := range c.done {
+		if !d.OK {
+			dropped = append(dropped, d)
+		}
+	}
+	return dropped
+}
+
+func (c *controlLeader) crashed() []message.CrashReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashes
+}
+
+func (c *controlLeader) farewells() []message.Goodbye {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.goodbyes
+}
+
+func (c *controlLeader) floor(id host.ID, fence replica.Fence) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.floors[id] = fence
+}
+
+func (c *controlLeader) forget(id host.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.sessions, id)
 }
 
 func (c *controlLeader) silence(id host.ID) {
--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -10,6 +10,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
 
 // Timing of the agent.
@@ -23,6 +24,9 @@
 	releaseWait     = 30 * time.Second
 	cancelTimeout   = 2 * time.Second
 	reportTimeout   = 30 * time.Second
+	lingerTimeout   = time.Second
+	// supersededWait is how long a superseded agent finishes calls for.
+	supersededWait = time.Second
 	// DefaultCallLimit bounds an at-most-once attempt whose entry is gone.
 	DefaultCallLimit = 5 * time.Minute
 	orderQueue       = 64
@@ -49,6 +53,8 @@
 	// CheckConfig refuses a fleet configuration that this version can't hold. Nil takes all.
 	CheckConfig func(yaml []byte) error
 	Limits      attempt.Limits
-	CallLimit   time.Duration
-	Logger      *log.Logger
+	// Metrics may be nil.
+	Metrics   *metric.Registry
+	CallLimit time.Duration
+	Logger    *log.Logger
 }
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -41,14 +41,16 @@
 	gate     *gate.Gate
 	attempts *attempt.Table
 	running  map[message.Ref]*run
-	idle     chan struct{}
-	waiters  map[attempt.Waiter]chan message.AskResult
-	waiter   attempt.Waiter
-	load     view.Load
-	start    string
-	loading  uint64
-	left     bool
-	beatAck  time.Time
+	// calls counts the entries' calls in progress, and idle is closed when none is.
+	calls   int
+	idle    chan struct{}
+	waiters map[attempt.Waiter]chan message.AskResult
+	waiter  attempt.Waiter
+	load    view.Load
+	start   string
+	loading uint64
+	left    bool
+	beatAck time.Time
 }
 
 // New returns an agent that Run starts.
@@ -77,6 +79,7 @@
 	for name, url := range opts.Services {
 		s.services[name] = plain.New(plain.Options{URL: url, Transport: opts.ServiceTransport})
 	}
+	s.meter()
 	s.session = session.New(session.Options{Pool: opts.Pool, Control: opts.Control, Daemon: s, Logger: opts.Logger})
 	return s
 }
--- a/internal/agent/server/shutdown.go
+++ b/internal/agent/server/shutdown.go
@@ -48,7 +48,7 @@
 	}
 	for {
 		s.mu.Lock()
-		if len(s.running) == 0 {
+		if s.calls == 0 {
 			s.mu.Unlock()
 			return
 		}
--- /dev/null
+++ b/internal/agent/server/shutdown_test.go
@@ -0,0 +1,65 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/agent/gate"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/standin/engine"
+)
+
+// TestShutdownCutsNothing stops the head, then a member, in the middle of a
+// generation: it ends whole, and new work is refused from the first moment on.
+func TestShutdownCutsNothing(t *testing.T) {
+	for leaving, code := range map[host.ID]string{"host-1": gate.CodeDraining, "host-2": gate.CodeMemberDraining} {
+		t.Run(string(leaving), func(t *testing.T) {
+			inFleet(t, func(f *fleet) {
+				head := f.agent(1, engine.Options{})
+				f.agent(2, engine.Options{})
+				r := f.replica("r-1", 1, 2)
+				d := generation(head, r, "a long report", 500)
+				stream := f.open(head, d)
+				time.Sleep(time.Second)
+				stopped := make(chan error, 1)
+				go func() { stopped <- f.agents[leaving].server.Shutdown(f.ctx) }()
+				time.Sleep(2 * gate.BeatInterval)
+				require.Equal(t, code, f.do(head, generation(head, r, "more", 1)).refused.Code)
+				got := f.collect(stream, d)
+				require.Equal(t, request.OutcomeComplete, got.end.Outcome, got.end.Reason)
+				require.NoError(t, <-stopped)
+				orders := f.agents[leaving].engine.Orders()
+				require.Equal(t, "release", orders[len(orders)-1].Action)
+				time.Sleep(time.Second)
+				require.Equal(t, []message.Goodbye{{Draining: true}, {}}, f.control.farewells())
+			})
+		})
+	}
+}
+
+// TestReleaseWaitsForWorkInFlight drains, then releases, a replica that runs one.
+func TestReleaseWaitsForWorkInFlight(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.agent(1, engine.Options{})
+		r := f.replica("r-1", 1, 1)
+		d := generation(m, r, "a long report", 500)
+		stream := f.open(m, d)
+		time.Sleep(time.Second)
+		for i, action := range []message.OrderAction{message.OrderDrain, message.OrderRelease} {
+			require.NoError(t, f.control.order("host-1", &message.Order{ID: uint64(i + 2), Action: action, Replica: r}))
+		}
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, gate.CodeDraining, f.do(m, generation(m, r, "more", 1)).refused.Code)
+		require.Equal(t, request.OutcomeComplete, f.collect(stream, d).end.Outcome)
+		time.Sleep(time.Second)
+		require.Len(t, m.engine.Orders(), 2)
+		again := &message.Order{ID: 9, Action: message.OrderLoad, Replica: r}
+		require.NoError(t, f.control.order("host-1", again))
+		time.Sleep(time.Second)
+		require.Len(t, m.engine.Orders(), 2, "a late resend must not bring the replica back")
+	})
+}
--- a/internal/agent/server/work.go
+++ b/internal/agent/server/work.go
@@ -24,18 +24,54 @@
 
 // dispatch takes an attempt from an entry, runs it and sends its answer.
 func (s *Server) dispatch(ctx context.Context, stream *transport.Stream, d *message.Dispatch) {
+	s.entered()
+	defer s.exited()
 	r := &run{dispatch: d}
-	ctx, stop := s.lifetime(ctx, r)
+	runCtx, stop := s.lifetime(ctx, r)
 	defer stop()
 	if err := s.admit(r); err != nil {
 		s.refuse(stream, d.Ref, err)
 		return
 	}
+	heard := make(chan struct{})
+	go func() {
+		defer close(heard)
+		s.listen(stream, r)
+	}()
 	answer := &message.Answer{}
-	end := s.perform(ctx, stream, r, answer)
+	end := s.perform(runCtx, stream, r, answer)
 	end.Ref = d.Ref
 	s.finish(r, end, answer)
-	_ = stream.Send(end)
+	if stream.Send(end) == nil {
+		linger(heard)
+	}
+}
+
+// linger waits until the entry has closed its side, which shows that it has the
+// end: an agent that stops may otherwise close the link under it.
+func linger(heard <-chan struct{}) {
+	timer := time.NewTimer(lingerTimeout)
+	defer timer.Stop()
+	select {
+	case <-heard:
+	case <-timer.C:
+	}
+}
+
+func (s *Server) entered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+}
+
+func (s *Server) exited() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls--
+	if s.calls == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
 }
 
 // lifetime returns the context of an attempt. An idempotent one ends with its
@@ -140,7 +176,6 @@
 	if err := stream.Send(&message.Accepted{Ref: d.Ref}); err != nil {
 		return notRun(codeEntryGone, err)
 	}
-	go s.listen(stream, r)
 	at := s.reading()
 	s.mu.Lock()
 	err := s.mayAcceptLocked(at, d)
@@ -215,10 +250,6 @@
 			delete(s.waiters, d.Waiter)
 		}
 	}
-	if len(s.running) == 0 && s.idle != nil {
-		close(s.idle)
-		s.idle = nil
-	}
 }
 
 // failOver ends the generations in flight.
