--- a/internal/agent/server/orders.go
+++ b/internal/agent/server/orders.go
@@ -131,7 +131,7 @@
 			break
 		}
 	}
-	event.OrderFailed.On(s.opts.Logger).Uint64("order", o.ID).Str("action", string(o.Action)).
+	event.EngineOrderFailed.On(s.opts.Logger).Uint64("order", o.ID).Str("action", string(o.Action)).
 		Str("replica", string(o.Replica.ID)).Uint64("fence", uint64(o.Replica.Fence)).Str("reason", err.Error()).Msg("")
 	s.done(o.ID, err.Error())
 	return err
