Decide which hosts form which replica, as a pure function

Cause: control needs one place that weighs group downtime against stranded accelerators; nothing decided placement before. Ruled out: a stateful planner that remembers its intents (a new leader would have to rebuild them); the picture carries everything that is needed. Change: Decide(Fleet) gives Form, Swap, Update, Drain, Dissolve, Preload and Wait, each with a typed reason.

--- /dev/null
+++ b/internal/control/placement/decide.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+)
+
+// Decide returns what to do about the fleet now. The same picture always gives the
+// same decisions in the same order: ends of drains, repairs and missing replicas by
+// falling priority, voluntary moves, then the use of idle hosts.
+func Decide(f Fleet) []Decision {
+	p := newPlanner(&f)
+	p.endDrains()
+	order := p.deploymentOrder()
+	for _, dep := range order {
+		p.repairAll(dep)
+		p.fill(dep)
+	}
+	for _, dep := range order {
+		p.retire(dep)
+		p.move(dep)
+	}
+	for _, dep := range order {
+		p.useIdle(dep)
+	}
+	p.preload(order)
+	return p.decisions
+}
+
+// deploymentOrder returns the deployments by falling priority, then falling cost of downtime.
+func (p *planner) deploymentOrder() []int {
+	order := make([]int, len(p.fleet.Deployments))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := &p.fleet.Deployments[a], &p.fleet.Deployments[b]
+		return cmp.Or(
+			cmp.Compare(y.Priority, x.Priority),
+			cmp.Compare(y.DowntimeWeight, x.DowntimeWeight),
+			cmp.Compare(x.Spec.Deployment, y.Spec.Deployment),
+		)
+	})
+	return order
+}
+
+// endDrains dissolves replicas that have drained and drains those no one wants.
+func (p *planner) endDrains() {
+	for i := range p.groups {
+		g := &p.groups[i]
+		if g.State == replica.StateDraining {
+			p.endDrain(g)
+			continue
+		}
+		if g.dep < 0 {
+			p.end(g, ReasonDeploymentGone)
+		}
+	}
+}
+
+// endDrain dissolves a draining replica once nothing can be in flight on it.
+func (p *planner) endDrain(g *group) {
+	if g.Idle || g.lost() > 0 {
+		g.gone = true
+		p.emit(Dissolve{Replica: g.ID, Reason: ReasonDrained})
+		return
+	}
+	p.wait(g, p.now.Add(p.policy.DrainTime), ReasonInFlight)
+}
+
+// end drains a serving replica and dissolves one that does not serve.
+func (p *planner) end(g *group, why Reason) {
+	serves := g.serving()
+	g.gone = true
+	if serves && !g.Idle {
+		p.emit(Drain{Replica: g.ID, Reason: why})
+	} else {
+		p.emit(Dissolve{Replica: g.ID, Reason: why})
+	}
+	for _, i := range g.survivors {
+		if !p.fleet.Hosts[i].Stop.Wanted {
+			p.fabrics[p.fabricOf[i]].freed++
+		}
+	}
+}
+
+// tally counts a deployment's replicas by what can be expected of them.
+type tally struct {
+	// good serve and may stay; doomed serve and are to be replaced.
+	good, doomed int
+	// coming load, or are formed in this round; degraded miss a member.
+	coming, degraded int
+}
+
+// claimed counts the replicas that stand for a wanted one.
+func (t tally) claimed() int {
+	return t.good + t.doomed + t.coming + t.degraded
+}
+
+// tally counts the replicas of deployment dep.
+func (p *planner) tally(dep int) tally {
+	t := tally{coming: p.formed[dep]}
+	for _, g := range p.groupsOf[dep] {
+		switch {
+		case g.degraded():
+			t.degraded++
+		case g.loading():
+			t.coming++
+		case !g.serving():
+		case p.doom(g) != "":
+			t.doomed++
+		default:
+			t.good++
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/control/placement/decision.go
@@ -0,0 +1,145 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+)
+
+// Reason says why a decision was taken.
+type Reason string
+
+// The reasons of decisions.
+const (
+	ReasonReplicaWanted      Reason = "replica_wanted"
+	ReasonIdleHosts          Reason = "idle_hosts"
+	ReasonMemberLost         Reason = "member_lost"
+	ReasonMemberFlaps        Reason = "member_flaps"
+	ReasonRemnants           Reason = "remnants"
+	ReasonRelocate           Reason = "relocate"
+	ReasonCrossFabric        Reason = "cross_fabric"
+	ReasonPlannedStop        Reason = "planned_stop"
+	ReasonRollout            Reason = "rollout"
+	ReasonAdapters           Reason = "adapters"
+	ReasonStraggler          Reason = "straggler"
+	ReasonPreempted          Reason = "preempted"
+	ReasonSurplus            Reason = "surplus"
+	ReasonDeploymentGone     Reason = "deployment_gone"
+	ReasonDrained            Reason = "drained"
+	ReasonReplaced           Reason = "replaced"
+	ReasonObsolete           Reason = "obsolete"
+	ReasonWarmSpare          Reason = "warm_spare"
+	ReasonMemberMayReturn    Reason = "member_may_return"
+	ReasonMemberReloads      Reason = "member_reloads"
+	ReasonDomainDark         Reason = "domain_dark"
+	ReasonStoreSaturated     Reason = "store_saturated"
+	ReasonNoSpare            Reason = "no_spare"
+	ReasonHostsBeingFreed    Reason = "hosts_being_freed"
+	ReasonReplacementLoading Reason = "replacement_loading"
+	ReasonInFlight           Reason = "in_flight"
+)
+
+// Decision is one of Form, Swap, Update, Drain, Dissolve, Preload and Wait.
+//
+// Control commits each decision but Wait and Preload to the log and calls Decide
+// again only with a picture that holds the outcome. A decision whose hosts or
+// replicas changed since the picture was taken is dropped.
+type Decision interface {
+	decision()
+	// Why returns the decision's reason.
+	Why() Reason
+}
+
+// Form claims free hosts for a new replica, under a new ID and a fence above all before.
+type Form struct {
+	Spec replica.Spec
+	// Hosts are the members, the head first. Each is free and past its ClaimableAt.
+	Hosts  []host.ID
+	Reason Reason
+}
+
+// Swap dissolves the Old replicas and claims Hosts for one new replica, in one log
+// entry, under a new ID and a fence above all before. Each host is either free and
+// past its ClaimableAt, or a live member of one of Old. Control hands a member over
+// by its agent, which drops the old fence before it passes on an order under the
+// new one. Members of Old that are not in Hosts become free when their agent
+// releases them or their lease with the drift margin has run out.
+type Swap struct {
+	Old    []replica.ID
+	Spec   replica.Spec
+	Hosts  []host.ID
+	Reason Reason
+}
+
+// Update orders a serving replica's engines to load another set of adapters in
+// place. The replica keeps its claim and serves on.
+type Update struct {
+	Replica replica.ID
+	Spec    replica.Spec
+	Reason  Reason
+}
+
+// Drain stops new work to a replica; what is in flight ends.
+type Drain struct {
+	Replica replica.ID
+	Reason  Reason
+}
+
+// Dissolve ends a replica's claim. Control orders the members to release, and each
+// host becomes claimable by its release or the end of its lease.
+type Dissolve struct {
+	Replica replica.ID
+	Reason  Reason
+}
+
+// Preload orders the agent of a free host to copy weights from the store, so that
+// the host can later join a replica by a local load. It makes no claim; an agent
+// that is claimed meanwhile keeps what it has copied.
+type Preload struct {
+	Host    host.ID
+	Weights Weights
+	Reason  Reason
+}
+
+// Wait says why nothing is done about a replica, or about a replica that the
+// deployment lacks. Control shows it to operators and carries nothing out.
+type Wait struct {
+	Deployment string
+	// Replica is empty where the deployment lacks a replica.
+	Replica replica.ID
+	// Until is when the decision would change if nothing else does; zero if it would not.
+	Until time.Time
+	// Kept are free hosts kept for the replica until more can be had.
+	Kept   []host.ID
+	Reason Reason
+}
+
+func (Form) decision()     {}
+func (Swap) decision()     {}
+func (Update) decision()   {}
+func (Drain) decision()    {}
+func (Dissolve) decision() {}
+func (Preload) decision()  {}
+func (Wait) decision()     {}
+
+// Why implements Decision.
+func (d Form) Why() Reason { return d.Reason }
+
+// Why implements Decision.
+func (d Swap) Why() Reason { return d.Reason }
+
+// Why implements Decision.
+func (d Update) Why() Reason { return d.Reason }
+
+// Why implements Decision.
+func (d Drain) Why() Reason { return d.Reason }
+
+// Why implements Decision.
+func (d Dissolve) Why() Reason { return d.Reason }
+
+// Why implements Decision.
+func (d Preload) Why() Reason { return d.Reason }
+
+// Why implements Decision.
+func (d Wait) Why() Reason { return d.Reason }
--- /dev/null
+++ b/internal/control/placement/move.go
@@ -0,0 +1,181 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// crossFabricSlowness is the factor by which a replica over several fabric domains
+// is slower.
+const crossFabricSlowness = 2
+
+// move replaces the doomed replicas of deployment dep: such as stand before a
+// planned stop, serve an old version, hold a straggler or cross fabric domains.
+// A replacement is built first where hosts for a whole one are free.
+func (p *planner) move(dep int) {
+	p.dropObsolete(dep)
+	p.updateAdapters(dep)
+	d := &p.fleet.Deployments[dep]
+	for _, g := range p.doomedGroups(dep) {
+		t := p.tally(dep)
+		building := t.claimed() - d.Replicas
+		switch {
+		case building >= max(1, d.Rollout.MaxSurge):
+			p.wait(g, time.Time{}, ReasonReplacementLoading)
+		case p.form(dep, p.doom(g)):
+		case p.mayDrain(dep, g, t):
+			p.end(g, p.doom(g))
+		default:
+			p.wait(g, p.stopAt(g), ReasonNoSpare)
+		}
+	}
+}
+
+// doomedGroups returns serving replicas that are to be replaced, the most urgent first.
+func (p *planner) doomedGroups(dep int) []*group {
+	var doomed []*group
+	for _, g := range p.groupsOf[dep] {
+		if p.doomServing(g) != "" {
+			doomed = append(doomed, g)
+		}
+	}
+	slices.SortFunc(doomed, func(a, b *group) int {
+		return cmp.Or(
+			cmp.Compare(urgency(p.doom(a)), urgency(p.doom(b))),
+			p.stopAt(a).Compare(p.stopAt(b)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return doomed
+}
+
+// urgency orders the reasons for a move.
+func urgency(why Reason) int {
+	return slices.Index([]Reason{ReasonPlannedStop, ReasonStraggler, ReasonRollout, ReasonCrossFabric}, why)
+}
+
+// stopAt returns the first planned stop among g's members, or zero.
+func (p *planner) stopAt(g *group) time.Time {
+	first := time.Time{}
+	for _, i := range g.members {
+		stop := p.fleet.Hosts[i].Stop
+		if stop.Wanted && !stop.At.IsZero() && (first.IsZero() || stop.At.Before(first)) {
+			first = stop.At
+		}
+	}
+	return first
+}
+
+// mayDrain reports whether g may go down before its replacement stands.
+func (p *planner) mayDrain(dep int, g *group, t tally) bool {
+	d := &p.fleet.Deployments[dep]
+	missing := d.Replicas - t.good - t.doomed
+	why := p.doom(g)
+	if why == ReasonRollout {
+		return missing < d.Rollout.MaxUnavailable
+	}
+	if why == ReasonPlannedStop && p.stopIsNear(g) {
+		return true
+	}
+	if missing > 0 {
+		return false
+	}
+	hosts := p.rebuilt(d, g)
+	if hosts == nil {
+		return false
+	}
+	load, copies := p.loadTime(d, hosts)
+	if copies > 0 && p.policy.PreloadSpares {
+		return false
+	}
+	if why != ReasonPlannedStop && !p.earns(d, g, load) {
+		return false
+	}
+	p.take(hosts)
+	return true
+}
+
+// stopIsNear reports whether a planned stop leaves just the time to drain.
+func (p *planner) stopIsNear(g *group) bool {
+	at := p.stopAt(g)
+	return !at.IsZero() && !p.now.Before(at.Add(-p.policy.DrainTime))
+}
+
+// rebuilt returns the hosts of one fabric domain that would form g anew after its
+// drain, or nil.
+func (p *planner) rebuilt(d *Deployment, g *group) []int {
+	for at := range p.fabrics {
+		var hosts []int
+		for _, i := range p.keepers(g, true) {
+			if p.fabricOf[i] == at {
+				hosts = append(hosts, i)
+			}
+		}
+		hosts = hosts[:min(len(hosts), d.HostsPerReplica)]
+		if len(hosts) == 0 {
+			continue
+		}
+		if added := p.pick(d, at, d.HostsPerReplica-len(hosts)); added != nil {
+			return append(hosts, added...)
+		}
+	}
+	return nil
+}
+
+// earns reports whether the speed that g gains within the horizon outweighs its
+// downtime and its stranded accelerators during the rebuild.
+func (p *planner) earns(d *Deployment, g *group, load time.Duration) bool {
+	slowness := 1.0
+	if g.fabric == noFabric {
+		slowness = crossFabricSlowness
+	}
+	for _, i := range g.members {
+		slowness = max(slowness, p.fleet.Hosts[i].slowness())
+	}
+	gained := d.DowntimeWeight * (1 - 1/slowness) * p.policy.Horizon.Seconds()
+	idle := d.DowntimeWeight + d.StrandedWeight*float64(p.accelerators(g.survivors))
+	return gained > idle*(p.policy.DrainTime+load).Seconds()
+}
+
+// dropObsolete dissolves replicas that load what is no longer wanted.
+func (p *planner) dropObsolete(dep int) {
+	for _, g := range p.groupsOf[dep] {
+		if !g.loading() {
+			continue
+		}
+		if why := p.doom(g); why == ReasonRollout || why == ReasonPlannedStop {
+			p.end(g, ReasonObsolete)
+		}
+	}
+}
+
+// updateAdapters changes adapters in place, on one serving replica at a time.
+func (p *planner) updateAdapters(dep int) {
+	d := &p.fleet.Deployments[dep]
+	var next *group
+	for _, g := range p.groupsOf[dep] {
+		if !g.serving() || p.doom(g) != "" {
+			continue
+		}
+		if g.updating() {
+			return
+		}
+		if next == nil && !slices.Equal(g.Spec.Adapters, d.Spec.Adapters) {
+			next = g
+		}
+	}
+	if next != nil {
+		p.emit(Update{Replica: next.ID, Spec: d.Spec, Reason: ReasonAdapters})
+	}
+}
+
+// updating reports whether a serving replica's members load adapters.
+func (g *group) updating() bool {
+	for _, m := range g.Members {
+		if m.State == MemberLoading {
+			return true
+		}
+	}
+	return false
+}
