--- /dev/null
+++ b/internal/control/placement/bench_test.go
@@ -0,0 +1,224 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/domain"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+)
+
+const (
+	// The fault rates are those of the letter's target: 17 failures and 200 restarts
+	// a day over 790 hosts.
+	failuresPerHostDay = 17.0 / 790
+	restartsPerHostDay = 200.0 / 790
+	traceDays          = 7
+	traceSeeds         = 10
+	perFabric          = 10
+)
+
+// alwaysWait forms what was never formed and leaves the rest to the hosts' return.
+func alwaysWait(f Fleet) []Decision {
+	p := newPlanner(&f)
+	for _, dep := range p.deploymentOrder() {
+		for range f.Deployments[dep].Replicas - p.tally(dep).claimed() {
+			p.form(dep, ReasonReplicaWanted)
+		}
+	}
+	return p.decisions
+}
+
+// alwaysRebuild dissolves a replica at the first loss and forms it anew.
+func alwaysRebuild(f Fleet) []Decision {
+	p := newPlanner(&f)
+	for i := range p.groups {
+		if g := &p.groups[i]; g.degraded() {
+			p.end(g, ReasonMemberLost)
+		}
+	}
+	for _, dep := range p.deploymentOrder() {
+		for range f.Deployments[dep].Replicas - p.tally(dep).claimed() {
+			p.form(dep, ReasonReplicaWanted)
+		}
+	}
+	return p.decisions
+}
+
+// faults draws a script of traceDays days from a seed.
+func faults(seed uint64) string {
+	r := rand.New(rand.NewPCG(seed, 4))
+	span := traceDays * 24 * time.Hour
+	var lines []string
+	at := func() time.Duration { return time.Hour + time.Duration(r.Float64()*float64(span-2*time.Hour)) }
+	about := func(floor, mean time.Duration) time.Duration {
+		return floor + time.Duration(r.ExpFloat64()*float64(mean))
+	}
+	any := func() string { return fmt.Sprint(string("abc"[r.IntN(3)]), r.IntN(perFabric)) }
+	outage := func(start, length time.Duration, verb, hosts string) {
+		lines = append(lines, fmt.Sprint(start, " ", verb, " ", hosts), fmt.Sprint(start+length, " back ", hosts))
+	}
+	fail := func(start time.Duration, h string) { outage(start, about(30*time.Minute, 2*time.Hour), "fail", h) }
+	hostDays := 3.0 * perFabric * traceDays
+	for range poisson(r, failuresPerHostDay*hostDays) {
+		fail(at(), any())
+	}
+	for range poisson(r, restartsPerHostDay*hostDays) {
+		if r.IntN(4) == 0 {
+			outage(at(), about(10*time.Second, 20*time.Second), "cut", any())
+			continue
+		}
+		outage(at(), about(20*time.Second, 40*time.Second), "lose", any())
+	}
+	whole := wholeDomain(r)
+	outage(at(), about(time.Minute, 2*time.Minute), "cut", whole)
+	outage(at(), about(20*time.Minute, 30*time.Minute), "lose", whole)
+	second := at()
+	fail(second, "b1")
+	fail(second+2*time.Minute, "b2")
+	flap := at()
+	for i := range 5 {
+		outage(flap+time.Duration(i)*10*time.Minute, time.Minute, "lose", "c3")
+	}
+	slow, straggler := at(), any()
+	lines = append(lines, fmt.Sprint(slow, " slow ", straggler), fmt.Sprint(slow+4*time.Hour, " normal ", straggler))
+	for range 4 {
+		lines = append(lines, fmt.Sprint(at(), " stop ", any()))
+	}
+	lines = append(lines, fmt.Sprint(at(), " roll ", wholeDomain(r)))
+	return strings.Join(lines, ";")
+}
+
+// wholeDomain names the hosts of a random domain.
+func wholeDomain(r *rand.Rand) string {
+	var hosts []string
+	fabric := string("abc"[r.IntN(3)])
+	for i := range perFabric {
+		hosts = append(hosts, fmt.Sprint(fabric, i))
+	}
+	return strings.Join(hosts, " ")
+}
+
+// poisson draws how many events happen where mean are expected.
+func poisson(r *rand.Rand, mean float64) int {
+	count := 0
+	for left := mean; ; count++ {
+		if left -= r.ExpFloat64(); left < 0 {
+			return count
+		}
+	}
+}
+
+// BenchmarkFaultTraces plays the same faults against each policy, with the weights
+// of each user, and reports every seed.
+func BenchmarkFaultTraces(b *testing.B) {
+	users := []struct {
+		name               string
+		downtime, stranded float64
+	}{{"cascadia", 40, 1}, {"jordan", 8, 2}}
+	policies := []struct {
+		name   string
+		decide func(Fleet) []Decision
+		cold   bool
+		extra  int
+	}{
+		{name: "always_wait", decide: alwaysWait},
+		{name: "always_rebuild", decide: alwaysRebuild},
+		{name: "decide_cold", decide: Decide, cold: true},
+		{name: "decide", decide: Decide},
+		{name: "decide_extra", decide: Decide, extra: 3},
+	}
+	for _, user := range users {
+		for _, policy := range policies {
+			for seed := range uint64(traceSeeds) {
+				b.Run(fmt.Sprintf("%s/%s/seed=%d", user.name, policy.name, seed), func(b *testing.B) {
+					drafts, lookups := deployment("drafts", 5, 4, 2), deployment("lookups", 2, 2, 1)
+					lookups.MaxReplicas = lookups.Replicas + policy.extra
+					for _, d := range []*Deployment{&drafts, &lookups} {
+						d.DowntimeWeight, d.StrandedWeight = user.downtime, user.stranded
+					}
+					var tr *trace
+					for b.Loop() {
+						tr = newTrace(b, perFabric, drafts, lookups)
+						tr.checks, tr.round, tr.decide = false, longRound, policy.decide
+						tr.fleet.Policy.PreloadSpares = !policy.cold
+						tr.script(faults(seed))
+						tr.run(time.Hour)
+						tr.down, tr.stranded, tr.slow = 0, 0, 0
+						tr.run(traceDays * 24 * time.Hour)
+					}
+					b.ReportMetric(tr.down, "down_s")
+					b.ReportMetric(tr.stranded, "stranded_acc_s")
+					b.ReportMetric(tr.slow, "slow_s")
+					b.ReportMetric(user.downtime*tr.down+user.stranded*tr.stranded, "cost")
+				})
+			}
+		}
+	}
+}
+
+// largeFleet claims the hosts of each fabric domain by groups of size, but for every
+// tenth group, whose hosts are spare.
+func largeFleet(hosts, failureSize, fabricSize, size int) Fleet {
+	d := deployment("drafts", 0, size, 1)
+	f := Fleet{Now: epoch, WeightStore: WeightStore{Rate: 4e9, HostRate: 1e9}}
+	for i := range hosts {
+		f.Hosts = append(f.Hosts, Host{
+			ID:           host.ID(fmt.Sprint("h", i)),
+			Failure:      domain.Failure(strconv.Itoa(i / failureSize)),
+			Fabric:       domain.Fabric(strconv.Itoa(i / fabricSize)),
+			Accelerators: 4, Alive: true, Weights: []Weights{{Model: "drafts", Version: "1"}},
+		})
+	}
+	for first := 0; first+size <= hosts; first += size {
+		if first%fabricSize+size > fabricSize {
+			first += fabricSize - first%fabricSize - size
+			continue
+		}
+		if first/size%10 == 9 {
+			continue
+		}
+		r := Replica{}
+		r.ID, r.Spec, r.State = replica.ID(fmt.Sprint("r", len(f.Replicas))), d.Spec, replica.StateServing
+		for i := first; i < first+size; i++ {
+			f.Hosts[i].Replica = r.ID
+			r.Hosts = append(r.Hosts, f.Hosts[i].ID)
+		}
+		f.Replicas = append(f.Replicas, r)
+	}
+	d.Replicas = len(f.Replicas)
+	f.Deployments = []Deployment{d}
+	return f
+}
+
+// BenchmarkDecide measures one decision on a quiet fleet and after the loss of a
+// failure domain.
+func BenchmarkDecide(b *testing.B) {
+	for _, hosts := range []int{30, 790} {
+		f := largeFleet(hosts, 10, 10, 4)
+		if hosts == 790 {
+			f = largeFleet(hosts, 72, 24, 8)
+		}
+		b.Run(fmt.Sprintf("hosts=%d/quiet", hosts), func(b *testing.B) { benchDecide(b, f) })
+		for i := range f.Hosts {
+			if f.Hosts[i].Failure == "0" {
+				f.Hosts[i].Alive, f.Hosts[i].Since = false, epoch.Add(-5*time.Minute)
+			}
+		}
+		b.Run(fmt.Sprintf("hosts=%d/domain_lost", hosts), func(b *testing.B) { benchDecide(b, f) })
+	}
+}
+
+func benchDecide(b *testing.B, f Fleet) {
+	b.ReportAllocs()
+	var decisions []Decision
+	for b.Loop() {
+		decisions = Decide(f)
+	}
+	b.ReportMetric(float64(len(decisions)), "decisions")
+}
--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -118,7 +118,7 @@
 type Load struct {
 	// BytesPerHost is read from the weight store by a host that does not hold the weights.
 	BytesPerHost float64
-	// LocalLoad is the time that a host needs which holds the weights.
+	// LocalLoad is the time from holding the weights to being ready.
 	LocalLoad time.Duration
 }
 
--- a/internal/control/placement/load.go
+++ b/internal/control/placement/load.go
@@ -14,7 +14,7 @@
 	if copies == 0 {
 		return d.Load.LocalLoad, 0
 	}
-	return max(d.Load.LocalLoad, p.copyTime(d, copies)), copies
+	return d.Load.LocalLoad + p.copyTime(d, copies), copies
 }
 
 // copyTime returns how long copies more hosts need at the rate they would share.
