--- a/internal/link/message/frame.go
+++ b/internal/link/message/frame.go
@@ -110,7 +110,8 @@
 	return err
 }
 
-// Read reads one frame. At a clean end of the stream it returns io.EOF.
+// Read reads one frame. At a clean end of the stream it returns io.EOF, and at an
+// end within a frame an error that wraps io.ErrUnexpectedEOF.
 func Read(r io.Reader) (Message, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
@@ -130,6 +131,9 @@
 	}
 	body := make([]byte, size-1)
 	if _, err := io.ReadFull(r, body); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF // The stream ended behind a header.
+		}
 		return nil, errors.Wrap(err, "frame body")
 	}
 	if err := decMode.Unmarshal(body, m); err != nil {
