Describe a small fleet of separate processes on loopback

Cause: the thin path must run as processes that can be killed one by one. Ruled out: generated settings; an operator should read each file. Measured: not run yet.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,18 @@
 	go vet ./...
 	$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION) run ./...
 
+.PHONY: local-up
+local-up: build ## Start the fleet of examples/local as separate processes.
+	examples/local/fleet.sh up
+
+.PHONY: local-down
+local-down: ## Stop the fleet of examples/local.
+	examples/local/fleet.sh down
+
+.PHONY: dev
+dev: build ## Run a whole fleet in one process.
+	bin/egretreach dev
+
 .PHONY: clean
 clean: ## Remove what the build made.
 	rm -rf bin
