Weigh prefill by congestion, give new prefixes a home, measure routing

Change: a second of prefill counts 1 + mean queue wait / 200 ms against a second of wait; the two rendezvous replicas of the first unknown block get half of the new prefill as bonus, so entries agree on them before cache events come.

--- a/internal/entry/routing/index.go
+++ b/internal/entry/routing/index.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -77,16 +76,14 @@
 }
 
 // match fills in the hit of every replica that is believed to hold a prefix of the
-// hashes: the number of blocks, discounted by age. It returns how many replicas match.
+// hashes: the number of blocks, discounted by age. It returns the longest match.
 func (x *prefixIndex) match(now time.Time, hashes []uint64, scope uint64, halfLife time.Duration, stamp uint64) int {
-	matched := 0
 	for depth, hash := range hashes {
 		found := 0
 		for _, h := range x.get(scoped(hash, scope)) {
 			r := h.replica
 			if depth == 0 {
 				r.hitStamp, r.hitBlocks, r.hitWeight = stamp, 0, 0
-				matched++
 			}
 			if r.hitStamp != stamp || r.hitBlocks != depth || h.at.Before(r.cacheLostAt) {
 				continue
@@ -96,10 +93,10 @@
 			found++
 		}
 		if found == 0 {
-			break
+			return depth
 		}
 	}
-	return matched
+	return len(hashes)
 }
 
 // gapTrust is the trust in a block seen before events were lost.
@@ -108,7 +105,7 @@
 func trust(age, halfLife time.Duration, beforeGap bool) float64 {
 	weight := 1.0
 	if age > 0 {
-		weight = math.Exp2(-float64(age) / float64(halfLife))
+		weight = float64(halfLife) / float64(halfLife+age)
 	}
 	if beforeGap {
 		weight *= gapTrust
--- /dev/null
+++ b/internal/entry/routing/measure_test.go
@@ -0,0 +1,307 @@
+package routing
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+)
+
+const (
+	modelReplicas = 30
+	modelEntries  = 3
+	reportEvery   = 500 * time.Millisecond
+	reportLag     = 300 * time.Millisecond
+	cacheLag      = time.Second
+	cacheLost     = 0.1
+)
+
+// chooser is one entry's policy.
+type chooser interface {
+	pick(now time.Time, j *job) int
+	view(now time.Time, routes []view.Route)
+	first(now time.Time, j *job)
+	ended(now time.Time, j *job)
+	cached(now time.Time, e CacheEvent)
+}
+
+// silent takes no feedback.
+type silent struct{}
+
+func (silent) view(time.Time, []view.Route) {}
+func (silent) first(time.Time, *job)        {}
+func (silent) ended(time.Time, *job)        {}
+func (silent) cached(time.Time, CacheEvent) {}
+
+type roundRobin struct {
+	silent
+	next int
+}
+
+func (p *roundRobin) pick(time.Time, *job) int {
+	p.next++
+	return p.next % modelReplicas
+}
+
+type prefixHash struct{ silent }
+
+func (prefixHash) pick(_ time.Time, j *job) int {
+	key := j.req.PrefixHashes[min(8, len(j.req.PrefixHashes)-1)]
+	best, rank := 0, uint64(0)
+	for i := range modelReplicas {
+		if r := mix(key, uint64(i)); r > rank {
+			best, rank = i, r
+		}
+	}
+	return best
+}
+
+type leastReported struct {
+	silent
+	rng  *rand.Rand
+	load []int
+}
+
+func (p *leastReported) view(_ time.Time, routes []view.Route) {
+	p.load = p.load[:0]
+	for _, r := range routes {
+		p.load = append(p.load, r.Load.Running+r.Load.Waiting)
+	}
+}
+
+func (p *leastReported) pick(time.Time, *job) int {
+	least, ties := slices.Min(p.load), []int(nil)
+	for i, load := range p.load {
+		if load == least {
+			ties = append(ties, i)
+		}
+	}
+	return ties[p.rng.IntN(len(ties))]
+}
+
+// routed is the policy under test.
+type routed struct{ *Router }
+
+func (p routed) view(now time.Time, routes []view.Route) { p.SetView(now, view.View{Routes: routes}) }
+
+func (p routed) pick(now time.Time, j *job) int {
+	choice, err := p.Pick(now, j.req)
+	if err != nil {
+		panic(err)
+	}
+	j.choice = choice
+	j.ticket = p.Dispatched(now, j.req, choice)
+	return slices.Index(modelIDs, choice.Route.Replica.ID)
+}
+
+func (p routed) first(now time.Time, j *job) { p.FirstToken(now, j.ticket) }
+
+func (p routed) ended(now time.Time, j *job) {
+	p.Finished(now, j.ticket, Result{Complete: true, CachedTokens: j.cached})
+}
+
+func (p routed) cached(now time.Time, e CacheEvent) { p.Cached(now, e) }
+
+var modelIDs = func() []replica.ID {
+	ids := make([]replica.ID, modelReplicas)
+	for i := range ids {
+		ids[i] = replica.ID(fmt.Sprintf("r%02d", i))
+	}
+	return ids
+}()
+
+var policies = []struct {
+	name string
+	make func(rng *rand.Rand) chooser
+}{
+	{"round robin", func(rng *rand.Rand) chooser { return &roundRobin{next: rng.IntN(modelReplicas)} }},
+	{"least reported", func(rng *rand.Rand) chooser { return &leastReported{rng: rng, load: make([]int, modelReplicas)} }},
+	{"prefix hash", func(*rand.Rand) chooser { return prefixHash{} }},
+	{"router", func(rng *rand.Rand) chooser { return routed{New(rng, Policy{})} }},
+}
+
+// figures are the results of one run.
+type figures struct {
+	p50, p95, p99 time.Duration
+	hits          float64
+	// spread is the greatest work of a replica over the mean.
+	spread float64
+}
+
+func simulate(w workload, make func(*rand.Rand) chooser, seed uint64) figures {
+	load := rand.New(rand.NewPCG(seed, 1))
+	net := rand.New(rand.NewPCG(seed, 2))
+	zipf := rand.NewZipf(load, w.skew, 1, uint64(w.documents-1))
+	var t timeline
+	engines := [modelReplicas]*engine{}
+	routes := [modelReplicas]view.Route{}
+	for i := range engines {
+		engines[i] = newEngine()
+		routes[i] = route(modelIDs[i], func(v *view.Route) { v.Load = engines[i].load() })
+	}
+	if w.straggler > 0 {
+		engines[7].slow = w.straggler
+		if !w.hidden {
+			engines[7].reported /= w.straggler
+		}
+	}
+	entries := [modelEntries]chooser{}
+	known := [modelEntries][]view.Route{}
+	for i := range entries {
+		entries[i] = make(rand.New(rand.NewPCG(seed, uint64(10+i))))
+		known[i] = slices.Clone(routes[:])
+		entries[i].view(epoch, known[i])
+	}
+	clock := func() time.Time { return epoch.Add(t.now) }
+	var done []*job
+	var run func(i int)
+	run = func(i int) {
+		e := engines[i]
+		e.busy = len(e.waiting)+len(e.running) > 0
+		if !e.busy {
+			return
+		}
+		took, first, ended := e.step()
+		t.in(took, func() {
+			for _, j := range first {
+				j.first = t.now - j.arrived
+				entries[j.entry].first(clock(), j)
+				if j.arrived >= warmUp {
+					done = append(done, j)
+				}
+			}
+			for _, j := range ended {
+				entries[j.entry].ended(clock(), j)
+			}
+			run(i)
+		})
+	}
+	var arrive func()
+	arrive = func() {
+		j := w.draw(load, zipf)
+		j.arrived, j.entry = t.now, load.IntN(modelEntries)
+		j.replica = entries[j.entry].pick(clock(), j)
+		e := engines[j.replica]
+		e.waiting = append(e.waiting, j)
+		if !e.busy {
+			run(j.replica)
+		}
+		gap := time.Duration(load.ExpFloat64() / w.rate(t.now) * float64(time.Second))
+		if t.now+gap < runFor {
+			t.in(gap, arrive)
+		}
+	}
+	t.in(0, arrive)
+	var report func(i int)
+	report = func(i int) {
+		e := engines[i]
+		e.sequence++
+		e.events++
+		load := e.load()
+		cache := CacheEvent{Replica: modelIDs[i], Sequence: e.events, Stored: e.stored, Evicted: e.evicted}
+		e.stored, e.evicted = nil, nil
+		for k, entry := range entries {
+			t.in(reportLag/2+time.Duration(net.Int64N(int64(reportLag))), func() {
+				if load.Sequence > known[k][i].Load.Sequence {
+					known[k][i].Load = load
+					entry.view(clock(), known[k])
+				}
+			})
+			if net.Float64() >= cacheLost {
+				t.in(cacheLag/2+time.Duration(net.Int64N(int64(cacheLag))), func() { entry.cached(clock(), cache) })
+			}
+		}
+		if t.now < runFor {
+			t.in(reportEvery, func() { report(i) })
+		}
+	}
+	for i := range engines {
+		t.in(time.Duration(net.Int64N(int64(reportEvery))), func() { report(i) })
+	}
+	t.run()
+	return sum(done, engines[:])
+}
+
+func sum(done []*job, engines []*engine) figures {
+	slices.SortFunc(done, func(a, b *job) int { return cmp.Compare(a.first, b.first) })
+	at := func(q float64) time.Duration { return done[int(q*float64(len(done)-1))].first }
+	prompt, cached := 0, 0
+	for _, j := range done {
+		prompt += j.req.PromptTokens
+		cached += j.cached
+	}
+	most, total := time.Duration(0), time.Duration(0)
+	for _, e := range engines {
+		most = max(most, e.worked)
+		total += e.worked
+	}
+	return figures{
+		p50: at(0.5), p95: at(0.95), p99: at(0.99), hits: float64(cached) / float64(prompt),
+		spread: float64(most) * float64(len(engines)) / float64(total),
+	}
+}
+
+var seeds = flag.Uint64("seeds", 1, "number of seeds of the measurement")
+
+// TestRoutingAgainstSimplePolicies holds the router's 95th percentile to the
+// target, and to no more than that of any simple policy, on every seed.
+func TestRoutingAgainstSimplePolicies(t *testing.T) {
+	const target = 1600 * time.Millisecond
+	for _, w := range workloads {
+		for seed := uint64(1); seed <= *seeds; seed++ {
+			t.Run(fmt.Sprint(w.name, "/", seed), func(t *testing.T) {
+				best := target
+				for _, p := range policies {
+					f := simulate(w, p.make, seed)
+					t.Logf("| %s | %d | %s | %d | %d | %d | %.0f %% | %.2f |", w.name, seed, p.name,
+						f.p50.Milliseconds(), f.p95.Milliseconds(), f.p99.Milliseconds(), 100*f.hits, f.spread)
+					if p.name == "router" {
+						require.LessOrEqual(t, f.p95, best)
+					}
+					best = min(best, f.p95)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, replicas := range []int{30, 800} {
+		b.Run(strconv.Itoa(replicas), func(b *testing.B) {
+			routes := make([]view.Route, replicas)
+			for i := range routes {
+				routes[i] = route(replica.ID(fmt.Sprint("r", i)))
+			}
+			r := newRouter(routes...)
+			rng := rand.New(rand.NewPCG(1, 1))
+			w := workloads[0]
+			zipf := rand.NewZipf(rng, w.skew, 1, uint64(w.documents-1))
+			jobs := make([]*job, 1024)
+			for i := range jobs {
+				jobs[i] = w.draw(rng, zipf)
+			}
+			now := epoch
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				now = now.Add(time.Millisecond)
+				req := jobs[n%len(jobs)].req
+				choice, err := r.Pick(now, req)
+				if err != nil {
+					b.Fatal(err)
+				}
+				ticket := r.Dispatched(now, req, choice)
+				r.FirstToken(now, ticket)
+				r.Finished(now, ticket, Result{Complete: true, CachedTokens: -1})
+			}
+		})
+	}
+}
--- a/internal/entry/routing/pick.go
+++ b/internal/entry/routing/pick.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,8 @@
 type candidate struct {
 	state *state
 	score float64
+	wait  float64
+	slow  float64
 	first float64
 	hit   int
 }
@@ -26,11 +29,11 @@
 	}
 	scope := scopeOf(req.Adapter)
 	r.tickets++
-	hits := r.prefixes.match(now, req.PrefixHashes, scope, r.policy.HitHalfLife, uint64(r.tickets))
+	matched := r.prefixes.match(now, req.PrefixHashes, scope, r.policy.HitHalfLife, uint64(r.tickets))
 	if err := r.collect(g, req); err != nil {
 		return Choice{}, err
 	}
-	best := r.score(now, g, req, hits > 0, uint64(r.tickets))
+	best := r.score(now, g, req, matched, uint64(r.tickets))
 	chosen := r.choose(best, req.BodyHash)
 	return Choice{
 		Route:      chosen.state.route,
@@ -100,29 +103,43 @@
 }
 
 // score fills in the scores of scratch and returns the best one.
-func (r *Router) score(now time.Time, g *group, req Request, hits bool, stamp uint64) float64 {
+func (r *Router) score(now time.Time, g *group, req Request, matched int, stamp uint64) float64 {
 	duration := time.Duration(g.duration.or(assumedDuration.Seconds()) * float64(time.Second))
 	groupLog := g.slow.decayed(now)
-	home := r.home(req, hits)
-	best := 0.0
+	total := 0.0
 	for i := range r.scratch {
 		c := &r.scratch[i]
-		s := c.state
-		hit := s.hitTokens(req, stamp)
-		prefill := (float64(req.PromptTokens) - hit) / s.prefillRate()
+		c.slow = c.state.slow.factor(now, groupLog)
+		c.wait = c.state.queueWait(now, duration)
+		total += c.wait
+	}
+	weight := r.prefillWeight(total / float64(len(r.scratch)))
+	home, bonus := r.home(req, matched)
+	best := math.Inf(1)
+	for i := range r.scratch {
+		c := &r.scratch[i]
+		hit := c.state.hitTokens(req, stamp)
+		prefill := (float64(req.PromptTokens) - hit) / c.state.prefillRate()
 		c.hit = int(hit)
-		c.first = (s.queueWait(now, duration) + prefill) * s.slow.factor(now, groupLog)
-		c.score = c.first
-		if home[0] == s || home[1] == s {
-			c.score -= r.policy.Affinity.Seconds()
-		}
-		if i == 0 || c.score < best {
-			best = c.score
+		c.first = (c.wait + prefill) * c.slow
+		c.score = c.first + (weight-1)*prefill*c.slow
+		if home[0] == c.state || home[1] == c.state {
+			c.score -= bonus / c.state.prefillRate()
 		}
+		best = min(best, c.score)
 	}
 	return best
 }
 
+// prefillWeight returns what a second of prefill counts against a second of wait.
+// Where requests queue, prefill also delays what stands behind it, and a prefix
+// that spills over to another replica costs all of them.
+func (r *Router) prefillWeight(meanWait float64) float64 {
+	return min(maxPrefillWeight, 1+meanWait/r.policy.Congestion.Seconds())
+}
+
+const maxPrefillWeight = 16.0
+
 // hitTokens returns how many prompt tokens are believed to be cached on s.
 func (s *state) hitTokens(req Request, stamp uint64) float64 {
 	if s.hitStamp != stamp || len(req.PrefixHashes) == 0 {
@@ -131,15 +148,16 @@
 	return float64(req.PromptTokens) * s.hitWeight / float64(len(req.PrefixHashes))
 }
 
-// home names two replicas for a prefix that no replica is known to hold, by
-// rendezvous hashing (Thaler and Ravishankar 1998). Entries that do not hear of
-// each other's dispatches agree on them.
-func (r *Router) home(req Request, hits bool) [2]*state {
-	var home [2]*state
-	if hits || len(req.PrefixHashes) == 0 {
-		return home
+// home names two replicas for a prompt by rendezvous hashing (Thaler and
+// Ravishankar 1998) on the first block that no replica is known to hold, and the
+// bonus of these two in tokens. Entries that do not hear of each other's
+// dispatches agree on them.
+func (r *Router) home(req Request, matched int) (home [2]*state, bonus float64) {
+	left := len(req.PrefixHashes) - matched
+	if left < minHomeBlocks {
+		return home, 0
 	}
-	key := req.PrefixHashes[0]
+	key := req.PrefixHashes[matched]
 	var first, second uint64
 	for _, c := range r.scratch {
 		switch rank := mix(key, c.state.seed); {
@@ -150,9 +168,12 @@
 			home[1], second = c.state, rank
 		}
 	}
-	return home
+	return home, r.policy.Affinity * float64(req.PromptTokens*left) / float64(len(req.PrefixHashes))
 }
 
+// minHomeBlocks is the least new part of a prompt that is worth a home.
+const minHomeBlocks = 2
+
 // choose draws two of the candidates close to the best and returns the better.
 func (r *Router) choose(best float64, bodyHash uint64) candidate {
 	bound := best + r.policy.Slack.Seconds() + r.policy.SlackRatio*max(0, best)
--- a/internal/entry/routing/routing.go
+++ b/internal/entry/routing/routing.go
@@ -29,9 +29,11 @@
 	SlackRatio float64
 	// HitHalfLife is the age at which a believed prefix hit counts half.
 	HitHalfLife time.Duration
-	// Affinity is the bonus of the two replicas that rendezvous hashing names for
-	// a prefix which no replica is known to hold.
-	Affinity time.Duration
+	// Affinity is the bonus, as a part of the prefill, of the two replicas that
+	// rendezvous hashing names for a prefix which no replica is known to hold.
+	Affinity float64
+	// Congestion is the mean queue wait at which a second of prefill counts twice.
+	Congestion time.Duration
 	// PrefixBlocks bounds the prefix blocks remembered, over all replicas.
 	PrefixBlocks int
 }
@@ -41,8 +43,9 @@
 	DefaultReportLag    = 300 * time.Millisecond
 	DefaultSlack        = 20 * time.Millisecond
 	DefaultSlackRatio   = 0.1
-	DefaultHitHalfLife  = 2 * time.Minute
-	DefaultAffinity     = 100 * time.Millisecond
+	DefaultHitHalfLife  = 10 * time.Minute
+	DefaultAffinity     = 0.5
+	DefaultCongestion   = 200 * time.Millisecond
 	DefaultPrefixBlocks = 1 << 17
 )
 
@@ -62,6 +65,9 @@
 	if p.Affinity <= 0 {
 		p.Affinity = DefaultAffinity
 	}
+	if p.Congestion <= 0 {
+		p.Congestion = DefaultCongestion
+	}
 	if p.PrefixBlocks <= 0 {
 		p.PrefixBlocks = DefaultPrefixBlocks
 	}
--- a/internal/entry/routing/slowness.go
+++ b/internal/entry/routing/slowness.go
@@ -52,7 +52,8 @@
 func (s *slowness) add(now time.Time, observed, predicted time.Duration) {
 	ratio := float64(observed+slowFloor) / float64(predicted+slowFloor)
 	sample := math.Log(min(slowMax, max(1/slowMax, ratio)))
-	s.log = s.decayed(now) + slowWeight*(sample-s.decayed(now))
+	past := s.decayed(now)
+	s.log = past + slowWeight*(sample-past)
 	s.at = now
 }
 
@@ -60,15 +61,17 @@
 	if s.log == 0 {
 		return 0
 	}
-	return s.log * math.Exp2(-max(0, now.Sub(s.at).Seconds())/slowHalfLife.Seconds())
+	age := max(0, now.Sub(s.at))
+	return s.log * float64(slowHalfLife) / float64(slowHalfLife+age)
 }
 
 // factor returns how much slower than its group a replica is, at least 1.
 func (s *slowness) factor(now time.Time, groupLog float64) float64 {
-	if s.log == 0 {
+	over := s.decayed(now) - max(0, groupLog)
+	if over <= 0 {
 		return 1
 	}
-	return math.Exp(max(0, s.decayed(now)-max(0, groupLog)))
+	return math.Exp(over)
 }
 
 func seedOf(id replica.ID) uint64 { return xxh3.HashString(string(id)) }
