--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -22,6 +22,7 @@
 	Entry      entryCommand      `cmd:"" help:"Run an entry: the daemon that callers reach."`
 	Agent      agentCommand      `cmd:"" help:"Run an agent: the daemon beside a host's endpoints."`
 	Dev        devCommand        `cmd:"" help:"Run a whole fleet with stand-in engines in one process."`
+	Load       loadCommand       `cmd:"" help:"Drive callers at a running fleet and check their answers."`
 	Engine     engineCommand     `cmd:"" help:"Run the stand-in for a model engine."`
 	Service    serviceCommand    `cmd:"" help:"Run the stand-in for a plain service."`
 	Config     configCommand     `cmd:"" help:"Check fleet configurations."`
--- a/internal/link/message/fuzz_test.go
+++ b/internal/link/message/fuzz_test.go
@@ -53,6 +53,8 @@
 		v.SetInt(7)
 	case reflect.Uint8, reflect.Uint32, reflect.Uint64:
 		v.SetUint(7)
+	default:
+		panic("no message has a field of kind " + v.Kind().String())
 	}
 }
 
--- /dev/null
+++ b/internal/standin/caller/plan.go
@@ -0,0 +1,142 @@
+// Package caller drives callers at a running fleet: open-loop seeded arrivals by team
+// and class, with every answer checked against its request.
+package caller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/team"
+)
+
+// Kind is what a caller asks for.
+type Kind string
+
+// The kinds of request.
+const (
+	KindStream  Kind = "stream"
+	KindWhole   Kind = "whole"
+	KindLookup  Kind = "lookup"
+	KindSignoff Kind = "signoff"
+)
+
+// Team is a team of callers and its share of the arrivals.
+type Team struct {
+	ID     team.ID
+	Token  string
+	Weight float64
+	Class  team.Class
+}
+
+// Plan says which requests arrive when.
+type Plan struct {
+	Seed uint64
+	// Rate is arrivals per second, with exponential gaps.
+	Rate     float64
+	Duration time.Duration
+	Teams    []Team
+	// Mix are the weights of the kinds.
+	Mix map[Kind]float64
+	// Model is the model asked for.
+	Model string
+	// PromptWords and MaxTokens are the mean lengths of prompts and answers.
+	PromptWords int
+	MaxTokens   int
+	// Prefixes is the number of long shared prompt beginnings; 0 is none.
+	Prefixes int
+}
+
+// Arrival is one request to be sent.
+type Arrival struct {
+	// At is the intended start, counted from the start of the run.
+	At    time.Duration
+	Team  Team
+	Kind  Kind
+	Body  string
+	Key   string
+	Badge string
+}
+
+const prefixWords = 200
+
+// Arrivals lists the plan's requests. The same plan gives the same list.
+func (p Plan) Arrivals() []Arrival {
+	rng := rand.New(rand.NewPCG(p.Seed, p.Seed)) //nolint:gosec // A repeatable load wants a seeded source.
+	prefixes := make([]string, p.Prefixes)
+	for i := range prefixes {
+		prefixes[i] = words(rng, prefixWords)
+	}
+	var list []Arrival
+	for at := p.gap(rng); at < p.Duration; at += p.gap(rng) {
+		list = append(list, p.arrival(rng, at, len(list), prefixes))
+	}
+	return list
+}
+
+func (p Plan) gap(rng *rand.Rand) time.Duration {
+	return time.Duration(rng.ExpFloat64() / p.Rate * float64(time.Second))
+}
+
+func (p Plan) arrival(rng *rand.Rand, at time.Duration, n int, prefixes []string) Arrival {
+	a := Arrival{At: at, Team: p.drawTeam(rng), Kind: p.drawKind(rng)}
+	switch a.Kind {
+	case KindSignoff:
+		a.Badge = fmt.Sprintf("badge-%d-%d", p.Seed, n)
+		a.Body = fmt.Sprintf(`{"badge":%q}`, a.Badge)
+		a.Key = a.Badge
+	case KindStream, KindWhole:
+		a.Body = p.generation(rng, n, a.Kind == KindStream, prefixes)
+	case KindLookup:
+	}
+	return a
+}
+
+func (p Plan) generation(rng *rand.Rand, n int, stream bool, prefixes []string) string {
+	text := fmt.Sprintf("request %d: %s", n, words(rng, 1+rng.IntN(2*p.PromptWords)))
+	if len(prefixes) > 0 {
+		text = prefixes[rng.IntN(len(prefixes))] + " " + text
+	}
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
+		p.Model, stream, 1+rng.IntN(2*p.MaxTokens), text)
+}
+
+func (p Plan) drawTeam(rng *rand.Rand) Team {
+	total := 0.0
+	for _, t := range p.Teams {
+		total += t.Weight
+	}
+	at := rng.Float64() * total
+	for _, t := range p.Teams {
+		if at -= t.Weight; at < 0 {
+			return t
+		}
+	}
+	return p.Teams[len(p.Teams)-1]
+}
+
+func (p Plan) drawKind(rng *rand.Rand) Kind {
+	kinds := []Kind{KindStream, KindWhole, KindLookup, KindSignoff}
+	total := 0.0
+	for _, k := range kinds {
+		total += p.Mix[k]
+	}
+	at := rng.Float64() * total
+	for _, k := range kinds {
+		if at -= p.Mix[k]; at < 0 {
+			return k
+		}
+	}
+	return KindStream
+}
+
+var vocabulary = strings.Fields("badge camping counselor court honor beam lock upright bay rack inspect finding load sign registrar troop summary site history")
+
+func words(rng *rand.Rand, n int) string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = vocabulary[rng.IntN(len(vocabulary))]
+	}
+	return strings.Join(list, " ")
+}
--- /dev/null
+++ b/internal/standin/caller/report.go
@@ -0,0 +1,176 @@
+package caller
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	histogramMin    = int64(10 * time.Microsecond)
+	histogramMax    = int64(10 * time.Minute)
+	histogramDigits = 3
+)
+
+// Report is what the callers saw. Latencies are counted from the intended start.
+type Report struct {
+	Seed     uint64         `json:"seed"`
+	Rate     float64        `json:"rate"`
+	Elapsed  time.Duration  `json:"elapsed_ns"`
+	Sent     int            `json:"sent"`
+	Outcomes map[string]int `json:"outcomes"`
+	// Codes counts the answers that were not whole by their code.
+	Codes map[string]int `json:"codes"`
+	// Lost are requests without any answer: the connection failed.
+	Lost int `json:"lost"`
+	// Wrong are whole answers that are not the answer to their request.
+	Wrong int `json:"wrong"`
+	// RanTwice are sign-offs that ran more than once, RanUntold those that ran
+	// though the caller was told that they did not.
+	RanTwice  int     `json:"ran_twice"`
+	RanUntold int     `json:"ran_untold"`
+	Groups    []Group `json:"groups"`
+
+	mu     sync.Mutex
+	groups map[string]*group
+	told   map[string]string
+}
+
+// Group is the latency of one team, class and kind.
+type Group struct {
+	Name       string `json:"name"`
+	Complete   int    `json:"complete"`
+	FirstToken Times  `json:"first_token"`
+	TokenGap   Times  `json:"token_gap"`
+	Total      Times  `json:"total"`
+}
+
+// Times are quantiles of a duration.
+type Times struct {
+	P50 time.Duration `json:"p50_ns"`
+	P95 time.Duration `json:"p95_ns"`
+	P99 time.Duration `json:"p99_ns"`
+	Max time.Duration `json:"max_ns"`
+}
+
+type group struct {
+	complete                 int
+	firstToken, gap, overall *hdrhistogram.Histogram
+}
+
+func newReport(p Plan) *Report {
+	return &Report{
+		Seed: p.Seed, Rate: p.Rate, Outcomes: map[string]int{}, Codes: map[string]int{},
+		groups: map[string]*group{}, told: map[string]string{},
+	}
+}
+
+func (r *Report) add(a Arrival, intended time.Time, res result, err error, right bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Sent++
+	if a.Kind == KindSignoff {
+		r.told[a.Body] = res.outcome
+	}
+	if err != nil {
+		r.Lost++
+		return
+	}
+	r.Outcomes[res.outcome]++
+	if res.outcome != "complete" {
+		r.Codes[res.code]++
+		return
+	}
+	if !right {
+		r.Wrong++
+	}
+	r.time(a, intended, res)
+}
+
+func (r *Report) time(a Arrival, intended time.Time, res result) {
+	name := fmt.Sprintf("%s/%s/%s", a.Team.ID, a.Team.Class, a.Kind)
+	g := r.groups[name]
+	if g == nil {
+		g = &group{firstToken: histogram(), gap: histogram(), overall: histogram()}
+		r.groups[name] = g
+	}
+	g.complete++
+	_ = g.overall.RecordValue(int64(time.Since(intended)))
+	if res.tokens > 0 {
+		_ = g.firstToken.RecordValue(int64(res.first.Sub(intended)))
+	}
+	if res.tokens > 1 {
+		_ = g.gap.RecordValue(int64(res.last.Sub(res.first)) / int64(res.tokens-1))
+	}
+}
+
+func histogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramMin, histogramMax, histogramDigits)
+}
+
+func (r *Report) countRuns(byBody map[string]int) {
+	for body, told := range r.told {
+		runs := byBody[body]
+		if runs > 1 {
+			r.RanTwice++
+		}
+		if runs > 0 && told == "not_run" {
+			r.RanUntold++
+		}
+	}
+}
+
+// Broken says which promise the run saw broken, or is empty.
+func (r *Report) Broken() string {
+	switch {
+	case r.Wrong > 0:
+		return fmt.Sprintf("%d answers are not those of their requests", r.Wrong)
+	case r.RanTwice > 0:
+		return fmt.Sprintf("%d sign-offs ran twice", r.RanTwice)
+	case r.RanUntold > 0:
+		return fmt.Sprintf("%d sign-offs ran that were said not to have run", r.RanUntold)
+	default:
+		return ""
+	}
+}
+
+// Finish fills in the quantiles; call it before the report is written.
+func (r *Report) Finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Groups = nil
+	for name, g := range r.groups {
+		r.Groups = append(r.Groups, Group{
+			Name: name, Complete: g.complete, FirstToken: times(g.firstToken), TokenGap: times(g.gap), Total: times(g.overall),
+		})
+	}
+	sort.Slice(r.Groups, func(i, j int) bool { return r.Groups[i].Name < r.Groups[j].Name })
+}
+
+func times(h *hdrhistogram.Histogram) Times {
+	return Times{
+		P50: time.Duration(h.ValueAtQuantile(50)), P95: time.Duration(h.ValueAtQuantile(95)),
+		P99: time.Duration(h.ValueAtQuantile(99)), Max: time.Duration(h.Max()),
+	}
+}
+
+// WriteTable writes the report for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "sent %d\tlost %d\twrong %d\tran twice %d\tran untold %d\n", r.Sent, r.Lost, r.Wrong, r.RanTwice, r.RanUntold)
+	fmt.Fprintf(table, "outcomes %v\tcodes %v\n", r.Outcomes, r.Codes)
+	fmt.Fprintln(table, "team/class/kind\tcomplete\tfirst token p50\tp95\tp99\ttoken gap p95\ttotal p50\tp95\tp99")
+	for _, g := range r.Groups {
+		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", g.Name, g.Complete,
+			round(g.FirstToken.P50), round(g.FirstToken.P95), round(g.FirstToken.P99), round(g.TokenGap.P95),
+			round(g.Total.P50), round(g.Total.P95), round(g.Total.P99))
+	}
+	return table.Flush()
+}
+
+func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -93,6 +93,7 @@
 	start    string
 	down     chan struct{}
 	isDown   bool
+	crashes  int
 	fence    uint64
 	place    protocol.Order
 	loadedAt time.Time
@@ -160,12 +161,20 @@
 		return
 	}
 	e.isDown = true
+	e.crashes++
 	close(e.down)
 	if e.opts.RestartAfter > 0 {
 		time.AfterFunc(e.opts.RestartAfter, e.Restart)
 	}
 }
 
+// Crashes returns how often the engine has crashed.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
 // Restart brings a crashed engine back without a model, its memory lost.
 func (e *Engine) Restart() {
 	e.mu.Lock()
--- a/internal/standin/fleet/sockets.go
+++ b/internal/standin/fleet/sockets.go
@@ -63,6 +63,17 @@
 	return m.addresses[id]
 }
 
+// IPs returns the addresses of all hosts so far.
+func (m *Memory) IPs() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ips := make([]string, 0, len(m.addresses))
+	for _, ip := range m.addresses {
+		ips = append(ips, ip)
+	}
+	return ips
+}
+
 // Stream implements Sockets.
 func (m *Memory) Stream(name string) (net.Listener, http.RoundTripper, error) {
 	listener := packet.NewListener(name)
