--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -19,15 +19,15 @@
 // Policy bounds the ledger in time and space. The zero value takes the defaults.
 type Policy struct {
 	// CompleteFor is how long a completed claim is kept.
-	CompleteFor time.Duration
+	CompleteFor time.Duration `cbor:"1,keyasint,omitempty"`
 	// PendingFor is how long a running or unknown claim is kept.
-	PendingFor time.Duration
+	PendingFor time.Duration `cbor:"2,keyasint,omitempty"`
 	// MaxClaims bounds the claims kept.
-	MaxClaims int
+	MaxClaims int `cbor:"3,keyasint,omitempty"`
 	// MaxAnswerBytes bounds one stored answer; a larger one is dropped.
-	MaxAnswerBytes int
+	MaxAnswerBytes int `cbor:"4,keyasint,omitempty"`
 	// MaxAnswersBytes bounds all stored answers together; beyond it answers are dropped.
-	MaxAnswersBytes int
+	MaxAnswersBytes int `cbor:"5,keyasint,omitempty"`
 }
 
 // Defaults of Policy.
@@ -60,7 +60,7 @@
 
 // Ledger holds the claims. The zero value is empty and takes the default Policy.
 type Ledger struct {
-	// Policy is the same on every control host; it is not part of a snapshot.
+	// Policy must be the same on every control host. It is not part of a Snapshot.
 	Policy Policy
 
 	claims    map[key]*claim
--- a/internal/control/server/board.go
+++ b/internal/control/server/board.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"slices"
+	"strconv"
 
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
@@ -13,11 +14,15 @@
 // board holds the fleet view with the version at which each part last changed, so
 // that each entry is sent only what it has not had.
 type board struct {
-	version  uint64
-	term     uint64
-	revision view.Revision
-	routes   map[string]posted[view.Route]
-	services map[string]posted[view.Service]
+	version    uint64
+	term       uint64
+	revision   view.Revision
+	routes     map[string]posted[view.Route]
+	services   map[string]posted[view.Service]
+	quarantine map[string]posted[view.Quarantine]
+	// freedAt is the version at which a body was last freed. A push that spans it
+	// carries the whole view, since Removed does not name bodies.
+	freedAt uint64
 	// removed are the versions at which routes and services went.
 	removed map[string]uint64
 	// ready says that the view is fit to be pushed.
@@ -31,9 +36,10 @@
 
 func newBoard() *board {
 	return &board{
-		routes:   map[string]posted[view.Route]{},
-		services: map[string]posted[view.Service]{},
-		removed:  map[string]uint64{},
+		routes:     map[string]posted[view.Route]{},
+		services:   map[string]posted[view.Service]{},
+		quarantine: map[string]posted[view.Quarantine]{},
+		removed:    map[string]uint64{},
 	}
 }
 
@@ -44,6 +50,11 @@
 	next := b.version + 1
 	changed := post(b.routes, b.removed, p.routes(), next)
 	changed = post(b.services, b.removed, p.services(), next) || changed
+	freed := map[string]uint64{}
+	changed = post(b.quarantine, freed, p.bodies(), next) || changed
+	if len(freed) > 0 {
+		b.freedAt = next
+	}
 	if changed || !b.ready {
 		b.version = next
 	}
@@ -73,6 +84,9 @@
 
 // since returns a push of what changed after a version; 0 asks for the whole view.
 func (b *board) since(version uint64) *message.ViewPush {
+	if version < b.freedAt {
+		version = 0
+	}
 	push := &message.ViewPush{Delta: version > 0}
 	push.View.Epoch = b.term
 	push.View.Sequence = b.version
@@ -87,6 +101,11 @@
 			push.View.Services = append(push.View.Services, s.value)
 		}
 	}
+	for _, id := range slices.Sorted(keysOf(b.quarantine)) {
+		if q := b.quarantine[id]; q.version > version {
+			push.View.Quarantine = append(push.View.Quarantine, q.value)
+		}
+	}
 	if version == 0 {
 		return push
 	}
@@ -129,6 +148,15 @@
 	return routes
 }
 
+// bodies returns the suspect and quarantined bodies.
+func (p *picture) bodies() map[string]view.Quarantine {
+	bodies := make(map[string]view.Quarantine, len(p.quarantine))
+	for _, q := range p.quarantine {
+		bodies[strconv.FormatUint(q.BodyHash, 16)] = q
+	}
+	return bodies
+}
+
 // services returns the endpoints of plain services that may be given calls.
 func (p *picture) services() map[string]view.Service {
 	services := map[string]view.Service{}
--- a/internal/control/server/call.go
+++ b/internal/control/server/call.go
@@ -76,7 +76,7 @@
 	switch m.(type) {
 	case *message.Quorum:
 		return host.RoleControl
-	case *message.Claim, *message.Settle:
+	case *message.Claim, *message.Settle, *message.SuspectsCleared:
 		return host.RoleEntry
 	case *message.CrashReport:
 		return host.RoleAgent
--- a/internal/control/server/config.go
+++ b/internal/control/server/config.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/pkg/errors"
 
+	"github.com/egretreach/egretreach/internal/control/ledger"
+	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/fleet/config"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/view"
@@ -51,6 +53,21 @@
 	return []string{err.Error()}
 }
 
+// ledgerPolicy returns the bounds of the ledger that a configuration asks for.
+func ledgerPolicy(v config.Ledger) ledger.Policy {
+	return ledger.Policy{
+		CompleteFor: v.Retention, PendingFor: max(v.Retention, ledger.DefaultPendingFor), MaxClaims: v.MaxKeys,
+		MaxAnswerBytes: int(v.MaxAnswer), MaxAnswersBytes: int(v.MaxBytes),
+	}
+}
+
+// quarantinePolicy returns the bounds of the quarantine that a configuration asks for.
+func quarantinePolicy(v config.Quarantine) quarantine.Policy {
+	return quarantine.Policy{
+		SuspectFor: v.SuspectFor, QuarantineFor: v.RefuseFor, MaxEntries: v.MaxEntries,
+	}
+}
+
 func specOf(d config.Deployment) replica.Spec {
 	return replica.Spec{
 		Deployment: d.Name, Model: d.Model, Version: d.Version, Adapters: d.Adapters, Role: string(d.Role),
--- a/internal/control/server/operator.go
+++ b/internal/control/server/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/egretreach/egretreach/internal/control/state"
 	"github.com/egretreach/egretreach/internal/fleet/config"
@@ -23,13 +24,26 @@
 		m.Operator = string(peer.Host)
 		return l.applyConfig(ctx, m)
 	case *message.Drain:
-		_, err := s.propose(ctx, state.Drain{Host: m.Host, Undo: m.Undo, Reason: m.Reason})
-		return &message.Ack{}, err
+		return l.ack(ctx, state.Drain{Host: m.Host, Undo: m.Undo, Reason: m.Reason})
+	case *message.CrashReport:
+		return l.ack(ctx, state.Crash{Report: *m})
+	case *message.SuspectsCleared:
+		return l.ack(ctx, state.ClearSuspects{BodyHashes: m.BodyHashes})
+	case *message.QuarantineClear:
+		return l.ack(ctx, state.ClearQuarantine{BodyHash: m.BodyHash})
 	default:
 		return l.query(ctx, m)
 	}
 }
 
+// ack commits a change that has no result of its own.
+func (l *leader) ack(ctx context.Context, c state.Command) (message.Message, error) {
+	if _, err := l.server.propose(ctx, c); err != nil {
+		return nil, err
+	}
+	return &message.Ack{}, nil
+}
+
 // query answers a call that changes nothing, from a state that the quorum confirms.
 func (l *leader) query(ctx context.Context, m message.Message) (message.Message, error) {
 	s := l.server
@@ -45,13 +59,18 @@
 		var result message.RequestResult
 		s.store.read(func(machine *state.Machine) { result = machine.Request(m.Request) })
 		return &result, nil
+	case *message.QuarantineQuery:
+		var result message.QuarantineResult
+		s.store.read(func(machine *state.Machine) { result.Entries = machine.Quarantine(time.Now()) })
+		return &result, nil
 	default:
 		return nil, ErrCall{Code: codeMalformed, Reason: "not a call to control"}
 	}
 }
 
 func (l *leader) applyConfig(ctx context.Context, m *message.ApplyConfig) (message.Message, error) {
-	if _, err := config.Parse(configName, m.YAML); err != nil {
+	parsed, err := config.Parse(configName, m.YAML)
+	if err != nil {
 		return &message.ApplyResult{Problems: problems(err)}, nil
 	}
 	if m.ChangeID == "" {
@@ -64,6 +83,8 @@
 	}
 	result, err := l.server.propose(ctx, state.ApplyConfig{
 		YAML: m.YAML, Base: m.Base, ChangeID: m.ChangeID, Operator: m.Operator,
+		Ledger:     ledgerPolicy(parsed.Defaults.Ledger),
+		Quarantine: quarantinePolicy(parsed.Defaults.Quarantine),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/control/server/picture.go
+++ b/internal/control/server/picture.go
@@ -14,12 +14,13 @@
 
 // picture is the fleet at one moment: what is durable and what the daemons said last.
 type picture struct {
-	now      time.Time
-	term     uint64
-	config   *config.Fleet
-	revision view.Revision
-	hosts    []state.Host
-	replicas []state.Replica
+	now        time.Time
+	term       uint64
+	config     *config.Fleet
+	revision   view.Revision
+	hosts      []state.Host
+	replicas   []state.Replica
+	quarantine []view.Quarantine
 	// daemons are copies of the membership table's, by host.
 	daemons map[host.ID]membership.Daemon
 	// leases are when the daemons' leases have lapsed at the latest.
@@ -38,6 +39,7 @@
 	l.server.store.read(func(m *state.Machine) {
 		p.hosts = m.Hosts()
 		p.replicas = m.Replicas()
+		p.quarantine = m.Quarantine(now)
 		revision, yaml, _ := m.Config(0)
 		p.revision = revision
 		p.config = l.fleet.get(revision, yaml)
--- a/internal/control/server/store.go
+++ b/internal/control/server/store.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 
-	"github.com/egretreach/egretreach/internal/control/ledger"
 	"github.com/egretreach/egretreach/internal/control/state"
 )
 
@@ -15,15 +14,20 @@
 }
 
 func newStore() *store {
-	return &store{machine: state.New(ledger.Policy{}), changed: make(chan struct{}, 1)}
+	return &store{machine: state.New(), changed: make(chan struct{}, 1)}
 }
 
 // Apply implements Machine.
 func (s *store) Apply(index uint64, command []byte) any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	defer s.tell()
-	return s.machine.Apply(index, command)
+	result := s.machine.Apply(index, command)
+	switch result.(type) {
+	case state.Claimed, state.Settled:
+	default:
+		s.tell()
+	}
+	return result
 }
 
 // Snapshot implements Machine.
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -6,6 +6,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/egretreach/egretreach/internal/control/ledger"
+	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/view"
@@ -22,6 +24,9 @@
 	Base     view.Revision `cbor:"2,keyasint"`
 	ChangeID string        `cbor:"3,keyasint"`
 	Operator string        `cbor:"4,keyasint"`
+	// Ledger and Quarantine are the policies that the configuration asks for.
+	Ledger     ledger.Policy     `cbor:"5,keyasint"`
+	Quarantine quarantine.Policy `cbor:"6,keyasint"`
 }
 
 // Admit makes an incarnation the one that may hold its host's lease. The leader
@@ -93,6 +98,24 @@
 	Items []message.SettleItem `cbor:"1,keyasint"`
 }
 
+// Crash counts a crash of an engine against the bodies in flight there. It answers
+// with QuarantineChanged.
+type Crash struct {
+	Report message.CrashReport `cbor:"1,keyasint"`
+}
+
+// ClearSuspects frees suspects that have run to their end. It answers with
+// QuarantineChanged.
+type ClearSuspects struct {
+	BodyHashes []uint64 `cbor:"1,keyasint"`
+}
+
+// ClearQuarantine frees a body at an operator's word, 0 all. It answers with
+// QuarantineChanged.
+type ClearQuarantine struct {
+	BodyHash uint64 `cbor:"1,keyasint"`
+}
+
 type commandNumber uint8
 
 // The commands on disk. A number is never given again.
@@ -108,19 +131,25 @@
 	commandDrain
 	commandClaim
 	commandSettle
+	commandCrash
+	commandClearSuspects
+	commandClearQuarantine
 )
 
-func (ApplyConfig) number() commandNumber { return commandApplyConfig }
-func (Admit) number() commandNumber       { return commandAdmit }
-func (Form) number() commandNumber        { return commandForm }
-func (Swap) number() commandNumber        { return commandSwap }
-func (Update) number() commandNumber      { return commandUpdate }
-func (Advance) number() commandNumber     { return commandAdvance }
-func (Dissolve) number() commandNumber    { return commandDissolve }
-func (Release) number() commandNumber     { return commandRelease }
-func (Drain) number() commandNumber       { return commandDrain }
-func (Claim) number() commandNumber       { return commandClaim }
-func (Settle) number() commandNumber      { return commandSettle }
+func (ApplyConfig) number() commandNumber     { return commandApplyConfig }
+func (Admit) number() commandNumber           { return commandAdmit }
+func (Form) number() commandNumber            { return commandForm }
+func (Swap) number() commandNumber            { return commandSwap }
+func (Update) number() commandNumber          { return commandUpdate }
+func (Advance) number() commandNumber         { return commandAdvance }
+func (Dissolve) number() commandNumber        { return commandDissolve }
+func (Release) number() commandNumber         { return commandRelease }
+func (Drain) number() commandNumber           { return commandDrain }
+func (Claim) number() commandNumber           { return commandClaim }
+func (Settle) number() commandNumber          { return commandSettle }
+func (Crash) number() commandNumber           { return commandCrash }
+func (ClearSuspects) number() commandNumber   { return commandClearSuspects }
+func (ClearQuarantine) number() commandNumber { return commandClearQuarantine }
 
 // envelope is a command as it stands in the log.
 type envelope struct {
@@ -174,6 +203,12 @@
 		return decodeAs[Claim](e.Body)
 	case commandSettle:
 		return decodeAs[Settle](e.Body)
+	case commandCrash:
+		return decodeAs[Crash](e.Body)
+	case commandClearSuspects:
+		return decodeAs[ClearSuspects](e.Body)
+	case commandClearQuarantine:
+		return decodeAs[ClearQuarantine](e.Body)
 	default:
 		return nil, errors.Errorf("unknown command %d", e.Number)
 	}
--- a/internal/control/state/config.go
+++ b/internal/control/state/config.go
@@ -32,7 +32,7 @@
 
 // apply accepts c if its base is the latest revision. A change ID that has been
 // accepted gets its first answer again.
-func (h *history) apply(nowMs int64, c ApplyConfig) Result {
+func (h *history) apply(nowMs int64, c ApplyConfig) ConfigApplied {
 	sum := sha256.Sum256(c.YAML)
 	if i := h.index(c.ChangeID); i >= 0 {
 		return h.again(h.Changes[i], sum)
@@ -51,7 +51,7 @@
 	return ConfigApplied{Accepted: true, Revision: latest + 1}
 }
 
-func (h *history) again(first change, sum [32]byte) Result {
+func (h *history) again(first change, sum [32]byte) ConfigApplied {
 	if first.Sum != sum {
 		return ConfigApplied{
 			Revision: h.latest(),
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/egretreach/egretreach/internal/control/ledger"
+	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/fleet/view"
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
@@ -24,6 +26,8 @@
 	hosts    map[host.ID]*Host
 	replicas map[replica.ID]*Replica
 	ledger   *ledger.Ledger
+	// quarantine is not shared with callers.
+	quarantine quarantine.State
 }
 
 // Host is what is durable about one host.
@@ -60,12 +64,12 @@
 
 const maxFormer = 8
 
-// New returns an empty state whose ledger keeps to policy.
-func New(policy ledger.Policy) *Machine {
+// New returns an empty state under the default policies.
+func New() *Machine {
 	return &Machine{
 		hosts:    map[host.ID]*Host{},
 		replicas: map[replica.ID]*Replica{},
-		ledger:   &ledger.Ledger{Policy: policy},
+		ledger:   &ledger.Ledger{},
 	}
 }
 
@@ -82,7 +86,7 @@
 func (m *Machine) apply(command Command) Result {
 	switch c := command.(type) {
 	case ApplyConfig:
-		return m.config.apply(m.nowMs, c)
+		return m.applyConfig(c)
 	case Admit:
 		return m.admit(c)
 	case Form:
@@ -103,6 +107,12 @@
 		return m.claim(c)
 	case Settle:
 		return m.settle(c)
+	case Crash:
+		return QuarantineChanged{Change: m.quarantine.Crash(m.now(), c.Report)}
+	case ClearSuspects:
+		return QuarantineChanged{Change: m.quarantine.Complete(m.now(), c.BodyHashes)}
+	case ClearQuarantine:
+		return QuarantineChanged{Change: m.quarantine.Clear(c.BodyHash)}
 	default:
 		return Refused{Reason: "unknown command"}
 	}
@@ -124,6 +134,19 @@
 	return Settled{Recorded: recorded}
 }
 
+// applyConfig puts an accepted configuration's policies in force with it.
+func (m *Machine) applyConfig(c ApplyConfig) Result {
+	result := m.config.apply(m.nowMs, c)
+	if result.Accepted && result.Revision == m.config.latest() {
+		m.ledger.Policy = c.Ledger
+		m.quarantine.Policy = c.Quarantine
+	}
+	return result
+}
+
+// Quarantine returns the bodies that are suspect or quarantined at now.
+func (m *Machine) Quarantine(now time.Time) []view.Quarantine { return m.quarantine.View(now) }
+
 func (m *Machine) now() time.Time { return time.UnixMilli(m.nowMs) }
 
 // Request returns what is known about a claimed request.
--- a/internal/control/state/result.go
+++ b/internal/control/state/result.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/view"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -35,9 +36,13 @@
 // Settled answers Settle, item by item.
 type Settled struct{ Recorded []bool }
 
-func (Done) result()          {}
-func (Refused) result()       {}
-func (ConfigApplied) result() {}
-func (Formed) result()        {}
-func (Claimed) result()       {}
-func (Settled) result()       {}
+// QuarantineChanged answers Crash, ClearSuspects and ClearQuarantine.
+type QuarantineChanged struct{ Change quarantine.Change }
+
+func (Done) result()              {}
+func (Refused) result()           {}
+func (ConfigApplied) result()     {}
+func (Formed) result()            {}
+func (Claimed) result()           {}
+func (Settled) result()           {}
+func (QuarantineChanged) result() {}
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -5,6 +5,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/control/ledger"
+	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 )
@@ -17,9 +18,29 @@
 	Hosts    []Host          `cbor:"4,keyasint"`
 	Replicas []Replica       `cbor:"5,keyasint"`
 	Ledger   ledger.Snapshot `cbor:"6,keyasint"`
+
+	Quarantine       quarantine.State  `cbor:"7,keyasint"`
+	LedgerPolicy     ledger.Policy     `cbor:"8,keyasint"`
+	QuarantinePolicy quarantine.Policy `cbor:"9,keyasint"`
 }
 
-var encoding = mustEncoding()
+// maxSnapshotItems bounds the items of one list in a snapshot.
+const maxSnapshotItems = 1 << 24
+
+var (
+	encoding = mustEncoding()
+	decoding = mustDecoding()
+)
+
+func mustDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxSnapshotItems, MaxMapPairs: maxSnapshotItems,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
 
 func mustEncoding() cbor.EncMode {
 	mode, err := cbor.CoreDetEncOptions().EncMode()
@@ -34,6 +55,7 @@
 	data, err := encoding.Marshal(snapshot{
 		NowMs: m.nowMs, Fence: m.fence, Config: m.config,
 		Hosts: m.Hosts(), Replicas: m.Replicas(), Ledger: m.ledger.Snapshot(),
+		Quarantine: m.quarantine, LedgerPolicy: m.ledger.Policy, QuarantinePolicy: m.quarantine.Policy,
 	})
 	return data, errors.Wrap(err, "encode snapshot")
 }
@@ -41,7 +63,7 @@
 // Restore replaces the state by that of a snapshot. On error the old state stays.
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
+	if err := decoding.Unmarshal(data, &s); err != nil {
 		return errors.Wrap(err, "decode snapshot")
 	}
 	m.nowMs = s.NowMs
@@ -55,6 +77,8 @@
 	for i := range s.Replicas {
 		m.replicas[s.Replicas[i].ID] = &s.Replicas[i]
 	}
-	m.ledger = ledger.Restore(m.ledger.Policy, s.Ledger)
+	m.ledger = ledger.Restore(s.LedgerPolicy, s.Ledger)
+	m.quarantine = s.Quarantine
+	m.quarantine.Policy = s.QuarantinePolicy
 	return nil
 }
