Let the leader carry out placement's decisions

Cause: the first control daemon formed replicas from the first free hosts and never repaired, drained or moved one. Ruled out: deciding before every admitted agent was heard; a new leader would take replicas for broken whose agents have not yet renewed with it. It waits for all, or until the former leader's leases have lapsed. Change: the leader fills placement's picture from the replicated state, the membership table and what it has seen (weights held, load times, since when a member is missing), calls Decide at each look at the fleet and proposes what it returns. A member that loads longer than repair.load_timeout counts as missing; placement takes repair.return_wait as the bound of its wait. Preload decisions are not carried out, since agents know no such order.

--- a/internal/control/placement/policy.go
+++ b/internal/control/placement/policy.go
@@ -6,6 +6,8 @@
 type Policy struct {
 	// HostReturn is when a silent host comes back.
 	HostReturn ReturnModel
+	// MaxHold bounds the wait for the members of a replica to return; 0 is unlimited.
+	MaxHold time.Duration
 	// DarkHold is how long nothing is built elsewhere for a fabric domain that vanished at once.
 	DarkHold time.Duration
 	// DarkWindow is the time within which a domain's hosts fall silent together, or return together.
--- a/internal/control/placement/repair.go
+++ b/internal/control/placement/repair.go
@@ -122,7 +122,11 @@
 		model.ShortShare *= p.policy.HostReturn.ShortShare
 	}
 	saved := load - p.fleet.Deployments[g.dep].Load.LocalLoad
-	return p.lossOf(g).Add(model.hold(saved))
+	hold := model.hold(saved)
+	if limit := p.policy.MaxHold; limit > 0 {
+		hold = min(hold, limit)
+	}
+	return p.lossOf(g).Add(hold)
 }
 
 // hopeless reports whether a member will not be back, or not for long.
--- a/internal/control/server/leader.go
+++ b/internal/control/server/leader.go
@@ -36,6 +36,7 @@
 	board    *board
 	fleet    configCache
 	quota    *quota.Allocator
+	seen     *sightings
 }
 
 func newLeader(s *Server, term uint64) *leader {
@@ -46,6 +47,7 @@
 		sessions: map[process]*session{},
 		orders:   newOrderBook(),
 		board:    newBoard(),
+		seen:     newSightings(),
 		quota:    quota.New(now, lease.Reclaimable(s.timing.LeaseTTL)),
 	}
 	l.admitFromState(now)
@@ -119,7 +121,7 @@
 	commands := admissions(l.table.Admissible(now))
 	commands = append(commands, p.releases(l.orders)...)
 	commands = append(commands, p.advances()...)
-	return append(commands, p.placements(l.orders)...)
+	return append(commands, p.placements(l.orders, l.seen, l.server.opts.Logger)...)
 }
 
 // admitFromState tells the membership table who is admitted.
