Keep places for whole replicas free

Ruled out: crossing fabric domains alone (slow for the whole outage). Change: a claim that costs a place for a whole replica counts a minute of load; after CrossFabricHold a dark domain's replicas may take hosts of lower priority or cross fabric domains.

--- a/internal/control/placement/bench_test.go
+++ b/internal/control/placement/bench_test.go
@@ -139,6 +139,7 @@
 				b.Run(fmt.Sprintf("%s/%s/seed=%d", user.name, policy.name, seed), func(b *testing.B) {
 					drafts, lookups := deployment("drafts", 5, 4, 2), deployment("lookups", 2, 2, 1)
 					lookups.MaxReplicas = lookups.Replicas + policy.extra
+					drafts.CrossFabric = true
 					for _, d := range []*Deployment{&drafts, &lookups} {
 						d.DowntimeWeight, d.StrandedWeight = user.downtime, user.stranded
 					}
--- a/internal/control/placement/pick.go
+++ b/internal/control/placement/pick.go
@@ -12,6 +12,14 @@
 // deployment in a fabric domain.
 const spreadPenalty = 10 * time.Second
 
+// wholePenalty is the load time that is worth one place for a whole replica left
+// free. Such a place takes over from any fabric domain, and lets a replacement be
+// built first.
+const wholePenalty = time.Minute
+
+// maxFreeBonus bounds the preference for the domain with the most free hosts.
+const maxFreeBonus = 9
+
 // pick returns the best count free hosts of a fabric domain for d, or nil.
 // Hosts that hold the weights come first, then those lost least often.
 func (p *planner) pick(d *Deployment, at, count int) []int {
@@ -58,8 +66,9 @@
 			continue
 		}
 		load, _ := p.loadTime(d, hosts)
-		spare := len(p.fabrics[at].free) - d.HostsPerReplica
-		score := load + spreadPenalty*time.Duration(p.replicasIn(dep, at)) - time.Second*time.Duration(min(spare, 9))
+		score := load + spreadPenalty*time.Duration(p.replicasIn(dep, at))
+		score += wholePenalty * time.Duration(p.wholeLost(at, d.HostsPerReplica))
+		score -= time.Second * time.Duration(min(len(p.fabrics[at].free), maxFreeBonus))
 		if best == nil || score < bestScore {
 			best, bestScore = hosts, score
 		}
@@ -67,6 +76,13 @@
 	return best
 }
 
+// wholeLost counts the places for whole replicas that a claim of count free hosts
+// of a fabric domain would cost, by the size of the largest replicas.
+func (p *planner) wholeLost(at, count int) int {
+	free := len(p.fabrics[at].free)
+	return free/p.largest - (free-count)/p.largest
+}
+
 // replicasIn counts the deployment's replicas in a fabric domain.
 func (p *planner) replicasIn(dep, at int) int {
 	count := 0
--- a/internal/control/placement/planner.go
+++ b/internal/control/placement/planner.go
@@ -73,6 +73,8 @@
 	groups   []group
 	// groupsOf are the groups of each deployment.
 	groupsOf [][]*group
+	// largest is the size of the largest replicas.
+	largest int
 	// formed counts the replicas that this round forms for each deployment.
 	formed []int
 	// storeLoads counts hosts that copy weights from the store.
@@ -92,6 +94,10 @@
 		groups:   make([]group, len(f.Replicas)),
 		groupsOf: make([][]*group, len(f.Deployments)),
 		formed:   make([]int, len(f.Deployments)),
+		largest:  1,
+	}
+	for i := range f.Deployments {
+		p.largest = max(p.largest, f.Deployments[i].HostsPerReplica)
 	}
 	p.indexHosts()
 	p.indexGroups()
--- a/internal/control/placement/repair.go
+++ b/internal/control/placement/repair.go
@@ -262,17 +262,34 @@
 // repairDark looks after a replica whose whole fabric domain vanished at once. It
 // keeps the claim, and builds another replica only after DarkHold.
 func (p *planner) repairDark(dep int, g *group, covered bool) {
-	until := p.darkGroup(g).Add(p.policy.DarkHold)
+	dark := p.darkGroup(g)
+	until := dark.Add(p.policy.DarkHold)
 	switch {
 	case p.now.Before(until):
 		p.wait(g, until, ReasonDomainDark)
 	case covered:
 		p.wait(g, time.Time{}, ReasonReplacementLoading)
-	case !p.form(dep, ReasonRelocate):
+	case p.form(dep, ReasonRelocate):
+	case p.now.Sub(dark) >= p.policy.CrossFabricHold && p.fillFromOthers(dep):
+	default:
 		p.wait(g, time.Time{}, ReasonDomainDark)
 	}
 }
 
+// fillFromOthers frees hosts of lower priority for another replica of dep, or forms
+// one over fabric domains, and reports whether it found a way.
+func (p *planner) fillFromOthers(dep int) bool {
+	if p.preemptFor(dep, nil) {
+		return true
+	}
+	d := &p.fleet.Deployments[dep]
+	if !d.CrossFabric {
+		return false
+	}
+	hosts := p.spread(d, nil)
+	return hosts != nil && p.claim(dep, hosts, ReasonCrossFabric)
+}
+
 // doom returns why a replica that serves or loads is to be replaced, or "".
 func (p *planner) doom(g *group) Reason {
 	for _, i := range g.members {
--- a/internal/control/placement/trace_test.go
+++ b/internal/control/placement/trace_test.go
@@ -433,6 +433,9 @@
 	for _, id := range r.Hosts {
 		h, _ := tr.host(string(id))
 		slowest = max(slowest, h.slowness())
+		if first, _ := tr.host(string(r.Hosts[0])); first.Fabric != h.Fabric {
+			slowest = max(slowest, crossFabricSlowness)
+		}
 	}
 	return slowest
 }
