--- a/internal/control/quota/quota_test.go
+++ b/internal/control/quota/quota_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/entry/admission"
 	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/team"
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
@@ -18,43 +20,65 @@
 	hold       = lease + 300*time.Millisecond
 )
 
-// holder is a fake entry: it keeps the shares of its lease and drops them when that ends.
+// limit is the team's limit, in requests per second over the whole fleet.
+const limit = 200
+
+const scouts = "scouts"
+
+// holder is an entry as far as its leases and its quota go.
 type holder struct {
 	id       host.ID
 	sequence uint64
 	demand   float64
-	share    float64
+	quota    *admission.Quota
 	leaseEnd time.Time
 	// silentUntil is when a partition ends.
 	silentUntil time.Time
 	dead        bool
 }
 
+func newHolder(id host.ID, demand float64) *holder {
+	h := &holder{id: id, demand: demand, quota: admission.NewQuota()}
+	h.quota.SetLimits(map[team.ID]admission.Limits{scouts: {RequestsPerSecond: limit}})
+	return h
+}
+
+// using returns the share in use, after the lease was looked at.
 func (h *holder) using(now time.Time) float64 {
 	if h.dead || !now.Before(h.leaseEnd) {
-		return 0
+		h.quota.DropShares()
 	}
-	return h.share
+	return h.quota.Shares()[scouts]
 }
 
 func (h *holder) renew(now time.Time, a *Allocator, lostGrant bool) {
 	h.sequence++
-	held := map[string]float64{}
-	if s := h.using(now); s > 0 {
-		held["scouts"] = s
-	}
+	h.using(now)
 	granted := a.Renew(now, message.Renewal{
 		Host: h.id, Sequence: h.sequence,
-		Demand: map[string]float64{"scouts": h.demand}, Shares: held,
+		Demand: map[string]float64{scouts: h.demand}, Shares: h.quota.Shares(),
 	})
 	if granted == nil || lostGrant {
 		return
 	}
-	h.share, h.leaseEnd = granted["scouts"], now.Add(lease)
+	h.quota.SetShares(now, granted)
+	h.leaseEnd = now.Add(lease)
+}
+
+// take offers n requests and returns how many pass.
+func (h *holder) take(now time.Time, n int) int {
+	taken := 0
+	for range n {
+		if _, ok := h.quota.Take(now, scouts, 1); ok {
+			taken++
+		}
+	}
+	return taken
 }
 
 // TestSharesNeverExceedTheLimit lets entries die, fall silent, lose grants and move
-// their traffic at random, and the leader change.
+// their traffic at random, and the leader change. What all entries take together
+// stays within the limit and a second's burst, over each 20 s.
 func TestSharesNeverExceedTheLimit(t *testing.T) {
 	for seed := range uint64(20) {
 		rng := rand.New(rand.NewPCG(seed, 1))
@@ -62,23 +86,27 @@
 		a := newTerm(now)
 		holders := make([]*holder, 5)
 		for i := range holders {
-			holders[i] = &holder{id: host.ID(fmt.Sprint("entry-", i)), demand: 10}
+			holders[i] = newHolder(host.ID(fmt.Sprint("entry-", i)), 10)
 		}
+		taken := 0
 		for step := range 4000 {
+			if step%400 == 0 {
+				require.LessOrEqual(t, taken, (20+1)*limit, "seed %d step %d", seed, step)
+				taken = 0
+			}
 			now = now.Add(50 * time.Millisecond)
 			if rng.IntN(400) == 0 {
 				a = newTerm(now)
 			}
 			for i, h := range holders {
 				if rng.IntN(300) == 0 {
-					h.demand = rng.Float64() * 100
+					h.demand = rng.Float64() * 2 * limit
 				}
 				if rng.IntN(500) == 0 {
 					h.silentUntil = now.Add(time.Duration(rng.IntN(6000)) * time.Millisecond)
 				}
 				if rng.IntN(800) == 0 {
 					h.dead = !h.dead
-					h.share = 0
 				}
 				due := (step+i*3)%int(renewEvery/(50*time.Millisecond)) == 0
 				if due && !h.dead && !now.Before(h.silentUntil) {
@@ -88,6 +116,9 @@
 			total := 0.0
 			for _, h := range holders {
 				total += h.using(now)
+				if !h.dead {
+					taken += h.take(now, int(h.demand/20))
+				}
 			}
 			require.LessOrEqual(t, total, 1+1e-9, "seed %d step %d", seed, step)
 		}
@@ -96,7 +127,7 @@
 
 func newTerm(now time.Time) *Allocator {
 	a := New(now, hold)
-	a.SetTeams([]string{"scouts"})
+	a.SetTeams([]string{scouts})
 	return a
 }
 
@@ -105,8 +136,8 @@
 func TestSharesFollowTraffic(t *testing.T) {
 	now := time.Unix(0, 0)
 	a := newTerm(now)
-	one := &holder{id: "one", demand: 100}
-	two := &holder{id: "two"}
+	one := newHolder("one", 100)
+	two := newHolder("two", 0)
 	run := func(until time.Duration, done func() bool) time.Duration {
 		began := now
 		for now.Sub(began) < until && !done() {
@@ -120,12 +151,12 @@
 		return now.Sub(began)
 	}
 	run(10*time.Second, func() bool { return false })
-	require.Greater(t, one.share, 0.9)
+	require.Greater(t, one.using(now), 0.9)
 	one.demand, two.demand = 0, 100
-	moved := run(time.Minute, func() bool { return two.share >= 0.8 })
+	moved := run(time.Minute, func() bool { return two.using(now) >= 0.8 })
 	require.LessOrEqual(t, moved, 5*renewEvery)
 	one.dead = true
-	died := run(time.Minute, func() bool { return two.share >= 0.999 })
+	died := run(time.Minute, func() bool { return two.using(now) >= 0.999 })
 	require.LessOrEqual(t, died, hold+renewEvery)
 	t.Logf("80 %% of the limit usable %v after the traffic moved, all of it %v after the other entry died", moved, died)
 }
--- a/internal/entry/admission/flows.go
+++ b/internal/entry/admission/flows.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"slices"
+	"time"
 
 	"github.com/egretreach/egretreach/internal/fleet/team"
 )
@@ -16,6 +17,7 @@
 	count   int
 	cost    float64
 	virtual float64
+	use     use
 	classes map[team.Class]*classQueue
 	// late holds requests that came too late for their deadline when their turn came.
 	late []Request
@@ -139,13 +141,13 @@
 }
 
 // idle reports whether nothing of the team is worth keeping.
-func (t *teamQueue) idle(virtual float64) bool {
-	return t.count == 0 && len(t.late) == 0 && t.finish <= virtual
+func (t *teamQueue) idle(now time.Time, virtual float64) bool {
+	return t.count == 0 && t.use.rate(now) == 0 && len(t.late) == 0 && t.finish <= virtual
 }
 
 // displace makes room in a full queue: the team with the most waiting cost for its
 // weight gives up its last request, if that is not the newcomer's team.
-func (q *Queue) displace(r Request) *Refusal {
+func (q *Queue) displace(now time.Time, r Request) *Refusal {
 	var worst *teamQueue
 	over := 0.0
 	for _, t := range q.teams {
@@ -165,7 +167,7 @@
 	victim := last.items[len(last.items)-1]
 	worst.take(last, len(last.items)-1)
 	q.waiting--
-	wait := q.wait(victim)
+	wait := q.wait(now, victim)
 	return &Refusal{Request: victim, Refused: Refused{Code: CodeQueueFull, RetryAfter: q.retryAfter(wait)}}
 }
 
--- a/internal/entry/admission/queue.go
+++ b/internal/entry/admission/queue.go
@@ -71,16 +71,16 @@
 		if q.late(now, 0, r) {
 			return Refused{Code: CodeDeadline}
 		}
-		q.start(q.teamQueue(r.Team), r)
+		q.start(now, q.teamQueue(r.Team), r)
 		return Admit{}
 	}
-	wait := q.wait(r)
+	wait := q.wait(now, r)
 	if q.late(now, wait, r) {
 		return Refused{Code: CodeDeadline, RetryAfter: q.retryAfter(wait)}
 	}
 	var displaced *Refusal
 	if q.waiting >= q.maxWaiting {
-		displaced = q.displace(r)
+		displaced = q.displace(now, r)
 		if displaced == nil {
 			return Refused{Code: CodeQueueFull, RetryAfter: q.retryAfter(wait)}
 		}
@@ -97,12 +97,12 @@
 		t := q.first()
 		r, class := t.pop()
 		q.waiting--
-		if q.late(now, 0, r) {
+		if q.hopeless(now, r) {
 			t.late = append(t.late, r)
 			continue
 		}
 		t.charge(class, r, q.weights)
-		q.start(t, r)
+		q.start(now, t, r)
 		admitted = append(admitted, r)
 	}
 	return admitted
@@ -133,15 +133,15 @@
 func (q *Queue) Expire(now time.Time) []Refusal {
 	var refusals []Refusal
 	for _, t := range q.teams {
-		for _, r := range t.expire(func(r Request) bool { return q.late(now, 0, r) }) {
+		for _, r := range t.expire(func(r Request) bool { return q.hopeless(now, r) }) {
 			q.waiting--
-			refusals = append(refusals, q.tooLate(r))
+			refusals = append(refusals, q.tooLate(now, r))
 		}
 		for _, r := range t.late {
-			refusals = append(refusals, q.tooLate(r))
+			refusals = append(refusals, q.tooLate(now, r))
 		}
 		t.late = nil
-		if t.idle(q.virtual) {
+		if t.idle(now, q.virtual) {
 			delete(q.teams, t.id)
 		}
 	}
@@ -149,15 +149,16 @@
 	return refusals
 }
 
-func (q *Queue) tooLate(r Request) Refusal {
-	return Refusal{Request: r, Refused: Refused{Code: CodeDeadline, RetryAfter: q.retryAfter(q.wait(r))}}
+func (q *Queue) tooLate(now time.Time, r Request) Refusal {
+	return Refusal{Request: r, Refused: Refused{Code: CodeDeadline, RetryAfter: q.retryAfter(q.wait(now, r))}}
 }
 
 // start takes a slot and moves the tags of the team behind the request.
-func (q *Queue) start(t *teamQueue, r Request) {
+func (q *Queue) start(now time.Time, t *teamQueue, r Request) {
 	q.virtual = max(q.virtual, t.start)
 	t.finish = t.start + r.Cost/q.weights.team(r.Team)
 	t.start = t.finish
+	t.use.add(now, r.Cost)
 	q.running++
 }
 
