--- a/internal/entry/retry/retry.go
+++ b/internal/entry/retry/retry.go
@@ -21,7 +21,8 @@
 type Policy struct {
 	// Share is the number of retries earned by each success.
 	Share float64
-	// Reserve is the number of retries that may be saved up.
+	// Reserve is the number of retries that may be saved up: the attempts of a few
+	// replicas that are lost at once.
 	Reserve float64
 	// Base is the greatest wait before the first retry; it doubles with each
 	// further one, up to Cap.
@@ -34,7 +35,7 @@
 // Defaults of Policy.
 const (
 	DefaultShare       = 0.1
-	DefaultReserve     = 20
+	DefaultReserve     = 100
 	DefaultBase        = 25 * time.Millisecond
 	DefaultCap         = 2 * time.Second
 	DefaultMaxAttempts = 4
