Reload a restarted engine, and close the gate on a newer fence

Cause: control sends no load while the agent still names its place, so an engine that had restarted stayed empty; a head whose host had been given to another replica served on until the new order came; a release waited for every call, plain ones too. Change: the agent passes its own load order again under its own fence, MayRun compares the place's fence with the highest seen, a release waits for generations only and ends early for a newer fence. Calls to plain services close their connection themselves, whatever the transport. Ruled out: trusting GetBody=nil alone, since a call without a body is sent again all the same.

--- a/internal/agent/gate/beat.go
+++ b/internal/agent/gate/beat.go
@@ -88,5 +88,5 @@
 
 // MayBeat reports whether the host may tell its head that it is present.
 func (g *Gate) MayBeat(at Reading) bool {
-	return g.place.ID != "" && !g.IsHead() && at.Leased && g.healthy && g.loaded
+	return g.place.ID != "" && g.place.Fence >= g.highest && !g.IsHead() && at.Leased && g.healthy && g.loaded
 }
--- a/internal/agent/gate/errors.go
+++ b/internal/agent/gate/errors.go
@@ -14,6 +14,7 @@
 	CodeLeaseLapsed    = "lease_lapsed"
 	CodeNoReplica      = "no_replica"
 	CodeWrongReplica   = "wrong_replica"
+	CodeStaleFence     = "stale_fence"
 	CodeNotHead        = "not_head"
 	CodeNotLoaded      = "not_loaded"
 	CodeEngineDown     = "engine_unhealthy"
--- a/internal/agent/gate/gate.go
+++ b/internal/agent/gate/gate.go
@@ -92,10 +92,12 @@
 	return nil
 }
 
-// Join gives the host its place in r, in which it has not loaded yet. A resend of
-// the same order changes nothing.
+// Join gives the host its place in r, in which it has not loaded yet. An order for
+// the place that the host has already changes what the replica serves, nothing else.
 func (g *Gate) Join(r replica.Replica, addresses []string) {
 	if g.place.ID == r.ID && g.place.Fence == r.Fence {
+		g.place.Spec = r.Spec
+		g.addresses = addresses
 		return
 	}
 	g.raise(r.Fence, r.ID)
@@ -196,6 +198,8 @@
 	switch {
 	case g.place.ID == "":
 		return ErrClosed{Code: CodeNoReplica, Reason: "this host left its replica"}
+	case g.place.Fence < g.highest:
+		return ErrClosed{Code: CodeStaleFence, Reason: "the host was given to another replica"}
 	case !g.IsHead():
 		return ErrClosed{Code: CodeNotHead, Reason: "this host is not the head of its replica"}
 	case !at.Leased:
--- a/internal/agent/plain/client.go
+++ b/internal/agent/plain/client.go
@@ -33,7 +33,7 @@
 type Options struct {
 	// URL is the service's base URL; its host is an IP address.
 	URL string
-	// Transport replaces the TCP transport, for tests. It must not keep connections.
+	// Transport replaces the TCP transport, for tests.
 	Transport http.RoundTripper
 }
 
@@ -47,9 +47,7 @@
 func New(opts Options) *Client {
 	transport := opts.Transport
 	if transport == nil {
-		// net/http sends a request again over a kept connection that closed under it,
-		// a POST too if it carries an Idempotency-Key. A fresh connection never does.
-		transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+		transport = &http.Transport{DisableCompression: true}
 	}
 	return &Client{base: strings.TrimSuffix(opts.URL, "/"), transport: transport}
 }
@@ -117,6 +115,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "request")
 	}
+	// net/http sends a request again when a kept connection closes under it, a POST
+	// too if it carries an Idempotency-Key. It never does on a fresh connection.
+	req.Close = true
 	req.GetBody = nil
 	for name, values := range call.Header {
 		req.Header[http.CanonicalHeaderKey(name)] = append([]string(nil), values...)
--- a/internal/agent/server/daemon.go
+++ b/internal/agent/server/daemon.go
@@ -65,6 +65,10 @@
 
 // queue never blocks the session. Control gives an order again that was dropped.
 func (s *Server) queue(o *message.Order) {
+	s.mu.Lock()
+	s.newest = max(s.newest, o.Replica.Fence)
+	s.notifyLocked()
+	s.mu.Unlock()
 	select {
 	case s.orders <- o:
 	default:
@@ -81,7 +85,9 @@
 	s.mu.Unlock()
 	s.failOver(gate.ErrClosed{Code: codeSuperseded, Reason: reason})
 	go func() {
-		s.awaitIdle(s.context(), supersededWait)
+		ctx, cancel := context.WithTimeout(s.context(), supersededWait)
+		defer cancel()
+		s.await(ctx, func() bool { return s.calls == 0 })
 		stop(ErrSuperseded{Reason: reason})
 	}()
 }
--- a/internal/agent/server/orders.go
+++ b/internal/agent/server/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/agent/engine"
@@ -10,6 +11,10 @@
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
+// reloadOrder is the ID of the agent's own order to load its place again. Control
+// hears nothing of it.
+const reloadOrder = math.MaxUint64
+
 // carryOut carries out orders one at a time, in the order of their coming.
 func (s *Server) carryOut(ctx context.Context) error {
 	for {
@@ -64,7 +69,9 @@
 		return
 	}
 	s.drainPlace(o.Replica)
-	s.awaitIdle(ctx, releaseWait)
+	waiting, cancel := context.WithTimeout(ctx, releaseWait)
+	s.await(waiting, func() bool { return s.generationsLocked() == 0 || s.newest > o.Replica.Fence })
+	cancel()
 	// The wait may have been long: the order is checked again.
 	at := s.reading()
 	s.mu.Lock()
@@ -93,7 +100,7 @@
 	s.drainPlace(o.Replica)
 	s.session.Renew()
 	go func() {
-		s.awaitIdle(ctx, 0)
+		s.await(ctx, func() bool { return s.generationsLocked() == 0 })
 		s.done(o.ID, "")
 	}()
 }
@@ -159,6 +166,9 @@
 		s.loading = 0
 	}
 	s.mu.Unlock()
+	if id == reloadOrder {
+		return
+	}
 	_ = s.session.Send(&message.OrderDone{ID: id, OK: reason == "", Error: reason})
 }
 
--- a/internal/agent/server/poll.go
+++ b/internal/agent/server/poll.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/egretreach/egretreach/internal/agent/engine"
+	"github.com/egretreach/egretreach/internal/agent/gate"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
@@ -79,6 +81,7 @@
 	if restarted {
 		s.crashed()
 	}
+	at := s.reading()
 	s.mu.Lock()
 	was, loaded := s.gate.Healthy(), s.gate.Loaded()
 	s.start = r.Start
@@ -89,6 +92,7 @@
 		order, s.loading = s.loading, 0
 	}
 	changed := was != s.gate.Healthy() || loaded != s.gate.Loaded()
+	again := s.reloadLocked(at, replica.ID(r.Replica))
 	s.mu.Unlock()
 	if !was {
 		event.EngineHealthy.On(s.opts.Logger).Str("start", r.Start).Msg("")
@@ -100,6 +104,20 @@
 		s.session.Renew()
 		wake(s.changed)
 	}
+	if again != nil {
+		s.queue(again)
+	}
+}
+
+// reloadLocked returns an order to load the host's own place again, under its own
+// fence, if the engine has lost it in a restart.
+func (s *Server) reloadLocked(at gate.Reading, holds replica.ID) *message.Order {
+	place, addresses, ok := s.gate.Place()
+	if !ok || s.loading != 0 || holds == place.ID || s.gate.Draining() || s.gate.MayLoad(at, place) != nil {
+		return nil
+	}
+	s.loading = reloadOrder
+	return &message.Order{ID: reloadOrder, Action: message.OrderLoad, Replica: place, Addresses: addresses}
 }
 
 func loadOf(r engine.Report, sequence uint64) view.Load {
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/egretreach/egretreach/internal/agent/gate"
 	"github.com/egretreach/egretreach/internal/agent/plain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/fleet/view"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -41,14 +42,16 @@
 	gate     *gate.Gate
 	attempts *attempt.Table
 	running  map[message.Ref]*run
-	// calls counts the entries' calls in progress, and idle is closed when none is.
+	// calls counts the entries' calls in progress. ended is closed, and then nil,
+	// whenever work ends or an order comes.
 	calls   int
-	idle    chan struct{}
+	ended   chan struct{}
 	waiters map[attempt.Waiter]chan message.AskResult
 	waiter  attempt.Waiter
 	load    view.Load
 	start   string
 	loading uint64
+	newest  replica.Fence
 	left    bool
 	beatAck time.Time
 }
--- a/internal/agent/server/shutdown.go
+++ b/internal/agent/server/shutdown.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/egretreach/egretreach/internal/agent/gate"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -19,7 +18,7 @@
 	wake(s.changed)
 	s.session.Renew()
 	_ = s.session.Send(&message.Goodbye{Draining: true})
-	s.awaitIdle(ctx, 0)
+	s.await(ctx, func() bool { return s.calls == 0 })
 	s.awaitHead(ctx)
 	s.releaseOwn(ctx)
 	_ = s.session.Goodbye()
@@ -39,32 +38,34 @@
 	return len(s.running)
 }
 
-// awaitIdle waits until nothing runs here, for at most limit if it is not 0.
-func (s *Server) awaitIdle(ctx context.Context, limit time.Duration) {
-	if limit > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
-		defer cancel()
-	}
+// await waits until done holds, which is asked under the lock, or ctx ends.
+func (s *Server) await(ctx context.Context, done func() bool) {
 	for {
 		s.mu.Lock()
-		if s.calls == 0 {
+		if done() {
 			s.mu.Unlock()
 			return
 		}
-		if s.idle == nil {
-			s.idle = make(chan struct{})
+		if s.ended == nil {
+			s.ended = make(chan struct{})
 		}
-		idle := s.idle
+		ended := s.ended
 		s.mu.Unlock()
 		select {
-		case <-idle:
+		case <-ended:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+func (s *Server) notifyLocked() {
+	if s.ended != nil {
+		close(s.ended)
+		s.ended = nil
+	}
+}
+
 // awaitHead keeps a leaving member present until the head of its replica is idle
 // or gone.
 func (s *Server) awaitHead(ctx context.Context) {
--- a/internal/agent/server/work.go
+++ b/internal/agent/server/work.go
@@ -68,10 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls--
-	if s.calls == 0 && s.idle != nil {
-		close(s.idle)
-		s.idle = nil
-	}
+	s.notifyLocked()
 }
 
 // lifetime returns the context of an attempt. An idempotent one ends with its
@@ -244,6 +241,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.running, r.dispatch.Ref)
+	s.notifyLocked()
 	for _, d := range s.attempts.End(r.dispatch.Ref, end.Outcome, answer, time.Now()) {
 		if waiting := s.waiters[d.Waiter]; waiting != nil {
 			waiting <- d.Result
