--- a/internal/fleet/view/merge.go
+++ b/internal/fleet/view/merge.go
@@ -1,7 +1,10 @@
 package view
 
-// Merge returns v changed by a delta: routes and services of the same identity are
-// replaced, those named in removed are gone, and the quarantine is the delta's.
+import "strconv"
+
+// Merge returns v changed by a delta: routes, services and quarantined bodies of the
+// same identity are replaced, and the routes and services whose keys stand in removed
+// are gone.
 func (v View) Merge(delta View, removed []string) View {
 	gone := make(map[string]bool, len(removed))
 	for _, key := range removed {
@@ -10,14 +13,17 @@
 	merged := delta
 	merged.Routes = mergeBy(v.Routes, delta.Routes, Route.Key, gone)
 	merged.Services = mergeBy(v.Services, delta.Services, Service.Key, gone)
+	merged.Quarantine = mergeBy(v.Quarantine, delta.Quarantine, Quarantine.key, nil)
 	return merged
 }
 
 // Key is the route's identity in a delta.
-func (r Route) Key() string { return "replica/" + string(r.Replica.ID) }
+func (r Route) Key() string { return string(r.Replica.ID) }
 
 // Key is the service endpoint's identity in a delta.
-func (s Service) Key() string { return "service/" + s.Name + "/" + string(s.Host) }
+func (s Service) Key() string { return s.Name + "@" + string(s.Host) }
+
+func (q Quarantine) key() string { return strconv.FormatUint(q.BodyHash, 16) }
 
 func mergeBy[T any](old, changed []T, key func(T) string, gone map[string]bool) []T {
 	merged := make([]T, 0, len(old)+len(changed))
