Put a request's bounds in force from the configuration

Cause: max_body, max_answer, max_tokens and max_deadline were checked but did nothing; the entry had constants of its own. Ruled out: bounds for the whole entry; a team's exception must be able to differ. Change: api.Bounds by team; a body without max_tokens gets the bound. A caller that leaves is now shown to cancel its generation at the engine. Measured: the engine is idle within 1 s of virtual time after the caller left. Conclusion: queue bytes, queue max_wait and lease timing are still to be put in force or taken out.

--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -26,9 +26,6 @@
 	headerTraceParent    = "Traceparent"
 )
 
-// MaxBodyBytes bounds a caller's body.
-const MaxBodyBytes = 1 << 20
-
 // MaxHeaderBytes bounds a caller's header.
 const MaxHeaderBytes = 64 << 10
 
@@ -46,9 +43,18 @@
 type Class struct {
 	Name     team.Class
 	Priority int
-	// Timeout is in force where the caller gives none, MaxTimeout bounds the caller's.
-	Timeout    time.Duration
-	MaxTimeout time.Duration
+	// Timeout is in force where the caller gives none.
+	Timeout time.Duration
+}
+
+// Bounds are what one request of a team may be at most.
+type Bounds struct {
+	// Body and Answer are in bytes; Answer holds for plain services.
+	Body   int64
+	Answer int64
+	// Tokens bounds the tokens of one generation.
+	Tokens  int
+	Timeout time.Duration
 }
 
 // Backend serves what the handlers have read.
@@ -66,6 +72,8 @@
 	Configured() bool
 	// Class returns a class that the team may use; empty asks for its default.
 	Class(id team.ID, wanted team.Class) (Class, bool)
+	// Bounds returns what a request of the team may be at most.
+	Bounds(id team.ID) Bounds
 	// BodyHash returns the hash that stands for a body in the quarantine.
 	BodyHash(method, path string, body []byte) uint64
 	// Serve carries work out. It returns a refusal at once when work cannot be taken.
@@ -107,6 +115,7 @@
 	status int
 	id     request.ID
 	team   team.ID
+	bounds Bounds
 }
 
 func (a *API) route(handle func(*call)) iris.Handler {
--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -42,7 +42,13 @@
 func (f *fakeBackend) Configured() bool { return true }
 
 func (f *fakeBackend) Class(_ team.ID, wanted team.Class) (Class, bool) {
-	return Class{Name: "interactive", Timeout: time.Minute, MaxTimeout: time.Hour}, wanted == ""
+	return Class{Name: "interactive", Timeout: time.Minute}, wanted == ""
+}
+
+const testMaxBody = 1 << 20
+
+func (f *fakeBackend) Bounds(team.ID) Bounds {
+	return Bounds{Body: testMaxBody, Answer: testMaxBody, Tokens: 100, Timeout: time.Hour}
 }
 
 func (f *fakeBackend) BodyHash(string, string, []byte) uint64 { return 7 }
@@ -101,7 +107,8 @@
 		"broken JSON":     {"POST", "/v1/completions", `{"model":`, nil, 400, "bad_json"},
 		"unknown model":   {"POST", "/v1/completions", `{"model":"x","prompt":"a"}`, nil, 404, "unknown_model"},
 		"no prompt":       {"POST", "/v1/chat/completions", `{"model":"drafter","messages":[]}`, nil, 400, "no_prompt"},
-		"oversize body":   {"POST", "/v1/completions", strings.Repeat("x", MaxBodyBytes+1), nil, 413, "body_too_large"},
+		"oversize body":   {"POST", "/v1/completions", strings.Repeat("x", testMaxBody+1), nil, 413, "body_too_large"},
+		"many tokens":     {"POST", "/v1/completions", `{"model":"drafter","prompt":"a","max_tokens":101}`, nil, 400, "too_many_tokens"},
 		"unknown class":   {"POST", "/v1/completions", prompt, []string{HeaderClass, "x"}, 400, "unknown_class"},
 		"bad timeout":     {"POST", "/v1/completions", prompt, []string{HeaderTimeout, "5 apples"}, 400, "bad_timeout"},
 		"long key":        {"POST", "/v1/completions", prompt, []string{HeaderIdempotencyKey, strings.Repeat("k", 257)}, 400, "bad_idempotency_key"},
--- a/internal/entry/api/completion.go
+++ b/internal/entry/api/completion.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -19,11 +20,14 @@
 // generationRequest is the part of a caller's body that the entry reads. The engine
 // gets the whole body.
 type generationRequest struct {
-	Model         string          `json:"model"`
-	Prompt        json.RawMessage `json:"prompt"`
-	Messages      json.RawMessage `json:"messages"`
-	Stream        bool            `json:"stream"`
-	StreamOptions struct {
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	// MaxCompletionTokens is the newer name of MaxTokens in chat completions.
+	MaxCompletionTokens int `json:"max_completion_tokens"`
+	StreamOptions       struct {
 		IncludeUsage bool `json:"include_usage"`
 	} `json:"stream_options"`
 }
@@ -54,6 +58,14 @@
 		a.refuse(c, refusal{status: http.StatusBadRequest, code: "no_prompt", message: "the body has neither a prompt nor messages"})
 		return
 	}
+	tokens := max(asked.MaxTokens, asked.MaxCompletionTokens)
+	if tokens > c.bounds.Tokens {
+		a.refuse(c, refusal{
+			status: http.StatusBadRequest, code: "too_many_tokens",
+			message: fmt.Sprintf("an answer has at most %d tokens", c.bounds.Tokens),
+		})
+		return
+	}
 	work, ok := a.newWork(c, body, true)
 	if !ok {
 		return
@@ -61,7 +73,8 @@
 	work.BodyHash = a.backend.BodyHash(c.r.Method, c.r.URL.Path, body)
 	work.Body = dispatch.Generation{
 		Path: c.r.URL.Path, Model: model.Model, Version: model.Version, Adapter: model.Adapter,
-		Prompt: prompt, PromptTokens: len(prompt)/bytesPerToken + 1, Raw: body,
+		Prompt: prompt, PromptTokens: len(prompt)/bytesPerToken + 1, MaxTokens: tokens,
+		Raw: bounded(body, tokens, c.bounds.Tokens),
 	}
 	form := completionForm{chat: c.r.URL.Path == chatPath, id: c.id, model: asked.Model, created: time.Now().Unix()}
 	if asked.Stream {
@@ -71,6 +84,23 @@
 	a.whole(c, work, form)
 }
 
+// bounded adds the bound of tokens to a body that has none.
+func bounded(body []byte, tokens, bound int) []byte {
+	if tokens > 0 {
+		return body
+	}
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(body, &fields) != nil {
+		return body
+	}
+	fields["max_tokens"] = json.RawMessage(strconv.Itoa(bound))
+	raw, err := json.Marshal(fields)
+	if err != nil {
+		return body
+	}
+	return raw
+}
+
 func (g generationRequest) prompt(path string) []byte {
 	raw := g.Prompt
 	if path == chatPath {
--- a/internal/entry/api/read.go
+++ b/internal/entry/api/read.go
@@ -37,12 +37,13 @@
 		return false
 	}
 	c.team = id
+	c.bounds = a.backend.Bounds(id)
 	return true
 }
 
 // readBody reads the whole body, or answers and reports false.
 func (a *API) readBody(c *call) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.bounds.Body))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -50,7 +51,7 @@
 	case errors.As(err, &tooLarge):
 		a.refuse(c, refusal{
 			status: http.StatusRequestEntityTooLarge, code: "body_too_large",
-			message: fmt.Sprintf("the body is over %d bytes", MaxBodyBytes),
+			message: fmt.Sprintf("the body is over %d bytes", c.bounds.Body),
 		})
 	default:
 		a.refuse(c, refusal{status: http.StatusBadRequest, code: "body_unreadable", message: "the body did not arrive whole"})
@@ -73,11 +74,11 @@
 			a.refuse(c, refusal{status: http.StatusBadRequest, code: "bad_timeout", message: HeaderTimeout + " is a duration such as 30s"})
 			return dispatch.Work{}, false
 		}
-		timeout = min(class.MaxTimeout, d)
+		timeout = d
 	}
 	work := dispatch.Work{
 		ID: c.id, Team: c.team, Class: class.Name, Priority: class.Priority,
-		Deadline: time.Now().Add(timeout), TraceParent: c.r.Header.Get(headerTraceParent),
+		Deadline: time.Now().Add(min(timeout, c.bounds.Timeout)), MaxAnswer: c.bounds.Answer, TraceParent: c.r.Header.Get(headerTraceParent),
 	}
 	return work, a.addKey(c, &work, body, idempotent)
 }
--- a/internal/entry/dispatch/progress.go
+++ b/internal/entry/dispatch/progress.go
@@ -10,10 +10,6 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
-// MaxAnswerBytes bounds the answer of a plain service, and the text of a
-// generation that can still be resumed.
-const MaxAnswerBytes = 4 << 20
-
 // maxKeptBytes bounds the answer that the ledger keeps for resends.
 const maxKeptBytes = 64 << 10
 
@@ -26,11 +22,9 @@
 	return errors.As(err, &e)
 }
 
-type errAnswerTooLarge struct{}
+type errAnswerTooLarge struct{ limit int64 }
 
-func (errAnswerTooLarge) Error() string {
-	return fmt.Sprintf("the answer is over %d bytes", MaxAnswerBytes)
-}
+func (e errAnswerTooLarge) Error() string { return fmt.Sprintf("the answer is over %d bytes", e.limit) }
 
 func isErrAnswerTooLarge(err error) bool {
 	var e errAnswerTooLarge
@@ -71,8 +65,8 @@
 	if c.Offset != p.offset {
 		return errOffset{want: p.offset, got: c.Offset}
 	}
-	if len(p.text)+len(c.Data) > MaxAnswerBytes {
-		return errAnswerTooLarge{}
+	if int64(len(p.text)+len(c.Data)) > p.work.MaxAnswer {
+		return errAnswerTooLarge{limit: p.work.MaxAnswer}
 	}
 	p.text = append(p.text, c.Data...)
 	p.offset += uint64(c.Count)
--- a/internal/entry/dispatch/work.go
+++ b/internal/entry/dispatch/work.go
@@ -27,7 +27,9 @@
 	BodyHash    uint64
 	Suspect     bool
 	TraceParent string
-	Body        Body
+	// MaxAnswer bounds the answer, in bytes.
+	MaxAnswer int64
+	Body      Body
 }
 
 // Body is what is asked for: Generation or ServiceCall.
@@ -41,6 +43,8 @@
 	Adapter      string
 	Prompt       []byte
 	PromptTokens int
+	// MaxTokens is the caller's bound, 0 if it gave none.
+	MaxTokens int
 	// PrefixHashes are the block hashes of the prompt.
 	PrefixHashes []uint64
 	Raw          []byte
--- a/internal/entry/server/backend.go
+++ b/internal/entry/server/backend.go
@@ -17,8 +17,7 @@
 
 const (
 	retryAfterNotReady = time.Second
-	// outputTokens is what a generation is taken to cost beyond its prompt before
-	// its end is known.
+	// outputTokens is the length of a generation whose caller bounds it to no less.
 	outputTokens = 256
 	// serviceCost is the cost of a service call in the same measure.
 	serviceCost = 1
@@ -113,10 +112,19 @@
 		return api.Class{}, false
 	}
 	class, ok := fleet.ClassFor(t, wanted)
-	return api.Class{
-		Name: class.Name, Priority: class.Priority, Timeout: class.Deadline,
-		MaxTimeout: fleet.ForTeam(id).Request.MaxDeadline,
-	}, ok
+	return api.Class{Name: class.Name, Priority: class.Priority, Timeout: class.Deadline}, ok
+}
+
+// Bounds implements api.Backend.
+func (s *Server) Bounds(id team.ID) api.Bounds {
+	fleet := s.policy.config()
+	if fleet == nil {
+		return api.Bounds{}
+	}
+	r := fleet.ForTeam(id).Request
+	return api.Bounds{
+		Body: int64(r.MaxBody), Answer: int64(r.MaxAnswer), Tokens: r.MaxTokens, Timeout: r.MaxDeadline,
+	}
 }
 
 // BodyHash implements api.Backend.
@@ -167,7 +175,7 @@
 }
 
 func (s *Server) generate(ctx context.Context, work dispatch.Work, body dispatch.Generation, sink dispatch.Sink, o *observation) dispatch.Result {
-	cost := float64(body.PromptTokens + outputTokens)
+	cost := float64(body.PromptTokens + expectedOutput(body))
 	if refused := s.policy.take(work.Team, cost); refused != nil {
 		return dispatch.Result{Result: *refused}
 	}
@@ -191,6 +199,15 @@
 	return result
 }
 
+// expectedOutput is how many tokens a generation is taken to give before its end is
+// known.
+func expectedOutput(body dispatch.Generation) int {
+	if body.MaxTokens > 0 {
+		return min(body.MaxTokens, outputTokens)
+	}
+	return outputTokens
+}
+
 func (s *Server) call(ctx context.Context, work dispatch.Work, o *observation) dispatch.Result {
 	if refused := s.policy.take(work.Team, serviceCost); refused != nil {
 		return dispatch.Result{Result: *refused}
--- a/internal/fleet/config/values.go
+++ b/internal/fleet/config/values.go
@@ -40,8 +40,8 @@
 // Request bounds one request.
 type Request struct {
 	MaxBody document.Size `yaml:"max_body" validate:"min=1024,max=4194304"`
-	// MaxAnswer bounds the answer of a plain service.
-	MaxAnswer document.Size `yaml:"max_answer" validate:"min=1024,max=1073741824"`
+	// MaxAnswer bounds the answer of a plain service, and the text of a generation.
+	MaxAnswer document.Size `yaml:"max_answer" validate:"min=1024,max=67108864"`
 	// MaxTokens bounds the generated tokens of one answer.
 	MaxTokens int `yaml:"max_tokens" validate:"min=1,max=1000000"`
 	// MaxDeadline bounds the deadline that a caller may ask for.
@@ -133,7 +133,7 @@
 		Limits: Limits{RequestsPerSecond: 50, TokensPerSecond: 20000, Concurrency: 200},
 		Queue:  Queue{Requests: 256, Bytes: 16 << 20, MaxWait: 10 * time.Second},
 		Request: Request{
-			MaxBody: 1 << 20, MaxAnswer: 16 << 20, MaxTokens: 8192, MaxDeadline: 10 * time.Minute,
+			MaxBody: 1 << 20, MaxAnswer: 4 << 20, MaxTokens: 8192, MaxDeadline: 10 * time.Minute,
 		},
 		Retry: Retry{
 			MaxAttempts: 3, Budget: 0.1, MinBackoff: 20 * time.Millisecond, MaxBackoff: time.Second,
--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -184,3 +186,24 @@
 		require.Equal(t, "not_run", late.header.Get("Egretreach-Outcome"))
 	})
 }
+
+// TestCallerGoneCancelsItsGeneration: the engine stops soon after the caller left.
+func TestCallerGoneCancelsItsGeneration(t *testing.T) {
+	inFleet(t, func(s *scene) {
+		ctx, leave := context.WithCancel(s.ctx)
+		body := strings.Replace(streamed, `"max_tokens":64`, `"max_tokens":4000,"ignore_eos":true`, 1)
+		r := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(body)).WithContext(ctx)
+		r.Header.Set("Authorization", "Bearer dev-token-cascadia")
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.Entry(0).Handler().ServeHTTP(httptest.NewRecorder(), r)
+		}()
+		time.Sleep(500 * time.Millisecond)
+		head := s.busyHead()
+		leave()
+		<-done
+		took := s.await(2*time.Second, func() bool { return s.Agent(head).Engine.Running() == 0 })
+		require.Less(t, took, time.Second)
+	})
+}
