--- /dev/null
+++ b/internal/control/journal/files.go
@@ -0,0 +1,108 @@
+package journal
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// Files is the part of a file system that a journal uses. Tests bring faults
+// through it.
+type Files interface {
+	// MkdirAll makes a folder and its parents.
+	MkdirAll(folder string) error
+	// List returns the names of the files in a folder.
+	List(folder string) ([]string, error)
+	// ReadFile returns a file's whole content.
+	ReadFile(name string) ([]byte, error)
+	// Create makes a file for writing; one that exists is emptied.
+	Create(name string) (File, error)
+	// Rename gives a file a new name, in place of a file of that name.
+	Rename(from, to string) error
+	// Remove deletes a file.
+	Remove(name string) error
+	// SyncFolder makes creations, renames and removals in a folder durable.
+	SyncFolder(folder string) error
+	// Lock takes the lock file name until the returned value is closed or the
+	// process ends. It returns ErrLocked if another process holds it.
+	Lock(name string) (io.Closer, error)
+}
+
+// File is one file that is written from its start on.
+type File interface {
+	io.Writer
+	// Sync makes all that was written durable.
+	Sync() error
+	Close() error
+}
+
+// Disk is the operating system's file system.
+type Disk struct{}
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// MkdirAll implements Files.
+func (Disk) MkdirAll(folder string) error { return os.MkdirAll(folder, folderMode) }
+
+// List implements Files.
+func (Disk) List(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// ReadFile implements Files.
+func (Disk) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// Create implements Files.
+func (Disk) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+}
+
+// Rename implements Files.
+func (Disk) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements Files.
+func (Disk) Remove(name string) error { return os.Remove(name) }
+
+// SyncFolder implements Files.
+func (Disk) SyncFolder(folder string) error {
+	f, err := os.Open(filepath.Clean(folder))
+	if err != nil {
+		return err
+	}
+	err = f.Sync()
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// Lock implements Files by flock(2).
+func (Disk) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err == nil {
+		return f, nil
+	}
+	_ = f.Close()
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return nil, ErrLocked{File: name}
+	}
+	return nil, err
+}
--- /dev/null
+++ b/internal/control/quorum/message.go
@@ -0,0 +1,264 @@
+package quorum
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+)
+
+// Message is what one control host sends another.
+type Message struct {
+	From host.ID
+	To   host.ID
+	// Generation is that of the sender's disk.
+	Generation Generation
+	// ToGeneration is the disk it is meant for; 0 means any.
+	ToGeneration Generation
+	Term         Term
+	// Admitted says that the sender's disk may vote.
+	Admitted bool
+	Body     Body
+}
+
+// Body is the content of a Message. Only this package implements it.
+type Body interface{ body() }
+
+// PreVote asks whether a candidacy in term Next would find support.
+type PreVote struct {
+	Next      Term  `cbor:"1,keyasint"`
+	LastIndex Index `cbor:"2,keyasint"`
+	LastTerm  Term  `cbor:"3,keyasint"`
+}
+
+// PreVoteReply answers PreVote.
+type PreVoteReply struct {
+	Next    Term `cbor:"1,keyasint"`
+	Granted bool `cbor:"2,keyasint"`
+}
+
+// Vote asks for a vote in the message's term.
+type Vote struct {
+	LastIndex Index `cbor:"1,keyasint"`
+	LastTerm  Term  `cbor:"2,keyasint"`
+	// Transfer says that the leader of the term before gave up its lease and asked
+	// for this candidacy.
+	Transfer bool `cbor:"3,keyasint,omitempty"`
+}
+
+// VoteReply answers Vote.
+type VoteReply struct {
+	Granted bool `cbor:"1,keyasint"`
+}
+
+// Append carries entries behind PrevIndex.
+type Append struct {
+	PrevIndex Index   `cbor:"1,keyasint"`
+	PrevTerm  Term    `cbor:"2,keyasint"`
+	Commit    Index   `cbor:"3,keyasint"`
+	Entries   []Entry `cbor:"4,keyasint"`
+	// Sent is the leader's clock when it sent this, echoed in the reply.
+	Sent Stamp `cbor:"5,keyasint"`
+}
+
+// AppendReply answers Append, Heartbeat and a snapshot's last Chunk.
+type AppendReply struct {
+	// Match is the highest index known to equal the leader's log, if not Rejected.
+	Match Index `cbor:"1,keyasint"`
+	// Rejected says that PrevIndex was not there; Hint is where to look next.
+	Rejected bool  `cbor:"2,keyasint,omitempty"`
+	Hint     Index `cbor:"3,keyasint,omitempty"`
+	Sent     Stamp `cbor:"4,keyasint"`
+}
+
+// Heartbeat shows the leader and the commit index.
+type Heartbeat struct {
+	Commit Index `cbor:"1,keyasint"`
+	Sent   Stamp `cbor:"2,keyasint"`
+}
+
+// HeartbeatReply answers Heartbeat.
+type HeartbeatReply struct {
+	Sent Stamp `cbor:"1,keyasint"`
+}
+
+// Chunk is a part of a snapshot.
+type Chunk struct {
+	// Snapshot has no Data; Index, Term and Membership are the snapshot's.
+	Snapshot Snapshot `cbor:"1,keyasint"`
+	Offset   uint64   `cbor:"2,keyasint"`
+	Total    uint64   `cbor:"3,keyasint"`
+	Data     []byte   `cbor:"4,keyasint"`
+	Sent     Stamp    `cbor:"5,keyasint"`
+}
+
+// ChunkReply asks for the part at Next of the snapshot at Index.
+type ChunkReply struct {
+	Index Index  `cbor:"1,keyasint"`
+	Next  uint64 `cbor:"2,keyasint"`
+	Sent  Stamp  `cbor:"3,keyasint"`
+}
+
+// TimeoutNow asks its receiver to campaign at once (Ongaro 2014, section 3.10).
+type TimeoutNow struct{}
+
+// Join is sent by a host that is not admitted.
+type Join struct {
+	// Fresh says that the disk holds no entry.
+	Fresh bool `cbor:"1,keyasint"`
+	// Challenge is the sender's, and Echo the latest that it had from the receiver.
+	Challenge Generation `cbor:"2,keyasint"`
+	Echo      Generation `cbor:"3,keyasint"`
+}
+
+// Promise is a fresh host's durable word to follow that founder.
+type Promise struct {
+	Founder Generation `cbor:"1,keyasint"`
+}
+
+// Admit shows a founding host the membership that lists its disk.
+type Admit struct {
+	Membership Membership `cbor:"1,keyasint"`
+}
+
+// Stamp is a time by a leader's own clock, in microseconds.
+type Stamp int64
+
+func (PreVote) body() {}
+
+func (PreVoteReply) body() {}
+
+func (Vote) body() {}
+
+func (VoteReply) body() {}
+
+func (Append) body() {}
+
+func (AppendReply) body() {}
+
+func (Heartbeat) body() {}
+
+func (HeartbeatReply) body() {}
+
+func (Chunk) body() {}
+
+func (ChunkReply) body() {}
+
+func (TimeoutNow) body() {}
+
+func (Join) body() {}
+
+func (Promise) body() {}
+
+func (Admit) body() {}
+
+// wire is a Message on a link. The link's certificate tells the sender, and the
+// link's end the receiver.
+type wire struct {
+	Generation     Generation      `cbor:"1,keyasint"`
+	ToGeneration   Generation      `cbor:"2,keyasint,omitempty"`
+	Term           Term            `cbor:"3,keyasint"`
+	Admitted       bool            `cbor:"4,keyasint,omitempty"`
+	PreVote        *PreVote        `cbor:"5,keyasint,omitempty"`
+	PreVoteReply   *PreVoteReply   `cbor:"6,keyasint,omitempty"`
+	Vote           *Vote           `cbor:"7,keyasint,omitempty"`
+	VoteReply      *VoteReply      `cbor:"8,keyasint,omitempty"`
+	Append         *Append         `cbor:"9,keyasint,omitempty"`
+	AppendReply    *AppendReply    `cbor:"10,keyasint,omitempty"`
+	Heartbeat      *Heartbeat      `cbor:"11,keyasint,omitempty"`
+	HeartbeatReply *HeartbeatReply `cbor:"12,keyasint,omitempty"`
+	Chunk          *Chunk          `cbor:"13,keyasint,omitempty"`
+	ChunkReply     *ChunkReply     `cbor:"14,keyasint,omitempty"`
+	TimeoutNow     *TimeoutNow     `cbor:"15,keyasint,omitempty"`
+	Join           *Join           `cbor:"16,keyasint,omitempty"`
+	Promise        *Promise        `cbor:"17,keyasint,omitempty"`
+	Admit          *Admit          `cbor:"18,keyasint,omitempty"`
+}
+
+// Encode returns m as CBOR, without From and To.
+func (m Message) Encode() ([]byte, error) {
+	w := wire{Generation: m.Generation, ToGeneration: m.ToGeneration, Term: m.Term, Admitted: m.Admitted}
+	switch b := m.Body.(type) {
+	case PreVote:
+		w.PreVote = &b
+	case PreVoteReply:
+		w.PreVoteReply = &b
+	case Vote:
+		w.Vote = &b
+	case VoteReply:
+		w.VoteReply = &b
+	case Append:
+		w.Append = &b
+	case AppendReply:
+		w.AppendReply = &b
+	case Heartbeat:
+		w.Heartbeat = &b
+	case HeartbeatReply:
+		w.HeartbeatReply = &b
+	case Chunk:
+		w.Chunk = &b
+	case ChunkReply:
+		w.ChunkReply = &b
+	case TimeoutNow:
+		w.TimeoutNow = &b
+	case Join:
+		w.Join = &b
+	case Promise:
+		w.Promise = &b
+	case Admit:
+		w.Admit = &b
+	}
+	raw, err := cbor.Marshal(w)
+	return raw, errors.Wrap(err, "encode quorum message")
+}
+
+// Decode reads a message that from has sent to to.
+func Decode(raw []byte, from, to host.ID) (Message, error) {
+	var w wire
+	if err := cbor.Unmarshal(raw, &w); err != nil {
+		return Message{}, errors.Wrap(err, "decode quorum message")
+	}
+	body := w.body()
+	if body == nil {
+		return Message{}, errors.New("decode quorum message: unknown body")
+	}
+	return Message{
+		From: from, To: to, Generation: w.Generation, ToGeneration: w.ToGeneration,
+		Term: w.Term, Admitted: w.Admitted, Body: body,
+	}, nil
+}
+
+func (w wire) body() Body {
+	switch {
+	case w.PreVote != nil:
+		return *w.PreVote
+	case w.PreVoteReply != nil:
+		return *w.PreVoteReply
+	case w.Vote != nil:
+		return *w.Vote
+	case w.VoteReply != nil:
+		return *w.VoteReply
+	case w.Append != nil:
+		return *w.Append
+	case w.AppendReply != nil:
+		return *w.AppendReply
+	case w.Heartbeat != nil:
+		return *w.Heartbeat
+	case w.HeartbeatReply != nil:
+		return *w.HeartbeatReply
+	case w.Chunk != nil:
+		return *w.Chunk
+	case w.ChunkReply != nil:
+		return *w.ChunkReply
+	case w.TimeoutNow != nil:
+		return *w.TimeoutNow
+	case w.Join != nil:
+		return *w.Join
+	case w.Promise != nil:
+		return *w.Promise
+	case w.Admit != nil:
+		return *w.Admit
+	default:
+		return nil
+	}
+}
