Add the operators' command line and the control command

Cause: operators had no way to a running fleet, and the control daemon none to run as a process. Change: ctl with apply, config show, history and explain, status, drain, undrain, request and quarantine; the logic is in internal/control/client. A lost answer to apply is asked for again under the same change ID.

--- /dev/null
+++ b/cmd/control.go
@@ -0,0 +1,53 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/control/server"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/process/daemon"
+	"github.com/egretreach/egretreach/internal/process/settings"
+)
+
+type controlCommand struct {
+	Config string `help:"Settings file." required:"" type:"existingfile"`
+}
+
+// Run runs a control daemon until a signal ends it.
+func (c controlCommand) Run() error {
+	file, err := settings.LoadControl(c.Config)
+	if err != nil {
+		return daemon.ReportInvalid(err)
+	}
+	return daemon.Run(context.Background(), daemon.Setup{
+		Role: host.RoleControl, Host: file.Host, Link: file.Link, Health: file.Health, Keys: file.Keys,
+		Log: file.Log, Stop: file.Stop,
+		Build: func(parts daemon.Parts) (daemon.Daemon, error) { return buildControl(file, parts) },
+	})
+}
+
+func buildControl(file settings.Control, parts daemon.Parts) (daemon.Daemon, error) {
+	peers := map[host.ID]string{}
+	for _, m := range file.Members {
+		peers[m.Host] = m.Address.String()
+	}
+	control, err := server.New(server.Options{
+		ID: file.Host.ID, Endpoint: parts.Link, Pool: pool.New(parts.Link), Peers: peers, Logger: parts.Logger,
+	})
+	if err != nil {
+		return daemon.Daemon{}, err
+	}
+	return daemon.Daemon{
+		Run: control.Run,
+		Ready: func() error {
+			if !control.Ready() {
+				return errors.New("no leader is known, or the daemon is stopping")
+			}
+			return nil
+		},
+		Shutdown: func(ctx context.Context) { _ = control.Shutdown(ctx) },
+	}, nil
+}
--- /dev/null
+++ b/internal/control/client/client.go
@@ -0,0 +1,219 @@
+// Package client makes operators' calls to the control leader and prints what it
+// answers.
+package client
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/fleet/config"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/session"
+)
+
+// ErrConflict is a change whose base was not the latest revision. Nothing was changed.
+type ErrConflict struct {
+	// Winner describes the change that was accepted instead.
+	Winner string
+	// Latest is the revision to base the change on now.
+	Latest view.Revision
+}
+
+func (e ErrConflict) Error() string {
+	return fmt.Sprintf("conflict: %s; the latest revision is %d", e.Winner, e.Latest)
+}
+
+// IsErrConflict reports whether err is an ErrConflict.
+func IsErrConflict(err error) bool {
+	var e ErrConflict
+	return errors.As(err, &e)
+}
+
+// ErrInvalid is a configuration that control refused. Nothing was changed.
+type ErrInvalid struct{ Problems []string }
+
+func (e ErrInvalid) Error() string { return strings.Join(e.Problems, "\n") }
+
+// IsErrInvalid reports whether err is an ErrInvalid.
+func IsErrInvalid(err error) bool {
+	var e ErrInvalid
+	return errors.As(err, &e)
+}
+
+// ErrUncertain is a change whose answer was lost. The same change may be sent again
+// under its change ID.
+type ErrUncertain struct {
+	ChangeID string
+	Cause    error
+}
+
+func (e ErrUncertain) Error() string {
+	return fmt.Sprintf("the answer was lost; send the change again with --change-id %s: %v", e.ChangeID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e ErrUncertain) Unwrap() error { return e.Cause }
+
+// IsErrUncertain reports whether err is an ErrUncertain.
+func IsErrUncertain(err error) bool {
+	var e ErrUncertain
+	return errors.As(err, &e)
+}
+
+// ErrNotFound is something that control does not know.
+type ErrNotFound struct{ What string }
+
+func (e ErrNotFound) Error() string { return e.What + " is not known" }
+
+// IsErrNotFound reports whether err is an ErrNotFound.
+func IsErrNotFound(err error) bool {
+	var e ErrNotFound
+	return errors.As(err, &e)
+}
+
+// Caller sends one message to the control leader. A session.Session is one.
+type Caller interface {
+	Call(ctx context.Context, m message.Message) (message.Message, error)
+}
+
+// Client makes operators' calls.
+type Client struct{ Caller Caller }
+
+// call makes one call whose answer is of type A.
+func call[A message.Message](ctx context.Context, c Client, m message.Message) (A, error) {
+	var none A
+	answer, err := c.Caller.Call(ctx, m)
+	if err != nil {
+		return none, err
+	}
+	typed, ok := answer.(A)
+	if !ok {
+		return none, errors.Errorf("%T answered by %T", m, answer)
+	}
+	return typed, nil
+}
+
+// Change is a configuration that an operator offers.
+type Change struct {
+	YAML     []byte
+	Base     view.Revision
+	ChangeID string
+	DryRun   bool
+}
+
+// Apply offers a change. If the answer is lost it offers the change again, which is
+// safe under its change ID, until ctx ends.
+func (c Client) Apply(ctx context.Context, change Change) (*message.ApplyResult, error) {
+	for {
+		result, err := call[*message.ApplyResult](ctx, c, &message.ApplyConfig{
+			YAML: change.YAML, Base: change.Base, ChangeID: change.ChangeID, DryRun: change.DryRun,
+		})
+		switch {
+		case session.IsErrUncertain(err) && ctx.Err() == nil:
+			continue
+		case session.IsErrUncertain(err):
+			return nil, ErrUncertain{ChangeID: change.ChangeID, Cause: err}
+		case err != nil:
+			return nil, err
+		case len(result.Problems) > 0:
+			return result, ErrInvalid{Problems: result.Problems}
+		case result.Conflict != "":
+			return result, ErrConflict{Winner: result.Conflict, Latest: result.Revision}
+		default:
+			return result, nil
+		}
+	}
+}
+
+// Config returns the configuration of a revision, 0 for the latest.
+func (c Client) Config(ctx context.Context, revision view.Revision) (*message.ConfigResult, error) {
+	return call[*message.ConfigResult](ctx, c, &message.ConfigQuery{Revision: revision})
+}
+
+// History returns the accepted changes, the oldest first.
+func (c Client) History(ctx context.Context) ([]message.ConfigChange, error) {
+	result, err := call[*message.ConfigResult](ctx, c, &message.ConfigQuery{History: true})
+	if err != nil {
+		return nil, err
+	}
+	return result.History, nil
+}
+
+// Explain returns the values in force for a host, each with its reason.
+func (c Client) Explain(ctx context.Context, id host.ID) ([]config.Explanation, error) {
+	status, err := c.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	accepted, err := c.Config(ctx, 0)
+	if err != nil {
+		return nil, err
+	}
+	if accepted.Revision == 0 {
+		return nil, ErrNotFound{What: "a configuration"}
+	}
+	fleet, err := config.Parse(fmt.Sprintf("revision %d", accepted.Revision), accepted.YAML)
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range status.Hosts {
+		if h.Info.ID == id {
+			return fleet.Explain(id, h.Info.Failure, h.Info.Fabric), nil
+		}
+	}
+	return nil, ErrNotFound{What: fmt.Sprintf("host %s", id)}
+}
+
+// Status returns the state of the fleet.
+func (c Client) Status(ctx context.Context) (*message.StatusResult, error) {
+	return call[*message.StatusResult](ctx, c, &message.StatusQuery{})
+}
+
+// Drain starts the planned stop of a host, or with undo ends it. It may be repeated.
+func (c Client) Drain(ctx context.Context, id host.ID, reason string, undo bool) error {
+	_, err := call[*message.Ack](ctx, c, &message.Drain{Host: id, Reason: reason, Undo: undo})
+	return err
+}
+
+// Quarantine returns the bodies that are suspect or quarantined.
+func (c Client) Quarantine(ctx context.Context) ([]view.Quarantine, error) {
+	result, err := call[*message.QuarantineResult](ctx, c, &message.QuarantineQuery{})
+	if err != nil {
+		return nil, err
+	}
+	return result.Entries, nil
+}
+
+// ClearQuarantine frees a body, 0 all.
+func (c Client) ClearQuarantine(ctx context.Context, body uint64) error {
+	_, err := call[*message.Ack](ctx, c, &message.QuarantineClear{BodyHash: body})
+	return err
+}
+
+// Request returns what is known about a claimed request.
+func (c Client) Request(ctx context.Context, id request.ID) (*message.RequestResult, error) {
+	result, err := call[*message.RequestResult](ctx, c, &message.RequestQuery{Request: id})
+	if err != nil {
+		return nil, err
+	}
+	if !result.Found {
+		return nil, ErrNotFound{What: "request " + id.String()}
+	}
+	return result, nil
+}
+
+// InForce reports whether every daemon that holds a lease has confirmed revision.
+func InForce(status *message.StatusResult, revision view.Revision) bool {
+	for _, h := range status.Hosts {
+		if h.LeaseMs > 0 && h.Revision < revision {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/control/client/client_test.go
@@ -0,0 +1,90 @@
+package client
+
+import (
+	"context"
+	"io"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/session"
+)
+
+type answers struct {
+	list []any
+	sent []message.Message
+}
+
+func (a *answers) Call(_ context.Context, m message.Message) (message.Message, error) {
+	a.sent = append(a.sent, m)
+	next := a.list[0]
+	a.list = a.list[1:]
+	if err, failed := next.(error); failed {
+		return nil, err
+	}
+	return next.(message.Message), nil
+}
+
+func TestApply(t *testing.T) {
+	lost := session.ErrUncertain{Cause: io.EOF}
+	accepted := &message.ApplyResult{Accepted: true, Revision: 4}
+	for _, c := range []struct {
+		name  string
+		list  []any
+		sends int
+		check func(error) bool
+	}{
+		{"accepted", []any{accepted}, 1, func(err error) bool { return err == nil }},
+		{"answer lost twice", []any{lost, lost, accepted}, 3, func(err error) bool { return err == nil }},
+		{"conflict", []any{&message.ApplyResult{Revision: 4, Conflict: "change x"}}, 1, IsErrConflict},
+		{"problems", []any{&message.ApplyResult{Problems: []string{"p"}}}, 1, IsErrInvalid},
+		{"refused", []any{session.ErrRefused{Code: "forbidden"}}, 1, session.IsErrRefused},
+	} {
+		a := &answers{list: c.list}
+		_, err := Client{Caller: a}.Apply(t.Context(), Change{ChangeID: "x", Base: 3})
+		require.True(t, c.check(err), "%s: %v", c.name, err)
+		require.Len(t, a.sent, c.sends, c.name)
+		for _, m := range a.sent {
+			require.Equal(t, &message.ApplyConfig{ChangeID: "x", Base: 3}, m, c.name)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := Client{Caller: &answers{list: []any{lost}}}.Apply(ctx, Change{ChangeID: "x"})
+	require.True(t, IsErrUncertain(err), "%v", err)
+	require.ErrorContains(t, err, "--change-id x")
+}
+
+func ExamplePrinter_Status() {
+	_ = Printer{Out: os.Stdout}.Status(&message.StatusResult{
+		Leader: "10.0.0.1:7000", Term: 3, Revision: 12,
+		Control:     []message.ControlStatus{{Host: "c1", Address: "10.0.0.1:7000", State: "leader", Match: 80}},
+		Deployments: []message.DeploymentStatus{{Name: "drafting", Wanted: 1, Serving: 1}},
+		Replicas: []replica.Replica{{
+			ID: "drafting-7", Fence: 7, State: replica.StateServing, Hosts: []host.ID{"a1", "a2"},
+			Spec: replica.Spec{Model: "drafter", Version: "1"},
+		}},
+		Hosts: []message.HostStatus{{
+			Info: host.Info{ID: "a1", Failure: "f1", Fabric: "rack-1"}, Role: host.RoleAgent,
+			LeaseMs: 2000, Healthy: true, Revision: 12, Replica: "drafting-7",
+		}},
+	})
+	// Output:
+	// leader 10.0.0.1:7000  term 3  revision 12
+	//
+	// CONTROL HOST  ADDRESS        STATE   MATCH
+	// c1            10.0.0.1:7000  leader  80
+	//
+	// DEPLOYMENT  WANTED  SERVING  LOADING
+	// drafting    1       1        0
+	//
+	// REPLICA     STATE    FENCE  VERSION    HOSTS
+	// drafting-7  serving  7      drafter/1  a1,a2
+	//
+	// HOST  ROLE   FAILURE DOMAIN  FABRIC DOMAIN  STATE    REVISION  REPLICA
+	// a1    agent  f1              rack-1         healthy  12        drafting-7
+}
--- a/internal/link/identity/folder.go
+++ b/internal/link/identity/folder.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
 )
 
 // Files of a process's keys folder.
@@ -55,6 +57,19 @@
 	return credentials, nil
 }
 
+// OpenAs reads the credentials in a keys folder. They must be for role, of whatever
+// host or operator.
+func OpenAs(folder string, role host.Role) (*Credentials, error) {
+	credentials := &Credentials{}
+	if err := credentials.reload(folder); err != nil {
+		return nil, err
+	}
+	if self := credentials.Self(); self.Role != role {
+		return nil, ErrKeys{Path: folder, Cause: errors.Errorf("the certificate is for %s, not for role %s", self, role)}
+	}
+	return credentials, nil
+}
+
 func (c *Credentials) reload(folder string) error {
 	pair, err := readPair(filepath.Join(folder, CertificateFile), filepath.Join(folder, KeyFile))
 	if err != nil {
