Drive the gate and the attempt table through random faults

Cause: their promises were tested by example only. Found and mended: a forgotten idempotent attempt that came again could be attested not to run; the watch could spin if an expiry lay in the past.

--- a/internal/agent/attempt/table.go
+++ b/internal/agent/attempt/table.go
@@ -149,6 +149,9 @@
 		t.running--
 		r.endedAt = now
 		r.state = endState(outcome)
+		if r.state == stateNotRun && t.mayHaveForgotten(r.atMostOnce) {
+			r.state = stateUnknown
+		}
 		t.keep(ref, r, answer)
 		t.Expire(now)
 	}
@@ -202,7 +205,7 @@
 	if r == nil {
 		return t.unseen(ask), false
 	}
-	if r.state == stateAccepted && ask.Tombstone {
+	if r.state == stateAccepted && ask.Tombstone && !t.mayHaveForgotten(r.atMostOnce) {
 		// The holder of the attempt learns of it from Pass, and ends it.
 		r.state = stateNotRun
 		t.running--
@@ -220,8 +223,7 @@
 // is attested not to run, unless it may have been forgotten.
 func (t *Table) unseen(ask *message.Ask) message.AskResult {
 	unknown := message.AskResult{Ref: ask.Ref, State: message.AskUnknown}
-	forgotten := t.dropped.has(ask.Ref) || !ask.AtMostOnce && t.forgotRecent
-	if forgotten || !ask.Tombstone {
+	if t.dropped.has(ask.Ref) || t.mayHaveForgotten(ask.AtMostOnce) || !ask.Tombstone {
 		return unknown
 	}
 	r := &record{state: stateNotRun, atMostOnce: ask.AtMostOnce}
@@ -231,6 +233,10 @@
 	return r.result(ask.Ref)
 }
 
+// mayHaveForgotten reports whether an attempt of that kind may have come before
+// without a trace.
+func (t *Table) mayHaveForgotten(atMostOnce bool) bool { return !atMostOnce && t.forgotRecent }
+
 // Leave forgets a waiter.
 func (t *Table) Leave(ref message.Ref, waiter Waiter) {
 	r := t.records[ref]
--- /dev/null
+++ b/internal/agent/gate/gate_test.go
@@ -0,0 +1,148 @@
+package gate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func pair(id replica.ID, fence replica.Fence) replica.Replica {
+	return replica.Replica{ID: id, Fence: fence, Hosts: []host.ID{"a", "b"}}
+}
+
+// serving returns the gate of host a, head of r-1, loaded, at fence 5.
+func serving() *Gate {
+	g := New("a")
+	g.Welcomed(5)
+	g.Join(pair("r-1", 5), nil)
+	g.Engine(true, "r-1", 5, true, 100)
+	return g
+}
+
+// TestLostMemberClosesGateWithinTimeout drives heartbeats and acks through a
+// network that delays each by up to several seconds, in random order, with the
+// head paused at random, and kills the member at a random moment.
+func TestLostMemberClosesGateWithinTimeout(t *testing.T) {
+	opened := 0
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		g := serving()
+		lost := time.Duration(rng.IntN(5000)) * time.Millisecond
+		slowest := time.Duration(1+rng.IntN(3000)) * time.Millisecond
+		delay := func() time.Duration { return time.Duration(rng.Int64N(int64(slowest))) }
+		beats := map[time.Duration][]message.Beat{}
+		acks := map[time.Duration][]uint64{}
+		var sequence, echo uint64
+		for at := time.Duration(0); at < 15*time.Second; at += time.Millisecond {
+			for _, ack := range acks[at] {
+				echo = max(echo, ack)
+			}
+			if at < lost && at%BeatInterval == 0 {
+				sequence++
+				arrives := (at + delay()).Truncate(time.Millisecond)
+				beats[arrives] = append(beats[arrives], message.Beat{Replica: "r-1", Fence: 5, Host: "b", Sequence: sequence, Echo: echo})
+			}
+			for _, b := range beats[at] {
+				ack := g.Beat(epoch.Add(at), &b)
+				arrives := (at + delay() + time.Millisecond).Truncate(time.Millisecond)
+				if arrives < lost {
+					acks[arrives] = append(acks[arrives], ack.Sequence)
+				}
+			}
+			reading := Reading{Now: epoch.Add(at), Leased: true}
+			open := g.MayAccept(reading, "r-1", 5) == nil
+			if !open {
+				continue
+			}
+			opened++
+			require.Less(t, at, lost+BeatTimeout, "seed %d: open after the loss", seed)
+		}
+	}
+	require.Positive(t, opened, "the gate never opened")
+}
+
+func TestMayPass(t *testing.T) {
+	now := Reading{Now: epoch, Leased: true}
+	left := serving()
+	left.Leave(pair("r-1", 5))
+	tests := []struct {
+		name string
+		gate *Gate
+		at   Reading
+		r    replica.Replica
+		want func(error) bool
+	}{
+		{"a newer fence", serving(), now, pair("r-2", 6), nil},
+		{"the same order again", serving(), now, pair("r-1", 5), nil},
+		{"an older fence", serving(), now, pair("r-0", 4), IsErrStaleFence},
+		{"the same fence for another replica", serving(), now, pair("r-2", 5), IsErrFenceReused},
+		{"a lapsed lease", serving(), Reading{Now: epoch}, pair("r-2", 6), IsErrNoLease},
+		{"a floor not known yet", New("a"), now, pair("r-2", 6), IsErrFenceUnknown},
+		{"a replica that was left", left, now, pair("r-1", 5), IsErrLeft},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			err := test.gate.MayLoad(test.at, test.r)
+			if test.want == nil {
+				require.NoError(t, err)
+				return
+			}
+			require.True(t, test.want(err), "%v", err)
+		})
+	}
+}
+
+func TestMayAccept(t *testing.T) {
+	beaten := func() *Gate {
+		g := serving()
+		g.Beat(epoch, &message.Beat{Replica: "r-1", Fence: 5, Host: "b", Sequence: 1})
+		g.Beat(epoch, &message.Beat{Replica: "r-1", Fence: 5, Host: "b", Sequence: 2, Echo: 1})
+		return g
+	}
+	tests := []struct {
+		code   string
+		change func(g *Gate)
+		leased bool
+		fence  replica.Fence
+	}{
+		{"", func(*Gate) {}, true, 5},
+		{CodeLeaseLapsed, func(*Gate) {}, false, 5},
+		{CodeWrongReplica, func(*Gate) {}, true, 4},
+		{CodeStaleFence, func(g *Gate) { g.Welcomed(6) }, true, 5},
+		{CodeDraining, func(g *Gate) { g.Drain() }, true, 5},
+		{CodeDraining, func(g *Gate) { g.Stop() }, true, 5},
+		{CodeEngineDown, func(g *Gate) { g.EngineLost() }, true, 5},
+		{CodeNotLoaded, func(g *Gate) { g.Engine(true, "r-1", 4, true, 100) }, true, 5},
+		{CodeNoReplica, func(g *Gate) { g.Leave(pair("r-1", 5)) }, true, 5},
+		{CodeNotHead, func(g *Gate) { g.self = "b" }, true, 5},
+		{CodeMemberDraining, func(g *Gate) {
+			g.Beat(epoch, &message.Beat{Replica: "r-1", Fence: 5, Host: "b", Sequence: 3, Echo: 2, Draining: true})
+		}, true, 5},
+		{CodeMemberLost, func(g *Gate) { // A member's new process has yet to prove itself.
+			g.Beat(epoch, &message.Beat{Replica: "r-1", Fence: 5, Host: "b", Sequence: 3, Echo: 2, Incarnation: 9})
+		}, true, 5},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint("code ", test.code), func(t *testing.T) {
+			g := beaten()
+			test.change(g)
+			err := g.MayAccept(Reading{Now: epoch, Leased: test.leased}, "r-1", test.fence)
+			if test.code == "" {
+				require.NoError(t, err)
+				return
+			}
+			var closed ErrClosed
+			require.ErrorAs(t, err, &closed)
+			require.Equal(t, test.code, closed.Code)
+		})
+	}
+}
--- a/internal/agent/server/attempt_test.go
+++ b/internal/agent/server/attempt_test.go
@@ -79,7 +79,9 @@
 		require.Equal(t, message.AskUnknown, f.ask(m, ask).State, "without a tombstone nothing is promised")
 		ask.Tombstone = true
 		require.Equal(t, message.AskNotRun, f.ask(m, ask).State)
-		require.Equal(t, codeTombstone, f.do(m, d).refused.Code)
+		late := f.do(m, d).refused
+		require.NotNil(t, late)
+		require.Equal(t, codeTombstone, late.Code)
 		require.Zero(t, m.service.Counts().Total)
 
 		other := signoff(m, "badge")
--- a/internal/agent/server/shutdown_test.go
+++ b/internal/agent/server/shutdown_test.go
@@ -28,7 +28,9 @@
 				stopped := make(chan error, 1)
 				go func() { stopped <- f.agents[leaving].server.Shutdown(f.ctx) }()
 				time.Sleep(2 * gate.BeatInterval)
-				require.Equal(t, code, f.do(head, generation(head, r, "more", 1)).refused.Code)
+				refused := f.do(head, generation(head, r, "more", 1)).refused
+				require.NotNil(t, refused)
+				require.Equal(t, code, refused.Code)
 				got := f.collect(stream, d)
 				require.Equal(t, request.OutcomeComplete, got.end.Outcome, got.end.Reason)
 				require.NoError(t, <-stopped)
--- a/internal/agent/server/watch.go
+++ b/internal/agent/server/watch.go
@@ -8,8 +8,11 @@
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
-// idleWatch is how often the gate is looked at when nothing is due.
-const idleWatch = 5 * time.Second
+// The watch looks at the gate when something is due, and within these bounds.
+const (
+	idleWatch = 5 * time.Second
+	minWatch  = time.Millisecond
+)
 
 // watch fails work over as soon as the gate closes under it, and tells control of
 // each change.
@@ -49,7 +52,7 @@
 		s.session.Renew()
 		s.logGate(accepts)
 	}
-	return max(due, 0)
+	return max(due, minWatch)
 }
 
 func (s *Server) logGate(err error) {
