--- a/cmd/control.go
+++ b/cmd/control.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/egretreach/egretreach/internal/control/journal"
 	"github.com/egretreach/egretreach/internal/control/server"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/pool"
@@ -34,8 +35,12 @@
 	for _, m := range file.Members {
 		peers[m.Host] = m.Address.String()
 	}
+	links := pool.New(parts.Link)
+	replicated := server.Replicated{
+		ID: file.Host.ID, Peers: peers, Files: journal.Disk{}, Folder: file.DataFolder, Pool: links, Logger: parts.Logger,
+	}
 	control, err := server.New(server.Options{
-		ID: file.Host.ID, Endpoint: parts.Link, Pool: pool.New(parts.Link), Peers: peers, Logger: parts.Logger,
+		ID: file.Host.ID, Endpoint: parts.Link, Pool: links, Peers: peers, Log: replicated.Open, Logger: parts.Logger,
 	})
 	if err != nil {
 		return daemon.Daemon{}, err
--- a/examples/local/fleet.sh
+++ b/examples/local/fleet.sh
@@ -73,7 +73,7 @@
   make_keys
   for n in $(names); do start "$n"; done
   await http://127.0.1.1:9090/readyz
-  ctl config show >/dev/null 2>&1 || ctl apply fleet.yaml --base-revision 0
+  ctl apply fleet.yaml --base-revision 0 --change-id local-first >/dev/null
   await http://127.0.1.2:9090/readyz
   await http://127.0.2.2:9090/readyz
   ctl status
--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -192,7 +192,7 @@
 	inFleet(t, func(s *scene) {
 		ctx, leave := context.WithCancel(s.ctx)
 		body := strings.Replace(streamed, `"max_tokens":64`, `"max_tokens":4000,"ignore_eos":true`, 1)
-		r := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(body)).WithContext(ctx)
+		r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body)).WithContext(ctx)
 		r.Header.Set("Authorization", "Bearer dev-token-cascadia")
 		done := make(chan struct{})
 		go func() {
