Find a new control leader before leases lapse

Cause: a session left a dead leader only when QUIC's idle timeout (2 s) or the whole lease had passed, then dialled the dead host again at a follower's word; the lease of 3 s, renewed each second, lapsed first. Claims in flight at the leader's death failed although the ledger would have granted them again. Ruled out: a longer lease alone, which would put configuration in force later. Change: a leader is left after two unanswered renewals, a failed host is avoided for 1 s, lost claim answers are asked for again; lease 4 s renewed every 0.5 s, election 1 s. Conclusion: in force still means commit + 4 s at most.

--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -149,8 +149,8 @@
 
 // The defaults of Timing.
 const (
-	DefaultHeartbeat    = 250 * time.Millisecond
-	DefaultElection     = 1500 * time.Millisecond
+	DefaultHeartbeat    = 200 * time.Millisecond
+	DefaultElection     = 1000 * time.Millisecond
 	DefaultDriftPercent = 10
 )
 
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -47,8 +47,8 @@
 
 // Defaults of Timing.
 const (
-	DefaultLeaseTTL       = 3 * time.Second
-	DefaultRenewEvery     = time.Second
+	DefaultLeaseTTL       = 4 * time.Second
+	DefaultRenewEvery     = 500 * time.Millisecond
 	DefaultStepEvery      = 500 * time.Millisecond
 	DefaultViewEvery      = 100 * time.Millisecond
 	DefaultOrderRetry     = 5 * time.Second
--- a/internal/entry/dispatch/batch.go
+++ b/internal/entry/dispatch/batch.go
@@ -8,13 +8,16 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/session"
 )
 
 const (
 	batchItems    = 256
 	batchesAtOnce = 4
 	claimTimeout  = 5 * time.Second
-	settleTimeout = 2 * time.Second
+	settleTimeout = 5 * time.Second
+
+	callAgainDelay = 100 * time.Millisecond
 )
 
 // batcher joins calls of many requests into one message to control. While as many
@@ -98,10 +101,22 @@
 	}
 }
 
+// callAgain repeats a call whose answer was lost. Claims and settles are idempotent:
+// the ledger grants the same attempt again.
+func callAgain(ctx context.Context, control Control, m message.Message) (message.Message, error) {
+	for {
+		answer, err := control.Call(ctx, m)
+		if err == nil || !session.IsErrUncertain(err) || ctx.Err() != nil {
+			return answer, err
+		}
+		wait(ctx, callAgainDelay)
+	}
+}
+
 func newClaims(control Control) *batcher[message.ClaimItem, message.ClaimItemResult] {
 	b := &batcher[message.ClaimItem, message.ClaimItemResult]{}
 	b.send = func(ctx context.Context, items []message.ClaimItem) ([]message.ClaimItemResult, error) {
-		answer, err := control.Call(ctx, &message.Claim{Items: items})
+		answer, err := callAgain(ctx, control, &message.Claim{Items: items})
 		if err != nil {
 			return nil, err
 		}
@@ -117,7 +132,7 @@
 func newSettles(control Control) *batcher[message.SettleItem, bool] {
 	b := &batcher[message.SettleItem, bool]{}
 	b.send = func(ctx context.Context, items []message.SettleItem) ([]bool, error) {
-		answer, err := control.Call(ctx, &message.Settle{Items: items})
+		answer, err := callAgain(ctx, control, &message.Settle{Items: items})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/link/session/call.go
+++ b/internal/link/session/call.go
@@ -75,9 +75,8 @@
 }
 
 func (s *Session) callOnce(ctx context.Context, address string, m message.Message) (message.Message, error) {
-	stream, err := s.opts.Pool.Open(ctx, address)
+	stream, err := s.openStream(ctx, address)
 	if err != nil {
-		s.failed(address)
 		return nil, ErrNoLeader{Reason: err.Error()}
 	}
 	defer stream.Close()
--- a/internal/link/session/session.go
+++ b/internal/link/session/session.go
@@ -21,8 +21,14 @@
 
 const (
 	reconnectDelay = 200 * time.Millisecond
-	answerTimeout  = 2 * time.Second
+	openTimeout    = 750 * time.Millisecond
+	answerTimeout  = time.Second
 	goodbyeTimeout = 500 * time.Millisecond
+	// avoidFor is how long a control host that failed is not tried again at
+	// another's word: followers name a dead leader until they have elected a new one.
+	avoidFor = time.Second
+	// missedRenewals is how many renewals may go unanswered before a leader is left.
+	missedRenewals = 2
 )
 
 // Daemon is what a session needs of its daemon.
@@ -65,6 +71,7 @@
 	stream   *transport.Stream
 	over     chan struct{}
 	stopping bool
+	avoided  map[string]time.Time
 }
 
 // New returns a session that Run starts.
@@ -156,9 +163,8 @@
 
 func (s *Session) once(ctx context.Context) error {
 	address := s.address()
-	stream, err := s.opts.Pool.Open(ctx, address)
+	stream, err := s.openStream(ctx, address)
 	if err != nil {
-		s.failed(address)
 		return err
 	}
 	defer stream.Cancel()
@@ -169,7 +175,28 @@
 		return err
 	}
 	s.opts.Daemon.Welcomed(*welcome)
-	return s.hold(ctx, stream, welcome)
+	err = s.hold(ctx, stream, welcome)
+	if isTimeout(err) {
+		s.failed(address)
+		// Calls that wait on the same silent link are to find another leader too.
+		s.opts.Pool.Drop(address)
+	}
+	return err
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func (s *Session) openStream(ctx context.Context, address string) (*transport.Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	stream, err := s.opts.Pool.Open(ctx, address)
+	if err != nil {
+		s.failed(address)
+	}
+	return stream, err
 }
 
 func (s *Session) open(ctx context.Context, stream *transport.Stream, address string) (*message.Welcome, error) {
@@ -214,7 +241,7 @@
 }
 
 // hold renews and receives until the stream ends. A leader that does not answer
-// renewals for a whole lease is left.
+// renewals is left well before the lease lapses.
 func (s *Session) hold(ctx context.Context, stream *transport.Stream, w *message.Welcome) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -223,7 +250,7 @@
 		defer close(renewing)
 		s.renewals(ctx, stream, w.RenewEvery)
 	}()
-	err := s.receive(ctx, stream, w.LeaseTTL)
+	err := s.receive(ctx, stream, w)
 	s.mu.Lock()
 	s.stream = nil
 	close(s.over)
@@ -266,16 +293,16 @@
 	return stream.Send(&message.Renew{Renewals: []message.Renewal{renewal}})
 }
 
-func (s *Session) receive(ctx context.Context, stream *transport.Stream, ttl time.Duration) error {
+func (s *Session) receive(ctx context.Context, stream *transport.Stream, w *message.Welcome) error {
 	for {
-		_ = stream.SetReadDeadline(time.Now().Add(ttl))
+		_ = stream.SetReadDeadline(time.Now().Add(missedRenewals * w.RenewEvery))
 		m, err := stream.Receive()
 		if err != nil {
 			return errors.Wrap(err, "session")
 		}
 		switch m := m.(type) {
 		case *message.Grant:
-			s.granted(m, ttl)
+			s.granted(m, w.LeaseTTL)
 		case *message.ConfigPush:
 			s.applyConfig(m)
 		case *message.NotLeader:
@@ -333,15 +360,20 @@
 	if s.leader == address {
 		s.leader = ""
 	}
+	if s.avoided == nil {
+		s.avoided = map[string]time.Time{}
+	}
+	s.avoided[address] = time.Now()
 	s.next++
 }
 
 func (s *Session) redirect(from, to string) {
-	if to == "" || to == from {
-		s.failed(from)
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if to == "" || to == from || time.Since(s.avoided[to]) < avoidFor {
+		s.leader = ""
+		s.next++
+		return
+	}
 	s.leader = to
 }
--- a/internal/standin/fleet/daemon.go
+++ b/internal/standin/fleet/daemon.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"path/filepath"
 
 	"github.com/google/uuid"
 
 	agent "github.com/egretreach/egretreach/internal/agent/server"
+	"github.com/egretreach/egretreach/internal/control/journal"
 	control "github.com/egretreach/egretreach/internal/control/server"
 	entry "github.com/egretreach/egretreach/internal/entry/server"
 	"github.com/egretreach/egretreach/internal/fleet/host"
@@ -72,26 +74,44 @@
 }
 
 func (f *Fleet) startControls() error {
+	links := map[host.ID]*transport.Endpoint{}
+	peers := map[host.ID]string{}
 	for i := range f.opts.Controls {
 		id := host.ID(fmt.Sprintf("control-%d", i+1))
 		link, err := f.link(host.RoleControl, id)
 		if err != nil {
 			return err
 		}
-		address := link.Address().String()
-		f.addresses = append(f.addresses, address)
-		server, err := control.New(control.Options{
-			ID: id, Endpoint: link, Pool: pool.New(link), Peers: map[host.ID]string{id: address}, Logger: f.opts.Logger,
-		})
-		if err != nil {
+		links[id] = link
+		peers[id] = link.Address().String()
+		f.addresses = append(f.addresses, peers[id])
+		f.controls = append(f.controls, &Control{Host: id})
+	}
+	for _, c := range f.controls {
+		if err := f.startControl(c, links[c.Host], peers); err != nil {
 			return err
 		}
-		d := f.run(link, server.Run)
-		f.controls = append(f.controls, &Control{daemon: d, Server: server, Host: id})
 	}
 	return nil
 }
 
+func (f *Fleet) startControl(c *Control, link *transport.Endpoint, peers map[host.ID]string) error {
+	opts := control.Options{ID: c.Host, Endpoint: link, Pool: pool.New(link), Peers: peers, Logger: f.opts.Logger}
+	if f.opts.DataFolder != "" {
+		opts.Log = control.Replicated{
+			ID: c.Host, Peers: peers, Files: journal.Disk{}, Pool: opts.Pool, Logger: f.opts.Logger,
+			Folder: filepath.Join(f.opts.DataFolder, string(c.Host)),
+		}.Open
+	}
+	server, err := control.New(opts)
+	if err != nil {
+		return err
+	}
+	c.Server = server
+	c.daemon = f.run(link, server.Run)
+	return nil
+}
+
 func (f *Fleet) startEngine(spec Engine) error {
 	listener, roundTripper, err := f.opts.Sockets.Stream(string(spec.ID) + "-engine")
 	if err != nil {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -39,6 +39,9 @@
 	Sockets  Sockets
 	Controls int
 	Entries  int
+	// DataFolder holds the logs of the control hosts; without it the state of a
+	// single one is kept in memory.
+	DataFolder string
 	// Engines are the hosts with a model engine.
 	Engines []Engine
 	// Services are the hosts with the records service.
@@ -113,6 +116,10 @@
 	if err := f.Apply(f.ctx, 0, f.opts.Config); err != nil {
 		return err
 	}
+	return f.startHosts()
+}
+
+func (f *Fleet) startHosts() error {
 	for _, spec := range f.opts.Engines {
 		if err := f.startEngine(spec); err != nil {
 			return err
