--- /dev/null
+++ b/internal/control/journal/journal_test.go
@@ -0,0 +1,304 @@
+package journal
+
+import (
+	"fmt"
+	"slices"
+	"syscall"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/egretreach/egretreach/internal/control/quorum"
+)
+
+// model is what a journal should hold.
+type model struct {
+	hard     quorum.HardState
+	snapshot quorum.Index
+	// last is the last index, and terms holds the term of each entry.
+	last  quorum.Index
+	terms map[quorum.Index]quorum.Term
+}
+
+func modelOf(m quorum.Memory) model {
+	out := model{
+		hard: m.Hard, snapshot: m.Snapshot.Index,
+		last: m.Snapshot.Index, terms: map[quorum.Index]quorum.Term{},
+	}
+	for _, e := range m.Entries {
+		out.last = e.Index
+		out.terms[e.Index] = e.Term
+	}
+	return out
+}
+
+// with returns the model after one write.
+func (m model) with(w quorum.Persist) model {
+	out := m
+	out.terms = map[quorum.Index]quorum.Term{}
+	for i, term := range m.terms {
+		out.terms[i] = term
+	}
+	if w.Hard != nil {
+		out.hard = *w.Hard
+	}
+	for _, e := range w.Entries {
+		for i := e.Index; i <= out.last; i++ {
+			delete(out.terms, i)
+		}
+		out.terms[e.Index], out.last = e.Term, e.Index
+	}
+	if w.Snapshot == nil {
+		return out
+	}
+	out.snapshot = w.Snapshot.Index
+	for i := range out.terms {
+		if i <= out.snapshot || w.Reset {
+			delete(out.terms, i)
+		}
+	}
+	if w.Reset || out.last < out.snapshot {
+		out.last = out.snapshot
+	}
+	return out
+}
+
+// drawWrite makes a write that a state machine in the state of m could ask for.
+func drawWrite(t *rapid.T, m model) quorum.Persist {
+	var w quorum.Persist
+	hard := m.hard
+	hard.Term++
+	kind := rapid.IntRange(0, 9).Draw(t, "kind")
+	if kind < 3 {
+		w.Hard = &hard
+	}
+	switch {
+	case kind == 9:
+		w.Hard, w.Reset = &hard, true
+		w.Snapshot = &quorum.Snapshot{Index: m.last + 5, Term: hard.Term, Data: []byte("reset")}
+	case kind == 8 && m.last > m.snapshot:
+		index := m.snapshot + 1 + quorum.Index(rapid.IntRange(0, int(m.last-m.snapshot)-1).Draw(t, "at"))
+		w.Snapshot = &quorum.Snapshot{Index: index, Term: m.terms[index], Data: []byte("own")}
+	default:
+		first := m.last + 1
+		if back := rapid.IntRange(0, 3).Draw(t, "back"); back < int(m.last-m.snapshot) {
+			first -= quorum.Index(back)
+		}
+		for i := range rapid.IntRange(0, 4).Draw(t, "entries") {
+			w.Entries = append(w.Entries, quorum.Entry{
+				Index: first + quorum.Index(i), Term: hard.Term, Command: make([]byte, 100),
+			})
+		}
+	}
+	return w
+}
+
+// TestCrashesAndFaults writes at random while operations fail and the host crashes.
+// What a journal holds after that must be what was acknowledged, with some of the
+// writes under way and each of these whole or not at all,
+// but that a snapshot may come without the hard state written behind it.
+func TestCrashesAndFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		files := newMemoryFiles(rapid.Uint64().Draw(t, "seed"))
+		files.fault = rapid.SampledFrom([]error{syscall.ENOSPC, syscall.EIO}).Draw(t, "fault")
+		j, err := Open(files, "folder")
+		require.NoError(t, err)
+		kept := modelOf(j.Memory())
+		for range rapid.IntRange(1, 12).Draw(t, "rounds") {
+			files.failAfter = rapid.IntRange(-1, 12).Draw(t, "fail after")
+			allowed := []model{kept}
+			var writes []quorum.Persist
+			for range rapid.IntRange(0, 5).Draw(t, "writes") {
+				w := drawWrite(t, allowed[len(allowed)-1])
+				before := allowed[len(allowed)-1]
+				if w.Reset {
+					// The snapshot may be there without the hard state that rests on it.
+					allowed = append(allowed, before.with(quorum.Persist{Snapshot: w.Snapshot, Reset: true}))
+				}
+				allowed = append(allowed, before.with(w))
+				writes = append(writes, w)
+			}
+			if err := j.Write(writes); err == nil {
+				kept = allowed[len(allowed)-1]
+				allowed = []model{kept}
+			} else {
+				require.True(t, IsErrDiskFull(err) || IsErrDisk(err), "%v", err)
+				require.True(t, IsErrPoisoned(j.Write(nil)))
+			}
+			files.crash()
+			if rapid.Bool().Draw(t, "fails at open") {
+				files.failAfter = rapid.IntRange(0, 8).Draw(t, "open fails after")
+				if failed, err := Open(files, "folder"); err == nil {
+					require.NoError(t, failed.Close())
+				}
+				files.crash()
+			}
+			j, err = Open(files, "folder")
+			require.NoError(t, err)
+			kept = modelOf(j.Memory())
+			require.Contains(t, allowed, kept)
+		}
+	})
+}
+
+// filled returns a journal with a few writes and a snapshot, closed.
+func filled(t *testing.T) *memoryFiles {
+	files := newMemoryFiles(1)
+	j, err := Open(files, "folder")
+	require.NoError(t, err)
+	m := modelOf(j.Memory())
+	for i := range 6 {
+		hard := m.hard
+		hard.Term++
+		w := quorum.Persist{Hard: &hard, Entries: []quorum.Entry{{Index: m.last + 1, Term: hard.Term, Command: make([]byte, 40)}}}
+		if i == 3 {
+			w.Snapshot = &quorum.Snapshot{Index: m.last, Term: m.terms[m.last], Data: make([]byte, 40)}
+		}
+		require.NoError(t, j.Write([]quorum.Persist{w}))
+		m = m.with(w)
+	}
+	require.NoError(t, j.Close())
+	return files
+}
+
+// TestFlippedBits flips each bit of each file in turn. None may go unseen.
+func TestFlippedBits(t *testing.T) {
+	files := filled(t)
+	for _, name := range files.sorted() {
+		data := files.names[name].data
+		for bit := range 8 * len(data) {
+			data[bit/8] ^= 1 << (bit % 8)
+			_, err := Open(files, "folder")
+			require.True(t, IsErrCorrupt(err), "bit %d of %s: %v", bit, name, err)
+			data[bit/8] ^= 1 << (bit % 8)
+		}
+	}
+	_, err := Open(files, "folder")
+	require.NoError(t, err)
+}
+
+// TestTornTail cuts the newest segment at each length behind its opening records,
+// and also lets the rest read as zeros. The whole writes before the cut stay, and
+// what is dropped is said.
+func TestTornTail(t *testing.T) {
+	files := filled(t)
+	whole := files.names[files.last()].data
+	bounds := []int{0}
+	for end := 0; end < len(whole); bounds = append(bounds, end) {
+		rec, err := decodeRecord(whole[end:])
+		require.NoError(t, err)
+		end += rec.size
+	}
+	opening, writes := 2, len(bounds)-3
+	require.Equal(t, 2, writes)
+	for _, zeros := range []int{0, 2 * sectorBytes} {
+		for cut := bounds[opening]; cut < len(whole); cut++ {
+			files := filled(t)
+			files.names[files.last()].data = slices.Concat(whole[:cut], make([]byte, zeros))
+			kept := 0
+			for bounds[opening+kept+1] <= cut {
+				kept++
+			}
+			j := mustOpen(t, files)
+			require.Equal(t, quorum.Index(4+kept), modelOf(j.Memory()).last)
+			require.Equal(t, cut+zeros-bounds[opening+kept], j.Report().TornBytes)
+		}
+	}
+}
+
+func mustOpen(t *testing.T, files Files) *Journal {
+	j, err := Open(files, "folder")
+	require.NoError(t, err)
+	return j
+}
+
+// TestFailuresAreTyped sees each failing operation reported by its type, and the
+// journal refuse all more until it is opened again.
+func TestFailuresAreTyped(t *testing.T) {
+	for _, c := range []struct {
+		operation string
+		fault     error
+		is        func(error) bool
+	}{
+		{"write", syscall.ENOSPC, IsErrDiskFull},
+		{"write", syscall.EIO, IsErrDisk},
+		{"sync", syscall.EIO, IsErrDisk},
+		{"sync", syscall.EDQUOT, IsErrDiskFull},
+	} {
+		t.Run(fmt.Sprintf("%s %v", c.operation, c.fault), func(t *testing.T) {
+			files := newMemoryFiles(1)
+			j := mustOpen(t, files)
+			files.failAfter, files.fault, files.faultOn = 0, c.fault, c.operation
+			w := []quorum.Persist{{Entries: []quorum.Entry{{Index: 1, Term: 1}}}}
+			err := j.Write(w)
+			require.True(t, c.is(err), "%v", err)
+			again := j.Write(w)
+			require.True(t, IsErrPoisoned(again) && errors.Is(again, err), "%v", again)
+			files.crash()
+			require.NoError(t, mustOpen(t, files).Write(w))
+		})
+	}
+}
+
+// TestOneProcess sees a second journal of one folder refused on a real disk, and
+// the same generation and entries come back when the first is closed.
+func TestOneProcess(t *testing.T) {
+	folder := t.TempDir()
+	j, err := Open(Disk{}, folder)
+	require.NoError(t, err)
+	require.True(t, j.Report().Created)
+	_, err = Open(Disk{}, folder)
+	require.True(t, IsErrLocked(err), "%v", err)
+	require.NoError(t, j.Write([]quorum.Persist{{Entries: []quorum.Entry{{Index: 1, Term: 1}}}}))
+	require.NoError(t, j.Close())
+	again, err := Open(Disk{}, folder)
+	require.NoError(t, err)
+	require.False(t, again.Report().Created)
+	require.Equal(t, j.Memory().Hard, again.Memory().Hard)
+	require.Len(t, again.Memory().Entries, 1)
+	require.NoError(t, again.Close())
+}
+
+// FuzzDecodeRecord feeds the decoder with anything. What it accepts, it must give
+// back byte for byte when it is written again.
+func FuzzDecodeRecord(f *testing.F) {
+	valid, err := appendRecord(nil, recordWrite, write{Entries: []quorum.Entry{{Index: 1, Term: 1, Command: []byte("x")}}})
+	require.NoError(f, err)
+	f.Add(valid)
+	f.Add(valid[:len(valid)-1])
+	f.Add(make([]byte, headerBytes))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		rec, err := decodeRecord(raw)
+		if err != nil {
+			return
+		}
+		require.LessOrEqual(t, rec.size, len(raw))
+		again := frame(nil, rec.kind, rec.body)
+		require.Equal(t, raw[:rec.size], again)
+		r := replay{first: 1}
+		_ = r.record(rec, 1, false)
+	})
+}
+
+// BenchmarkWrite measures synced writes on this disk, by the entries that share a sync.
+func BenchmarkWrite(b *testing.B) {
+	for _, size := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("entries=%d", size), func(b *testing.B) {
+			j, err := Open(Disk{}, b.TempDir())
+			require.NoError(b, err)
+			next := quorum.Index(1)
+			for b.Loop() {
+				w := quorum.Persist{}
+				for range size {
+					w.Entries = append(w.Entries, quorum.Entry{Index: next, Term: 1, Command: make([]byte, 256)})
+					next++
+				}
+				require.NoError(b, j.Write([]quorum.Persist{w}))
+			}
+			b.ReportMetric(float64(next-1)/b.Elapsed().Seconds(), "entries/s")
+			require.NoError(b, j.Close())
+		})
+	}
+}
--- a/internal/control/journal/record.go
+++ b/internal/control/journal/record.go
@@ -76,12 +76,17 @@
 	if len(body) > maxBodyBytes {
 		return buf, errors.Errorf("record of %d bytes is over the limit", len(body))
 	}
+	return frame(buf, kind, body), nil
+}
+
+// frame appends the record of a body.
+func frame(buf []byte, kind recordKind, body []byte) []byte {
 	start := len(buf)
 	buf = binary.BigEndian.AppendUint32(buf, uint32(len(body)))
 	buf = append(buf, byte(kind))
 	buf = binary.BigEndian.AppendUint32(buf, crc32.Checksum(body, castagnoli))
 	buf = binary.BigEndian.AppendUint32(buf, crc32.Checksum(buf[start:], castagnoli))
-	return append(buf, body...), nil
+	return append(buf, body...)
 }
 
 // errTorn is the end of a file that was being written when the host stopped.
--- a/internal/control/journal/write.go
+++ b/internal/control/journal/write.go
@@ -10,7 +10,9 @@
 const entriesPerWrite = 4096
 
 // Write makes writes durable, in order, with as few syncs as it can. After an error
-// nothing more is taken, and what of writes has reached the disk is unknown.
+// nothing more is taken, and what of writes has reached the disk is unknown. Each of
+// them is there whole or not at all, but that a snapshot which replaces the log may
+// be there without the hard state that came with it.
 func (j *Journal) Write(writes []quorum.Persist) error {
 	if j.failed != nil {
 		return ErrPoisoned{Cause: j.failed}
--- a/internal/control/quorum/admission.go
+++ b/internal/control/quorum/admission.go
@@ -32,15 +32,23 @@
 func (m *Machine) receiveJoin(now time.Time, msg Message, body Join) {
 	m.challenges[msg.From] = body.Challenge
 	switch {
+	case m.listsFounder(msg):
+		m.admitFounder(msg, body)
 	case m.role == RoleLeader:
 		m.greet(now, msg)
 	case m.fresh() && body.Fresh && msg.From == m.founder():
 		m.promise(msg, body.Echo)
-	case m.listsFounder(msg):
-		m.sendDurable(m.to(msg, Admit{Membership: *m.log.membership()}))
 	}
 }
 
+// admitFounder shows a host the founding that lists its disk.
+func (m *Machine) admitFounder(msg Message, body Join) {
+	membership := m.log.membership()
+	m.sendDurable(m.to(msg, Admit{
+		Founder: membership.Founder, Founding: membership.Founding, Echo: body.Challenge,
+	}))
+}
+
 // promise gives a fresh founder this disk's word, if it has seen the latest
 // challenge and so is not a disk that was lost before the last promise.
 func (m *Machine) promise(msg Message, echo Generation) {
@@ -66,10 +74,6 @@
 // greet has a leader answer a host that does not follow it. A disk that the log
 // does not name is sent a heartbeat, and its reply shows that it lives now.
 func (m *Machine) greet(now time.Time, msg Message) {
-	if m.listsFounder(msg) {
-		m.sendDurable(m.to(msg, Admit{Membership: *m.log.membership()}))
-		return
-	}
 	if p := m.progress[msg.From]; p != nil && p.generation != msg.Generation {
 		m.send(m.to(msg, Heartbeat{Sent: m.stamp(now)}))
 	}
@@ -110,8 +114,7 @@
 	founding[m.self] = m.hard.Generation
 	membership := Membership{Founder: m.hard.Generation, Founding: founding, Current: founding}
 	m.hard.Term, m.hard.Vote = foundingTerm, m.self
-	m.appendOwn(Entry{Kind: EntryMembership, Membership: &membership})
-	m.admit()
+	m.takeIn([]Entry{foundingEntry(membership)})
 	m.takeOffice(now)
 	m.termStart = m.log.last()
 	m.sendAll(now)
@@ -120,17 +123,25 @@
 // foundingTerm belongs to the founder; elections begin behind it.
 const foundingTerm Term = 1
 
-// receiveAdmit lets a host vote whose disk was there at the founding: it has lost
-// nothing, even where it lags.
+// receiveAdmit takes the first entry in from any host that holds it. A host whose
+// disk was there at the founding has lost nothing, so it may vote even where it
+// lags. The sender holds this founding and so has promised no later founder.
 func (m *Machine) receiveAdmit(msg Message, body Admit) {
-	listed := body.Membership.Founding[m.self] == m.hard.Generation &&
-		body.Membership.Current[m.self] == m.hard.Generation
-	if m.hard.Admitted || !listed || !msg.Admitted {
+	listed := body.Founding[m.self] == m.hard.Generation
+	if !m.fresh() || !listed || !msg.Admitted || body.Echo != m.hard.Challenge {
 		return
 	}
-	// The sender holds this founding, so it has promised no later founder.
-	m.hard.Promise = body.Membership.Founder
-	m.admit()
+	m.hard.Promise = body.Founder
+	if m.hard.Term < foundingTerm {
+		m.hard.Term, m.hard.Vote = foundingTerm, m.founder()
+	}
+	m.takeIn([]Entry{foundingEntry(Membership{
+		Founder: body.Founder, Founding: body.Founding, Current: body.Founding,
+	})})
+}
+
+func foundingEntry(membership Membership) Entry {
+	return Entry{Index: 1, Term: foundingTerm, Kind: EntryMembership, Membership: &membership}
 }
 
 // mayAppend reports whether entries may be taken in as far as the founding goes: a
--- /dev/null
+++ b/internal/control/quorum/faults_test.go
@@ -0,0 +1,259 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+)
+
+// founded returns a world of three hosts with a leader and one command committed.
+func founded(t *testing.T, seed uint64) (*world, *node, []*node) {
+	w := newWorld(t, 3, seed)
+	w.run(time.Second)
+	leader := w.leader()
+	require.NotNil(t, leader)
+	w.propose(leader, 1)
+	w.run(200 * time.Millisecond)
+	return w, leader, w.others(leader)
+}
+
+func (w *world) others(n *node) []*node {
+	var others []*node
+	for _, id := range w.hosts {
+		if id != n.id {
+			others = append(others, w.nodes[id])
+		}
+	}
+	return others
+}
+
+// TestEmptyDiskDoesNotVote commits entries at two hosts of three, empties one and
+// stops the other. The third and the empty one must elect nobody, since neither
+// holds the entries. When the stopped host is back, all three hold them.
+func TestEmptyDiskDoesNotVote(t *testing.T) {
+	w, leader, others := founded(t, 1)
+	lagging, emptied := others[0], others[1]
+	w.cut(lagging.id, true, true)
+	w.propose(leader, 5)
+	w.run(200 * time.Millisecond)
+	committed := len(w.committed)
+	w.crash(leader.id)
+	w.crash(emptied.id)
+	w.loseDisk(emptied.id)
+	w.cut(lagging.id, false, false)
+	w.boot(emptied.id)
+	w.run(time.Minute)
+	require.Nil(t, w.leader())
+	w.boot(leader.id)
+	w.run(10 * time.Second)
+	require.GreaterOrEqual(t, len(w.committed), committed)
+	for _, n := range w.nodes {
+		require.True(t, n.machine.hard.Admitted)
+		require.Len(t, w.committed, int(n.applied))
+	}
+}
+
+// TestSilentHostReturns cuts a follower off for an hour, wholly or one way, and also
+// a candidate that had just entered a new term. The leader keeps its office.
+func TestSilentHostReturns(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		out, in   bool
+		candidate bool
+	}{
+		{"cut", true, true, false},
+		{"cannot send", true, false, false},
+		{"cannot hear", false, true, false},
+		{"candidate", true, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w, leader, others := founded(t, 2)
+			silent, term := others[0], leader.machine.hard.Term
+			w.cut(silent.id, c.out, c.in)
+			if c.candidate {
+				silent.machine.startElection(w.clock(silent))
+			}
+			w.run(time.Hour)
+			w.propose(leader, 1)
+			w.heal()
+			w.run(10 * time.Second)
+			require.Equal(t, leader, w.leader())
+			if !c.candidate {
+				require.Equal(t, term, leader.machine.hard.Term)
+			}
+			require.Len(t, w.committed, int(silent.applied))
+		})
+	}
+}
+
+// TestLeaderCutOffStepsDown sees a leader that hears no majority give up its office
+// within an election timeout and a heartbeat.
+func TestLeaderCutOffStepsDown(t *testing.T) {
+	w, leader, _ := founded(t, 3)
+	leader.rate = 1
+	w.cut(leader.id, false, true)
+	w.run(testTiming.Election + testTiming.Heartbeat + 2*tick)
+	require.NotEqual(t, RoleLeader, leader.machine.role)
+}
+
+// TestLeaseEndsBeforeTheNextLeader cuts a leader with a slow clock off from peers
+// with fast ones, in every direction, while a voter restarts or the leader hands
+// over. No two hosts may hold a lease at one time.
+func TestLeaseEndsBeforeTheNextLeader(t *testing.T) {
+	for _, c := range []string{"cut", "cannot send", "cannot hear", "voter restarts", "transfer"} {
+		t.Run(c, func(t *testing.T) {
+			for seed := range uint64(50) {
+				w, leader, others := founded(t, seed)
+				slowClock(w, leader)
+				switch c {
+				case "cut":
+					w.cut(leader.id, true, true)
+				case "cannot send":
+					w.cut(leader.id, true, false)
+				case "cannot hear":
+					w.cut(leader.id, false, true)
+				case "voter restarts":
+					w.cuts[[2]host.ID{leader.id, others[0].id}] = true
+					w.run(time.Second)
+					w.cut(leader.id, true, true)
+					w.crash(others[1].id)
+					w.boot(others[1].id)
+				case "transfer":
+					w.step(leader, Transfer{})
+					w.run(tick)
+					w.cut(leader.id, true, true)
+				}
+				for range 400 {
+					w.run(tick)
+					leased := 0
+					for _, n := range w.nodes {
+						if n.machine.View(w.clock(n)).Leased {
+							leased++
+						}
+					}
+					require.LessOrEqual(t, leased, 1, "seed %d", seed)
+				}
+				require.NotEqual(t, leader, w.leader(), "seed %d", seed)
+			}
+		})
+	}
+}
+
+// slowClock sets clocks as far apart as the drift margin allows.
+func slowClock(w *world, slow *node) {
+	now := w.now.Sub(w.start)
+	for _, n := range w.nodes {
+		local := w.clock(n)
+		n.rate = 1.049
+		if n == slow {
+			n.rate = 0.951
+		}
+		n.machine.shift(w.start.Add(time.Duration(float64(now) * n.rate)).Sub(local))
+	}
+}
+
+// shift moves all times that a machine remembers.
+func (m *Machine) shift(d time.Duration) {
+	for _, at := range []*time.Time{&m.epoch, &m.contact, &m.due, &m.joinDue, &m.leavingDue} {
+		*at = at.Add(d)
+	}
+	for _, p := range m.progress {
+		p.heard, p.echo, p.sent, p.advanced = p.heard.Add(d), p.echo.Add(d), p.sent.Add(d), p.advanced.Add(d)
+	}
+}
+
+// TestFounderLosesItsDisk empties the founder's disk at each moment of the founding,
+// over a network that delays and doubles. One log comes of it.
+func TestFounderLosesItsDisk(t *testing.T) {
+	for seed := range uint64(300) {
+		w := newWorld(t, 3, seed)
+		w.lossy = true
+		w.run(time.Duration(seed) * 2 * time.Millisecond)
+		w.crash("c1")
+		w.loseDisk("c1")
+		w.boot("c1")
+		w.run(4 * time.Second)
+		w.heal()
+		w.run(4 * time.Second)
+		leader := w.leader()
+		require.NotNil(t, leader, "seed %d", seed)
+		w.propose(leader, 1)
+		w.run(time.Second)
+		for _, n := range w.nodes {
+			require.True(t, n.machine.hard.Admitted, "seed %d: %s", seed, n.id)
+			require.Len(t, w.committed, int(n.applied), "seed %d: %s", seed, n.id)
+		}
+	}
+}
+
+// TestLateWordsOfALostDisk delivers an old Join of a disk that is gone. The disk in
+// use stays a voter.
+func TestLateWordsOfALostDisk(t *testing.T) {
+	w, leader, others := founded(t, 4)
+	away := others[0]
+	w.cut(away.id, true, true)
+	w.run(5 * time.Second)
+	late := Message{From: away.id, To: leader.id, Generation: 77, Body: Join{Fresh: true}}
+	w.step(leader, Received{Message: late})
+	w.heal()
+	w.run(5 * time.Second)
+	require.Equal(t, away.machine.hard.Generation, leader.machine.log.membership().Current[away.id])
+	require.Len(t, w.committed, int(away.applied))
+}
+
+// TestTransfer sees the office move without an election timeout, and nothing lost.
+func TestTransfer(t *testing.T) {
+	w, leader, _ := founded(t, 5)
+	w.propose(leader, 10)
+	w.step(leader, Transfer{})
+	w.run(testTiming.Election / 3)
+	next := w.leader()
+	require.NotNil(t, next)
+	require.NotEqual(t, leader, next)
+	w.run(200 * time.Millisecond)
+	require.Len(t, w.committed, int(next.applied))
+	require.GreaterOrEqual(t, len(w.committed), 12)
+}
+
+// TestCatchUpBySnapshot lets hundreds of entries pass a host by. It comes back by a
+// snapshot in parts that fit a frame.
+func TestCatchUpBySnapshot(t *testing.T) {
+	w, leader, others := founded(t, 6)
+	away := others[0]
+	w.crash(away.id)
+	w.propose(leader, 500)
+	w.run(time.Second)
+	w.snapshot(leader)
+	w.run(100 * time.Millisecond)
+	w.boot(away.id)
+	before := away.machine.snapshot.Index
+	w.run(2 * time.Second)
+	require.Greater(t, away.machine.snapshot.Index, before)
+	require.Len(t, w.committed, int(away.applied))
+	chunk := Chunk{Snapshot: leader.machine.snapshot, Data: make([]byte, chunkBytes)}
+	chunk.Snapshot.Data = nil
+	raw, err := Message{Body: chunk}.Encode()
+	require.NoError(t, err)
+	require.Less(t, len(raw), 8<<20)
+}
+
+// TestEntriesOfEarlierTerms runs the history of figure 3.7 in Ongaro 2014: an entry
+// of an earlier term that a majority holds is not committed by that alone.
+func TestEntriesOfEarlierTerms(t *testing.T) {
+	w, leader, others := founded(t, 7)
+	m := others[0].machine
+	commit := m.commit
+	m.log.append([]Entry{{Index: m.log.last() + 1, Term: m.hard.Term}})
+	held := m.log.last()
+	w.crash(leader.id)
+	m.hard.Term++
+	m.becomeLeader(w.clock(others[0]))
+	m.writes.stable = held
+	p := m.progress[others[1].id]
+	p.admitted, p.match = true, held
+	m.advance(w.clock(others[0]))
+	require.Equal(t, commit, m.commit)
+}
--- a/internal/control/quorum/machine.go
+++ b/internal/control/quorum/machine.go
@@ -14,6 +14,8 @@
 	peers  []host.ID
 	timing Timing
 	random *rand.Rand
+	// kept is how many entries stay behind a snapshot.
+	kept Index
 	// epoch is the zero of this machine's stamps.
 	epoch time.Time
 
@@ -73,6 +75,9 @@
 		role: RoleFollower, contact: now, joinDue: now,
 		promises: map[host.ID]Generation{}, challenges: map[host.ID]Generation{},
 	}
+	if m.kept = Index(opts.KeptEntries); m.kept == 0 {
+		m.kept = DefaultKeptEntries
+	}
 	m.writes.hard = m.hard
 	if m.hard.Challenge == 0 {
 		m.hard.Challenge = m.hard.Generation
@@ -264,7 +269,7 @@
 	}
 	m.snapshot = Snapshot{Index: e.Index, Term: term, Membership: *membership, Data: e.Data}
 	m.writes.snapshot = &m.snapshot
-	if e.Index > keptEntries {
-		m.log.compact(e.Index - keptEntries)
+	if e.Index > m.kept {
+		m.log.compact(e.Index - m.kept)
 	}
 }
--- a/internal/control/quorum/message.go
+++ b/internal/control/quorum/message.go
@@ -116,9 +116,13 @@
 	Founder Generation `cbor:"1,keyasint"`
 }
 
-// Admit shows a founding host the membership that lists its disk.
+// Admit shows a founding host the founding that lists its disk.
 type Admit struct {
-	Membership Membership `cbor:"1,keyasint"`
+	Founder  Generation             `cbor:"1,keyasint"`
+	Founding map[host.ID]Generation `cbor:"2,keyasint"`
+	// Echo is the receiver's challenge, which shows that the sender held the founding
+	// after the receiver's last promise.
+	Echo Generation `cbor:"3,keyasint"`
 }
 
 // Stamp is a time by a leader's own clock, in microseconds.
--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -186,8 +186,8 @@
 	maxUncommittedBytes = 32 << 20
 	// chunkBytes is the size of one part of a snapshot on the wire.
 	chunkBytes = 512 << 10
-	// keptEntries stay in memory behind a snapshot for peers that lag a little.
-	keptEntries = 1024
+	// DefaultKeptEntries is the default of Options.KeptEntries.
+	DefaultKeptEntries = 1024
 )
 
 // Options describe one host's machine.
@@ -196,6 +196,9 @@
 	// Hosts are all control hosts, this one included. A majority of them decides.
 	Hosts  []host.ID
 	Timing Timing
+	// KeptEntries is how many entries stay in memory behind a snapshot, for peers that
+	// lag a little; 0 is DefaultKeptEntries.
+	KeptEntries int
 	// Seed seeds the spread of election timeouts.
 	Seed uint64
 }
--- a/internal/control/quorum/world_test.go
+++ b/internal/control/quorum/world_test.go
@@ -35,7 +35,7 @@
 	lossy bool
 
 	leaders   map[Term]host.ID
-	committed []Entry
+	committed []committedEntry
 	hashes    []uint64
 	served    int
 	next      uint64
@@ -58,6 +58,12 @@
 	last    []Action
 }
 
+// committedEntry is an entry and the term in which the first host applied it.
+type committedEntry struct {
+	Entry
+	in Term
+}
+
 type packet struct {
 	at  time.Time
 	msg Message
@@ -101,7 +107,7 @@
 	}
 	memory := n.disk
 	memory.Entries = slices.Clone(memory.Entries)
-	n.machine = New(w.clock(n), Options{Self: id, Hosts: w.hosts, Timing: testTiming, Seed: w.random.Uint64()}, memory)
+	n.machine = New(w.clock(n), Options{Self: id, Hosts: w.hosts, Timing: testTiming, KeptEntries: 3, Seed: w.random.Uint64()}, memory)
 }
 
 // crash stops a node; of its writes under way only some have reached the disk.
@@ -247,7 +253,7 @@
 	_, _ = fmt.Fprintf(h, "%d %d %d %s", n.hash, e.Term, e.Kind, e.Command)
 	n.hash = h.Sum64()
 	if int(e.Index) == len(w.hashes) {
-		w.committed = append(w.committed, e)
+		w.committed = append(w.committed, committedEntry{Entry: e, in: n.machine.hard.Term})
 		w.hashes = append(w.hashes, n.hash)
 	}
 	w.check(n)
@@ -260,18 +266,18 @@
 	}
 }
 
-// elected checks that a term has one leader and that it holds what is committed.
+// elected checks that a term has one leader and that it holds what was committed in
+// the terms before.
 func (w *world) elected(n *node, term Term) {
 	if other, taken := w.leaders[term]; taken && other != n.id {
 		w.t.Fatalf("term %d is led by %s and %s", term, other, n.id)
 	}
 	w.leaders[term] = n.id
-	if len(w.committed) == 0 {
-		return
-	}
-	last := w.committed[len(w.committed)-1]
-	if got, known := n.machine.log.term(last.Index); n.machine.commit < last.Index && (!known || got != last.Term) {
-		w.t.Fatalf("%s leads term %d without committed entry %d", n.id, term, last.Index)
+	for _, e := range w.committed {
+		got, known := n.machine.log.term(e.Index)
+		if e.in < term && e.Index > n.machine.commit && (!known || got != e.Term) {
+			w.t.Fatalf("%s leads term %d without committed entry %d", n.id, term, e.Index)
+		}
 	}
 }
 
