--- a/internal/entry/routing/errors.go
+++ b/internal/entry/routing/errors.go
@@ -29,12 +29,12 @@
 	return errors.As(err, &e)
 }
 
-// ErrSuspectsBusy is a suspect request while every replica that could take it runs
-// another suspect. It may be offered again when one of them ends.
+// ErrSuspectsBusy is a suspect request while the replica that is to take it runs
+// another suspect. It may be offered again when that one ends.
 type ErrSuspectsBusy struct{ Deployment string }
 
 func (e ErrSuspectsBusy) Error() string {
-	return fmt.Sprintf("every replica of %q runs a suspect request", e.Deployment)
+	return fmt.Sprintf("the replica of %q for this suspect request runs another one", e.Deployment)
 }
 
 // IsErrSuspectsBusy reports whether err is an ErrSuspectsBusy.
--- a/internal/entry/routing/pick.go
+++ b/internal/entry/routing/pick.go
@@ -55,9 +55,6 @@
 			continue
 		}
 		serving = true
-		if req.Suspect && s.suspects > 0 {
-			continue
-		}
 		limited = limited || s.full()
 		r.scratch = append(r.scratch, candidate{state: s})
 	}
@@ -66,8 +63,8 @@
 		return ErrNoModel{Deployment: req.Deployment}
 	case !serving:
 		return ErrNoReplica{Deployment: req.Deployment}
-	case len(r.scratch) == 0:
-		return ErrSuspectsBusy{Deployment: req.Deployment}
+	case req.Suspect:
+		return r.confine(req)
 	}
 	if limited {
 		r.preferFree()
@@ -75,6 +72,24 @@
 	return nil
 }
 
+// confine leaves a suspect only the replica that ranks first for its body, which is
+// the same at every entry. So copies of a suspect that are sent through several
+// entries cannot crash more than that one, and each runs alone there.
+func (r *Router) confine(req Request) error {
+	home, homeRank := 0, uint64(0)
+	for i, c := range r.scratch {
+		if rank := rankOf(req.BodyHash, c.state.seed); i == 0 || rank > homeRank {
+			home, homeRank = i, rank
+		}
+	}
+	r.scratch[0] = r.scratch[home]
+	r.scratch = r.scratch[:1]
+	if r.scratch[0].state.suspects > 0 {
+		return ErrSuspectsBusy{Deployment: req.Deployment}
+	}
+	return nil
+}
+
 // preferFree drops the replicas at their concurrency limit, unless all are.
 func (r *Router) preferFree() {
 	for _, c := range r.scratch {
@@ -160,7 +175,7 @@
 	key := req.PrefixHashes[matched]
 	var first, second uint64
 	for _, c := range r.scratch {
-		switch rank := mix(key, c.state.seed); {
+		switch rank := rankOf(key, c.state.seed); {
 		case home[0] == nil || rank > first:
 			home[1], second = home[0], first
 			home[0], first = c.state, rank
@@ -190,20 +205,32 @@
 	return a
 }
 
-// draw returns two of the candidates, the same for equal bodies.
+// draw returns two of the candidates: those that rank first for the body, so that
+// copies of one body which reach several entries meet on few replicas.
 func (r *Router) draw(near []candidate, bodyHash uint64) (candidate, candidate) {
-	if len(near) == 1 {
-		return near[0], near[0]
-	}
 	if bodyHash == 0 {
 		bodyHash = r.rng.Uint64()
 	}
-	i := int(bodyHash % uint64(len(near)))
-	j := int((bodyHash >> 32) % uint64(len(near)-1))
-	if j >= i {
-		j++
+	first, second := 0, 0
+	var firstRank, secondRank uint64
+	for i := range near {
+		switch rank := rankOf(bodyHash, near[i].state.seed); {
+		case i == 0 || rank > firstRank:
+			second, secondRank = first, firstRank
+			first, firstRank = i, rank
+		case i == 1 || rank > secondRank:
+			second, secondRank = i, rank
+		}
 	}
-	return near[i], near[j]
+	return near[first], near[second]
+}
+
+// rankOf is the finaliser of SplitMix64 (Steele, Lea and Flood 2014) on two hashes.
+func rankOf(a, b uint64) uint64 {
+	z := a ^ b
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
 }
 
 func scopeOf(adapter string) uint64 {
--- a/internal/entry/routing/routing.go
+++ b/internal/entry/routing/routing.go
@@ -90,7 +90,8 @@
 	BodyHash uint64
 	// Exclude names replicas that this request has already failed on.
 	Exclude map[replica.ID]bool
-	// Suspect says that the body may run only where no other suspect runs.
+	// Suspect says that the body may run only on the replica that BodyHash names,
+	// and only while no other suspect runs there.
 	Suspect bool
 }
 
--- a/internal/entry/routing/routing_test.go
+++ b/internal/entry/routing/routing_test.go
@@ -87,21 +87,20 @@
 	}
 }
 
-func TestSuspectsRunOneForEachReplica(t *testing.T) {
-	r := newRouter(route("a"), route("b"))
-	suspect := Request{Deployment: "m", Suspect: true}
-	var tickets []Ticket
-	for range 2 {
-		choice, err := r.Pick(epoch, suspect)
-		require.NoError(t, err)
-		tickets = append(tickets, r.Dispatched(epoch, suspect, choice))
-	}
-	_, err := r.Pick(epoch, suspect)
+func TestSuspectsRunAloneOnTheirReplica(t *testing.T) {
+	routes := []view.Route{route("a"), route("b"), route("c", func(v *view.Route) { v.Load.WaitingTokens = 50000 })}
+	one, two := newRouter(routes...), newRouter(routes...)
+	suspect := Request{Deployment: "m", BodyHash: 42, Suspect: true}
+	choice, err := one.Pick(epoch, suspect)
+	require.NoError(t, err)
+	ticket := one.Dispatched(epoch, suspect, choice)
+	_, err = one.Pick(epoch, suspect)
 	require.True(t, IsErrSuspectsBusy(err))
-	_, err = r.Pick(epoch, Request{Deployment: "m"})
+	elsewhere, err := two.Pick(epoch, suspect)
 	require.NoError(t, err)
-	r.Finished(epoch, tickets[0], Result{})
-	_, err = r.Pick(epoch, suspect)
+	require.Equal(t, choice.Route.Replica.ID, elsewhere.Route.Replica.ID, "entries agree")
+	one.Finished(epoch, ticket, Result{})
+	_, err = one.Pick(epoch, suspect)
 	require.NoError(t, err)
 }
 
--- a/internal/entry/suspicion/suspicion.go
+++ b/internal/entry/suspicion/suspicion.go
@@ -9,6 +9,7 @@
 package suspicion
 
 import (
+	"slices"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/fleet/replica"
@@ -18,6 +19,11 @@
 // LocalFor is how long the entry's own word on a body holds without control's.
 const LocalFor = time.Minute
 
+// RetryAfterCrash is how long a body that was in flight at a crash should wait before
+// it runs again as a suspect, and its caller for a failure, so that all entries know
+// of the crash by then.
+const RetryAfterCrash = 250 * time.Millisecond
+
 // maxLocal bounds the bodies on which the entry keeps its own word.
 const maxLocal = 8192
 
@@ -60,7 +66,13 @@
 type Tracker struct {
 	fleet   map[uint64]view.Quarantine
 	local   map[uint64]*local
-	running map[uint64][]replica.ID
+	running map[uint64][]flight
+}
+
+// flight is one dispatch of a body.
+type flight struct {
+	replica replica.ID
+	suspect bool
 }
 
 // New returns a Tracker that suspects nothing.
@@ -68,7 +80,7 @@
 	return &Tracker{
 		fleet:   make(map[uint64]view.Quarantine),
 		local:   make(map[uint64]*local),
-		running: make(map[uint64][]replica.ID),
+		running: make(map[uint64][]flight),
 	}
 }
 
@@ -136,21 +148,16 @@
 	return false
 }
 
-// Begin records that a body was dispatched to a replica.
-func (t *Tracker) Begin(hash uint64, id replica.ID) {
-	t.running[hash] = append(t.running[hash], id)
+// Begin records that a body was dispatched to a replica, as a suspect or not.
+func (t *Tracker) Begin(hash uint64, id replica.ID, suspect bool) {
+	t.running[hash] = append(t.running[hash], flight{replica: id, suspect: suspect})
 }
 
 // End records that a dispatch of a body ended.
-func (t *Tracker) End(hash uint64, id replica.ID) {
+func (t *Tracker) End(hash uint64, id replica.ID, suspect bool) {
 	running := t.running[hash]
-	for i, r := range running {
-		if r != id {
-			continue
-		}
-		running[i] = running[len(running)-1]
-		running = running[:len(running)-1]
-		break
+	if i := slices.Index(running, flight{replica: id, suspect: suspect}); i >= 0 {
+		running = slices.Delete(running, i, i+1)
 	}
 	if len(running) == 0 {
 		delete(t.running, hash)
@@ -166,7 +173,33 @@
 	if len(running) == 0 {
 		return "", false
 	}
-	return running[0], true
+	return running[0].replica, true
+}
+
+// Revoked returns the bodies in flight that may no longer run as they do: freely
+// though suspect, or at all though quarantined, since a copy was in flight at a crash
+// elsewhere. The caller should cancel those attempts that are idempotent and offer
+// them again. To be asked after SetView and Crashed.
+func (t *Tracker) Revoked(now time.Time) []uint64 {
+	var out []uint64
+	for hash, running := range t.running {
+		if t.revoked(now, hash, running) {
+			out = append(out, hash)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (t *Tracker) revoked(now time.Time, hash uint64, running []flight) bool {
+	switch t.Check(now, hash).(type) {
+	case Quarantined:
+		return true
+	case Suspect:
+		return slices.ContainsFunc(running, func(f flight) bool { return !f.suspect })
+	default:
+		return false
+	}
 }
 
 func (t *Tracker) expire(now time.Time) {
--- a/internal/entry/suspicion/suspicion_test.go
+++ b/internal/entry/suspicion/suspicion_test.go
@@ -52,15 +52,24 @@
 	require.Equal(t, Free{}, tracker.Check(now, 9))
 }
 
-func TestCopiesInFlightShareAReplica(t *testing.T) {
+func TestCopiesInFlight(t *testing.T) {
+	now := time.UnixMilli(1000)
 	tracker := New()
-	tracker.Begin(7, "a")
-	tracker.Begin(7, "a")
-	tracker.End(7, "a")
+	tracker.Begin(7, "a", false)
+	tracker.Begin(7, "a", false)
+	tracker.Begin(8, "c", false)
+	tracker.End(7, "a", false)
 	id, ok := tracker.Running(7)
 	require.True(t, ok)
 	require.EqualValues(t, "a", id)
-	tracker.End(7, "a")
+	tracker.Crashed(now, 7, "b", 1)
+	require.Equal(t, []uint64{7}, tracker.Revoked(now))
+	tracker.End(7, "a", false)
+	tracker.Begin(7, "a", true)
+	require.Empty(t, tracker.Revoked(now))
+	tracker.Crashed(now, 7, "c", 1)
+	require.Equal(t, []uint64{7}, tracker.Revoked(now), "quarantined")
+	tracker.End(7, "a", true)
 	_, ok = tracker.Running(7)
 	require.False(t, ok)
 }
