Keep one stalled call from blocking its whole link

Cause: a call's first receive window was as large as the link's, so a single receiver that read nothing stalled every other call to the same agent (TestSlowEntryHoldsEngineBack hung: the call beside it never ended). Change: calls start at 64 KB, a link has 16 MB, so 256 stalled calls fit. Ruled out: a smaller largest window, since it grows only for receivers that read. After: the call beside a stalled one completes.

--- a/internal/link/transport/transport.go
+++ b/internal/link/transport/transport.go
@@ -20,9 +20,11 @@
 	idleTimeout      = 2 * time.Second
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 1 << 16
-	initialWindow    = 256 << 10
+	// A call whose receiver reads nothing holds initialWindow of its link's
+	// connectionWindow, so that many stalled calls leave room for the others.
+	initialWindow    = 64 << 10
 	streamWindow     = 512 << 10
-	connectionWindow = 4 << 20
+	connectionWindow = 16 << 20
 )
 
 func quicConfig() *quic.Config {
@@ -34,7 +36,7 @@
 		MaxIncomingUniStreams:          -1,
 		InitialStreamReceiveWindow:     initialWindow,
 		MaxStreamReceiveWindow:         streamWindow,
-		InitialConnectionReceiveWindow: initialWindow,
+		InitialConnectionReceiveWindow: connectionWindow,
 		MaxConnectionReceiveWindow:     connectionWindow,
 		DisablePathMTUDiscovery:        true,
 	}
