--- a/internal/agent/engine/generate.go
+++ b/internal/agent/engine/generate.go
@@ -68,6 +68,7 @@
 	next    uint64
 	emit    func(Tokens) error
 
+	event   Event
 	pending Tokens
 	result  Result
 }
@@ -108,10 +109,11 @@
 }
 
 func (r *relay) line(line []byte) (bool, error) {
-	var e Event
-	if err := json.Unmarshal(line, &e); err != nil {
+	r.event = Event{}
+	if err := json.Unmarshal(line, &r.event); err != nil {
 		return false, ErrCut{Cause: errors.Wrap(err, "event")}
 	}
+	e := &r.event
 	switch {
 	case e.RequestID != r.id || e.Attempt != r.attempt, !e.End && e.Offset < r.next:
 		r.result.Rejected++
@@ -126,7 +128,7 @@
 	return false, nil
 }
 
-func (r *relay) add(e Event) {
+func (r *relay) add(e *Event) {
 	if r.pending.Count == 0 {
 		r.pending.Offset = e.Offset
 	}
@@ -144,7 +146,7 @@
 	return r.emit(tokens)
 }
 
-func (r *relay) end(e Event) error {
+func (r *relay) end(e *Event) error {
 	if err := r.flush(); err != nil {
 		return err
 	}
--- a/internal/agent/server/attempt_test.go
+++ b/internal/agent/server/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -207,6 +208,25 @@
 	})
 }
 
+// TestSlowEntryHoldsEngineBack reads nothing of a stream that is larger than all
+// windows on its way: the engine has to wait, and no token is lost.
+func TestSlowEntryHoldsEngineBack(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.agent(1, engine.Options{TokenGap: time.Microsecond, StepTokens: 1000})
+		r := f.replica("r-1", 1, 1)
+		d := generation(m, r, "a very long report", 40_000)
+		stream := f.open(m, d)
+		time.Sleep(30 * time.Second)
+		require.Equal(t, 1, m.engine.Running())
+		beside := f.do(m, generation(m, r, "another caller", 20))
+		require.Equal(t, request.OutcomeComplete, beside.end.Outcome, beside.end.Reason)
+		got := f.collect(stream, d)
+		require.Equal(t, request.OutcomeComplete, got.end.Outcome, got.end.Reason)
+		require.Equal(t, uint64(40_000), got.end.Length)
+		require.Len(t, strings.Fields(got.text), 40_000)
+	})
+}
+
 // TestCrashNamesAllInFlight crashes the engine beside an innocent request.
 func TestCrashNamesAllInFlight(t *testing.T) {
 	inFleet(t, func(f *fleet) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -31,6 +31,9 @@
 	LoadTime time.Duration
 	// TokenGap is the time between tokens of a stream when nothing else runs.
 	TokenGap time.Duration
+	// StepTokens is the number of tokens that come together, as with speculative
+	// decoding.
+	StepTokens int
 	// PrefillRate is prompt tokens per second.
 	PrefillRate float64
 	// Capacity is the number of requests decoded at once.
@@ -62,6 +65,9 @@
 	if o.TokenGap == 0 {
 		o.TokenGap = DefaultTokenGap
 	}
+	if o.StepTokens == 0 {
+		o.StepTokens = 1
+	}
 	if o.PrefillRate == 0 {
 		o.PrefillRate = DefaultPrefillRate
 	}
