--- /dev/null
+++ b/internal/control/membership/membership_test.go
@@ -0,0 +1,68 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/lease"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+func info(i host.Incarnation) host.Info { return host.Info{ID: "a1", Incarnation: i} }
+
+func renewal(i host.Incarnation) message.Renewal {
+	return message.Renewal{Host: "a1", Incarnation: i, EngineHealthy: true}
+}
+
+// TestNewLeaderWaitsForLeasesOfTheFormer: a host that the new leader has not heard
+// is not lost before every lease of the former leader has lapsed.
+func TestNewLeaderWaitsForLeasesOfTheFormer(t *testing.T) {
+	table := New(start, ttl)
+	table.Admitted(start, host.RoleAgent, info(1))
+	settled := start.Add(lease.Reclaimable(ttl))
+	require.Empty(t, table.Lapse(settled.Add(-time.Millisecond)))
+	require.True(t, table.Daemon("a1").Alive)
+	require.Equal(t, []host.ID{"a1"}, table.Lapse(settled))
+	require.False(t, table.Daemon("a1").Alive)
+	require.Equal(t, 1, table.Daemon("a1").Losses(settled))
+	require.Zero(t, table.Daemon("a1").Losses(settled.Add(time.Hour)))
+}
+
+// TestAdmittedIncarnationIsGrantedAtOnce: after a change of leader the fleet serves on.
+func TestAdmittedIncarnationIsGrantedAtOnce(t *testing.T) {
+	table := New(start, ttl)
+	table.Admitted(start, host.RoleAgent, info(1))
+	table.Announce(start, host.RoleAgent, info(1))
+	require.True(t, table.Renew(start, renewal(1)))
+	require.False(t, table.Renew(start, renewal(2)))
+}
+
+// TestSecondProcessWaitsForTheFirst covers a restart without a goodbye, one with it,
+// and a second process that goes away again.
+func TestSecondProcessWaitsForTheFirst(t *testing.T) {
+	at := start.Add
+	table := New(start, ttl)
+	table.Announce(at(0), host.RoleAgent, info(1))
+	require.Len(t, table.Admissible(at(0)), 1, "nobody can hold a lease yet")
+	table.Admitted(at(0), host.RoleAgent, info(1))
+	require.True(t, table.Renew(at(time.Second), renewal(1)))
+
+	table.Announce(at(2*time.Second), host.RoleAgent, info(2))
+	require.False(t, table.Renew(at(2*time.Second), renewal(1)), "the first is granted no more")
+	free := at(time.Second).Add(lease.Reclaimable(ttl))
+	require.Empty(t, table.Admissible(free.Add(-time.Millisecond)))
+	require.Len(t, table.Admissible(free), 1)
+	table.Left("a1", 2)
+	require.Empty(t, table.Admissible(free))
+	require.True(t, table.Renew(free, renewal(1)), "the second has gone; the first goes on")
+
+	table.Announce(free, host.RoleAgent, info(3))
+	table.Goodbye(free, "a1", 1, false)
+	require.Len(t, table.Admissible(free), 1, "the first has given its lease up")
+	require.False(t, table.Daemon("a1").Alive)
+}
