Weigh idle hosts against the spares they are

Ruled out: leaving it to MaxReplicas alone, since then the weights decide nothing. Change: extra replicas are formed where a replica's worth of idle hosts costs more than draining one at each loss; they are taken back for repairs, planned stops and stragglers. Spares are preloaded unless Policy.ColdSpares. Simple policies come in a full form as well, which uses idle hosts too.

--- a/internal/control/placement/bench_test.go
+++ b/internal/control/placement/bench_test.go
@@ -23,31 +23,27 @@
 	perFabric          = 10
 )
 
-// alwaysWait forms what was never formed and leaves the rest to the hosts' return.
-func alwaysWait(f Fleet) []Decision {
-	p := newPlanner(&f)
-	for _, dep := range p.deploymentOrder() {
-		for range f.Deployments[dep].Replicas - p.tally(dep).claimed() {
-			p.form(dep, ReasonReplicaWanted)
-		}
-	}
-	return p.decisions
-}
-
-// alwaysRebuild dissolves a replica at the first loss and forms it anew.
-func alwaysRebuild(f Fleet) []Decision {
-	p := newPlanner(&f)
-	for i := range p.groups {
-		if g := &p.groups[i]; g.degraded() {
-			p.end(g, ReasonMemberLost)
+// always returns a simple policy: it leaves lost replicas to their hosts' return, or
+// rebuilds each at the first loss. A full one uses idle hosts for extra replicas.
+func always(rebuild, full bool) func(Fleet) []Decision {
+	return func(f Fleet) []Decision {
+		p := newPlanner(&f)
+		for i := range p.groups {
+			if g := &p.groups[i]; rebuild && g.degraded() {
+				p.end(g, ReasonMemberLost)
+			}
 		}
-	}
-	for _, dep := range p.deploymentOrder() {
-		for range f.Deployments[dep].Replicas - p.tally(dep).claimed() {
-			p.form(dep, ReasonReplicaWanted)
+		for _, dep := range p.deploymentOrder() {
+			wanted := f.Deployments[dep].Replicas
+			if full {
+				wanted = f.Deployments[dep].limit()
+			}
+			for range wanted - p.tally(dep).claimed() {
+				p.form(dep, ReasonReplicaWanted)
+			}
 		}
+		return p.decisions
 	}
-	return p.decisions
 }
 
 // faults draws a script of traceDays days from a seed.
@@ -120,25 +116,25 @@
 	users := []struct {
 		name               string
 		downtime, stranded float64
-	}{{"cascadia", 40, 1}, {"jordan", 8, 2}}
+	}{{"cascadia", 20000, 1}, {"jordan", 10, 1}}
 	policies := []struct {
 		name   string
 		decide func(Fleet) []Decision
 		cold   bool
-		extra  int
 	}{
-		{name: "always_wait", decide: alwaysWait},
-		{name: "always_rebuild", decide: alwaysRebuild},
+		{name: "always_wait", decide: always(false, false)},
+		{name: "always_wait_full", decide: always(false, true)},
+		{name: "always_rebuild", decide: always(true, false)},
+		{name: "always_rebuild_full", decide: always(true, true)},
 		{name: "decide_cold", decide: Decide, cold: true},
 		{name: "decide", decide: Decide},
-		{name: "decide_extra", decide: Decide, extra: 3},
 	}
 	for _, user := range users {
 		for _, policy := range policies {
 			for seed := range uint64(traceSeeds) {
 				b.Run(fmt.Sprintf("%s/%s/seed=%d", user.name, policy.name, seed), func(b *testing.B) {
 					drafts, lookups := deployment("drafts", 5, 4, 2), deployment("lookups", 2, 2, 1)
-					lookups.MaxReplicas = lookups.Replicas + policy.extra
+					lookups.MaxReplicas = 5
 					drafts.CrossFabric = true
 					for _, d := range []*Deployment{&drafts, &lookups} {
 						d.DowntimeWeight, d.StrandedWeight = user.downtime, user.stranded
@@ -147,7 +143,7 @@
 					for b.Loop() {
 						tr = newTrace(b, perFabric, drafts, lookups)
 						tr.checks, tr.round, tr.decide = false, longRound, policy.decide
-						tr.fleet.Policy.PreloadSpares = !policy.cold
+						tr.fleet.Policy.ColdSpares = policy.cold
 						tr.script(faults(seed))
 						tr.run(time.Hour)
 						tr.down, tr.stranded, tr.slow = 0, 0, 0
--- a/internal/control/placement/decide.go
+++ b/internal/control/placement/decide.go
@@ -74,6 +74,9 @@
 func (p *planner) end(g *group, why Reason) {
 	serves := g.serving()
 	g.gone = true
+	if g.dep >= 0 {
+		p.extras[g.dep]--
+	}
 	if serves && !g.Idle {
 		p.emit(Drain{Replica: g.ID, Reason: why})
 	} else {
--- a/internal/control/placement/golden_test.go
+++ b/internal/control/placement/golden_test.go
@@ -37,7 +37,7 @@
 		perFabric   int
 		deployments []Deployment
 		script      string
-		preload     bool
+		warm        bool
 	}{
 		{"member_dies_spare_exists", 5, one, "10m fail a0", true},
 		{"member_dies_no_spare", 4, one, "10m lose a0; 40m back a0", false},
@@ -58,7 +58,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			tr := newTrace(t, test.perFabric, test.deployments...)
-			tr.fleet.Policy.PreloadSpares = test.preload
+			tr.fleet.Policy.ColdSpares = !test.warm
 			tr.script(test.script)
 			tr.run(10 * time.Minute)
 			tr.down, tr.stranded, tr.slow = 0, 0, 0
--- a/internal/control/placement/invariant_test.go
+++ b/internal/control/placement/invariant_test.go
@@ -118,7 +118,7 @@
 // drawFleet draws a picture in which each host is in at most one claim.
 func drawFleet(t *rapid.T) Fleet {
 	f := Fleet{Now: epoch, WeightStore: WeightStore{Rate: 4e9, HostRate: 1e9}}
-	f.Policy.PreloadSpares = rapid.Bool().Draw(t, "preload")
+	f.Policy.ColdSpares = rapid.Bool().Draw(t, "cold")
 	ago := func(label string) time.Time {
 		return epoch.Add(-time.Duration(rapid.IntRange(0, 900).Draw(t, label)) * time.Second)
 	}
--- a/internal/control/placement/move.go
+++ b/internal/control/placement/move.go
@@ -26,6 +26,7 @@
 		case p.form(dep, p.doom(g)):
 		case p.mayDrain(dep, g, t):
 			p.end(g, p.doom(g))
+		case p.takeExtras(dep, g):
 		default:
 			p.wait(g, p.stopAt(g), ReasonNoSpare)
 		}
@@ -86,7 +87,7 @@
 		return false
 	}
 	load, copies := p.loadTime(d, hosts)
-	if copies > 0 && p.policy.PreloadSpares {
+	if copies > 0 && !p.policy.ColdSpares {
 		return false
 	}
 	if why != ReasonPlannedStop && !p.earns(d, g, load) {
@@ -96,6 +97,27 @@
 	return true
 }
 
+// takeExtras frees hosts of replicas beyond those wanted for the rebuild of g, and
+// reports whether hosts are on their way.
+func (p *planner) takeExtras(dep int, g *group) bool {
+	if g.fabric == noFabric || p.doom(g) == ReasonRollout {
+		return false
+	}
+	need := p.fleet.Deployments[dep].HostsPerReplica - len(p.keepers(g, true))
+	if lacking := need - p.within(g.fabric); lacking > 0 {
+		victims := p.victims(dep, g.fabric, lacking, p.isExtra)
+		if victims == nil {
+			return false
+		}
+		for _, v := range victims {
+			p.end(v.group, ReasonPreempted)
+		}
+	}
+	w := Wait{Deployment: g.Spec.Deployment, Replica: g.ID, Until: p.stopAt(g), Reason: ReasonHostsBeingFreed}
+	p.keep(w, p.reserve(g.fabric, need))
+	return true
+}
+
 // stopIsNear reports whether a planned stop leaves just the time to drain.
 func (p *planner) stopIsNear(g *group) bool {
 	at := p.stopAt(g)
--- a/internal/control/placement/planner.go
+++ b/internal/control/placement/planner.go
@@ -73,6 +73,10 @@
 	groups   []group
 	// groupsOf are the groups of each deployment.
 	groupsOf [][]*group
+	// extras counts the replicas of each deployment beyond those wanted.
+	extras []int
+	// limits are the most replicas of each deployment.
+	limits []int
 	// largest is the size of the largest replicas.
 	largest int
 	// formed counts the replicas that this round forms for each deployment.
@@ -94,6 +98,8 @@
 		groups:   make([]group, len(f.Replicas)),
 		groupsOf: make([][]*group, len(f.Deployments)),
 		formed:   make([]int, len(f.Deployments)),
+		extras:   make([]int, len(f.Deployments)),
+		limits:   make([]int, len(f.Deployments)),
 		largest:  1,
 	}
 	for i := range f.Deployments {
@@ -102,6 +108,11 @@
 	p.indexHosts()
 	p.indexGroups()
 	p.indexFree()
+	for dep := range f.Deployments {
+		p.limits[dep] = p.limit(&f.Deployments[dep])
+		t := p.tally(dep)
+		p.extras[dep] = t.good + t.doomed + t.coming - f.Deployments[dep].Replicas
+	}
 	return p
 }
 
--- a/internal/control/placement/policy.go
+++ b/internal/control/placement/policy.go
@@ -27,8 +27,11 @@
 	DrainTime time.Duration
 	// CrossFabricHold is how long a replica is down before fabric domains are crossed.
 	CrossFabricHold time.Duration
-	// PreloadSpares copies weights to free hosts while the weight store is idle.
-	PreloadSpares bool
+	// ColdSpares leaves free hosts without weights; otherwise weights are copied to
+	// them while the weight store is idle.
+	ColdSpares bool
+	// LossesPerHostDay is how often a host is lost for a time, for any reason.
+	LossesPerHostDay float64
 	// WeightsPerHost is how many weights a host may hold before it is preloaded no more.
 	WeightsPerHost int
 }
@@ -45,6 +48,7 @@
 	defaultSettleTime        = 5 * time.Minute
 	defaultDrainTime         = 30 * time.Second
 	defaultCrossFabricHold   = 5 * time.Minute
+	defaultLossesPerHostDay  = 0.3
 	defaultWeightsPerHost    = 2
 
 	maxFlapBackoff = time.Hour
@@ -79,6 +83,7 @@
 	p.SettleTime = orDefault(p.SettleTime, defaultSettleTime)
 	p.DrainTime = orDefault(p.DrainTime, defaultDrainTime)
 	p.CrossFabricHold = orDefault(p.CrossFabricHold, defaultCrossFabricHold)
+	p.LossesPerHostDay = orDefault(p.LossesPerHostDay, defaultLossesPerHostDay)
 	p.WeightsPerHost = orDefault(p.WeightsPerHost, defaultWeightsPerHost)
 	return p
 }
--- a/internal/control/placement/preempt.go
+++ b/internal/control/placement/preempt.go
@@ -21,13 +21,6 @@
 // preemptFor frees hosts for g, or for a replica that dep lacks if g is nil, and
 // reports whether hosts are on their way or it is too early to take any.
 func (p *planner) preemptFor(dep int, g *group) bool {
-	if g != nil {
-		until := p.holdUntil(g, p.policy.DrainTime+p.copyTime(&p.fleet.Deployments[dep], len(g.missing)))
-		if p.now.Before(until) {
-			p.wait(g, until, ReasonMemberMayReturn)
-			return true
-		}
-	}
 	for _, at := range p.fabricOrder(dep, g) {
 		if p.preemptIn(dep, g, at) {
 			return true
@@ -66,10 +59,14 @@
 		need -= len(p.keepers(g, false))
 	}
 	if p.within(at) < need {
-		victims := p.victims(dep, at, need-p.within(at))
+		victims := p.victims(dep, at, need-p.within(at), p.mayTake)
 		if victims == nil || !p.worthwhile(dep, g, victims) {
 			return false
 		}
+		if until := p.preemptAt(dep, g, victims); p.now.Before(until) {
+			p.wait(g, until, ReasonMemberMayReturn)
+			return true
+		}
 		for _, v := range victims {
 			p.end(v.group, ReasonPreempted)
 		}
@@ -82,6 +79,20 @@
 	return true
 }
 
+// preemptAt returns until when waiting for g's members is better than the end of
+// victims and a rebuild with their hosts.
+func (p *planner) preemptAt(dep int, g *group, victims []victim) time.Time {
+	if g == nil {
+		return p.now
+	}
+	var hosts []int
+	for _, v := range victims {
+		hosts = append(hosts, v.survivors...)
+	}
+	load, _ := p.loadTime(&p.fleet.Deployments[dep], hosts)
+	return p.holdUntil(g, p.policy.DrainTime+load)
+}
+
 // reserve counts off hosts that are being freed, and returns the free ones that
 // are to be kept beside them.
 func (p *planner) reserve(at, count int) []int {
@@ -91,23 +102,23 @@
 	return slices.Clone(f.free[:now])
 }
 
-// victims returns the cheapest replicas of a fabric domain that together free at
-// least count hosts for deployment dep, or nil.
-func (p *planner) victims(dep, at, count int) []victim {
+// victims returns the cheapest replicas of a fabric domain that deployment dep may
+// take and that together free at least count hosts, or nil.
+func (p *planner) victims(dep, at, count int, may func(dep int, v *group) bool) []victim {
 	var all []victim
 	for i := range p.groups {
 		v := &p.groups[i]
-		if v.fabric == at && p.mayTake(dep, v) {
+		if v.fabric == at && may(dep, v) {
 			all = append(all, victim{group: v, cost: p.downtimeCost(v)})
 		}
 	}
 	slices.SortFunc(all, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.ID, b.ID))
 	})
-	for at, v := range all {
+	for last, v := range all {
 		count -= len(v.survivors)
 		if count <= 0 {
-			return all[:at+1]
+			return all[:last+1]
 		}
 	}
 	return nil
@@ -122,23 +133,29 @@
 	if !v.serving() && !v.loading() {
 		return false
 	}
-	mine, theirs := p.fleet.Deployments[dep].Priority, p.fleet.Deployments[v.dep].Priority
-	if theirs < mine {
+	if p.fleet.Deployments[v.dep].Priority < p.fleet.Deployments[dep].Priority {
 		return true
 	}
-	return theirs == mine && p.beyondWanted(v)
+	return p.isExtra(dep, v)
 }
 
-// beyondWanted reports whether v's deployment has all it wants without v.
-func (p *planner) beyondWanted(v *group) bool {
-	return p.tally(v.dep).good > p.fleet.Deployments[v.dep].Replicas
+// isExtra reports whether v stands beyond what another deployment of no higher
+// priority wants.
+func (p *planner) isExtra(dep int, v *group) bool {
+	if v.dep < 0 || v.dep == dep || p.extras[v.dep] <= 0 {
+		return false
+	}
+	if !v.serving() && !v.loading() {
+		return false
+	}
+	return p.fleet.Deployments[v.dep].Priority <= p.fleet.Deployments[dep].Priority
 }
 
 // downtimeCost returns what a second without v costs.
 func (p *planner) downtimeCost(v *group) float64 {
 	d := &p.fleet.Deployments[v.dep]
 	cost := d.StrandedWeight * float64(p.accelerators(v.survivors))
-	if v.State == replica.StateServing && !p.beyondWanted(v) {
+	if v.State == replica.StateServing && p.extras[v.dep] <= 0 {
 		cost += juniorShare * d.DowntimeWeight
 	}
 	return cost
--- a/internal/control/placement/preload.go
+++ b/internal/control/placement/preload.go
@@ -3,7 +3,7 @@
 // preload copies weights to free hosts while no replica loads from the store, the
 // weights of the highest priority first. A warm spare joins by a local load.
 func (p *planner) preload(order []int) {
-	if !p.policy.PreloadSpares {
+	if p.policy.ColdSpares {
 		return
 	}
 	room := p.storeSlots() - p.storeLoads
