Break off suspects' copies; let an untimed planned stop use a cold spare

Cause: the policy confines suspects to one replica and asks for copies in flight to be revoked, which the entry did not do. A drained host whose only spare held no weights kept its replica for ever, since placement waited for a warm spare. Ruled out: revoking attempts that run at most once; they must not run again. Change: dispatch.Route.Live, ended by the policy; each retry asks the tracker again. A planned stop without a time takes a cold spare.

--- a/internal/control/placement/move.go
+++ b/internal/control/placement/move.go
@@ -87,7 +87,9 @@
 		return false
 	}
 	load, copies := p.loadTime(d, hosts)
-	if copies > 0 && !p.policy.ColdSpares {
+	// A stop without a time waits for nothing but hosts, or it might wait for ever.
+	untimed := why == ReasonPlannedStop && p.stopAt(g).IsZero()
+	if copies > 0 && !p.policy.ColdSpares && !untimed {
 		return false
 	}
 	if why != ReasonPlannedStop && !p.earns(d, g, load) {
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/entry/execution"
+	"github.com/egretreach/egretreach/internal/entry/suspicion"
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/transport"
@@ -36,6 +37,10 @@
 	defer stream.Close()
 	stop := stream.CancelOn(ctx)
 	defer stop()
+	if e.route.Live != nil {
+		keep := stream.CancelOn(e.route.Live)
+		defer keep()
+	}
 	ref := message.Ref{Request: e.work.ID, Attempt: a.Attempt}
 	// From here on the agent may have the request, whatever the error says.
 	if err := stream.Send(e.message(a, ref)); err != nil {
@@ -118,16 +123,27 @@
 	case request.OutcomeNotRun:
 		return execution.Ended{Kind: execution.EndNotRun, Code: m.Code, Reason: m.Reason}
 	case request.OutcomeUnknown:
-		return execution.Ended{Kind: execution.EndLost, Code: m.Code, Reason: m.Reason, Attested: true}
+		ended := execution.Ended{Kind: execution.EndLost, Code: m.Code, Reason: m.Reason, Attested: true}
+		if m.Code == execution.CodeEngineCrashed {
+			ended.RetryAfter = suspicion.RetryAfterCrash
+		}
+		return ended
 	}
 	return execution.Ended{Kind: execution.EndLost, Code: m.Code, Reason: m.Reason}
 }
 
 func (e *executor) lost(ctx context.Context, err error) execution.Ended {
 	ended := execution.Ended{Kind: execution.EndLost, Code: execution.CodeAgentLost, Reason: "the link to the agent was lost"}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
 		ended.Code = "caller_gone"
 		ended.Final = true
+		return ended
+	case e.route.Live != nil && e.route.Live.Err() != nil:
+		ended.Code = "revoked"
+		ended.Reason = "a copy of the request was in flight when an engine crashed"
+		ended.RetryAfter = suspicion.RetryAfterCrash
+		return ended
 	}
 	if !errors.Is(err, io.EOF) {
 		event.LinkLost.On(e.dispatcher.opts.Logger).Str("request", e.work.ID.String()).Err(err).Msg("")
--- a/internal/entry/dispatch/work.go
+++ b/internal/entry/dispatch/work.go
@@ -83,6 +83,8 @@
 	FirstToken func(after time.Duration)
 	Done       func(end AttemptEnd)
 	Suspect    bool
+	// Live, if set, ends when the attempt is to be broken off and offered again.
+	Live context.Context
 }
 
 // AttemptEnd is what the policy learns from an attempt.
--- a/internal/entry/execution/execution.go
+++ b/internal/entry/execution/execution.go
@@ -207,7 +207,7 @@
 }
 
 func (m *Machine) lost(now time.Time, ref message.Ref, e Ended) Action {
-	result := Result{Outcome: request.OutcomeUnknown, Code: e.Code, Reason: e.Reason}
+	result := Result{Outcome: request.OutcomeUnknown, Code: e.Code, Reason: e.Reason, RetryAfter: e.RetryAfter}
 	expired := !now.Before(m.plan.Deadline)
 	if expired {
 		result.Code = CodeDeadline
--- a/internal/entry/server/backend.go
+++ b/internal/entry/server/backend.go
@@ -137,7 +137,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Done()
 	observer := s.meter.begin(work)
-	if refused := s.refuse(&work); refused != nil {
+	if refused := s.refuse(work); refused != nil {
 		return observer.end(dispatch.Result{Result: *refused})
 	}
 	var result dispatch.Result
@@ -153,7 +153,7 @@
 }
 
 // refuse gives the reasons for refusing work before it waits for anything.
-func (s *Server) refuse(work *dispatch.Work) *execution.Result {
+func (s *Server) refuse(work dispatch.Work) *execution.Result {
 	if s.refusing.Load() || !s.session.Valid() || !s.policy.holdsShares() {
 		return &execution.Result{
 			Outcome: request.OutcomeNotRun, Code: "not_ready",
@@ -162,14 +162,10 @@
 	}
 	s.policy.mu.Lock()
 	defer s.policy.mu.Unlock()
-	switch v := s.policy.tracker.Check(time.Now(), work.BodyHash).(type) {
-	case suspicion.Quarantined:
+	if v, ok := s.policy.tracker.Check(time.Now(), work.BodyHash).(suspicion.Quarantined); ok {
 		return &execution.Result{
-			Outcome: request.OutcomeNotRun, Code: "quarantined",
-			Reason: "this request has crashed endpoints and is held back", RetryAfter: v.RetryAfter,
+			Outcome: request.OutcomeNotRun, Code: codeQuarantined, Reason: reasonQuarantined, RetryAfter: v.RetryAfter,
 		}
-	case suspicion.Suspect:
-		work.Suspect = true
 	}
 	return nil
 }
--- a/internal/entry/server/policy.go
+++ b/internal/entry/server/policy.go
@@ -31,8 +31,10 @@
 	quota    *admission.Quota
 	lanes    map[string]*lane
 	limiters map[replica.ID]*admission.Limiter
-	flights  int
-	renewed  time.Time
+	// revocable are the attempts in flight that may be broken off.
+	revocable map[routing.Ticket]revocable
+	flights   int
+	renewed   time.Time
 }
 
 func newPolicy(rng *rand.Rand) *policy {
@@ -40,6 +42,7 @@
 		rng: rng, router: routing.New(rng, routing.Policy{}), services: routing.NewServices(rng),
 		budget: retry.New(rng, retry.Policy{}), tracker: suspicion.New(), quota: admission.NewQuota(),
 		lanes: map[string]*lane{}, limiters: map[replica.ID]*admission.Limiter{},
+		revocable: map[routing.Ticket]revocable{},
 	}
 }
 
@@ -129,6 +132,7 @@
 	p.router.SetView(now, p.view)
 	p.services.SetView(p.view)
 	p.tracker.SetView(now, p.view.Quarantine)
+	p.revokeSuspects(now)
 	p.setSlots(now)
 }
 
--- a/internal/entry/server/router.go
+++ b/internal/entry/server/router.go
@@ -7,6 +7,7 @@
 	"github.com/egretreach/egretreach/internal/entry/dispatch"
 	"github.com/egretreach/egretreach/internal/entry/execution"
 	"github.com/egretreach/egretreach/internal/entry/routing"
+	"github.com/egretreach/egretreach/internal/entry/suspicion"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/view"
@@ -16,6 +17,9 @@
 const (
 	retryAfterSuspect = time.Second
 	clearedTimeout    = 3 * time.Second
+
+	codeQuarantined   = "quarantined"
+	reasonQuarantined = "this request has crashed endpoints and is held back"
 )
 
 // Route implements dispatch.Router.
@@ -33,6 +37,14 @@
 
 func (s *Server) routeGeneration(now time.Time, work dispatch.Work, body dispatch.Generation, exclude map[host.ID]bool) (dispatch.Route, error) {
 	p := s.policy
+	switch v := p.tracker.Check(now, work.BodyHash).(type) {
+	case suspicion.Quarantined:
+		return dispatch.Route{}, dispatch.ErrUnroutable{
+			Code: codeQuarantined, Reason: reasonQuarantined, RetryAfter: v.RetryAfter, Final: true,
+		}
+	case suspicion.Suspect:
+		work.Suspect = true
+	}
 	req := routing.Request{
 		Deployment: body.Model, Version: body.Version, Adapter: body.Adapter,
 		PromptTokens: body.PromptTokens, PrefixHashes: body.PrefixHashes, BodyHash: work.BodyHash,
@@ -79,10 +91,10 @@
 	ticket := p.router.Dispatched(now, req, choice)
 	limiter := p.limiter(choice.Route)
 	limiter.Started(p.router.InFlight(id))
-	p.tracker.Begin(work.BodyHash, id)
+	p.tracker.Begin(work.BodyHash, id, work.Suspect)
 	p.flights++
 	return dispatch.Route{
-		Target: target(choice.Route), Suspect: work.Suspect,
+		Target: target(choice.Route), Suspect: work.Suspect, Live: p.live(work, ticket),
 		FirstToken: func(after time.Duration) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -102,13 +114,15 @@
 	now := time.Now()
 	complete := end.Kind == execution.EndComplete
 	p.router.Finished(now, ticket, routing.Result{Complete: complete, CachedTokens: end.CachedTokens})
-	p.tracker.End(work.BodyHash, id)
+	p.tracker.End(work.BodyHash, id, work.Suspect)
 	p.flights--
+	p.revoke(ticket)
 	if end.TokenGap > 0 {
 		p.limiter(route).TokenGap(now, end.TokenGap)
 	}
 	if end.Code == execution.CodeEngineCrashed {
 		p.tracker.Crashed(now, work.BodyHash, id, route.Replica.Fence)
+		p.revokeSuspects(now)
 	}
 	cleared := false
 	if complete {
@@ -122,6 +136,41 @@
 	}
 }
 
+// live returns the context in which an attempt may go on. One that may not run twice
+// is never broken off.
+func (p *policy) live(work dispatch.Work, ticket routing.Ticket) context.Context {
+	if work.AtMostOnce {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.revocable[ticket] = revocable{hash: work.BodyHash, cancel: cancel}
+	return ctx
+}
+
+// revocable is an attempt that may be broken off.
+type revocable struct {
+	hash   uint64
+	cancel context.CancelFunc
+}
+
+func (p *policy) revoke(ticket routing.Ticket) {
+	if r, ok := p.revocable[ticket]; ok {
+		delete(p.revocable, ticket)
+		r.cancel()
+	}
+}
+
+// revokeSuspects breaks off the copies of bodies that may no longer run as they do.
+func (p *policy) revokeSuspects(now time.Time) {
+	for _, hash := range p.tracker.Revoked(now) {
+		for _, r := range p.revocable {
+			if r.hash == hash {
+				r.cancel()
+			}
+		}
+	}
+}
+
 // clear tells control that a suspect ran to its end.
 func (s *Server) clear(hash uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), clearedTimeout)
