Keep a released member in place until its head is idle

Cause: run as processes, SIGTERM of a member cut the head's stream: control released the member at its first goodbye, the member left at once and its beats ended (81 of 150 tokens arrived, then silence until the caller's own timeout). And a restarted agent dropped its first order, which came before its first grant, so the replica stayed degraded for a further 5 s. Change: a release on a member tells the head that it drains and waits until the head is idle or gone, or a newer fence comes; an order waits up to 2 s for a lease before it is judged. New test TestReleasedMemberWaitsForItsHead, failing before. go test -race ./internal/agent/server passes.

--- a/internal/agent/server/beatlink.go
+++ b/internal/agent/server/beatlink.go
@@ -61,12 +61,20 @@
 }
 
 // acked takes a head's ack. A member that is to leave may do so once the head runs
-// nothing.
+// nothing, and takes nothing more.
 func (s *Server) acked(ack *message.BeatAck) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.beatAck = time.Now()
-	if ack.Idle || ack.Stale {
-		s.left = true
+	s.headIdle = s.gate.Draining() && (ack.Idle || ack.Stale)
+}
+
+// unusedLocked reports whether the replica runs nothing that needs this host: on
+// its head, no generation; on a member, the head is idle or gone.
+func (s *Server) unusedLocked() bool {
+	at := s.reading()
+	if !s.gate.MayBeat(at) {
+		return s.generationsLocked() == 0
 	}
+	return s.headIdle || at.Now.Sub(s.beatAck) > 2*gate.BeatTimeout
 }
--- a/internal/agent/server/beats.go
+++ b/internal/agent/server/beats.go
@@ -71,7 +71,7 @@
 	s.mu.Lock()
 	place, addresses, _ := s.gate.Place()
 	may := s.gate.MayBeat(at)
-	stopping := s.gate.Stopping()
+	draining := s.gate.Draining()
 	s.mu.Unlock()
 	if !may || len(addresses) == 0 {
 		to.close()
@@ -87,7 +87,7 @@
 	to.sequence++
 	err := to.stream.Send(&message.Beat{
 		Replica: place.ID, Fence: place.Fence, Host: s.opts.Info.ID, Incarnation: s.opts.Info.Incarnation,
-		Sequence: to.sequence, Echo: to.echo.Load(), Draining: stopping,
+		Sequence: to.sequence, Echo: to.echo.Load(), Draining: draining,
 	})
 	if err != nil {
 		to.close()
--- a/internal/agent/server/daemon.go
+++ b/internal/agent/server/daemon.go
@@ -42,7 +42,12 @@
 }
 
 // Granted implements session.Daemon.
-func (s *Server) Granted(message.LeaseGrant) { wake(s.changed) }
+func (s *Server) Granted(message.LeaseGrant) {
+	wake(s.changed)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notifyLocked()
+}
 
 // Welcomed implements session.Daemon.
 func (s *Server) Welcomed(w message.Welcome) {
--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -21,7 +21,8 @@
 	orderTimeout    = 5 * time.Second
 	orderRetryDelay = 200 * time.Millisecond
 	orderTries      = 3
-	releaseWait     = 30 * time.Second
+	releaseWait     = 2 * time.Minute
+	leaseWait       = 2 * time.Second
 	cancelTimeout   = 2 * time.Second
 	reportTimeout   = 30 * time.Second
 	lingerTimeout   = time.Second
--- a/internal/agent/server/orders.go
+++ b/internal/agent/server/orders.go
@@ -27,7 +27,12 @@
 	}
 }
 
+// execute carries one order out. The first orders of a session may come before the
+// first grant, so a lease is waited for a little.
 func (s *Server) execute(ctx context.Context, o *message.Order) {
+	waiting, cancel := context.WithTimeout(ctx, leaseWait)
+	s.await(waiting, func() bool { return s.reading().Leased })
+	cancel()
 	switch o.Action {
 	case message.OrderLoad:
 		s.executeLoad(ctx, o)
@@ -70,7 +75,7 @@
 	}
 	s.drainPlace(o.Replica)
 	waiting, cancel := context.WithTimeout(ctx, releaseWait)
-	s.await(waiting, func() bool { return s.generationsLocked() == 0 || s.newest > o.Replica.Fence })
+	s.awaitUnused(waiting, o.Replica.Fence)
 	cancel()
 	// The wait may have been long: the order is checked again.
 	at := s.reading()
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -44,16 +44,16 @@
 	running  map[message.Ref]*run
 	// calls counts the entries' calls in progress. ended is closed, and then nil,
 	// whenever work ends or an order comes.
-	calls   int
-	ended   chan struct{}
-	waiters map[attempt.Waiter]chan message.AskResult
-	waiter  attempt.Waiter
-	load    view.Load
-	start   string
-	loading uint64
-	newest  replica.Fence
-	left    bool
-	beatAck time.Time
+	calls    int
+	ended    chan struct{}
+	waiters  map[attempt.Waiter]chan message.AskResult
+	waiter   attempt.Waiter
+	load     view.Load
+	start    string
+	loading  uint64
+	newest   replica.Fence
+	headIdle bool
+	beatAck  time.Time
 }
 
 // New returns an agent that Run starts.
--- a/internal/agent/server/shutdown.go
+++ b/internal/agent/server/shutdown.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 
 	"github.com/egretreach/egretreach/internal/agent/gate"
+	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
@@ -13,13 +15,12 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.gate.Stop()
-	s.left = false
 	s.mu.Unlock()
 	wake(s.changed)
 	s.session.Renew()
 	_ = s.session.Send(&message.Goodbye{Draining: true})
 	s.await(ctx, func() bool { return s.calls == 0 })
-	s.awaitHead(ctx)
+	s.awaitUnused(ctx, math.MaxUint64)
 	s.releaseOwn(ctx)
 	_ = s.session.Goodbye()
 	s.mu.Lock()
@@ -66,18 +67,17 @@
 	}
 }
 
-// awaitHead keeps a leaving member present until the head of its replica is idle
-// or gone.
-func (s *Server) awaitHead(ctx context.Context) {
-	for ctx.Err() == nil {
-		at := s.reading()
+// awaitUnused keeps the host in its replica until nothing there needs it, or an
+// order with a fence above newer has come.
+func (s *Server) awaitUnused(ctx context.Context, newer replica.Fence) {
+	unused := false
+	for !unused && ctx.Err() == nil {
 		s.mu.Lock()
-		done := !s.gate.MayBeat(at) || s.left || at.Now.Sub(s.beatAck) > 2*gate.BeatTimeout
+		unused = s.unusedLocked() || s.newest > newer
 		s.mu.Unlock()
-		if done {
-			return
+		if !unused {
+			sleep(ctx, gate.BeatInterval)
 		}
-		sleep(ctx, gate.BeatInterval)
 	}
 }
 
--- a/internal/agent/server/shutdown_test.go
+++ b/internal/agent/server/shutdown_test.go
@@ -65,3 +65,22 @@
 		require.Len(t, m.engine.Orders(), 2, "a late resend must not bring the replica back")
 	})
 }
+
+// TestReleasedMemberWaitsForItsHead releases a member alone, in the middle of a
+// generation.
+func TestReleasedMemberWaitsForItsHead(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		head := f.agent(1, engine.Options{})
+		member := f.agent(2, engine.Options{})
+		r := f.replica("r-1", 1, 2)
+		d := generation(head, r, "a long report", 500)
+		stream := f.open(head, d)
+		time.Sleep(time.Second)
+		require.NoError(t, f.control.order("host-2", &message.Order{ID: 2, Action: message.OrderRelease, Replica: r}))
+		got := f.collect(stream, d)
+		require.Equal(t, request.OutcomeComplete, got.end.Outcome, got.end.Reason)
+		time.Sleep(2 * gate.BeatTimeout)
+		require.Len(t, member.engine.Orders(), 2)
+		require.False(t, head.server.accepts(r))
+	})
+}
