Let the load go on to the next entry as a balancer would

Cause: half of the load's requests were lost at a dead entry, which hides what the fleet itself loses. Change: a refused connection is tried at the next entry; nothing else is.

--- a/internal/standin/caller/run.go
+++ b/internal/standin/caller/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -92,10 +93,10 @@
 
 func (r *runner) send(ctx context.Context, n int, a Arrival) {
 	intended := r.start.Add(a.At)
-	res, err := r.once(ctx, n, a)
+	res, err := r.balanced(ctx, n, a)
 	for i := 0; i < r.opts.Resends && a.Kind == KindSignoff && (err != nil || res.outcome != "complete"); i++ {
 		sleepUntil(ctx, time.Now().Add(resendDelay))
-		res, err = r.once(ctx, n+i+1, a)
+		res, err = r.balanced(ctx, n+i+1, a)
 	}
 	r.report.add(a, intended, res, err, r.verdict(a, res, err))
 }
@@ -109,6 +110,21 @@
 	return err == nil && want == res.text
 }
 
+// balanced goes on to the next entry when one does not take the connection, as a
+// balancer would.
+func (r *runner) balanced(ctx context.Context, n int, a Arrival) (result, error) {
+	var res result
+	var err error
+	for i := range r.opts.Targets {
+		res, err = r.once(ctx, n+i, a)
+		var op *net.OpError
+		if !errors.As(err, &op) || op.Op != "dial" {
+			break
+		}
+	}
+	return res, err
+}
+
 func (r *runner) once(ctx context.Context, n int, a Arrival) (result, error) {
 	method, path := http.MethodPost, chatPath
 	switch a.Kind {
