Bound the nesting and the keys of a file before it is parsed

Cause: goccy/go-yaml's parser takes time and memory by the square of the nesting and of the keys in one mapping: 256 KiB of '[' ended the test process by its memory, 256 KiB of 'a: 1' lines took 12.7 s. A bad file could take a control host. Ruled out: a bound on the size alone, since 64 KiB of '[' already took 6.6 s; a deadline, as the parser takes no context. Change: the tokens, which the lexer gives in linear time, are checked for depth, keys in a mapping and entries in brackets; anchors, tags, explicit keys and further documents are refused there too. Files are bounded to 1 MiB and listed problems to 100. NodeToValue on the same tree replaces a second parse. The messages of two rows of TestUnreadableFilesAreRefused changed with the code. Conclusion: refusal costs linear time.

--- a/internal/fleet/config/config_test.go
+++ b/internal/fleet/config/config_test.go
@@ -93,11 +93,11 @@
 		"# nothing\n":                         "is empty",
 		"models:\n  - name: dra":              "half written",
 		"models: [\n":                         "line 1",
-		"models: &m []\nteams: *m\n":          "anchors, aliases and tags",
-		"defaults: {}\n---\nteams: []\n":      "more than one document",
+		"models: &m []\nteams: *m\n":          "anchors, aliases, tags",
+		"defaults: {}\n---\nteams: []\n":      "only one document",
 		"defaults: \xff\n":                    "not UTF-8",
 		"- defaults\n":                        "must be a mapping",
-		"? {a: b}\n: c\n":                     "invalid key",
+		"? {a: b}\n: c\n":                     "explicit keys",
 		strings.Repeat(" ", 5<<20) + "a: 1\n": "is larger than",
 	} {
 		_, err := Parse("fleet.yaml", []byte(text))
@@ -106,6 +106,25 @@
 	}
 }
 
+// TestHostileFilesAreRefusedBeforeTheParser gives shapes on which the parser alone
+// takes minutes or all memory.
+func TestHostileFilesAreRefusedBeforeTheParser(t *testing.T) {
+	for part, reason := range map[string]string{
+		"[":        "nested too deeply",
+		"{a: ":     "nested too deeply",
+		"- ":       "nested too deeply",
+		"a: ":      "nested too deeply",
+		"? ":       "explicit keys",
+		"a: 1\n":   "over 100 keys",
+		"{}\n[1,2": "nested too deeply",
+	} {
+		_, err := Parse("fleet.yaml", []byte(strings.Repeat(part, 1<<18/len(part))+"\n"))
+		require.ErrorContains(t, err, reason, "%q", part)
+	}
+	_, err := Parse("fleet.yaml", []byte("teams: {"+strings.Repeat("a,", 1<<17)+"}\n"))
+	require.ErrorContains(t, err, "over 100 entries")
+}
+
 func TestDiffIsUnified(t *testing.T) {
 	require.Equal(t, "--- in force\n+++ offered\n@@ -1,2 +1,2 @@\n a: 1\n-b: 2\n+b: 3\n", Diff([]byte("a: 1\nb: 2\n"), []byte("a: 1\nb: 3\n")))
 	require.Empty(t, Diff([]byte("a: 1\n"), []byte("a: 1\n")))
--- a/internal/fleet/document/document.go
+++ b/internal/fleet/document/document.go
@@ -6,12 +6,13 @@
 	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 	"github.com/pkg/errors"
 )
 
 // MaxBytes bounds a file.
-const MaxBytes = 4 << 20
+const MaxBytes = 1 << 20
 
 // Document is a file that fits its type. Further checks report to it.
 type Document struct {
@@ -27,23 +28,24 @@
 	if reason := unreadable(data); reason != "" {
 		return nil, ErrInvalid{Problems: []Problem{{File: file, Reason: reason}}}
 	}
-	tree, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	tokens := lexer.Tokenize(string(data))
+	if err := invalid(tokenProblems(file, tokens)); err != nil {
+		return nil, err
+	}
+	tree, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return nil, syntaxProblem(file, err)
 	}
 	w := &walker{file: file, lines: map[string]int{}}
-	switch {
-	case len(tree.Docs) > 1:
-		w.report(tree.Docs[1].GetToken().Position.Line, "", "holds more than one document")
-	case len(tree.Docs) == 0 || tree.Docs[0].Body == nil:
-		w.report(0, "", "is empty")
-	default:
-		w.walk(tree.Docs[0].Body, reflect.TypeOf(into), "", 1)
+	if len(tree.Docs) == 0 || tree.Docs[0].Body == nil {
+		return nil, ErrInvalid{Problems: []Problem{{File: file, Reason: "is empty"}}}
 	}
+	body := tree.Docs[0].Body
+	w.walk(body, reflect.TypeOf(into), "", 1)
 	if err := invalid(w.problems); err != nil {
 		return nil, err
 	}
-	if err := yaml.UnmarshalWithOptions(data, into, yaml.Strict()); err != nil {
+	if err := yaml.NodeToValue(body, into, yaml.Strict()); err != nil {
 		return nil, syntaxProblem(file, err)
 	}
 	return &Document{file: file, lines: w.lines}, nil
--- a/internal/fleet/document/problem.go
+++ b/internal/fleet/document/problem.go
@@ -35,6 +35,9 @@
 	return b.String()
 }
 
+// maxProblems bounds the problems that are listed of one file.
+const maxProblems = 100
+
 // ErrInvalid is a file that was refused, with all its problems in the order of
 // their lines.
 type ErrInvalid struct{ Problems []Problem }
@@ -61,5 +64,11 @@
 		return nil
 	}
 	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Line < problems[j].Line })
+	if rest := len(problems) - maxProblems; rest > 0 {
+		last := problems[maxProblems]
+		problems = append(problems[:maxProblems:maxProblems], Problem{
+			File: last.File, Line: last.Line, Reason: fmt.Sprintf("%d further problems from here on", rest),
+		})
+	}
 	return ErrInvalid{Problems: problems}
 }
--- a/internal/fleet/document/walk.go
+++ b/internal/fleet/document/walk.go
@@ -46,8 +46,6 @@
 	switch n := node.(type) {
 	case *ast.NullNode:
 		w.report(line, key, "has no value")
-	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode, *ast.MergeKeyNode:
-		w.report(line, key, "anchors, aliases and tags are not accepted")
 	case *ast.MappingValueNode:
 		w.walkMapping([]*ast.MappingValueNode{n}, t, key, line)
 	case *ast.MappingNode:
@@ -66,14 +64,10 @@
 	}
 	seen := map[string]bool{}
 	for _, v := range values {
-		name, ok := keyName(v.Key)
+		name := keyName(v.Key)
 		at := v.Key.GetToken().Position.Line
 		path := join(key, name)
-		switch {
-		case !ok:
-			w.report(at, path, "anchors, aliases and tags are not accepted")
-			continue
-		case seen[name]:
+		if seen[name] {
 			w.report(at, path, "is given twice")
 			continue
 		}
@@ -177,15 +171,11 @@
 	return name
 }
 
-func keyName(key ast.MapKeyNode) (string, bool) {
-	switch k := key.(type) {
-	case *ast.StringNode:
-		return k.Value, k.Value != ""
-	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode, *ast.MergeKeyNode:
-		return key.GetToken().Value, false
-	default:
-		return key.String(), true
+func keyName(key ast.MapKeyNode) string {
+	if k, ok := key.(*ast.StringNode); ok {
+		return k.Value
 	}
+	return key.String()
 }
 
 func join(key, name string) string {
