--- a/internal/link/transport/transport_test.go
+++ b/internal/link/transport/transport_test.go
@@ -104,9 +104,7 @@
 		"other authority": {func(t *testing.T, _ *identity.Authority) *identity.Credentials {
 			return issue(t, newAuthority(t), host.RoleAgent, time.Hour)
 		}, "certificate"},
-		"other authority that trusts ours": {func(t *testing.T, own *identity.Authority) *identity.Credentials {
-			return stranger(t, own)
-		}, "unknown certificate authority"},
+		"other authority that trusts ours": {stranger, "unknown certificate authority"},
 		"expired": {func(t *testing.T, own *identity.Authority) *identity.Credentials {
 			credentials := issue(t, own, host.RoleAgent, time.Minute)
 			time.Sleep(2 * time.Minute)
