--- a/internal/entry/admission/limiter.go
+++ b/internal/entry/admission/limiter.go
@@ -17,6 +17,9 @@
 	limiterMaxSamples = 512
 	limiterDecrease   = 0.85
 	limiterQuantile   = 0.95
+	// limiterAim is the part of a target at which the limit stops growing, since it
+	// swings around that point.
+	limiterAim = 0.9
 	// limiterUsed is the part of the limit that must have been in use before it grows.
 	limiterUsed = 0.8
 )
@@ -32,21 +35,28 @@
 	begun    time.Time
 	first    []time.Duration
 	gaps     []time.Duration
-	// holdUntil keeps requests of before a decrease from causing another one.
-	holdUntil time.Time
+	// settling says that more run than a decrease allows; till they have ended, their
+	// latency says nothing of the new limit.
+	settling bool
 }
 
 // NewLimiter returns a Limiter for a replica that decodes capacity requests at once.
 func NewLimiter(capacity int) *Limiter {
 	capacity = max(1, capacity)
-	return &Limiter{limit: float64(capacity), min: 1, max: 2 * float64(capacity)}
+	return &Limiter{limit: max(1, float64(capacity)/2), min: 1, max: 2 * float64(capacity)}
 }
 
 // Limit returns how many own requests may run on the replica at once.
 func (l *Limiter) Limit() int { return int(math.Floor(l.limit)) }
 
 // Started records that a request was dispatched while inFlight others ran.
-func (l *Limiter) Started(inFlight int) { l.peak = max(l.peak, inFlight+1) }
+func (l *Limiter) Started(inFlight int) {
+	l.peak = max(l.peak, inFlight+1)
+	if l.settling && inFlight < l.Limit() {
+		l.settling = false
+		l.begun = time.Time{}
+	}
+}
 
 // FirstToken records a time to first token, counted from the dispatch.
 func (l *Limiter) FirstToken(now time.Time, ttft time.Duration) {
@@ -54,7 +64,8 @@
 	l.adapt(now)
 }
 
-// TokenGap records the mean gap between the tokens of one answer.
+// TokenGap records the mean gap between the last few tokens of a stream. It should
+// be given about each 16 tokens: at the end of an answer it comes too late to steer by.
 func (l *Limiter) TokenGap(now time.Time, gap time.Duration) {
 	l.gaps = sample(l.gaps, gap)
 	l.adapt(now)
@@ -69,23 +80,30 @@
 
 func (l *Limiter) adapt(now time.Time) {
 	if l.begun.IsZero() {
-		l.begun = now
+		l.restart(now)
 	}
-	if now.Sub(l.begun) < limiterWindow || len(l.first)+len(l.gaps) < limiterMinSamples {
+	if l.settling || now.Sub(l.begun) < limiterWindow || len(l.first)+len(l.gaps) < limiterMinSamples {
 		return
 	}
-	over := quantile(l.first) > TargetFirstToken || quantile(l.gaps) > TargetTokenGap
-	switch {
-	case over && !now.Before(l.holdUntil):
+	switch over := beyond(quantile(l.first), TargetFirstToken) || beyond(quantile(l.gaps), TargetTokenGap); {
+	case over:
 		l.limit = max(l.min, l.limit*limiterDecrease)
-		l.holdUntil = now.Add(TargetFirstToken)
-	case !over && float64(l.peak) >= limiterUsed*l.limit:
+		l.settling = true
+	case float64(l.peak) >= limiterUsed*l.limit:
 		l.limit = min(l.max, l.limit+1)
 	}
+	l.restart(now)
+}
+
+func (l *Limiter) restart(now time.Time) {
 	l.begun, l.peak = now, 0
 	l.first, l.gaps = l.first[:0], l.gaps[:0]
 }
 
+func beyond(value, target time.Duration) bool {
+	return value > time.Duration(limiterAim*float64(target))
+}
+
 func quantile(samples []time.Duration) time.Duration {
 	if len(samples) == 0 {
 		return 0
