Take extra replicas at once for a dark domain; idle use waits for warm hosts

Change: preload goes before idle use, which leaves cold and fresh hosts alone; a dark domain takes extra replicas after DarkHold. The trace driver sees a drain's end within a second.

--- a/internal/control/placement/bench_test.go
+++ b/internal/control/placement/bench_test.go
@@ -159,17 +159,17 @@
 	}
 }
 
-// largeFleet claims the hosts of each fabric domain by groups of size, but for every
-// tenth group, whose hosts are spare.
+// largeFleet claims the hosts of each fabric domain by groups of size. Every tenth
+// group is spare, every fifth belongs to a deployment of lower priority.
 func largeFleet(hosts, failureSize, fabricSize, size int) Fleet {
-	d := deployment("drafts", 0, size, 1)
 	f := Fleet{Now: epoch, WeightStore: WeightStore{Rate: 4e9, HostRate: 1e9}}
+	f.Deployments = []Deployment{deployment("drafts", 0, size, 2), deployment("lookups", 0, size, 1)}
 	for i := range hosts {
 		f.Hosts = append(f.Hosts, Host{
 			ID:           host.ID(fmt.Sprint("h", i)),
 			Failure:      domain.Failure(strconv.Itoa(i / failureSize)),
 			Fabric:       domain.Fabric(strconv.Itoa(i / fabricSize)),
-			Accelerators: 4, Alive: true, Weights: []Weights{{Model: "drafts", Version: "1"}},
+			Accelerators: 4, Alive: true, Weights: []Weights{{Model: "drafts", Version: "1"}, {Model: "lookups", Version: "1"}},
 		})
 	}
 	for first := 0; first+size <= hosts; first += size {
@@ -180,6 +180,8 @@
 		if first/size%10 == 9 {
 			continue
 		}
+		d := &f.Deployments[b2i(first/size%5 == 3)]
+		d.Replicas++
 		r := Replica{}
 		r.ID, r.Spec, r.State = replica.ID(fmt.Sprint("r", len(f.Replicas))), d.Spec, replica.StateServing
 		for i := first; i < first+size; i++ {
@@ -188,8 +190,6 @@
 		}
 		f.Replicas = append(f.Replicas, r)
 	}
-	d.Replicas = len(f.Replicas)
-	f.Deployments = []Deployment{d}
 	return f
 }
 
@@ -208,6 +208,10 @@
 			}
 		}
 		b.Run(fmt.Sprintf("hosts=%d/domain_lost", hosts), func(b *testing.B) { benchDecide(b, f) })
+		for i := 0; i < len(f.Hosts); i += 2 * f.Deployments[0].HostsPerReplica {
+			f.Hosts[i].Alive, f.Hosts[i].Since = false, epoch.Add(-5*time.Minute)
+		}
+		b.Run(fmt.Sprintf("hosts=%d/domain_and_many_lost", hosts), func(b *testing.B) { benchDecide(b, f) })
 	}
 }
 
--- a/internal/control/placement/decide.go
+++ b/internal/control/placement/decide.go
@@ -9,7 +9,7 @@
 
 // Decide returns what to do about the fleet now. The same picture always gives the
 // same decisions in the same order: ends of drains, repairs and missing replicas by
-// falling priority, voluntary moves, then the use of idle hosts.
+// falling priority, voluntary moves, then the preload and the use of idle hosts.
 func Decide(f Fleet) []Decision {
 	p := newPlanner(&f)
 	p.endDrains()
@@ -22,10 +22,8 @@
 		p.retire(dep)
 		p.move(dep)
 	}
-	for _, dep := range order {
-		p.useIdle(dep)
-	}
 	p.preload(order)
+	p.useIdle(order)
 	return p.decisions
 }
 
--- a/internal/control/placement/fill.go
+++ b/internal/control/placement/fill.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // fill forms the replicas that deployment dep lacks.
@@ -23,7 +22,7 @@
 	if p.pickGroup(dep) != nil {
 		return p.form(dep, ReasonReplicaWanted)
 	}
-	if p.preemptFor(dep, nil) {
+	if p.preemptFor(dep, nil, p.mayTake) {
 		return false
 	}
 	if p.lacksForLong(d) {
@@ -157,35 +156,6 @@
 	}
 }
 
-// limit returns how many replicas deployment d may have by its own bounds and weights.
-func (p *planner) limit(d *Deployment) int {
-	if p.idleCostsMore(d) {
-		return d.limit()
-	}
-	return d.Replicas
-}
-
-// idleCostsMore reports whether a replica's worth of idle hosts costs more than
-// having to drain a replica first at each loss in their fabric domain.
-func (p *planner) idleCostsMore(d *Deployment) bool {
-	hosts, accelerators, downtime := 0, 0, 0.0
-	for i := range p.fleet.Hosts {
-		hosts++
-		accelerators += p.fleet.Hosts[i].Accelerators
-	}
-	for i := range p.fleet.Deployments {
-		downtime = max(downtime, p.fleet.Deployments[i].DowntimeWeight)
-	}
-	if hosts == 0 {
-		return false
-	}
-	perHost := float64(accelerators) / float64(hosts)
-	inDomain := float64(hosts) / float64(len(p.fabrics))
-	lossRate := p.policy.LossesPerHostDay * inDomain / (24 * time.Hour).Seconds()
-	idle := d.StrandedWeight * perHost * float64(d.HostsPerReplica)
-	return idle > downtime*lossRate*p.policy.DrainTime.Seconds()
-}
-
 // b2i orders false before true.
 func b2i(b bool) int {
 	if b {
@@ -193,16 +163,3 @@
 	}
 	return 0
 }
-
-// useIdle forms replicas beyond those wanted from hosts that would be stranded.
-func (p *planner) useIdle(dep int) {
-	t := p.tally(dep)
-	if t.degraded > 0 || t.doomed > 0 {
-		return
-	}
-	for range p.limits[dep] - t.claimed() {
-		if !p.form(dep, ReasonIdleHosts) {
-			return
-		}
-	}
-}
--- a/internal/control/placement/invariant_test.go
+++ b/internal/control/placement/invariant_test.go
@@ -195,3 +195,16 @@
 		require.Equal(t, decisions, Decide(f), "the same picture gave other decisions")
 	})
 }
+
+func TestFaultTracesKeepInvariants(t *testing.T) {
+	for seed := uint64(100); seed < 103; seed++ {
+		drafts, lookups := deployment("drafts", 5, 4, 2), deployment("lookups", 2, 2, 1)
+		drafts.CrossFabric = true
+		lookups.MaxReplicas = 5
+		tr := newTrace(t, perFabric, drafts, lookups)
+		tr.round = longRound
+		tr.script(faults(seed))
+		tr.run(24 * time.Hour)
+		require.NotZero(t, tr.claims, "seed %d", seed)
+	}
+}
--- a/internal/control/placement/policy.go
+++ b/internal/control/placement/policy.go
@@ -30,6 +30,8 @@
 	// ColdSpares leaves free hosts without weights; otherwise weights are copied to
 	// them while the weight store is idle.
 	ColdSpares bool
+	// IdleTime is how long a host is free before it is used for an extra replica.
+	IdleTime time.Duration
 	// LossesPerHostDay is how often a host is lost for a time, for any reason.
 	LossesPerHostDay float64
 	// WeightsPerHost is how many weights a host may hold before it is preloaded no more.
@@ -38,7 +40,7 @@
 
 // The defaults of Policy.
 const (
-	defaultDarkHold          = 2 * time.Minute
+	defaultDarkHold          = time.Minute
 	defaultDarkWindow        = 30 * time.Second
 	defaultFlapLosses        = 3
 	defaultFlapBackoff       = 5 * time.Minute
@@ -48,6 +50,7 @@
 	defaultSettleTime        = 5 * time.Minute
 	defaultDrainTime         = 30 * time.Second
 	defaultCrossFabricHold   = 5 * time.Minute
+	defaultIdleTime          = 15 * time.Second
 	defaultLossesPerHostDay  = 0.3
 	defaultWeightsPerHost    = 2
 
@@ -83,6 +86,7 @@
 	p.SettleTime = orDefault(p.SettleTime, defaultSettleTime)
 	p.DrainTime = orDefault(p.DrainTime, defaultDrainTime)
 	p.CrossFabricHold = orDefault(p.CrossFabricHold, defaultCrossFabricHold)
+	p.IdleTime = orDefault(p.IdleTime, defaultIdleTime)
 	p.LossesPerHostDay = orDefault(p.LossesPerHostDay, defaultLossesPerHostDay)
 	p.WeightsPerHost = orDefault(p.WeightsPerHost, defaultWeightsPerHost)
 	return p
--- a/internal/control/placement/preempt.go
+++ b/internal/control/placement/preempt.go
@@ -12,17 +12,21 @@
 // of higher priority.
 const juniorShare = 0.5
 
+// taker reports whether deployment dep may take the hosts of v.
+type taker func(dep int, v *group) bool
+
 // victim is a replica that may lose its hosts to another deployment.
 type victim struct {
 	*group
 	cost float64
 }
 
-// preemptFor frees hosts for g, or for a replica that dep lacks if g is nil, and
-// reports whether hosts are on their way or it is too early to take any.
-func (p *planner) preemptFor(dep int, g *group) bool {
+// preemptFor frees hosts for g, or for a replica that dep lacks if g is nil, from the
+// replicas that may name. It reports whether hosts are on their way or it is too
+// early to take any.
+func (p *planner) preemptFor(dep int, g *group, may taker) bool {
 	for _, at := range p.fabricOrder(dep, g) {
-		if p.preemptIn(dep, g, at) {
+		if p.preemptIn(dep, g, at, may) {
 			return true
 		}
 	}
@@ -53,13 +57,13 @@
 }
 
 // preemptIn frees hosts in one fabric domain.
-func (p *planner) preemptIn(dep int, g *group, at int) bool {
+func (p *planner) preemptIn(dep int, g *group, at int, may taker) bool {
 	need := p.fleet.Deployments[dep].HostsPerReplica
 	if g != nil && g.fabric == at {
 		need -= len(p.keepers(g, false))
 	}
 	if p.within(at) < need {
-		victims := p.victims(dep, at, need-p.within(at), p.mayTake)
+		victims := p.victims(dep, at, need-p.within(at), may)
 		if victims == nil || !p.worthwhile(dep, g, victims) {
 			return false
 		}
@@ -104,7 +108,7 @@
 
 // victims returns the cheapest replicas of a fabric domain that deployment dep may
 // take and that together free at least count hosts, or nil.
-func (p *planner) victims(dep, at, count int, may func(dep int, v *group) bool) []victim {
+func (p *planner) victims(dep, at, count int, may taker) []victim {
 	var all []victim
 	for i := range p.groups {
 		v := &p.groups[i]
--- a/internal/control/placement/trace_test.go
+++ b/internal/control/placement/trace_test.go
@@ -316,6 +316,7 @@
 			h.ClaimableAt = m.changed.Add(freeTime)
 		}
 	}
+	delete(tr.drains, id)
 	tr.fleet.Replicas = slices.Delete(tr.fleet.Replicas, at, at+1)
 }
 
@@ -333,7 +334,7 @@
 			requireSafe(tr.t, tr.fleet, decisions)
 		}
 		step := min(tr.round, end-tr.elapsed())
-		if tr.unnoticed {
+		if tr.unnoticed || len(tr.drains) > 0 {
 			step = min(step, time.Second)
 		}
 		if len(tr.events) > 0 {
