--- a/internal/control/placement/invariant_test.go
+++ b/internal/control/placement/invariant_test.go
@@ -145,7 +145,7 @@
 			Spec:            replica.Spec{Deployment: fmt.Sprint("d", i), Model: "m", Version: "1"},
 			Replicas:        rapid.IntRange(0, 4).Draw(t, "replicas"),
 			MaxReplicas:     rapid.IntRange(0, 5).Draw(t, "max"),
-			HostsPerReplica: rapid.IntRange(1, 4).Draw(t, "size"),
+			HostsPerReplica: rapid.IntRange(0, 4).Draw(t, "size"),
 			Priority:        rapid.IntRange(0, 2).Draw(t, "priority"),
 			CrossFabric:     rapid.Bool().Draw(t, "cross"),
 			LackingSince:    ago("lacking"),
@@ -195,3 +195,16 @@
 		require.Equal(t, decisions, Decide(f), "the same picture gave other decisions")
 	})
 }
+
+func TestFaultTracesKeepInvariants(t *testing.T) {
+	for seed := uint64(100); seed < 103; seed++ {
+		drafts, lookups := deployment("drafts", 5, 4, 2), deployment("lookups", 2, 2, 1)
+		drafts.CrossFabric = true
+		lookups.MaxReplicas = 5
+		tr := newTrace(t, perFabric, drafts, lookups)
+		tr.round = longRound
+		tr.script(faults(seed))
+		tr.run(24 * time.Hour)
+		require.NotZero(t, tr.claims, "seed %d", seed)
+	}
+}
