Stop the local fleet's processes side by side

Cause: fleet.sh down took 28 s, one process after the other. Change: entries, then agents, then stand-ins, then control hosts, each group at once.

--- a/examples/local/fleet.sh
+++ b/examples/local/fleet.sh
@@ -80,13 +80,16 @@
   echo "callers: http://127.0.1.2:8080 and http://127.0.2.2:8080, token dev-token-cascadia"
 }
 
-down() {
+# stop NAME...: a planned stop of these processes, side by side
+stop() {
   local n pid
-  for n in $(names | tr ' ' '\n' | tac); do
+  for n in "$@"; do
+    [ -f "$state/pids/$n" ] && kill "$(cat "$state/pids/$n")" 2>/dev/null || true
+  done
+  for n in "$@"; do
     [ -f "$state/pids/$n" ] || continue
     pid=$(cat "$state/pids/$n")
-    kill "$pid" 2>/dev/null || true
-    for _ in $(seq 150); do
+    for _ in $(seq 300); do
       kill -0 "$pid" 2>/dev/null || break
       sleep 0.1
     done
@@ -94,6 +97,13 @@
   done
 }
 
+down() {
+  stop entry-1 entry-2
+  stop host-1 host-2 host-3 host-4 host-5 records-1
+  stop host-1-engine host-2-engine host-3-engine host-4-engine host-5-engine records-1-service
+  stop control-1 control-2 control-3
+}
+
 case ${1:-} in
   up) up ;;
   down) down ;;
