Dial each link from a socket of its own; notice silence in 1.5 s

Cause: a link that something in between has lost track of was redialled from the same UDP port, which such a middlebox may go on dropping; and silence was noticed after 2 s, so that when every link fell silent at once leases lapsed during the recovery. Ruled out: a longer lease, which delays configuration. Change: transport.Options.DialFrom; idle timeout 1.5 s, keep-alive 0.4 s; packet.Network.Forget ends all flows while new ones pass. Conclusion: a process that pauses for more than 1.5 s loses its links, not its work.

--- a/internal/link/transport/transport.go
+++ b/internal/link/transport/transport.go
@@ -16,8 +16,8 @@
 // Timing of a link. A link on which nothing arrives for idleTimeout is closed,
 // whatever the state in between holds.
 const (
-	keepAlive        = 500 * time.Millisecond
-	idleTimeout      = 2 * time.Second
+	keepAlive        = 400 * time.Millisecond
+	idleTimeout      = 1500 * time.Millisecond
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 1 << 16
 	// A call whose receiver reads nothing holds initialWindow of its link's
@@ -42,10 +42,12 @@
 	}
 }
 
-// Endpoint is one UDP socket of a process, used to listen and to dial.
+// Endpoint is where a process listens for links and dials them from.
 type Endpoint struct {
 	transport   *quic.Transport
 	credentials *identity.Credentials
+	opts        Options
+	dialled     sockets
 }
 
 // plainConn hides the socket's system-call interface, so that quic-go uses neither
@@ -72,14 +74,23 @@
 type Options struct {
 	// Offload lets quic-go use UDP segmentation offload and ECN.
 	Offload bool
+	// DialFrom opens a socket of its own for each link that is dialled. Something in
+	// between that has lost track of a link then does not hold its successor back
+	// too, which comes from another port. Without it, links are dialled from the
+	// endpoint's one socket.
+	DialFrom func() (net.PacketConn, error)
+}
+
+func (o Options) wrap(pc net.PacketConn) net.PacketConn {
+	if o.Offload {
+		return pc
+	}
+	return plainConn{pc}
 }
 
 // New uses pc for links under credentials. The endpoint owns pc.
 func New(pc net.PacketConn, credentials *identity.Credentials, opts Options) *Endpoint {
-	if !opts.Offload {
-		pc = plainConn{pc}
-	}
-	return &Endpoint{transport: &quic.Transport{Conn: pc}, credentials: credentials}
+	return &Endpoint{transport: &quic.Transport{Conn: opts.wrap(pc)}, credentials: credentials, opts: opts}
 }
 
 // Address returns the local address.
@@ -87,6 +98,7 @@
 
 // Close ends all links of the endpoint.
 func (e *Endpoint) Close() error {
+	e.dialled.close()
 	err := e.transport.Close()
 	if closeErr := e.transport.Conn.Close(); err == nil {
 		err = closeErr
@@ -100,13 +112,33 @@
 	if err != nil {
 		return nil, ErrDial{Address: address, Cause: err}
 	}
-	conn, err := e.transport.Dial(ctx, udp, e.credentials.Client(), quicConfig())
+	conn, err := e.dial(ctx, udp)
 	if err != nil {
 		return nil, ErrDial{Address: address, Cause: err}
 	}
 	return newConn(conn)
 }
 
+func (e *Endpoint) dial(ctx context.Context, to *net.UDPAddr) (*quic.Conn, error) {
+	if e.opts.DialFrom == nil {
+		return e.transport.Dial(ctx, to, e.credentials.Client(), quicConfig())
+	}
+	pc, err := e.opts.DialFrom()
+	if err != nil {
+		return nil, err
+	}
+	if !e.dialled.add(pc) {
+		return nil, net.ErrClosed
+	}
+	conn, err := quic.Dial(ctx, e.opts.wrap(pc), to, e.credentials.Client(), quicConfig())
+	if err != nil {
+		e.dialled.remove(pc)
+		return nil, err
+	}
+	context.AfterFunc(conn.Context(), func() { e.dialled.remove(pc) })
+	return conn, nil
+}
+
 // Handler serves one call. The stream is closed when it returns.
 type Handler func(ctx context.Context, s *Stream)
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -66,7 +66,9 @@
 		return err
 	}
 	parts := Parts{
-		Link:    transport.New(socket, credentials, transport.Options{Offload: setup.Link.Offload}),
+		Link: transport.New(socket, credentials, transport.Options{
+			Offload: setup.Link.Offload, DialFrom: dialFrom(setup.Link.Address),
+		}),
 		Metrics: metric.New(),
 		Logger:  logger,
 	}
@@ -134,6 +136,17 @@
 	}
 }
 
+// dialFrom opens sockets on free ports of the link address's IP number.
+func dialFrom(address settings.Address) func() (net.PacketConn, error) {
+	return func() (net.PacketConn, error) {
+		udp, err := net.ResolveUDPAddr("udp", address.String())
+		if err != nil {
+			return nil, err
+		}
+		return net.ListenUDP("udp", &net.UDPAddr{IP: udp.IP})
+	}
+}
+
 func listen(address settings.Address) (net.PacketConn, error) {
 	udp, err := net.ResolveUDPAddr("udp", address.String())
 	if err != nil {
--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -87,7 +87,8 @@
 				}
 			}
 		},
-		"control falls dark": func(s *scene, _ host.ID) { s.isolate(s.leader()) },
+		"open connections go silent": func(s *scene, _ host.ID) { s.memory.Network.Forget() },
+		"control falls dark":         func(s *scene, _ host.ID) { s.isolate(s.leader()) },
 	}
 	for name, lose := range losses {
 		t.Run(name, func(t *testing.T) {
@@ -119,6 +120,7 @@
 		"entry dark":         {service.FailureHang, func(s *scene, _ host.ID) { s.isolate("entry-1") }, "", "complete", 1},
 		"agent killed":       {service.FailureHang, func(s *scene, busy host.ID) { s.Agent(busy).Kill() }, "unknown", "unknown", 1},
 		"link cut":           {service.FailureHang, func(s *scene, busy host.ID) { s.cut("entry-1", busy) }, "unknown", "complete", 1},
+		"links silent":       {service.FailureHang, func(s *scene, _ host.ID) { s.memory.Network.Forget() }, "complete", "complete", 1},
 		"dropped after run":  {service.FailureDropAfter, func(*scene, host.ID) {}, "unknown", "unknown", 1},
 		"dropped before run": {service.FailureDropBefore, func(*scene, host.ID) {}, "unknown", "unknown", 0},
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -29,6 +29,8 @@
 type Sockets interface {
 	// Packet opens the link socket of a host.
 	Packet(id host.ID) (net.PacketConn, error)
+	// Dial opens a socket for one link that the host dials.
+	Dial(id host.ID) (net.PacketConn, error)
 	// Stream opens the listener of an endpoint or of the callers, and returns the
 	// transport that reaches it.
 	Stream(name string) (net.Listener, http.RoundTripper, error)
@@ -162,7 +164,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return transport.New(socket, credentials, transport.Options{}), nil
+	dialFrom := func() (net.PacketConn, error) { return f.opts.Sockets.Dial(id) }
+	return transport.New(socket, credentials, transport.Options{DialFrom: dialFrom}), nil
 }
 
 // Call makes one operator's call to the control leader.
--- a/internal/standin/fleet/sockets.go
+++ b/internal/standin/fleet/sockets.go
@@ -23,6 +23,9 @@
 	return net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 }
 
+// Dial implements Sockets.
+func (l Loopback) Dial(id host.ID) (net.PacketConn, error) { return l.Packet(id) }
+
 // Stream implements Sockets.
 func (l Loopback) Stream(name string) (net.Listener, http.RoundTripper, error) {
 	address := "127.0.0.1:0"
@@ -41,6 +44,7 @@
 
 	mu        sync.Mutex
 	addresses map[host.ID]string
+	port      int
 }
 
 const memoryPort = 7000
@@ -50,6 +54,15 @@
 	return m.Network.Listen(fmt.Sprintf("%s:%d", m.IP(id), memoryPort))
 }
 
+// Dial implements Sockets. Each socket has a port that none had before.
+func (m *Memory) Dial(id host.ID) (net.PacketConn, error) {
+	m.mu.Lock()
+	m.port++
+	port := memoryPort + m.port
+	m.mu.Unlock()
+	return m.Network.Listen(fmt.Sprintf("%s:%d", m.IP(id), port))
+}
+
 // IP returns a host's address.
 func (m *Memory) IP(id host.ID) string {
 	m.mu.Lock()
--- a/internal/standin/packet/network.go
+++ b/internal/standin/packet/network.go
@@ -16,7 +16,11 @@
 	mu      sync.Mutex
 	sockets map[string]*Socket
 	cuts    map[[2]string]bool
-	delay   time.Duration
+	// seen are the flows, from address to address, that carried a packet, and lost
+	// those that Forget has ended.
+	seen  map[[2]string]bool
+	lost  map[[2]string]bool
+	delay time.Duration
 }
 
 // SetDelay sets the one-way delay of all packets.
@@ -43,6 +47,20 @@
 	delete(n.cuts, [2]string{from, to})
 }
 
+// Forget loses track of every flow so far: their packets are dropped from now on,
+// while packets between other addresses pass.
+func (n *Network) Forget() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lost == nil {
+		n.lost = map[[2]string]bool{}
+	}
+	for flow := range n.seen {
+		n.lost[flow] = true
+		n.lost[[2]string{flow[1], flow[0]}] = true
+	}
+}
+
 // Listen opens a socket at address, an IP address and port.
 func (n *Network) Listen(address string) (*Socket, error) {
 	udp, err := net.ResolveUDPAddr("udp", address)
@@ -67,9 +85,14 @@
 	defer n.mu.Unlock()
 	target := n.sockets[to.String()]
 	udp, ok := to.(*net.UDPAddr)
-	if !ok || target == nil || n.cuts[[2]string{from.IP.String(), udp.IP.String()}] {
+	flow := [2]string{from.String(), to.String()}
+	if !ok || target == nil || n.lost[flow] || n.cuts[[2]string{from.IP.String(), udp.IP.String()}] {
 		return
 	}
+	if n.seen == nil {
+		n.seen = map[[2]string]bool{}
+	}
+	n.seen[flow] = true
 	d := datagram{payload: append([]byte(nil), payload...), from: from}
 	if n.delay == 0 {
 		target.deliver(d)
