Hold new prefixes to their home more strongly, for many entries

Change: the bonus of the two home replicas is four times the new prefill instead of half of it. The 12-entry workload joins the test.

--- a/internal/entry/routing/measure_test.go
+++ b/internal/entry/routing/measure_test.go
@@ -19,7 +19,6 @@
 
 const (
 	modelReplicas = 30
-	modelEntries  = 3
 	reportEvery   = 500 * time.Millisecond
 	reportLag     = 300 * time.Millisecond
 	cacheLag      = time.Second
@@ -149,9 +148,9 @@
 		engines[i] = batch.New(&t, w.engine(i))
 		routes[i] = route(modelIDs[i], func(v *view.Route) { v.Load = engines[i].Load() })
 	}
-	entries := [modelEntries]chooser{}
-	known := [modelEntries][]view.Route{}
-	for i := range entries {
+	entries := [12]chooser{}
+	known := [12][]view.Route{}
+	for i := range w.entries {
 		entries[i] = make(rand.New(rand.NewPCG(seed, uint64(10+i))))
 		known[i] = slices.Clone(routes[:])
 		entries[i].view(epoch, known[i])
@@ -161,7 +160,7 @@
 	var arrive func()
 	arrive = func() {
 		j := w.draw(load, zipf)
-		entry := entries[load.IntN(modelEntries)]
+		entry := entries[load.IntN(w.entries)]
 		j.arrived = t.Now()
 		j.FirstToken = func() {
 			j.first = t.Now() - j.arrived
@@ -183,7 +182,7 @@
 		load := engines[i].Load()
 		cache := CacheEvent{Replica: modelIDs[i], Sequence: sequence}
 		cache.Stored, cache.Evicted = engines[i].CacheChanges()
-		for k, entry := range entries {
+		for k, entry := range entries[:w.entries] {
 			t.In(reportLag/2+time.Duration(net.Int64N(int64(reportLag))), func() {
 				if load.Sequence > known[k][i].Load.Sequence {
 					known[k][i].Load = load
@@ -279,3 +278,15 @@
 		})
 	}
 }
+
+func BenchmarkSetView(b *testing.B) {
+	routes := make([]view.Route, 800)
+	for i := range routes {
+		routes[i] = route(replica.ID(strconv.Itoa(i)))
+	}
+	r := newRouter(routes...)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.SetView(epoch, view.View{Routes: routes})
+	}
+}
--- a/internal/entry/routing/routing.go
+++ b/internal/entry/routing/routing.go
@@ -29,7 +29,7 @@
 	SlackRatio float64
 	// HitHalfLife is the age at which a believed prefix hit counts half.
 	HitHalfLife time.Duration
-	// Affinity is the bonus, as a part of the prefill, of the two replicas that
+	// Affinity is the bonus, in parts of the new prefill, of the two replicas that
 	// rendezvous hashing names for a prefix which no replica is known to hold.
 	Affinity float64
 	// Congestion is the mean queue wait at which a second of prefill counts twice.
@@ -44,7 +44,7 @@
 	DefaultSlack        = 20 * time.Millisecond
 	DefaultSlackRatio   = 0.1
 	DefaultHitHalfLife  = 10 * time.Minute
-	DefaultAffinity     = 0.5
+	DefaultAffinity     = 4
 	DefaultCongestion   = 200 * time.Millisecond
 	DefaultPrefixBlocks = 1 << 17
 )
@@ -113,6 +113,7 @@
 	prefixes prefixIndex
 	flights  map[Ticket]*flight
 	tickets  Ticket
+	views    uint64
 	// scratch is reused by Pick.
 	scratch []candidate
 }
--- a/internal/entry/routing/state.go
+++ b/internal/entry/routing/state.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/view"
 )
 
@@ -17,6 +16,8 @@
 // state is what the Router knows of one replica.
 type state struct {
 	route view.Route
+	// view counts the views up to the last one that named the replica.
+	view uint64
 	// seed stands for the replica in rendezvous hashing.
 	seed uint64
 	// basis is the time which the last report describes.
@@ -52,21 +53,25 @@
 // SetView replaces the replicas. A load report with a sequence not seen before
 // counts from now less the report lag.
 func (r *Router) SetView(now time.Time, v view.View) {
-	seen := make(map[replica.ID]bool, len(v.Routes))
-	for _, route := range v.Routes {
-		seen[route.Replica.ID] = true
-		r.setRoute(now, route)
+	r.views++
+	changed := false
+	for i := range v.Routes {
+		changed = r.setRoute(now, &v.Routes[i]) || changed
 	}
 	for id, s := range r.replicas {
-		if !seen[id] {
+		if s.view != r.views {
 			r.drop(s)
 			delete(r.replicas, id)
+			changed = true
 		}
 	}
-	r.regroup()
+	if changed {
+		r.regroup()
+	}
 }
 
-func (r *Router) setRoute(now time.Time, route view.Route) {
+// setRoute takes one route and reports whether the groups change.
+func (r *Router) setRoute(now time.Time, route *view.Route) bool {
 	s, known := r.replicas[route.Replica.ID]
 	if known && (s.route.Incarnation != route.Incarnation || s.route.Replica.Fence != route.Replica.Fence) {
 		r.drop(s)
@@ -77,10 +82,14 @@
 		r.replicas[route.Replica.ID] = s
 	}
 	fresh := !known || route.Load.Sequence != s.route.Load.Sequence
-	s.route = route
+	before, spec := &s.route.Replica.Spec, &route.Replica.Spec
+	changed := !known || before.Deployment != spec.Deployment || before.Model != spec.Model
+	s.route = *route
+	s.view = r.views
 	if fresh {
 		s.report(now.Add(-r.policy.ReportLag))
 	}
+	return changed
 }
 
 // drop forgets a replica. Its attempts keep their tickets until they finish.
--- a/internal/entry/routing/workload_test.go
+++ b/internal/entry/routing/workload_test.go
@@ -20,6 +20,8 @@
 // workload is a seeded stream of requests.
 type workload struct {
 	name string
+	// entries is the number of entries that decide independently.
+	entries int
 	// rate is requests per second at a time of the run.
 	rate func(at time.Duration) float64
 	// documents per team, their length in blocks and the Zipf exponent of their use.
@@ -54,11 +56,12 @@
 }
 
 var workloads = []workload{
-	{name: "large teams", rate: steady(100), documents: 12, blocks: 12, skew: 1.1},
-	{name: "troops meet", rate: meeting(45), documents: 12, blocks: 12, skew: 1.1},
-	{name: "long prefixes", rate: steady(75), documents: 6, blocks: 64, skew: 1.1},
-	{name: "straggler", rate: steady(80), documents: 12, blocks: 12, skew: 1.1, straggler: 5},
-	{name: "hidden straggler", rate: steady(80), documents: 12, blocks: 12, skew: 1.1, straggler: 5, hidden: true},
+	{entries: 3, name: "large teams", rate: steady(100), documents: 12, blocks: 12, skew: 1.1},
+	{entries: 3, name: "troops meet", rate: meeting(45), documents: 12, blocks: 12, skew: 1.1},
+	{entries: 3, name: "long prefixes", rate: steady(75), documents: 6, blocks: 64, skew: 1.1},
+	{entries: 12, name: "long prefixes, 12 entries", rate: steady(75), documents: 6, blocks: 64, skew: 1.1},
+	{entries: 3, name: "straggler", rate: steady(80), documents: 12, blocks: 12, skew: 1.1, straggler: 5},
+	{entries: 3, name: "hidden straggler", rate: steady(80), documents: 12, blocks: 12, skew: 1.1, straggler: 5, hidden: true},
 }
 
 // engine returns the configuration of a replica's engine.
