Take settings without effect out of the fleet configuration

Cause: queue, lease, the two latency objectives and flap_window were accepted and checked, but nothing reads them, and exceptions for retry and repair were accepted although control and entries read only their defaults. An operator who sets one would believe it in force. Ruled out: wiring them here, since lease timing must be the same on both sides of a lease while it changes, and the limiter's targets belong to the entry's policy. Change: those keys are unknown now, and an exception for retry or repair is refused as 'the same for the whole fleet'. flap_losses counts within an hour, as membership does. Conclusion: every key that is accepted is read by a daemon.

--- a/internal/fleet/config/check.go
+++ b/internal/fleet/config/check.go
@@ -12,9 +12,6 @@
 const (
 	defaultInteractiveDeadline = time.Minute
 	defaultBatchDeadline       = 10 * time.Minute
-	// renewalsPerLease is how many renewals must fit into a lease, so that a lost
-	// one does not end it.
-	renewalsPerLease = 3
 )
 
 // checker finds what is wrong with a configuration whose YAML fits its types.
@@ -25,9 +22,7 @@
 
 func (c checker) check() {
 	c.doc.Check("", c.fleet)
-	for _, p := range timingProblems(c.fleet.Defaults) {
-		c.doc.Report("defaults."+p.Key, p.Reason)
-	}
+	c.checkBackoff()
 	c.checkNames()
 	c.checkDeployments()
 	c.checkTeams()
@@ -35,22 +30,10 @@
 	c.checkExceptions()
 }
 
-// timingProblems returns the values of v that do not fit each other.
-func timingProblems(v Values) []Problem {
-	var problems []Problem
-	report := func(key, reason string) {
-		problems = append(problems, Problem{Key: key, Reason: reason})
-	}
-	if v.Lease.TTL < renewalsPerLease*v.Lease.RenewEvery {
-		report("lease.ttl", fmt.Sprintf("must be at least %d times renew_every", renewalsPerLease))
-	}
-	if v.Lease.MemberTimeout < renewalsPerLease*v.Lease.BeatEvery {
-		report("lease.member_timeout", fmt.Sprintf("must be at least %d times beat_every", renewalsPerLease))
-	}
-	if v.Retry.MaxBackoff < v.Retry.MinBackoff {
-		report("retry.max_backoff", "must be at least min_backoff")
+func (c checker) checkBackoff() {
+	if retry := c.fleet.Defaults.Retry; retry.MaxBackoff < retry.MinBackoff {
+		c.doc.Report("defaults.retry.max_backoff", "must be at least min_backoff")
 	}
-	return problems
 }
 
 func (c checker) checkNames() {
--- a/internal/fleet/config/config_test.go
+++ b/internal/fleet/config/config_test.go
@@ -44,8 +44,8 @@
 
 	troops := fleet.ForTeam("troops")
 	require.Equal(t, Limits{RequestsPerSecond: 120, TokensPerSecond: 20000, Concurrency: 40}, troops.Limits)
-	require.Equal(t, 4*time.Second, troops.Queue.MaxWait)
-	require.Equal(t, 256, troops.Queue.Requests)
+	require.Equal(t, 4*time.Second, troops.Request.MaxDeadline)
+	require.Equal(t, 8192, troops.Request.MaxTokens)
 	require.Equal(t, fleet.Defaults, fleet.ForTeam("registrars"))
 
 	require.True(t, fleet.ForHost("host-1", "a", "rack-2").Placement.Allowed)
@@ -70,7 +70,7 @@
 		Key: "placement.allowed", Value: "true", Exception: 2, Reason: "A new cable is on trial in this one host.",
 	}, found["placement.allowed"])
 	require.Equal(t, Explanation{Key: "repair.return_wait", Value: "30s", Exception: -1}, found["repair.return_wait"])
-	require.Equal(t, "16MiB", found["queue.bytes"].Value)
+	require.Equal(t, "1MiB", found["request.max_body"].Value)
 }
 
 // TestEveryProblemIsListed compares all problems of each bad file with a golden file.
--- a/internal/fleet/config/fuzz_test.go
+++ b/internal/fleet/config/fuzz_test.go
@@ -17,7 +17,7 @@
 		f.Add(data)
 	}
 	f.Add([]byte("models: &m [*m]\n"))
-	f.Add([]byte("defaults: {<<: {lease: {}}}\n"))
+	f.Add([]byte("defaults: {<<: {ledger: {}}}\n"))
 	f.Add([]byte("? [a]\n: b\n"))
 	f.Add([]byte("exceptions: [{values: {limits: {concurrency: 0x7}}}]\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/fleet/config/scope.go
+++ b/internal/fleet/config/scope.go
@@ -21,15 +21,13 @@
 // for it may use. A section without any is the same for the whole fleet.
 var scopes = map[string][]string{
 	"limits":     {byTeam},
-	"queue":      {byTeam},
 	"request":    {byTeam},
-	"retry":      {byTeam},
+	"retry":      nil,
 	"objectives": {byDeployment},
-	"repair":     {byDeployment, byHost, byFailure, byFabric},
+	"repair":     nil,
 	"placement":  {byHost, byFailure, byFabric},
 	"quarantine": nil,
 	"ledger":     nil,
-	"lease":      nil,
 }
 
 func (s Selector) fields() []string {
@@ -96,16 +94,11 @@
 	}
 }
 
-// checkOverrides reports the problems that the exception brings to the defaults.
+// checkOverrides checks the bounds of the values that the exception names.
 func (c checker) checkOverrides(key string, e Exception) {
-	before := valueProblems(c.fleet.Defaults)
-	for _, p := range valueProblems(e.Values.apply(c.fleet.Defaults)) {
-		if slices.Contains(e.Values.keys, p.Key) || !slices.Contains(before, p) {
+	for _, p := range document.Violations(e.Values.apply(c.fleet.Defaults)) {
+		if slices.Contains(e.Values.keys, p.Key) {
 			c.doc.Report(key+"."+p.Key, p.Reason)
 		}
 	}
 }
-
-func valueProblems(v Values) []Problem {
-	return append(document.Violations(v), timingProblems(v)...)
-}
--- a/internal/fleet/config/values.go
+++ b/internal/fleet/config/values.go
@@ -10,7 +10,6 @@
 // for a part of it by an exception.
 type Values struct {
 	Limits     Limits     `yaml:"limits"`
-	Queue      Queue      `yaml:"queue"`
 	Request    Request    `yaml:"request"`
 	Retry      Retry      `yaml:"retry"`
 	Objectives Objectives `yaml:"objectives"`
@@ -18,7 +17,6 @@
 	Placement  Placement  `yaml:"placement"`
 	Quarantine Quarantine `yaml:"quarantine"`
 	Ledger     Ledger     `yaml:"ledger"`
-	Lease      Lease      `yaml:"lease"`
 }
 
 // Limits bound what one team may ask of the whole fleet.
@@ -30,13 +28,6 @@
 	Concurrency int `yaml:"concurrency" validate:"min=1,max=1000000"`
 }
 
-// Queue bounds what waits at one entry for one team.
-type Queue struct {
-	Requests int           `yaml:"requests" validate:"min=0,max=100000"`
-	Bytes    document.Size `yaml:"bytes" validate:"min=0,max=1073741824"`
-	MaxWait  time.Duration `yaml:"max_wait" validate:"min=0s,max=10m"`
-}
-
 // Request bounds one request.
 type Request struct {
 	MaxBody document.Size `yaml:"max_body" validate:"min=1024,max=4194304"`
@@ -57,16 +48,13 @@
 	MaxBackoff time.Duration `yaml:"max_backoff" validate:"min=1ms,max=1m"`
 }
 
-// Objectives say what placement and routing aim at.
+// Objectives say what placement aims at.
 type Objectives struct {
 	// GroupDowntime and StrandedAccelerators are weights: the cost of one second
 	// of a replica that does not serve, and of one second of a healthy accelerator
 	// in no serving replica.
 	GroupDowntime        float64 `yaml:"group_downtime" validate:"min=0,max=1000"`
 	StrandedAccelerators float64 `yaml:"stranded_accelerators" validate:"min=0,max=1000"`
-	// TimeToFirstToken and TokenGap are what 95 in 100 requests are to meet.
-	TimeToFirstToken time.Duration `yaml:"time_to_first_token" validate:"min=10ms,max=1m"`
-	TokenGap         time.Duration `yaml:"token_gap" validate:"min=1ms,max=10s"`
 }
 
 // Repair says how long placement waits before it changes a replica.
@@ -75,9 +63,8 @@
 	ReturnWait time.Duration `yaml:"return_wait" validate:"min=0s,max=1h"`
 	// LoadTimeout is when a member that is still loading counts as failed.
 	LoadTimeout time.Duration `yaml:"load_timeout" validate:"min=1s,max=2h"`
-	// FlapWindow and FlapLosses: a host lost this often within the window is kept
-	// out of replicas for FlapHold.
-	FlapWindow time.Duration `yaml:"flap_window" validate:"min=1s,max=24h"`
+	// FlapLosses: a host lost this often within an hour is kept out of replicas for
+	// FlapHold.
 	FlapLosses int           `yaml:"flap_losses" validate:"min=1,max=100"`
 	FlapHold   time.Duration `yaml:"flap_hold" validate:"min=0s,max=24h"`
 	// StragglerFactor is how many times slower than its peers a host must be to
@@ -114,45 +101,24 @@
 	MaxBytes document.Size `yaml:"max_bytes" validate:"min=1048576,max=1073741824"`
 }
 
-// Lease sets the timing of leases and heartbeats. TTL must be at least three
-// times RenewEvery, and MemberTimeout at least three times BeatEvery.
-type Lease struct {
-	TTL        time.Duration `yaml:"ttl" validate:"min=500ms,max=1m"`
-	RenewEvery time.Duration `yaml:"renew_every" validate:"min=50ms,max=20s"`
-	// DriftMargin is added to a lease before what it covers is given to another.
-	DriftMargin time.Duration `yaml:"drift_margin" validate:"min=10ms,max=10s"`
-	// BeatEvery is how often a member sends the head of its replica a heartbeat,
-	// and MemberTimeout when a member without one counts as missing.
-	BeatEvery     time.Duration `yaml:"beat_every" validate:"min=10ms,max=5s"`
-	MemberTimeout time.Duration `yaml:"member_timeout" validate:"min=100ms,max=30s"`
-}
-
 // DefaultValues are in force where a configuration says nothing.
 func DefaultValues() Values {
 	return Values{
 		Limits: Limits{RequestsPerSecond: 50, TokensPerSecond: 20000, Concurrency: 200},
-		Queue:  Queue{Requests: 256, Bytes: 16 << 20, MaxWait: 10 * time.Second},
 		Request: Request{
 			MaxBody: 1 << 20, MaxAnswer: 4 << 20, MaxTokens: 8192, MaxDeadline: 10 * time.Minute,
 		},
 		Retry: Retry{
 			MaxAttempts: 3, Budget: 0.1, MinBackoff: 20 * time.Millisecond, MaxBackoff: time.Second,
 		},
-		Objectives: Objectives{
-			GroupDowntime: 1, StrandedAccelerators: 1,
-			TimeToFirstToken: 1600 * time.Millisecond, TokenGap: 78 * time.Millisecond,
-		},
+		Objectives: Objectives{GroupDowntime: 1, StrandedAccelerators: 1},
 		Repair: Repair{
 			ReturnWait: 30 * time.Second, LoadTimeout: 10 * time.Minute,
-			FlapWindow: 10 * time.Minute, FlapLosses: 3, FlapHold: 10 * time.Minute,
+			FlapLosses: 3, FlapHold: 10 * time.Minute,
 			StragglerFactor: 2,
 		},
 		Placement:  Placement{Allowed: true},
 		Quarantine: Quarantine{Crashes: 2, SuspectFor: 10 * time.Minute, RefuseFor: time.Hour, MaxEntries: 1000},
 		Ledger:     Ledger{Retention: 24 * time.Hour, MaxKeys: 200000, MaxAnswer: 16 << 10, MaxBytes: 64 << 20},
-		Lease: Lease{
-			TTL: 3 * time.Second, RenewEvery: time.Second, DriftMargin: 500 * time.Millisecond,
-			BeatEvery: 200 * time.Millisecond, MemberTimeout: time.Second,
-		},
 	}
 }
