--- a/internal/fleet/config/values.go
+++ b/internal/fleet/config/values.go
@@ -80,11 +80,9 @@
 
 // Quarantine bounds requests that crash endpoints.
 type Quarantine struct {
-	// Crashes is the number of crashes with the same suspect before it is refused.
-	Crashes int `yaml:"crashes" validate:"min=1,max=10"`
 	// SuspectFor is how long a body in flight at a crash stays suspect.
 	SuspectFor time.Duration `yaml:"suspect_for" validate:"min=1s,max=24h"`
-	// RefuseFor is how long a quarantined body is refused.
+	// RefuseFor is how long a body is refused after its second crash.
 	RefuseFor time.Duration `yaml:"refuse_for" validate:"min=1s,max=168h"`
 	// MaxEntries bounds the bodies held.
 	MaxEntries int `yaml:"max_entries" validate:"min=1,max=100000"`
@@ -96,7 +94,7 @@
 	Retention time.Duration `yaml:"retention" validate:"min=1m,max=168h"`
 	MaxKeys   int           `yaml:"max_keys" validate:"min=1,max=10000000"`
 	// MaxAnswer bounds a stored answer; a larger one is dropped and said so.
-	MaxAnswer document.Size `yaml:"max_answer" validate:"min=0,max=1048576"`
+	MaxAnswer document.Size `yaml:"max_answer" validate:"min=1,max=1048576"`
 	// MaxBytes bounds all stored answers together.
 	MaxBytes document.Size `yaml:"max_bytes" validate:"min=1048576,max=1073741824"`
 }
@@ -118,7 +116,7 @@
 			StragglerFactor: 2,
 		},
 		Placement:  Placement{Allowed: true},
-		Quarantine: Quarantine{Crashes: 2, SuspectFor: 10 * time.Minute, RefuseFor: time.Hour, MaxEntries: 1000},
+		Quarantine: Quarantine{SuspectFor: 10 * time.Minute, RefuseFor: time.Hour, MaxEntries: 1000},
 		Ledger:     Ledger{Retention: 24 * time.Hour, MaxKeys: 200000, MaxAnswer: 16 << 10, MaxBytes: 64 << 20},
 	}
 }
