Take only a control daemon for control

Cause: a session and its calls went to whatever process of the fleet answered at a control address; an agent or entry there could grant leases and claims. Ruled out: a check in the transport, which carries links between all roles. Change: openStream looks at the role in the peer's certificate before anything is sent, and gives ErrWrongPeer. Seen to fail: without the check TestOnlyControlIsTakenForControl is red for agent, entry and operator, which were sent the claim. Conclusion: only control's word counts as control's.

--- a/internal/link/session/call.go
+++ b/internal/link/session/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/egretreach/egretreach/internal/link/identity"
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
@@ -53,6 +54,23 @@
 	return errors.As(err, &e)
 }
 
+// ErrWrongPeer is an address at which a process other than a control daemon
+// answers. Nothing was sent to it.
+type ErrWrongPeer struct {
+	Address string
+	Peer    identity.Identity
+}
+
+func (e ErrWrongPeer) Error() string {
+	return fmt.Sprintf("%s at %s is no control daemon", e.Peer, e.Address)
+}
+
+// IsErrWrongPeer reports whether err is an ErrWrongPeer.
+func IsErrWrongPeer(err error) bool {
+	var e ErrWrongPeer
+	return errors.As(err, &e)
+}
+
 // Call sends one message to the control leader and returns its answer. It looks
 // for the leader until ctx ends; once a leader has been sent the message it is not
 // sent again, and a lost answer is ErrUncertain.
--- /dev/null
+++ b/internal/link/session/call_test.go
@@ -0,0 +1,72 @@
+package session
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/identity"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/standin/packet"
+)
+
+const controlAddress = "10.0.0.1:7000"
+
+// endpointAs opens the endpoint of a process of a role.
+func endpointAs(t *testing.T, network *packet.Network, authority *identity.Authority, role host.Role, address string) *transport.Endpoint {
+	t.Helper()
+	pair, err := authority.Issue(identity.Identity{Role: role, Host: "host-1"}, time.Now(), time.Hour)
+	require.NoError(t, err)
+	trusted, err := authority.Pair()
+	require.NoError(t, err)
+	credentials, err := identity.NewCredentials(pair, trusted.Certificate)
+	require.NoError(t, err)
+	socket, err := network.Listen(address)
+	require.NoError(t, err)
+	return transport.New(socket, credentials, transport.Options{})
+}
+
+// TestOnlyControlIsTakenForControl puts a process of each role at a control
+// address: claims must be sent to, and granted by, a control daemon only.
+func TestOnlyControlIsTakenForControl(t *testing.T) {
+	for _, role := range []host.Role{host.RoleControl, host.RoleAgent, host.RoleEntry, host.RoleOperator} {
+		t.Run(string(role), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				network := &packet.Network{}
+				authority, err := identity.NewAuthority(time.Now(), time.Hour)
+				require.NoError(t, err)
+				server := endpointAs(t, network, authority, role, controlAddress)
+				defer func() { _ = server.Close() }()
+				client := endpointAs(t, network, authority, host.RoleEntry, "10.0.0.2:7000")
+				defer func() { _ = client.Close() }()
+				received := make(chan message.Message, 1)
+				go func() {
+					_ = server.Serve(ctx, func(_ context.Context, s *transport.Stream) {
+						if m, err := s.Receive(); err == nil {
+							received <- m
+							_ = s.Send(&message.ClaimResult{Items: []message.ClaimItemResult{{State: message.ClaimGranted}}})
+						}
+					})
+				}()
+				session := New(Options{Pool: pool.New(client), Control: []string{controlAddress}})
+				_, err = session.Call(ctx, &message.Claim{Items: []message.ClaimItem{{Key: "k"}}})
+				if role == host.RoleControl {
+					require.NoError(t, err)
+					return
+				}
+				require.True(t, IsErrNoLeader(err), "%v", err)
+				require.Empty(t, received, "the claim was sent")
+				_, err = session.openStream(t.Context(), controlAddress)
+				require.True(t, IsErrWrongPeer(err), "%v", err)
+			})
+		})
+	}
+}
--- a/internal/link/session/session.go
+++ b/internal/link/session/session.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/view"
 	"github.com/egretreach/egretreach/internal/link/lease"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -195,8 +196,14 @@
 	stream, err := s.opts.Pool.Open(ctx, address)
 	if err != nil {
 		s.failed(address)
+		return nil, err
+	}
+	if peer := stream.Peer(); peer.Role != host.RoleControl {
+		stream.Cancel()
+		s.failed(address)
+		return nil, ErrWrongPeer{Address: address, Peer: peer}
 	}
-	return stream, err
+	return stream, nil
 }
 
 func (s *Session) open(ctx context.Context, stream *transport.Stream, address string) (*message.Welcome, error) {
