Refuse decisions of former leaders; prove revisions over the replicated log

Cause: on the replicated log, a leader that was paused can propose a decision after it has lost and regained the leadership; what it decided on is then no longer so. An admission of that kind would let two processes hold leases of one host. Ruled out: comparing the term before proposing only; the goroutine can be paused between the two. The term therefore travels with each of the leader's decisions, a new leader opens its term in the log, and the state refuses other terms'. Change: sessions and queries confirm the leadership in the leader's own term; a session that is ended keeps its stream until the daemon has read why; a renewal that is not granted is answered by an empty grant, since daemons leave a leader that does not answer, and a waiting process lost its turn. Seen to fail: the frame that tells a superseded process was lost when the stream was reset behind it.

--- a/internal/control/membership/lease_test.go
+++ b/internal/control/membership/lease_test.go
@@ -216,7 +216,7 @@
 func (w *world) step(t *rapid.T) {
 	w.table.Lapse(w.now())
 	for _, c := range w.table.Admissible(w.now()) {
-		command, err := state.Encode(w.now(), state.Admit{Role: c.Role, Info: c.Info})
+		command, err := state.Encode(w.now(), 0, state.Admit{Role: c.Role, Info: c.Info})
 		require.NoError(t, err)
 		w.machine.Apply(0, command)
 	}
--- a/internal/control/server/call.go
+++ b/internal/control/server/call.go
@@ -130,11 +130,16 @@
 	}
 }
 
-// propose commits a command and returns its result. A refusal is an ErrCall.
+// propose commits a caller's command and returns its result. A refusal is an ErrCall.
 func (s *Server) propose(ctx context.Context, c state.Command) (state.Result, error) {
+	return s.proposeFor(ctx, 0, c)
+}
+
+// proposeFor commits a command that the leader of a term decided.
+func (s *Server) proposeFor(ctx context.Context, term uint64, c state.Command) (state.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timing.ProposeTimeout)
 	defer cancel()
-	data, err := state.Encode(time.Now(), c)
+	data, err := state.Encode(time.Now(), term, c)
 	if err != nil {
 		return nil, ErrCall{Code: codeMalformed, Reason: err.Error()}
 	}
--- a/internal/control/server/fleet_test.go
+++ b/internal/control/server/fleet_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/control/journal"
+	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
@@ -29,10 +33,22 @@
 	authority *identity.Authority
 	bundle    []byte
 	addresses map[host.ID]string
-	servers   map[host.ID]*Server
+	servers   map[host.ID]*controlHost
+	daemons   []*daemon
+	mu        sync.Mutex
+	timing    Timing
+	quorum    quorum.Timing
+	operators atomic.Int64
 	running   sync.WaitGroup
 }
 
+// controlHost is one control host; its folder outlives its processes.
+type controlHost struct {
+	*Server
+	folder string
+	stop   func()
+}
+
 func newTestFleet(t testing.TB) *testFleet {
 	authority, err := identity.NewAuthority(time.Now(), identity.DefaultAuthorityLife)
 	require.NoError(t, err)
@@ -41,18 +57,32 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &testFleet{
 		t: t, ctx: ctx, authority: authority, bundle: pair.Certificate,
-		addresses: map[host.ID]string{}, servers: map[host.ID]*Server{},
+		addresses: map[host.ID]string{}, servers: map[host.ID]*controlHost{},
 	}
 	f.network.SetDelay(time.Millisecond)
 	t.Cleanup(func() {
+		f.checkRevisions()
 		cancel()
 		f.running.Wait()
 	})
 	return f
 }
 
+// checkRevisions holds that no daemon's revision ever fell.
+func (f *testFleet) checkRevisions() {
+	for _, d := range f.daemons {
+		d.mu.Lock()
+		for i := 1; i < len(d.revisions); i++ {
+			require.Greater(f.t, d.revisions[i], d.revisions[i-1], "revision of %s", d.info.ID)
+		}
+		d.mu.Unlock()
+	}
+}
+
 // address gives each process an IP address of its own.
 func (f *testFleet) address(id host.ID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.addresses[id] == "" {
 		n := len(f.addresses) + 1
 		f.addresses[id] = fmt.Sprintf("10.0.%d.%d:7000", n/250, n%250+1)
@@ -72,17 +102,73 @@
 	return e
 }
 
-func (f *testFleet) run(what func(ctx context.Context) error) {
-	f.running.Go(func() { _ = what(f.ctx) })
+// controls starts control hosts that replicate one log.
+func (f *testFleet) controls(ids ...host.ID) {
+	for _, id := range ids {
+		f.servers[id] = &controlHost{folder: f.t.TempDir()}
+	}
+	for _, id := range ids {
+		f.startControl(id)
+	}
 }
 
-func (f *testFleet) control(id host.ID) *Server {
+func (f *testFleet) startControl(id host.ID) {
+	c := f.servers[id]
 	e := f.endpoint(identity.Identity{Role: host.RoleControl, Host: id}, f.address(id))
-	s, err := New(Options{ID: id, Endpoint: e, Pool: pool.New(e), Peers: map[host.ID]string{id: f.address(id)}})
+	peers := map[host.ID]string{}
+	for peer := range f.servers {
+		peers[peer] = f.address(peer)
+	}
+	links := pool.New(e)
+	replicated := Replicated{
+		ID: id, Peers: peers, Files: journal.Disk{}, Folder: c.folder, Pool: links, Timing: f.quorum,
+	}
+	var err error
+	c.Server, err = New(Options{
+		ID: id, Endpoint: e, Pool: links, Peers: peers, Log: replicated.Open, Timing: f.timing,
+	})
 	require.NoError(f.t, err)
-	f.servers[id] = s
-	f.run(s.Run)
-	return s
+	ctx, cancel := context.WithCancel(f.ctx)
+	ended := make(chan struct{})
+	f.running.Go(func() {
+		defer close(ended)
+		_ = c.Run(ctx)
+		_ = e.Close()
+	})
+	c.stop = func() {
+		cancel()
+		<-ended
+	}
+}
+
+// leader waits for a control host that leads and returns its ID.
+func (f *testFleet) leader() host.ID {
+	for range 100 {
+		for id, c := range f.servers {
+			if c.leader.Load() != nil {
+				return id
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.Fail(f.t, "no leader")
+	return ""
+}
+
+// cut drops all packets between two hosts, both ways; heal lets them through again.
+func (f *testFleet) cut(a, b host.ID) {
+	f.network.Cut(f.ip(a), f.ip(b))
+	f.network.Cut(f.ip(b), f.ip(a))
+}
+
+func (f *testFleet) heal(a, b host.ID) {
+	f.network.Heal(f.ip(a), f.ip(b))
+	f.network.Heal(f.ip(b), f.ip(a))
+}
+
+func (f *testFleet) ip(id host.ID) string {
+	ip, _, _ := strings.Cut(f.address(id), ":")
+	return ip
 }
 
 func (f *testFleet) controlAddresses() []string {
@@ -96,6 +182,7 @@
 // daemon is a simulated agent or entry on a real session.
 type daemon struct {
 	session *link.Session
+	kill    func()
 	role    host.Role
 	info    host.Info
 
@@ -106,13 +193,20 @@
 	view      view.View
 	views     int
 	welcomes  []message.Welcome
+	failures  []message.Failure
 }
 
 func (f *testFleet) start(d *daemon, address string) *daemon {
 	e := f.endpoint(identity.Identity{Role: d.role, Host: d.info.ID}, address)
 	d.info.Address = address
 	d.session = link.New(link.Options{Pool: pool.New(e), Control: f.controlAddresses(), Daemon: d})
-	f.run(d.session.Run)
+	ctx, cancel := context.WithCancel(f.ctx)
+	d.kill = func() {
+		cancel()
+		_ = e.Close()
+	}
+	f.running.Go(func() { _ = d.session.Run(ctx) })
+	f.daemons = append(f.daemons, d)
 	return d
 }
 
@@ -135,16 +229,18 @@
 	return f.start(&daemon{role: host.RoleEntry, info: host.Info{ID: id, Incarnation: 1}}, f.address(id))
 }
 
-func (f *testFleet) operator() *link.Session {
-	id := host.ID("operator-1")
+func (f *testFleet) operator() (*link.Session, func()) {
+	id := host.ID(fmt.Sprint("operator-", f.operators.Add(1)))
 	e := f.endpoint(identity.Identity{Role: host.RoleOperator, Host: id}, f.address(id))
-	return link.New(link.Options{Pool: pool.New(e), Control: f.controlAddresses()})
+	return link.New(link.Options{Pool: pool.New(e), Control: f.controlAddresses()}), func() { _ = e.Close() }
 }
 
 func (f *testFleet) call(m message.Message) message.Message {
 	ctx, cancel := context.WithTimeout(f.ctx, 10*time.Second)
 	defer cancel()
-	answer, err := f.operator().Call(ctx, m)
+	operator, leave := f.operator()
+	defer leave()
+	answer, err := operator.Call(ctx, m)
 	require.NoError(f.t, err)
 	return answer
 }
@@ -186,6 +282,10 @@
 		d.obey(*m)
 	case *message.ViewPush:
 		d.see(m)
+	case *message.Failure:
+		d.mu.Lock()
+		d.failures = append(d.failures, *m)
+		d.mu.Unlock()
 	}
 }
 
--- a/internal/control/server/leader.go
+++ b/internal/control/server/leader.go
@@ -91,7 +91,7 @@
 	group.SetLimit(maxProposals)
 	for _, c := range commands {
 		group.Go(func() error {
-			if _, err := l.server.propose(ctx, c); err != nil {
+			if _, err := l.server.proposeFor(ctx, l.term, c); err != nil {
 				event.ProposalFailed.On(l.server.opts.Logger).Str("command", commandName(c)).Err(err).Msg("")
 			}
 			return nil
@@ -156,6 +156,18 @@
 	return commands
 }
 
+// confirm returns nil if this host has led in the leader's own term at some moment
+// since the call, and has applied everything committed before.
+func (l *leader) confirm(ctx context.Context) error {
+	if err := l.server.log.Barrier(ctx); err != nil {
+		return err
+	}
+	if status := l.server.log.Status(); !status.Leading || status.Term != l.term {
+		return ErrNotLeader{Leader: status.Leader}
+	}
+	return nil
+}
+
 // picture returns the fleet as it is now.
 func (l *leader) picture() *picture {
 	l.mu.Lock()
--- a/internal/control/server/operator.go
+++ b/internal/control/server/operator.go
@@ -47,7 +47,7 @@
 // query answers a call that changes nothing, from a state that the quorum confirms.
 func (l *leader) query(ctx context.Context, m message.Message) (message.Message, error) {
 	s := l.server
-	if err := s.log.Barrier(ctx); err != nil {
+	if err := l.confirm(ctx); err != nil {
 		return nil, err
 	}
 	switch m := m.(type) {
--- a/internal/control/server/push.go
+++ b/internal/control/server/push.go
@@ -20,11 +20,13 @@
 	}
 }
 
-// end tells the daemon why its session ends.
+// end tells the daemon why its session ends. The daemon closes the stream when it
+// has read that.
 func (s *session) end(m message.Message) {
+	s.ending.Store(true)
 	go func() {
 		_ = s.stream.Send(m)
-		s.stream.Close()
+		_ = s.stream.CloseSend()
 	}()
 }
 
@@ -32,7 +34,7 @@
 // read holds up nobody else.
 func (s *session) push(ctx context.Context) {
 	for {
-		if s.pushAll(ctx) != nil {
+		if s.pushAll(ctx) != nil && !s.ending.Load() {
 			s.stream.Cancel()
 			return
 		}
@@ -45,6 +47,9 @@
 }
 
 func (s *session) pushAll(ctx context.Context) error {
+	if s.ending.Load() {
+		return nil
+	}
 	s.sending.Lock()
 	_, err := s.pushConfig(0)
 	s.sending.Unlock()
--- a/internal/control/server/replicated.go
+++ b/internal/control/server/replicated.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/egretreach/egretreach/internal/control/journal"
+	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/control/replication"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -23,6 +24,8 @@
 	Pool   *pool.Pool
 	// Logger may be nil.
 	Logger *log.Logger
+	// Timing is the pace of elections.
+	Timing quorum.Timing
 }
 
 // Open opens the journal and returns the log over machine, for Options.Log.
@@ -34,7 +37,7 @@
 	l := &replicatedLog{journal: kept, changed: make(chan struct{})}
 	l.Log = replication.New(replication.Options{
 		Self: r.ID, Peers: r.Peers, Journal: kept, Machine: machine, Pool: r.Pool, Logger: r.Logger,
-		OnLeader: l.onLeader,
+		Timing: r.Timing, OnLeader: l.onLeader,
 	})
 	return l, nil
 }
@@ -66,12 +69,17 @@
 // Barrier implements Log.
 func (l *replicatedLog) Barrier(ctx context.Context) error { return l.translate(l.Log.Barrier(ctx)) }
 
-// Transfer implements Log. A host that does not lead has nothing to hand over.
+// Transfer implements Log. A host that does not lead has nothing to hand over, and
+// one without a successor leads until it ends.
 func (l *replicatedLog) Transfer(ctx context.Context) error {
 	if !l.Log.Status().Leads() {
 		return nil
 	}
-	return l.translate(l.Log.Transfer(ctx))
+	err := l.Log.Transfer(ctx)
+	if replication.IsErrNoSuccessor(err) {
+		return nil
+	}
+	return l.translate(err)
 }
 
 // Serve implements Log.
@@ -96,6 +104,9 @@
 func (l *replicatedLog) Status() LogStatus {
 	now := l.Log.Status()
 	status := LogStatus{Leading: now.Leads(), Term: now.Term, Leader: now.Leader, Match: map[host.ID]uint64{}}
+	if now.Leads() {
+		status.Match[now.Leader] = now.Last
+	}
 	for _, p := range now.Peers {
 		if !p.Silent {
 			status.Match[p.Host] = p.Match
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/egretreach/egretreach/internal/control/state"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/transport"
@@ -176,9 +177,19 @@
 	return nil
 }
 
+// leadRetry is when a host that leads tries again to open its term.
+const leadRetry = 100 * time.Millisecond
+
+func waitFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (s *Server) reign(ctx context.Context, status LogStatus) {
-	if s.log.Barrier(ctx) != nil {
-		s.log.WaitChange(ctx, status)
+	if _, err := s.propose(ctx, state.Lead{Term: status.Term}); err != nil {
+		waitFor(ctx, leadRetry)
 		return
 	}
 	event.LeaderStarted.On(s.opts.Logger).Uint64("term", status.Term).Msg("")
--- a/internal/control/server/session.go
+++ b/internal/control/server/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/control/state"
@@ -26,6 +27,8 @@
 	role   host.Role
 	info   host.Info
 	wake   chan struct{}
+	// ending says that the daemon has been told to leave; what it sends is not taken in.
+	ending atomic.Bool
 
 	// sending keeps a configuration in front of every grant that names it.
 	sending sync.Mutex
@@ -47,7 +50,7 @@
 		_ = stream.Send(s.notLeader())
 		return
 	}
-	if err := s.log.Barrier(ctx); err != nil {
+	if err := l.confirm(ctx); err != nil {
 		_ = stream.Send(s.failure(err))
 		return
 	}
@@ -140,7 +143,10 @@
 		if err != nil {
 			return
 		}
-		if err := s.take(ctx, m); err != nil {
+		if s.ending.Load() {
+			continue
+		}
+		if err := s.take(ctx, m); err != nil && !s.ending.Load() {
 			return
 		}
 	}
@@ -172,12 +178,13 @@
 	if r.Host != s.info.ID || r.Incarnation != s.info.Incarnation {
 		return ErrCall{Code: codeForbidden, Reason: "a renewal for another process"}
 	}
-	if err := l.server.log.Barrier(ctx); err != nil {
+	if err := l.confirm(ctx); err != nil {
 		return err
 	}
 	shares, ok := l.renewed(s, r)
 	if !ok {
-		return nil
+		// The empty grant says that the leader is alive and grants nothing.
+		return s.stream.Send(&message.Grant{})
 	}
 	s.sending.Lock()
 	defer s.sending.Unlock()
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -17,6 +17,12 @@
 // Command is one change of the replicated state. Only this package implements it.
 type Command interface{ number() commandNumber }
 
+// Lead opens a leader's term. From then on commands that a leader of another term
+// decided are refused, however late they come. It answers with Done.
+type Lead struct {
+	Term uint64 `cbor:"1,keyasint"`
+}
+
 // ApplyConfig accepts a configuration, if Base is the latest revision. It answers
 // with ConfigApplied.
 type ApplyConfig struct {
@@ -134,6 +140,7 @@
 	commandCrash
 	commandClearSuspects
 	commandClearQuarantine
+	commandLead
 )
 
 func (ApplyConfig) number() commandNumber     { return commandApplyConfig }
@@ -146,6 +153,7 @@
 func (Release) number() commandNumber         { return commandRelease }
 func (Drain) number() commandNumber           { return commandDrain }
 func (Claim) number() commandNumber           { return commandClaim }
+func (Lead) number() commandNumber            { return commandLead }
 func (Settle) number() commandNumber          { return commandSettle }
 func (Crash) number() commandNumber           { return commandCrash }
 func (ClearSuspects) number() commandNumber   { return commandClearSuspects }
@@ -156,27 +164,30 @@
 	_      struct{} `cbor:",toarray"`
 	Number commandNumber
 	UnixMs int64
-	Body   cbor.RawMessage
+	// Term is that of the leader that decided the command, 0 for a caller's command.
+	Term uint64
+	Body cbor.RawMessage
 }
 
-// Encode returns the log's form of a command that the leader proposes at now.
-func Encode(now time.Time, c Command) ([]byte, error) {
+// Encode returns the log's form of a command proposed at now. Term is that of the
+// leader whose decision the command is, or 0 if it is a caller's.
+func Encode(now time.Time, term uint64, c Command) ([]byte, error) {
 	body, err := cbor.Marshal(c)
 	if err != nil {
 		return nil, errors.Wrapf(err, "encode %T", c)
 	}
-	data, err := cbor.Marshal(envelope{Number: c.number(), UnixMs: now.UnixMilli(), Body: body})
+	data, err := cbor.Marshal(envelope{Number: c.number(), UnixMs: now.UnixMilli(), Term: term, Body: body})
 	return data, errors.Wrapf(err, "encode %T", c)
 }
 
-// decode returns the command in data and its time in Unix milliseconds.
-func decode(data []byte) (Command, int64, error) {
+// decode returns the command in data and its envelope.
+func decode(data []byte) (Command, envelope, error) {
 	var e envelope
 	if err := cbor.Unmarshal(data, &e); err != nil {
-		return nil, 0, errors.Wrap(err, "decode command")
+		return nil, e, errors.Wrap(err, "decode command")
 	}
 	c, err := decodeBody(e)
-	return c, e.UnixMs, err
+	return c, e, err
 }
 
 func decodeBody(e envelope) (Command, error) {
@@ -207,6 +218,8 @@
 		return decodeAs[Crash](e.Body)
 	case commandClearSuspects:
 		return decodeAs[ClearSuspects](e.Body)
+	case commandLead:
+		return decodeAs[Lead](e.Body)
 	case commandClearQuarantine:
 		return decodeAs[ClearQuarantine](e.Body)
 	default:
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -7,6 +7,7 @@
 package state
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/control/ledger"
@@ -21,6 +22,7 @@
 // Machine applies commands. It is not safe for use by several goroutines. Use New.
 type Machine struct {
 	nowMs    int64
+	term     uint64
 	fence    replica.Fence
 	config   history
 	hosts    map[host.ID]*Host
@@ -75,16 +77,22 @@
 
 // Apply carries out one command of the log and returns its Result.
 func (m *Machine) Apply(_ uint64, data []byte) any {
-	command, unixMs, err := decode(data)
+	command, e, err := decode(data)
 	if err != nil {
 		return Refused{Reason: err.Error()}
 	}
-	m.nowMs = max(m.nowMs, unixMs)
+	if e.Term != 0 && e.Term != m.term {
+		return Refused{Reason: fmt.Sprintf("decided by the leader of term %d, in term %d", e.Term, m.term)}
+	}
+	m.nowMs = max(m.nowMs, e.UnixMs)
 	return m.apply(command)
 }
 
 func (m *Machine) apply(command Command) Result {
 	switch c := command.(type) {
+	case Lead:
+		m.term = max(m.term, c.Term)
+		return Done{}
 	case ApplyConfig:
 		return m.applyConfig(c)
 	case Admit:
--- a/internal/control/state/machine_test.go
+++ b/internal/control/state/machine_test.go
@@ -20,7 +20,7 @@
 var start = time.UnixMilli(1_000_000)
 
 func apply(t require.TestingT, m *Machine, now time.Time, c Command) Result {
-	data, err := Encode(now, c)
+	data, err := Encode(now, 0, c)
 	require.NoError(t, err)
 	return m.Apply(0, data).(Result)
 }
@@ -28,7 +28,7 @@
 func Example() {
 	m := New()
 	offer := func(operator, change string, base view.Revision) {
-		data, _ := Encode(start, ApplyConfig{YAML: []byte(change), Base: base, ChangeID: change, Operator: operator})
+		data, _ := Encode(start, 0, ApplyConfig{YAML: []byte(change), Base: base, ChangeID: change, Operator: operator})
 		fmt.Printf("%+v\n", m.Apply(0, data))
 	}
 	offer("amal", "more-replicas", 0)
@@ -200,6 +200,25 @@
 	require.Equal(t, start.Add(2*time.Hour).UnixMilli(), m.History()[1].UnixMs)
 }
 
+// TestDecisionsOfFormerLeadersAreRefused: a decision that was delayed past a change
+// of leader rests on what is no longer so, also if its leader leads again.
+func TestDecisionsOfFormerLeadersAreRefused(t *testing.T) {
+	m := New()
+	admit := Admit{Role: host.RoleAgent, Info: host.Info{ID: "a1", Incarnation: 1}}
+	decided := func(term uint64) Result {
+		data, err := Encode(start, term, admit)
+		require.NoError(t, err)
+		return m.Apply(0, data).(Result)
+	}
+	apply(t, m, start, Lead{Term: 5})
+	require.Equal(t, Done{}, decided(5))
+	apply(t, m, start, Lead{Term: 7})
+	m = restored(t, m)
+	require.IsType(t, Refused{}, decided(5))
+	require.IsType(t, Refused{}, decided(6))
+	require.Equal(t, Done{}, decided(7))
+}
+
 // TestUnknownCommandChangesNothing covers a log written by a later version.
 func TestUnknownCommandChangesNothing(t *testing.T) {
 	m := New()
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -22,6 +22,7 @@
 	Quarantine       quarantine.State  `cbor:"7,keyasint"`
 	LedgerPolicy     ledger.Policy     `cbor:"8,keyasint"`
 	QuarantinePolicy quarantine.Policy `cbor:"9,keyasint"`
+	Term             uint64            `cbor:"10,keyasint"`
 }
 
 // maxSnapshotItems bounds the items of one list in a snapshot.
@@ -56,6 +57,7 @@
 		NowMs: m.nowMs, Fence: m.fence, Config: m.config,
 		Hosts: m.Hosts(), Replicas: m.Replicas(), Ledger: m.ledger.Snapshot(),
 		Quarantine: m.quarantine, LedgerPolicy: m.ledger.Policy, QuarantinePolicy: m.quarantine.Policy,
+		Term: m.term,
 	})
 	return data, errors.Wrap(err, "encode snapshot")
 }
@@ -67,6 +69,7 @@
 		return errors.Wrap(err, "decode snapshot")
 	}
 	m.nowMs = s.NowMs
+	m.term = s.Term
 	m.fence = s.Fence
 	m.config = s.Config
 	m.hosts = make(map[host.ID]*Host, len(s.Hosts))
