--- a/internal/control/placement/decision.go
+++ b/internal/control/placement/decision.go
@@ -93,9 +93,10 @@
 	Reason  Reason
 }
 
-// Preload orders the agent of a free host to copy weights from the store, so that
-// the host can later join a replica by a local load. It makes no claim; an agent
-// that is claimed meanwhile keeps what it has copied.
+// Preload orders a host's agent to copy weights from the store in the background, so
+// that the host can later join a replica by a local load. It makes no claim and
+// leaves the engine alone. An agent that is claimed meanwhile keeps what it has
+// copied, and stops copying weights that the claim does not need.
 type Preload struct {
 	Host    host.ID
 	Weights Weights
--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -51,7 +51,7 @@
 	SlowSince time.Time
 	// Replica is the present claim; empty if there is none.
 	Replica replica.ID
-	// Preloading says that the host copies weights from the store outside any claim.
+	// Preloading says that the host copies weights from the store by a Preload.
 	Preloading bool
 }
 
--- a/internal/control/placement/planner.go
+++ b/internal/control/placement/planner.go
@@ -73,6 +73,8 @@
 	groups   []group
 	// groupsOf are the groups of each deployment.
 	groupsOf [][]*group
+	// copying marks hosts that this round orders to copy weights.
+	copying []bool
 	// extras counts the replicas of each deployment beyond those wanted.
 	extras []int
 	// limits are the most replicas of each deployment.
@@ -94,6 +96,7 @@
 		now:      f.Now,
 		hostAt:   make(map[host.ID]int, len(f.Hosts)),
 		taken:    make([]bool, len(f.Hosts)),
+		copying:  make([]bool, len(f.Hosts)),
 		fabricOf: make([]int, len(f.Hosts)),
 		groups:   make([]group, len(f.Replicas)),
 		groupsOf: make([][]*group, len(f.Deployments)),
--- a/internal/control/placement/preload.go
+++ b/internal/control/placement/preload.go
@@ -1,39 +1,61 @@
 package placement
 
-// preload copies weights to free hosts while no replica loads from the store, the
-// weights of the highest priority first. A warm spare joins by a local load.
+// preload copies weights to hosts while replicas leave the weight store room: to free
+// hosts, to members of replicas of lower priority, and of replicas that serve an old
+// version. The weights of the highest priority come first. A host that holds the
+// weights joins a replica by a local load.
 func (p *planner) preload(order []int) {
 	if p.policy.ColdSpares {
 		return
 	}
 	room := p.storeSlots() - p.storeLoads
 	for _, dep := range order {
-		room -= p.preloadFor(dep, room)
+		for at := range p.fabrics {
+			if p.fleet.Deployments[dep].allows(p.fabrics[at].name) {
+				room = p.preloadHosts(dep, p.fabrics[at].free, room)
+			}
+		}
+	}
+	for _, dep := range order {
+		for i := range p.groups {
+			if g := &p.groups[i]; p.preloads(dep, g) {
+				room = p.preloadHosts(dep, g.survivors, room)
+			}
+		}
 	}
 }
 
-// preloadFor orders at most room copies of the weights of dep, and returns how many.
-func (p *planner) preloadFor(dep, room int) int {
+// preloads reports whether the members of g are to hold the weights of dep.
+func (p *planner) preloads(dep int, g *group) bool {
+	if g.dep < 0 || !g.serving() {
+		return false
+	}
 	d := &p.fleet.Deployments[dep]
-	ordered := 0
-	for at := range p.fabrics {
-		if !d.allows(p.fabrics[at].name) {
-			continue
+	if g.fabric == noFabric || !d.allows(p.fabrics[g.fabric].name) {
+		return false
+	}
+	if g.dep == dep {
+		return !sameWeights(g.Spec, d.Spec)
+	}
+	return p.fleet.Deployments[g.dep].Priority < d.Priority
+}
+
+// preloadHosts orders at most room copies of the weights of dep, and returns the room left.
+func (p *planner) preloadHosts(dep int, hosts []int, room int) int {
+	w := p.fleet.Deployments[dep].weights()
+	for _, i := range hosts {
+		h := &p.fleet.Hosts[i]
+		if room <= 0 {
+			return room
 		}
-		for _, i := range p.fabrics[at].free {
-			h := &p.fleet.Hosts[i]
-			if ordered >= room {
-				return ordered
-			}
-			if p.taken[i] || h.Preloading || h.holds(d.weights()) || p.full(h) {
-				continue
-			}
-			p.taken[i] = true
-			ordered++
-			p.emit(Preload{Host: h.ID, Weights: d.weights(), Reason: ReasonWarmSpare})
+		if p.copying[i] || h.Preloading || h.Stop.Wanted || h.holds(w) || p.full(h) {
+			continue
 		}
+		p.copying[i] = true
+		room--
+		p.emit(Preload{Host: h.ID, Weights: w, Reason: ReasonWarmSpare})
 	}
-	return ordered
+	return room
 }
 
 // full reports whether a host holds as many wanted weights as it may.
