Break off hung attempts; prove planned stops and a rollout under load

Cause: an engine that hung while its health checks passed held its callers until their deadline. Ruled out: a timeout for the whole answer; a long answer is not a hung one. The watch counts only the time in which the entry waits for the endpoint, so a slow caller does not look like a hung engine. Measured: with the engine hung in mid-stream the caller gets every token once (it waited for its deadline before). Conclusion: attempts that run at most once still wait for their deadline.

--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -50,8 +50,15 @@
 		return e.lost(ctx, err)
 	}
 	e.progress.begin(ref)
+	quiet := newSilence(e.route.Patience, stream.Cancel)
 	for {
+		quiet.listen()
 		m, err := stream.Receive()
+		_, token := m.(*message.Chunk)
+		quiet.heard(token)
+		if err != nil && quiet.broken.Load() {
+			return execution.Ended{Kind: execution.EndLost, Code: codeStalled, Reason: "the endpoint gave no token for too long"}
+		}
 		if err != nil {
 			return e.lost(ctx, err)
 		}
--- a/internal/entry/dispatch/work.go
+++ b/internal/entry/dispatch/work.go
@@ -85,6 +85,9 @@
 	Suspect    bool
 	// Live, if set, ends when the attempt is to be broken off and offered again.
 	Live context.Context
+	// Patience is how long the first token may take before the attempt is broken off
+	// and offered again; 0 is as long as the deadline allows.
+	Patience time.Duration
 }
 
 // AttemptEnd is what the policy learns from an attempt.
--- a/internal/entry/server/router.go
+++ b/internal/entry/server/router.go
@@ -18,6 +18,9 @@
 	retryAfterSuspect = time.Second
 	clearedTimeout    = 3 * time.Second
 
+	leastPatience  = 5 * time.Second
+	patienceFactor = 4
+
 	codeQuarantined   = "quarantined"
 	reasonQuarantined = "this request has crashed endpoints and is held back"
 )
@@ -95,6 +98,7 @@
 	p.flights++
 	return dispatch.Route{
 		Target: target(choice.Route), Suspect: work.Suspect, Live: p.live(work, ticket),
+		Patience: patience(work, choice),
 		FirstToken: func(after time.Duration) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -136,6 +140,15 @@
 	}
 }
 
+// patience is how long the first token may take. An attempt that may not run twice
+// is waited for until its deadline.
+func patience(work dispatch.Work, choice routing.Choice) time.Duration {
+	if work.AtMostOnce {
+		return 0
+	}
+	return leastPatience + patienceFactor*choice.FirstToken
+}
+
 // live returns the context in which an attempt may go on. One that may not run twice
 // is never broken off.
 func (p *policy) live(work dispatch.Work, ticket routing.Ticket) context.Context {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -95,6 +95,8 @@
 	batch *batch
 	cache *prefixCache
 
+	hung atomic.Bool
+
 	mu       sync.Mutex
 	start    string
 	down     chan struct{}
@@ -174,6 +176,20 @@
 	}
 }
 
+// Begun returns the number of generations that the engine has ever started.
+func (e *Engine) Begun() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	begun := 0
+	for _, n := range e.runs {
+		begun += n
+	}
+	return begun
+}
+
+// Hang stops every generation from now on without ending it; health checks pass.
+func (e *Engine) Hang() { e.hung.Store(true) }
+
 // Crashes returns how often the engine has crashed.
 func (e *Engine) Crashes() int {
 	e.mu.Lock()
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -152,6 +152,10 @@
 	if err := flusher.Flush(); err != nil {
 		return err
 	}
+	if r.engine.hung.Load() {
+		<-r.ctx.Done()
+		return r.ctx.Err()
+	}
 	return pause(r.ctx, r.batch.gap()*time.Duration(tokens))
 }
 
--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -71,6 +71,7 @@
 // stream; the caller gets every token once.
 func TestStreamSurvivesTheLossOfItsReplica(t *testing.T) {
 	losses := map[string]func(s *scene, head host.ID){
+		"engine hangs":    func(s *scene, head host.ID) { s.Agent(head).Engine.Hang() },
 		"engine crashes":  func(s *scene, head host.ID) { s.Agent(head).Engine.Crash() },
 		"agent killed":    func(s *scene, head host.ID) { s.Agent(head).Kill() },
 		"host falls dark": func(s *scene, head host.ID) { s.isolate(head) },
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -26,6 +27,11 @@
 }
 
 func inFleet(t *testing.T, test func(s *scene)) {
+	t.Helper()
+	inFleetOf(t, 5, test)
+}
+
+func inFleetOf(t *testing.T, hosts int, test func(s *scene)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -34,7 +40,8 @@
 			Sockets: memory, Controls: 3, Entries: 2, DataFolder: t.TempDir(),
 			Services: []Member{{ID: "records-1", Failure: "a"}, {ID: "records-2", Failure: "b"}},
 		}
-		for _, id := range []host.ID{"host-1", "host-2", "host-3", "host-4", "host-5"} {
+		for i := range hosts {
+			id := host.ID(fmt.Sprintf("host-%d", i+1))
 			opts.Engines = append(opts.Engines, Engine{
 				Member: Member{ID: id, Failure: "a", Fabric: "rack-1"}, Accelerators: 4,
 				Options: engine.Options{LoadTime: 2 * time.Second, CrashMarker: "CRASH", RestartAfter: 5 * time.Second},
--- a/internal/standin/fleet/recovery_test.go
+++ b/internal/standin/fleet/recovery_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/fleet/config"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/standin/engine"
 )
@@ -72,3 +74,91 @@
 		})
 	})
 }
+
+// underLoad sends a generation and a sign-off every 100 ms for d while change is
+// carried out; each must be answered in full.
+func (s *scene) underLoad(d time.Duration, change func()) {
+	s.t.Helper()
+	var out []<-chan answer
+	start := time.Now()
+	go change()
+	for i := 0; time.Since(start) < d; i++ {
+		time.Sleep(100 * time.Millisecond)
+		out = append(out, s.later(i%2, "POST", "/v1/chat/completions", question))
+		out = append(out, s.later(i%2, "POST", signoffs, "{}", "Idempotency-Key", strconv.Itoa(i)))
+	}
+	for _, answered := range out {
+		a := <-answered
+		require.Equal(s.t, "complete", a.header.Get("Egretreach-Outcome"), a.body)
+	}
+	require.Equal(s.t, len(out)/2, s.signoffs())
+}
+
+// TestPlannedStopsRefuseAndCutNothing stops daemons in good order under load.
+func TestPlannedStopsRefuseAndCutNothing(t *testing.T) {
+	stops := map[string]func(s *scene){
+		"control leader": func(s *scene) {
+			leader := s.leader()
+			for i := range 3 {
+				if s.Control(i).Host == leader {
+					_ = s.Control(i).Shutdown(s.ctx)
+				}
+			}
+		},
+		"agent of a head":   func(s *scene) { _ = s.Agent(s.replicas()[0].Head()).Shutdown(s.ctx) },
+		"agent of a member": func(s *scene) { _ = s.Agent(s.replicas()[0].Hosts[1]).Shutdown(s.ctx) },
+		"agent of a service": func(s *scene) {
+			_ = s.Agent("records-1").Shutdown(s.ctx)
+		},
+	}
+	for name, stop := range stops {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, func(s *scene) {
+				s.underLoad(8*time.Second, func() { stop(s) })
+			})
+		})
+	}
+}
+
+// TestStoppingHeadGetsNoNewWork within 2 s of the start of its stop.
+func TestStoppingHeadGetsNoNewWork(t *testing.T) {
+	inFleet(t, func(s *scene) {
+		head := s.replicas()[0].Head()
+		s.underLoad(6*time.Second, func() {
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				_ = s.Agent(head).Shutdown(s.ctx)
+			}()
+			time.Sleep(2 * time.Second)
+			begun := s.Agent(head).Engine.Begun()
+			<-stopped
+			time.Sleep(time.Second)
+			require.Equal(s.t, begun, s.Agent(head).Engine.Begun())
+		})
+	})
+}
+
+// TestRolloutRefusesNothing moves a deployment to another version under load, and
+// every replica that serves afterwards has it.
+func TestRolloutRefusesNothing(t *testing.T) {
+	inFleetOf(t, 6, func(s *scene) {
+		next := strings.Replace(string(config.DefaultYAML()), `      - name: "1"
+        weights: 64MiB
+`, `      - name: "1"
+        weights: 64MiB
+      - name: "2"
+        weights: 64MiB
+`, 1)
+		next = strings.Replace(next, `version: "1"`, `version: "2"`, 1)
+		s.underLoad(20*time.Second, func() { require.NoError(s.t, s.Apply(s.ctx, 1, []byte(next))) })
+		s.await(time.Minute, func() bool {
+			for _, r := range s.replicas() {
+				if r.Spec.Version != "2" {
+					return false
+				}
+			}
+			return s.whole()
+		})
+	})
+}
