Keep copies of a body together until it has completed once

Cause: copies sent at once spread over as many replicas as entries see fit, and each loses its replica if the body crashes engines. Pinning them by hand to a running copy was left to the caller (Tracker.Running) and would hold harmless bodies on one replica for ever. Tracker.Running is gone; nobody used it. Ruled out: spilling over when the replica is full, since copies in large numbers would then take one replica after another. The new unit test fails without the join (checked by removing it).

--- a/internal/entry/routing/feedback.go
+++ b/internal/entry/routing/feedback.go
@@ -19,6 +19,7 @@
 	predicted time.Duration
 	started   bool
 	suspect   bool
+	body      uint64
 	// hashes and scope are kept until it is known what was cached.
 	hashes []uint64
 	scope  uint64
@@ -37,7 +38,7 @@
 	f := &flight{
 		state: s, group: r.models[req.Deployment], at: now,
 		tokens:    float64(max(0, req.PromptTokens-choice.HitTokens)),
-		predicted: choice.FirstToken, suspect: req.Suspect,
+		predicted: choice.FirstToken, suspect: req.Suspect, body: req.BodyHash,
 		hashes: req.PrefixHashes, scope: scopeOf(req.Adapter),
 		prompt: req.PromptTokens, hit: choice.HitTokens,
 	}
@@ -52,6 +53,7 @@
 	for _, hash := range f.hashes {
 		r.prefixes.add(scoped(hash, f.scope), s, now)
 	}
+	r.bodies.begin(f)
 	return ticket
 }
 
@@ -109,6 +111,7 @@
 	if f.suspect {
 		s.suspects--
 	}
+	r.bodies.end(f, result.Complete)
 	if !result.Complete {
 		r.forget(f)
 		return
--- a/internal/entry/routing/pick.go
+++ b/internal/entry/routing/pick.go
@@ -66,12 +66,30 @@
 	case req.Suspect:
 		return r.confine(req)
 	}
+	if r.join(req.BodyHash) {
+		return nil
+	}
 	if limited {
 		r.preferFree()
 	}
 	return nil
 }
 
+// join leaves only the replica where a copy of the body runs, if there is one.
+func (r *Router) join(bodyHash uint64) bool {
+	holder := r.bodies.holder(bodyHash)
+	if holder == nil {
+		return false
+	}
+	i := slices.IndexFunc(r.scratch, func(c candidate) bool { return c.state == holder })
+	if i < 0 {
+		return false
+	}
+	r.scratch[0] = r.scratch[i]
+	r.scratch = r.scratch[:1]
+	return true
+}
+
 // confine leaves a suspect only the replica that ranks first for its body, which is
 // the same at every entry. So copies of a suspect that are sent through several
 // entries cannot crash more than that one, and each runs alone there.
--- a/internal/entry/routing/routing.go
+++ b/internal/entry/routing/routing.go
@@ -86,7 +86,8 @@
 	PromptTokens int
 	// PrefixHashes are the block hashes of the prompt, as given by PrefixHashes.
 	PrefixHashes []uint64
-	// BodyHash is the hash of the normalised body. Equal bodies prefer equal replicas.
+	// BodyHash is the hash of the normalised body, 0 if unknown. Copies of one body in
+	// flight stay on one replica until the body has completed once.
 	BodyHash uint64
 	// Exclude names replicas that this request has already failed on.
 	Exclude map[replica.ID]bool
@@ -111,6 +112,7 @@
 	replicas map[replica.ID]*state
 	models   map[string]*group
 	prefixes prefixIndex
+	bodies   bodies
 	flights  map[Ticket]*flight
 	tickets  Ticket
 	views    uint64
@@ -127,6 +129,7 @@
 		replicas: make(map[replica.ID]*state),
 		models:   make(map[string]*group),
 		prefixes: newPrefixIndex(policy.PrefixBlocks),
+		bodies:   newBodies(),
 		flights:  make(map[Ticket]*flight),
 	}
 }
--- a/internal/entry/routing/routing_test.go
+++ b/internal/entry/routing/routing_test.go
@@ -104,6 +104,32 @@
 	require.NoError(t, err)
 }
 
+func TestCopiesStayTogetherUntilProven(t *testing.T) {
+	r := newRouter(route("a"), route("b"), route("c"))
+	req := Request{Deployment: "m", PromptTokens: 4000, BodyHash: 42}
+	send := func(req Request) (replica.ID, Ticket) {
+		choice, err := r.Pick(epoch, req)
+		require.NoError(t, err)
+		return choice.Route.Replica.ID, r.Dispatched(epoch, req, choice)
+	}
+	first, ticket := send(req)
+	for range 20 {
+		again, _ := send(req)
+		require.Equal(t, first, again)
+	}
+	excluding := req
+	excluding.Exclude = map[replica.ID]bool{first: true}
+	elsewhere, _ := send(excluding)
+	require.NotEqual(t, first, elsewhere)
+	r.Finished(epoch, ticket, Result{Complete: true})
+	seen := make(map[replica.ID]bool)
+	for range 60 {
+		id, _ := send(req)
+		seen[id] = true
+	}
+	require.Len(t, seen, 3, "a harmless body spreads like any other")
+}
+
 func TestServices(t *testing.T) {
 	s := NewServices(rand.New(rand.NewPCG(1, 2)))
 	s.SetView(view.View{Services: []view.Service{{Name: "records", Host: "a"}, {Name: "records", Host: "b"}}})
--- a/internal/entry/routing/state.go
+++ b/internal/entry/routing/state.go
@@ -103,9 +103,9 @@
 	}
 	for _, s := range r.replicas {
 		spec := s.route.Replica.Spec
-		r.join(spec.Deployment, s)
+		r.enlist(spec.Deployment, s)
 		if spec.Model != spec.Deployment {
-			r.join(spec.Model, s)
+			r.enlist(spec.Model, s)
 		}
 	}
 	for name, g := range r.models {
@@ -117,7 +117,7 @@
 	}
 }
 
-func (r *Router) join(name string, s *state) {
+func (r *Router) enlist(name string, s *state) {
 	if name == "" {
 		return
 	}
--- a/internal/entry/suspicion/crash_test.go
+++ b/internal/entry/suspicion/crash_test.go
@@ -140,9 +140,6 @@
 		return
 	}
 	c.id = choice.Route.Replica.ID
-	if at, ok := e.tracker.Running(c.body); ok && !c.suspect && !f.off && !c.exclude[at] {
-		c.id = at
-	}
 	busy := func(o *call) bool { return o.suspect }
 	if f.down[c.id] || (c.suspect && slices.ContainsFunc(f.running[c.id], busy)) {
 		f.In(backoff, func() { f.send(c) })
--- a/internal/entry/suspicion/suspicion.go
+++ b/internal/entry/suspicion/suspicion.go
@@ -2,7 +2,7 @@
 //
 // The fleet-wide word is control's quarantine, which reaches the entry with its
 // view. A Tracker adds what the entry has seen itself since, so that a caller that
-// resends at once meets it, and keeps copies of one body together on one replica.
+// resends at once meets it, and tells which attempts in flight are to be revoked.
 //
 // The package holds no clock, goroutine or lock: the caller gives the time and
 // serialises the calls.
@@ -166,16 +166,6 @@
 	t.running[hash] = running
 }
 
-// Running returns a replica on which a copy of the body runs. Another copy should
-// go there too, so that copies sent together cannot crash one replica each.
-func (t *Tracker) Running(hash uint64) (replica.ID, bool) {
-	running := t.running[hash]
-	if len(running) == 0 {
-		return "", false
-	}
-	return running[0].replica, true
-}
-
 // Revoked returns the bodies in flight that may no longer run as they do: freely
 // though suspect, or at all though quarantined, since a copy was in flight at a crash
 // elsewhere. The caller should cancel those attempts that are idempotent and offer
--- a/internal/entry/suspicion/suspicion_test.go
+++ b/internal/entry/suspicion/suspicion_test.go
@@ -59,9 +59,6 @@
 	tracker.Begin(7, "a", false)
 	tracker.Begin(8, "c", false)
 	tracker.End(7, "a", false)
-	id, ok := tracker.Running(7)
-	require.True(t, ok)
-	require.EqualValues(t, "a", id)
 	tracker.Crashed(now, 7, "b", 1)
 	require.Equal(t, []uint64{7}, tracker.Revoked(now))
 	tracker.End(7, "a", false)
@@ -70,6 +67,5 @@
 	tracker.Crashed(now, 7, "c", 1)
 	require.Equal(t, []uint64{7}, tracker.Revoked(now), "quarantined")
 	tracker.End(7, "a", true)
-	_, ok = tracker.Running(7)
-	require.False(t, ok)
+	require.Empty(t, tracker.Revoked(now))
 }
