--- a/internal/control/server/fleet_test.go
+++ b/internal/control/server/fleet_test.go
@@ -186,7 +186,9 @@
 	role    host.Role
 	info    host.Info
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// busy says that requests in flight keep a drain from being done.
+	busy      bool
 	held      []message.HeldReplica
 	orders    []message.Order
 	revisions []view.Revision
@@ -303,7 +305,11 @@
 		d.drop(o.Replica)
 	case message.OrderDrain:
 	}
+	busy := d.busy && o.Action == message.OrderDrain
 	d.mu.Unlock()
+	if busy {
+		return
+	}
 	_ = d.session.Send(&message.OrderDone{ID: o.ID, OK: true})
 	d.session.Renew()
 }
@@ -339,8 +345,14 @@
 			routes = append(routes, r)
 		}
 	}
+	services := m.View.Services
+	for _, svc := range d.view.Services {
+		if !gone[serviceKey(svc.Name, svc.Host)] {
+			services = append(services, svc)
+		}
+	}
 	d.view = m.View
-	d.view.Routes = routes
+	d.view.Routes, d.view.Services = routes, services
 }
 
 func (d *daemon) lastView() view.View {
--- a/internal/control/server/server_test.go
+++ b/internal/control/server/server_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/control/quorum"
+	"github.com/egretreach/egretreach/internal/control/state"
 	"github.com/egretreach/egretreach/internal/fleet/config"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
@@ -226,3 +227,65 @@
 		require.Equal(t, codeSuperseded, first.failures[0].Code)
 	})
 }
+
+// TestDrainedHost: the replacement of a drained host's replica serves before the
+// replica stops, and an entry sees the stop within 2 s. A plain service's endpoint
+// stops at once.
+func TestDrainedHost(t *testing.T) {
+	runFleet(t, func(t *testing.T, f *testFleet) {
+		for _, a := range f.agents("fabric-1", "a1", "a2", "a3", "a4", "a5", "a6") {
+			a.busy = true
+		}
+		records := f.start(&daemon{role: host.RoleAgent, info: host.Info{
+			ID: "r1", Incarnation: 1, Endpoints: []host.Endpoint{{Name: "records", Kind: host.KindService}},
+		}}, f.address("r1"))
+		entry := f.entry("e1")
+		f.apply(defaultConfig(), 0, "change-0")
+		time.Sleep(reach)
+		require.Equal(t, 2, serving(entry.lastView(), ""))
+		require.Len(t, entry.lastView().Services, 1)
+		f.call(&message.Drain{Host: records.info.ID, Reason: "disk"})
+		drained := entry.lastView().Routes[0].Replica.Hosts[1]
+		f.call(&message.Drain{Host: drained, Reason: "new power supply"})
+		began := time.Now()
+		var stopping time.Time
+		for time.Since(began) < 2*reach {
+			time.Sleep(reach / 100)
+			seen := entry.lastView()
+			require.GreaterOrEqual(t, serving(seen, ""), 2, "capacity was lost")
+			if stopping.IsZero() && f.stops(drained) {
+				stopping = time.Now()
+			}
+			if !stopping.IsZero() && time.Since(stopping) > 2*time.Second {
+				require.Zero(t, serving(seen, drained))
+			}
+			if time.Since(began) > 2*time.Second {
+				require.Empty(t, seen.Services)
+			}
+		}
+		require.False(t, stopping.IsZero(), "the replica never stopped")
+		f.call(&message.Drain{Host: drained, Undo: true})
+	})
+}
+
+// serving counts the replicas that serve, those with a member h if one is given.
+func serving(v view.View, h host.ID) int {
+	n := 0
+	for _, r := range v.Routes {
+		if r.Replica.State == replica.StateServing && (h == "" || r.Replica.Has(h)) {
+			n++
+		}
+	}
+	return n
+}
+
+// stops reports whether no replica with that host may take work, by the log.
+func (f *testFleet) stops(h host.ID) bool {
+	stops := true
+	f.servers[f.leader()].store.read(func(m *state.Machine) {
+		for _, r := range m.Replicas() {
+			stops = stops && (!r.Has(h) || r.State == replica.StateDraining)
+		}
+	})
+	return stops
+}
