--- /dev/null
+++ b/internal/control/server/bench_test.go
@@ -0,0 +1,162 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+)
+
+// countedSocket counts what one process sends and receives.
+type countedSocket struct {
+	net.PacketConn
+	bytes atomic.Int64
+}
+
+func (s *countedSocket) ReadFrom(p []byte) (int, net.Addr, error) {
+	n, from, err := s.PacketConn.ReadFrom(p)
+	s.bytes.Add(int64(n))
+	return n, from, err
+}
+
+func (s *countedSocket) WriteTo(p []byte, to net.Addr) (int, error) {
+	s.bytes.Add(int64(len(p)))
+	return s.PacketConn.WriteTo(p, to)
+}
+
+// loopbackFleet is a fleet over UDP on loopback whose traffic is counted.
+type loopbackFleet struct {
+	*testFleet
+	mu      sync.Mutex
+	sockets map[string]*countedSocket
+}
+
+func newLoopbackFleet(b *testing.B) *loopbackFleet {
+	f := &loopbackFleet{testFleet: newTestFleet(b), sockets: map[string]*countedSocket{}}
+	f.place = func(int) string {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0") //nolint:noctx // Ends with the endpoint.
+		require.NoError(b, err)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.sockets[socket.LocalAddr().String()] = &countedSocket{PacketConn: socket}
+		return socket.LocalAddr().String()
+	}
+	f.listen = func(address string) net.PacketConn {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.sockets[address]
+	}
+	return f
+}
+
+// bytes returns what the daemons of a role have sent and received, each on average.
+func (f *loopbackFleet) bytes(role host.Role) float64 {
+	sum, n := int64(0), 0
+	for _, d := range f.daemons {
+		if d.role == role {
+			sum += f.sockets[d.info.Address].bytes.Load()
+			n++
+		}
+	}
+	return float64(sum) / float64(n)
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+const (
+	benchEntries  = 4
+	benchReplica  = 8
+	benchRest     = 5 * time.Second
+	benchChanges  = 5
+	benchYAMLSize = 20 << 10
+)
+
+// BenchmarkDaemons runs simulated daemons on real sessions against one real leader
+// with its journal, over UDP on loopback, all in one process: agents in replicas of 8
+// that report another load in each renewal, and 4 entries. The processor time is
+// that of the leader and the daemons together.
+func BenchmarkDaemons(b *testing.B) {
+	for _, n := range []int{40, 80, 160, 320} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				benchDaemons(b, n)
+			}
+		})
+	}
+}
+
+func benchYAML(n, change int) string {
+	yaml := fmt.Sprintf("# change %d\n%s", change, defaultConfig())
+	yaml = strings.Replace(yaml, "replicas: 2", fmt.Sprint("replicas: ", n/benchReplica), 1)
+	yaml = strings.Replace(yaml, "hosts_per_replica: 2", fmt.Sprint("hosts_per_replica: ", benchReplica), 1)
+	return yaml + "# " + strings.Repeat("x", benchYAMLSize-len(yaml)) + "\n"
+}
+
+func benchDaemons(b *testing.B, n int) {
+	f := newLoopbackFleet(b)
+	f.controls("c1")
+	f.leader()
+	f.apply(benchYAML(n, 0), 0, "change-0")
+	for i := range n {
+		f.agent("fabric-1", host.ID(fmt.Sprint("a", i)), 1)
+	}
+	for i := range benchEntries {
+		f.entry(host.ID(fmt.Sprint("e", i)))
+	}
+	f.await(b, func() bool { return f.inForce(1) && serving(f.daemons[n].lastView(), "") == n/benchReplica })
+	f.atRest(b, n)
+	f.changes(b, n)
+}
+
+func (f *loopbackFleet) await(b *testing.B, done func() bool) {
+	deadline := time.Now().Add(time.Minute)
+	for !done() {
+		require.True(b, time.Now().Before(deadline), "the fleet did not come up")
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (f *loopbackFleet) atRest(b *testing.B, n int) {
+	agents, entries, cpu := f.bytes(host.RoleAgent), f.bytes(host.RoleEntry), processorTime()
+	time.Sleep(benchRest)
+	seconds := benchRest.Seconds()
+	b.ReportMetric((f.bytes(host.RoleAgent)-agents)/seconds, "B/s/agent")
+	b.ReportMetric((f.bytes(host.RoleEntry)-entries)/seconds, "B/s/entry")
+	b.ReportMetric(float64((processorTime()-cpu).Milliseconds())/seconds, "cpu-ms/s")
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(memory.HeapInuse+memory.StackInuse)/float64(n)/1024, "KiB/daemon")
+}
+
+func (f *loopbackFleet) changes(b *testing.B, n int) {
+	agents, cpu := f.bytes(host.RoleAgent), processorTime()
+	began := time.Now()
+	worst := time.Duration(0)
+	for change := 1; change <= benchChanges; change++ {
+		at := time.Now()
+		f.apply(benchYAML(n, change), view.Revision(change), fmt.Sprint("change-", change))
+		f.await(b, func() bool { return f.inForce(view.Revision(change + 1)) })
+		worst = max(worst, time.Since(at))
+	}
+	b.ReportMetric((f.bytes(host.RoleAgent)-agents)/benchChanges, "B/change/agent")
+	b.ReportMetric(float64((processorTime()-cpu).Microseconds())/1000/benchChanges, "cpu-ms/change")
+	b.ReportMetric(float64(worst.Milliseconds()), "worst-ms/change")
+	b.ReportMetric(time.Since(began).Seconds(), "changes-s")
+}
--- a/internal/control/server/fleet_test.go
+++ b/internal/control/server/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,9 +28,12 @@
 
 // testFleet runs control hosts and simulated daemons over an in-memory network.
 type testFleet struct {
-	t         testing.TB
-	ctx       context.Context
-	network   packet.Network
+	t       testing.TB
+	ctx     context.Context
+	network packet.Network
+	// place returns the n-th process's address; listen opens a socket at one.
+	place     func(n int) string
+	listen    func(address string) net.PacketConn
 	authority *identity.Authority
 	bundle    []byte
 	addresses map[host.ID]string
@@ -60,6 +64,12 @@
 		addresses: map[host.ID]string{}, servers: map[host.ID]*controlHost{},
 	}
 	f.network.SetDelay(time.Millisecond)
+	f.place = func(n int) string { return fmt.Sprintf("10.0.%d.%d:7000", n/250, n%250+1) }
+	f.listen = func(address string) net.PacketConn {
+		socket, err := f.network.Listen(address)
+		require.NoError(t, err)
+		return socket
+	}
 	t.Cleanup(func() {
 		f.checkRevisions()
 		cancel()
@@ -85,7 +95,7 @@
 	defer f.mu.Unlock()
 	if f.addresses[id] == "" {
 		n := len(f.addresses) + 1
-		f.addresses[id] = fmt.Sprintf("10.0.%d.%d:7000", n/250, n%250+1)
+		f.addresses[id] = f.place(n)
 	}
 	return f.addresses[id]
 }
@@ -95,9 +105,7 @@
 	require.NoError(f.t, err)
 	credentials, err := identity.NewCredentials(pair, f.bundle)
 	require.NoError(f.t, err)
-	socket, err := f.network.Listen(address)
-	require.NoError(f.t, err)
-	e := transport.New(socket, credentials, transport.Options{})
+	e := transport.New(f.listen(address), credentials, transport.Options{})
 	f.t.Cleanup(func() { _ = e.Close() })
 	return e
 }
@@ -187,6 +195,8 @@
 	info    host.Info
 
 	mu sync.Mutex
+	// load is reported by a head; it differs in each renewal.
+	load int
 	// busy says that requests in flight keep a drain from being done.
 	busy      bool
 	held      []message.HeldReplica
@@ -260,7 +270,14 @@
 func (d *daemon) Renewal() message.Renewal {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return message.Renewal{EngineHealthy: true, Held: append([]message.HeldReplica(nil), d.held...)}
+	held := append([]message.HeldReplica(nil), d.held...)
+	for i := range held {
+		if held[i].Serving {
+			d.load++
+			held[i].Load = view.Load{Running: d.load % 50, Waiting: d.load % 7, PrefillRate: 9000, Capacity: 64, Sequence: uint64(d.load)}
+		}
+	}
+	return message.Renewal{EngineHealthy: true, Held: held}
 }
 
 func (d *daemon) ApplyConfig(revision view.Revision, _ []byte) error {
