--- a/internal/entry/routing/feedback.go
+++ b/internal/entry/routing/feedback.go
@@ -88,8 +88,8 @@
 type Result struct {
 	// Complete says that the whole answer came.
 	Complete bool
-	// CachedTokens is the number of prompt tokens the engine found in its cache,
-	// or -1 if it did not say.
+	// CachedTokens is the number of prompt tokens the engine found in its cache, 0 if
+	// it did not say.
 	CachedTokens int
 }
 
@@ -116,6 +116,9 @@
 		r.forget(f)
 		return
 	}
+	if f.hit > 0 && result.CachedTokens > 0 {
+		s.hitTrust.add(min(1, float64(result.CachedTokens)/float64(f.hit)))
+	}
 	if f.group != nil {
 		f.group.duration.add(now.Sub(f.at).Seconds())
 	}
--- a/internal/entry/routing/measure_test.go
+++ b/internal/entry/routing/measure_test.go
@@ -273,7 +273,7 @@
 				}
 				ticket := r.Dispatched(now, req, choice)
 				r.FirstToken(now, ticket)
-				r.Finished(now, ticket, Result{Complete: true, CachedTokens: -1})
+				r.Finished(now, ticket, Result{Complete: true})
 			}
 		})
 	}
--- a/internal/entry/routing/pick.go
+++ b/internal/entry/routing/pick.go
@@ -178,7 +178,7 @@
 	if s.hitStamp != stamp || len(req.PrefixHashes) == 0 {
 		return 0
 	}
-	return float64(req.PromptTokens) * s.hitWeight / float64(len(req.PrefixHashes))
+	return float64(req.PromptTokens) * s.hitWeight * s.hitTrust.or(1) / float64(len(req.PrefixHashes))
 }
 
 // home names two replicas for a prompt by rendezvous hashing (Thaler and
--- a/internal/entry/routing/routing_test.go
+++ b/internal/entry/routing/routing_test.go
@@ -45,7 +45,7 @@
 	}
 	ticket := r.Dispatched(epoch, req, choice)
 	r.FirstToken(epoch.Add(200*time.Millisecond), ticket)
-	r.Finished(epoch.Add(time.Second), ticket, Result{Complete: true, CachedTokens: -1})
+	r.Finished(epoch.Add(time.Second), ticket, Result{Complete: true})
 	fmt.Println(choice.Route.Replica.ID, choice.FirstToken)
 	// Output: r1 200ms
 }
--- a/internal/entry/routing/state.go
+++ b/internal/entry/routing/state.go
@@ -32,6 +32,8 @@
 	suspects      int
 	limit         int
 	slow          slowness
+	// hitTrust is the part of believed hits that the engine confirmed.
+	hitTrust average
 	// cacheSequence is the last cache event seen. Blocks seen before cacheGapAt
 	// are half trusted, blocks seen before cacheLostAt are gone.
 	cacheSequence uint64
--- a/internal/entry/suspicion/crash_test.go
+++ b/internal/entry/suspicion/crash_test.go
@@ -172,7 +172,7 @@
 	c.ended = true
 	e := f.entries[c.entry]
 	f.running[c.id] = slices.DeleteFunc(f.running[c.id], func(o *call) bool { return o == c })
-	e.router.Finished(f.clock(), c.ticket, routing.Result{Complete: ok, CachedTokens: -1})
+	e.router.Finished(f.clock(), c.ticket, routing.Result{Complete: ok})
 	e.tracker.End(c.body, c.id, c.suspect)
 	if ok && c.suspect && e.tracker.Completed(c.body) {
 		f.In(reportDelay, func() {
