Count grants that may still arrive as in use

Cause: a grant can reach an entry after its next renewal was sent; the leader then took the older, larger share for replaced and gave the difference away. The entry was to drop such grants, which nothing enforced. Change: grants that the entry has not shown to hold stay in use. Ruled out: a sequence check at each entry, since one mistake there would break the limit of all.

--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -34,7 +34,8 @@
 }
 
 // entry is one entry as the leader knows it. What it held when it sent its last
-// renewal and what the leader granted then may both be in use until seen + hold.
+// renewal and what the leader granted since the last grant it has shown to hold may
+// be in use until seen + hold.
 type entry struct {
 	incarnation host.Incarnation
 	sequence    uint64
@@ -42,6 +43,8 @@
 	demand      map[string]float64
 	held        map[string]float64
 	granted     map[string]float64
+	// open is the greatest share of the grants that may still be on their way.
+	open map[string]float64
 }
 
 // New returns an Allocator for a leader that begins its term now. hold is the length
@@ -59,7 +62,7 @@
 
 // Renew takes an entry's renewal and returns its shares of every team's limit, for
 // its LeaseGrant. It returns nil for a renewal that a later one has overtaken. The
-// entry must take shares only from the grant that answers the last renewal it sent.
+// entry must take grants in the order of their sequences and leave older ones.
 func (a *Allocator) Renew(now time.Time, renewal message.Renewal) map[string]float64 {
 	a.expire(now)
 	e := a.entries[renewal.Host]
@@ -73,15 +76,21 @@
 	e.incarnation, e.sequence, e.seen = renewal.Incarnation, renewal.Sequence, now
 	e.demand = smooth(e.demand, renewal.Demand)
 	e.held = renewal.Shares
-	e.granted = make(map[string]float64, len(a.teams))
+	granted := make(map[string]float64, len(a.teams))
+	open := make(map[string]float64, len(a.teams))
 	for _, team := range a.teams {
 		share := min(a.target(team, renewal.Host), a.free(team, renewal.Host))
 		if now.Before(a.settled) {
 			share = min(share, renewal.Shares[team])
 		}
-		e.granted[team] = max(0, share)
+		granted[team] = max(0, share)
+		open[team] = granted[team]
+		if last, ok := e.granted[team]; ok && last != e.held[team] {
+			open[team] = max(open[team], e.open[team])
+		}
 	}
-	return e.granted
+	e.granted, e.open = granted, open
+	return granted
 }
 
 // Released forgets an entry that has given its lease up.
@@ -129,7 +138,7 @@
 }
 
 // inUse returns the greatest share that the entry may be using.
-func (e *entry) inUse(team string) float64 { return max(e.held[team], e.granted[team]) }
+func (e *entry) inUse(team string) float64 { return max(e.held[team], e.open[team]) }
 
 // expire drops entries whose shares have run out.
 func (a *Allocator) expire(now time.Time) {
--- a/internal/control/quota/quota_test.go
+++ b/internal/control/quota/quota_test.go
@@ -32,11 +32,19 @@
 	demand   float64
 	quota    *admission.Quota
 	leaseEnd time.Time
+	// grants are on their way, in order.
+	grants []delivery
 	// silentUntil is when a partition ends.
 	silentUntil time.Time
 	dead        bool
 }
 
+// delivery is a grant on its way.
+type delivery struct {
+	at, leaseEnd time.Time
+	shares       map[string]float64
+}
+
 func newHolder(id host.ID, demand float64) *holder {
 	h := &holder{id: id, demand: demand, quota: admission.NewQuota()}
 	h.quota.SetLimits(map[team.ID]admission.Limits{scouts: {RequestsPerSecond: limit}})
@@ -45,24 +53,33 @@
 
 // using returns the share in use, after the lease was looked at.
 func (h *holder) using(now time.Time) float64 {
+	for len(h.grants) > 0 && !now.Before(h.grants[0].at) {
+		h.quota.SetShares(now, h.grants[0].shares)
+		h.leaseEnd = h.grants[0].leaseEnd
+		h.grants = h.grants[1:]
+	}
 	if h.dead || !now.Before(h.leaseEnd) {
 		h.quota.DropShares()
 	}
 	return h.quota.Shares()[scouts]
 }
 
-func (h *holder) renew(now time.Time, a *Allocator, lostGrant bool) {
+// renew sends a renewal whose grant takes a while, or is lost if that is negative.
+func (h *holder) renew(now time.Time, a *Allocator, grantTakes time.Duration) {
 	h.sequence++
 	h.using(now)
 	granted := a.Renew(now, message.Renewal{
 		Host: h.id, Sequence: h.sequence,
 		Demand: map[string]float64{scouts: h.demand}, Shares: h.quota.Shares(),
 	})
-	if granted == nil || lostGrant {
+	if granted == nil || grantTakes < 0 {
 		return
 	}
-	h.quota.SetShares(now, granted)
-	h.leaseEnd = now.Add(lease)
+	at := now.Add(grantTakes)
+	if n := len(h.grants); n > 0 && h.grants[n-1].at.After(at) {
+		at = h.grants[n-1].at
+	}
+	h.grants = append(h.grants, delivery{at: at, leaseEnd: now.Add(lease), shares: granted})
 }
 
 // take offers n requests and returns how many pass.
@@ -99,7 +116,7 @@
 				a = newTerm(now)
 			}
 			for i, h := range holders {
-				if rng.IntN(300) == 0 {
+				if rng.IntN(20) == 0 {
 					h.demand = rng.Float64() * 2 * limit
 				}
 				if rng.IntN(500) == 0 {
@@ -110,7 +127,7 @@
 				}
 				due := (step+i*3)%int(renewEvery/(50*time.Millisecond)) == 0
 				if due && !h.dead && !now.Before(h.silentUntil) {
-					h.renew(now, a, rng.IntN(20) == 0)
+					h.renew(now, a, grantTime(rng))
 				}
 			}
 			total := 0.0
@@ -125,6 +142,18 @@
 	}
 }
 
+// grantTime draws how long a grant takes: some are lost, some overtaken by a renewal.
+func grantTime(rng *rand.Rand) time.Duration {
+	switch n := rng.IntN(5); {
+	case n == 0:
+		return -1
+	case n <= 2:
+		return time.Duration(rng.Int64N(int64(2 * renewEvery)))
+	default:
+		return 0
+	}
+}
+
 func newTerm(now time.Time) *Allocator {
 	a := New(now, hold)
 	a.SetTeams([]string{scouts})
@@ -143,10 +172,10 @@
 		for now.Sub(began) < until && !done() {
 			now = now.Add(renewEvery / 2)
 			if !one.dead {
-				one.renew(now, a, false)
+				one.renew(now, a, 0)
 			}
 			now = now.Add(renewEvery / 2)
-			two.renew(now, a, false)
+			two.renew(now, a, 0)
 		}
 		return now.Sub(began)
 	}
