Let Limiter.Started count the request itself

The entry daemon reports its in-flight count after the dispatch, with the new request in it; read as others only, a limit in full use would never have settled after a decrease. Ruled out: a change at the caller, which is one more place to get it wrong.

--- a/internal/entry/admission/adapt_test.go
+++ b/internal/entry/admission/adapt_test.go
@@ -32,8 +32,8 @@
 		var fill func()
 		fill = func() {
 			for inFlight < limiter.Limit() {
-				limiter.Started(inFlight)
 				inFlight++
+				limiter.Started(inFlight)
 				began := t.Now()
 				var started, last time.Duration
 				job := &batch.Job{PromptTokens: 200 + rng.IntN(800), OutputTokens: 50 + rng.IntN(250)}
--- a/internal/entry/admission/admission_test.go
+++ b/internal/entry/admission/admission_test.go
@@ -101,7 +101,7 @@
 	feed := func(windows int, ttft, gap time.Duration) int {
 		for range windows * 20 {
 			now = now.Add(limiterWindow / 19)
-			l.Started(l.Limit() - 1)
+			l.Started(l.Limit())
 			l.FirstToken(now, ttft)
 			l.TokenGap(now, gap)
 		}
--- a/internal/entry/admission/limiter.go
+++ b/internal/entry/admission/limiter.go
@@ -49,10 +49,11 @@
 // Limit returns how many own requests may run on the replica at once.
 func (l *Limiter) Limit() int { return int(math.Floor(l.limit)) }
 
-// Started records that a request was dispatched while inFlight others ran.
+// Started records that a request was dispatched; inFlight are the own requests that
+// run on the replica now, with this one.
 func (l *Limiter) Started(inFlight int) {
-	l.peak = max(l.peak, inFlight+1)
-	if l.settling && inFlight < l.Limit() {
+	l.peak = max(l.peak, inFlight)
+	if l.settling && inFlight <= l.Limit() {
 		l.settling = false
 		l.begun = time.Time{}
 	}
