Feed the limiter each 16 tokens, cap each replica, drop shares with the lease

Cause: the limiter heard of a gap only at an answer's end, its limit bounded only the sum over replicas, and an entry without a lease reported stale shares. Ruled out: a gap per token, which costs a lock for each. Change: dispatch.Route.TokenGap, Router.SetLimit, Quota.DropShares are wired in.

--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -21,7 +21,7 @@
 func (e *executor) attempt(ctx context.Context, a execution.Dispatch) execution.Event {
 	start := time.Now()
 	ended := e.follow(ctx, a, start)
-	end := AttemptEnd{Kind: ended.Kind, Code: ended.Code, TokenGap: e.progress.gap(), CachedTokens: -1}
+	end := AttemptEnd{Kind: ended.Kind, Code: ended.Code, CachedTokens: -1}
 	if ended.Kind == execution.EndComplete {
 		end.CachedTokens = e.progress.end.CachedTokens
 	}
@@ -99,11 +99,14 @@
 }
 
 func (e *executor) chunk(m *message.Chunk, start time.Time) (execution.Ended, bool) {
-	if e.progress.count == 0 && e.route.FirstToken != nil {
+	if !e.progress.begun && e.route.FirstToken != nil {
 		e.route.FirstToken(time.Since(start))
 	}
 	switch err := e.progress.take(time.Now(), m); {
 	case err == nil:
+		if gap, ok := e.progress.gap(); ok && e.route.TokenGap != nil {
+			e.route.TokenGap(gap)
+		}
 		return execution.Ended{}, false
 	case isErrOffset(err):
 		event.FrameRejected.On(e.dispatcher.opts.Logger).Str("request", m.Ref.Request.String()).
--- a/internal/entry/dispatch/progress.go
+++ b/internal/entry/dispatch/progress.go
@@ -10,6 +10,9 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
+// gapTokens is how many tokens a measured gap is the mean of, at least.
+const gapTokens = 16
+
 // maxKeptBytes bounds the answer that the ledger keeps for resends.
 const maxKeptBytes = 64 << 10
 
@@ -41,7 +44,9 @@
 	text   []byte
 	end    message.End
 
-	// first, last and count are of the present attempt's chunks.
+	// begun says that the present attempt has given a token; first, last and count
+	// are of its tokens since the last gap.
+	begun       bool
 	first, last time.Time
 	count       uint64
 }
@@ -50,6 +55,7 @@
 // begins anew, since none of its answer has been given to the caller.
 func (p *progress) begin(ref message.Ref) {
 	p.ref = ref
+	p.begun = false
 	p.count = 0
 	if _, ok := p.work.Body.(ServiceCall); ok {
 		p.head = nil
@@ -70,9 +76,10 @@
 	}
 	p.text = append(p.text, c.Data...)
 	p.offset += uint64(c.Count)
-	if p.count == 0 {
+	if !p.begun {
 		p.first = now
 	}
+	p.begun = true
 	p.last = now
 	p.count += uint64(c.Count)
 	if _, ok := p.work.Body.(Generation); ok && p.sink != nil {
@@ -81,12 +88,15 @@
 	return nil
 }
 
-// gap is the mean time between the present attempt's tokens.
-func (p *progress) gap() time.Duration {
-	if _, ok := p.work.Body.(Generation); !ok || p.count < 2 {
-		return 0
+// gap returns the mean time between tokens since it last did, once there are enough.
+func (p *progress) gap() (time.Duration, bool) {
+	if _, ok := p.work.Body.(Generation); !ok || p.count <= gapTokens {
+		return 0, false
 	}
-	return p.last.Sub(p.first) / time.Duration(p.count-1)
+	gap := p.last.Sub(p.first) / time.Duration(p.count-1)
+	p.first = p.last
+	p.count = 1
+	return gap, true
 }
 
 // rest gives the caller what it lacks of a generation's answer that came from the
--- a/internal/entry/dispatch/work.go
+++ b/internal/entry/dispatch/work.go
@@ -79,10 +79,12 @@
 // Route is where an attempt goes, and how its end is told to the policy.
 type Route struct {
 	Target execution.Target
-	// FirstToken and Done may be nil.
+	// FirstToken, TokenGap and Done may be nil.
 	FirstToken func(after time.Duration)
-	Done       func(end AttemptEnd)
-	Suspect    bool
+	// TokenGap is told the mean time between tokens, every gapTokens of them.
+	TokenGap func(gap time.Duration)
+	Done     func(end AttemptEnd)
+	Suspect  bool
 	// Live, if set, ends when the attempt is to be broken off and offered again.
 	Live context.Context
 	// Patience is how long the first token may take before the attempt is broken off
@@ -94,8 +96,6 @@
 type AttemptEnd struct {
 	Kind execution.EndKind
 	Code string
-	// TokenGap is the mean time between the attempt's tokens, 0 if it had too few.
-	TokenGap time.Duration
 	// CachedTokens is the number of prompt tokens that the engine had cached, -1 if
 	// it did not say.
 	CachedTokens int
--- a/internal/entry/server/policy.go
+++ b/internal/entry/server/policy.go
@@ -109,6 +109,12 @@
 	return p.fleet != nil && (len(p.fleet.Teams) == 0 || len(p.quota.Shares()) > 0)
 }
 
+func (p *policy) dropShares() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.quota.DropShares()
+}
+
 func (p *policy) renewal(now time.Time) message.Renewal {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -145,7 +151,9 @@
 			continue
 		}
 		live[route.Replica.ID] = true
-		slots[route.Replica.Spec.Model] += p.limiter(route).Limit()
+		limit := p.limiter(route).Limit()
+		p.router.SetLimit(route.Replica.ID, limit)
+		slots[route.Replica.Spec.Model] += limit
 	}
 	for id := range p.limiters {
 		if !live[id] {
--- a/internal/entry/server/router.go
+++ b/internal/entry/server/router.go
@@ -105,6 +105,11 @@
 			p.router.FirstToken(time.Now(), ticket)
 			limiter.FirstToken(time.Now(), after)
 		},
+		TokenGap: func(gap time.Duration) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			limiter.TokenGap(time.Now(), gap)
+		},
 		Done: func(end dispatch.AttemptEnd) {
 			s.landed(work, choice.Route, ticket, end)
 		},
@@ -121,9 +126,6 @@
 	p.tracker.End(work.BodyHash, id, work.Suspect)
 	p.flights--
 	p.revoke(ticket)
-	if end.TokenGap > 0 {
-		p.limiter(route).TokenGap(now, end.TokenGap)
-	}
 	if end.Code == execution.CodeEngineCrashed {
 		p.tracker.Crashed(now, work.BodyHash, id, route.Replica.Fence)
 		p.revokeSuspects(now)
--- a/internal/entry/server/session.go
+++ b/internal/entry/server/session.go
@@ -19,7 +19,12 @@
 }
 
 // Renewal implements session.Daemon.
-func (s *Server) Renewal() message.Renewal { return s.policy.renewal(time.Now()) }
+func (s *Server) Renewal() message.Renewal {
+	if !s.session.Valid() {
+		s.policy.dropShares()
+	}
+	return s.policy.renewal(time.Now())
+}
 
 // ApplyConfig implements session.Daemon.
 func (s *Server) ApplyConfig(revision view.Revision, yaml []byte) error {
