Measure the replicated log; test what removals of its protections left unseen

Ruled out: keeping the code that lowers older writes after a truncation. A leader's own vote reaches the disk behind them, so no run could show it; it is gone.

--- /dev/null
+++ b/internal/control/quorum/bench_test.go
@@ -0,0 +1,97 @@
+package quorum
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+)
+
+// cluster is a set of machines joined without loss, delay or disk.
+type cluster struct {
+	now      time.Time
+	machines map[host.ID]*Machine
+	applied  int
+	bytes    int
+	queue    []Message
+}
+
+func (c *cluster) step(m *Machine, e Event) {
+	for _, a := range m.Step(c.now, e) {
+		switch a := a.(type) {
+		case Persist:
+			c.step(m, Persisted{Sequence: a.Sequence})
+		case Send:
+			c.queue = append(c.queue, a.Message)
+		case Apply:
+			if m.role == RoleLeader {
+				c.applied += len(a.Entries)
+			}
+		}
+	}
+}
+
+func (c *cluster) settle(b *testing.B) {
+	for len(c.queue) > 0 {
+		m := c.queue[0]
+		c.queue = c.queue[1:]
+		raw, err := m.Encode()
+		require.NoError(b, err)
+		c.bytes += len(raw)
+		m, err = Decode(raw, m.From, m.To)
+		require.NoError(b, err)
+		c.step(c.machines[m.To], Received{Message: m})
+	}
+}
+
+// BenchmarkCommit measures the processor time and link bytes of committing entries
+// of 256 bytes at all hosts together, codec included, by hosts and batch size.
+func BenchmarkCommit(b *testing.B) {
+	for _, hosts := range []int{3, 5, 7} {
+		for _, batch := range []int{1, 16, 256} {
+			b.Run(fmt.Sprintf("hosts=%d/batch=%d", hosts, batch), func(b *testing.B) {
+				benchmarkCommit(b, hosts, batch)
+			})
+		}
+	}
+}
+
+func benchmarkCommit(b *testing.B, hosts, batch int) {
+	c := &cluster{now: time.Unix(1, 0), machines: map[host.ID]*Machine{}}
+	var ids []host.ID
+	for i := range hosts {
+		ids = append(ids, host.ID(fmt.Sprintf("c%d", i+1)))
+	}
+	for i, id := range ids {
+		memory := Memory{Hard: HardState{Generation: Generation(i + 1)}}
+		c.machines[id] = New(c.now, Options{Self: id, Hosts: ids}, memory)
+	}
+	leader := c.machines[ids[0]]
+	for leader.role != RoleLeader || leader.commit == 0 {
+		c.now = c.now.Add(DefaultHeartbeat)
+		for _, id := range ids {
+			c.step(c.machines[id], Tick{})
+			c.settle(b)
+		}
+	}
+	proposals := make([]Proposal, batch)
+	for i := range proposals {
+		proposals[i] = Proposal{ID: uint64(i), Command: make([]byte, 256)}
+	}
+	c.bytes, c.applied = 0, 0
+	for b.Loop() {
+		c.step(leader, Propose{Proposals: proposals})
+		c.settle(b)
+		if leader.applied-leader.snapshot.Index > 10_000 {
+			for _, m := range c.machines {
+				c.step(m, Taken{Index: m.applied})
+			}
+		}
+	}
+	require.Equal(b, b.N*batch, c.applied)
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(c.applied), "ns/entry")
+	b.ReportMetric(float64(c.bytes)/float64(c.applied), "bytes/entry")
+}
--- a/internal/control/quorum/faults_test.go
+++ b/internal/control/quorum/faults_test.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// TestPausedLeaderServesNoRead pauses a leader while the others elect another one and
+// commit. A read that it takes in first when it wakes is not served.
+func TestPausedLeaderServesNoRead(t *testing.T) {
+	w, paused, _ := founded(t, 13)
+	w.read(paused)
+	require.Equal(t, 1, w.served)
+	paused.frozen = w.now.Add(time.Hour)
+	w.run(5 * time.Second)
+	w.propose(w.leader(), 1)
+	w.run(time.Second)
+	require.Equal(t, RoleLeader, paused.machine.role)
+	w.read(paused)
+	require.Equal(t, 1, w.served)
+}
+
 // TestVoteOfALostDisk lets a host vote in a later term and lose its disk before the
 // vote arrives. The leader of the earlier term takes the new disk in only with the
 // word of a majority of the others, which includes a voter that the candidate still
@@ -106,6 +121,27 @@
 	require.Zero(t, w.forgetful())
 }
 
+// TestExpelledDiskStartsOver shows a disk that the log names another one in its place
+// and then the old one again, neither committed. Between the two another disk may
+// have voted as this host, so this one may not vote until it is named anew.
+func TestExpelledDiskStartsOver(t *testing.T) {
+	w, leader, others := founded(t, 10)
+	b := others[0]
+	old := b.machine.hard.Generation
+	listed := *b.machine.log.membership()
+	replaced := listed.With(b.id, 77)
+	last, term := b.machine.log.last(), b.machine.hard.Term
+	w.step(b, Received{Message: Message{
+		From: leader.id, To: b.id, Generation: leader.machine.hard.Generation, Term: term, Admitted: true,
+		Body: Append{PrevIndex: last, PrevTerm: b.machine.log.lastTerm(), Commit: last, Entries: []Entry{
+			{Index: last + 1, Term: term, Kind: EntryMembership, Membership: &replaced},
+			{Index: last + 2, Term: term, Kind: EntryMembership, Membership: &listed},
+		}},
+	}})
+	require.False(t, b.machine.hard.Admitted)
+	require.NotEqual(t, old, b.machine.hard.Generation)
+}
+
 // TestSilentHostReturns cuts a follower off for an hour, wholly or one way, and also
 // a candidate that had just entered a new term. The leader keeps its office.
 func TestSilentHostReturns(t *testing.T) {
@@ -126,7 +162,9 @@
 			if c.candidate {
 				silent.machine.startElection(w.clock(silent))
 			}
+			w.tick = testTiming.Heartbeat / 2
 			w.run(time.Hour)
+			w.tick = tick
 			w.propose(leader, 1)
 			w.heal()
 			w.run(10 * time.Second)
@@ -276,19 +314,75 @@
 	}
 }
 
-// TestLateWordsOfALostDisk delivers an old Join of a disk that is gone. The disk in
-// use stays a voter.
-func TestLateWordsOfALostDisk(t *testing.T) {
-	w, leader, others := founded(t, 4)
-	away := others[0]
-	w.cut(away.id, true, true)
-	w.run(5 * time.Second)
-	late := Message{From: away.id, To: leader.id, Generation: 77, Body: Join{Fresh: true}}
-	w.step(leader, Received{Message: late})
-	w.heal()
-	w.run(5 * time.Second)
-	require.Equal(t, away.machine.hard.Generation, leader.machine.log.membership().Current[away.id])
-	require.Len(t, w.committed, int(away.applied))
+// TestOtherDisksOfAHost has a second disk speak in the name of a host that answers,
+// and late words of a lost disk arrive while the host is away. In both cases the
+// disk in use stays a voter.
+func TestOtherDisksOfAHost(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		w, leader, others := founded(t, 4)
+		named := others[0]
+		sent := leader.machine.stamp(w.clock(leader))
+		if away {
+			w.cut(named.id, true, true)
+			w.run(5 * time.Second)
+		}
+		for _, body := range []Body{Join{Fresh: true}, HeartbeatReply{Sent: sent}} {
+			w.step(leader, Received{Message: Message{
+				From: named.id, To: leader.id, Generation: 77, Term: leader.machine.hard.Term, Body: body,
+			}})
+			require.Equal(t, named.machine.hard.Generation, leader.machine.log.membership().Current[named.id])
+		}
+		w.heal()
+		w.run(5 * time.Second)
+		require.Len(t, w.committed, int(named.applied))
+	}
+}
+
+// TestLateSnapshot sends a follower a snapshot of what it has and more. What stands
+// behind the snapshot may have been acknowledged and stays.
+func TestLateSnapshot(t *testing.T) {
+	w, leader, others := founded(t, 11)
+	b := others[0]
+	w.drop = func(m Message) bool { return m.From != leader.id }
+	w.propose(leader, 4)
+	w.run(testTiming.Heartbeat)
+	last, commit := b.machine.log.last(), b.machine.commit
+	require.Equal(t, commit+4, last)
+	w.step(b, Received{Message: Message{
+		From: leader.id, To: b.id, Generation: leader.machine.hard.Generation, Term: leader.machine.hard.Term,
+		Body: Chunk{Snapshot: Snapshot{
+			Index: commit + 2, Term: leader.machine.hard.Term, Membership: *b.machine.log.membership(),
+		}},
+	}})
+	require.Equal(t, last, b.machine.log.last())
+	require.Equal(t, commit+2, b.machine.commit)
+}
+
+// TestVoteNeedsTheLog asks for votes and for support with logs that end early. A host
+// that holds more gives neither, even when a leader asked for the candidacy.
+func TestVoteNeedsTheLog(t *testing.T) {
+	w, _, others := founded(t, 12)
+	voter, candidate := others[0], others[1]
+	term := voter.machine.hard.Term
+	last, lastTerm := voter.machine.log.last(), voter.machine.log.lastTerm()
+	for _, short := range []Body{
+		PreVote{Next: term + 1, LastIndex: last - 1, LastTerm: lastTerm},
+		PreVote{Next: term + 1, LastIndex: last + 9, LastTerm: lastTerm - 1},
+		Vote{LastIndex: last - 1, LastTerm: lastTerm, Transfer: true},
+		Vote{LastIndex: last + 9, LastTerm: lastTerm - 1, Transfer: true},
+	} {
+		voter.machine.contact = time.Time{}
+		w.step(voter, Received{Message: Message{
+			From: candidate.id, To: voter.id, Generation: candidate.machine.hard.Generation,
+			Term: term + 1, Admitted: true, Body: short,
+		}})
+		w.run(tick)
+		require.NotEqual(t, candidate.id, voter.machine.hard.Vote)
+		for _, p := range w.net {
+			reply, granted := p.msg.Body.(PreVoteReply)
+			require.False(t, granted && reply.Granted)
+		}
+	}
 }
 
 // TestTransfer sees the office move without an election timeout, and nothing lost.
--- a/internal/control/quorum/follower.go
+++ b/internal/control/quorum/follower.go
@@ -57,7 +57,6 @@
 		}
 		if known {
 			m.log.truncate(e.Index)
-			m.writes.truncated(e.Index)
 		}
 		m.log.append(entries[i:])
 		m.writes.entries = append(m.writes.entries, entries[i:]...)
--- a/internal/control/quorum/writes.go
+++ b/internal/control/quorum/writes.go
@@ -15,7 +15,8 @@
 	done     uint64
 	pending  []pendingWrite
 	held     []heldMessage
-	// stable is the last index known to be on disk.
+	// stable is the last index known to be on disk. It is right on a leader only, whose
+	// own vote went to disk behind all that it truncated as a follower.
 	stable Index
 	// uncommitted counts the bytes of entries ahead of the commit index.
 	uncommitted int
@@ -31,14 +32,6 @@
 	message  Message
 }
 
-// truncated notes that writes under way no longer vouch for entries from first on.
-func (w *writes) truncated(first Index) {
-	w.stable = min(w.stable, first-1)
-	for i := range w.pending {
-		w.pending[i].last = min(w.pending[i].last, first-1)
-	}
-}
-
 // flush emits one Persist for what this step changed, and lets go of the messages
 // that wait for no more writes.
 func (m *Machine) flush() {
--- /dev/null
+++ b/internal/control/replication/bench_test.go
@@ -0,0 +1,94 @@
+package replication
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// countingConn counts what is sent over a socket.
+type countingConn struct {
+	net.PacketConn
+	bytes, packets *atomic.Int64
+}
+
+func (c countingConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	c.packets.Add(1)
+	return c.PacketConn.WriteTo(p, to)
+}
+
+// processorTime returns what this process has used so far.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkPropose measures proposals of 256 bytes that whole hosts commit, over QUIC
+// in memory with journals on this disk, by hosts and concurrent callers. Processor
+// time is that of all hosts and callers together.
+func BenchmarkPropose(b *testing.B) {
+	for _, hosts := range []int{3, 5, 7} {
+		for _, callers := range []int{1, 16, 256} {
+			b.Run(fmt.Sprintf("hosts=%d/callers=%d", hosts, callers), func(b *testing.B) {
+				c := newCluster(b, hosts)
+				c.entries = 0
+				c.startAll()
+				defer c.stopAll()
+				leader := c.leader()
+				c.propose(leader, "first")
+				command := make([]byte, 256)
+				before := processorTime(b)
+				var group errgroup.Group
+				var left atomic.Int64
+				left.Store(int64(b.N))
+				b.ResetTimer()
+				for range callers {
+					group.Go(func() error {
+						for left.Add(-1) >= 0 {
+							if _, err := c.nodes[leader].log.Propose(context.Background(), command); err != nil {
+								return err
+							}
+						}
+						return nil
+					})
+				}
+				require.NoError(b, group.Wait())
+				b.StopTimer()
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "proposals/s")
+				b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-us/proposal")
+			})
+		}
+	}
+}
+
+// BenchmarkIdle measures what hosts without work use in a second, divided by the
+// followers. Bytes are UDP payload in both directions, links included.
+func BenchmarkIdle(b *testing.B) {
+	for _, hosts := range []int{3, 5, 7} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			c := newCluster(b, hosts)
+			c.counted = true
+			c.startAll()
+			defer c.stopAll()
+			c.propose(c.leader(), "first")
+			<-time.After(time.Second)
+			before, bytes, packets := processorTime(b), c.bytes.Load(), c.packets.Load()
+			for b.Loop() {
+				<-time.After(time.Second)
+			}
+			per := b.Elapsed().Seconds() * float64(hosts-1)
+			b.ReportMetric(float64((processorTime(b)-before).Microseconds())/per, "cpu-us/follower/s")
+			b.ReportMetric(float64(c.bytes.Load()-bytes)/per, "bytes/follower/s")
+			b.ReportMetric(float64(c.packets.Load()-packets)/per, "packets/follower/s")
+		})
+	}
+}
--- a/internal/control/replication/call.go
+++ b/internal/control/replication/call.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"github.com/egretreach/egretreach/internal/control/quorum"
 )
 
@@ -70,18 +72,23 @@
 }
 
 // Barrier returns nil when the state holds the effect of every proposal that was
-// answered before the call, and this host led the log at some moment since.
+// answered before the call, and this host led the log at some moment since. It
+// returns ErrNotLeader, ErrNoReadPoint, ErrBusy or ErrStopped.
 func (l *Log) Barrier(ctx context.Context) error {
 	w := newWaiter()
 	if err := l.put(ctx, inputBarrier{waiter: w}); err != nil {
 		return err
 	}
 	_, err := l.wait(ctx, w)
+	var uncertain ErrUncertain
+	if errors.As(err, &uncertain) {
+		return ErrNoReadPoint(uncertain)
+	}
 	return err
 }
 
 // Transfer hands the leadership to another host, if this host has it. It returns
-// nil once another host leads.
+// nil once another host leads, and ErrNoSuccessor if none takes it up.
 func (l *Log) Transfer(ctx context.Context) error {
 	w := newWaiter()
 	if err := l.put(ctx, inputTransfer{waiter: w}); err != nil {
--- a/internal/control/replication/cluster_test.go
+++ b/internal/control/replication/cluster_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,13 +45,19 @@
 	nodes     map[host.ID]*member
 	entries   int
 	timing    quorum.Timing
+	// counted has bytes and packets count what is sent.
+	counted        bool
+	bytes, packets atomic.Int64
 }
 
 type member struct {
 	folder string
+	files  failingDisk
 	state  *lines
 	log    *Log
-	stop   func()
+	// stop ends the host in good order; fail waits until it ends by itself.
+	stop func()
+	fail func() error
 }
 
 func newCluster(t testing.TB, n int) *cluster {
@@ -82,8 +91,12 @@
 	require.NoError(c.t, err)
 	socket, err := c.network.Listen(c.peers[id])
 	require.NoError(c.t, err)
-	endpoint := transport.New(socket, credentials, transport.Options{})
-	kept, err := journal.Open(journal.Disk{}, m.folder)
+	var conn net.PacketConn = socket
+	if c.counted {
+		conn = countingConn{PacketConn: socket, bytes: &c.bytes, packets: &c.packets}
+	}
+	endpoint := transport.New(conn, credentials, transport.Options{})
+	kept, err := journal.Open(&m.files, m.folder)
 	require.NoError(c.t, err)
 	m.state = &lines{}
 	m.log = New(Options{
@@ -91,9 +104,9 @@
 		Timing: c.timing, SnapshotEntries: c.entries,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 2)
+	done, served := make(chan error, 1), make(chan error, 1)
 	go func() {
-		done <- endpoint.Serve(ctx, func(ctx context.Context, s *transport.Stream) {
+		served <- endpoint.Serve(ctx, func(ctx context.Context, s *transport.Stream) {
 			first, err := s.Receive()
 			if q, ok := first.(*message.Quorum); ok && err == nil {
 				m.log.Serve(ctx, s, q)
@@ -101,14 +114,23 @@
 		})
 	}()
 	go func() { done <- m.log.Run(ctx) }()
-	m.stop = func() {
+	end := func() {
 		cancel()
-		require.NoError(c.t, <-done)
-		require.NoError(c.t, <-done)
+		require.NoError(c.t, <-served)
 		require.NoError(c.t, endpoint.Close())
 		require.NoError(c.t, kept.Close())
 		m.stop = nil
 	}
+	m.stop = func() {
+		cancel()
+		require.NoError(c.t, <-done)
+		end()
+	}
+	m.fail = func() error {
+		err := <-done
+		end()
+		return err
+	}
 }
 
 func (c *cluster) stopAll() {
@@ -208,6 +230,54 @@
 	}
 }
 
+// failingDisk is a disk whose new files are full while full is set.
+type failingDisk struct {
+	journal.Disk
+	full atomic.Bool
+}
+
+type failingFile struct {
+	journal.File
+	disk *failingDisk
+}
+
+func (d *failingDisk) Create(name string) (journal.File, error) {
+	f, err := d.Disk.Create(name)
+	return failingFile{File: f, disk: d}, err
+}
+
+func (f failingFile) Write(p []byte) (int, error) {
+	if f.disk.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(p)
+}
+
+// TestFullDisk fills one host's disk. That host leaves with a typed error and
+// acknowledges nothing more; the others go on, and it catches up when it has room.
+func TestFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.startAll()
+		defer c.stopAll()
+		leader := c.leader()
+		c.propose(leader, "before")
+		full := c.nodes[leader]
+		full.files.full.Store(true)
+		_, err := full.log.Propose(t.Context(), []byte("no room"))
+		require.True(t, IsErrUncertain(err), "%v", err)
+		err = full.fail()
+		require.True(t, IsErrJournal(err) && journal.IsErrDiskFull(err), "%v", err)
+		next := c.leader()
+		c.propose(next, "meanwhile")
+		full.files.full.Store(false)
+		c.start(leader)
+		time.Sleep(5 * time.Second)
+		c.stopAll()
+		require.Equal(t, c.nodes[next].state.all, full.state.all)
+	})
+}
+
 // TestSilentHostKeepsLeader cuts a follower off for minutes, in both directions and
 // in one, and sees leader and term unchanged when it is back.
 func TestSilentHostKeepsLeader(t *testing.T) {
@@ -258,5 +328,8 @@
 		_, err = c.nodes[leader].log.Propose(t.Context(), []byte("unheard"))
 		require.True(t, IsErrUncertain(err) || IsErrNotLeader(err), "%v", err)
 		require.True(t, IsErrNotLeader(c.nodes[leader].log.Barrier(t.Context())))
+		c.heal(leader)
+		time.Sleep(5 * time.Second)
+		c.propose(c.leader(), "after")
 	})
 }
--- a/internal/control/replication/errors.go
+++ b/internal/control/replication/errors.go
@@ -31,6 +31,18 @@
 	return errors.As(err, &e)
 }
 
+// ErrNoReadPoint is a barrier that found no read point in time, because this host
+// could not show that it leads.
+type ErrNoReadPoint struct{ Reason string }
+
+func (e ErrNoReadPoint) Error() string { return "no read point: " + e.Reason }
+
+// IsErrNoReadPoint reports whether err is an ErrNoReadPoint.
+func IsErrNoReadPoint(err error) bool {
+	var e ErrNoReadPoint
+	return errors.As(err, &e)
+}
+
 // ErrBusy is a proposal that was refused because too much waits to be committed.
 // It had no effect.
 type ErrBusy struct{}
