Refuse a log that other control hosts founded; say what a founding waits for

Cause: control hosts whose settings name different hosts count different majorities, and a first start with one host missing waited without a word. Ruled out: taking the list from the log in place of the settings; a mistake in the settings would then go unseen.

--- a/internal/control/quorum/admission.go
+++ b/internal/control/quorum/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/fleet/host"
@@ -131,6 +132,9 @@
 	if !m.fresh() || !listed || !msg.Admitted || body.Echo != m.hard.Challenge {
 		return
 	}
+	if !m.sameHosts(body.Founding) {
+		return
+	}
 	m.hard.Promise = body.Founder
 	if m.hard.Term < foundingTerm {
 		m.hard.Term, m.hard.Vote = foundingTerm, m.founder()
@@ -144,6 +148,19 @@
 	return Entry{Index: 1, Term: foundingTerm, Kind: EntryMembership, Membership: &membership}
 }
 
+// sameHosts reports whether a founding has the hosts of this one's settings. With
+// other hosts, what one host takes for a majority need not meet another's.
+func (m *Machine) sameHosts(founding map[host.ID]Generation) bool {
+	same := len(founding) == len(m.peers)+1 && founding[m.self] != 0
+	for _, id := range m.peers {
+		same = same && founding[id] != 0
+	}
+	if !same {
+		m.emit(HostsDiffer{Founding: slices.Sorted(maps.Keys(founding))})
+	}
+	return same
+}
+
 // mayAppend reports whether entries may be taken in as far as the founding goes: a
 // disk that founds the log follows no founder but the one it has promised.
 func (m *Machine) mayAppend(entries []Entry) bool {
@@ -151,6 +168,9 @@
 		return true
 	}
 	membership := *entries[0].Membership
+	if !m.sameHosts(membership.Founding) {
+		return false
+	}
 	return membership.Founding[m.self] != m.hard.Generation || m.hard.Promise == membership.Founder
 }
 
--- a/internal/control/quorum/event.go
+++ b/internal/control/quorum/event.go
@@ -122,6 +122,10 @@
 // Expelled says that the log names another disk for this host.
 type Expelled struct{ Generation Generation }
 
+// HostsDiffer says that the log was founded by other hosts than those of the
+// settings. This host takes nothing in.
+type HostsDiffer struct{ Founding []host.ID }
+
 func (Persist) action() {}
 
 func (Send) action() {}
@@ -141,3 +145,5 @@
 func (Admitted) action() {}
 
 func (Expelled) action() {}
+
+func (HostsDiffer) action() {}
--- a/internal/control/quorum/faults_test.go
+++ b/internal/control/quorum/faults_test.go
@@ -385,6 +385,23 @@
 	}
 }
 
+// TestHostsDiffer founds a log of three hosts while a fourth is set up with five. It
+// takes nothing in and says why.
+func TestHostsDiffer(t *testing.T) {
+	w, leader, others := founded(t, 14)
+	wrong := others[0]
+	wrong.disk = Memory{Hard: HardState{Generation: wrong.machine.hard.Generation}}
+	w.hosts = append(w.hosts, "c4", "c5")
+	w.boot(wrong.id)
+	w.hosts = w.hosts[:3]
+	entries := leader.machine.log.slice(1, 1)
+	w.step(wrong, Received{Message: Message{
+		From: leader.id, Generation: leader.machine.hard.Generation, Term: foundingTerm, Body: Append{Entries: entries},
+	}})
+	require.Contains(t, wrong.last, HostsDiffer{Founding: w.hosts})
+	require.Zero(t, wrong.machine.log.last())
+}
+
 // TestTransfer sees the office move without an election timeout, and nothing lost.
 func TestTransfer(t *testing.T) {
 	w, leader, _ := founded(t, 5)
--- a/internal/control/quorum/follower.go
+++ b/internal/control/quorum/follower.go
@@ -73,6 +73,9 @@
 // receiveChunk gathers a snapshot and installs it when whole.
 func (m *Machine) receiveChunk(msg Message, body Chunk) {
 	meta := body.Snapshot
+	if !m.sameHosts(meta.Membership.Founding) {
+		return
+	}
 	if term, known := m.log.term(meta.Index); meta.Index <= m.commit || (known && term == meta.Term) {
 		// The log holds what the snapshot stands for and perhaps more, which stays.
 		m.commitTo(meta.Index)
--- a/internal/control/quorum/history_test.go
+++ b/internal/control/quorum/history_test.go
@@ -13,7 +13,7 @@
 // apply a new command. rapid prints the seed of a history that fails.
 func TestRandomHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "hosts")
+		n := rapid.SampledFrom([]int{3, 3, 5, 7}).Draw(t, "hosts")
 		w := newWorld(t, n, rapid.Uint64().Draw(t, "seed"))
 		w.lossy = rapid.Bool().Draw(t, "lossy at the founding")
 		w.run(time.Second)
--- a/internal/control/quorum/view.go
+++ b/internal/control/quorum/view.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/fleet/host"
@@ -22,6 +24,8 @@
 	Leaving bool
 	// Peers is empty but on a leader.
 	Peers []PeerView
+	// Awaited are the hosts without whose promise a founder cannot found the log.
+	Awaited []host.ID
 }
 
 // PeerView is one peer as a leader sees it.
@@ -39,6 +43,9 @@
 		Generation: m.hard.Generation, Admitted: m.hard.Admitted,
 		Last: m.log.last(), Commit: m.commit, Snapshot: m.snapshot.Index,
 	}
+	if m.fresh() && m.self == m.founder() {
+		v.Awaited = m.awaited()
+	}
 	if m.role != RoleLeader {
 		return v
 	}
@@ -52,5 +59,24 @@
 	return v
 }
 
+func (m *Machine) awaited() []host.ID {
+	var awaited []host.ID
+	for _, id := range m.peers {
+		if _, promised := m.promises[id]; !promised {
+			awaited = append(awaited, id)
+		}
+	}
+	return awaited
+}
+
+// Founders returns the hosts that founded the log in memory, in order, or nil.
+func (m Memory) Founders() []host.ID {
+	log := newEntryLog(m)
+	if membership := log.membership(); membership != nil {
+		return slices.Sorted(maps.Keys(membership.Founding))
+	}
+	return nil
+}
+
 // Timing returns the timing in use.
 func (m *Machine) Timing() Timing { return m.timing }
--- a/internal/control/replication/cluster_test.go
+++ b/internal/control/replication/cluster_test.go
@@ -255,6 +255,7 @@
 
 // TestFullDisk fills one host's disk. That host leaves with a typed error and
 // acknowledges nothing more; the others go on, and it catches up when it has room.
+// With another list of control hosts in its settings, it does not start.
 func TestFullDisk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 3)
@@ -275,6 +276,10 @@
 		time.Sleep(5 * time.Second)
 		c.stopAll()
 		require.Equal(t, c.nodes[next].state.all, full.state.all)
+
+		c.peers["c4"] = "10.0.0.4:7000"
+		c.start(leader)
+		require.True(t, IsErrHosts(full.fail()))
 	})
 }
 
--- a/internal/control/replication/errors.go
+++ b/internal/control/replication/errors.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
 )
 
 // ErrNotLeader is a call at a host that does not lead. It had no effect.
@@ -102,6 +104,23 @@
 	return errors.As(err, &e)
 }
 
+// ErrHosts is a journal that was written for other control hosts than those of the
+// settings.
+type ErrHosts struct {
+	Founders []host.ID
+	Settings []host.ID
+}
+
+func (e ErrHosts) Error() string {
+	return fmt.Sprintf("the journal belongs to the control hosts %v, the settings name %v", e.Founders, e.Settings)
+}
+
+// IsErrHosts reports whether err is an ErrHosts.
+func IsErrHosts(err error) bool {
+	var e ErrHosts
+	return errors.As(err, &e)
+}
+
 // ErrRestore is a snapshot that the state machine did not take.
 type ErrRestore struct{ Cause error }
 
--- a/internal/control/replication/loop.go
+++ b/internal/control/replication/loop.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
+// warnEvery is how often a host says that it waits to be admitted.
+const warnEvery = 10 * time.Second
+
 // loop feeds the state machine and carries its actions out.
 func (l *Log) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
@@ -19,6 +23,7 @@
 			return nil
 		case <-timer.C:
 			l.step(ctx, []quorum.Event{quorum.Tick{}})
+			l.warn()
 		case in := <-l.events:
 			l.step(ctx, l.gather(ctx, in))
 		}
@@ -117,11 +122,26 @@
 		l.roleChanged(ctx, a)
 	case quorum.Admitted:
 		event.QuorumAdmitted.On(l.opts.Logger).Uint64("generation", uint64(a.Generation)).Msg("")
+	case quorum.HostsDiffer:
+		event.QuorumHostsDiffer.On(l.opts.Logger).Str("founders", fmt.Sprint(a.Founding)).Msg("")
 	case quorum.Expelled:
 		event.QuorumExpelled.On(l.opts.Logger).Uint64("generation", uint64(a.Generation)).Msg("")
 	}
 }
 
+// warn says now and then that this host may not vote yet, and whom a founder lacks.
+func (l *Log) warn() {
+	now := time.Now()
+	view := l.machine.View(now)
+	if l.warned.IsZero() || view.Admitted {
+		l.warned = now
+	}
+	if now.Sub(l.warned) >= warnEvery {
+		l.warned = now
+		event.QuorumWaiting.On(l.opts.Logger).Str("awaited", fmt.Sprint(view.Awaited)).Msg("")
+	}
+}
+
 func (l *Log) take(id uint64) *waiter {
 	w := l.proposals[id]
 	delete(l.proposals, id)
--- a/internal/control/replication/replication.go
+++ b/internal/control/replication/replication.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +82,7 @@
 	proposals map[uint64]*waiter
 	pending   map[quorum.Index]*waiter
 	transfers []*waiter
+	warned    time.Time
 }
 
 // New returns the log of one control host.
@@ -125,6 +128,10 @@
 	if report.TornBytes > 0 {
 		event.JournalTorn.On(l.opts.Logger).Int("bytes", report.TornBytes).Msg("")
 	}
+	hosts := slices.Sorted(maps.Keys(l.opts.Peers))
+	if founders := l.opts.Journal.Memory().Founders(); founders != nil && !slices.Equal(founders, hosts) {
+		return ErrHosts{Founders: founders, Settings: hosts}
+	}
 	if snapshot := l.opts.Journal.Memory().Snapshot; snapshot.Index > 0 {
 		if err := l.opts.Machine.Restore(snapshot.Data); err != nil {
 			return ErrRestore{Cause: err}
--- a/internal/telemetry/event/quorum.go
+++ b/internal/telemetry/event/quorum.go
@@ -13,4 +13,6 @@
 	JournalFailed       = register(106, "journal_failed", log.ErrorLevel)
 	SnapshotFailed      = register(107, "snapshot_failed", log.ErrorLevel)
 	QuorumPeerConnected = register(108, "quorum_peer_connected", log.InfoLevel)
+	QuorumWaiting       = register(109, "quorum_waiting", log.WarnLevel)
+	QuorumHostsDiffer   = register(110, "quorum_hosts_differ", log.ErrorLevel)
 )
