Send entries the loads without their routes, at most once a second

Cause: each load report carried its whole route to every entry twice a second, so an entry's traffic from control grew by some 350 B/s with each replica and passed 6 KB/s at 160 daemons. Ruled out: pushing whole routes more seldom; at 100 replicas it would have taken pauses of 3 s and more, which routing would feel. Change: view.View has loads beside the routes; Merge puts them in place, so entries need no other code. Changes of routes still go out at once, at most every 100 ms; loads alone wait for the next second.

--- a/internal/control/server/board.go
+++ b/internal/control/server/board.go
@@ -14,10 +14,13 @@
 // board holds the fleet view with the version at which each part last changed, so
 // that each entry is sent only what it has not had.
 type board struct {
-	version    uint64
+	version uint64
+	// structure is the version at which something but loads last changed.
+	structure  uint64
 	term       uint64
 	revision   view.Revision
 	routes     map[string]posted[view.Route]
+	loads      map[string]posted[view.ReplicaLoad]
 	services   map[string]posted[view.Service]
 	quarantine map[string]posted[view.Quarantine]
 	// freedAt is the version at which a body was last freed. A push that spans it
@@ -37,6 +40,7 @@
 func newBoard() *board {
 	return &board{
 		routes:     map[string]posted[view.Route]{},
+		loads:      map[string]posted[view.ReplicaLoad]{},
 		services:   map[string]posted[view.Service]{},
 		quarantine: map[string]posted[view.Quarantine]{},
 		removed:    map[string]uint64{},
@@ -48,7 +52,8 @@
 	b.term = p.term
 	b.revision = p.revision
 	next := b.version + 1
-	changed := post(b.routes, b.removed, p.routes(), next)
+	routes, loads := p.routes()
+	changed := post(b.routes, b.removed, routes, next)
 	changed = post(b.services, b.removed, p.services(), next) || changed
 	freed := map[string]uint64{}
 	changed = post(b.quarantine, freed, p.bodies(), next) || changed
@@ -56,6 +61,9 @@
 		b.freedAt = next
 	}
 	if changed || !b.ready {
+		b.version, b.structure = next, next
+	}
+	if post(b.loads, map[string]uint64{}, loads, next) {
 		b.version = next
 	}
 	b.ready = true
@@ -92,8 +100,13 @@
 	push.View.Sequence = b.version
 	push.View.Revision = b.revision
 	for _, id := range slices.Sorted(keysOf(b.routes)) {
-		if r := b.routes[id]; r.version > version {
-			push.View.Routes = append(push.View.Routes, r.value)
+		route, load := b.routes[id], b.loads[id]
+		switch {
+		case route.version > version:
+			route.value.Load = load.value.Load
+			push.View.Routes = append(push.View.Routes, route.value)
+		case load.version > version:
+			push.View.Loads = append(push.View.Loads, load.value)
 		}
 	}
 	for _, id := range slices.Sorted(keysOf(b.services)) {
@@ -127,12 +140,11 @@
 	}
 }
 
-// serviceKey names one endpoint of a plain service in ViewPush.Removed.
-func serviceKey(name string, h host.ID) string { return name + "@" + string(h) }
-
-// routes returns the replicas that entries may know of, by their IDs.
-func (p *picture) routes() map[string]view.Route {
+// routes returns the replicas that entries may know of, without their loads, and
+// their loads, by their IDs.
+func (p *picture) routes() (map[string]view.Route, map[string]view.ReplicaLoad) {
 	routes := map[string]view.Route{}
+	loads := map[string]view.ReplicaLoad{}
 	for _, r := range p.replicas {
 		st := p.stateOf(r)
 		if st != replica.StateServing && st != replica.StateDraining {
@@ -141,11 +153,11 @@
 		head := p.daemons[r.Head()]
 		held, _ := heldBy(head, r.ID, r.Fence)
 		routes[string(r.ID)] = view.Route{
-			Replica: r.WithState(st), Address: head.Info.Address,
-			Incarnation: head.Info.Incarnation, Load: held.Load,
+			Replica: r.WithState(st), Address: head.Info.Address, Incarnation: head.Info.Incarnation,
 		}
+		loads[string(r.ID)] = view.ReplicaLoad{Replica: r.ID, Load: held.Load}
 	}
-	return routes
+	return routes, loads
 }
 
 // bodies returns the suspect and quarantined bodies.
@@ -169,9 +181,10 @@
 			if e.Kind != host.KindService {
 				continue
 			}
-			services[serviceKey(e.Name, h.Info.ID)] = view.Service{
+			service := view.Service{
 				Name: e.Name, Host: h.Info.ID, Address: d.Info.Address, Incarnation: d.Info.Incarnation,
 			}
+			services[service.Key()] = service
 		}
 	}
 	return services
--- a/internal/control/server/fleet_test.go
+++ b/internal/control/server/fleet_test.go
@@ -349,27 +349,7 @@
 		d.view = m.View
 		return
 	}
-	gone := map[string]bool{}
-	for _, id := range m.Removed {
-		gone[id] = true
-	}
-	for _, r := range m.View.Routes {
-		gone[string(r.Replica.ID)] = true
-	}
-	routes := m.View.Routes
-	for _, r := range d.view.Routes {
-		if !gone[string(r.Replica.ID)] {
-			routes = append(routes, r)
-		}
-	}
-	services := m.View.Services
-	for _, svc := range d.view.Services {
-		if !gone[serviceKey(svc.Name, svc.Host)] {
-			services = append(services, svc)
-		}
-	}
-	d.view = m.View
-	d.view.Routes, d.view.Services = routes, services
+	d.view = d.view.Merge(m.View, m.Removed)
 }
 
 func (d *daemon) lastView() view.View {
--- a/internal/control/server/push.go
+++ b/internal/control/server/push.go
@@ -77,7 +77,8 @@
 	return revision, nil
 }
 
-// pushView sends an entry the changes of the view, at most every ViewEvery.
+// pushView sends an entry the changes of the view, at most every ViewEvery, and loads
+// alone at most every LoadEvery.
 func (s *session) pushView(ctx context.Context) error {
 	if wait := s.leader.server.timing.ViewEvery - time.Since(s.viewAt); wait > 0 {
 		select {
@@ -88,7 +89,8 @@
 	}
 	s.leader.mu.Lock()
 	b := s.leader.board
-	if !b.ready || b.version == s.viewSent {
+	lazy := b.structure <= s.viewSent && time.Since(s.viewAt) < s.leader.server.timing.LoadEvery
+	if !b.ready || b.version == s.viewSent || lazy {
 		s.leader.mu.Unlock()
 		return nil
 	}
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -38,6 +38,8 @@
 	StepEvery time.Duration
 	// ViewEvery is the least time between two pushes of the view to one entry.
 	ViewEvery time.Duration
+	// LoadEvery is the least time between two pushes of loads alone to one entry.
+	LoadEvery time.Duration
 	// OrderRetry is when an order that is not done is sent again.
 	OrderRetry time.Duration
 	// ClaimBatch is how long claims wait for others to share a proposal.
@@ -52,6 +54,7 @@
 	DefaultRenewEvery     = 500 * time.Millisecond
 	DefaultStepEvery      = 500 * time.Millisecond
 	DefaultViewEvery      = 100 * time.Millisecond
+	DefaultLoadEvery      = 900 * time.Millisecond
 	DefaultOrderRetry     = 5 * time.Second
 	DefaultClaimBatch     = 2 * time.Millisecond
 	DefaultProposeTimeout = 3 * time.Second
@@ -67,6 +70,7 @@
 	fill(&t.RenewEvery, DefaultRenewEvery)
 	fill(&t.StepEvery, DefaultStepEvery)
 	fill(&t.ViewEvery, DefaultViewEvery)
+	fill(&t.LoadEvery, DefaultLoadEvery)
 	fill(&t.OrderRetry, DefaultOrderRetry)
 	fill(&t.ClaimBatch, DefaultClaimBatch)
 	fill(&t.ProposeTimeout, DefaultProposeTimeout)
--- a/internal/fleet/view/merge.go
+++ b/internal/fleet/view/merge.go
@@ -1,10 +1,14 @@
 package view
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/egretreach/egretreach/internal/fleet/replica"
+)
 
 // Merge returns v changed by a delta: routes, services and quarantined bodies of the
 // same identity are replaced, and the routes and services whose keys stand in removed
-// are gone.
+// are gone. The delta's loads are put into the routes.
 func (v View) Merge(delta View, removed []string) View {
 	gone := make(map[string]bool, len(removed))
 	for _, key := range removed {
@@ -14,9 +18,23 @@
 	merged.Routes = mergeBy(v.Routes, delta.Routes, Route.Key, gone)
 	merged.Services = mergeBy(v.Services, delta.Services, Service.Key, gone)
 	merged.Quarantine = mergeBy(v.Quarantine, delta.Quarantine, Quarantine.key, nil)
+	merged.Loads = nil
+	putLoads(merged.Routes, delta.Loads)
 	return merged
 }
 
+func putLoads(routes []Route, loads []ReplicaLoad) {
+	byReplica := make(map[replica.ID]Load, len(loads))
+	for _, l := range loads {
+		byReplica[l.Replica] = l.Load
+	}
+	for i, r := range routes {
+		if load, reported := byReplica[r.Replica.ID]; reported {
+			routes[i].Load = load
+		}
+	}
+}
+
 // Key is the route's identity in a delta.
 func (r Route) Key() string { return string(r.Replica.ID) }
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -66,6 +66,14 @@
 	Routes     []Route      `cbor:"4,keyasint" json:"routes"`
 	Services   []Service    `cbor:"5,keyasint" json:"services"`
 	Quarantine []Quarantine `cbor:"6,keyasint" json:"quarantine"`
+	// Loads stand in a delta only: new reports of replicas whose routes are the same.
+	Loads []ReplicaLoad `cbor:"7,keyasint,omitempty" json:"loads,omitempty"`
+}
+
+// ReplicaLoad is a report of one replica's load.
+type ReplicaLoad struct {
+	Replica replica.ID `cbor:"1,keyasint" json:"replica"`
+	Load    Load       `cbor:"2,keyasint" json:"load"`
 }
 
 // Newer reports whether v is to replace old.
