Golden sessions for remnants, crossed domains, extra replicas and compaction

Cause: these ways were seen in the fault traces only. Change: four more cases. In the last one a loss takes the only whole place, a move of lookups makes another, and the next planned stop costs no downtime. Checked: go test -run Traces; the other golden files are unchanged.

--- a/internal/control/placement/golden_test.go
+++ b/internal/control/placement/golden_test.go
@@ -32,6 +32,9 @@
 // TestTraces plays each case of faults and compares the whole session.
 func TestTraces(t *testing.T) {
 	one := []Deployment{deployment("drafts", 3, 4, 1)}
+	crossing, extra, small := deployment("drafts", 3, 4, 1), deployment("lookups", 1, 2, 1), deployment("lookups", 2, 2, 1)
+	crossing.CrossFabric = true
+	extra.MaxReplicas = 3
 	tests := []struct {
 		name        string
 		perFabric   int
@@ -52,6 +55,10 @@
 		{"rolling_stop_of_a_domain", 8, one, "10m roll a0 a1 a2 a3", false},
 		{"store_saturated", 10, []Deployment{deployment("drafts", 6, 4, 1)}, "20m fail a0 a1 b0 b1 c0 c1; 1h back a0 a1 b0 b1 c0 c1", false},
 		{"two_deployments_compete", 5, []Deployment{deployment("drafts", 3, 4, 2), deployment("lookups", 1, 1, 1)}, "10m fail a0; 12m fail b0; 13m fail b1", false},
+		{"remnants", 8, []Deployment{deployment("drafts", 6, 4, 1)}, "20m fail a0; 21m fail a4; 30m fail b0", false},
+		{"cross_fabric_as_last_resort", 5, []Deployment{crossing}, "10m fail a0 a1; 40m back a0 a1", true},
+		{"extra_replicas_give_way", 6, []Deployment{deployment("drafts", 3, 4, 2), extra}, "30m fail b0", true},
+		{"compaction", 10, []Deployment{deployment("drafts", 5, 4, 2), small}, "40m fail c0; 50m stop b1", true},
 		{"version_rollout", 8, one, "10m version 2", false},
 		{"adapter_rollout", 4, one, "10m adapters badges", false},
 	}
