Name what moves a replica by the field's words; drop an unused reason

Cause: names by metaphor, and the reasons of a move stood among the repairs. Checked: go test -race; the golden files are unchanged.

--- a/internal/control/placement/decide.go
+++ b/internal/control/placement/decide.go
@@ -93,15 +93,15 @@
 
 // tally counts a deployment's replicas by what can be expected of them.
 type tally struct {
-	// good serve and may stay; doomed serve and are to be replaced.
-	good, doomed int
+	// good serve and may stay; leaving serve and are to be replaced.
+	good, leaving int
 	// coming load, or are formed in this round; degraded miss a member.
 	coming, degraded int
 }
 
 // claimed counts the replicas that stand for a wanted one.
 func (t tally) claimed() int {
-	return t.good + t.doomed + t.coming + t.degraded
+	return t.good + t.leaving + t.coming + t.degraded
 }
 
 // tally counts the replicas of deployment dep.
@@ -114,8 +114,8 @@
 		case g.loading():
 			t.coming++
 		case !g.serving():
-		case p.doom(g) != "":
-			t.doomed++
+		case p.moveReason(g) != "":
+			t.leaving++
 		default:
 			t.good++
 		}
--- a/internal/control/placement/decision.go
+++ b/internal/control/placement/decision.go
@@ -32,7 +32,6 @@
 	ReasonObsolete           Reason = "obsolete"
 	ReasonWarmSpare          Reason = "warm_spare"
 	ReasonMemberMayReturn    Reason = "member_may_return"
-	ReasonMemberReloads      Reason = "member_reloads"
 	ReasonDomainDark         Reason = "domain_dark"
 	ReasonStoreSaturated     Reason = "store_saturated"
 	ReasonNoSpare            Reason = "no_spare"
--- a/internal/control/placement/fill.go
+++ b/internal/control/placement/fill.go
@@ -104,36 +104,28 @@
 			t.degraded--
 		}
 	}
-	t = p.retireDoomed(dep, t)
-	if t.doomed > 0 || t.degraded > 0 {
+	t = p.retireLeaving(dep, t)
+	if t.leaving > 0 || t.degraded > 0 {
 		return
 	}
 	p.retireYoungest(dep, t)
 }
 
-// retireDoomed drains doomed replicas whose replacement serves.
-func (p *planner) retireDoomed(dep int, t tally) tally {
+// retireLeaving drains leaving replicas whose replacement serves.
+func (p *planner) retireLeaving(dep int, t tally) tally {
 	d := &p.fleet.Deployments[dep]
 	for _, g := range p.groupsOf[dep] {
-		if t.good+t.doomed <= d.Replicas {
+		if t.good+t.leaving <= d.Replicas {
 			break
 		}
-		if why := p.doomServing(g); why != "" {
+		if why := p.servingMoveReason(g); why != "" {
 			p.end(g, why)
-			t.doomed--
+			t.leaving--
 		}
 	}
 	return t
 }
 
-// doomServing returns why a serving replica is to be replaced, or "".
-func (p *planner) doomServing(g *group) Reason {
-	if !g.serving() {
-		return ""
-	}
-	return p.doom(g)
-}
-
 // retireYoungest ends loading, then serving replicas beyond the limit.
 func (p *planner) retireYoungest(dep int, t tally) {
 	excess := t.claimed() - p.limits[dep]
--- a/internal/control/placement/idle.go
+++ b/internal/control/placement/idle.go
@@ -15,7 +15,7 @@
 	}
 	for _, dep := range order {
 		t := p.tally(dep)
-		if t.degraded > 0 || t.doomed > 0 {
+		if t.degraded > 0 || t.leaving > 0 {
 			continue
 		}
 		for range p.limits[dep] - t.claimed() {
--- a/internal/control/placement/move.go
+++ b/internal/control/placement/move.go
@@ -10,24 +10,24 @@
 // is slower.
 const crossFabricSlowness = 2
 
-// move replaces the doomed replicas of deployment dep: such as stand before a
+// move replaces the leaving replicas of deployment dep: such as stand before a
 // planned stop, serve an old version, hold a straggler or cross fabric domains.
 // A replacement is built first where hosts for a whole one are free.
 func (p *planner) move(dep int) {
 	p.dropObsolete(dep)
 	p.updateAdapters(dep)
 	d := &p.fleet.Deployments[dep]
-	for _, g := range p.doomedGroups(dep) {
+	for _, g := range p.leavingGroups(dep) {
 		t := p.tally(dep)
 		building := t.claimed() - d.Replicas
 		switch {
 		case building >= max(1, d.Rollout.MaxSurge):
 			p.wait(g, time.Time{}, ReasonReplacementLoading)
-		case p.doom(g) == ReasonCompaction:
+		case p.moveReason(g) == ReasonCompaction:
 			p.compact(g)
-		case p.form(dep, p.doom(g)):
+		case p.form(dep, p.moveReason(g)):
 		case p.mayDrain(dep, g, t):
-			p.end(g, p.doom(g))
+			p.end(g, p.moveReason(g))
 		case p.takeExtras(dep, g):
 		default:
 			p.wait(g, p.stopAt(g), ReasonNoSpare)
@@ -35,22 +35,22 @@
 	}
 }
 
-// doomedGroups returns serving replicas that are to be replaced, the most urgent first.
-func (p *planner) doomedGroups(dep int) []*group {
-	var doomed []*group
+// leavingGroups returns serving replicas that are to be replaced, the most urgent first.
+func (p *planner) leavingGroups(dep int) []*group {
+	var leaving []*group
 	for _, g := range p.groupsOf[dep] {
-		if p.doomServing(g) != "" {
-			doomed = append(doomed, g)
+		if p.servingMoveReason(g) != "" {
+			leaving = append(leaving, g)
 		}
 	}
-	slices.SortFunc(doomed, func(a, b *group) int {
+	slices.SortFunc(leaving, func(a, b *group) int {
 		return cmp.Or(
-			cmp.Compare(urgency(p.doom(a)), urgency(p.doom(b))),
+			cmp.Compare(urgency(p.moveReason(a)), urgency(p.moveReason(b))),
 			p.stopAt(a).Compare(p.stopAt(b)),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
-	return doomed
+	return leaving
 }
 
 // urgency orders the reasons for a move.
@@ -73,8 +73,8 @@
 // mayDrain reports whether g may go down before its replacement stands.
 func (p *planner) mayDrain(dep int, g *group, t tally) bool {
 	d := &p.fleet.Deployments[dep]
-	missing := d.Replicas - t.good - t.doomed
-	why := p.doom(g)
+	missing := d.Replicas - t.good - t.leaving
+	why := p.moveReason(g)
 	if why == ReasonRollout {
 		return missing < d.Rollout.MaxUnavailable
 	}
@@ -104,7 +104,7 @@
 // takeExtras frees hosts of replicas beyond those wanted for the rebuild of g, and
 // reports whether hosts are on their way.
 func (p *planner) takeExtras(dep int, g *group) bool {
-	if g.fabric == noFabric || p.doom(g) == ReasonRollout {
+	if g.fabric == noFabric || p.moveReason(g) == ReasonRollout {
 		return false
 	}
 	need := p.fleet.Deployments[dep].HostsPerReplica - len(p.keepers(g, true))
@@ -173,7 +173,7 @@
 		if !g.loading() {
 			continue
 		}
-		if why := p.doom(g); why == ReasonRollout || why == ReasonPlannedStop {
+		if why := p.moveReason(g); why == ReasonRollout || why == ReasonPlannedStop {
 			p.end(g, ReasonObsolete)
 		}
 	}
@@ -184,7 +184,7 @@
 	d := &p.fleet.Deployments[dep]
 	var next *group
 	for _, g := range p.groupsOf[dep] {
-		if !g.serving() || p.doom(g) != "" {
+		if !g.serving() || p.moveReason(g) != "" {
 			continue
 		}
 		if g.updating() {
--- a/internal/control/placement/planner.go
+++ b/internal/control/placement/planner.go
@@ -119,7 +119,7 @@
 	p.compacted = p.compaction()
 	for dep := range f.Deployments {
 		t := p.tally(dep)
-		p.extras[dep] = t.good + t.doomed + t.coming - f.Deployments[dep].Replicas
+		p.extras[dep] = t.good + t.leaving + t.coming - f.Deployments[dep].Replicas
 	}
 	return p
 }
--- a/internal/control/placement/preempt.go
+++ b/internal/control/placement/preempt.go
@@ -8,9 +8,9 @@
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 )
 
-// juniorShare is what the downtime of a group of lower priority counts against one
+// lowerPriorityShare is what the downtime of a group of lower priority counts against one
 // of higher priority.
-const juniorShare = 0.5
+const lowerPriorityShare = 0.5
 
 // taker reports whether deployment dep may take the hosts of v.
 type taker func(dep int, v *group) bool
@@ -160,7 +160,7 @@
 	d := &p.fleet.Deployments[v.dep]
 	cost := d.StrandedWeight * float64(p.accelerators(v.survivors))
 	if v.State == replica.StateServing && p.extras[v.dep] <= 0 {
-		cost += juniorShare * d.DowntimeWeight
+		cost += lowerPriorityShare * d.DowntimeWeight
 	}
 	return cost
 }
@@ -189,7 +189,7 @@
 
 // remaining returns the expected time until g's members are back.
 func (p *planner) remaining(g *group) time.Duration {
-	if p.hopeless(g) {
+	if p.willNotReturn(g) {
 		return p.policy.HostReturn.LongMean
 	}
 	return p.policy.HostReturn.remaining(p.now.Sub(p.lossOf(g)))
--- a/internal/control/placement/repair.go
+++ b/internal/control/placement/repair.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/egretreach/egretreach/internal/fleet/replica"
 )
 
 // option is one way to make a degraded replica whole.
@@ -114,7 +112,7 @@
 // holdUntil returns until when waiting for g's members is better than a rebuild
 // that takes load.
 func (p *planner) holdUntil(g *group, load time.Duration) time.Time {
-	if p.hopeless(g) {
+	if p.willNotReturn(g) {
 		return p.now
 	}
 	model := p.policy.HostReturn
@@ -129,8 +127,8 @@
 	return p.lossOf(g).Add(hold)
 }
 
-// hopeless reports whether a member will not be back, or not for long.
-func (p *planner) hopeless(g *group) bool {
+// willNotReturn reports whether a member will not be back, or not for long.
+func (p *planner) willNotReturn(g *group) bool {
 	for _, i := range g.missing {
 		h := &p.fleet.Hosts[i]
 		if h.Stop.Wanted || p.flaps(h) {
@@ -294,50 +292,3 @@
 	hosts := p.spread(d, nil)
 	return hosts != nil && p.claim(dep, hosts, ReasonCrossFabric)
 }
-
-// doom returns why a replica that serves or loads is to be replaced, or "".
-func (p *planner) doom(g *group) Reason {
-	for _, i := range g.members {
-		if p.fleet.Hosts[i].Stop.Wanted {
-			return ReasonPlannedStop
-		}
-	}
-	d := &p.fleet.Deployments[g.dep]
-	if !sameWeights(g.Spec, d.Spec) || len(g.Hosts) != d.HostsPerReplica {
-		return ReasonRollout
-	}
-	if g.fabric != noFabric && !d.allows(p.fabrics[g.fabric].name) {
-		return ReasonRollout
-	}
-	if p.settled(g) && p.slowGroup(g) {
-		return ReasonStraggler
-	}
-	if p.settled(g) && g.fabric == noFabric {
-		return ReasonCrossFabric
-	}
-	if g == p.compacted {
-		return ReasonCompaction
-	}
-	return ""
-}
-
-// sameWeights reports whether two specs need the same load.
-func sameWeights(a, b replica.Spec) bool {
-	return a.Model == b.Model && a.Version == b.Version && a.Role == b.Role
-}
-
-// settled reports whether voluntary moves of g are allowed again.
-func (p *planner) settled(g *group) bool {
-	return p.now.Sub(g.CreatedAt) >= p.policy.SettleTime
-}
-
-// slowGroup reports whether a member has been a straggler for long enough.
-func (p *planner) slowGroup(g *group) bool {
-	for _, i := range g.members {
-		h := &p.fleet.Hosts[i]
-		if p.straggles(h) && p.now.Sub(h.SlowSince) >= p.policy.StragglerHold {
-			return true
-		}
-	}
-	return false
-}
