Keep the stranger's server up until its last check

Cause: TestOnlyControlIsTakenForControl ended its server with the same context that ended the call before, so the last check raced with the server's end. Ruled out: a fault of the session; with the server up the role is always refused.

--- a/internal/link/session/call_test.go
+++ b/internal/link/session/call_test.go
@@ -38,6 +38,8 @@
 	for _, role := range []host.Role{host.RoleControl, host.RoleAgent, host.RoleEntry, host.RoleOperator} {
 		t.Run(string(role), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
+				serving, stop := context.WithCancel(t.Context())
+				defer stop()
 				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 				defer cancel()
 				network := &packet.Network{}
@@ -49,7 +51,7 @@
 				defer func() { _ = client.Close() }()
 				received := make(chan message.Message, 1)
 				go func() {
-					_ = server.Serve(ctx, func(_ context.Context, s *transport.Stream) {
+					_ = server.Serve(serving, func(_ context.Context, s *transport.Stream) {
 						if m, err := s.Receive(); err == nil {
 							received <- m
 							_ = s.Send(&message.ClaimResult{Items: []message.ClaimItemResult{{State: message.ClaimGranted}}})
