Pause the head too in the heartbeat test

Cause: the test's comment said that the head is paused, its code did not pause it. Change: the head stops reading about when the member is lost, and finds the beats that came meanwhile when it wakes.

--- a/internal/agent/gate/gate_test.go
+++ b/internal/agent/gate/gate_test.go
@@ -29,8 +29,9 @@
 }
 
 // TestLostMemberClosesGateWithinTimeout drives heartbeats and acks through a
-// network that delays each by up to several seconds, in random order, with the
-// head paused at random, and kills the member at a random moment.
+// network that delays each by up to several seconds, in random order, kills the
+// member at a random moment, and pauses the head about then, so that it finds beats
+// waiting when it wakes.
 func TestLostMemberClosesGateWithinTimeout(t *testing.T) {
 	opened := 0
 	for seed := range uint64(300) {
@@ -42,23 +43,31 @@
 		const step = 5 * time.Millisecond
 		beats := map[time.Duration][]message.Beat{}
 		acks := map[time.Duration][]uint64{}
+		paused := lost - time.Duration(rng.IntN(1000))*time.Millisecond
+		pause := time.Duration(rng.IntN(4000)) * time.Millisecond
+		var due []message.Beat // arrived, not read yet
 		var sequence, echo uint64
 		for at := time.Duration(0); at < 15*time.Second; at += step {
 			for _, ack := range acks[at] {
 				echo = max(echo, ack)
 			}
+			due = append(due, beats[at]...)
 			if at < lost && at%BeatInterval == 0 {
 				sequence++
 				arrives := (at + delay()).Truncate(step)
 				beats[arrives] = append(beats[arrives], message.Beat{Replica: "r-1", Fence: 5, Host: "b", Sequence: sequence, Echo: echo})
 			}
-			for _, b := range beats[at] {
+			if at >= paused && at < paused+pause {
+				continue
+			}
+			for _, b := range due {
 				ack := g.Beat(epoch.Add(at), &b)
 				arrives := (at + delay() + step).Truncate(step)
 				if arrives < lost {
 					acks[arrives] = append(acks[arrives], ack.Sequence)
 				}
 			}
+			due = nil
 			reading := Reading{Now: epoch.Add(at), Leased: true}
 			open := g.MayAccept(reading, "r-1", 5) == nil
 			if !open {
