--- a/internal/agent/server/fleet_test.go
+++ b/internal/agent/server/fleet_test.go
@@ -332,10 +332,11 @@
 	delete(c.sessions, id)
 }
 
-func (c *controlLeader) silence(id host.ID) {
+// silence has control grant a host nothing, or again.
+func (c *controlLeader) silence(id host.ID, silent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.silent[id] = true
+	c.silent[id] = silent
 }
 
 // answer is all that an entry received for one dispatch.
--- a/internal/agent/server/shutdown_test.go
+++ b/internal/agent/server/shutdown_test.go
@@ -11,6 +11,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/standin/engine"
+	"github.com/egretreach/egretreach/internal/standin/service"
 )
 
 // TestShutdownCutsNothing stops the head, then a member, in the middle of a
@@ -84,3 +85,38 @@
 		require.False(t, head.server.accepts(r))
 	})
 }
+
+// TestShutdownFinishesSignoff stops the agent while the service runs a call.
+func TestShutdownFinishesSignoff(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.agent(1, engine.Options{})
+		f.replica("r-1", 1, 1)
+		m.service.Fail(service.FailureHang)
+		d := signoff(m, "badge")
+		stream := f.open(m, d)
+		time.Sleep(time.Second)
+		stopped := make(chan error, 1)
+		go func() { stopped <- m.server.Shutdown(f.ctx) }()
+		time.Sleep(time.Minute)
+		m.service.Release()
+		got := f.collect(stream, d)
+		require.Equal(t, request.OutcomeComplete, got.end.Outcome, got.end.Reason)
+		require.NoError(t, <-stopped)
+	})
+}
+
+// TestFirstOrderWaitsForFirstGrant gives an order before the lease: it is carried
+// out as soon as the lease is there.
+func TestFirstOrderWaitsForFirstGrant(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.control.silence("host-1", true)
+		m := f.agent(1, engine.Options{})
+		r, addresses := f.group("r-1", 1, 1)
+		require.NoError(t, f.control.order("host-1", &message.Order{ID: 1, Action: message.OrderLoad, Replica: r, Addresses: addresses}))
+		time.Sleep(leaseWait / 2)
+		require.Empty(t, m.engine.Orders())
+		f.control.silence("host-1", false)
+		time.Sleep(leaseWait)
+		require.True(t, m.server.accepts(r))
+	})
+}
