Bring a hung engine and two suspects about

Cause: the cells engine hung and a second suspect had no test. Change: the stand-in engine can freeze, connections open; two tests, each seen to fail with its protection switched off.

--- a/internal/agent/server/attempt_test.go
+++ b/internal/agent/server/attempt_test.go
@@ -227,6 +227,28 @@
 	})
 }
 
+// TestSuspectsRunAlone sends a second suspect beside a first, and an innocent.
+func TestSuspectsRunAlone(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.agent(1, engine.Options{})
+		r := f.replica("r-1", 1, 1)
+		suspect := func() *message.Dispatch {
+			d := generation(m, r, "suspect", 100)
+			d.Suspect = true
+			return d
+		}
+		first := suspect()
+		stream := f.open(m, first)
+		time.Sleep(time.Second)
+		refused := f.do(m, suspect()).refused
+		require.NotNil(t, refused)
+		require.Equal(t, codeSuspectBusy, refused.Code)
+		require.Equal(t, request.OutcomeComplete, f.do(m, generation(m, r, "innocent", 1)).end.Outcome)
+		require.Equal(t, request.OutcomeComplete, f.collect(stream, first).end.Outcome)
+		require.Equal(t, request.OutcomeComplete, f.do(m, suspect()).end.Outcome)
+	})
+}
+
 // TestCrashNamesAllInFlight crashes the engine beside an innocent request.
 func TestCrashNamesAllInFlight(t *testing.T) {
 	inFleet(t, func(f *fleet) {
--- a/internal/agent/server/gate_test.go
+++ b/internal/agent/server/gate_test.go
@@ -34,6 +34,7 @@
 		{"member's lease lapses", func(f *fleet) { f.control.silence("host-2", true) }, lease.Usable(testTTL) + gate.BeatTimeout, gate.CodeMemberLost},
 		{"member's engine crashes", func(f *fleet) { f.agents["host-2"].engine.Crash() }, pollInterval + gate.BeatTimeout, gate.CodeMemberLost},
 		{"head's lease lapses", func(f *fleet) { f.control.silence("host-1", true) }, lease.Usable(testTTL), gate.CodeLeaseLapsed},
+		{"head's engine hangs", func(f *fleet) { f.agents["host-1"].engine.Freeze() }, pollInterval + healthTimeout, gate.CodeEngineDown},
 		{"head's engine crashes", func(f *fleet) { f.agents["host-1"].engine.Crash() }, 0, codeCrashed},
 	}
 	for _, test := range tests {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -101,6 +102,7 @@
 	start    string
 	down     chan struct{}
 	isDown   bool
+	frozen   bool
 	crashes  int
 	fence    uint64
 	place    protocol.Order
@@ -151,9 +153,14 @@
 	mux.HandleFunc("GET "+protocol.PathHealth, e.health)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
-		down := e.isDown
+		down, frozen := e.isDown, e.frozen
 		e.mu.Unlock()
-		if down {
+		if frozen {
+			// Only behind its body does the server watch a connection for its end.
+			_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxGenerateBytes))
+			<-r.Context().Done()
+		}
+		if down || frozen {
 			panic(http.ErrAbortHandler)
 		}
 		mux.ServeHTTP(w, r)
@@ -197,6 +204,13 @@
 	return e.crashes
 }
 
+// Freeze leaves connections open and answers nothing any more, on any of them.
+func (e *Engine) Freeze() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.frozen = true
+}
+
 // Restart brings a crashed engine back without a model, its memory lost.
 func (e *Engine) Restart() {
 	e.mu.Lock()
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -156,6 +156,12 @@
 		<-r.ctx.Done()
 		return r.ctx.Err()
 	}
+	r.engine.mu.Lock()
+	frozen := r.engine.frozen
+	r.engine.mu.Unlock()
+	if frozen {
+		<-r.ctx.Done()
+	}
 	return pause(r.ctx, r.batch.gap()*time.Duration(tokens))
 }
 
