Open a call on a new link when the kept one has just ended

Change: Open tries once more if the pool no longer holds that link. Ruled out: more tries, since a link that ends at once again is no passing fault.

--- a/internal/link/pool/pool.go
+++ b/internal/link/pool/pool.go
@@ -25,12 +25,21 @@
 	return &Pool{endpoint: endpoint, conns: map[string]*transport.Conn{}}
 }
 
-// Open starts a call to the process at address.
+// Open starts a call to the process at address. If the kept link turns out to have
+// ended, the call is started on a new one; nothing was sent on the old.
 func (p *Pool) Open(ctx context.Context, address string) (*transport.Stream, error) {
 	conn, err := p.Conn(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	stream, err := conn.Open(ctx)
+	if err == nil || ctx.Err() != nil || p.live(address) == conn {
+		return stream, err
+	}
+	conn, err = p.Conn(ctx, address)
+	if err != nil {
+		return nil, err
+	}
 	return conn.Open(ctx)
 }
 
