Keep the link until callers have their answers in a planned stop of control

Cause: a control host that stopped in good order closed its links when its calls had been answered, which drops answers that are not on the wire yet; the caller of a claim was left uncertain. Ruled out: a fixed pause before the end; a busy caller still comes when it is over. Change: a call lasts until its caller has closed the stream; after the leadership has been handed over, calls are sent on to the next leader until none came for 0.5 s, at most 3 s.

--- a/internal/control/server/call.go
+++ b/internal/control/server/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/egretreach/egretreach/internal/control/state"
 	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/identity"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
@@ -24,8 +25,12 @@
 	codeNotFound    = "not_found"
 )
 
-// firstFrameTimeout bounds the wait for a stream's first frame.
-const firstFrameTimeout = 5 * time.Second
+const (
+	// firstFrameTimeout bounds the wait for a stream's first frame.
+	firstFrameTimeout = 5 * time.Second
+	// answerReadTimeout bounds the wait for the caller to read its answer.
+	answerReadTimeout = 2 * time.Second
+)
 
 // ErrCall is a call that is answered by a message.Failure.
 type ErrCall struct {
@@ -94,17 +99,28 @@
 // call answers one call and ends the stream.
 func (s *Server) call(ctx context.Context, stream *transport.Stream, m message.Message) {
 	s.calls.Add(1)
-	defer s.calls.Done()
-	l := s.leader.Load()
-	if l == nil {
-		_ = stream.Send(s.notLeader())
+	s.inCall.Add(1)
+	defer s.inCall.Add(-1)
+	if err := stream.Send(s.answer(ctx, stream.Peer(), m)); err != nil {
 		return
 	}
-	answer, err := l.answer(ctx, stream.Peer(), m)
+	// The caller closes the stream when it has the answer; until then the link must
+	// not be closed.
+	_ = stream.CloseSend()
+	_ = stream.SetReadDeadline(time.Now().Add(answerReadTimeout))
+	_, _ = stream.Receive()
+}
+
+func (s *Server) answer(ctx context.Context, peer identity.Identity, m message.Message) message.Message {
+	l := s.leader.Load()
+	if l == nil || s.closing.Load() {
+		return s.notLeader()
+	}
+	answer, err := l.answer(ctx, peer, m)
 	if err != nil {
-		answer = s.failure(err)
+		return s.failure(err)
 	}
-	_ = stream.Send(answer)
+	return answer
 }
 
 func (s *Server) notLeader() *message.NotLeader {
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -105,9 +104,14 @@
 
 	leader   atomic.Pointer[leader]
 	stopping atomic.Bool
-	calls    sync.WaitGroup
-	end      context.CancelFunc
-	ended    chan struct{}
+	// closing says that calls are sent on to the next leader.
+	closing atomic.Bool
+	// calls counts the calls so far, inCall those whose callers have not read the
+	// answer yet.
+	calls  atomic.Int64
+	inCall atomic.Int64
+	end    context.CancelFunc
+	ended  chan struct{}
 }
 
 // New returns a control daemon that Run starts.
@@ -161,21 +165,28 @@
 	}
 	event.ProcessStopping.On(s.opts.Logger).Str("role", string(host.RoleControl)).Msg("")
 	err := s.log.Transfer(ctx)
-	finished := make(chan struct{})
-	go func() {
-		s.calls.Wait()
-		close(finished)
-	}()
-	select {
-	case <-finished:
-	case <-ctx.Done():
-	}
+	s.closing.Store(true)
+	s.finish(ctx)
 	s.end()
 	<-s.ended
 	event.ProcessStopped.On(s.opts.Logger).Str("role", string(host.RoleControl)).Int("cut", 0).Msg("")
 	return err
 }
 
+// finish returns when no call has come in for a while and all have been answered.
+// Callers that still come are sent on to the next leader meanwhile.
+func (s *Server) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, longestFinish)
+	defer cancel()
+	for quiet := time.Now(); time.Since(quiet) < quietBeforeEnd && ctx.Err() == nil; {
+		before := s.calls.Load()
+		waitFor(ctx, quietBeforeEnd/quietChecks)
+		if before != s.calls.Load() || s.inCall.Load() > 0 {
+			quiet = time.Now()
+		}
+	}
+}
+
 // lead watches for this host's leadership and acts as leader while it lasts.
 func (s *Server) lead(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -189,6 +200,13 @@
 	return nil
 }
 
+const (
+	// quietBeforeEnd is how long no call may have come in before a planned stop ends.
+	quietBeforeEnd = 500 * time.Millisecond
+	quietChecks    = 10
+	longestFinish  = 3 * time.Second
+)
+
 // leadRetry is when a host that leads tries again to open its term.
 const leadRetry = 100 * time.Millisecond
 
--- a/internal/control/server/server_test.go
+++ b/internal/control/server/server_test.go
@@ -1,8 +1,10 @@
 package server
 
 import (
+	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/config"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/fleet/view"
 	"github.com/egretreach/egretreach/internal/link/lease"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -290,3 +293,58 @@
 	})
 	return stops
 }
+
+// TestPlannedStopOfTheLeader: claims go on while each control host in turn is stopped
+// in good order and started again; none is lost or left uncertain, and no daemon's
+// lease lapses.
+func TestPlannedStopOfTheLeader(t *testing.T) {
+	runFleet(t, func(t *testing.T, f *testFleet) {
+		f.apply(defaultConfig(), 0, "change-0")
+		agent, entry := f.agent("fabric-1", "a1", 1), f.entry("e1")
+		time.Sleep(reach)
+		stop, ended := make(chan struct{}), make(chan struct{})
+		var claims atomic.Int64
+		f.running.Go(func() {
+			defer close(ended)
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				claims.Add(f.claimed(entry, fmt.Sprint("key-", n)))
+			}
+		})
+		for range 3 {
+			leader := f.leader()
+			ctx, cancel := context.WithTimeout(f.ctx, reach)
+			require.NoError(t, f.servers[leader].Shutdown(ctx))
+			cancel()
+			f.servers[leader].stop()
+			f.startControl(leader)
+			for range 50 {
+				time.Sleep(reach / 50)
+				require.True(t, agent.session.Valid())
+			}
+		}
+		close(stop)
+		<-ended
+		require.Greater(t, claims.Load(), int64(1000))
+	})
+}
+
+// claimed makes one claim and returns 1, or ends the test.
+func (f *testFleet) claimed(entry *daemon, key string) int64 {
+	ctx, cancel := context.WithTimeout(f.ctx, 2*reach)
+	defer cancel()
+	answer, err := entry.session.Call(ctx, &message.Claim{Items: []message.ClaimItem{{
+		Team: "jordan", Key: key, Request: request.NewID(), Attempt: 1,
+	}}})
+	if f.ctx.Err() != nil {
+		return 0
+	}
+	if err != nil || answer.(*message.ClaimResult).Items[0].State != message.ClaimGranted {
+		f.t.Errorf("claim %s: %v %+v", key, err, answer)
+	}
+	return 1
+}
