--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -40,6 +40,8 @@
 	LastLost time.Time
 	// EngineHealthy, Held, Revision and Demand are those of the last renewal.
 	EngineHealthy bool
+	// HealthSince is when EngineHealthy last changed.
+	HealthSince time.Time
 	Held          []message.HeldReplica
 	Revision      view.Revision
 	Demand        map[string]float64
@@ -163,7 +165,10 @@
 	}
 	d.lastGrant = now
 	d.Heard = true
-	d.EngineHealthy = r.EngineHealthy
+	if d.EngineHealthy != r.EngineHealthy {
+		d.EngineHealthy = r.EngineHealthy
+		d.HealthSince = now
+	}
 	d.Held = r.Held
 	d.Revision = r.Revision
 	d.Demand = r.Demand
--- a/internal/control/server/placement.go
+++ b/internal/control/server/placement.go
@@ -39,7 +39,7 @@
 }
 
 // commandFor returns the command of a decision, or nil for one that is not
-// committed. Agents are not given preload orders.
+// committed. Agents know no preload order, so spares stay cold.
 func commandFor(d placement.Decision) state.Command {
 	switch d := d.(type) {
 	case placement.Form:
@@ -71,7 +71,7 @@
 	repair := p.config.Defaults.Repair
 	f := placement.Fleet{Now: p.now, Policy: placement.Policy{
 		MaxHold: repair.ReturnWait, FlapLosses: repair.FlapLosses, FlapBackoff: repair.FlapHold,
-		StragglerSlowness: repair.StragglerFactor,
+		StragglerSlowness: repair.StragglerFactor, ColdSpares: true,
 	}}
 	for _, h := range p.hosts {
 		if _, engine := h.Info.Engine(); engine {
@@ -97,6 +97,9 @@
 		Stop:    placement.PlannedStop{Wanted: h.Drained || d.Leaving || !allowed},
 		Weights: seen.weights[h.Info.ID],
 	}
+	if d.HealthSince.After(out.Since) {
+		out.Since = d.HealthSince
+	}
 	if h.Claim != nil {
 		out.Replica = h.Claim.Replica
 	}
