--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -42,9 +42,9 @@
 	EngineHealthy bool
 	// HealthSince is when EngineHealthy last changed.
 	HealthSince time.Time
-	Held          []message.HeldReplica
-	Revision      view.Revision
-	Demand        map[string]float64
+	Held        []message.HeldReplica
+	Revision    view.Revision
+	Demand      map[string]float64
 
 	lastGrant time.Time
 	released  bool
