Let extra replicas make a whole place for a rollout or a planned stop

Tried on the way: taking places for all leaving replicas at once drained six replicas of lookups of which five were extra (51 s of group downtime in the case); extras are now counted within one choice, and MaxSurge bounds what is freed. Change: move frees a whole place from extra replicas first; preloads wait while a claim waits for hosts or for the store. The case ends with 0 s down. Checked: 20,000 random pictures under -race.

--- a/internal/control/placement/fill.go
+++ b/internal/control/placement/fill.go
@@ -22,7 +22,7 @@
 	if p.pickGroup(dep) != nil {
 		return p.form(dep, ReasonReplicaWanted)
 	}
-	if p.preemptFor(dep, nil, p.mayTake) {
+	if p.preemptFor(dep, nil, reachLower) {
 		return false
 	}
 	if p.lacksForLong(d) {
--- a/internal/control/placement/golden_test.go
+++ b/internal/control/placement/golden_test.go
@@ -34,7 +34,7 @@
 	one := []Deployment{deployment("drafts", 3, 4, 1)}
 	crossing, extra, small := deployment("drafts", 3, 4, 1), deployment("lookups", 1, 2, 1), deployment("lookups", 2, 2, 1)
 	crossing.CrossFabric = true
-	extra.MaxReplicas = 3
+	extra.MaxReplicas = 6
 	tests := []struct {
 		name        string
 		perFabric   int
@@ -57,6 +57,7 @@
 		{"two_deployments_compete", 5, []Deployment{deployment("drafts", 3, 4, 2), deployment("lookups", 1, 1, 1)}, "10m fail a0; 12m fail b0; 13m fail b1", false},
 		{"remnants", 8, []Deployment{deployment("drafts", 6, 4, 1)}, "20m fail a0; 21m fail a4; 30m fail b0", false},
 		{"cross_fabric_as_last_resort", 5, []Deployment{crossing}, "10m fail a0 a1; 40m back a0 a1", true},
+		{"rollout_takes_extra_replicas", 8, []Deployment{deployment("drafts", 3, 4, 2), extra}, "30m version 2", true},
 		{"extra_replicas_give_way", 6, []Deployment{deployment("drafts", 3, 4, 2), extra}, "30m fail b0", true},
 		{"compaction", 10, []Deployment{deployment("drafts", 5, 4, 2), small}, "40m fail c0; 50m stop b1", true},
 		{"version_rollout", 8, one, "10m version 2", false},
--- a/internal/control/placement/move.go
+++ b/internal/control/placement/move.go
@@ -17,15 +17,22 @@
 	p.dropObsolete(dep)
 	p.updateAdapters(dep)
 	d := &p.fleet.Deployments[dep]
+	pending := 0
 	for _, g := range p.leavingGroups(dep) {
 		t := p.tally(dep)
-		building := t.claimed() - d.Replicas
+		formed := p.formed[dep]
+		building := t.claimed() - d.Replicas + pending
 		switch {
 		case building >= max(1, d.Rollout.MaxSurge):
 			p.wait(g, time.Time{}, ReasonReplacementLoading)
 		case p.moveReason(g) == ReasonCompaction:
 			p.compact(g)
 		case p.form(dep, p.moveReason(g)):
+			if p.formed[dep] == formed {
+				pending++
+			}
+		case !p.stopIsNear(g) && p.preemptFor(dep, nil, reachExtras):
+			pending++
 		case p.mayDrain(dep, g, t):
 			p.end(g, p.moveReason(g))
 		case p.takeExtras(dep, g):
@@ -112,7 +119,7 @@
 		return false
 	}
 	if lacking := need - p.within(g.fabric); lacking > 0 {
-		victims := p.victims(dep, g.fabric, lacking, p.isExtra)
+		victims := p.victims(dep, g.fabric, lacking, reachExtras)
 		if victims == nil {
 			return false
 		}
--- a/internal/control/placement/planner.go
+++ b/internal/control/placement/planner.go
@@ -87,7 +87,9 @@
 	formed []int
 	// storeLoads counts hosts that copy weights from the store.
 	storeLoads int
-	decisions  []Decision
+	// pending says that a claim waits for hosts or for room at the store.
+	pending   bool
+	decisions []Decision
 }
 
 // newPlanner indexes the picture.
@@ -272,6 +274,7 @@
 		}
 	}
 	p.take(hosts)
+	p.pending = true
 	p.emit(w)
 }
 
--- a/internal/control/placement/preempt.go
+++ b/internal/control/placement/preempt.go
@@ -12,8 +12,15 @@
 // of higher priority.
 const lowerPriorityShare = 0.5
 
-// taker reports whether deployment dep may take the hosts of v.
-type taker func(dep int, v *group) bool
+// reach says whose hosts a deployment may take.
+type reach int
+
+const (
+	// reachExtras is replicas beyond those wanted, of no higher priority.
+	reachExtras reach = iota
+	// reachLower is those, and all replicas of lower priority.
+	reachLower
+)
 
 // victim is a replica that may lose its hosts to another deployment.
 type victim struct {
@@ -22,11 +29,11 @@
 }
 
 // preemptFor frees hosts for g, or for a replica that dep lacks if g is nil, from the
-// replicas that may name. It reports whether hosts are on their way or it is too
+// replicas within reach. It reports whether hosts are on their way or it is too
 // early to take any.
-func (p *planner) preemptFor(dep int, g *group, may taker) bool {
+func (p *planner) preemptFor(dep int, g *group, within reach) bool {
 	for _, at := range p.fabricOrder(dep, g) {
-		if p.preemptIn(dep, g, at, may) {
+		if p.preemptIn(dep, g, at, within) {
 			return true
 		}
 	}
@@ -57,13 +64,13 @@
 }
 
 // preemptIn frees hosts in one fabric domain.
-func (p *planner) preemptIn(dep int, g *group, at int, may taker) bool {
+func (p *planner) preemptIn(dep int, g *group, at int, within reach) bool {
 	need := p.fleet.Deployments[dep].HostsPerReplica
 	if g != nil && g.fabric == at {
 		need = max(0, need-len(p.keepers(g, false)))
 	}
 	if p.within(at) < need {
-		victims := p.victims(dep, at, need-p.within(at), may)
+		victims := p.victims(dep, at, need-p.within(at), within)
 		if victims == nil || !p.worthwhile(dep, g, victims) {
 			return false
 		}
@@ -108,51 +115,59 @@
 
 // victims returns the cheapest replicas of a fabric domain that deployment dep may
 // take and that together free at least count hosts, or nil.
-func (p *planner) victims(dep, at, count int, may taker) []victim {
+func (p *planner) victims(dep, at, count int, within reach) []victim {
 	var all []victim
 	for i := range p.groups {
 		v := &p.groups[i]
-		if v.fabric == at && may(dep, v) {
+		if v.fabric == at && p.mayTake(dep, v, within) {
 			all = append(all, victim{group: v, cost: p.downtimeCost(v)})
 		}
 	}
 	slices.SortFunc(all, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.ID, b.ID))
 	})
-	for last, v := range all {
-		count -= len(v.survivors)
+	var chosen []victim
+	for _, v := range all {
+		if p.outranks(dep, v.dep, within) || countOf(chosen, v.dep) < p.extras[v.dep] {
+			chosen = append(chosen, v)
+			count -= len(v.survivors)
+		}
 		if count <= 0 {
-			return all[:last+1]
+			return chosen
 		}
 	}
 	return nil
 }
 
-// mayTake reports whether dep may take the hosts of v: v is of a lower priority, or
-// stands beyond what a deployment of no higher priority wants.
-func (p *planner) mayTake(dep int, v *group) bool {
-	if v.dep < 0 || v.dep == dep {
-		return false
-	}
-	if !v.serving() && !v.loading() {
-		return false
-	}
-	if p.fleet.Deployments[v.dep].Priority < p.fleet.Deployments[dep].Priority {
-		return true
+// countOf counts the victims of deployment dep.
+func countOf(chosen []victim, dep int) int {
+	count := 0
+	for _, v := range chosen {
+		if v.dep == dep {
+			count++
+		}
 	}
-	return p.isExtra(dep, v)
+	return count
+}
+
+// outranks reports whether dep may take hosts of replicas that deployment other wants.
+func (p *planner) outranks(dep, other int, within reach) bool {
+	return within == reachLower && p.fleet.Deployments[other].Priority < p.fleet.Deployments[dep].Priority
 }
 
-// isExtra reports whether v stands beyond what another deployment of no higher
-// priority wants.
-func (p *planner) isExtra(dep int, v *group) bool {
-	if v.dep < 0 || v.dep == dep || p.extras[v.dep] <= 0 {
+// mayTake reports whether dep may take the hosts of v.
+func (p *planner) mayTake(dep int, v *group, within reach) bool {
+	if v.dep < 0 || v.dep == dep {
 		return false
 	}
 	if !v.serving() && !v.loading() {
 		return false
 	}
-	return p.fleet.Deployments[v.dep].Priority <= p.fleet.Deployments[dep].Priority
+	if p.outranks(dep, v.dep, within) {
+		return true
+	}
+	extra := p.extras[v.dep] > 0
+	return extra && p.fleet.Deployments[v.dep].Priority <= p.fleet.Deployments[dep].Priority
 }
 
 // downtimeCost returns what a second without v costs.
--- a/internal/control/placement/preload.go
+++ b/internal/control/placement/preload.go
@@ -1,11 +1,11 @@
 package placement
 
-// preload copies weights to hosts while replicas leave the weight store room: to free
-// hosts, to members of replicas of lower priority, and of replicas that serve an old
+// preload copies weights to hosts while replicas leave the weight store room and no
+// claim waits: to free hosts, to members of replicas of lower priority, and of replicas that serve an old
 // version. The weights of the highest priority come first. A host that holds the
 // weights joins a replica by a local load.
 func (p *planner) preload(order []int) {
-	if p.policy.ColdSpares {
+	if p.policy.ColdSpares || p.pending {
 		return
 	}
 	room := p.storeSlots() - p.storeLoads
--- a/internal/control/placement/repair.go
+++ b/internal/control/placement/repair.go
@@ -82,7 +82,7 @@
 		p.apply(dep, g, o)
 		return
 	}
-	if p.preemptFor(dep, g, p.mayTake) {
+	if p.preemptFor(dep, g, reachLower) {
 		return
 	}
 	if o, open := p.crossing(dep, g); open {
@@ -272,7 +272,7 @@
 	case covered:
 		p.wait(g, time.Time{}, ReasonReplacementLoading)
 	case p.form(dep, ReasonRelocate):
-	case p.preemptFor(dep, nil, p.isExtra):
+	case p.preemptFor(dep, nil, reachExtras):
 	case p.now.Sub(dark) >= p.policy.CrossFabricHold && p.fillFromOthers(dep):
 	default:
 		p.wait(g, time.Time{}, ReasonDomainDark)
@@ -282,7 +282,7 @@
 // fillFromOthers frees hosts of lower priority for another replica of dep, or forms
 // one over fabric domains, and reports whether it found a way.
 func (p *planner) fillFromOthers(dep int) bool {
-	if p.preemptFor(dep, nil, p.mayTake) {
+	if p.preemptFor(dep, nil, reachLower) {
 		return true
 	}
 	d := &p.fleet.Deployments[dep]
--- a/internal/control/placement/trace_test.go
+++ b/internal/control/placement/trace_test.go
@@ -55,7 +55,7 @@
 	events   []event
 	decide   func(Fleet) []Decision
 	log      []string
-	said     map[string]Reason
+	said     map[string]bool
 	drains   map[replica.ID]time.Time
 	claims   int
 	happened int
@@ -347,7 +347,7 @@
 			step = min(step, tr.events[0].at-tr.elapsed())
 		}
 		said := tr.said
-		tr.said = make(map[string]Reason)
+		tr.said = make(map[string]bool)
 		for _, d := range decisions {
 			wait, waits := d.(Wait)
 			if !waits {
@@ -358,11 +358,11 @@
 			if left := wait.Until.Sub(tr.fleet.Now); left > 0 {
 				step = min(step, left)
 			}
-			key := wait.Deployment + " " + string(wait.Replica)
-			if said[key] != wait.Reason && tr.said[key] != wait.Reason {
-				tr.say("wait %s %s", key, wait.Reason)
+			line := fmt.Sprint("wait ", wait.Deployment, " ", wait.Replica, " ", wait.Reason)
+			if !said[line] && !tr.said[line] {
+				tr.say("%s", line)
 			}
-			tr.said[key] = wait.Reason
+			tr.said[line] = true
 		}
 		tr.observe()
 		tr.advance(max(step, time.Millisecond))
