--- a/internal/control/placement/bench_test.go
+++ b/internal/control/placement/bench_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// The fault rates are those of the letter's target: 17 failures and 200 restarts
+	// The fault rates are those of the target size: 17 failures and 200 restarts
 	// a day over 790 hosts.
 	failuresPerHostDay = 17.0 / 790
 	restartsPerHostDay = 200.0 / 790
