Tell callers of the attempt that may have run, not of its refused retry

Cause: an engine's crash reached callers under the code of the retry that was refused after it; a body that the engine refuses was tried again elsewhere; redirects to the leader were logged as lost links. Ruled out: keeping the last code for its Retry-After; the longer of both is kept. Change: the machine remembers the first attempt that may have run; invalid_request is final (400); event 409 leader_sought. Conclusion: callers see why, and resend only what is worth it.

--- a/internal/entry/api/refusal.go
+++ b/internal/entry/api/refusal.go
@@ -78,6 +78,7 @@
 	"quarantined":                http.StatusUnprocessableEntity,
 	"request_too_large":          http.StatusRequestEntityTooLarge,
 	"answer_too_large":           http.StatusBadGateway,
+	"invalid_request":            http.StatusBadRequest,
 	"not_ready":                  http.StatusServiceUnavailable,
 }
 
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -15,6 +15,9 @@
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
+// codeInvalid is an agent's word that the engine refuses the body, as any other would.
+const codeInvalid = "invalid_request"
+
 const openTimeout = 2 * time.Second
 
 // attempt hands the request to its target once and follows it to its end.
@@ -131,7 +134,7 @@
 		e.progress.end = *m
 		return execution.Ended{Kind: execution.EndComplete, Answer: e.progress.kept()}
 	case request.OutcomeNotRun:
-		return execution.Ended{Kind: execution.EndNotRun, Code: m.Code, Reason: m.Reason}
+		return execution.Ended{Kind: execution.EndNotRun, Code: m.Code, Reason: m.Reason, Final: m.Code == codeInvalid}
 	case request.OutcomeUnknown:
 		ended := execution.Ended{Kind: execution.EndLost, Code: m.Code, Reason: m.Reason, Attested: true}
 		if m.Code == execution.CodeEngineCrashed {
--- a/internal/entry/execution/execution.go
+++ b/internal/entry/execution/execution.go
@@ -83,10 +83,11 @@
 	exclude    map[host.ID]bool
 	supersedes *message.Attested
 	holder     message.ClaimItemResult
-	mayHaveRun bool
-	asks       int
-	askNext    bool
-	result     Result
+	// lostTo is the end of the first attempt that may have run, nil for none.
+	lostTo  *Result
+	asks    int
+	askNext bool
+	result  Result
 }
 
 // New returns the machine of one request.
@@ -110,7 +111,7 @@
 		return m.claimAnswered(e.Result)
 	case ClaimFailed:
 		return m.finish(Result{
-			Outcome: m.notRun(), Code: CodeNoControl, Reason: e.Reason, RetryAfter: retryAfterAsk,
+			Outcome: request.OutcomeNotRun, Code: CodeNoControl, Reason: e.Reason, RetryAfter: retryAfterAsk,
 		})
 	case Ended:
 		return m.attemptEnded(now, e)
@@ -199,7 +200,7 @@
 		}
 		return m.failed(now, Result{
 			Outcome: request.OutcomeNotRun, Code: e.Code, Reason: e.Reason, RetryAfter: e.RetryAfter,
-		}, false)
+		}, e.Final)
 	case EndLost:
 		return m.lost(now, ref, e)
 	}
@@ -215,7 +216,9 @@
 		result.RetryAfter = retryAfterAsk
 	}
 	if !m.plan.AtMostOnce {
-		m.mayHaveRun = true
+		if m.lostTo == nil {
+			m.lostTo = &result
+		}
 		m.exclude[m.target.Host] = true
 		return m.failed(now, result, expired || e.Final)
 	}
@@ -242,6 +245,7 @@
 			Incarnation: m.holder.Incarnation,
 			Tombstone:   true,
 			Wait:        true,
+			AtMostOnce:  true,
 		},
 	}
 }
@@ -332,18 +336,12 @@
 	}}
 }
 
+// finish ends with r, or with the attempt that may have run if the last one did not.
 func (m *Machine) finish(r Result) Action {
-	if r.Outcome == request.OutcomeNotRun {
-		r.Outcome = m.notRun()
+	if r.Outcome == request.OutcomeNotRun && m.lostTo != nil {
+		lost := *m.lostTo
+		lost.RetryAfter = max(lost.RetryAfter, r.RetryAfter)
+		return Finish{Result: lost}
 	}
 	return Finish{Result: r}
 }
-
-// notRun is the outcome of a request whose last attempt did not run: an earlier
-// attempt of an idempotent one may have.
-func (m *Machine) notRun() request.Outcome {
-	if m.mayHaveRun {
-		return request.OutcomeUnknown
-	}
-	return request.OutcomeNotRun
-}
--- a/internal/link/session/session.go
+++ b/internal/link/session/session.go
@@ -151,7 +151,9 @@
 // Run keeps a session open until ctx ends or Goodbye was said.
 func (s *Session) Run(ctx context.Context) error {
 	for ctx.Err() == nil && !s.ended() {
-		if err := s.once(ctx); ctx.Err() == nil {
+		if err := s.once(ctx); IsErrNoLeader(err) {
+			event.LeaderSought.On(s.opts.Logger).Str("reason", err.Error()).Msg("")
+		} else if ctx.Err() == nil {
 			event.LinkLost.On(s.opts.Logger).Str("peer", "control").Err(err).Msg("")
 		}
 		select {
--- a/internal/telemetry/event/process.go
+++ b/internal/telemetry/event/process.go
@@ -13,5 +13,6 @@
 	KeysReloaded    = register(406, "keys_reloaded", log.InfoLevel)
 	ConfigInForce   = register(407, "config_in_force", log.InfoLevel)
 	ConfigRefused   = register(408, "config_refused", log.ErrorLevel)
+	LeaderSought    = register(409, "leader_sought", log.InfoLevel)
 	KeysRefused     = register(410, "keys_refused", log.ErrorLevel)
 )
