Make each removal of a protection fail in a test of its own

Cause: with 150 random histories in place of 1,500, four removals went unseen: "voters not bound to a live leader", "late append shortens the log", "lease kept during transfer", "hosts unchecked". Ruled out: more random histories in every run; they take time and still rest on luck. Change: TestVotersAreBound and TestLateMessages; the lease test cuts the old leader off before the vote reaches it; TestHostsDiffer starts from an empty disk.

--- a/internal/control/journal/journal.go
+++ b/internal/control/journal/journal.go
@@ -76,15 +76,21 @@
 	}
 	j := &Journal{files: files, folder: folder, lock: lock}
 	if err := j.open(); err != nil {
+		if j.active != nil {
+			_ = j.active.Close()
+		}
 		_ = lock.Close()
 		return nil, err
 	}
 	return j, nil
 }
 
-// Memory returns what the journal held when it was opened.
+// Memory returns what the journal held when it was opened, until Release.
 func (j *Journal) Memory() quorum.Memory { return j.memory }
 
+// Release drops what Memory returns, once it has been taken over.
+func (j *Journal) Release() { j.memory = quorum.Memory{} }
+
 // Report returns what Open found.
 func (j *Journal) Report() Report { return j.report }
 
--- a/internal/control/quorum/faults_test.go
+++ b/internal/control/quorum/faults_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -216,7 +217,7 @@
 					w.boot(others[1].id)
 				case "transfer":
 					w.step(leader, Transfer{})
-					w.run(tick)
+					w.run(w.tick)
 					w.cut(leader.id, true, true)
 				}
 				w.run(2 * time.Second)
@@ -338,9 +339,9 @@
 	}
 }
 
-// TestLateSnapshot sends a follower a snapshot of what it has and more. What stands
-// behind the snapshot may have been acknowledged and stays.
-func TestLateSnapshot(t *testing.T) {
+// TestLateMessages sends a follower a snapshot and entries of the start of what it
+// has. What stands behind may have been acknowledged and stays.
+func TestLateMessages(t *testing.T) {
 	w, leader, others := founded(t, 11)
 	b := others[0]
 	w.drop = func(m Message) bool { return m.From != leader.id }
@@ -348,16 +349,38 @@
 	w.run(testTiming.Heartbeat)
 	last, commit := b.machine.log.last(), b.machine.commit
 	require.Equal(t, commit+4, last)
-	w.step(b, Received{Message: Message{
-		From: leader.id, To: b.id, Generation: leader.machine.hard.Generation, Term: leader.machine.hard.Term,
-		Body: Chunk{Snapshot: Snapshot{
-			Index: commit + 2, Term: leader.machine.hard.Term, Membership: *b.machine.log.membership(),
-		}},
-	}})
-	require.Equal(t, last, b.machine.log.last())
+	term := leader.machine.hard.Term
+	for _, late := range []Body{
+		Append{PrevIndex: commit, PrevTerm: term, Commit: commit, Entries: b.machine.log.slice(commit+1, commit+1)},
+		Chunk{Snapshot: Snapshot{Index: commit + 2, Term: term, Membership: *b.machine.log.membership()}},
+	} {
+		w.step(b, Received{Message: Message{
+			From: leader.id, To: b.id, Generation: leader.machine.hard.Generation, Term: term, Body: late,
+		}})
+		require.Equal(t, last, b.machine.log.last())
+	}
 	require.Equal(t, commit+2, b.machine.commit)
 }
 
+// TestVotersAreBound asks a host that hears its leader for support and for a vote,
+// with a log as good as its own. It gives neither and stays in its term.
+func TestVotersAreBound(t *testing.T) {
+	w, _, others := founded(t, 15)
+	voter, candidate := others[0], others[1]
+	term, last, lastTerm := voter.machine.hard.Term, voter.machine.log.last(), voter.machine.log.lastTerm()
+	for _, ask := range []Body{
+		PreVote{Next: term + 1, LastIndex: last, LastTerm: lastTerm},
+		Vote{LastIndex: last, LastTerm: lastTerm},
+	} {
+		w.step(voter, Received{Message: Message{
+			From: candidate.id, To: voter.id, Generation: candidate.machine.hard.Generation,
+			Term: term + 1, Admitted: true, Body: ask,
+		}})
+		require.NotContains(t, fmt.Sprintf("%+v", voter.last), "Granted:true")
+		require.Equal(t, term, voter.machine.hard.Term)
+	}
+}
+
 // TestVoteNeedsTheLog asks for votes and for support with logs that end early. A host
 // that holds more gives neither, even when a leader asked for the candidacy.
 func TestVoteNeedsTheLog(t *testing.T) {
@@ -390,7 +413,7 @@
 func TestHostsDiffer(t *testing.T) {
 	w, leader, others := founded(t, 14)
 	wrong := others[0]
-	wrong.disk = Memory{Hard: HardState{Generation: wrong.machine.hard.Generation}}
+	w.loseDisk(wrong.id)
 	w.hosts = append(w.hosts, "c4", "c5")
 	w.boot(wrong.id)
 	w.hosts = w.hosts[:3]
--- a/internal/control/replication/replication.go
+++ b/internal/control/replication/replication.go
@@ -137,6 +137,7 @@
 			return ErrRestore{Cause: err}
 		}
 	}
+	l.opts.Journal.Release()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.loop(ctx) })
 	group.Go(func() error { return l.write(ctx) })
