Forget hosts that are long gone; test what certificates allow

A host that is about to be forgotten is granted nothing, or its lease could outlive its record and a second process be admitted. Change: hosts without claim and drain are dropped after 7 days; one that comes back starts from the highest fencing number given at all. Calls and announcements are tested against role and host of the certificate. Seen to fail first, each by a scratch edit: roles unchecked, host unchecked, nothing forgotten, forgotten in spite of a claim, a floor that starts at 0.

--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -50,6 +50,8 @@
 	released  bool
 	losses    []time.Time
 	candidate *candidate
+	// forgetting says that the host is about to be dropped; nothing is granted to it.
+	forgetting bool
 }
 
 // candidate is an incarnation that waits to be admitted.
@@ -114,6 +116,17 @@
 	}
 }
 
+// Forgetting stops all grants to a host that is about to be dropped from the
+// replicated state. It has to announce itself again after Forget.
+func (t *Table) Forgetting(id host.ID) {
+	if d := t.daemons[id]; d != nil {
+		d.forgetting = true
+	}
+}
+
+// Forget drops a host that is no longer in the replicated state.
+func (t *Table) Forget(id host.ID) { delete(t.daemons, id) }
+
 // Announce records an incarnation that opened a session. From then on another
 // incarnation of the host is granted nothing.
 func (t *Table) Announce(now time.Time, role host.Role, info host.Info) {
@@ -143,7 +156,7 @@
 	var all []Candidate
 	for _, id := range t.ids() {
 		d := t.daemons[id]
-		if d.candidate != nil && !now.Before(t.reclaimableAt(d)) {
+		if d.candidate != nil && !d.forgetting && !now.Before(t.reclaimableAt(d)) {
 			all = append(all, Candidate{Role: d.candidate.role, Info: d.candidate.info})
 		}
 	}
@@ -160,7 +173,7 @@
 // caller sends a grant only then.
 func (t *Table) Renew(now time.Time, r message.Renewal) bool {
 	d := t.daemons[r.Host]
-	if d == nil || !d.isAdmitted(r.Incarnation) || d.candidate != nil || d.released {
+	if d == nil || !d.isAdmitted(r.Incarnation) || d.candidate != nil || d.released || d.forgetting {
 		return false
 	}
 	d.lastGrant = now
--- a/internal/control/server/leader.go
+++ b/internal/control/server/leader.go
@@ -10,6 +10,7 @@
 	"github.com/egretreach/egretreach/internal/control/membership"
 	"github.com/egretreach/egretreach/internal/control/quota"
 	"github.com/egretreach/egretreach/internal/control/state"
+	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/view"
 	"github.com/egretreach/egretreach/internal/link/lease"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -119,6 +120,12 @@
 		session.kick()
 	}
 	commands := admissions(l.table.Admissible(now))
+	if gone := p.longGone(); len(gone) > 0 {
+		for _, id := range gone {
+			l.table.Forgetting(id)
+		}
+		commands = append(commands, state.Forget{Hosts: gone})
+	}
 	commands = append(commands, p.releases(l.orders)...)
 	commands = append(commands, p.advances()...)
 	return append(commands, p.placements(l.orders, l.seen, l.server.opts.Logger)...)
@@ -129,9 +136,16 @@
 	l.server.store.read(func(m *state.Machine) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		known := map[host.ID]bool{}
 		for _, h := range m.Hosts() {
+			known[h.Info.ID] = true
 			l.table.Admitted(now, h.Role, h.Info)
 		}
+		for _, d := range l.table.Daemons() {
+			if !known[d.Info.ID] {
+				l.forgetLocked(d.Info.ID)
+			}
+		}
 	})
 }
 
@@ -148,6 +162,17 @@
 	}
 }
 
+// forgetLocked drops a host; a process of it that is back after all has to announce
+// itself again.
+func (l *leader) forgetLocked(id host.ID) {
+	l.table.Forget(id)
+	for key, session := range l.sessions {
+		if key.host == id {
+			session.stream.Cancel()
+		}
+	}
+}
+
 func admissions(candidates []membership.Candidate) []state.Command {
 	commands := make([]state.Command, len(candidates))
 	for i, c := range candidates {
--- a/internal/control/server/picture.go
+++ b/internal/control/server/picture.go
@@ -112,6 +112,22 @@
 	return commands
 }
 
+// forgetAfter is how long a host is gone before it is forgotten.
+const forgetAfter = 7 * 24 * time.Hour
+
+// longGone returns the hosts to be forgotten: not those that are drained, nor those
+// whose claim has not been released.
+func (p *picture) longGone() []host.ID {
+	var gone []host.ID
+	for _, h := range p.hosts {
+		d := p.daemons[h.Info.ID]
+		if !d.Alive && h.Claim == nil && !h.Drained && p.now.Sub(d.Since) >= forgetAfter {
+			gone = append(gone, h.Info.ID)
+		}
+	}
+	return gone
+}
+
 // releases frees the hosts of ended replicas whose agents have released them or
 // whose leases have lapsed.
 func (p *picture) releases(orders *orderBook) []state.Command {
--- a/internal/control/server/server_test.go
+++ b/internal/control/server/server_test.go
@@ -20,6 +20,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/view"
 	"github.com/egretreach/egretreach/internal/link/lease"
 	"github.com/egretreach/egretreach/internal/link/message"
+	link "github.com/egretreach/egretreach/internal/link/session"
 )
 
 // reach is the time within which a configuration is in force in every daemon.
@@ -348,3 +349,58 @@
 	}
 	return 1
 }
+
+// TestCertificatesLimitCalls: what a peer may ask depends on the role and the host in
+// its certificate.
+func TestCertificatesLimitCalls(t *testing.T) {
+	runFleet(t, func(t *testing.T, f *testFleet) {
+		agent, entry := f.agent("fabric-1", "a1", 1), f.entry("e1")
+		operator, leave := f.operator()
+		defer leave()
+		for _, c := range []struct {
+			from interface {
+				Call(ctx context.Context, m message.Message) (message.Message, error)
+			}
+			call message.Message
+			code string
+		}{
+			{agent.session, &message.ApplyConfig{}, codeForbidden},
+			{entry.session, &message.Drain{Host: "a1"}, codeForbidden},
+			{operator, &message.Claim{}, codeForbidden},
+			{agent.session, &message.Settle{}, codeForbidden},
+			{entry.session, &message.CrashReport{}, codeForbidden},
+			{agent.session, &message.Quorum{}, codeForbidden},
+			{operator, &message.Announce{}, codeForbidden},
+			{agent.session, &message.Announce{Role: host.RoleAgent, Info: host.Info{ID: "a2", Incarnation: 9}}, codeForbidden},
+			{agent.session, &message.Announce{Role: host.RoleEntry, Info: host.Info{ID: "a1", Incarnation: 9}}, codeForbidden},
+			{operator, &message.Drain{Host: "nobody"}, codeRefused},
+			{operator, &message.ConfigQuery{Revision: 9}, codeNotFound},
+			{operator, &message.Beat{}, codeMalformed},
+		} {
+			ctx, cancel := context.WithTimeout(f.ctx, reach)
+			_, err := c.from.Call(ctx, c.call)
+			cancel()
+			var refused link.ErrRefused
+			require.ErrorAs(t, err, &refused, "%T", c.call)
+			require.Equal(t, c.code, refused.Code, "%T", c.call)
+		}
+	})
+}
+
+// TestLongGoneHostsAreForgotten: a fleet whose hosts are replaced day by day does not
+// grow without bound.
+func TestLongGoneHostsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(t, 3)
+		s.configure(defaultConfig())
+		s.run(4)
+		s.agents[2].silent = true
+		s.run(12)
+		time.Sleep(forgetAfter)
+		s.agents[0].silent, s.agents[1].silent = false, false
+		s.run(2)
+		require.Len(t, s.leader.table.Daemons(), 2)
+		status := s.leader.status()
+		require.Len(t, status.Hosts, 2)
+	})
+}
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -42,6 +42,12 @@
 	Info host.Info `cbor:"2,keyasint"`
 }
 
+// Forget drops hosts that have been gone for long. Those with a claim stay. A host that
+// comes back starts from the highest fencing number given at all. It answers with Done.
+type Forget struct {
+	Hosts []host.ID `cbor:"1,keyasint"`
+}
+
 // Form claims free hosts for a new replica. It answers with Formed.
 type Form struct {
 	Spec  replica.Spec `cbor:"1,keyasint"`
@@ -141,6 +147,7 @@
 	commandClearSuspects
 	commandClearQuarantine
 	commandLead
+	commandForget
 )
 
 func (ApplyConfig) number() commandNumber     { return commandApplyConfig }
@@ -153,6 +160,7 @@
 func (Release) number() commandNumber         { return commandRelease }
 func (Drain) number() commandNumber           { return commandDrain }
 func (Claim) number() commandNumber           { return commandClaim }
+func (Forget) number() commandNumber          { return commandForget }
 func (Lead) number() commandNumber            { return commandLead }
 func (Settle) number() commandNumber          { return commandSettle }
 func (Crash) number() commandNumber           { return commandCrash }
@@ -220,6 +228,8 @@
 		return decodeAs[ClearSuspects](e.Body)
 	case commandLead:
 		return decodeAs[Lead](e.Body)
+	case commandForget:
+		return decodeAs[Forget](e.Body)
 	case commandClearQuarantine:
 		return decodeAs[ClearQuarantine](e.Body)
 	default:
--- a/internal/control/state/host.go
+++ b/internal/control/state/host.go
@@ -11,7 +11,7 @@
 func (m *Machine) admit(c Admit) Result {
 	h, known := m.hosts[c.Info.ID]
 	if !known {
-		m.hosts[c.Info.ID] = &Host{Role: c.Role, Info: c.Info}
+		m.hosts[c.Info.ID] = &Host{Role: c.Role, Info: c.Info, Floor: m.fence}
 		return Done{}
 	}
 	if h.Info.Incarnation == c.Info.Incarnation {
@@ -29,6 +29,15 @@
 	return Done{}
 }
 
+func (m *Machine) forget(c Forget) Result {
+	for _, id := range c.Hosts {
+		if h := m.hosts[id]; h != nil && h.Claim == nil {
+			delete(m.hosts, id)
+		}
+	}
+	return Done{}
+}
+
 func (m *Machine) drain(c Drain) Result {
 	h, known := m.hosts[c.Host]
 	if !known {
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -126,6 +126,8 @@
 		return m.applyConfig(c)
 	case Admit:
 		return m.admit(c)
+	case Forget:
+		return m.forget(c)
 	case Form:
 		return m.form(nil, c.Spec, c.Hosts)
 	case Swap:
--- a/internal/control/state/machine_test.go
+++ b/internal/control/state/machine_test.go
@@ -115,7 +115,7 @@
 func drawCommand(t *rapid.T, m *Machine) Command {
 	spec := replica.Spec{Deployment: "drafting", Model: "drafter", Version: "1"}
 	h := rapid.SampledFrom(hostIDs).Draw(t, "host")
-	switch rapid.IntRange(0, 9).Draw(t, "command") {
+	switch rapid.IntRange(0, 10).Draw(t, "command") {
 	case 0, 1:
 		i := host.Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation"))
 		return Admit{Role: host.RoleAgent, Info: host.Info{ID: h, Incarnation: i}}
@@ -131,6 +131,8 @@
 	case 7:
 		return Advance{Replica: drawReplica(t, m), State: replica.StateServing}
 	case 8:
+		return Forget{Hosts: []host.ID{h}}
+	case 9:
 		return Claim{Items: []message.ClaimItem{{Team: "jordan", Key: string(h), Request: request.ID{1}}}}
 	default:
 		return Drain{Host: h, Reason: "repair"}
@@ -179,6 +181,14 @@
 	apply(t, m, start, Dissolve{Replica: second.ID})
 	apply(t, m, start, free(first.Fence))
 	require.IsType(t, Refused{}, apply(t, m, start, form), "a late release of the first claim")
+	apply(t, m, start, Forget{Hosts: []host.ID{"a1"}})
+	_, known := m.Host("a1")
+	require.True(t, known, "forgotten in spite of its claim")
+	apply(t, m, start, free(second.Fence))
+	apply(t, m, start, Forget{Hosts: []host.ID{"a1"}})
+	apply(t, m, start, Admit{Role: host.RoleAgent, Info: host.Info{ID: "a1", Incarnation: 2}})
+	back, _ := m.Host("a1")
+	require.Equal(t, second.Fence, back.Floor, "a host that was forgotten keeps its floor")
 }
 
 // TestTimeNeverRunsBackwards: a leader whose clock is behind expires nothing late and
