Let idle hosts serve, and count the weight store's rate, from the configuration

Cause: placement can use idle hosts for further replicas and weighs loads by the store's rate, but control filled in neither; and the default weights made a second of a group's downtime cost as much as one idle accelerator. Ruled out: further replicas by default; Cascadia keeps its spares. Change: deployments[].max_replicas, weight_store.rate and host_rate; the default group_downtime is 1000 to 1. Conclusion: preload orders and measured stragglers are still missing.

--- a/internal/control/server/placement.go
+++ b/internal/control/server/placement.go
@@ -73,6 +73,9 @@
 		MaxHold: repair.ReturnWait, FlapLosses: repair.FlapLosses, FlapBackoff: repair.FlapHold,
 		StragglerSlowness: repair.StragglerFactor, ColdSpares: true,
 	}}
+	f.WeightStore = placement.WeightStore{
+		Rate: float64(p.config.WeightStore.Rate), HostRate: float64(p.config.WeightStore.HostRate),
+	}
 	for _, h := range p.hosts {
 		if _, engine := h.Info.Engine(); engine {
 			f.Hosts = append(f.Hosts, p.placementHost(h, seen))
@@ -142,7 +145,7 @@
 func (p *picture) placementDeployment(d config.Deployment, seen *sightings) placement.Deployment {
 	v := p.config.ForDeployment(d.Name).Objectives
 	out := placement.Deployment{
-		Spec: specOf(d), Replicas: d.Replicas, HostsPerReplica: d.HostsPerReplica, Priority: d.Priority,
+		Spec: specOf(d), Replicas: d.Replicas, MaxReplicas: d.MaxReplicas, HostsPerReplica: d.HostsPerReplica, Priority: d.Priority,
 		CrossFabric:    d.AcceptCrossFabric,
 		Rollout:        placement.Rollout{MaxSurge: d.Rollout.Extra},
 		DowntimeWeight: v.GroupDowntime, StrandedWeight: v.StrandedAccelerators,
--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -16,6 +16,7 @@
 	Exceptions    []Exception    `yaml:"exceptions" validate:"max=100,dive"`
 	Models        []Model        `yaml:"models" validate:"max=1000,dive"`
 	Deployments   []Deployment   `yaml:"deployments" validate:"max=1000,dive"`
+	WeightStore   WeightStore    `yaml:"weight_store"`
 	FabricDomains []FabricDomain `yaml:"fabric_domains" validate:"max=10000,dive"`
 	Classes       []Class        `yaml:"classes" validate:"max=20,dive"`
 	Teams         []Team         `yaml:"teams" validate:"max=1000,dive"`
@@ -51,12 +52,15 @@
 
 // Deployment is a number of replicas that serve one version of a model.
 type Deployment struct {
-	Name            string   `yaml:"name" validate:"required,hostname_rfc1123"`
-	Model           string   `yaml:"model" validate:"required"`
-	Version         string   `yaml:"version" validate:"required"`
-	Adapters        []string `yaml:"adapters" validate:"max=100,dive,required"`
-	Replicas        int      `yaml:"replicas" validate:"min=0,max=10000"`
-	HostsPerReplica int      `yaml:"hosts_per_replica" validate:"min=1,max=64"`
+	Name     string   `yaml:"name" validate:"required,hostname_rfc1123"`
+	Model    string   `yaml:"model" validate:"required"`
+	Version  string   `yaml:"version" validate:"required"`
+	Adapters []string `yaml:"adapters" validate:"max=100,dive,required"`
+	Replicas int      `yaml:"replicas" validate:"min=0,max=10000"`
+	// MaxReplicas lets idle hosts serve further replicas, where the weight of
+	// stranded accelerators asks for it; 0 is no more than Replicas.
+	MaxReplicas     int `yaml:"max_replicas" validate:"min=0,max=10000"`
+	HostsPerReplica int `yaml:"hosts_per_replica" validate:"min=1,max=64"`
 	// Priority: a deployment may take hosts from those of a lower number.
 	Priority int     `yaml:"priority" validate:"min=0,max=1000"`
 	Role     Role    `yaml:"role" validate:"omitempty,oneof=mixed prefill decode"`
@@ -72,6 +76,14 @@
 	Extra int `yaml:"extra" validate:"min=0,max=100"`
 }
 
+// WeightStore says how fast the platform's weight store is, in bytes per second; 0 is
+// unlimited.
+type WeightStore struct {
+	// Rate is shared by all loads, HostRate bounds one host's.
+	Rate     document.Size `yaml:"rate" validate:"min=0"`
+	HostRate document.Size `yaml:"host_rate" validate:"min=0"`
+}
+
 // FabricDomain is a fabric domain and the number of its hosts, used to refuse
 // replicas that no fabric domain can hold.
 type FabricDomain struct {
--- a/internal/fleet/config/values.go
+++ b/internal/fleet/config/values.go
@@ -53,7 +53,7 @@
 	// GroupDowntime and StrandedAccelerators are weights: the cost of one second
 	// of a replica that does not serve, and of one second of a healthy accelerator
 	// in no serving replica.
-	GroupDowntime        float64 `yaml:"group_downtime" validate:"min=0,max=1000"`
+	GroupDowntime        float64 `yaml:"group_downtime" validate:"min=0,max=1000000"`
 	StrandedAccelerators float64 `yaml:"stranded_accelerators" validate:"min=0,max=1000"`
 }
 
@@ -109,7 +109,7 @@
 		Retry: Retry{
 			MaxAttempts: 3, Budget: 0.1, MinBackoff: 20 * time.Millisecond, MaxBackoff: time.Second,
 		},
-		Objectives: Objectives{GroupDowntime: 1, StrandedAccelerators: 1},
+		Objectives: Objectives{GroupDowntime: 1000, StrandedAccelerators: 1},
 		Repair: Repair{
 			ReturnWait: 30 * time.Second, LoadTimeout: 10 * time.Minute,
 			FlapLosses: 3, FlapHold: 10 * time.Minute,
