--- a/internal/entry/api/read.go
+++ b/internal/entry/api/read.go
@@ -94,6 +94,7 @@
 	if key == "" && idempotent {
 		return true
 	}
+	work.CallerKey = key != ""
 	if key == "" {
 		key = "minted-" + uuid.NewString()
 	}
--- a/internal/entry/dispatch/batch.go
+++ b/internal/entry/dispatch/batch.go
@@ -16,6 +16,8 @@
 	batchesAtOnce = 4
 	claimTimeout  = 5 * time.Second
 	settleTimeout = 5 * time.Second
+	// refuseTimeout bounds the question to the ledger before a refusal.
+	refuseTimeout = 2 * time.Second
 
 	callAgainDelay = 100 * time.Millisecond
 )
@@ -23,6 +25,7 @@
 // batcher joins calls of many requests into one message to control. While as many
 // batches are under way as may be, items gather for the next one.
 type batcher[In, Out any] struct {
+	base context.Context
 	send func(ctx context.Context, items []In) ([]Out, error)
 
 	mu      sync.Mutex
@@ -82,7 +85,7 @@
 }
 
 func (b *batcher[In, Out]) run(items []batchItem[In, Out]) {
-	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	ctx, cancel := context.WithTimeout(b.base, claimTimeout)
 	defer cancel()
 	in := make([]In, len(items))
 	for i, item := range items {
@@ -113,8 +116,8 @@
 	}
 }
 
-func newClaims(control Control) *batcher[message.ClaimItem, message.ClaimItemResult] {
-	b := &batcher[message.ClaimItem, message.ClaimItemResult]{}
+func newClaims(base context.Context, control Control) *batcher[message.ClaimItem, message.ClaimItemResult] {
+	b := &batcher[message.ClaimItem, message.ClaimItemResult]{base: base}
 	b.send = func(ctx context.Context, items []message.ClaimItem) ([]message.ClaimItemResult, error) {
 		answer, err := callAgain(ctx, control, &message.Claim{Items: items})
 		if err != nil {
@@ -129,8 +132,8 @@
 	return b
 }
 
-func newSettles(control Control) *batcher[message.SettleItem, bool] {
-	b := &batcher[message.SettleItem, bool]{}
+func newSettles(base context.Context, control Control) *batcher[message.SettleItem, bool] {
+	b := &batcher[message.SettleItem, bool]{base: base}
 	b.send = func(ctx context.Context, items []message.SettleItem) ([]bool, error) {
 		answer, err := callAgain(ctx, control, &message.Settle{Items: items})
 		if err != nil {
--- a/internal/entry/dispatch/dispatcher.go
+++ b/internal/entry/dispatch/dispatcher.go
@@ -15,6 +15,8 @@
 
 // Options are what a Dispatcher works with.
 type Options struct {
+	// Base ends all work, also what goes on without its caller.
+	Base    context.Context
 	Pool    *pool.Pool
 	Control Control
 	Router  Router
@@ -31,7 +33,7 @@
 
 // New returns a dispatcher.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{opts: opts, claims: newClaims(opts.Control), settles: newSettles(opts.Control)}
+	return &Dispatcher{opts: opts, claims: newClaims(opts.Base, opts.Control), settles: newSettles(opts.Base, opts.Control)}
 }
 
 // Do carries work out and returns its end. When ctx ends, an idempotent request is
@@ -39,12 +41,35 @@
 // settled, though nobody waits for it.
 func (d *Dispatcher) Do(ctx context.Context, work Work, sink Sink) Result {
 	if work.AtMostOnce {
-		ctx = context.WithoutCancel(ctx)
+		ctx = d.opts.Base
 	}
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
+	return d.execute(ctx, work, sink, execution.New(plan(work), d.opts.Retrier))
+}
+
+// Refuse ends work that the policy refuses. If the caller's key was used before, the
+// caller is told what became of it instead.
+func (d *Dispatcher) Refuse(ctx context.Context, work Work, sink Sink, refusal execution.Result) Result {
+	if !work.CallerKey {
+		return Result{Result: refusal}
+	}
+	ctx, cancel := context.WithTimeout(ctx, refuseTimeout)
+	defer cancel()
+	work.Deadline = time.Now().Add(refuseTimeout)
+	return d.execute(ctx, work, sink, execution.NewRefusal(plan(work), d.opts.Retrier, refusal))
+}
+
+func (d *Dispatcher) execute(ctx context.Context, work Work, sink Sink, machine *execution.Machine) Result {
 	e := &executor{dispatcher: d, work: work, progress: progress{work: work, sink: sink}}
-	return e.run(ctx)
+	return e.run(ctx, machine)
+}
+
+func plan(work Work) execution.Plan {
+	return execution.Plan{
+		Request: work.ID, Team: work.Team, Deadline: work.Deadline,
+		AtMostOnce: work.AtMostOnce, Key: work.Key, BodyHash: work.KeyHash, CallerKey: work.CallerKey,
+	}
 }
 
 // executor performs the actions of one request's machine.
@@ -55,11 +80,7 @@
 	route      Route
 }
 
-func (e *executor) run(ctx context.Context) Result {
-	machine := execution.New(execution.Plan{
-		Request: e.work.ID, Team: e.work.Team, Deadline: e.work.Deadline,
-		AtMostOnce: e.work.AtMostOnce, Key: e.work.Key, BodyHash: e.work.KeyHash,
-	}, e.dispatcher.opts.Retrier)
+func (e *executor) run(ctx context.Context, machine *execution.Machine) Result {
 	action := machine.Start()
 	for {
 		if finish, ok := action.(execution.Finish); ok {
@@ -91,7 +112,7 @@
 	case execution.Ask:
 		return e.ask(ctx, a)
 	case execution.Settle:
-		e.settle(ctx, a)
+		e.settle(a)
 		return execution.Settled{}
 	case execution.Wait:
 		wait(ctx, a.For)
@@ -129,8 +150,8 @@
 	return execution.Claimed{Result: result}
 }
 
-func (e *executor) settle(ctx context.Context, a execution.Settle) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+func (e *executor) settle(a execution.Settle) {
+	ctx, cancel := context.WithTimeout(e.dispatcher.opts.Base, settleTimeout)
 	defer cancel()
 	// A settle that is lost costs a resend one question to the agent, no more.
 	_, _ = e.dispatcher.settles.do(ctx, a.Item)
--- a/internal/entry/dispatch/work.go
+++ b/internal/entry/dispatch/work.go
@@ -21,9 +21,11 @@
 	Priority int
 	Deadline time.Time
 	// AtMostOnce says that the request may not run twice; Key and KeyHash are then set.
-	AtMostOnce  bool
-	Key         string
-	KeyHash     []byte
+	AtMostOnce bool
+	Key        string
+	KeyHash    []byte
+	// CallerKey says that the key is the caller's own, not a minted one.
+	CallerKey   bool
 	BodyHash    uint64
 	Suspect     bool
 	TraceParent string
--- a/internal/entry/execution/execution.go
+++ b/internal/entry/execution/execution.go
@@ -55,6 +55,9 @@
 	AtMostOnce bool
 	Key        string
 	BodyHash   []byte
+	// CallerKey says that the key is the caller's own, so that an earlier sending may
+	// have run under it: no refusal is final before the ledger has been asked.
+	CallerKey bool
 }
 
 // Result is the request's end.
@@ -88,6 +91,8 @@
 	asks    int
 	askNext bool
 	result  Result
+	// refusal is what the caller is told if the ledger knows nothing of its key.
+	refusal *Result
 }
 
 // New returns the machine of one request.
@@ -95,8 +100,33 @@
 	return &Machine{plan: plan, retrier: retrier, exclude: map[host.ID]bool{}}
 }
 
+// NewRefusal returns the machine of a request that is refused before it is routed. It
+// ends with the refusal unless the ledger knows of an earlier sending.
+func NewRefusal(plan Plan, retrier Retrier, refusal Result) *Machine {
+	m := New(plan, retrier)
+	m.refusal = &refusal
+	return m
+}
+
 // Start returns the first action.
-func (m *Machine) Start() Action { return Route{} }
+func (m *Machine) Start() Action {
+	if m.refusal != nil {
+		return m.refuse(*m.refusal)
+	}
+	return Route{}
+}
+
+// refuse ends with r, but asks the ledger first whether an earlier sending under the
+// caller's key has run, by a claim that no endpoint stands for.
+func (m *Machine) refuse(r Result) Action {
+	if !m.plan.CallerKey {
+		return m.finish(r)
+	}
+	m.refusal = &r
+	m.target = Target{}
+	m.attempt++
+	return m.claim()
+}
 
 // Step takes the event that the last action led to and returns the next action.
 func (m *Machine) Step(now time.Time, e Event) Action {
@@ -110,6 +140,9 @@
 	case Claimed:
 		return m.claimAnswered(e.Result)
 	case ClaimFailed:
+		if m.refusal != nil {
+			return m.finish(*m.refusal)
+		}
 		return m.finish(Result{
 			Outcome: request.OutcomeNotRun, Code: CodeNoControl, Reason: e.Reason, RetryAfter: retryAfterAsk,
 		})
@@ -131,6 +164,10 @@
 	if !m.plan.AtMostOnce {
 		return Dispatch{Target: m.target, Attempt: m.attempt}
 	}
+	return m.claim()
+}
+
+func (m *Machine) claim() Action {
 	return Claim{Item: message.ClaimItem{
 		Team: m.plan.Team, Key: m.plan.Key, BodyHash: m.plan.BodyHash,
 		Request: m.plan.Request, Attempt: m.attempt,
@@ -143,8 +180,17 @@
 	switch r.State {
 	case message.ClaimGranted:
 		m.supersedes = nil
+		if m.refusal != nil {
+			return m.settle(message.Ref{Request: m.plan.Request, Attempt: m.attempt}, *m.refusal, nil)
+		}
 		return Dispatch{Target: m.target, Attempt: m.attempt}
 	case message.ClaimRunning:
+		if r.Address == "" {
+			// A refusal's claim stands for no endpoint: it is never dispatched.
+			m.supersedes = &message.Attested{Request: r.Request, Attempt: r.Attempt}
+			return m.claim()
+		}
+		m.refusal = nil
 		m.supersedes = nil
 		m.holder = r
 		m.asks = 0
@@ -302,10 +348,14 @@
 			r.RetryAfter = max(r.RetryAfter, d.RetryAfter)
 		}
 	}
-	if m.supersedes != nil {
+	switch {
+	case m.supersedes != nil:
 		return m.settle(message.Ref(*m.supersedes), r, nil)
+	case m.plan.AtMostOnce && r.Outcome == request.OutcomeNotRun && m.refusal == nil:
+		return m.refuse(r)
+	default:
+		return m.finish(r)
 	}
-	return m.finish(r)
 }
 
 func (m *Machine) failure(r Result) retry.Failure {
--- a/internal/entry/execution/execution_test.go
+++ b/internal/entry/execution/execution_test.go
@@ -35,7 +35,9 @@
 	other   = request.ID{2}
 	answer  = &message.Answer{Status: 201, Body: []byte("done")}
 	granted = Claimed{Result: message.ClaimItemResult{State: message.ClaimGranted}}
-	running = Claimed{Result: message.ClaimItemResult{
+	// refusing is the claim of a refusal in progress.
+	refusing = Claimed{Result: message.ClaimItemResult{State: message.ClaimRunning, Request: other, Attempt: 1}}
+	running  = Claimed{Result: message.ClaimItemResult{
 		State: message.ClaimRunning, Request: other, Attempt: 1, Host: "h9", Incarnation: 9, Address: "127.0.0.9:1",
 	}}
 )
@@ -81,6 +83,40 @@
 	"ledger_full":                 {true, 1, []Event{to("a"), Claimed{Result: message.ClaimItemResult{State: message.ClaimFull}}}},
 }
 
+// keyed are sessions under a key of the caller's own. A refused one never gets to an
+// endpoint: it ends with its refusal unless an earlier sending is known.
+var keyed = map[string]struct {
+	refused bool
+	events  []Event
+}{
+	"refused_key_unused":        {true, []Event{granted, Settled{}}},
+	"refused_key_complete":      {true, []Event{Claimed{Result: message.ClaimItemResult{State: message.ClaimComplete, Answer: answer}}}},
+	"refused_key_unknown":       {true, []Event{Claimed{Result: message.ClaimItemResult{State: message.ClaimUnknown}}}},
+	"refused_key_running":       {true, []Event{running, reached(message.AskComplete, answer), Settled{}}},
+	"refused_without_control":   {true, []Event{ClaimFailed{}}},
+	"unroutable_key_unused":     {false, []Event{Unroutable{Code: CodeNoReplica}, granted, Settled{}}},
+	"unroutable_key_unknown":    {false, []Event{Unroutable{Code: CodeNoReplica}, Claimed{Result: message.ClaimItemResult{State: message.ClaimUnknown}}}},
+	"resend_meets_refusal":      {false, []Event{to("a"), refusing, granted, Ended{Kind: EndComplete, Answer: answer}, Settled{}}},
+	"two_refusals_at_once":      {true, []Event{refusing, granted, Settled{}}},
+	"unroutable_after_an_agent": {false, []Event{to("a"), running, reached(message.AskNotRun, nil), Settled{}}},
+}
+
+func TestKeyedSessions(t *testing.T) {
+	for name, s := range keyed {
+		t.Run(name, func(t *testing.T) {
+			plan := Plan{
+				Request: self, Team: "jordan", Deadline: start.Add(time.Minute),
+				AtMostOnce: true, Key: "tag-17", BodyHash: []byte{7}, CallerKey: true,
+			}
+			m := New(plan, &fixedRetrier{})
+			if s.refused {
+				m = NewRefusal(plan, &fixedRetrier{}, Result{Outcome: request.OutcomeNotRun, Code: "team_requests"})
+			}
+			play(t, name, m, s.events)
+		})
+	}
+}
+
 func TestSessions(t *testing.T) {
 	for name, s := range sessions {
 		t.Run(name, func(t *testing.T) {
@@ -88,20 +124,26 @@
 				Request: self, Team: "jordan", Deadline: start.Add(time.Minute),
 				AtMostOnce: s.once, Key: "tag-17", BodyHash: []byte{7},
 			}, &fixedRetrier{left: s.retries})
-			var out strings.Builder
-			a := m.Start()
-			fmt.Fprintln(&out, describe(a))
-			for _, e := range s.events {
-				require.NotEqual(t, "execution.Finish", fmt.Sprintf("%T", a), "events are left over")
-				a = m.Step(start, e)
-				fmt.Fprintf(&out, "%T\n%s\n", e, describe(a))
-			}
-			require.IsType(t, Finish{}, a)
-			compare(t, filepath.Join("testdata", name+".golden"), out.String())
+			play(t, name, m, s.events)
 		})
 	}
 }
 
+// play gives the machine its events and compares what it did with the golden file.
+func play(t *testing.T, name string, m *Machine, events []Event) {
+	t.Helper()
+	var out strings.Builder
+	a := m.Start()
+	fmt.Fprintln(&out, describe(a))
+	for _, e := range events {
+		require.NotEqual(t, "execution.Finish", fmt.Sprintf("%T", a), "events are left over")
+		a = m.Step(start, e)
+		fmt.Fprintf(&out, "%T\n%s\n", e, describe(a))
+	}
+	require.IsType(t, Finish{}, a)
+	compare(t, filepath.Join("testdata", name+".golden"), out.String())
+}
+
 func compare(t *testing.T, path, got string) {
 	t.Helper()
 	if *update {
--- a/internal/entry/server/backend.go
+++ b/internal/entry/server/backend.go
@@ -137,8 +137,12 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Done()
 	observer := s.meter.begin(work)
+	if !s.session.Valid() {
+		// Without control nothing can be asked; the refusal is of this sending alone.
+		return observer.end(dispatch.Result{Result: *notReady()})
+	}
 	if refused := s.refuse(work); refused != nil {
-		return observer.end(dispatch.Result{Result: *refused})
+		return observer.end(s.dispatcher.Refuse(ctx, work, sink, *refused))
 	}
 	var result dispatch.Result
 	switch body := work.Body.(type) {
@@ -152,13 +156,17 @@
 	return observer.end(result)
 }
 
+func notReady() *execution.Result {
+	return &execution.Result{
+		Outcome: request.OutcomeNotRun, Code: "not_ready",
+		Reason: "this entry takes no new work now", RetryAfter: retryAfterNotReady,
+	}
+}
+
 // refuse gives the reasons for refusing work before it waits for anything.
 func (s *Server) refuse(work dispatch.Work) *execution.Result {
-	if s.refusing.Load() || !s.session.Valid() || !s.policy.holdsShares() {
-		return &execution.Result{
-			Outcome: request.OutcomeNotRun, Code: "not_ready",
-			Reason: "this entry takes no new work now", RetryAfter: retryAfterNotReady,
-		}
+	if s.refusing.Load() || !s.policy.holdsShares() {
+		return notReady()
 	}
 	s.policy.mu.Lock()
 	defer s.policy.mu.Unlock()
@@ -173,14 +181,14 @@
 func (s *Server) generate(ctx context.Context, work dispatch.Work, body dispatch.Generation, sink dispatch.Sink, o *observation) dispatch.Result {
 	cost := float64(body.PromptTokens + expectedOutput(body))
 	if refused := s.policy.take(work.Team, cost); refused != nil {
-		return dispatch.Result{Result: *refused}
+		return s.dispatcher.Refuse(ctx, work, sink, *refused)
 	}
 	r := admission.Request{
 		ID: work.ID, Team: work.Team, Class: work.Class, Priority: work.Priority, Deadline: work.Deadline, Cost: cost,
 	}
 	if refused := s.policy.admit(ctx, body.Model, r); refused != nil {
 		s.policy.give(work.Team, 0)
-		return dispatch.Result{Result: *refused}
+		return s.dispatcher.Refuse(ctx, work, sink, *refused)
 	}
 	o.admitted()
 	start := time.Now()
@@ -206,7 +214,7 @@
 
 func (s *Server) call(ctx context.Context, work dispatch.Work, o *observation) dispatch.Result {
 	if refused := s.policy.take(work.Team, serviceCost); refused != nil {
-		return dispatch.Result{Result: *refused}
+		return s.dispatcher.Refuse(ctx, work, nil, *refused)
 	}
 	defer s.policy.give(work.Team, 0)
 	o.admitted()
--- a/internal/entry/server/router.go
+++ b/internal/entry/server/router.go
@@ -188,7 +188,7 @@
 
 // clear tells control that a suspect ran to its end.
 func (s *Server) clear(hash uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), clearedTimeout)
+	ctx, cancel := context.WithTimeout(s.base, clearedTimeout)
 	defer cancel()
 	// If this is lost, the suspect is cleared the next time it runs, or expires.
 	_, _ = s.session.Call(ctx, &message.SuspectsCleared{BodyHashes: []uint64{hash}})
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -84,6 +84,9 @@
 	policy      *policy
 	meter       *meter
 	handler     http.Handler
+	// base ends, by end, when Run does, and with it what goes on without a caller.
+	base context.Context
+	end  context.CancelFunc
 
 	stopping atomic.Bool
 	inFlight sync.WaitGroup
@@ -95,11 +98,12 @@
 	opts = opts.withDefaults()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Load balancing needs no secret randomness.
 	s := &Server{opts: opts, incarnation: host.Incarnation(rng.Uint64()), policy: newPolicy(rng)}
+	s.base, s.end = context.WithCancel(context.Background())
 	s.meter = newMeter(opts.Metrics, s.policy)
 	links := pool.New(opts.Link)
 	s.session = session.New(session.Options{Pool: links, Control: opts.Control, Daemon: s, Logger: opts.Logger})
 	s.dispatcher = dispatch.New(dispatch.Options{
-		Pool: links, Control: s.session, Router: s, Retrier: s.policy, Logger: opts.Logger,
+		Base: s.base, Pool: links, Control: s.session, Router: s, Retrier: s.policy, Logger: opts.Logger,
 	})
 	handler, err := api.New(s, opts.Logger)
 	if err != nil {
@@ -131,6 +135,7 @@
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer s.end()
 	if s.opts.MaxConnections > 0 {
 		listener = netutil.LimitListener(listener, s.opts.MaxConnections)
 	}
--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -93,6 +93,7 @@
 	}
 	for name, lose := range losses {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			inFleet(t, func(s *scene) {
 				out := s.later(0, "POST", "/v1/chat/completions", streamed)
 				time.Sleep(500 * time.Millisecond)
@@ -127,6 +128,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			inFleet(t, func(s *scene) {
 				for _, id := range []host.ID{"records-1", "records-2"} {
 					s.Agent(id).Service.Fail(c.mode)
@@ -187,6 +189,7 @@
 	}
 	for name, lose := range losses {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			inFleet(t, func(s *scene) {
 				lose(s, s.leader())
 				var out []<-chan answer
--- a/internal/standin/fleet/random_test.go
+++ b/internal/standin/fleet/random_test.go
@@ -32,6 +32,7 @@
 func TestRandomFaultsKeepThePromises(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			inFleet(t, func(s *scene) { s.endure(rand.New(rand.NewPCG(seed, seed))) })
 		})
 	}
--- a/internal/standin/fleet/recovery_test.go
+++ b/internal/standin/fleet/recovery_test.go
@@ -113,6 +113,7 @@
 	}
 	for name, stop := range stops {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			inFleet(t, func(s *scene) {
 				s.underLoad(8*time.Second, func() { stop(s) })
 			})
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -41,6 +41,7 @@
 	mu       sync.Mutex
 	failure  Failure
 	released chan struct{}
+	dropped  chan struct{}
 	total    int
 	byBody   map[string]int
 	byID     map[string]int
@@ -55,7 +56,7 @@
 
 // New returns a service that has run nothing.
 func New() *Service {
-	return &Service{byBody: map[string]int{}, byID: map[string]int{}, released: make(chan struct{})}
+	return &Service{byBody: map[string]int{}, byID: map[string]int{}, released: make(chan struct{}), dropped: make(chan struct{})}
 }
 
 // Handler serves the records and the sign-offs.
@@ -85,6 +86,14 @@
 	s.released = make(chan struct{})
 }
 
+// Drop drops the connections of hanging sign-offs, which have run.
+func (s *Service) Drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.dropped)
+	s.dropped = make(chan struct{})
+}
+
 // Counts returns the sign-offs that have run.
 func (s *Service) Counts() Counts {
 	s.mu.Lock()
@@ -114,7 +123,7 @@
 		return
 	}
 	s.mu.Lock()
-	failure, released := s.failure, s.released
+	failure, released, dropped := s.failure, s.released, s.dropped
 	s.mu.Unlock()
 	if failure == FailureDropBefore {
 		panic(http.ErrAbortHandler)
@@ -127,6 +136,8 @@
 	case FailureHang:
 		select {
 		case <-released:
+		case <-dropped:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
