--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -104,6 +104,7 @@
 	isDown   bool
 	frozen   bool
 	crashes  int
+	resumed  int
 	fence    uint64
 	place    protocol.Order
 	loadedAt time.Time
@@ -194,6 +195,13 @@
 	return begun
 }
 
+// Resumed returns the number of generations begun behind tokens of another engine.
+func (e *Engine) Resumed() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resumed
+}
+
 // Hang stops every generation from now on without ending it; health checks pass.
 func (e *Engine) Hang() { e.hung.Store(true) }
 
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -74,6 +74,9 @@
 	ctx, stop := context.WithCancel(parent)
 	key := runKey{req.RequestID, req.Attempt}
 	e.runs[key]++
+	if req.ResumeOffset > 0 {
+		e.resumed++
+	}
 	e.running[key] = stop
 	down := e.down
 	go func() {
--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -228,11 +228,13 @@
 // TestEntryStopsWithoutCuttingAnything stops an entry while it streams.
 func TestEntryStopsWithoutCuttingAnything(t *testing.T) {
 	inFleet(t, func(s *scene) {
-		out := s.later(0, "POST", "/v1/chat/completions", streamed)
+		long := strings.Replace(streamed, `"max_tokens":64`, `"max_tokens":300,"ignore_eos":true`, 1)
+		out := s.later(0, "POST", "/v1/chat/completions", long)
 		time.Sleep(500 * time.Millisecond)
 		s.Entry(0).Shutdown(s.ctx)
+		s.Entry(0).Kill()
 		a := <-out
-		want, _, err := engine.Answer([]byte(question))
+		want, _, err := engine.Answer([]byte(long))
 		require.NoError(t, err)
 		require.Equal(t, want, a.text(t))
 		require.Error(t, s.Entry(0).Ready())
--- a/internal/standin/fleet/recovery_test.go
+++ b/internal/standin/fleet/recovery_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/fleet/config"
+	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/standin/engine"
 )
@@ -92,6 +93,18 @@
 		require.Equal(s.t, "complete", a.header.Get("Egretreach-Outcome"), a.body)
 	}
 	require.Equal(s.t, len(out)/2, s.signoffs())
+	// An idempotent request that was cut off and resumed would be complete as well.
+	require.Zero(s.t, s.resumed(), "a planned stop cut generations off")
+}
+
+// resumed returns the number of generations that an engine began behind a token that
+// another one had given.
+func (s *scene) resumed() int {
+	n := 0
+	for _, spec := range s.opts.Engines {
+		n += s.Agent(spec.ID).Engine.Resumed()
+	}
+	return n
 }
 
 // TestPlannedStopsRefuseAndCutNothing stops daemons in good order under load.
@@ -102,14 +115,13 @@
 			for i := range 3 {
 				if s.Control(i).Host == leader {
 					_ = s.Control(i).Shutdown(s.ctx)
+					s.Control(i).Kill()
 				}
 			}
 		},
-		"agent of a head":   func(s *scene) { _ = s.Agent(s.replicas()[0].Head()).Shutdown(s.ctx) },
-		"agent of a member": func(s *scene) { _ = s.Agent(s.replicas()[0].Hosts[1]).Shutdown(s.ctx) },
-		"agent of a service": func(s *scene) {
-			_ = s.Agent("records-1").Shutdown(s.ctx)
-		},
+		"agent of a head":    func(s *scene) { s.stopAgent(s.replicas()[0].Head()) },
+		"agent of a member":  func(s *scene) { s.stopAgent(s.replicas()[0].Hosts[1]) },
+		"agent of a service": func(s *scene) { s.stopAgent("records-1") },
 	}
 	for name, stop := range stops {
 		t.Run(name, func(t *testing.T) {
@@ -121,6 +133,12 @@
 	}
 }
 
+// stopAgent stops an agent as its process does at SIGTERM.
+func (s *scene) stopAgent(id host.ID) {
+	_ = s.Agent(id).Shutdown(s.ctx)
+	s.Agent(id).Kill()
+}
+
 // TestStoppingHeadGetsNoNewWork within 2 s of the start of its stop.
 func TestStoppingHeadGetsNoNewWork(t *testing.T) {
 	inFleet(t, func(s *scene) {
