Measure what entries, agents and idle daemons cost as separate processes

Cause: the cost of a request and of a streamed token at an entry was known only from benchmarks in one process; bytes of a claim on disk and control's cost above 320 daemons were not measured.

--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,10 @@
 local-down: ## Stop the fleet of examples/local.
 	examples/local/fleet.sh down
 
+.PHONY: measure-entry
+measure-entry: build ## Measure idle daemons, requests and tokens over separate processes.
+	examples/local/measure-entry.sh
+
 .PHONY: dev
 dev: build ## Run a whole fleet in one process.
 	bin/egretreach dev
--- a/cmd/load.go
+++ b/cmd/load.go
@@ -31,6 +31,7 @@
 	Signoffs float64            `help:"Weight of sign-offs, which may not run twice." default:"1"`
 	Prompt   int                `help:"Mean words of a prompt." default:"30"`
 	Tokens   int                `help:"Mean tokens of an answer." default:"32"`
+	Exact    bool               `help:"Ask for answers exactly as long as their limit."`
 	Prefixes int                `help:"Number of long shared prompt beginnings." default:"0"`
 	Resends  int                `help:"Resends of a sign-off that did not complete." default:"2"`
 	Output   string             `help:"Form of the report." enum:"table,json" default:"table"`
@@ -73,7 +74,7 @@
 func (c loadCommand) plan() caller.Plan {
 	plan := caller.Plan{
 		Seed: c.Seed, Rate: c.Rate, Duration: c.Duration, Model: c.Model,
-		PromptWords: c.Prompt, MaxTokens: c.Tokens, Prefixes: c.Prefixes,
+		PromptWords: c.Prompt, MaxTokens: c.Tokens, Exact: c.Exact, Prefixes: c.Prefixes,
 		Mix: map[caller.Kind]float64{
 			caller.KindStream: c.Streams, caller.KindWhole: c.Whole,
 			caller.KindLookup: c.Lookups, caller.KindSignoff: c.Signoffs,
--- a/internal/control/server/bench_test.go
+++ b/internal/control/server/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"runtime"
 	"strconv"
 	"strings"
@@ -95,7 +97,7 @@
 // that report another load in each renewal, and 4 entries. The processor time is
 // that of the leader and the daemons together.
 func BenchmarkDaemons(b *testing.B) {
-	for _, n := range []int{40, 80, 160, 320} {
+	for _, n := range []int{40, 80, 160, 320, 792} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			for b.Loop() {
 				benchDaemons(b, n)
@@ -165,7 +167,8 @@
 }
 
 // BenchmarkClaims commits claims and their settlements to the journal of one control
-// host, from many callers at once.
+// host, from many callers at once. The bytes on disk are those of a claim only while
+// no snapshot has been taken, which is so up to 8,000 claims.
 func BenchmarkClaims(b *testing.B) {
 	f := newLoopbackFleet(b)
 	f.controls("c1")
@@ -192,6 +195,15 @@
 		}
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+	segments, err := filepath.Glob(filepath.Join(f.servers["c1"].folder, "segment_*"))
+	require.NoError(b, err)
+	disk := int64(0)
+	for _, s := range segments {
+		info, err := os.Stat(s)
+		require.NoError(b, err)
+		disk += info.Size()
+	}
+	b.ReportMetric(float64(disk)/float64(b.N), "disk-B/claim")
 }
 
 // BenchmarkObserve looks over a fleet of 792 agents in replicas of 8, in which nothing
--- a/internal/standin/caller/plan.go
+++ b/internal/standin/caller/plan.go
@@ -44,6 +44,8 @@
 	// PromptWords and MaxTokens are the mean lengths of prompts and answers.
 	PromptWords int
 	MaxTokens   int
+	// Exact asks for answers exactly as long as their limit (`ignore_eos`).
+	Exact bool
 	// Prefixes is the number of long shared prompt beginnings; 0 is none.
 	Prefixes int
 }
@@ -98,8 +100,12 @@
 	if len(prefixes) > 0 {
 		text = prefixes[rng.IntN(len(prefixes))] + " " + text
 	}
-	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
-		p.Model, stream, 1+rng.IntN(2*p.MaxTokens), text)
+	exact := ""
+	if p.Exact {
+		exact = `"ignore_eos":true,`
+	}
+	return fmt.Sprintf(`{"model":%q,"stream":%t,%s"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
+		p.Model, stream, exact, 1+rng.IntN(2*p.MaxTokens), text)
 }
 
 func (p Plan) drawTeam(rng *rand.Rand) Team {
