--- a/examples/local/measure-entry.sh
+++ b/examples/local/measure-entry.sh
@@ -2,13 +2,13 @@
 # Measures what an idle daemon, a request and a streamed token cost, over separate
 # processes on loopback: three controls, one entry, one agent, one stand-in engine.
 # Prints processor time and memory from /proc for each load. Takes about two minutes.
-#   SECONDS_EACH=15 IDLE=15 measure-entry.sh
+#   SECONDS_EACH=8 IDLE=15 measure-entry.sh
 set -euo pipefail
 cd "$(dirname "$0")"
 root=$(cd ../.. && pwd)
 bin=$root/bin/egretreach
 state=$root/local/measure
-each=${SECONDS_EACH:-15}
+each=${SECONDS_EACH:-8}
 idle=${IDLE:-15}
 tick=$(getconf CLK_TCK)
 names="control-1 control-2 control-3 entry-1 host-1 host-1-engine"
@@ -74,7 +74,7 @@
   "$bin" keys issue "$state/vault" operator local --out "$state/keys/operator" >/dev/null
   fleet
   for n in control-1 control-2 control-3; do start "$n" "$bin" control --config "$state/$n.yaml"; done
-  start host-1-engine "$bin" engine --listen 127.0.41.11:8000 --load-time 1s --token-gap 78ms --capacity 512 --prefill-rate 1000000 --fences
+  start host-1-engine "$bin" engine --listen 127.0.41.11:8000 --load-time 1s --token-gap 40ms --capacity 512 --prefill-rate 1000000 --fences
   start host-1 "$bin" agent --config "$state/host-1.yaml"
   start entry-1 "$bin" entry --config "$state/entry-1.yaml"
   await http://127.0.41.1:9090/readyz
