Dial anew when a kept link has ended before it says so

Ruled out: the test; a caller would have seen the same failure. Change: a kept link on which no call can be started is forgotten.

--- a/internal/link/pool/pool.go
+++ b/internal/link/pool/pool.go
@@ -33,9 +33,11 @@
 		return nil, err
 	}
 	stream, err := conn.Open(ctx)
-	if err == nil || ctx.Err() != nil || p.live(address) == conn {
+	if err == nil || ctx.Err() != nil {
 		return stream, err
 	}
+	// The link has ended, though its Done may not be closed yet.
+	p.forget(address, conn)
 	conn, err = p.Conn(ctx, address)
 	if err != nil {
 		return nil, err
@@ -92,6 +94,14 @@
 	}
 }
 
+func (p *Pool) forget(address string, conn *transport.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[address] == conn {
+		delete(p.conns, address)
+	}
+}
+
 // Drop closes the link to address, so that the next call uses a new one.
 func (p *Pool) Drop(address string) {
 	p.mu.Lock()
