Wait by one function in all daemons

Cause: agent, control and entry each had a wait that ends with its context; two of the four made no timer for a wait of 0, a guard that belongs to the wait itself. Ruled out: joining the stand-ins' waits, which take other arguments, and the shapes that only look alike (policy defaults, typed errors of separate layers). Change: internal/process/pause serves all four; behaviour as before.

--- a/internal/agent/server/beats.go
+++ b/internal/agent/server/beats.go
@@ -8,6 +8,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/process/pause"
 )
 
 // beats answers the heartbeats of one member.
@@ -58,7 +59,7 @@
 	defer func() { to.close() }()
 	for {
 		s.await(ctx, s.isMemberLocked)
-		if !sleep(ctx, gate.BeatInterval) {
+		if !pause.For(ctx, gate.BeatInterval) {
 			return nil
 		}
 		to = s.beatOnce(ctx, to)
--- a/internal/agent/server/crash.go
+++ b/internal/agent/server/crash.go
@@ -9,6 +9,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/session"
+	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
@@ -74,7 +75,7 @@
 		if err == nil {
 			return
 		}
-		if !session.IsErrUncertain(err) || !sleep(ctx, orderRetryDelay) {
+		if !session.IsErrUncertain(err) || !pause.For(ctx, orderRetryDelay) {
 			event.CrashUnreported.On(s.opts.Logger).Str("reason", err.Error()).Msg("")
 			return
 		}
--- a/internal/agent/server/orders.go
+++ b/internal/agent/server/orders.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"math"
-	"time"
 
 	"github.com/egretreach/egretreach/internal/agent/engine"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
@@ -140,7 +140,7 @@
 				Str("replica", string(o.Replica.ID)).Uint64("fence", uint64(o.Replica.Fence)).Msg("")
 			return nil
 		}
-		if engine.IsErrRefused(err) || !sleep(ctx, orderRetryDelay) {
+		if engine.IsErrRefused(err) || !pause.For(ctx, orderRetryDelay) {
 			break
 		}
 	}
@@ -177,15 +177,3 @@
 	}
 	_ = s.session.Send(&message.OrderDone{ID: id, OK: reason == "", Error: reason})
 }
-
-// sleep reports whether d passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/agent/server/shutdown.go
+++ b/internal/agent/server/shutdown.go
@@ -7,6 +7,7 @@
 	"github.com/egretreach/egretreach/internal/agent/gate"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/process/pause"
 )
 
 // Shutdown stops in good order: new work is refused, work in flight ends, a member
@@ -76,7 +77,7 @@
 		unused = s.unusedLocked() || s.newest > newer
 		s.mu.Unlock()
 		if !unused {
-			sleep(ctx, gate.BeatInterval)
+			pause.For(ctx, gate.BeatInterval)
 		}
 	}
 }
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -24,6 +24,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
@@ -188,7 +189,7 @@
 	defer cancel()
 	for quiet := time.Now(); time.Since(quiet) < quietBeforeEnd && ctx.Err() == nil; {
 		before := s.calls.Load()
-		waitFor(ctx, quietBeforeEnd/quietChecks)
+		pause.For(ctx, quietBeforeEnd/quietChecks)
 		if before != s.calls.Load() || s.inCall.Load() > 0 {
 			quiet = time.Now()
 		}
@@ -220,16 +221,9 @@
 // leadRetry is when a host that leads tries again to open its term.
 const leadRetry = 100 * time.Millisecond
 
-func waitFor(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (s *Server) reign(ctx context.Context, status LogStatus) {
 	if _, err := s.propose(ctx, state.Lead{Term: status.Term}); err != nil {
-		waitFor(ctx, leadRetry)
+		pause.For(ctx, leadRetry)
 		return
 	}
 	event.LeaderStarted.On(s.opts.Logger).Uint64("term", status.Term).Msg("")
--- a/internal/entry/dispatch/batch.go
+++ b/internal/entry/dispatch/batch.go
@@ -9,6 +9,7 @@
 
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/session"
+	"github.com/egretreach/egretreach/internal/process/pause"
 )
 
 const (
@@ -112,7 +113,7 @@
 		if err == nil || !session.IsErrUncertain(err) || ctx.Err() != nil {
 			return answer, err
 		}
-		wait(ctx, callAgainDelay)
+		pause.For(ctx, callAgainDelay)
 	}
 }
 
--- a/internal/entry/dispatch/dispatcher.go
+++ b/internal/entry/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/process/pause"
 )
 
 // Options are what a Dispatcher works with.
@@ -115,7 +116,7 @@
 		e.settle(a)
 		return execution.Settled{}
 	case execution.Wait:
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		return execution.Waited{}
 	}
 	return execution.Ended{Kind: execution.EndLost, Code: execution.CodeEndpointFailed}
@@ -163,15 +164,3 @@
 	}
 	e.route = Route{}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/session"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
@@ -165,7 +166,7 @@
 func (s *Server) Shutdown(ctx context.Context) {
 	event.ProcessStopping.On(s.opts.Logger).Str("role", "entry").Msg("")
 	s.stopping.Store(true)
-	sleep(ctx, s.opts.Notice)
+	pause.For(ctx, s.opts.Notice)
 	s.refusing.Store(true)
 	longest := time.NewTimer(s.opts.Longest)
 	defer longest.Stop()
@@ -180,15 +181,3 @@
 	_ = s.session.Goodbye()
 	event.ProcessStopped.On(s.opts.Logger).Str("role", "entry").Int("cut", cut).Msg("")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
