--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -22,6 +22,8 @@
 	Entry      entryCommand      `cmd:"" help:"Run an entry: the daemon that callers reach."`
 	Ctl        ctlCommand        `cmd:"" help:"Operate a running fleet."`
 	Control    controlCommand    `cmd:"" help:"Run a control daemon: the fleet's durable state."`
+	Gateway    gatewayCommand    `cmd:"" help:"Run a gateway: the entry where endpoints announce themselves."`
+	Portal     portalCommand     `cmd:"" help:"Run a portal: the control daemon where endpoints announce themselves."`
 	Agent      agentCommand      `cmd:"" help:"Run an agent: the daemon beside a host's endpoints."`
 	Dev        devCommand        `cmd:"" help:"Run a whole fleet with stand-in engines in one process."`
 	Load       loadCommand       `cmd:"" help:"Drive callers at a running fleet and check their answers."`
--- /dev/null
+++ b/cmd/gateway.go
@@ -0,0 +1,58 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/egretreach/egretreach/internal/entry/gateway"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/process/daemon"
+	"github.com/egretreach/egretreach/internal/process/settings"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+	"github.com/egretreach/egretreach/platform"
+)
+
+type gatewayCommand struct {
+	Config string `help:"Settings file." required:"" type:"path"`
+}
+
+// Run runs a gateway until a signal ends it.
+func (c gatewayCommand) Run() error {
+	ctx := context.Background()
+	file, err := settings.LoadGateway(c.Config)
+	if err != nil {
+		return daemon.ReportInvalid(err)
+	}
+	return daemon.Run(ctx, daemon.Setup{
+		Role: host.RoleEntry, Host: file.Host, Link: file.Link, Health: file.Health, Keys: settings.Keys(file.Keys),
+		Log: file.Log, Stop: file.Stop,
+		Build: func(parts daemon.Parts) (daemon.Daemon, error) { return buildGateway(ctx, c.Config, file, parts) },
+	})
+}
+
+func buildGateway(ctx context.Context, path string, file settings.Gateway, parts daemon.Parts) (daemon.Daemon, error) {
+	listener, err := daemon.Listen(ctx, file.API)
+	if err != nil {
+		return daemon.Daemon{}, err
+	}
+	g := gateway.New(gateway.Options{
+		Self: file.Host.ID, Zone: file.Host.FailureDomain, Pool: pool.New(parts.Link),
+		Seeds: file.Link.LinkAddresses(file.Seeds), Dialect: platform.Dialect(), Notice: file.Stop.Notice,
+		Repeats: gateway.Repeats{Ratio: file.Repeats.Ratio, Slack: file.Repeats.Slack, Window: file.Repeats.Window},
+		Metrics: parts.Metrics, Logger: parts.Logger,
+	})
+	reload := func() {
+		changed, err := settings.LoadGateway(path)
+		if err != nil {
+			event.SettingsInvalid.On(parts.Logger).Str("reason", err.Error()).Msg("")
+			return
+		}
+		g.SetSeeds(changed.Link.LinkAddresses(changed.Seeds))
+	}
+	return daemon.Daemon{
+		Run:      func(ctx context.Context) error { return g.Run(ctx, listener) },
+		Ready:    g.Ready,
+		Shutdown: g.Stop,
+		Reload:   reload,
+	}, nil
+}
--- /dev/null
+++ b/internal/control/formation/planner.go
@@ -0,0 +1,366 @@
+// Package formation decides which engines form which replicas of which model.
+//
+// The planner is pure: what engines report and gateways see goes in with the time, and
+// orders come out. What engines report is the truth; an order that got no answer may
+// still be carried out seconds later. Epochs rise with the leader's term and a counter,
+// so an engine refuses what is older than what it has seen.
+//
+// A member of a replica is used elsewhere only once the replica's head has left it, is
+// known to be gone, or has had the time to break.
+package formation
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+)
+
+// Timing of orders.
+const (
+	// resendAfter is how long an order may go unanswered by a report before it is given
+	// again. Reports follow a change at once.
+	resendAfter = 700 * time.Millisecond
+	// adoptTime is how long a new leader waits for the reports of a replica's members
+	// before it takes an incomplete one apart: two announcements.
+	adoptTime = 2500 * time.Millisecond
+	// formingMargin is what a replica may take to form beyond the time of its loads.
+	formingMargin = 5 * time.Second
+	// drainTime bounds the wait for a closing head's last answers.
+	drainTime = 2500 * time.Millisecond
+	// breakMargin is what a head that can't be reached gets beyond its stall.
+	breakMargin = time.Second
+	// joinTime is how long an engine takes to join a replica of the model that it holds.
+	joinTime = 200 * time.Millisecond
+	// counterBits is the part of an epoch that counts within a term.
+	counterBits = 20
+)
+
+type phase uint8
+
+const (
+	phaseForming phase = iota + 1
+	phaseServing
+	// phaseClosing waits for the head to finish before a planned end.
+	phaseClosing
+	// phaseLeaving waits until the head is out.
+	phaseLeaving
+)
+
+// unit is one replica as the planner remembers it.
+type unit struct {
+	Place
+	model   string
+	members []string
+	fabric  string
+	phase   phase
+	// began is when the phase began, and limit when forming has taken too long.
+	began time.Time
+	limit time.Time
+	// moved is when gateways last saw the head at work.
+	moved  time.Time
+	reason string
+}
+
+func (u *unit) head() string { return u.members[0] }
+
+// Planner forms replicas. The zero value is ready. It is not safe for concurrent use.
+type Planner struct {
+	units   map[string]*unit
+	counter uint64
+	loads   loadLimit
+	// sent is when each order was last given, by its text.
+	sent map[string]time.Time
+	// ended is when each replica was given up; what still reports it is free.
+	ended map[string]time.Time
+	// held is the model of each engine's last replica, by the engine's life.
+	held map[life]string
+
+	now    time.Time
+	view   View
+	hosts  map[string]Host
+	orders []Order
+	notes  []Note
+}
+
+type life struct {
+	id   string
+	born int64
+}
+
+// Note is a decision worth a log line.
+type Note struct {
+	Place
+	Model   string
+	Members []string
+	What    string
+	Reason  string
+}
+
+// Step returns the orders to give now, and the decisions behind them.
+func (p *Planner) Step(now time.Time, v View) ([]Order, []Note) {
+	p.begin(now, v)
+	p.adopt()
+	for _, name := range slices.Sorted(maps.Keys(p.units)) {
+		p.advance(p.units[name])
+	}
+	p.form()
+	p.stage()
+	return p.orders, p.notes
+}
+
+func (p *Planner) begin(now time.Time, v View) {
+	if p.units == nil {
+		p.units, p.sent, p.held = map[string]*unit{}, map[string]time.Time{}, map[life]string{}
+		p.ended = map[string]time.Time{}
+	}
+	p.now, p.view, p.orders, p.notes = now, v, nil, nil
+	p.hosts = make(map[string]Host, len(v.Hosts))
+	for _, h := range v.Hosts {
+		p.hosts[h.ID] = h
+		if h.Model != "" {
+			p.held[life{h.ID, h.Born}] = h.Model
+		}
+	}
+	p.loads.rate = v.Engine.LoadRate
+	for text, at := range p.sent {
+		if now.Sub(at) > time.Minute {
+			delete(p.sent, text)
+		}
+	}
+}
+
+// adopt takes up replicas that engines report and the planner does not know: those of an
+// earlier leader, or of an order that came late.
+func (p *Planner) adopt() {
+	for _, h := range p.view.Hosts {
+		if h.Member == nil || !h.Alive {
+			continue
+		}
+		_, known := p.units[h.Member.Replica]
+		_, over := p.ended[h.Member.Replica]
+		if known || over || p.placed(h) {
+			continue
+		}
+		model, ok := p.view.Engine.Model(p.modelOf(h))
+		if !ok {
+			continue
+		}
+		u := &unit{
+			Place: Place{h.Member.Replica, h.Member.Epoch}, model: model.Name, fabric: h.Fabric,
+			members: make([]string, model.Size), phase: phaseForming, began: p.now, limit: p.now.Add(adoptTime),
+		}
+		p.units[u.Replica] = u
+		p.note(u, "adopted", "reported by "+h.ID)
+	}
+	for _, h := range p.view.Hosts {
+		if h.Member == nil {
+			continue
+		}
+		u := p.units[h.Member.Replica]
+		if u != nil && h.in(u.Place) && h.Member.Rank < len(u.members) && u.members[h.Member.Rank] == "" {
+			u.members[h.Member.Rank] = h.ID
+		}
+	}
+}
+
+// placed reports whether the engine belongs to a replica that the planner knows.
+func (p *Planner) placed(h Host) bool {
+	for _, u := range p.units {
+		if u.phase != phaseLeaving && slices.Contains(u.members, h.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) modelOf(h Host) string {
+	if h.Model != "" {
+		return h.Model
+	}
+	return p.held[life{h.ID, h.Born}]
+}
+
+func (p *Planner) advance(u *unit) {
+	switch u.phase {
+	case phaseForming:
+		p.forming(u)
+	case phaseServing:
+		p.serving(u)
+	case phaseClosing:
+		p.closing(u)
+	}
+	if u.phase == phaseLeaving {
+		p.leaving(u)
+	}
+}
+
+func (p *Planner) forming(u *unit) {
+	if slices.Contains(u.members, "") {
+		if p.now.After(u.limit) {
+			p.leave(u, "incomplete")
+		}
+		return
+	}
+	ready := 0
+	for _, id := range u.members {
+		h, known := p.hosts[id]
+		switch {
+		case !known || !h.usable():
+			p.leave(u, "lost "+id)
+			return
+		case h.Member != nil && h.Member.Epoch > u.Epoch:
+			p.leave(u, id+" is in a later replica")
+			return
+		case !h.in(u.Place):
+			p.give(Join{id, u.Place, u.model, u.members})
+		case h.Member.State == roster.MemberBroken:
+			p.leave(u, "broken")
+			return
+		case h.Member.State != roster.MemberJoining && h.Member.State != roster.MemberUnknown:
+			ready++
+		}
+	}
+	switch {
+	case p.hosts[u.head()].Heads() && ready == len(u.members):
+		p.enter(u, phaseServing, "open")
+	case ready == len(u.members):
+		p.give(Open{u.head(), u.Place})
+	case p.now.After(u.limit):
+		p.leave(u, "took too long to form")
+	}
+}
+
+func (p *Planner) serving(u *unit) {
+	head, known := p.hosts[u.head()]
+	sight := p.view.Heads[u.head()]
+	if sight.moving() {
+		u.moved = p.now
+	}
+	if known && head.Alive && (!head.in(u.Place) || head.Member.State == roster.MemberBroken) {
+		p.leave(u, "the head serves no more")
+		return
+	}
+	for _, id := range u.members {
+		h, known := p.hosts[id]
+		if known && h.Alive && h.State == roster.StateReady {
+			continue
+		}
+		if known && h.State != roster.StateReady && h.Alive {
+			p.enter(u, phaseClosing, id+" drains")
+			return
+		}
+		if !sight.moving() {
+			p.leave(u, "lost "+id)
+			return
+		}
+	}
+	if sight.stuck() {
+		p.leave(u, "stands still")
+	}
+}
+
+func (p *Planner) closing(u *unit) {
+	head, known := p.hosts[u.head()]
+	if !known || !head.Alive || !head.in(u.Place) || p.now.Sub(u.began) > drainTime {
+		p.leave(u, "closed")
+		return
+	}
+	switch head.Member.State {
+	case roster.MemberOpen:
+		p.give(Close{u.head(), u.Place})
+	case roster.MemberClosing:
+	default:
+		p.leave(u, "closed")
+	}
+}
+
+// leaving keeps a replica's members from other use until its head is out of it.
+func (p *Planner) leaving(u *unit) {
+	if u.head() == "" {
+		p.drop(u)
+		return
+	}
+	h, known := p.hosts[u.head()]
+	switch {
+	case !known || h.Refuses:
+		p.drop(u)
+	case h.Alive && !h.in(u.Place) && h.State != roster.StateLeft:
+		p.drop(u)
+	case p.now.Sub(latest(h.Heard, u.moved, u.began)) > p.view.Stall+breakMargin:
+		p.drop(u)
+	default:
+		p.give(Leave{u.head(), u.Place})
+	}
+}
+
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
+
+// leave begins the end of a replica.
+func (p *Planner) leave(u *unit, reason string) {
+	p.enter(u, phaseLeaving, reason)
+}
+
+func (p *Planner) enter(u *unit, next phase, reason string) {
+	u.phase, u.began, u.reason = next, p.now, reason
+	p.note(u, next.String(), reason)
+}
+
+func (p phase) String() string {
+	switch p {
+	case phaseForming:
+		return "forming"
+	case phaseServing:
+		return "serving"
+	case phaseClosing:
+		return "closing"
+	case phaseLeaving:
+		return "leaving"
+	}
+	return "unknown"
+}
+
+func (p *Planner) drop(u *unit) {
+	delete(p.units, u.Replica)
+	p.ended[u.Replica] = p.now
+	p.note(u, "dropped", u.reason)
+}
+
+func (p *Planner) note(u *unit, what, reason string) {
+	p.notes = append(p.notes, Note{Place: u.Place, Model: u.model, Members: u.members, What: what, Reason: reason})
+}
+
+// give gives an order, unless it was given a moment ago.
+func (p *Planner) give(o Order) {
+	text := fmt.Sprintf("%T %v", o, o)
+	if at, ok := p.sent[text]; ok && p.now.Sub(at) < resendAfter {
+		return
+	}
+	p.sent[text] = p.now
+	p.orders = append(p.orders, o)
+}
+
+// Answered takes in what became of an order.
+func (p *Planner) Answered(o Order, a Answer) {
+	leave, ok := o.(Leave)
+	if !ok || a == AnswerNone {
+		return
+	}
+	// Whatever the answer says, the engine at the address is not in that replica now.
+	u := p.units[leave.Replica]
+	if u != nil && u.phase == phaseLeaving && u.Place == leave.Place && u.head() == leave.To {
+		p.drop(u)
+	}
+}
+
+// nextPlace names a new replica.
+func (p *Planner) nextPlace() Place {
+	p.counter++
+	epoch := p.view.Term<<counterBits | p.counter
+	return Place{Replica: fmt.Sprintf("r%d-%d", p.view.Term, p.counter), Epoch: epoch}
+}
+
+func byID(a, b Host) int { return strings.Compare(a.ID, b.ID) }
--- /dev/null
+++ b/internal/control/founding/council.go
@@ -0,0 +1,207 @@
+// Package founding finds the set of control hosts when nobody has been told of it.
+//
+// At the first start each control host knows a few seeds, the same ones everywhere. It
+// introduces itself to them. The seed with the lowest address waits until no new host
+// has come for a while, writes the set to its disk and tells it to whoever asks. Every
+// host keeps the set on its disk before it acts on it, so that it stays the same.
+// A host with an empty disk that starts later decides nothing and asks.
+package founding
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/process/pause"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+const (
+	// askEvery is the time between two rounds of questions.
+	askEvery = 150 * time.Millisecond
+	// askTimeout bounds one question.
+	askTimeout = 700 * time.Millisecond
+	// gatherTime is how long a first start waits for hosts at least, and quietTime how
+	// long no new host may have come before the set is decided. Hosts of one system
+	// start within a fraction of a second of each other.
+	gatherTime = 1500 * time.Millisecond
+	quietTime  = 700 * time.Millisecond
+)
+
+// Options describe one control host's part.
+type Options struct {
+	Self message.Founder
+	// Seeds are the link addresses of some control hosts, the same on all at the first start.
+	Seeds []string
+	// Fresh says that the whole system starts for the first time.
+	Fresh  bool
+	Record Record
+	Pool   *pool.Pool
+	// Logger may be nil.
+	Logger *log.Logger
+}
+
+// Council is one control host's view of the set. Use New, then Run.
+type Council struct {
+	opts Options
+
+	mu      sync.Mutex
+	decided []message.Founder
+	seen    map[string]message.Founder
+	// newest is when the last unknown host was seen.
+	newest time.Time
+}
+
+// New returns the council of one host.
+func New(opts Options) *Council {
+	return &Council{opts: opts, seen: map[string]message.Founder{opts.Self.Address: opts.Self}}
+}
+
+// Answer answers a host that introduces itself.
+func (c *Council) Answer(q *message.FounderQuery) *message.Founders {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if q.Self.Address != "" && q.Fresh {
+		c.meet(q.Self)
+	}
+	return &message.Founders{Decided: c.decided, Seen: c.sorted()}
+}
+
+// meet takes note of a host; mu is held.
+func (c *Council) meet(f message.Founder) {
+	if _, known := c.seen[f.Address]; !known {
+		c.seen[f.Address] = f
+		c.newest = time.Now()
+	}
+}
+
+func (c *Council) sorted() []message.Founder {
+	list := make([]message.Founder, 0, len(c.seen))
+	for _, f := range c.seen {
+		list = append(list, f)
+	}
+	slices.SortFunc(list, func(a, b message.Founder) int { return strings.Compare(a.Address, b.Address) })
+	return list
+}
+
+// Run returns the set once it is decided and kept on this host's disk.
+func (c *Council) Run(ctx context.Context) ([]message.Founder, error) {
+	kept, err := c.opts.Record.Load()
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	for len(kept) == 0 {
+		if kept = c.learn(ctx); len(kept) == 0 {
+			kept = c.decide(began)
+		}
+		if len(kept) > 0 {
+			if err := c.opts.Record.Save(kept); err != nil {
+				return nil, err
+			}
+			break
+		}
+		if !pause.For(ctx, askEvery) {
+			return nil, ctx.Err()
+		}
+	}
+	c.mu.Lock()
+	c.decided = kept
+	c.mu.Unlock()
+	event.FoundersKnown.On(c.opts.Logger).Int("hosts", len(kept)).Bool("fresh", c.opts.Fresh).Msg("")
+	return kept, nil
+}
+
+// learn asks all known hosts and returns a decided set, if one of them has it.
+func (c *Council) learn(ctx context.Context) []message.Founder {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	targets := c.targets()
+	answers := make(chan *message.Founders, len(targets))
+	for _, address := range targets {
+		go func() { answers <- c.ask(ctx, address) }()
+	}
+	for range targets {
+		answer := <-answers
+		if answer == nil {
+			continue
+		}
+		if len(answer.Decided) > 0 {
+			return answer.Decided
+		}
+		c.mu.Lock()
+		for _, f := range answer.Seen {
+			c.meet(f)
+		}
+		c.mu.Unlock()
+	}
+	return nil
+}
+
+func (c *Council) targets() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	targets := slices.Clone(c.opts.Seeds)
+	for address := range c.seen {
+		if !slices.Contains(targets, address) {
+			targets = append(targets, address)
+		}
+	}
+	return slices.DeleteFunc(targets, func(a string) bool { return a == c.opts.Self.Address })
+}
+
+func (c *Council) ask(ctx context.Context, address string) *message.Founders {
+	stream, err := c.opts.Pool.Open(ctx, address)
+	if err != nil {
+		return nil // The host is not up yet; it is asked again.
+	}
+	defer stream.Cancel()
+	stop := stream.CancelOn(ctx)
+	defer stop()
+	if stream.Send(&message.FounderQuery{Self: c.opts.Self, Fresh: c.opts.Fresh}) != nil {
+		return nil
+	}
+	answer, err := stream.Receive()
+	if err != nil {
+		return nil
+	}
+	founders, _ := answer.(*message.Founders)
+	return founders
+}
+
+// decide returns the set if it is this host that decides it and nobody else is expected.
+func (c *Council) decide(began time.Time) []message.Founder {
+	if !c.opts.Fresh || len(c.opts.Seeds) == 0 || lowest(c.opts.Seeds) != c.opts.Self.Address {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, seed := range c.opts.Seeds {
+		if _, here := c.seen[seed]; !here {
+			return nil
+		}
+	}
+	if time.Since(began) < gatherTime || time.Since(c.newest) < quietTime {
+		return nil
+	}
+	return c.sorted()
+}
+
+// lowest returns the lowest of some addresses by IP number and port.
+func lowest(addresses []string) string {
+	return slices.MinFunc(addresses, func(a, b string) int {
+		x, errX := net.ResolveTCPAddr("tcp", a)
+		y, errY := net.ResolveTCPAddr("tcp", b)
+		if errX != nil || errY != nil {
+			return strings.Compare(a, b) // Checked settings hold IP addresses only.
+		}
+		return x.AddrPort().Compare(y.AddrPort())
+	})
+}
--- /dev/null
+++ b/internal/control/portal/portal.go
@@ -0,0 +1,302 @@
+// Package portal is the control daemon of platforms on which endpoints announce
+// themselves and operators send whole configurations under rising versions.
+//
+// It keeps the configuration in the replicated log, knows every endpoint from its
+// announcements, passes both to the gateways, and on the leader forms replicas.
+package portal
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/egretreach/egretreach/internal/control/formation"
+	"github.com/egretreach/egretreach/internal/control/founding"
+	"github.com/egretreach/egretreach/internal/control/journal"
+	"github.com/egretreach/egretreach/internal/control/quorum"
+	"github.com/egretreach/egretreach/internal/control/replication"
+	"github.com/egretreach/egretreach/internal/control/revision"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/process/pause"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+// reopenAfter is the pause before a log whose disk failed is opened again.
+const reopenAfter = time.Second
+
+// Engines carries out what the portal wants of engines, in the platform's manner.
+type Engines interface {
+	// Give gives an order to an engine.
+	Give(ctx context.Context, to roster.Endpoint, o formation.Order) formation.Answer
+	// Probe asks an endpoint whether it lives.
+	Probe(ctx context.Context, to roster.Endpoint) Pulse
+}
+
+// Pulse is what a probe found.
+type Pulse uint8
+
+// What a probe finds.
+const (
+	// PulseNone is an endpoint that did not answer in time.
+	PulseNone Pulse = iota
+	// PulseAlive is an endpoint that answered.
+	PulseAlive
+	// PulseRefused is an address at which nobody listens.
+	PulseRefused
+)
+
+// Options describe one portal.
+type Options struct {
+	Self host.ID
+	// Address is the address of the API that endpoints and operators call.
+	Address string
+	// Link is where other processes reach this one; LinkAddress is its text form.
+	Link        *transport.Endpoint
+	LinkAddress string
+	Pool        *pool.Pool
+	// Seeds are the link addresses of some control hosts.
+	Seeds []string
+	// Fresh says that the whole system starts for the first time.
+	Fresh  bool
+	Files  journal.Files
+	Folder string
+	// Decode reads an operator's document; its error says what is wrong with it.
+	Decode  func(document []byte) (*routes.Table, error)
+	Engines Engines
+	// Heartbeat is the time between two announcements of an endpoint.
+	Heartbeat time.Duration
+	// Stall is how long a head stands still behind a lost member before it breaks.
+	Stall time.Duration
+	// Logger may be nil.
+	Logger *log.Logger
+}
+
+// Portal is one control daemon. Use New, then Run.
+type Portal struct {
+	opts    Options
+	council *founding.Council
+	machine *revision.Machine
+
+	mu       sync.Mutex
+	log      *replication.Log
+	founders []message.Founder
+	roster   roster.Roster
+	// direct are the endpoints whose last announcement came to this host itself.
+	direct map[string]bool
+	// spoke is when each endpoint last announced something new.
+	spoke map[string]time.Time
+	// changed is closed at each change that subscribers must see.
+	changed  chan struct{}
+	reports  map[host.ID]report
+	health   map[string]health
+	requests bool
+	table    *routes.Table
+	stopping bool
+}
+
+// New returns a portal.
+func New(opts Options) *Portal {
+	self := message.Founder{Host: opts.Self, Address: opts.LinkAddress}
+	return &Portal{
+		opts: opts,
+		council: founding.New(founding.Options{
+			Self: self, Seeds: opts.Seeds, Fresh: opts.Fresh, Pool: opts.Pool, Logger: opts.Logger,
+			Record: founding.Record{Files: opts.Files, Folder: opts.Folder},
+		}),
+		machine: &revision.Machine{},
+		direct:  map[string]bool{},
+		spoke:   map[string]time.Time{},
+		changed: make(chan struct{}),
+		reports: map[host.ID]report{},
+		health:  map[string]health{},
+	}
+}
+
+// Run serves until ctx ends.
+func (p *Portal) Run(ctx context.Context) error {
+	event.ProcessStarted.On(p.opts.Logger).Str("role", "portal").Str("host", string(p.opts.Self)).
+		Str("address", p.opts.Address).Bool("fresh", p.opts.Fresh).Msg("")
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.opts.Link.Serve(ctx, p.handle) })
+	group.Go(func() error { return p.found(ctx, group) })
+	group.Go(func() error { return p.steward(ctx) })
+	group.Go(func() error { return p.follow(ctx) })
+	err := group.Wait()
+	event.ProcessStopped.On(p.opts.Logger).Str("role", "portal").Int("cut", 0).Msg("")
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Stop makes the portal hand over the leadership, if it has it.
+func (p *Portal) Stop(ctx context.Context) {
+	event.ProcessStopping.On(p.opts.Logger).Str("role", "portal").Msg("")
+	p.mu.Lock()
+	p.stopping = true
+	l := p.log
+	p.mu.Unlock()
+	if l != nil && l.Status().Leads() {
+		if err := l.Transfer(ctx); err != nil {
+			event.LeaderEnded.On(p.opts.Logger).Str("reason", err.Error()).Msg("")
+		}
+	}
+}
+
+// found learns the set of control hosts, then runs the log and tells the others what
+// endpoints announce here.
+func (p *Portal) found(ctx context.Context, group *errgroup.Group) error {
+	set, err := p.council.Run(ctx)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.founders = set
+	p.mu.Unlock()
+	member := false
+	for _, f := range set {
+		if f.Host == p.opts.Self {
+			member = true
+			continue
+		}
+		group.Go(func() error { return p.gossip(ctx, f.Address) })
+	}
+	if !member {
+		event.QuorumHostsDiffer.On(p.opts.Logger).Str("reason", "this host is not in the set").Msg("")
+		return nil
+	}
+	return p.runLog(ctx, set)
+}
+
+// runLog runs the replicated log, and opens it again when its disk has failed it.
+func (p *Portal) runLog(ctx context.Context, set []message.Founder) error {
+	peers := map[host.ID]string{}
+	for _, f := range set {
+		peers[f.Host] = f.Address
+	}
+	for {
+		err := p.runLogOnce(ctx, peers)
+		if ctx.Err() != nil {
+			return nil
+		}
+		event.LogRestarted.On(p.opts.Logger).Err(err).Msg("")
+		if !pause.For(ctx, reopenAfter) {
+			return nil
+		}
+	}
+}
+
+func (p *Portal) runLogOnce(ctx context.Context, peers map[host.ID]string) error {
+	kept, err := journal.Open(p.opts.Files, p.opts.Folder)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = kept.Close() }()
+	l := replication.New(replication.Options{
+		Self: p.opts.Self, Peers: peers, Journal: kept, Machine: p.machine, Pool: p.opts.Pool,
+		Logger: p.opts.Logger, Timing: quorum.Timing{}, OnLeader: func(replication.Status) { p.notify() },
+	})
+	p.mu.Lock()
+	p.log = l
+	p.mu.Unlock()
+	err = l.Run(ctx)
+	p.mu.Lock()
+	p.log = nil
+	p.mu.Unlock()
+	return err
+}
+
+// current returns the running log, or nil.
+func (p *Portal) current() *replication.Log {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log
+}
+
+// handle serves one call of another process.
+func (p *Portal) handle(ctx context.Context, s *transport.Stream) {
+	first, err := s.Receive()
+	if err != nil {
+		return
+	}
+	switch m := first.(type) {
+	case *message.Quorum:
+		if l := p.current(); l != nil {
+			l.Serve(ctx, s, m)
+		}
+	case *message.FounderQuery:
+		_ = s.Send(p.council.Answer(m))
+	case *message.RosterUpdate:
+		p.takeUpdates(s, m)
+	case *message.Subscribe:
+		p.serveSubscriber(ctx, s, m)
+	default:
+		event.FrameRejected.On(p.opts.Logger).Str("peer", s.Peer().String()).Str("reason", "unexpected kind").Msg("")
+	}
+}
+
+// apiAddress returns the API address of the control host with a link address: all
+// control hosts use the same ports.
+func (p *Portal) apiAddress(link string) string {
+	ip, _, err := net.SplitHostPort(link)
+	if err != nil {
+		return ""
+	}
+	_, port, err := net.SplitHostPort(p.opts.Address)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(ip, port)
+}
+
+// notify wakes all that wait for a change.
+func (p *Portal) notify() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.notifyLocked()
+}
+
+func (p *Portal) notifyLocked() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Portal) change() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+// follow keeps the decoded table up with the document in force.
+func (p *Portal) follow(ctx context.Context) error {
+	for {
+		changed := p.machine.Changed()
+		held := p.machine.Held()
+		if held.Version > 0 {
+			table, err := p.opts.Decode(held.Bytes)
+			if err != nil {
+				event.RevisionRefused.On(p.opts.Logger).Uint64("version", held.Version).Err(err).Msg("")
+			} else {
+				event.ConfigInForce.On(p.opts.Logger).Uint64("revision", held.Version).Msg("")
+				p.mu.Lock()
+				p.table = table
+				p.notifyLocked()
+				p.mu.Unlock()
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/portal/steward.go
@@ -0,0 +1,136 @@
+package portal
+
+import (
+	"context"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/control/formation"
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
+	"github.com/egretreach/egretreach/internal/process/pause"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+const (
+	// stewardEvery is the pace of the planner when nothing changes.
+	stewardEvery = 80 * time.Millisecond
+	// stewardGap is the least time between two steps.
+	stewardGap = 10 * time.Millisecond
+	// settleTime is how long a new leader listens before it plans, unless the whole
+	// system is new: the time in which every endpoint announces itself.
+	settleTime = 1500 * time.Millisecond
+	// orderTimeout bounds the wait for an engine's answer to an order.
+	orderTimeout = time.Second
+)
+
+// steward forms replicas while this host leads.
+func (p *Portal) steward(ctx context.Context) error {
+	var planners map[string]*formation.Planner
+	var term uint64
+	var began time.Time
+	for pause.For(ctx, stewardGap) {
+		changed := p.change()
+		l := p.current()
+		if l == nil || !l.Status().Leads() {
+			planners = nil
+		} else {
+			now := time.Now()
+			if status := l.Status(); planners == nil || status.Term != term {
+				planners, term, began = map[string]*formation.Planner{}, status.Term, now
+				event.LeaderStarted.On(p.opts.Logger).Uint64("term", term).Msg("")
+			}
+			if p.opts.Fresh || now.Sub(began) > settleTime {
+				p.plan(ctx, planners, term, now)
+			}
+		}
+		timer := time.NewTimer(stewardEvery)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// plan lets the planner of each engine service take a step and gives its orders.
+func (p *Portal) plan(ctx context.Context, planners map[string]*formation.Planner, term uint64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.table == nil {
+		return
+	}
+	p.roster.Forget(now, forgetSilence)
+	sights := p.sights(now)
+	for i := range p.table.Services {
+		service := &p.table.Services[i]
+		if service.Engine == nil || len(service.Engine.Models) == 0 {
+			continue
+		}
+		planner := planners[service.Name]
+		if planner == nil {
+			planner = &formation.Planner{}
+			planners[service.Name] = planner
+		}
+		p.planService(ctx, planner, service, term, now, sights)
+	}
+}
+
+func (p *Portal) planService(
+	ctx context.Context, planner *formation.Planner, service *routes.Service, term uint64, now time.Time,
+	sights map[string]formation.Sight,
+) {
+	orders, notes := planner.Step(now, formation.View{
+		Engine: service.Engine, Hosts: p.hosts(ctx, service.Name, now, p.suspects(sights)), Heads: sights,
+		Started: p.requests || !p.opts.Fresh, Term: term, Stall: p.opts.Stall,
+	})
+	for _, n := range notes {
+		event.ReplicaDecided.On(p.opts.Logger).Str("replica", n.Replica).Uint64("epoch", n.Epoch).Str("model", n.Model).
+			Strs("members", n.Members).Str("phase", n.What).Str("reason", n.Reason).Msg("")
+	}
+	for _, o := range orders {
+		to, ok := p.endpointAt(o.Host())
+		if !ok {
+			continue
+		}
+		go p.give(ctx, planner, to, o)
+	}
+}
+
+// suspects are the members of replicas whose heads stand still; mu is held.
+func (p *Portal) suspects(sights map[string]formation.Sight) map[string]bool {
+	silent := map[string]bool{}
+	for id, sight := range sights {
+		if sight.Waiting == 0 || sight.Silence < silentHead {
+			continue
+		}
+		if head, ok := p.endpointAt(id); ok && head.Member != nil {
+			silent[head.Member.Replica] = true
+		}
+	}
+	if len(silent) == 0 {
+		return nil
+	}
+	suspects := map[string]bool{}
+	for _, e := range p.roster.All() {
+		if e.Member != nil && silent[e.Member.Replica] {
+			suspects[e.ID] = true
+		}
+	}
+	return suspects
+}
+
+// give gives one order and tells the planner what became of it.
+func (p *Portal) give(ctx context.Context, planner *formation.Planner, to roster.Endpoint, o formation.Order) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	began := time.Now()
+	answer := p.opts.Engines.Give(ctx, to, o)
+	event.EngineOrdered.On(p.opts.Logger).Str("endpoint", to.ID).Any("order", o).Uint8("answer", uint8(answer)).
+		Dur("took", time.Since(began)).Msg("")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	planner.Answered(o, answer)
+	p.notifyLocked()
+}
--- /dev/null
+++ b/internal/entry/balance/pick.go
@@ -0,0 +1,62 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+)
+
+// pick returns the endpoint with the most room for a request, if there is any room.
+func (b *Board) pick(n Need, now time.Time) (*target, bool) {
+	var best *target
+	var lowest float64
+	for _, t := range b.targets {
+		if !t.fits(n) || now.Before(t.banned) || slices.Contains(n.Avoid, t.ID) || t.stalled(now) {
+			continue
+		}
+		if !b.room(t, n, now) {
+			continue
+		}
+		cost := b.cost(t, now)
+		if best == nil || cost < lowest || cost == lowest && t.ID < best.ID {
+			best, lowest = t, cost
+		}
+	}
+	return best, best != nil
+}
+
+// fits reports whether an endpoint serves what a request wants.
+func (t *target) fits(n Need) bool {
+	if t.Service != n.Service || t.State != roster.StateReady {
+		return false
+	}
+	return n.Model == "" || t.Heads() && t.Model == n.Model
+}
+
+// served reports whether any endpoint serves what a request wants.
+func (b *Board) served(n Need) bool {
+	for _, t := range b.targets {
+		if t.fits(n) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Board) room(t *target, n Need, now time.Time) bool {
+	occupied := b.occupied(t, now)
+	if n.Model == "" {
+		return occupied < float64(t.Slots)*(1+plainQueue)
+	}
+	return occupied < float64(t.Slots)
+}
+
+// cost ranks endpoints: the load, with what a slow, failing or distant one adds.
+func (b *Board) cost(t *target, now time.Time) float64 {
+	cost := b.occupied(t, now)/float64(max(t.Slots, 1)) + errorCost*t.errors
+	if t.Zone != b.Zone {
+		cost += remoteCost
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/entry/balance/queue.go
@@ -0,0 +1,148 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+)
+
+const (
+	// soonest and latest bound the time after which a refused caller may come back.
+	soonest = 250 * time.Millisecond
+	latest  = 2 * time.Second
+)
+
+// Need is what one request wants of an endpoint.
+type Need struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// Rank is the request's priority, 0 being the most urgent.
+	Rank int
+	// Prompt is the length of the prompt, in tokens.
+	Prompt int
+	// Avoid are endpoints that have failed the request.
+	Avoid []string
+	// Resumed says that the caller has had a part of the answer.
+	Resumed bool
+	// Since is when the request arrived, and Until when it has waited long enough.
+	Since time.Time
+	Until time.Time
+}
+
+// Decision says what becomes of a request.
+type Decision struct {
+	// Endpoint is where it goes, if it is set.
+	Endpoint roster.Endpoint
+	// Refused says that there is no room; After is when the caller may come back.
+	Refused bool
+	After   time.Duration
+	Reason  string
+}
+
+// Waiter is a request that waits for room.
+type Waiter struct {
+	Need
+	// Decided receives the decision.
+	Decided chan Decision
+}
+
+// Ask decides on a request. It returns a waiter if the request is to wait.
+func (b *Board) Ask(n Need, now time.Time) (Decision, *Waiter) {
+	if d, ok := b.place(n, now); ok {
+		return d, nil
+	}
+	if !b.served(n) {
+		return b.refusal(n, "no endpoint serves it"), nil
+	}
+	if !now.Before(n.Until) {
+		return b.refusal(n, "no room"), nil
+	}
+	w := &Waiter{Need: n, Decided: make(chan Decision, 1)}
+	b.queue = append(b.queue, w)
+	slices.SortStableFunc(b.queue, before)
+	return Decision{}, w
+}
+
+// before orders waiting requests: first those whose caller has a part of the answer, then
+// by rank, then by arrival.
+func before(a, b *Waiter) int {
+	if a.Resumed != b.Resumed {
+		if a.Resumed {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Since.Compare(b.Since))
+}
+
+// Settle decides on the waiting requests for which there is room now, or whose time is up.
+func (b *Board) Settle(now time.Time) {
+	kept := b.queue[:0]
+	for _, w := range b.queue {
+		if d, ok := b.place(w.Need, now); ok {
+			w.Decided <- d
+			continue
+		}
+		if !now.Before(w.Until) {
+			w.Decided <- b.refusal(w.Need, "no room in time")
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(b.queue[len(kept):])
+	b.queue = kept
+}
+
+// Cancel ends the wait of a request whose caller left. If a decision came first it is
+// returned; the endpoint that it names must be told of the end.
+func (b *Board) Cancel(w *Waiter) (Decision, bool) {
+	if i := slices.Index(b.queue, w); i >= 0 {
+		b.queue = slices.Delete(b.queue, i, i+1)
+		return Decision{}, false
+	}
+	select {
+	case d := <-w.Decided:
+		return d, d.Endpoint.ID != ""
+	default:
+		return Decision{}, false
+	}
+}
+
+// Waiting is how many requests wait.
+func (b *Board) Waiting() int { return len(b.queue) }
+
+// NextDue returns when the first waiting request has waited long enough.
+func (b *Board) NextDue() (time.Time, bool) {
+	var due time.Time
+	for _, w := range b.queue {
+		if due.IsZero() || w.Until.Before(due) {
+			due = w.Until
+		}
+	}
+	return due, !due.IsZero()
+}
+
+// place picks an endpoint with room and counts the request there.
+func (b *Board) place(n Need, now time.Time) (Decision, bool) {
+	t, ok := b.pick(n, now)
+	if !ok {
+		return Decision{}, false
+	}
+	b.Sent(t.ID, n, now)
+	return Decision{Endpoint: t.Endpoint}, true
+}
+
+// refusal says when to come back: the more wait for the same, the later.
+func (b *Board) refusal(n Need, reason string) Decision {
+	waiting := 0
+	for _, w := range b.queue {
+		if w.Service == n.Service && w.Model == n.Model {
+			waiting++
+		}
+	}
+	after := min(latest, soonest+time.Duration(waiting)*20*time.Millisecond)
+	return Decision{Refused: true, After: after, Reason: reason}
+}
--- /dev/null
+++ b/internal/entry/gateway/attempt.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/entry/balance"
+	"github.com/egretreach/egretreach/internal/entry/upstream"
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+const (
+	// tick is the pace at which a silent endpoint is looked at.
+	tick = 50 * time.Millisecond
+	// deadlineSlack is left of the caller's time for the way back.
+	deadlineSlack = 5 * time.Millisecond
+)
+
+// verdict is what an attempt proves about the request.
+type verdict uint8
+
+const (
+	// verdictAnswered is an endpoint's own answer.
+	verdictAnswered verdict = iota + 1
+	// verdictNotRun is an attempt that did not run and never will.
+	verdictNotRun
+	// verdictUnknown is an attempt that may have run.
+	verdictUnknown
+)
+
+// attempt is one request at one endpoint.
+type attempt struct {
+	call     *call
+	need     balance.Need
+	endpoint roster.Endpoint
+	began    time.Time
+	exchange *upstream.Exchange
+	// streamed says that the first event has come.
+	streamed bool
+	result   balance.Result
+	// patience is how long the endpoint may take to begin its answer, 0 for any time.
+	patience time.Duration
+	cancel   context.CancelFunc
+}
+
+// acquire waits for an endpoint with room. Without one it returns the refusal.
+func (c *call) acquire(ctx context.Context, n balance.Need) (*attempt, balance.Decision) {
+	g := c.g
+	began := time.Now()
+	g.mu.Lock()
+	d, waiter := g.board.Ask(n, began)
+	g.mu.Unlock()
+	if waiter != nil {
+		d = g.await(ctx, waiter)
+		c.trail.waited += time.Since(began)
+	}
+	if d.Endpoint.ID == "" {
+		return nil, d
+	}
+	return &attempt{call: c, need: n, endpoint: d.Endpoint, began: time.Now()}, d
+}
+
+// await waits for the decision on a request.
+func (g *Gateway) await(ctx context.Context, w *balance.Waiter) balance.Decision {
+	timer := time.NewTimer(time.Until(w.Until))
+	defer timer.Stop()
+	for {
+		select {
+		case d := <-w.Decided:
+			return d
+		case <-timer.C:
+			g.mu.Lock()
+			g.board.Settle(time.Now())
+			g.mu.Unlock()
+		case <-ctx.Done():
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			d, placed := g.board.Cancel(w)
+			if placed {
+				now := time.Now()
+				g.board.Ended(d.Endpoint.ID, w.Need, false, balance.ResultLeft, now)
+				g.board.Settle(now)
+			}
+			return balance.Decision{Refused: true, Reason: "gone"}
+		}
+	}
+}
+
+// run sends the request and waits for the head of the answer. What it returns is a
+// verdict on the request; only verdictAnswered has an exchange.
+func (a *attempt) run(ctx context.Context, lastEvent string) (verdict, error) {
+	c := a.call
+	c.trail.sends++
+	c.trail.endpoint = a.endpoint.ID
+	c.g.meters.attempts.Inc(1)
+	ctx, a.cancel = context.WithCancel(ctx)
+	request := *c.request
+	request.Header = a.header(lastEvent)
+	request.Fresh = !c.route.Repeatable() && false
+	x, err := c.g.upstream.Do(ctx, a.endpoint.Address, &request, upstream.Wait{Tick: tick, GoOn: a.goOn})
+	if err != nil {
+		return a.unanswered(err), err
+	}
+	a.exchange = x
+	return a.judge(x.Answer)
+}
+
+func (a *attempt) header(lastEvent string) http.Header {
+	c := a.call
+	names := c.g.opts.Dialect.Headers
+	h := make(http.Header, len(c.request.Header)+3)
+	for name, values := range c.request.Header {
+		h[name] = values
+	}
+	h[names.Expect] = []string{a.endpoint.ID}
+	h[names.Deadline] = []string{c.g.opts.Dialect.WriteDeadline(time.Until(c.deadline) - deadlineSlack)}
+	if lastEvent != "" {
+		h[names.LastEvent] = []string{lastEvent}
+	}
+	return h
+}
+
+// goOn says whether to wait on for a silent endpoint.
+func (a *attempt) goOn() bool {
+	c := a.call
+	now := time.Now()
+	c.g.mu.Lock()
+	_, stalled := c.g.board.Stalled(a.endpoint.ID, now)
+	c.g.mu.Unlock()
+	if stalled && c.route.Repeatable() {
+		a.result = balance.ResultStalled
+		return false
+	}
+	if a.patience > 0 && !a.streamed && now.Sub(a.began) > a.patience {
+		a.result = balance.ResultBroken
+		return false
+	}
+	return true
+}
+
+// unanswered judges an attempt without the head of an answer.
+func (a *attempt) unanswered(err error) verdict {
+	switch {
+	case upstream.IsRefused(err):
+		a.result = balance.ResultRefused
+		return verdictNotRun
+	case upstream.IsErrNotSent(err):
+		a.result = balance.ResultUnreachable
+		return verdictNotRun
+	case a.result == 0:
+		a.result = balance.ResultBroken
+	}
+	return verdictUnknown
+}
+
+// judge judges the head of an answer.
+func (a *attempt) judge(answer *http.Response) (verdict, error) {
+	c := a.call
+	names := c.g.opts.Dialect.Headers
+	c.heard(a.endpoint.ID)
+	if load, ok := c.g.opts.Dialect.ReadLoad(answer.Header.Get(names.Load)); ok {
+		c.g.mu.Lock()
+		c.g.board.Loaded(a.endpoint.ID, load, time.Now())
+		c.g.mu.Unlock()
+	}
+	if answer.StatusCode == http.StatusMisdirectedRequest {
+		a.result = balance.ResultStranger
+		return verdictNotRun, errAnswer{"another endpoint answers there"}
+	}
+	if answer.Header.Get(names.NotRun) != "" {
+		a.result = balance.ResultFull
+		return verdictNotRun, errAnswer{"the endpoint did not take it"}
+	}
+	if echo := answer.Header.Get(names.RequestID); echo != c.id {
+		a.result = balance.ResultBroken
+		return verdictUnknown, errAnswer{"the answer belongs to another request"}
+	}
+	if answer.Header.Get(names.Signature) == "" {
+		a.result = balance.ResultBroken
+		return verdictUnknown, errAnswer{"the answer is not signed"}
+	}
+	if answer.StatusCode >= http.StatusInternalServerError {
+		a.result = balance.ResultFailure
+	}
+	return verdictAnswered, nil
+}
+
+// errAnswer is an answer that cannot be given to the caller.
+type errAnswer struct{ reason string }
+
+func (e errAnswer) Error() string { return e.reason }
+
+// end closes the attempt and tells the board how it went.
+func (a *attempt) end(r balance.Result) {
+	if a.exchange != nil {
+		a.exchange.Close()
+	}
+	if a.cancel != nil {
+		a.cancel()
+	}
+	if r == balance.ResultRefused || r == balance.ResultStranger || r == balance.ResultStalled {
+		a.call.g.upstream.Drop(a.endpoint.Address)
+	}
+	if r == balance.ResultStalled {
+		a.call.g.meters.stalled.Inc(1)
+	}
+	now := time.Now()
+	g := a.call.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.board.Ended(a.endpoint.ID, a.need, a.streamed, r, now)
+	g.board.Settle(now)
+}
+
+// failed ends an attempt that did not give the caller an answer, and logs why.
+func (a *attempt) failed(err error) {
+	c := a.call
+	event.AttemptFailed.On(c.g.opts.Logger).Str("request", c.id).Str("endpoint", a.endpoint.ID).
+		Str("address", a.endpoint.Address).Dur("after", time.Since(a.began)).Uint8("result", uint8(a.result)).Err(err).Msg("")
+	a.end(a.result)
+}
+
+func (c *call) heard(endpoint string) {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	c.g.board.Heard(endpoint, time.Now())
+}
+
+// mayRepeat counts one more sending of the request against the service's budget.
+func (c *call) mayRepeat() bool {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	if !c.g.budget(c.service).Repeat(time.Now()) {
+		return false
+	}
+	c.g.meters.repeats.Inc(1)
+	return true
+}
+
+// counted counts the request itself for the service's budget.
+func (c *call) counted() {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	c.g.budget(c.service).Request(time.Now())
+}
--- /dev/null
+++ b/internal/entry/gateway/gateway.go
@@ -0,0 +1,200 @@
+// Package gateway is the entry daemon of platforms on which endpoints announce
+// themselves. It takes callers' requests over HTTP/1.1 and sends them on, unchanged, to
+// the endpoints of their route.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/egretreach/egretreach/internal/entry/balance"
+	"github.com/egretreach/egretreach/internal/entry/dialect"
+	"github.com/egretreach/egretreach/internal/entry/upstream"
+	"github.com/egretreach/egretreach/internal/fleet/domain"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
+	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/process/pause"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+	"github.com/egretreach/egretreach/internal/telemetry/metric"
+)
+
+const (
+	// Bounds of a caller's connection while no limits are in force yet, and the room that
+	// is left above the limits, so that a caller at a limit is not cut off.
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+	defaultBodyBytes     = 4 << 20
+	// sweepEvery is the pace at which old connections are closed.
+	sweepEvery = 500 * time.Millisecond
+)
+
+// Repeats bound what all gateways together send a second time to one service.
+type Repeats struct {
+	// Ratio is the repeats for each request, and Slack the number beyond that in Window.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Options describe one gateway.
+type Options struct {
+	Self host.ID
+	Zone domain.Failure
+	Pool *pool.Pool
+	// Seeds are the link addresses of some control hosts.
+	Seeds   []string
+	Dialect dialect.Dialect
+	Repeats Repeats
+	// Notice is how long a stopping gateway still takes requests.
+	Notice  time.Duration
+	Metrics *metric.Registry
+	// Logger may be nil.
+	Logger *log.Logger
+}
+
+// Gateway is one entry daemon. Use New, then Run.
+type Gateway struct {
+	opts   Options
+	table  atomic.Pointer[routes.Table]
+	meters meters
+
+	mu      sync.Mutex
+	board   balance.Board
+	roster  roster.Roster
+	budgets map[string]*balance.Budget
+	demand  map[string]*demand
+
+	seeds    []string
+	upstream upstream.Pool
+	requests atomic.Uint64
+	stopping atomic.Bool
+	server   *http.Server
+	draw     func() float64
+}
+
+// demand counts the requests for one model since the last report.
+type demand struct{ arrived, refused int }
+
+// New returns a gateway.
+func New(opts Options) *Gateway {
+	g := &Gateway{
+		opts:    opts,
+		board:   balance.Board{Zone: string(opts.Zone)},
+		budgets: map[string]*balance.Budget{},
+		demand:  map[string]*demand{},
+		meters:  newMeters(opts.Metrics),
+		draw:    newDraw(),
+		seeds:   opts.Seeds,
+	}
+	g.server = &http.Server{
+		Handler:           http.HandlerFunc(g.serve),
+		MaxHeaderBytes:    defaultHeaderBytes,
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		ErrorLog:          nil,
+	}
+	return g
+}
+
+// Run serves callers on listener until ctx ends.
+func (g *Gateway) Run(ctx context.Context, listener net.Listener) error {
+	event.ProcessStarted.On(g.opts.Logger).Str("role", "gateway").Str("host", string(g.opts.Self)).
+		Str("address", listener.Addr().String()).Msg("")
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		err := g.server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Wrap(err, "callers' listener")
+	})
+	group.Go(func() error { return g.follow(ctx) })
+	group.Go(func() error { return g.sweep(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return g.server.Close()
+	})
+	return group.Wait()
+}
+
+// SetSeeds replaces the control hosts that are asked when no other is known.
+func (g *Gateway) SetSeeds(seeds []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slices.Equal(seeds, g.seeds) {
+		return
+	}
+	g.seeds = slices.Clone(seeds)
+	event.SettingsReloaded.On(g.opts.Logger).Strs("seeds", seeds).Msg("")
+}
+
+// knownSeeds returns the control hosts to ask.
+func (g *Gateway) knownSeeds() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.seeds
+}
+
+// Ready says why the gateway takes no new work, or nil.
+func (g *Gateway) Ready() error {
+	if g.stopping.Load() {
+		return errors.New("stopping")
+	}
+	if g.table.Load() == nil {
+		return errors.New("no configuration yet")
+	}
+	return nil
+}
+
+// Stop stops the gateway without cutting off a request: it is not ready from now on,
+// still takes requests for the notice, and then waits for those under way until ctx ends.
+func (g *Gateway) Stop(ctx context.Context) {
+	event.ProcessStopping.On(g.opts.Logger).Str("role", "gateway").Msg("")
+	g.stopping.Store(true)
+	pause.For(ctx, g.opts.Notice)
+	if err := g.server.Shutdown(ctx); err != nil {
+		event.ProcessStopped.On(g.opts.Logger).Str("role", "gateway").Err(err).Msg("")
+		return
+	}
+	event.ProcessStopped.On(g.opts.Logger).Str("role", "gateway").Int("cut", 0).Msg("")
+}
+
+func (g *Gateway) sweep(ctx context.Context) error {
+	for pause.For(ctx, sweepEvery) {
+		g.upstream.Sweep(time.Now())
+	}
+	return nil
+}
+
+// budget returns the budget of repeats of a service; mu is held.
+func (g *Gateway) budget(service string) *balance.Budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = &balance.Budget{}
+		g.budgets[service] = b
+	}
+	b.Ratio = g.opts.Repeats.Ratio * ratioPart
+	b.Window = g.opts.Repeats.Window
+	b.Allowance = g.opts.Repeats.Slack / float64(max(g.board.Gateways, 1)) * allowancePart
+	return b
+}
+
+const (
+	// ratioPart and allowancePart keep the sum of all gateways' repeats below the bound
+	// while their idea of each other's number is behind. A budget lets through its
+	// allowance and half of that again within a window.
+	ratioPart     = 0.85
+	allowancePart = 0.55
+)
--- /dev/null
+++ b/internal/entry/gateway/handler.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/entry/balance"
+	"github.com/egretreach/egretreach/internal/entry/dialect"
+	"github.com/egretreach/egretreach/internal/entry/upstream"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
+)
+
+// call is one request of a caller.
+type call struct {
+	g     *Gateway
+	w     http.ResponseWriter
+	r     *http.Request
+	began time.Time
+	// id is the caller's ID of this attempt.
+	id    string
+	route *routes.Route
+	team  *routes.Team
+	// request is what endpoints get.
+	request *upstream.Request
+	usage   dialect.Usage
+	service string
+	model   string
+	rank    int
+	// deadline is when the caller or the route has waited long enough.
+	deadline time.Time
+	// callerDeadline is when the caller alone has.
+	callerDeadline time.Time
+	trail          trail
+}
+
+// trail is what happened to a request, for its log line.
+type trail struct {
+	// sends is how many endpoints it was sent to, the last of which is endpoint.
+	sends    int
+	endpoint string
+	// waited is the time spent waiting for room, first when the answer began.
+	waited  time.Duration
+	first   time.Duration
+	events  int
+	resumes int
+}
+
+// serve takes one request.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	c := &call{g: g, w: w, r: r, began: time.Now(), id: r.Header.Get(g.opts.Dialect.Headers.RequestID)}
+	g.requests.Add(1)
+	g.meters.requests.Inc(1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	table := g.table.Load()
+	if table == nil {
+		c.refuse(time.Second, "no configuration yet")
+		return
+	}
+	if !c.admit(table) || !c.readBody(table) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if c.route.Kind == routes.KindStream {
+		c.stream(ctx)
+		return
+	}
+	c.plain(ctx)
+}
+
+// admit finds the route and the caller's team. It answers requests that have none.
+func (c *call) admit(table *routes.Table) bool {
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	route, ok := table.Match(c.r.Host, path)
+	if !ok {
+		c.deny(http.StatusNotFound, "no route")
+		return false
+	}
+	c.route, c.rank = route, route.Priority
+	h := c.g.opts.Dialect.Headers
+	team, known := table.Team(c.r.Header.Get(h.Key))
+	if len(table.Teams) > 0 && !route.Anonymous && !known {
+		c.deny(http.StatusUnauthorized, "unknown key")
+		return false
+	}
+	if known {
+		c.team = team
+		if team.Priority != nil {
+			c.rank = *team.Priority
+		}
+	}
+	c.service = route.Pick(c.g.draw())
+	c.readSize(table)
+	c.setDeadline()
+	return true
+}
+
+func (c *call) readSize(table *routes.Table) {
+	h := c.g.opts.Dialect.Headers
+	if text := c.r.Header.Get(h.Usage); text != "" {
+		c.usage, _ = c.g.opts.Dialect.ReadUsage(text)
+	}
+	service, ok := table.Service(c.service)
+	if !ok || service.Engine == nil {
+		return
+	}
+	c.model = c.r.Header.Get(h.Model)
+	c.g.mu.Lock()
+	c.g.demandOf(c.model).arrived++
+	c.g.mu.Unlock()
+}
+
+// demandOf returns the counts of a model; mu is held.
+func (g *Gateway) demandOf(model string) *demand {
+	d := g.demand[model]
+	if d == nil {
+		d = &demand{}
+		g.demand[model] = d
+	}
+	return d
+}
+
+func (c *call) setDeadline() {
+	c.deadline = c.began.Add(c.route.Timeout)
+	c.callerDeadline = c.deadline
+	left, ok := c.g.opts.Dialect.ReadDeadline(c.r.Header.Get(c.g.opts.Dialect.Headers.Deadline))
+	if !ok {
+		return
+	}
+	c.callerDeadline = c.began.Add(left)
+	if c.callerDeadline.Before(c.deadline) {
+		c.deadline = c.callerDeadline
+	}
+}
+
+// readBody reads the whole body, so that it can be sent more than once.
+func (c *call) readBody(table *routes.Table) bool {
+	limit := table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if c.r.ContentLength > limit {
+		c.deny(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			c.deny(http.StatusRequestEntityTooLarge, "body too large")
+			return false
+		}
+		c.deny(http.StatusBadRequest, "body cut short")
+		return false
+	}
+	c.request = &upstream.Request{
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.header(), Body: body,
+		HasBody: len(body) > 0 || c.r.ContentLength == 0 && c.r.Header.Get("Content-Length") != "" || c.r.Method == http.MethodPost,
+	}
+	return true
+}
+
+// connectionHeaders concern one connection only (RFC 9110, section 7.6.1).
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	"Content-Length", "Proxy-Authenticate", "Proxy-Authorization",
+}
+
+// stripConnection removes the headers of one connection, those that it names included.
+func stripConnection(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		delete(h, name)
+	}
+}
+
+// header returns the headers that endpoints get, but for those of one attempt.
+func (c *call) header() http.Header {
+	names := c.g.opts.Dialect.Headers
+	out := c.r.Header.Clone()
+	kept := out[names.RequestID]
+	stripConnection(out)
+	if len(kept) > 0 {
+		out[names.RequestID] = kept
+	}
+	for _, own := range []string{names.Key, names.Team, names.Expect, names.Priority, names.Deadline} {
+		delete(out, own)
+	}
+	if c.team != nil {
+		out[names.Team] = []string{c.team.Name}
+	}
+	if c.model != "" {
+		out[names.Priority] = []string{c.g.opts.Dialect.WritePriority(c.rank)}
+	}
+	return out
+}
+
+// need is what the request wants of an endpoint now.
+func (c *call) need(patience time.Duration) balance.Need {
+	until := time.Now().Add(patience)
+	if until.After(c.deadline) {
+		until = c.deadline
+	}
+	return balance.Need{
+		Service: c.service, Model: c.model, Rank: c.rank, Prompt: c.usage.Prompt, Since: c.began, Until: until,
+	}
+}
--- /dev/null
+++ b/internal/entry/gateway/meters.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"math/rand/v2"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/egretreach/egretreach/internal/telemetry/metric"
+)
+
+// meters are the gateway's counters.
+type meters struct {
+	requests metrics.Counter
+	answered metrics.Counter
+	refused  metrics.Counter
+	failed   metrics.Counter
+	left     metrics.Counter
+	attempts metrics.Counter
+	repeats  metrics.Counter
+	resumed  metrics.Counter
+	stalled  metrics.Counter
+}
+
+func newMeters(r *metric.Registry) meters {
+	return meters{
+		requests: r.Counter("gateway_requests_total", "Requests of callers."),
+		answered: r.Counter("gateway_answered_total", "Requests answered with an endpoint's whole answer."),
+		refused:  r.Counter("gateway_refused_total", "Requests refused before they ran."),
+		failed:   r.Counter("gateway_failed_total", "Requests that failed or may have run without an answer."),
+		left:     r.Counter("gateway_left_total", "Requests whose caller left."),
+		attempts: r.Counter("gateway_attempts_total", "Requests sent to endpoints."),
+		repeats:  r.Counter("gateway_repeats_total", "Requests sent to an endpoint once more."),
+		resumed:  r.Counter("gateway_resumed_total", "Streams that went on at another endpoint."),
+		stalled:  r.Counter("gateway_stalled_total", "Attempts given up because the endpoint stood still."),
+	}
+}
+
+// newDraw returns a source of numbers spread evenly over 0 up to 1.
+func newDraw() func() float64 { return rand.Float64 }
--- /dev/null
+++ b/internal/entry/gateway/stream.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/entry/balance"
+	"github.com/egretreach/egretreach/internal/entry/upstream"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+const (
+	// maxSends bounds the endpoints of one stream, those that ended among them.
+	maxSends = 4
+	// resumePatience is how long a broken stream waits for room elsewhere: about what
+	// its caller bears without an event.
+	resumePatience = 1500 * time.Millisecond
+)
+
+// streaming is the state of a stream over all its attempts.
+type streaming struct {
+	*call
+	// begun says that the caller has the head of the answer.
+	begun bool
+	// last is the ID of the last event that the caller has.
+	last string
+	// lost counts attempts at endpoints that ended or stood still.
+	lost    int
+	unknown bool
+	avoid   []string
+	flusher *http.ResponseController
+}
+
+// stream answers a request whose answer is a series of events.
+func (c *call) stream(ctx context.Context) {
+	c.counted()
+	s := &streaming{call: c, flusher: http.NewResponseController(c.w)}
+	s.last = c.r.Header.Get(c.g.opts.Dialect.Headers.LastEvent)
+	for {
+		a, d := c.acquire(ctx, s.need())
+		if a == nil {
+			s.noRoom(ctx, d)
+			return
+		}
+		v, err := a.run(ctx, s.last)
+		if v == verdictAnswered {
+			err = s.pass(a)
+			if err == nil {
+				return
+			}
+			v = verdictUnknown
+		}
+		if a.result == 0 {
+			a.result = balance.ResultBroken
+		}
+		a.failed(err)
+		s.unknown = s.unknown || v == verdictUnknown
+		if !s.goOn(ctx, a, err) {
+			return
+		}
+	}
+}
+
+func (s *streaming) need() balance.Need {
+	patience := time.Duration(float64(s.route.Objective) * waitPart)
+	if s.begun {
+		patience = resumePatience
+	}
+	n := s.call.need(patience)
+	n.Avoid, n.Resumed = s.avoid, s.begun
+	return n
+}
+
+// goOn decides whether the stream is tried at another endpoint. If not, it ends it.
+func (s *streaming) goOn(ctx context.Context, a *attempt, err error) bool {
+	s.avoid = append(s.avoid, a.endpoint.ID)
+	switch a.result {
+	case balance.ResultRefused, balance.ResultStalled, balance.ResultBroken, balance.ResultUnreachable, balance.ResultStranger:
+		s.lost++
+	default:
+	}
+	again := ctx.Err() == nil && (!s.unknown || s.route.Repeatable()) &&
+		s.trail.sends-s.lost < max(s.route.MaxAttempts, 1) && s.trail.sends < maxSends && s.mayRepeat()
+	if again {
+		if s.begun {
+			s.trail.resumes++
+			s.g.meters.resumed.Inc(1)
+			event.StreamResumed.On(s.g.opts.Logger).Str("request", s.id).Str("from", a.endpoint.ID).Str("last", s.last).Msg("")
+		}
+		return true
+	}
+	switch {
+	case s.r.Context().Err() != nil:
+		s.leave()
+	case s.begun:
+		s.cut(err.Error())
+	case ctx.Err() != nil:
+		s.timeUp(ctx, err.Error())
+	default:
+		s.giveUp(err, s.unknown && !s.route.Repeatable())
+	}
+	return false
+}
+
+// noRoom ends a stream for which there is no endpoint.
+func (s *streaming) noRoom(ctx context.Context, d balance.Decision) {
+	if s.begun {
+		if s.r.Context().Err() != nil {
+			s.leave()
+			return
+		}
+		s.cut("no endpoint to resume it: " + d.Reason)
+		return
+	}
+	s.refused(ctx, d, s.unknown && !s.route.Repeatable())
+}
+
+// pass passes the events of one attempt on. It returns nil if the answer is over, and an
+// error if the stream may go on elsewhere.
+func (s *streaming) pass(a *attempt) error {
+	answer := a.exchange.Answer
+	if answer.StatusCode != http.StatusOK {
+		return s.passFailure(a)
+	}
+	events := upstream.NewEvents(a.exchange)
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return s.finish(a)
+		}
+		if err != nil {
+			return err
+		}
+		s.received(a)
+		if e.ID != "" && !later(e.ID, s.last) {
+			continue
+		}
+		if err := s.emit(answer, e, !events.Buffered()); err != nil {
+			a.end(balance.ResultLeft)
+			s.leave()
+			return nil
+		}
+	}
+}
+
+// received tells the board of an event.
+func (s *streaming) received(a *attempt) {
+	now := time.Now()
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	if a.streamed {
+		s.g.board.Heard(a.endpoint.ID, now)
+		return
+	}
+	a.streamed = true
+	s.g.board.First(a.endpoint.ID, a.need, now)
+}
+
+// later reports whether an event's ID is above the last one's.
+func later(id, last string) bool {
+	if last == "" {
+		return true
+	}
+	a, errA := strconv.ParseInt(id, 10, 64)
+	b, errB := strconv.ParseInt(last, 10, 64)
+	if errA != nil || errB != nil {
+		return id != last
+	}
+	return a > b
+}
+
+func (s *streaming) emit(answer *http.Response, e upstream.Event, flush bool) error {
+	if !s.begun {
+		s.begun = true
+		s.trail.first = time.Since(s.began)
+		s.copyHeader(answer.Header)
+		s.w.WriteHeader(answer.StatusCode)
+	}
+	if _, err := s.w.Write(e.Bytes); err != nil {
+		return err
+	}
+	s.trail.events++
+	if e.ID != "" {
+		s.last = e.ID
+	}
+	if !flush {
+		return nil
+	}
+	return s.flusher.Flush()
+}
+
+// finish ends a stream that its endpoint has ended.
+func (s *streaming) finish(a *attempt) error {
+	if !s.begun {
+		s.copyHeader(a.exchange.Answer.Header)
+		s.w.WriteHeader(a.exchange.Answer.StatusCode)
+	}
+	a.end(balance.ResultGood)
+	s.g.meters.answered.Inc(1)
+	s.line(event.RequestAnswered).Int("status", http.StatusOK).Msg("")
+	return nil
+}
+
+// passFailure gives the caller an endpoint's own failure, unless another attempt is due.
+func (s *streaming) passFailure(a *attempt) error {
+	answer := a.exchange.Answer
+	body, err := io.ReadAll(io.LimitReader(a.exchange, maxKept+1))
+	if err != nil {
+		return err
+	}
+	again := a.result == balance.ResultFailure && s.route.Repeatable() && s.trail.sends-s.lost < s.route.MaxAttempts
+	if s.begun || again {
+		return errAnswer{"the endpoint answered " + strconv.Itoa(answer.StatusCode)}
+	}
+	s.deliver(a, answer, body)
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/roster/roster.go
@@ -0,0 +1,216 @@
+// Package roster keeps what endpoints announce of themselves.
+//
+// An endpoint's life begins with its start. Announcements may arrive late, twice, by
+// several ways and after the endpoint's end; of each life the highest sequence number
+// counts, of each ID and of each address the latest life.
+package roster
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// tombstoneTime is how long an endpoint that left is remembered, so that a late
+// announcement of its life does not bring it back.
+const tombstoneTime = 2 * time.Minute
+
+// State is what an endpoint says about new work.
+type State uint8
+
+// The states of an endpoint.
+const (
+	StateReady State = iota
+	// StateDraining takes no new work.
+	StateDraining
+	// StateLeft has signed off.
+	StateLeft
+)
+
+// MemberState is where a member stands in its replica.
+type MemberState uint8
+
+// The states of a member.
+const (
+	MemberUnknown MemberState = iota
+	// MemberJoining loads the model.
+	MemberJoining
+	// MemberReady holds the model.
+	MemberReady
+	// MemberOpen is a head that serves.
+	MemberOpen
+	// MemberClosing is a head that finishes what it has.
+	MemberClosing
+	// MemberBroken is a head that lost a member.
+	MemberBroken
+)
+
+// Membership is an endpoint's place in a replica.
+type Membership struct {
+	Replica string `cbor:"1,keyasint"`
+	// Epoch orders the replicas of an endpoint's life; higher is later.
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Rank is the place in the list of members; the head's is 0.
+	Rank  int         `cbor:"3,keyasint"`
+	State MemberState `cbor:"4,keyasint"`
+}
+
+// Endpoint is what an endpoint has announced of itself.
+type Endpoint struct {
+	ID      string `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	// Address is an IP address and TCP port.
+	Address string `cbor:"3,keyasint"`
+	// Zone is the failure domain, and Fabric the fabric domain, if it has one.
+	Zone   string `cbor:"4,keyasint"`
+	Fabric string `cbor:"5,keyasint,omitempty"`
+	Slots  int    `cbor:"6,keyasint"`
+	State  State  `cbor:"7,keyasint,omitempty"`
+	// Born is when the life began, in milliseconds of the Unix clock.
+	Born int64 `cbor:"8,keyasint"`
+	// Sequence rises with each announcement of a life.
+	Sequence uint64 `cbor:"9,keyasint"`
+	// Engine says that the endpoint is a model engine.
+	Engine bool `cbor:"10,keyasint,omitempty"`
+	// Model is the model that the engine holds, empty if none.
+	Model string `cbor:"11,keyasint,omitempty"`
+	// Staged are the models on the engine's host.
+	Staged []string `cbor:"12,keyasint,omitempty"`
+	// Member is nil outside any replica.
+	Member *Membership `cbor:"13,keyasint,omitempty"`
+}
+
+// Heads reports whether the endpoint is the serving head of a replica.
+func (e Endpoint) Heads() bool {
+	return e.Member != nil && e.Member.Rank == 0 && e.Member.State == MemberOpen
+}
+
+// later reports whether e says something newer than old, both of one ID.
+func (e Endpoint) later(old Endpoint) bool {
+	if e.Born != old.Born {
+		return e.Born > old.Born
+	}
+	if old.State == StateLeft {
+		return false
+	}
+	return e.State == StateLeft || e.Sequence > old.Sequence
+}
+
+// Entry is an endpoint and when it was last heard of.
+type Entry struct {
+	Endpoint
+	// Heard is when the last announcement was taken in, by the local clock.
+	Heard time.Time
+	// Quiet says that the last announcement told nothing new.
+	Quiet bool
+}
+
+// Roster is the set of known endpoints. The zero value is empty. It is not safe for
+// concurrent use.
+type Roster struct {
+	entries map[string]Entry
+	// addresses names the endpoint with the latest life at each address.
+	addresses map[string]string
+}
+
+// Change says what an announcement changed.
+type Change uint8
+
+// The changes that an announcement makes.
+const (
+	// ChangeNone is a stale announcement.
+	ChangeNone Change = iota
+	// ChangeHeard shows that the endpoint lives, and nothing else.
+	ChangeHeard
+	// ChangeContent says something new.
+	ChangeContent
+)
+
+// Announce takes in an announcement that was heard at a time.
+func (r *Roster) Announce(e Endpoint, heard time.Time) Change {
+	if r.entries == nil {
+		r.entries, r.addresses = map[string]Entry{}, map[string]string{}
+	}
+	old, known := r.entries[e.ID]
+	if known && !e.later(old.Endpoint) {
+		return ChangeNone
+	}
+	if e.Address == "" {
+		e = old.Endpoint.withState(e)
+	}
+	if !r.claim(e) {
+		return ChangeNone
+	}
+	quiet := known && same(old.Endpoint, e)
+	r.entries[e.ID] = Entry{Endpoint: e, Heard: heard, Quiet: quiet}
+	if quiet {
+		return ChangeHeard
+	}
+	return ChangeContent
+}
+
+// withState returns e with the life, sequence and state of a sign-off that names no more.
+func (e Endpoint) withState(off Endpoint) Endpoint {
+	if off.Born != 0 {
+		e.Born = off.Born
+	}
+	e.ID, e.State, e.Sequence = off.ID, off.State, max(e.Sequence, off.Sequence)
+	return e
+}
+
+// claim gives e its address, unless a later life has it. The earlier holder is gone.
+func (r *Roster) claim(e Endpoint) bool {
+	if e.Address == "" {
+		return true
+	}
+	holder, taken := r.entries[r.addresses[e.Address]]
+	if taken && holder.ID != e.ID {
+		if holder.Born > e.Born {
+			return false
+		}
+		if holder.State != StateLeft {
+			holder.State = StateLeft
+			r.entries[holder.ID] = holder
+		}
+	}
+	r.addresses[e.Address] = e.ID
+	return true
+}
+
+// same reports whether two announcements say the same but for their numbers.
+func same(a, b Endpoint) bool {
+	if a.Born != b.Born || a.Service != b.Service || a.Address != b.Address || a.State != b.State ||
+		a.Model != b.Model || a.Slots != b.Slots || a.Zone != b.Zone || a.Fabric != b.Fabric {
+		return false
+	}
+	if (a.Member == nil) != (b.Member == nil) || a.Member != nil && *a.Member != *b.Member {
+		return false
+	}
+	return slices.Equal(a.Staged, b.Staged)
+}
+
+// Get returns the endpoint of that ID.
+func (r *Roster) Get(id string) (Entry, bool) {
+	e, ok := r.entries[id]
+	return e, ok
+}
+
+// All returns every entry, those that left included, by ID.
+func (r *Roster) All() []Entry {
+	return slices.SortedFunc(maps.Values(r.entries), func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// Forget drops endpoints that left long before now, and those that have been silent
+// for longer than silence.
+func (r *Roster) Forget(now time.Time, silence time.Duration) {
+	for id, e := range r.entries {
+		quiet := now.Sub(e.Heard)
+		if e.State == StateLeft && quiet > tombstoneTime || quiet > silence+tombstoneTime {
+			delete(r.entries, id)
+			if r.addresses[e.Address] == id {
+				delete(r.addresses, e.Address)
+			}
+		}
+	}
+}
--- a/internal/link/identity/credentials.go
+++ b/internal/link/identity/credentials.go
@@ -15,6 +15,8 @@
 // may be replaced while connections are open; new handshakes use the new ones.
 type Credentials struct {
 	current atomic.Pointer[loaded]
+	// private takes any peer's certificate for what it says.
+	private bool
 }
 
 type loaded struct {
@@ -67,13 +69,17 @@
 		NextProtos: []string{message.Protocol},
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			now := c.current.Load()
-			return &tls.Config{
+			config := &tls.Config{
 				MinVersion:   tls.VersionTLS13,
 				NextProtos:   []string{message.Protocol},
 				Certificates: []tls.Certificate{now.pair},
 				ClientAuth:   tls.RequireAndVerifyClientCert,
 				ClientCAs:    now.pool,
-			}, nil
+			}
+			if c.private {
+				config.ClientAuth = tls.RequireAnyClientCert
+			}
+			return config, nil
 		},
 	}
 }
@@ -82,15 +88,25 @@
 // identity, not by a host name, so the chain is verified by hand.
 func (c *Credentials) Client() *tls.Config {
 	now := c.current.Load()
+	verify := now.verifyServer
+	if c.private {
+		verify = verifyNamed
+	}
 	return &tls.Config{
 		MinVersion:         tls.VersionTLS13,
 		NextProtos:         []string{message.Protocol},
 		Certificates:       []tls.Certificate{now.pair},
 		InsecureSkipVerify: true, //nolint:gosec // VerifyConnection checks the chain; there are no host names.
-		VerifyConnection:   now.verifyServer,
+		VerifyConnection:   verify,
 	}
 }
 
+// verifyNamed asks for nothing but an identity.
+func verifyNamed(state tls.ConnectionState) error {
+	_, err := FromState(state)
+	return err
+}
+
 func (l *loaded) verifyServer(state tls.ConnectionState) error {
 	if len(state.PeerCertificates) == 0 {
 		return errors.New("peer gave no certificate")
--- a/internal/link/message/kind.go
+++ b/internal/link/message/kind.go
@@ -1,7 +1,7 @@
 package message
 
 // The kinds of frame. Sessions with control start at 1, claims at 20, work at 40,
-// operator calls at 60, quorum traffic at 80.
+// operator calls at 60, quorum traffic at 80, announcements at 100.
 const (
 	kindAnnounce Kind = iota + 1
 	kindWelcome
@@ -57,6 +57,16 @@
 
 const kindQuorum Kind = 80
 
+// Frames of announcements and of what gateways subscribe to.
+const (
+	kindRosterUpdate Kind = iota + 100
+	kindSubscribe
+	kindPicture
+	kindGatewayReport
+	kindFounderQuery
+	kindFounders
+)
+
 // newMessage returns an empty message of kind k, or nil.
 func newMessage(k Kind) Message {
 	if make, ok := constructors[k]; ok {
@@ -108,4 +118,10 @@
 	kindRequestQuery:     func() Message { return &RequestQuery{} },
 	kindRequestResult:    func() Message { return &RequestResult{} },
 	kindQuorum:           func() Message { return &Quorum{} },
+	kindRosterUpdate:     func() Message { return &RosterUpdate{} },
+	kindSubscribe:        func() Message { return &Subscribe{} },
+	kindPicture:          func() Message { return &Picture{} },
+	kindGatewayReport:    func() Message { return &GatewayReport{} },
+	kindFounderQuery:     func() Message { return &FounderQuery{} },
+	kindFounders:         func() Message { return &Founders{} },
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
@@ -32,6 +33,8 @@
 	// Shutdown carries out a planned stop that cuts nothing off; after it, Run's
 	// context ends. It ends early when its own context ends.
 	Shutdown func(ctx context.Context)
+	// Reload, if set, takes in the settings file again at SIGHUP.
+	Reload func()
 }
 
 // Parts are what a daemon is built from.
@@ -56,8 +59,10 @@
 // Run runs a daemon until SIGINT or SIGTERM, which begin a planned stop; a second
 // signal ends the process at once.
 func Run(ctx context.Context, setup Setup) error {
-	logger := logging.New(setup.Log, os.Stderr)
-	credentials, err := identity.Open(setup.Keys.Folder, identity.Identity{Role: setup.Role, Host: setup.Host.ID})
+	output := logging.NewOutput(os.Stdout)
+	defer output.Close()
+	logger := logging.New(setup.Log, output)
+	credentials, err := openKeys(setup)
 	if err != nil {
 		return err
 	}
@@ -80,11 +85,15 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	watcher := identity.Watcher{
-		Credentials: credentials, Folder: setup.Keys.Folder, Every: setup.Keys.CheckEvery, Reload: reload, Logger: logger,
-	}
 	pages := health.Server{Metrics: parts.Metrics, Ready: d.Ready}
 	watch := func(ctx context.Context) error {
+		if setup.Link.PrivateNetwork {
+			watchSettings(ctx, d, reload)
+			return nil
+		}
+		watcher := identity.Watcher{
+			Credentials: credentials, Folder: setup.Keys.Folder, Every: setup.Keys.CheckEvery, Reload: reload, Logger: logger,
+		}
 		watcher.Run(ctx)
 		return nil
 	}
@@ -92,6 +101,36 @@
 	return supervise(ctx, d, setup.Stop, watch, serve)
 }
 
+// openKeys returns the process's credentials: its own unchecked ones on a private network.
+func openKeys(setup Setup) (*identity.Credentials, error) {
+	self := identity.Identity{Role: setup.Role, Host: setup.Host.ID}
+	if setup.Link.PrivateNetwork {
+		return identity.NewPrivate(self, time.Now())
+	}
+	return identity.Open(setup.Keys.Folder, self)
+}
+
+// settingsEvery is the pace at which a settings file is looked at for a change that came
+// without a signal.
+const settingsEvery = 2 * time.Second
+
+// watchSettings lets the daemon look at its settings again at each signal and now and then.
+func watchSettings(ctx context.Context, d Daemon, reload <-chan os.Signal) {
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		case <-ticker.C:
+		}
+		if d.Reload != nil {
+			d.Reload()
+		}
+	}
+}
+
 // supervise runs d and what stands beside it, until a signal has stopped d.
 func supervise(ctx context.Context, d Daemon, stop settings.Stop, beside ...func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/process/settings/address.go
+++ b/internal/process/settings/address.go
@@ -33,6 +33,19 @@
 	return err == nil && parsed.Addr().IsUnspecified()
 }
 
+// withPortOf returns the address with the port of another.
+func (a Address) withPortOf(other Address) Address {
+	own, err := netip.ParseAddrPort(string(a))
+	if err != nil {
+		return a
+	}
+	parsed, err := netip.ParseAddrPort(string(other))
+	if err != nil {
+		return a
+	}
+	return Address(netip.AddrPortFrom(own.Addr(), parsed.Port()).String())
+}
+
 // URL is an http URL whose host is an IP address.
 type URL string
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -33,6 +33,9 @@
 	Address Address `yaml:"address" validate:"required"`
 	// Offload lets the socket use UDP segmentation offload and ECN.
 	Offload bool `yaml:"offload"`
+	// PrivateNetwork says that no keys are provided and every process that can reach the
+	// link is trusted. Only portals and gateways take it.
+	PrivateNetwork bool `yaml:"private_network"`
 }
 
 // Keys names the folder with certificate.pem, key.pem and authorities.pem.
@@ -48,7 +51,7 @@
 	Address Address `yaml:"address"`
 }
 
-// Log says what is logged to the standard error stream, and how.
+// Log says what is logged to the standard output, and how.
 type Log struct {
 	Level  string `yaml:"level" validate:"oneof=debug info warn error"`
 	Format string `yaml:"format" validate:"oneof=json console"`
@@ -108,6 +111,13 @@
 	}
 }
 
+// checkKeyed refuses a link without keys.
+func checkKeyed(doc *document.Document, link Link) {
+	if link.PrivateNetwork {
+		doc.Report("link.private_network", "is for portals and gateways only")
+	}
+}
+
 func checkControl(doc *document.Document, control []Address) {
 	seen := map[Address]bool{}
 	for i, a := range control {
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -13,3 +13,36 @@
 	ProposalFailed  = register(126, "proposal_failed", log.WarnLevel)
 	PlacementAction = register(127, "placement_decided", log.InfoLevel)
 )
+
+// Events of the portal, the control daemon of endpoints that announce themselves.
+var (
+	FoundersKnown     = register(130, "founders_known", log.InfoLevel)
+	EndpointAnnounced = register(131, "endpoint_announced", log.InfoLevel)
+	EndpointLost      = register(132, "endpoint_lost", log.WarnLevel)
+	EndpointFound     = register(133, "endpoint_found", log.InfoLevel)
+	ReplicaDecided    = register(134, "replica_decided", log.InfoLevel)
+	EngineOrdered     = register(135, "engine_ordered", log.InfoLevel)
+	RevisionTaken     = register(136, "revision_taken", log.InfoLevel)
+	RevisionRefused   = register(137, "revision_refused", log.WarnLevel)
+	RevisionUnsure    = register(138, "revision_unsure", log.WarnLevel)
+	SubscriberJoined  = register(139, "subscriber_joined", log.InfoLevel)
+	SubscriberLeft    = register(140, "subscriber_left", log.InfoLevel)
+	LogRestarted      = register(141, "log_restarted", log.ErrorLevel)
+	AnnouncementBad   = register(142, "announcement_bad", log.WarnLevel)
+)
+
+// Events of the gateway, the entry of platforms on which endpoints announce themselves.
+var (
+	RequestAnswered  = register(300, "request_answered", log.InfoLevel)
+	RequestRefused   = register(301, "request_refused", log.WarnLevel)
+	RequestFailed    = register(302, "request_failed", log.WarnLevel)
+	RequestLeft      = register(303, "request_left", log.InfoLevel)
+	AttemptFailed    = register(304, "attempt_failed", log.WarnLevel)
+	StreamResumed    = register(305, "stream_resumed", log.InfoLevel)
+	ControlFollowed  = register(306, "control_followed", log.InfoLevel)
+	ControlLost      = register(307, "control_lost", log.WarnLevel)
+	EndpointBanned   = register(308, "endpoint_banned", log.WarnLevel)
+	ReadinessChanged = register(309, "readiness_changed", log.InfoLevel)
+	LinesDropped     = register(411, "lines_dropped", log.WarnLevel)
+	SettingsReloaded = register(412, "settings_reloaded", log.InfoLevel)
+)
