Admit by the forecast first event; form replicas by value, readiness and demand

Change: members leave a head that can't be reached, probes are quicker, the planner values replicas by demand and readiness, gateways place by the forecast time to the first event; sign-offs without a birth end the current life; a stream runs on no more endpoints than its route allows.

--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -9,6 +9,22 @@
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 )
 
+const (
+	// horizon is how far ahead a new replica is valued: one that is ready after as long
+	// counts half.
+	horizon = 8 * time.Second
+	// surplus is the value of a replica beyond the demand, against one that is needed.
+	surplus = 0.05
+	// sizeTie lets larger replicas go first where models lack the same part.
+	sizeTie = 0.02
+	// shortfall is the part of a replica by which a model must lack before a load from the
+	// weight store is worth it.
+	shortfall = 0.2
+	// settleFabric is how long a fabric domain's free engines must have been the same
+	// before a load is begun there: engines of one domain come back one after the other.
+	settleFabric = 1200 * time.Millisecond
+)
+
 // candidate is one way to form a replica now.
 type candidate struct {
 	model   routes.Model
@@ -18,11 +34,14 @@
 	ready time.Duration
 	// loads is how many members must load from the weight store.
 	loads int
+	// score is its value for each engine that it takes.
+	score float64
 }
 
-// form makes new replicas of the engines that are free, for the model that lacks most.
+// form makes new replicas of the engines that are free, those of the most value first.
 func (p *Planner) form() {
 	free := p.free()
+	p.watch(free)
 	for {
 		best, found := p.best(free)
 		if !found {
@@ -37,6 +56,19 @@
 	}
 }
 
+// watch notes when the free engines of each fabric domain last changed.
+func (p *Planner) watch(free map[string][]Host) {
+	for fabric, hosts := range free {
+		names := ""
+		for _, h := range hosts {
+			names += h.ID + " "
+		}
+		if last, ok := p.settled[fabric]; !ok || last.names != names {
+			p.settled[fabric] = settled{names, p.now}
+		}
+	}
+}
+
 // free returns the engines that no replica holds, by fabric domain.
 func (p *Planner) free() map[string][]Host {
 	held := map[string]bool{}
@@ -47,7 +79,7 @@
 	}
 	free := map[string][]Host{}
 	for _, h := range p.view.Hosts {
-		if h.usable() && !held[h.ID] {
+		if h.usable() && !held[h.ID] && p.released(h) {
 			free[h.Fabric] = append(free[h.Fabric], h)
 		}
 	}
@@ -57,15 +89,24 @@
 	return free
 }
 
-// best returns the replica to form next: of the model that lacks most, the one that is
-// ready first.
+// released reports whether an engine that no known replica holds may be used: it is in
+// none, or its replica's head is out. Otherwise it is told to leave first.
+func (p *Planner) released(h Host) bool {
+	if h.Member == nil || p.ended[h.Member.Replica].clean {
+		return true
+	}
+	p.give(Leave{h.ID, Place{h.Member.Replica, h.Member.Epoch}})
+	return false
+}
+
+// best returns the replica to form next.
 func (p *Planner) best(free map[string][]Host) (candidate, bool) {
 	var best candidate
 	found := false
 	for _, m := range p.view.Engine.Models {
 		for _, fabric := range slices.Sorted(maps.Keys(free)) {
 			c, ok := p.candidate(m, fabric, free[fabric])
-			if ok && (!found || p.better(c, best)) {
+			if ok && (!found || c.score > best.score) {
 				best, found = c, true
 			}
 		}
@@ -73,28 +114,6 @@
 	return best, found
 }
 
-func (p *Planner) better(a, b candidate) bool {
-	if a.model.Name != b.model.Name {
-		return p.supply(a.model) < p.supply(b.model)
-	}
-	return a.ready < b.ready
-}
-
-// supply is how many replicas of a model there are for its share of the work.
-func (p *Planner) supply(m routes.Model) float64 {
-	count := 0
-	for _, u := range p.units {
-		if u.model == m.Name && u.phase != phaseLeaving {
-			count++
-		}
-	}
-	weight := m.Share / float64(max(m.Size, 1))
-	if weight <= 0 {
-		weight = 1e-3
-	}
-	return float64(count) / weight
-}
-
 func (p *Planner) candidate(m routes.Model, fabric string, hosts []Host) (candidate, bool) {
 	if m.Size <= 0 || len(hosts) < m.Size {
 		return candidate{}, false
@@ -108,7 +127,44 @@
 			c.loads++
 		}
 	}
-	return c, !p.view.Started || c.loads == 0 || p.loads.room(p.now, c.loads)
+	lack := p.lack(m)
+	if !p.view.Started {
+		// Loads cost little yet: all models get their part, the largest replicas first.
+		c.score = lack/max(p.required(m), 1) + float64(m.Size)*sizeTie
+		return c, true
+	}
+	c.score = p.value(m, lack) * float64(horizon) / float64(horizon+c.ready) / float64(m.Size)
+	if c.loads == 0 {
+		return c, true
+	}
+	calm := p.now.Sub(p.settled[fabric].since) >= settleFabric
+	return c, calm && lack >= shortfall && p.loads.room(p.now, c.loads)
+}
+
+// lack is how many replicas of a model there are fewer than its demand asks for.
+func (p *Planner) lack(m routes.Model) float64 {
+	have := 0
+	for _, u := range p.units {
+		if u.model == m.Name && u.phase != phaseLeaving {
+			have++
+		}
+	}
+	return p.required(m) - float64(have)
+}
+
+// required is how many replicas a model's demand asks for.
+func (p *Planner) required(m routes.Model) float64 {
+	if demand, known := p.view.Demand[m.Name]; known && p.view.Started {
+		return demand
+	}
+	return m.Share * float64(len(p.view.Hosts)) / float64(max(m.Size, 1))
+}
+
+// value is what one more replica of a model is worth: the part of the model's work that it
+// takes on.
+func (p *Planner) value(m routes.Model, lack float64) float64 {
+	part := min(1, max(lack, surplus)) / max(p.required(m), 1)
+	return max(m.Share, surplus) * part
 }
 
 // readyIn is how long an engine takes to hold a model.
--- a/internal/control/formation/planner.go
+++ b/internal/control/formation/planner.go
@@ -29,10 +29,14 @@
 	adoptTime = 2500 * time.Millisecond
 	// formingMargin is what a replica may take to form beyond the time of its loads.
 	formingMargin = 5 * time.Second
+	// loadingMargin is what it may take beyond that while members are loading: loads that
+	// run at the same time slow each other down.
+	loadingMargin = 20 * time.Second
 	// drainTime bounds the wait for a closing head's last answers.
 	drainTime = 2500 * time.Millisecond
-	// breakMargin is what a head that can't be reached gets beyond its stall.
-	breakMargin = time.Second
+	// endedLife is how long a replica that was given up is remembered: an order that came
+	// late may bring a report of it.
+	endedLife = 2 * time.Minute
 	// joinTime is how long an engine takes to join a replica of the model that it holds.
 	joinTime = 200 * time.Millisecond
 	// counterBits is the part of an epoch that counts within a term.
@@ -58,10 +62,8 @@
 	fabric  string
 	phase   phase
 	// began is when the phase began, and limit when forming has taken too long.
-	began time.Time
-	limit time.Time
-	// moved is when gateways last saw the head at work.
-	moved  time.Time
+	began  time.Time
+	limit  time.Time
 	reason string
 }
 
@@ -74,8 +76,10 @@
 	loads   loadLimit
 	// sent is when each order was last given, by its text.
 	sent map[string]time.Time
-	// ended is when each replica was given up; what still reports it is free.
-	ended map[string]time.Time
+	// ended holds the replicas that were given up.
+	ended map[string]ending
+	// settled tells when the free engines of each fabric domain last changed.
+	settled map[string]settled
 	// held is the model of each engine's last replica, by the engine's life.
 	held map[life]string
 
@@ -86,6 +90,20 @@
 	notes  []Note
 }
 
+// ending is how a replica was given up.
+type ending struct {
+	at time.Time
+	// clean says that its head is out of it, so that members that still report it may be
+	// used at once.
+	clean bool
+}
+
+// settled is a set of engines and since when it has been the same.
+type settled struct {
+	names string
+	since time.Time
+}
+
 type life struct {
 	id   string
 	born int64
@@ -115,7 +133,7 @@
 func (p *Planner) begin(now time.Time, v View) {
 	if p.units == nil {
 		p.units, p.sent, p.held = map[string]*unit{}, map[string]time.Time{}, map[life]string{}
-		p.ended = map[string]time.Time{}
+		p.ended, p.settled = map[string]ending{}, map[string]settled{}
 	}
 	p.now, p.view, p.orders, p.notes = now, v, nil, nil
 	p.hosts = make(map[string]Host, len(v.Hosts))
@@ -126,6 +144,11 @@
 		}
 	}
 	p.loads.rate = v.Engine.LoadRate
+	for name, e := range p.ended {
+		if now.Sub(e.at) > endedLife {
+			delete(p.ended, name)
+		}
+	}
 	for text, at := range p.sent {
 		if now.Sub(at) > time.Minute {
 			delete(p.sent, text)
@@ -205,7 +228,7 @@
 		}
 		return
 	}
-	ready := 0
+	ready, joining := 0, 0
 	for _, id := range u.members {
 		h, known := p.hosts[id]
 		switch {
@@ -222,6 +245,8 @@
 			return
 		case h.Member.State != roster.MemberJoining && h.Member.State != roster.MemberUnknown:
 			ready++
+		default:
+			joining++
 		}
 	}
 	switch {
@@ -229,7 +254,7 @@
 		p.enter(u, phaseServing, "open")
 	case ready == len(u.members):
 		p.give(Open{u.head(), u.Place})
-	case p.now.After(u.limit):
+	case p.now.After(u.limit) && (joining == 0 || p.now.After(u.limit.Add(loadingMargin))):
 		p.leave(u, "took too long to form")
 	}
 }
@@ -237,9 +262,6 @@
 func (p *Planner) serving(u *unit) {
 	head, known := p.hosts[u.head()]
 	sight := p.view.Heads[u.head()]
-	if sight.moving() {
-		u.moved = p.now
-	}
 	if known && head.Alive && (!head.in(u.Place) || head.Member.State == roster.MemberBroken) {
 		p.leave(u, "the head serves no more")
 		return
@@ -278,26 +300,35 @@
 	}
 }
 
-// leaving keeps a replica's members from other use until its head is out of it.
+// leaving keeps a replica's members from other use until its head is out of it, or until
+// they have left a head that can't be reached.
 func (p *Planner) leaving(u *unit) {
-	if u.head() == "" {
-		p.drop(u)
-		return
-	}
 	h, known := p.hosts[u.head()]
 	switch {
-	case !known || h.Refuses:
-		p.drop(u)
-	case h.Alive && !h.in(u.Place) && h.State != roster.StateLeft:
-		p.drop(u)
-	case p.now.Sub(latest(h.Heard, u.moved, u.began)) > p.view.Stall+breakMargin:
-		p.drop(u)
-	default:
+	case u.head() != "" && (!known || h.Refuses):
+		p.drop(u, true)
+	case known && h.Alive && !h.in(u.Place) && h.State != roster.StateLeft:
+		p.drop(u, true)
+	case known && h.Alive:
 		p.give(Leave{u.head(), u.Place})
+	case p.membersLeft(u):
+		p.drop(u, false)
 	}
 }
 
-func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
+// membersLeft lets the members leave a replica whose head can't be reached, and reports
+// whether all that can be reached are out. The head then stands still.
+func (p *Planner) membersLeft(u *unit) bool {
+	out := true
+	for _, id := range u.members[1:] {
+		h, known := p.hosts[id]
+		if known && h.Alive && h.in(u.Place) {
+			p.give(Leave{id, u.Place})
+			out = false
+		}
+	}
+	return out
+}
 
 // leave begins the end of a replica.
 func (p *Planner) leave(u *unit, reason string) {
@@ -323,9 +354,9 @@
 	return "unknown"
 }
 
-func (p *Planner) drop(u *unit) {
+func (p *Planner) drop(u *unit, clean bool) {
 	delete(p.units, u.Replica)
-	p.ended[u.Replica] = p.now
+	p.ended[u.Replica] = ending{p.now, clean}
 	p.note(u, "dropped", u.reason)
 }
 
@@ -352,7 +383,7 @@
 	// Whatever the answer says, the engine at the address is not in that replica now.
 	u := p.units[leave.Replica]
 	if u != nil && u.phase == phaseLeaving && u.Place == leave.Place && u.head() == leave.To {
-		p.drop(u)
+		p.drop(u, true)
 	}
 }
 
--- a/internal/control/formation/view.go
+++ b/internal/control/formation/view.go
@@ -66,10 +66,10 @@
 	Hosts  []Host
 	// Heads is what gateways see of heads, by ID; heads without work may be missing.
 	Heads map[string]Sight
+	// Demand is how many replicas the work of each model would keep busy.
+	Demand map[string]float64
 	// Started says that callers' requests have begun, so that loads are dear.
 	Started bool
 	// Term is the leader's term; it makes epochs rise from leader to leader.
 	Term uint64
-	// Stall is how long a head stands still behind a lost member before it breaks.
-	Stall time.Duration
 }
--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -11,15 +11,18 @@
 
 const (
 	// probeTimeout bounds one probe: many times the way between two failure domains.
-	probeTimeout = 300 * time.Millisecond
+	probeTimeout = 160 * time.Millisecond
 	// probeAgain is the time between two probes of an endpoint that does not answer.
-	probeAgain = 150 * time.Millisecond
+	probeAgain = 30 * time.Millisecond
 	// probeFresh is how long a good probe counts as a sign of life.
 	probeFresh = 800 * time.Millisecond
 	// missedProbes make an endpoint count as dead.
 	missedProbes = 2
+	// longSilence is how much longer an endpoint may be silent before it counts as dead
+	// without a probe: a new leader has not probed anyone yet.
+	longSilence = 1500 * time.Millisecond
 	// silentHead is the silence of a head with work after which its members are probed.
-	silentHead = 250 * time.Millisecond
+	silentHead = 220 * time.Millisecond
 )
 
 // health is what probes have found of one endpoint.
@@ -68,12 +71,27 @@
 			p.probeIfDue(ctx, e, h, now, now.Sub(heard) > p.silent() || suspects[e.ID])
 		}
 		hosts = append(hosts, formation.Host{
-			Endpoint: e.Endpoint, Alive: !h.dead && e.State != roster.StateLeft, Heard: heard, Refuses: h.refuses,
+			Endpoint: e.Endpoint, Alive: !h.dead && e.State != roster.StateLeft && now.Sub(heard) < p.silent()+longSilence, Heard: heard, Refuses: h.refuses,
 		})
 	}
 	return hosts
 }
 
+// watchServices starts the probes that are due of endpoints that are no engines; mu is held.
+func (p *Portal) watchServices(ctx context.Context, now time.Time) {
+	for _, e := range p.roster.All() {
+		if e.Engine || e.State == roster.StateLeft {
+			continue
+		}
+		h := p.health[e.ID]
+		heard := e.Heard
+		if h.alive.After(heard) {
+			heard = h.alive
+		}
+		p.probeIfDue(ctx, e, h, now, now.Sub(heard) > p.silent())
+	}
+}
+
 func (p *Portal) probeIfDue(ctx context.Context, e roster.Entry, h health, now time.Time, doubt bool) {
 	if !doubt || h.probing || now.Sub(h.probed) < probeAgain {
 		return
--- a/internal/control/portal/picture.go
+++ b/internal/control/portal/picture.go
@@ -55,7 +55,9 @@
 			return
 		}
 		p.mu.Lock()
-		p.reports[peer] = report{GatewayReport: *r, at: time.Now()}
+		now := time.Now()
+		p.reports[peer] = report{GatewayReport: *r, at: now}
+		p.demand.take(r.Demand, now)
 		p.requests = p.requests || r.Requests > 0
 		p.mu.Unlock()
 	}
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -74,8 +74,6 @@
 	Engines Engines
 	// Heartbeat is the time between two announcements of an endpoint.
 	Heartbeat time.Duration
-	// Stall is how long a head stands still behind a lost member before it breaks.
-	Stall time.Duration
 	// Logger may be nil.
 	Logger *log.Logger
 }
@@ -98,6 +96,7 @@
 	changed  chan struct{}
 	reports  map[host.ID]report
 	health   map[string]health
+	demand   demand
 	requests bool
 	table    *routes.Table
 	stopping bool
--- a/internal/control/portal/steward.go
+++ b/internal/control/portal/steward.go
@@ -63,6 +63,7 @@
 	}
 	p.roster.Forget(now, forgetSilence)
 	sights := p.sights(now)
+	p.watchServices(ctx, now)
 	for i := range p.table.Services {
 		service := &p.table.Services[i]
 		if service.Engine == nil || len(service.Engine.Models) == 0 {
@@ -83,7 +84,8 @@
 ) {
 	orders, notes := planner.Step(now, formation.View{
 		Engine: service.Engine, Hosts: p.hosts(ctx, service.Name, now, p.suspects(sights)), Heads: sights,
-		Started: p.requests || !p.opts.Fresh, Term: term, Stall: p.opts.Stall,
+		Demand:  p.demand.replicas(now),
+		Started: p.requests || !p.opts.Fresh, Term: term,
 	})
 	for _, n := range notes {
 		event.ReplicaDecided.On(p.opts.Logger).Str("replica", n.Replica).Uint64("epoch", n.Epoch).Str("model", n.Model).
--- a/internal/entry/balance/board.go
+++ b/internal/entry/balance/board.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretreach/egretreach/internal/entry/dialect"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
 )
 
 const (
@@ -58,6 +59,8 @@
 	// errors is the share of answers that were failures.
 	errors  float64
 	refuses bool
+	// slow is how many times as long as forecast first events take, 0 if not known.
+	slow float64
 }
 
 // Board is what a gateway knows of all endpoints. The zero value is empty.
@@ -69,6 +72,16 @@
 
 	targets map[string]*target
 	queue   []*Waiter
+	// engines describes the model engines of each service.
+	engines map[string]*routes.Engine
+}
+
+// Describe takes in the services that operators have configured.
+func (b *Board) Describe(services []routes.Service) {
+	b.engines = map[string]*routes.Engine{}
+	for _, s := range services {
+		b.engines[s.Name] = s.Engine
+	}
 }
 
 // Update takes in announcements.
@@ -121,9 +134,11 @@
 	}
 }
 
-// First takes note of a request's first event.
-func (b *Board) First(id string, n Need, now time.Time) {
+// First takes note of a request's first event. forecast is Decision.Forecast of its
+// placement, and measured how long it took.
+func (b *Board) First(id string, n Need, forecast, measured time.Duration, now time.Time) {
 	if t, ok := b.targets[id]; ok {
+		t.learn(time.Duration(float64(forecast)/t.speed()), measured)
 		t.streaming++
 		t.unread = max(0, t.unread-n.Prompt)
 		t.heard = now
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -27,6 +27,8 @@
 	Avoid []string
 	// Resumed says that the caller has had a part of the answer.
 	Resumed bool
+	// Aim is when the first event, or the answer, is due to be of full use.
+	Aim time.Time
 	// Since is when the request arrived, and Until when it has waited long enough.
 	Since time.Time
 	Until time.Time
@@ -36,6 +38,8 @@
 type Decision struct {
 	// Endpoint is where it goes, if it is set.
 	Endpoint roster.Endpoint
+	// Forecast is the expected time to the first event there.
+	Forecast time.Duration
 	// Refused says that there is no room; After is when the caller may come back.
 	Refused bool
 	After   time.Duration
@@ -131,8 +135,9 @@
 	if !ok {
 		return Decision{}, false
 	}
+	expected := b.firstEvent(t, n, now)
 	b.Sent(t.ID, n, now)
-	return Decision{Endpoint: t.Endpoint}, true
+	return Decision{Endpoint: t.Endpoint, Forecast: expected}, true
 }
 
 // refusal says when to come back: the more wait for the same, the later.
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -36,6 +36,7 @@
 	need     balance.Need
 	endpoint roster.Endpoint
 	began    time.Time
+	forecast time.Duration
 	exchange *upstream.Exchange
 	// streamed says that the first event has come.
 	streamed bool
@@ -59,7 +60,7 @@
 	if d.Endpoint.ID == "" {
 		return nil, d
 	}
-	return &attempt{call: c, need: n, endpoint: d.Endpoint, began: time.Now()}, d
+	return &attempt{call: c, need: n, endpoint: d.Endpoint, began: time.Now(), forecast: d.Forecast}, d
 }
 
 // await waits for the decision on a request.
@@ -92,13 +93,13 @@
 // verdict on the request; only verdictAnswered has an exchange.
 func (a *attempt) run(ctx context.Context, lastEvent string) (verdict, error) {
 	c := a.call
+	c.trail.tries++
 	c.trail.sends++
 	c.trail.endpoint = a.endpoint.ID
 	c.g.meters.attempts.Inc(1)
 	ctx, a.cancel = context.WithCancel(ctx)
 	request := *c.request
 	request.Header = a.header(lastEvent)
-	request.Fresh = !c.route.Repeatable() && false
 	x, err := c.g.upstream.Do(ctx, a.endpoint.Address, &request, upstream.Wait{Tick: tick, GoOn: a.goOn})
 	if err != nil {
 		return a.unanswered(err), err
@@ -143,11 +144,12 @@
 // unanswered judges an attempt without the head of an answer.
 func (a *attempt) unanswered(err error) verdict {
 	switch {
-	case upstream.IsRefused(err):
-		a.result = balance.ResultRefused
-		return verdictNotRun
 	case upstream.IsErrNotSent(err):
+		a.call.trail.sends--
 		a.result = balance.ResultUnreachable
+		if upstream.IsRefused(err) {
+			a.result = balance.ResultRefused
+		}
 		return verdictNotRun
 	case a.result == 0:
 		a.result = balance.ResultBroken
--- a/internal/entry/gateway/follow.go
+++ b/internal/entry/gateway/follow.go
@@ -136,6 +136,9 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if table := g.table.Load(); table != nil {
+		g.board.Describe(table.Services)
+	}
 	var news []roster.Endpoint
 	for _, e := range p.Endpoints {
 		if g.roster.Announce(e, now) == roster.ChangeContent {
@@ -191,7 +194,7 @@
 		r.Heads = append(r.Heads, message.HeadReport{ID: s.ID, Waiting: s.Waiting, Silence: s.Silence, Refused: s.Refused})
 	}
 	for model, d := range g.demand {
-		r.Demand = append(r.Demand, message.Demand{Model: model, Arrived: d.arrived, Refused: d.refused})
+		r.Demand = append(r.Demand, message.Demand{Model: model, Arrived: d.arrived, Refused: d.refused, Work: d.work})
 	}
 	clear(g.demand)
 	return r
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -77,6 +77,7 @@
 	demand  map[string]*demand
 
 	seeds    []string
+	waits    waits
 	upstream upstream.Pool
 	requests atomic.Uint64
 	stopping atomic.Bool
@@ -85,7 +86,10 @@
 }
 
 // demand counts the requests for one model since the last report.
-type demand struct{ arrived, refused int }
+type demand struct {
+	arrived, refused int
+	work             time.Duration
+}
 
 // New returns a gateway.
 func New(opts Options) *Gateway {
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -33,14 +33,16 @@
 	rank    int
 	// deadline is when the caller or the route has waited long enough.
 	deadline time.Time
-	// callerDeadline is when the caller alone has.
-	callerDeadline time.Time
-	trail          trail
+	// aim is when the answer is due to be of full use.
+	aim   time.Time
+	trail trail
 }
 
 // trail is what happened to a request, for its log line.
 type trail struct {
-	// sends is how many endpoints it was sent to, the last of which is endpoint.
+	// tries is how many endpoints were tried, sends how many of them it was sent to; the
+	// last is endpoint.
+	tries    int
 	sends    int
 	endpoint string
 	// waited is the time spent waiting for room, first when the answer began.
@@ -113,7 +115,9 @@
 	}
 	c.model = c.r.Header.Get(h.Model)
 	c.g.mu.Lock()
-	c.g.demandOf(c.model).arrived++
+	d := c.g.demandOf(c.model)
+	d.arrived++
+	d.work += balance.Work(service.Engine, c.model, c.usage)
 	c.g.mu.Unlock()
 }
 
@@ -127,17 +131,19 @@
 	return d
 }
 
+// setDeadline reads how long the caller waits. One that waits for less than others of its
+// route is taken to have come back, and to have waited for the rest already.
 func (c *call) setDeadline() {
 	c.deadline = c.began.Add(c.route.Timeout)
-	c.callerDeadline = c.deadline
+	c.aim = c.began.Add(c.route.Objective)
 	left, ok := c.g.opts.Dialect.ReadDeadline(c.r.Header.Get(c.g.opts.Dialect.Headers.Deadline))
 	if !ok {
 		return
 	}
-	c.callerDeadline = c.began.Add(left)
-	if c.callerDeadline.Before(c.deadline) {
-		c.deadline = c.callerDeadline
+	if end := c.began.Add(left); end.Before(c.deadline) {
+		c.deadline = end
 	}
+	c.aim = c.aim.Add(-c.g.waits.before(c.route.Name, left))
 }
 
 // readBody reads the whole body, so that it can be sent more than once.
@@ -213,6 +219,7 @@
 		until = c.deadline
 	}
 	return balance.Need{
-		Service: c.service, Model: c.model, Rank: c.rank, Prompt: c.usage.Prompt, Since: c.began, Until: until,
+		Service: c.service, Model: c.model, Rank: c.rank, Prompt: c.usage.Prompt, Aim: c.aim, Since: c.began,
+		Until: until,
 	}
 }
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -52,7 +52,7 @@
 			c.timeUp(ctx, err.Error())
 			return
 		}
-		if c.trail.sends >= max(c.route.MaxAttempts, 1) && a.result != balance.ResultRefused || !c.mayRepeat() {
+		if c.trail.sends >= max(c.route.MaxAttempts, 1) || c.trail.tries >= maxTries || !c.mayRepeat() {
 			c.giveUp(err, unknown)
 			return
 		}
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// maxSends bounds the endpoints of one stream, those that ended among them.
-	maxSends = 4
+	// maxTries bounds the endpoints that are tried for one request, those that could not
+	// be reached among them.
+	maxTries = 4
 	// resumePatience is how long a broken stream waits for room elsewhere: about what
 	// its caller bears without an event.
 	resumePatience = 1500 * time.Millisecond
@@ -29,7 +30,7 @@
 	begun bool
 	// last is the ID of the last event that the caller has.
 	last string
-	// lost counts attempts at endpoints that ended or stood still.
+	// lost counts attempts that did not run, or whose endpoint has ended.
 	lost    int
 	unknown bool
 	avoid   []string
@@ -79,13 +80,11 @@
 // goOn decides whether the stream is tried at another endpoint. If not, it ends it.
 func (s *streaming) goOn(ctx context.Context, a *attempt, err error) bool {
 	s.avoid = append(s.avoid, a.endpoint.ID)
-	switch a.result {
-	case balance.ResultRefused, balance.ResultStalled, balance.ResultBroken, balance.ResultUnreachable, balance.ResultStranger:
+	if a.result == balance.ResultStranger || a.result == balance.ResultFull || s.gone(a) {
 		s.lost++
-	default:
 	}
 	again := ctx.Err() == nil && (!s.unknown || s.route.Repeatable()) &&
-		s.trail.sends-s.lost < max(s.route.MaxAttempts, 1) && s.trail.sends < maxSends && s.mayRepeat()
+		s.trail.sends-s.lost < max(s.route.MaxAttempts, 1) && s.trail.tries < maxTries && s.mayRepeat()
 	if again {
 		if s.begun {
 			s.trail.resumes++
@@ -107,6 +106,13 @@
 	return false
 }
 
+// gone reports whether the endpoint of an attempt is known to have ended.
+func (s *streaming) gone(a *attempt) bool {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	return s.g.board.Gone(a.endpoint.ID)
+}
+
 // noRoom ends a stream for which there is no endpoint.
 func (s *streaming) noRoom(ctx context.Context, d balance.Decision) {
 	if s.begun {
@@ -158,7 +164,7 @@
 		return
 	}
 	a.streamed = true
-	s.g.board.First(a.endpoint.ID, a.need, now)
+	s.g.board.First(a.endpoint.ID, a.need, a.forecast, now.Sub(a.began), now)
 }
 
 // later reports whether an event's ID is above the last one's.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -88,6 +88,9 @@
 
 // later reports whether e says something newer than old, both of one ID.
 func (e Endpoint) later(old Endpoint) bool {
+	if e.State == StateLeft && e.Born == 0 {
+		return old.State != StateLeft // A sign-off that names no life is of the current one.
+	}
 	if e.Born != old.Born {
 		return e.Born > old.Born
 	}
--- a/internal/link/message/picture.go
+++ b/internal/link/message/picture.go
@@ -60,6 +60,8 @@
 	// Arrived counts requests since the last report, Refused those that found no room.
 	Arrived int `cbor:"2,keyasint,omitempty"`
 	Refused int `cbor:"3,keyasint,omitempty"`
+	// Work is the engine time of the requests that arrived since the last report.
+	Work time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // GatewayReport is a gateway's regular report to the control host that it follows.
--- a/internal/process/settings/platform.go
+++ b/internal/process/settings/platform.go
@@ -23,10 +23,8 @@
 	DataFolder string `yaml:"data_folder" validate:"required"`
 	// Heartbeat is the time between two announcements of an endpoint.
 	Heartbeat time.Duration `yaml:"heartbeat" validate:"min=50ms,max=1m"`
-	// Stall is how long a replica's head stands still behind a lost member before it breaks.
-	Stall time.Duration `yaml:"stall" validate:"min=0s,max=5m"`
-	Log   Log           `yaml:"log"`
-	Stop  Stop          `yaml:"stop"`
+	Log       Log           `yaml:"log"`
+	Stop      Stop          `yaml:"stop"`
 }
 
 // Gateway is the settings of a gateway daemon.
@@ -62,7 +60,6 @@
 
 const (
 	defaultHeartbeat   = time.Second
-	defaultStall       = 10 * time.Second
 	defaultRepeatRatio = 0.1
 	defaultRepeatSlack = 20
 	defaultRepeatTime  = 10 * time.Second
@@ -72,7 +69,7 @@
 func DefaultPortal() Portal {
 	stop := defaultStop()
 	stop.Notice = 0
-	return Portal{Keys: LinkKeys(defaultKeys()), Log: defaultLog(), Stop: stop, Heartbeat: defaultHeartbeat, Stall: defaultStall}
+	return Portal{Keys: LinkKeys(defaultKeys()), Log: defaultLog(), Stop: stop, Heartbeat: defaultHeartbeat}
 }
 
 // DefaultGateway is in force where a file says nothing.
