Let a domain's engines gather, judge room by what waits, leave a leaderless control host at once

Ruled out: a wrong forecast (median of measured to forecast 0.98 and 1.00 by model).

Change: no formation while engines are arriving; late requests only into spare room; room judged with at most the usual prompt; control hosts without a leader are left after 0.35 s, and pictures name all hosts.

--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -21,8 +21,11 @@
 	// weight store is worth it.
 	shortfall = 0.2
 	// settleFabric is how long a fabric domain's free engines must have been the same
-	// before a load is begun there: engines of one domain come back one after the other.
+	// before a load is begun there.
 	settleFabric = 1200 * time.Millisecond
+	// arrivalTime is how long an engine that has just come is left free, so that the others
+	// of its domain, which come one after the other, are there when replicas are formed.
+	arrivalTime = 500 * time.Millisecond
 )
 
 // candidate is one way to form a replica now.
@@ -69,6 +72,11 @@
 	}
 }
 
+// gathering reports whether engines are still coming to a fabric domain.
+func (p *Planner) gathering(fabric string) bool {
+	return p.now.Sub(p.arrived[fabric]) < arrivalTime
+}
+
 // free returns the engines that no replica holds, by fabric domain.
 func (p *Planner) free() map[string][]Host {
 	held := map[string]bool{}
@@ -115,7 +123,7 @@
 }
 
 func (p *Planner) candidate(m routes.Model, fabric string, hosts []Host) (candidate, bool) {
-	if m.Size <= 0 || len(hosts) < m.Size {
+	if m.Size <= 0 || len(hosts) < m.Size || p.gathering(fabric) {
 		return candidate{}, false
 	}
 	sorted := slices.Clone(hosts)
--- a/internal/control/formation/planner.go
+++ b/internal/control/formation/planner.go
@@ -80,6 +80,10 @@
 	ended map[string]ending
 	// settled tells when the free engines of each fabric domain last changed.
 	settled map[string]settled
+	// lives are the engines' lives that are known, and arrived when the last new one came
+	// to each fabric domain.
+	lives   map[life]bool
+	arrived map[string]time.Time
 	// held is the model of each engine's last replica, by the engine's life.
 	held map[life]string
 
@@ -134,11 +138,16 @@
 	if p.units == nil {
 		p.units, p.sent, p.held = map[string]*unit{}, map[string]time.Time{}, map[life]string{}
 		p.ended, p.settled = map[string]ending{}, map[string]settled{}
+		p.lives, p.arrived = map[life]bool{}, map[string]time.Time{}
 	}
 	p.now, p.view, p.orders, p.notes = now, v, nil, nil
 	p.hosts = make(map[string]Host, len(v.Hosts))
 	for _, h := range v.Hosts {
 		p.hosts[h.ID] = h
+		if l := (life{h.ID, h.Born}); h.Alive && !p.lives[l] {
+			p.lives[l] = true
+			p.arrived[h.Fabric] = now
+		}
 		if h.Model != "" {
 			p.held[life{h.ID, h.Born}] = h.Model
 		}
--- a/internal/control/portal/picture.go
+++ b/internal/control/portal/picture.go
@@ -106,6 +106,9 @@
 		pt.sequence[e.ID] = told{e.Sequence, e.Born, e.State, p.spoke[e.ID]}
 		m.Endpoints = append(m.Endpoints, e.Endpoint)
 	}
+	for _, f := range p.founders {
+		m.Hosts = append(m.Hosts, f.Address)
+	}
 	for id, h := range p.health {
 		if h.dead {
 			m.Lost = append(m.Lost, id)
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -55,16 +55,44 @@
 	if occupied >= float64(t.Slots) {
 		return false
 	}
-	expected := b.firstEvent(t, n, now)
-	if now.Add(expected).Before(n.Aim) {
+	if now.Add(b.firstEvent(t, b.usual(n), now)).Before(n.Aim) {
 		return true
 	}
-	return !now.Add(overhead).Before(n.Aim) && occupied < float64(t.Slots)*lateShare
+	return n.late(now) && b.spare(t, n, now)
 }
 
-// lateShare is the share of an engine's slots up to which it takes requests that are
-// late anyway.
-const lateShare = 0.5
+// usual returns a need with a prompt of at most the usual length: room is judged by what
+// waits at an engine, not by a request's own size, so that large ones are not starved.
+func (b *Board) usual(n Need) Need {
+	if service := b.engines[n.Service]; service != nil {
+		n.Prompt = min(n.Prompt, service.UsualPrompt)
+	}
+	return n
+}
+
+// late reports whether a request can't be answered in time any more.
+func (n Need) late(now time.Time) bool { return !now.Add(overhead).Before(n.Aim) }
+
+// spare reports whether an engine can take a late request and still give the first event of
+// another one of usual size in time.
+func (b *Board) spare(t *target, n Need, now time.Time) bool {
+	if b.occupied(t, now) >= float64(t.Slots)*lateShare {
+		return false
+	}
+	both := b.usual(n)
+	if service := b.engines[t.Service]; service != nil {
+		both.Prompt += service.UsualPrompt
+	}
+	return b.firstEvent(t, both, now) < time.Duration(float64(n.Objective)*spareShare)
+}
+
+const (
+	// lateShare is the share of an engine's slots up to which it takes late requests.
+	lateShare = 0.6
+	// spareShare is the share of the objective within which an engine that takes a late
+	// request must still be able to answer.
+	spareShare = 0.8
+)
 
 // cost ranks endpoints: the load, or the time to the first event in units of the
 // objective's usual size, with what a failing or distant one adds.
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -29,6 +29,8 @@
 	Resumed bool
 	// Aim is when the first event, or the answer, is due to be of full use.
 	Aim time.Time
+	// Objective is the time within which an answer is of full use.
+	Objective time.Duration
 	// Since is when the request arrived, and Until when it has waited long enough.
 	Since time.Time
 	Until time.Time
--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -99,6 +99,9 @@
 	if t.first > 0 {
 		line = line.Dur("first", t.first)
 	}
+	if t.forecast > 0 {
+		line = line.Dur("forecast", t.forecast)
+	}
 	if t.events > 0 {
 		line = line.Int("events", t.events)
 	}
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -95,7 +95,7 @@
 	c := a.call
 	c.trail.tries++
 	c.trail.sends++
-	c.trail.endpoint = a.endpoint.ID
+	c.trail.endpoint, c.trail.forecast = a.endpoint.ID, a.forecast
 	c.g.meters.attempts.Inc(1)
 	ctx, a.cancel = context.WithCancel(ctx)
 	request := *c.request
--- a/internal/entry/gateway/follow.go
+++ b/internal/entry/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/fleet/roster"
@@ -15,8 +16,9 @@
 	// pictureSilence is the silence after which a control host is left for another: three
 	// of its regular pictures.
 	pictureSilence = time.Second
-	// leaderlessTime is how long a control host may know no leader before it is left.
-	leaderlessTime = 1500 * time.Millisecond
+	// leaderlessTime is how long a control host may know no leader before it is left: it
+	// may be cut off from the others.
+	leaderlessTime = 350 * time.Millisecond
 	// leaderAgain is how long a leader that could not be reached is not tried again.
 	leaderAgain = 2 * time.Second
 	// followPause is the time between two attempts to reach control.
@@ -32,6 +34,8 @@
 	seeds  []string
 	next   int
 	leader string
+	// hosts are all control hosts, once one has named them.
+	hosts []string
 	// shunned is until when each address is not tried.
 	shunned map[string]time.Time
 }
@@ -41,16 +45,30 @@
 	if s.leader != "" && now.After(s.shunned[s.leader]) {
 		return s.leader
 	}
-	for range s.seeds {
-		address := s.seeds[s.next%len(s.seeds)]
+	known := s.known()
+	oldest := known[0]
+	for range known {
+		address := known[s.next%len(known)]
 		s.next++
 		if now.After(s.shunned[address]) {
 			return address
 		}
+		if s.shunned[address].Before(s.shunned[oldest]) {
+			oldest = address
+		}
+	}
+	return oldest
+}
+
+// known returns the control hosts that other control hosts and the settings name.
+func (s *source) known() []string {
+	known := slices.Clone(s.hosts)
+	for _, seed := range s.seeds {
+		if !slices.Contains(known, seed) {
+			known = append(known, seed)
+		}
 	}
-	address := s.seeds[s.next%len(s.seeds)]
-	s.next++
-	return address
+	return known
 }
 
 // follow keeps the gateway's picture of the fleet up to date until ctx ends.
@@ -109,6 +127,9 @@
 		}
 		g.take(picture)
 		now := time.Now()
+		if len(picture.Hosts) > 0 {
+			s.hosts = picture.Hosts
+		}
 		if picture.Leader != "" {
 			sure, s.leader = now, picture.Leader
 		}
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -45,6 +45,8 @@
 	tries    int
 	sends    int
 	endpoint string
+	// forecast is the expected time to the first event there.
+	forecast time.Duration
 	// waited is the time spent waiting for room, first when the answer began.
 	waited  time.Duration
 	first   time.Duration
@@ -219,7 +221,7 @@
 		until = c.deadline
 	}
 	return balance.Need{
-		Service: c.service, Model: c.model, Rank: c.rank, Prompt: c.usage.Prompt, Aim: c.aim, Since: c.began,
-		Until: until,
+		Service: c.service, Model: c.model, Rank: c.rank, Prompt: c.usage.Prompt, Aim: c.aim,
+		Objective: c.route.Objective, Since: c.began, Until: until,
 	}
 }
--- a/internal/link/message/picture.go
+++ b/internal/link/message/picture.go
@@ -37,6 +37,8 @@
 	Complete bool `cbor:"4,keyasint,omitempty"`
 	// Leader is the link address of the control leader, if one is known.
 	Leader string `cbor:"5,keyasint,omitempty"`
+	// Hosts are the link addresses of all control hosts.
+	Hosts []string `cbor:"8,keyasint,omitempty"`
 	// Lost names the endpoints that the leader takes for dead.
 	Lost []string `cbor:"6,keyasint,omitempty"`
 	// Gateways is how many gateways the control host hears reports from.
