Stage another model on the hosts of members; limit loads at once; see lost members sooner

Change: members' hosts hold another model, as far as each fabric domain could form its replicas again after a restart; loads keep to the store's limit of loads at once; probes of a silent head's members are quicker.

--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -146,7 +146,7 @@
 		return c, true
 	}
 	calm := p.now.Sub(p.settled[fabric].since) >= settleFabric
-	return c, calm && lack >= shortfall && p.loads.room(p.now, c.loads)
+	return c, calm && lack >= shortfall && p.mayLoad(c.loads)
 }
 
 // lack is how many replicas of a model there are fewer than its demand asks for.
@@ -192,8 +192,10 @@
 }
 
 func (p *Planner) start(c candidate) {
-	if p.view.Started {
-		p.loads.take(p.now, c.loads)
+	for _, h := range c.members {
+		if p.mustLoad(h, c.model) {
+			p.load(h, c.model)
+		}
 	}
 	u := &unit{
 		Place: p.nextPlace(), model: c.model.Name, fabric: c.fabric, phase: phaseForming,
@@ -208,55 +210,3 @@
 		p.give(Join{id, u.Place, u.model, u.members})
 	}
 }
-
-// stage loads models onto the hosts of spare engines, so that they can replace a member
-// quickly: of each fabric domain's spares the first gets the model with the largest
-// replicas, the next the second largest, and so on round.
-func (p *Planner) stage() {
-	models := slices.Clone(p.view.Engine.Models)
-	slices.SortStableFunc(models, func(a, b routes.Model) int { return cmp.Compare(b.Size, a.Size) })
-	free := p.free()
-	for _, fabric := range slices.Sorted(maps.Keys(free)) {
-		p.stageSpares(models, free[fabric])
-	}
-}
-
-func (p *Planner) stageSpares(models []routes.Model, spares []Host) {
-	wanted := make([]routes.Model, 0, len(spares))
-	for i := range spares {
-		wanted = append(wanted, models[i%len(models)])
-	}
-	var idle []Host
-	for _, h := range spares {
-		i := slices.IndexFunc(wanted, func(m routes.Model) bool { return h.staged(m.Name) })
-		if i < 0 {
-			idle = append(idle, h)
-			continue
-		}
-		wanted = slices.Delete(wanted, i, i+1)
-	}
-	for i, h := range idle {
-		if len(h.Staged) > 0 && p.view.Started {
-			continue // It holds a model that is wanted less; a load would buy little.
-		}
-		p.stageOne(h, wanted[i])
-	}
-}
-
-func (p *Planner) stageOne(h Host, m routes.Model) {
-	o := Stage{h.ID, m.Name}
-	text := stageText(h)
-	if at, ok := p.sent[text]; ok && p.now.Sub(at) < m.Load+formingMargin {
-		return
-	}
-	if p.view.Started && !p.loads.room(p.now, 1) {
-		return
-	}
-	if p.view.Started {
-		p.loads.take(p.now, 1)
-	}
-	p.sent[text] = p.now
-	p.orders = append(p.orders, o)
-}
-
-func stageText(h Host) string { return "stage " + h.ID }
--- a/internal/control/formation/load.go
+++ b/internal/control/formation/load.go
@@ -1,6 +1,10 @@
 package formation
 
-import "time"
+import (
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/routes"
+)
 
 // loadBurst is how many loads may start at one moment: the members of one replica of
 // common size beside a spare or two.
@@ -33,3 +37,39 @@
 	l.settle(now)
 	l.spent += float64(n)
 }
+
+// load is one load that is under way.
+type load struct {
+	model string
+	// until is when it counts as failed.
+	until time.Time
+}
+
+// mayLoad reports whether n more loads may start. While no caller has come loads are quick
+// and not limited.
+func (p *Planner) mayLoad(n int) bool {
+	if !p.view.Started {
+		return true
+	}
+	atOnce := p.view.Engine.LoadsAtOnce
+	busy := len(p.loading)
+	return p.loads.room(p.now, n) && (atOnce <= 0 || busy == 0 || busy+n <= atOnce)
+}
+
+// load counts the start of a load.
+func (p *Planner) load(h Host, m routes.Model) {
+	if p.view.Started {
+		p.loads.take(p.now, 1)
+	}
+	p.loading[life{h.ID, h.Born}] = load{m.Name, p.now.Add(m.Load + loadingMargin)}
+}
+
+// loaded forgets the loads that are over.
+func (p *Planner) loaded() {
+	for l, under := range p.loading {
+		h, known := p.hosts[l.id]
+		if !known || !h.Alive || h.Born != l.born || h.staged(under.model) || p.now.After(under.until) {
+			delete(p.loading, l)
+		}
+	}
+}
--- a/internal/control/formation/planner.go
+++ b/internal/control/formation/planner.go
@@ -80,6 +80,8 @@
 	ended map[string]ending
 	// settled tells when the free engines of each fabric domain last changed.
 	settled map[string]settled
+	// loading are the loads that are under way.
+	loading map[life]load
 	// lives are the engines' lives that are known, and arrived when the last new one came
 	// to each fabric domain.
 	lives   map[life]bool
@@ -139,6 +141,7 @@
 		p.units, p.sent, p.held = map[string]*unit{}, map[string]time.Time{}, map[life]string{}
 		p.ended, p.settled = map[string]ending{}, map[string]settled{}
 		p.lives, p.arrived = map[life]bool{}, map[string]time.Time{}
+		p.loading = map[life]load{}
 	}
 	p.now, p.view, p.orders, p.notes = now, v, nil, nil
 	p.hosts = make(map[string]Host, len(v.Hosts))
@@ -153,6 +156,7 @@
 		}
 	}
 	p.loads.rate = v.Engine.LoadRate
+	p.loaded()
 	for name, e := range p.ended {
 		if now.Sub(e.at) > endedLife {
 			delete(p.ended, name)
--- /dev/null
+++ b/internal/control/formation/stage.go
@@ -0,0 +1,116 @@
+package formation
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
+)
+
+// stage loads models onto engines' hosts, so that replicas can be formed anew without the
+// weight store. A host keeps one model, and an engine that has been a member of a replica
+// returns to that model quickly without it. So members get another model, as long as each
+// fabric domain could still form its present replicas after a restart of all its hosts.
+func (p *Planner) stage() {
+	models := slices.Clone(p.view.Engine.Models)
+	slices.SortStableFunc(models, func(a, b routes.Model) int { return cmp.Compare(b.Size, a.Size) })
+	fabrics := map[string][]Host{}
+	for _, h := range p.view.Hosts {
+		if h.usable() {
+			fabrics[h.Fabric] = append(fabrics[h.Fabric], h)
+		}
+	}
+	for _, fabric := range slices.Sorted(maps.Keys(fabrics)) {
+		hosts := fabrics[fabric]
+		slices.SortFunc(hosts, byID)
+		if !p.gathering(fabric) {
+			p.stageFabric(models, hosts)
+		}
+	}
+}
+
+// stageFabric orders the loads that are due in one fabric domain.
+func (p *Planner) stageFabric(models []routes.Model, hosts []Host) {
+	wanted := p.wanted(models, hosts)
+	for _, h := range hosts {
+		m, ok := wanted[h.ID]
+		if !ok || h.staged(m.Name) {
+			continue
+		}
+		if p.view.Started && (len(h.Staged) > 0 || p.unitOf(h.ID) != nil) {
+			continue // It holds a model already; a load would buy little.
+		}
+		p.stageOne(h, m)
+	}
+}
+
+// wanted returns the model that each host of a fabric domain should hold.
+func (p *Planner) wanted(models []routes.Model, hosts []Host) map[string]routes.Model {
+	wanted := map[string]routes.Model{}
+	held := map[string]int{}
+	needed := map[string]int{}
+	spares := 0
+	for _, h := range hosts {
+		u := p.unitOf(h.ID)
+		var m routes.Model
+		if u == nil {
+			m = models[spares%len(models)]
+			spares++
+		} else {
+			needed[u.model]++
+			m = another(models, u.model)
+		}
+		wanted[h.ID] = m
+		held[m.Name]++
+	}
+	for _, h := range hosts {
+		u := p.unitOf(h.ID)
+		if u == nil || held[u.model] >= needed[u.model] || wanted[h.ID].Name == u.model {
+			continue
+		}
+		held[wanted[h.ID].Name]--
+		held[u.model]++
+		wanted[h.ID], _ = p.view.Engine.Model(u.model)
+	}
+	for _, h := range hosts {
+		if u := p.unitOf(h.ID); u != nil && !settledMember(u, h) {
+			delete(wanted, h.ID)
+		}
+	}
+	return wanted
+}
+
+// another returns the largest model that is not the named one.
+func another(models []routes.Model, name string) routes.Model {
+	for _, m := range models {
+		if m.Name != name {
+			return m
+		}
+	}
+	return models[0]
+}
+
+// settledMember reports whether a member has its model and serves.
+func settledMember(u *unit, h Host) bool {
+	return u.phase == phaseServing && h.Member != nil && h.Member.State != roster.MemberJoining
+}
+
+// unitOf returns the replica that holds an engine.
+func (p *Planner) unitOf(id string) *unit {
+	for _, u := range p.units {
+		if slices.Contains(u.members, id) {
+			return u
+		}
+	}
+	return nil
+}
+
+func (p *Planner) stageOne(h Host, m routes.Model) {
+	if _, under := p.loading[life{h.ID, h.Born}]; under || !p.mayLoad(1) {
+		return
+	}
+	p.load(h, m)
+	p.orders = append(p.orders, Stage{h.ID, m.Name})
+}
--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -45,6 +45,9 @@
 	now, _ := p.roster.Get(e.ID)
 	line := event.EndpointAnnounced.On(p.opts.Logger).Str("endpoint", now.ID).Str("address", now.Address).
 		Uint64("sequence", now.Sequence).Int64("born", now.Born).Uint8("state", uint8(now.State)).Bool("direct", direct)
+	if now.Engine {
+		line = line.Str("model", now.Model).Strs("staged", now.Staged)
+	}
 	if now.Member != nil {
 		line = line.Str("replica", now.Member.Replica).Uint8("member_state", uint8(now.Member.State)).Int("rank", now.Member.Rank)
 	}
--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -11,9 +11,9 @@
 
 const (
 	// probeTimeout bounds one probe: many times the way between two failure domains.
-	probeTimeout = 160 * time.Millisecond
+	probeTimeout = 120 * time.Millisecond
 	// probeAgain is the time between two probes of an endpoint that does not answer.
-	probeAgain = 30 * time.Millisecond
+	probeAgain = 10 * time.Millisecond
 	// probeFresh is how long a good probe counts as a sign of life.
 	probeFresh = 800 * time.Millisecond
 	// missedProbes make an endpoint count as dead.
@@ -22,7 +22,7 @@
 	// without a probe: a new leader has not probed anyone yet.
 	longSilence = 1500 * time.Millisecond
 	// silentHead is the silence of a head with work after which its members are probed.
-	silentHead = 220 * time.Millisecond
+	silentHead = 200 * time.Millisecond
 )
 
 // health is what probes have found of one endpoint.
--- a/internal/control/portal/steward.go
+++ b/internal/control/portal/steward.go
@@ -13,7 +13,7 @@
 
 const (
 	// stewardEvery is the pace of the planner when nothing changes.
-	stewardEvery = 80 * time.Millisecond
+	stewardEvery = 50 * time.Millisecond
 	// stewardGap is the least time between two steps.
 	stewardGap = 10 * time.Millisecond
 	// settleTime is how long a new leader listens before it plans, unless the whole
--- a/internal/entry/gateway/follow.go
+++ b/internal/entry/gateway/follow.go
@@ -26,7 +26,7 @@
 	// followTimeout bounds the opening of a link to control.
 	followTimeout = 600 * time.Millisecond
 	// reportEvery is the pace of reports to control.
-	reportEvery = 150 * time.Millisecond
+	reportEvery = 100 * time.Millisecond
 )
 
 // source chooses the control host to follow.
--- a/internal/fleet/routes/routes.go
+++ b/internal/fleet/routes/routes.go
@@ -104,6 +104,8 @@
 	Stride int
 	// LoadRate is how many loads from the weight store may start in a second.
 	LoadRate float64
+	// LoadsAtOnce is how many loads run at full speed at the same time.
+	LoadsAtOnce int
 	// UsualPrompt and UsualAnswer are the mean lengths, in tokens.
 	UsualPrompt int
 	UsualAnswer int
