Value replicas with diminishing returns; let a few loads pass; give lost stage orders again

Change: the planner's value is concave in how well a model's demand is met, loads cost more, two loads may pass a busy store; a lost stage order is given again; gateways estimate work by the caller's length hint; the steward plans only on a recent proof that it leads.

--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,9 @@
 	// horizon is how far ahead a new replica is valued: one that is ready after as long
 	// counts half.
 	horizon = 8 * time.Second
+	// loadCost is what one load from the weight store adds to the time that a replica is
+	// taken to need: others wait for the store meanwhile.
+	loadCost = 2 * time.Second
 	// surplus is the value of a replica beyond the demand, against one that is needed.
 	surplus = 0.05
 	// sizeTie lets larger replicas go first where models lack the same part.
@@ -141,7 +145,7 @@
 		c.score = lack/max(p.required(m), 1) + float64(m.Size)*sizeTie
 		return c, true
 	}
-	c.score = p.value(m, lack) * float64(horizon) / float64(horizon+c.ready) / float64(m.Size)
+	c.score = p.value(m, lack) * float64(horizon) / float64(horizon+c.ready+time.Duration(c.loads)*loadCost) / float64(m.Size)
 	if c.loads == 0 {
 		return c, true
 	}
@@ -168,13 +172,18 @@
 	return m.Share * float64(len(p.view.Hosts)) / float64(max(m.Size, 1))
 }
 
-// value is what one more replica of a model is worth: the part of the model's work that it
-// takes on.
+// value is what one more replica of a model is worth: the model's part of the work, times
+// what the replica adds to how well the demand is met. The better it is met the less one
+// more adds, so that no model goes without.
 func (p *Planner) value(m routes.Model, lack float64) float64 {
-	part := min(1, max(lack, surplus)) / max(p.required(m), 1)
-	return max(m.Share, surplus) * part
+	required := max(p.required(m), 1)
+	have := required - lack
+	return max(m.Share, surplus) * (met((have+1)/required) - met(have/required) + surplus/required)
 }
 
+// met is how well a demand is met of which a part is covered.
+func met(part float64) float64 { return math.Sqrt(min(1, max(0, part))) }
+
 // readyIn is how long an engine takes to hold a model.
 func (p *Planner) readyIn(h Host, m routes.Model) time.Duration {
 	switch {
--- a/internal/control/formation/load.go
+++ b/internal/control/formation/load.go
@@ -38,6 +38,10 @@
 	l.spent += float64(n)
 }
 
+// fewLoads is a number of loads that may start beside others even where those take up the
+// store: they slow them a little, and often complete a replica.
+const fewLoads = 2
+
 // load is one load that is under way.
 type load struct {
 	model string
@@ -53,6 +57,9 @@
 	}
 	atOnce := p.view.Engine.LoadsAtOnce
 	busy := len(p.loading)
+	if n <= fewLoads {
+		busy = max(0, busy-fewLoads)
+	}
 	return p.loads.room(p.now, n) && (atOnce <= 0 || busy == 0 || busy+n <= atOnce)
 }
 
@@ -73,3 +80,12 @@
 		}
 	}
 }
+
+// unload forgets the load of a host whose order was lost.
+func (p *Planner) unload(id string) {
+	for l := range p.loading {
+		if l.id == id {
+			delete(p.loading, l)
+		}
+	}
+}
--- a/internal/control/formation/planner.go
+++ b/internal/control/formation/planner.go
@@ -389,6 +389,10 @@
 
 // Answered takes in what became of an order.
 func (p *Planner) Answered(o Order, a Answer) {
+	if stage, ok := o.(Stage); ok && a != AnswerDone {
+		p.unload(stage.To) // It is given again.
+		return
+	}
 	leave, ok := o.(Leave)
 	if !ok || a == AnswerNone {
 		return
--- a/internal/control/formation/stage.go
+++ b/internal/control/formation/stage.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if p.view.Started && (len(h.Staged) > 0 || p.unitOf(h.ID) != nil) {
-			continue // It holds a model already; a load would buy little.
+			continue // It holds a model already; the weight store has more urgent work.
 		}
 		p.stageOne(h, m)
 	}
--- a/internal/control/portal/steward.go
+++ b/internal/control/portal/steward.go
@@ -19,6 +19,9 @@
 	// settleTime is how long a new leader listens before it plans, unless the whole
 	// system is new: the time in which every endpoint announces itself.
 	settleTime = 1500 * time.Millisecond
+	// sureTime is how long a leader plans on its last proof that it leads: one that stood
+	// still must prove it again before it gives an order.
+	sureTime = 300 * time.Millisecond
 	// orderTimeout bounds the wait for an engine's answer to an order.
 	orderTimeout = time.Second
 )
@@ -27,7 +30,7 @@
 func (p *Portal) steward(ctx context.Context) error {
 	var planners map[string]*formation.Planner
 	var term uint64
-	var began time.Time
+	var began, sure time.Time
 	for pause.For(ctx, stewardGap) {
 		changed := p.change()
 		l := p.current()
@@ -39,7 +42,10 @@
 				planners, term, began = map[string]*formation.Planner{}, status.Term, now
 				event.LeaderStarted.On(p.opts.Logger).Uint64("term", term).Msg("")
 			}
-			if p.opts.Fresh || now.Sub(began) > settleTime {
+			if now.Sub(sure) > sureTime && l.Barrier(ctx) == nil {
+				sure = now
+			}
+			if (p.opts.Fresh || now.Sub(began) > settleTime) && now.Sub(sure) <= sureTime {
 				p.plan(ctx, planners, term, now)
 			}
 		}
@@ -87,9 +93,10 @@
 		Demand:  p.demand.replicas(now),
 		Started: p.requests || !p.opts.Fresh, Term: term,
 	})
+	demand := p.demand.replicas(now)
 	for _, n := range notes {
 		event.ReplicaDecided.On(p.opts.Logger).Str("replica", n.Replica).Uint64("epoch", n.Epoch).Str("model", n.Model).
-			Strs("members", n.Members).Str("phase", n.What).Str("reason", n.Reason).Msg("")
+			Strs("members", n.Members).Str("phase", n.What).Float64("demand", demand[n.Model]).Str("reason", n.Reason).Msg("")
 	}
 	for _, o := range orders {
 		to, ok := p.endpointAt(o.Host())
--- a/internal/entry/dialect/dialect.go
+++ b/internal/entry/dialect/dialect.go
@@ -28,6 +28,8 @@
 	// Model is the model that a request wants, and Usage its size.
 	Model string
 	Usage string
+	// Length is the caller's estimate of the answer's length, in tokens.
+	Length string
 	// Priority ranks a request at an engine.
 	Priority string
 	// LastEvent is the ID of the last event that a resumed stream has had.
--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -103,7 +103,7 @@
 		line = line.Dur("forecast", t.forecast)
 	}
 	if t.events > 0 {
-		line = line.Int("events", t.events)
+		line = line.Int("events", t.events).Dur("pause", t.pause)
 	}
 	if t.resumes > 0 {
 		line = line.Int("resumes", t.resumes)
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -48,9 +49,11 @@
 	// forecast is the expected time to the first event there.
 	forecast time.Duration
 	// waited is the time spent waiting for room, first when the answer began.
-	waited  time.Duration
-	first   time.Duration
-	events  int
+	waited time.Duration
+	first  time.Duration
+	events int
+	// pause is the longest time between two events.
+	pause   time.Duration
 	resumes int
 }
 
@@ -111,6 +114,9 @@
 	if text := c.r.Header.Get(h.Usage); text != "" {
 		c.usage, _ = c.g.opts.Dialect.ReadUsage(text)
 	}
+	if length, err := strconv.Atoi(c.r.Header.Get(h.Length)); err == nil && length > 0 {
+		c.usage.Answer = min(c.usage.Answer, length)
+	}
 	service, ok := table.Service(c.service)
 	if !ok || service.Engine == nil {
 		return
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -35,6 +35,8 @@
 	unknown bool
 	avoid   []string
 	flusher *http.ResponseController
+	// emitted is when the last event went out.
+	emitted time.Time
 }
 
 // stream answers a request whose answer is a series of events.
@@ -191,6 +193,11 @@
 		return err
 	}
 	s.trail.events++
+	now := time.Now()
+	if !s.emitted.IsZero() {
+		s.trail.pause = max(s.trail.pause, now.Sub(s.emitted))
+	}
+	s.emitted = now
 	if e.ID != "" {
 		s.last = e.ID
 	}
