Compose a domain's replicas together; exchange one where its engines serve better; fill slots

Cause: after a second loss in a domain five engines of the large model waited 16 s for a load while three members of the small one held it on their hosts; late requests were refused with a third of the slots empty; an engine once measured slow was never tried again; a stream that may have run was answered 503.

Change: the planner chooses all of a domain's replicas at once and closes one of them where that gains; late requests fill up to 0.9 of the slots; measured slowness expires; refusals log what they rest on; a stream that may have run is answered 502.

--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -1,66 +1,128 @@
 package formation
 
 import (
-	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
-
-	"github.com/egretreach/egretreach/internal/fleet/routes"
 )
 
 const (
-	// horizon is how far ahead a new replica is valued: one that is ready after as long
-	// counts half.
-	horizon = 8 * time.Second
-	// loadCost is what one load from the weight store adds to the time that a replica is
-	// taken to need: others wait for the store meanwhile.
-	loadCost = 2 * time.Second
-	// surplus is the value of a replica beyond the demand, against one that is needed.
-	surplus = 0.05
-	// sizeTie lets larger replicas go first where models lack the same part.
-	sizeTie = 0.02
-	// shortfall is the part of a replica by which a model must lack before a load from the
-	// weight store is worth it.
-	shortfall = 0.2
 	// settleFabric is how long a fabric domain's free engines must have been the same
 	// before a load is begun there.
 	settleFabric = 1200 * time.Millisecond
 	// arrivalTime is how long an engine that has just come is left free, so that the others
 	// of its domain, which come one after the other, are there when replicas are formed.
 	arrivalTime = 500 * time.Millisecond
+	// exchangeGain is what the closing of a replica must bring, as a part of all work, to
+	// be worth the disturbance.
+	exchangeGain = 0.03
+	// exchangeEvery is the least time between two such closings in one fabric domain, and
+	// exchangeTime how long other formations there wait for one.
+	exchangeEvery = 6 * time.Second
+	exchangeTime  = 4 * time.Second
 )
 
-// candidate is one way to form a replica now.
-type candidate struct {
-	model   routes.Model
-	fabric  string
-	members []Host
-	// ready is how long the slowest member takes to hold the model.
-	ready time.Duration
-	// loads is how many members must load from the weight store.
-	loads int
-	// score is its value for each engine that it takes.
-	score float64
-}
-
-// form makes new replicas of the engines that are free, those of the most value first.
+// form makes new replicas of the engines that are free.
 func (p *Planner) form() {
 	free := p.free()
 	p.watch(free)
-	for {
-		best, found := p.best(free)
-		if !found {
-			return
+	for _, fabric := range slices.Sorted(maps.Keys(free)) {
+		if p.gathering(fabric) || p.exchanging(fabric) {
+			continue
 		}
-		p.start(best)
-		taken := map[string]bool{}
-		for _, h := range best.members {
-			taken[h.ID] = true
+		p.formIn(fabric, free[fabric])
+	}
+}
+
+// formIn forms the replicas of one fabric domain, or begins to close one of them if its
+// engines and the free ones serve better together.
+func (p *Planner) formIn(fabric string, hosts []Host) {
+	have := p.have()
+	warm := p.compose(hosts, have, func(c candidate) bool { return c.loads == 0 || !p.view.Started })
+	if p.exchange(fabric, hosts, have, warm) {
+		return
+	}
+	if len(warm.replicas) == 0 {
+		warm = p.composeCold(fabric, hosts, have)
+	}
+	for _, c := range warm.replicas {
+		p.start(fabric, c)
+	}
+}
+
+// composeCold considers replicas that need the weight store.
+func (p *Planner) composeCold(fabric string, hosts []Host, have map[string]int) composition {
+	if p.now.Sub(p.settled[fabric].since) < settleFabric {
+		return composition{}
+	}
+	cold := p.compose(hosts, have, func(c candidate) bool {
+		lack := p.required(c.model) - float64(have[c.model.Name])
+		return lack >= shortfall && p.mayLoad(c.loads)
+	})
+	if !p.mayLoad(cold.loads()) {
+		cold.replicas = cold.replicas[:1]
+	}
+	return cold
+}
+
+// shortfall is the part of a replica by which a model must lack before a load from the
+// weight store is worth it.
+const shortfall = 0.2
+
+// exchange closes a serving replica of a fabric domain if its engines, together with the
+// free ones, could form replicas of more value without the weight store.
+func (p *Planner) exchange(fabric string, hosts []Host, have map[string]int, warm composition) bool {
+	if !p.view.Started || len(hosts) == 0 || p.now.Sub(p.exchanged[fabric]) < exchangeEvery {
+		return false
+	}
+	var best *unit
+	gain := exchangeGain
+	for _, name := range slices.Sorted(maps.Keys(p.units)) {
+		u := p.units[name]
+		if u.fabric != fabric || u.phase != phaseServing {
+			continue
 		}
-		free[best.fabric] = slices.DeleteFunc(free[best.fabric], func(h Host) bool { return taken[h.ID] })
+		if g := p.exchangeFor(u, hosts, have) - warm.value; g > gain {
+			best, gain = u, g
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.exchanged[fabric] = p.now
+	p.enter(best, phaseClosing, "its engines serve better with the free ones")
+	return true
+}
+
+// exchangeFor is what the free engines and those of a serving replica are worth together,
+// less the replica.
+func (p *Planner) exchangeFor(u *unit, hosts []Host, have map[string]int) float64 {
+	pool := slices.Clone(hosts)
+	for _, id := range u.members {
+		h, known := p.hosts[id]
+		if !known || !h.usable() {
+			return 0
+		}
+		pool = append(pool, h)
 	}
+	without := maps.Clone(have)
+	without[u.model]--
+	together := p.compose(pool, without, func(c candidate) bool { return c.loads == 0 })
+	m, _ := p.view.Engine.Model(u.model)
+	return together.value*float64(horizon)/float64(horizon+drainTime) - p.worth([]candidate{{model: m}}, without)
+}
+
+// exchanging reports whether a replica of the fabric domain is being closed for an exchange.
+func (p *Planner) exchanging(fabric string) bool {
+	if p.now.Sub(p.exchanged[fabric]) > exchangeTime {
+		return false
+	}
+	for _, u := range p.units {
+		if u.fabric == fabric && (u.phase == phaseClosing || u.phase == phaseLeaving) {
+			return true
+		}
+	}
+	return false
 }
 
 // watch notes when the free engines of each fabric domain last changed.
@@ -111,103 +173,14 @@
 	return false
 }
 
-// best returns the replica to form next.
-func (p *Planner) best(free map[string][]Host) (candidate, bool) {
-	var best candidate
-	found := false
-	for _, m := range p.view.Engine.Models {
-		for _, fabric := range slices.Sorted(maps.Keys(free)) {
-			c, ok := p.candidate(m, fabric, free[fabric])
-			if ok && (!found || c.score > best.score) {
-				best, found = c, true
-			}
-		}
-	}
-	return best, found
-}
-
-func (p *Planner) candidate(m routes.Model, fabric string, hosts []Host) (candidate, bool) {
-	if m.Size <= 0 || len(hosts) < m.Size || p.gathering(fabric) {
-		return candidate{}, false
-	}
-	sorted := slices.Clone(hosts)
-	slices.SortStableFunc(sorted, func(a, b Host) int { return cmp.Compare(p.readyIn(a, m), p.readyIn(b, m)) })
-	c := candidate{model: m, fabric: fabric, members: sorted[:m.Size]}
-	for _, h := range c.members {
-		c.ready = max(c.ready, p.readyIn(h, m))
-		if p.mustLoad(h, m) {
-			c.loads++
-		}
-	}
-	lack := p.lack(m)
-	if !p.view.Started {
-		// Loads cost little yet: all models get their part, the largest replicas first.
-		c.score = lack/max(p.required(m), 1) + float64(m.Size)*sizeTie
-		return c, true
-	}
-	c.score = p.value(m, lack) * float64(horizon) / float64(horizon+c.ready+time.Duration(c.loads)*loadCost) / float64(m.Size)
-	if c.loads == 0 {
-		return c, true
-	}
-	calm := p.now.Sub(p.settled[fabric].since) >= settleFabric
-	return c, calm && lack >= shortfall && p.mayLoad(c.loads)
-}
-
-// lack is how many replicas of a model there are fewer than its demand asks for.
-func (p *Planner) lack(m routes.Model) float64 {
-	have := 0
-	for _, u := range p.units {
-		if u.model == m.Name && u.phase != phaseLeaving {
-			have++
-		}
-	}
-	return p.required(m) - float64(have)
-}
-
-// required is how many replicas a model's demand asks for.
-func (p *Planner) required(m routes.Model) float64 {
-	if demand, known := p.view.Demand[m.Name]; known && p.view.Started {
-		return demand
-	}
-	return m.Share * float64(len(p.view.Hosts)) / float64(max(m.Size, 1))
-}
-
-// value is what one more replica of a model is worth: the model's part of the work, times
-// what the replica adds to how well the demand is met. The better it is met the less one
-// more adds, so that no model goes without.
-func (p *Planner) value(m routes.Model, lack float64) float64 {
-	required := max(p.required(m), 1)
-	have := required - lack
-	return max(m.Share, surplus) * (met((have+1)/required) - met(have/required) + surplus/required)
-}
-
-// met is how well a demand is met of which a part is covered.
-func met(part float64) float64 { return math.Sqrt(min(1, max(0, part))) }
-
-// readyIn is how long an engine takes to hold a model.
-func (p *Planner) readyIn(h Host, m routes.Model) time.Duration {
-	switch {
-	case p.modelOf(h) == m.Name:
-		return joinTime
-	case h.staged(m.Name):
-		return m.Warm
-	default:
-		return m.Load
-	}
-}
-
-func (p *Planner) mustLoad(h Host, m routes.Model) bool {
-	return p.modelOf(h) != m.Name && !h.staged(m.Name)
-}
-
-func (p *Planner) start(c candidate) {
+func (p *Planner) start(fabric string, c candidate) {
 	for _, h := range c.members {
 		if p.mustLoad(h, c.model) {
 			p.load(h, c.model)
 		}
 	}
 	u := &unit{
-		Place: p.nextPlace(), model: c.model.Name, fabric: c.fabric, phase: phaseForming,
+		Place: p.nextPlace(), model: c.model.Name, fabric: fabric, phase: phaseForming,
 		began: p.now, limit: p.now.Add(c.ready + formingMargin),
 	}
 	for _, h := range c.members {
--- a/internal/control/formation/planner.go
+++ b/internal/control/formation/planner.go
@@ -80,6 +80,8 @@
 	ended map[string]ending
 	// settled tells when the free engines of each fabric domain last changed.
 	settled map[string]settled
+	// exchanged is when a replica of each fabric domain was last closed for an exchange.
+	exchanged map[string]time.Time
 	// loading are the loads that are under way.
 	loading map[life]load
 	// lives are the engines' lives that are known, and arrived when the last new one came
@@ -141,7 +143,7 @@
 		p.units, p.sent, p.held = map[string]*unit{}, map[string]time.Time{}, map[life]string{}
 		p.ended, p.settled = map[string]ending{}, map[string]settled{}
 		p.lives, p.arrived = map[life]bool{}, map[string]time.Time{}
-		p.loading = map[life]load{}
+		p.loading, p.exchanged = map[life]load{}, map[string]time.Time{}
 	}
 	p.now, p.view, p.orders, p.notes = now, v, nil, nil
 	p.hosts = make(map[string]Host, len(v.Hosts))
--- a/internal/entry/balance/board.go
+++ b/internal/entry/balance/board.go
@@ -61,6 +61,8 @@
 	refuses bool
 	// slow is how many times as long as forecast first events take, 0 if not known.
 	slow float64
+	// learned is when that was last measured.
+	learned time.Time
 }
 
 // Board is what a gateway knows of all endpoints. The zero value is empty.
@@ -138,7 +140,7 @@
 // placement, and measured how long it took.
 func (b *Board) First(id string, n Need, forecast, measured time.Duration, now time.Time) {
 	if t, ok := b.targets[id]; ok {
-		t.learn(time.Duration(float64(forecast)/t.speed()), measured)
+		t.learn(forecast, measured, now)
 		t.streaming++
 		t.unread = max(0, t.unread-n.Prompt)
 		t.heard = now
--- a/internal/entry/balance/forecast.go
+++ b/internal/entry/balance/forecast.go
@@ -14,9 +14,11 @@
 	overhead = 100 * time.Millisecond
 	// learnWeight is the weight of one more measured time to the first event.
 	learnWeight = 0.2
-	// slowest and fastest bound what is learned of an engine's speed.
-	slowest = 10.0
-	fastest = 0.3
+	// slowest and fastest bound what is learned of an engine's speed, which counts for
+	// speedLife: an engine that is avoided for it must get another chance.
+	slowest   = 4.0
+	fastest   = 0.5
+	speedLife = 1500 * time.Millisecond
 )
 
 // forecast estimates how long a prompt takes to its first event at an engine. The engine
@@ -70,22 +72,33 @@
 	} else if b.Gateways > 1 {
 		writing, unread = writing*b.Gateways, unread*b.Gateways
 	}
-	return time.Duration(float64(forecast(service, model, writing, unread+n.Prompt)) * t.speed())
+	expected := forecast(service, model, writing, unread+n.Prompt) + slotWait(service, model, b.occupied(t, now))
+	return time.Duration(float64(expected) * t.speed(now))
+}
+
+// slotWait estimates how long a request waits for a slot where occupied requests are.
+func slotWait(e *routes.Engine, m routes.Model, occupied float64) time.Duration {
+	if e == nil || e.Slots <= 0 || occupied < float64(e.Slots) {
+		return 0
+	}
+	each := float64(e.UsualAnswer) * float64(e.Step+time.Duration(e.Slots)*e.StepEach) * max(m.Pace, fastest)
+	return time.Duration((occupied - float64(e.Slots) + 1) * each / float64(e.Slots))
 }
 
 // speed is how many times as long as forecast the engine has taken lately.
-func (t *target) speed() float64 {
-	if t.slow == 0 {
+func (t *target) speed(now time.Time) float64 {
+	if t.slow == 0 || now.Sub(t.learned) > speedLife {
 		return 1
 	}
 	return t.slow
 }
 
 // learn takes in a measured time to the first event.
-func (t *target) learn(forecast, measured time.Duration) {
+func (t *target) learn(forecast, measured time.Duration, now time.Time) {
 	if forecast <= 0 {
 		return
 	}
-	ratio := min(slowest, max(fastest, float64(measured)/float64(forecast)))
-	t.slow = t.speed() + (ratio-t.speed())*learnWeight
+	speed := t.speed(now)
+	ratio := min(slowest, max(fastest, speed*float64(measured)/float64(forecast)))
+	t.slow, t.learned = speed+(ratio-speed)*learnWeight, now
 }
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -52,9 +52,12 @@
 	if n.Model == "" {
 		return occupied < float64(t.Slots)*(1+plainQueue)
 	}
-	if occupied >= float64(t.Slots) {
+	if occupied >= float64(t.Slots)*overfull {
 		return false
 	}
+	if n.Resumed {
+		return b.firstEvent(t, n, now) < resumeLimit
+	}
 	if now.Add(b.firstEvent(t, b.usual(n), now)).Before(n.Aim) {
 		return true
 	}
@@ -87,8 +90,14 @@
 }
 
 const (
+	// overfull is the part of its slots up to which an engine is filled: a few requests
+	// wait there, so that a slot that comes free is taken at once.
+	overfull = 1.1
+	// resumeLimit is how long the caller of a broken stream may have to wait for its next
+	// event.
+	resumeLimit = 1500 * time.Millisecond
 	// lateShare is the share of an engine's slots up to which it takes late requests.
-	lateShare = 0.6
+	lateShare = 0.9
 	// spareShare is the share of the objective within which an engine that takes a late
 	// request must still be able to answer.
 	spareShare = 0.8
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -46,6 +46,38 @@
 	Refused bool
 	After   time.Duration
 	Reason  string
+	Seen    Seen
+}
+
+// Seen is what a refusal rests on.
+type Seen struct {
+	// Serving is how many endpoints serve the request, Banned how many of them are left
+	// alone for their failures or stand still.
+	Serving, Banned int
+	// Occupied is the lowest estimate of the requests at one of the others, and Soonest the
+	// earliest forecast of a first event.
+	Occupied float64
+	Soonest  time.Duration
+}
+
+// seen sums up the endpoints that serve a request.
+func (b *Board) seen(n Need, now time.Time) Seen {
+	var s Seen
+	for _, t := range b.targets {
+		if !t.fits(n) {
+			continue
+		}
+		s.Serving++
+		if now.Before(t.banned) || t.stalled(now) {
+			s.Banned++
+			continue
+		}
+		occupied, soonest := b.occupied(t, now), b.firstEvent(t, n, now)
+		if s.Soonest == 0 || soonest < s.Soonest {
+			s.Occupied, s.Soonest = occupied, soonest
+		}
+	}
+	return s
 }
 
 // Waiter is a request that waits for room.
@@ -61,10 +93,10 @@
 		return d, nil
 	}
 	if !b.served(n) {
-		return b.refusal(n, "no endpoint serves it"), nil
+		return b.refusal(n, "no endpoint serves it", now), nil
 	}
 	if !now.Before(n.Until) {
-		return b.refusal(n, "no room"), nil
+		return b.refusal(n, "no room", now), nil
 	}
 	w := &Waiter{Need: n, Decided: make(chan Decision, 1)}
 	b.queue = append(b.queue, w)
@@ -93,7 +125,7 @@
 			continue
 		}
 		if !now.Before(w.Until) {
-			w.Decided <- b.refusal(w.Need, "no room in time")
+			w.Decided <- b.refusal(w.Need, "no room in time", now)
 			continue
 		}
 		kept = append(kept, w)
@@ -143,7 +175,7 @@
 }
 
 // refusal says when to come back: the more wait for the same, the later.
-func (b *Board) refusal(n Need, reason string) Decision {
+func (b *Board) refusal(n Need, reason string, now time.Time) Decision {
 	waiting := 0
 	for _, w := range b.queue {
 		if w.Service == n.Service && w.Model == n.Model {
@@ -151,5 +183,5 @@
 		}
 	}
 	after := min(latest, soonest+time.Duration(waiting)*20*time.Millisecond)
-	return Decision{Refused: true, After: after, Reason: reason}
+	return Decision{Refused: true, After: after, Reason: reason, Seen: b.seen(n, now)}
 }
--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -105,6 +105,10 @@
 	if t.events > 0 {
 		line = line.Int("events", t.events).Dur("pause", t.pause)
 	}
+	if t.seen.Serving > 0 {
+		line = line.Int("serving", t.seen.Serving).Int("banned", t.seen.Banned).
+			Float64("occupied", t.seen.Occupied).Dur("soonest", t.seen.Soonest)
+	}
 	if t.resumes > 0 {
 		line = line.Int("resumes", t.resumes)
 	}
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -55,6 +55,8 @@
 	// pause is the longest time between two events.
 	pause   time.Duration
 	resumes int
+	// seen is what a refusal rests on.
+	seen balance.Seen
 }
 
 // serve takes one request.
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -69,6 +69,7 @@
 		c.timeUp(ctx, "no endpoint for another attempt")
 		return
 	}
+	c.trail.seen = d.Seen
 	c.refuse(d.After, d.Reason)
 }
 
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -103,7 +103,7 @@
 	case ctx.Err() != nil:
 		s.timeUp(ctx, err.Error())
 	default:
-		s.giveUp(err, s.unknown && !s.route.Repeatable())
+		s.giveUp(err, s.unknown)
 	}
 	return false
 }
@@ -125,7 +125,7 @@
 		s.cut("no endpoint to resume it: " + d.Reason)
 		return
 	}
-	s.refused(ctx, d, s.unknown && !s.route.Repeatable())
+	s.refused(ctx, d, s.unknown)
 }
 
 // pass passes the events of one attempt on. It returns nil if the answer is over, and an
