--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -9,7 +9,7 @@
 const (
 	// settleFabric is how long a fabric domain's free engines must have been the same
 	// before a load is begun there.
-	settleFabric = 1200 * time.Millisecond
+	settleFabric = 500 * time.Millisecond
 	// arrivalTime is how long an engine that has just come is left free, so that the others
 	// of its domain, which come one after the other, are there when replicas are formed.
 	arrivalTime = 500 * time.Millisecond
--- a/internal/control/formation/stage.go
+++ b/internal/control/formation/stage.go
@@ -44,6 +44,35 @@
 		}
 		p.stageOne(h, m)
 	}
+	if p.view.Started && len(p.loading) < reserveLoads {
+		p.stageReserve(models[0], hosts)
+	}
+}
+
+// reserveLoads is how many loads may be under way when one more is started for a reserve.
+const reserveLoads = 3
+
+// stageReserve loads the largest model onto the host of one member of another replica, if
+// its fabric domain has nobody to replace a lost member of the largest one.
+func (p *Planner) stageReserve(largest routes.Model, hosts []Host) {
+	var member *Host
+	serving := false
+	for i, h := range hosts {
+		u := p.unitOf(h.ID)
+		if u != nil && u.model == largest.Name {
+			serving = true
+			continue
+		}
+		if _, under := p.loading[life{h.ID, h.Born}]; under || h.staged(largest.Name) {
+			return
+		}
+		if u != nil && settledMember(u, h) {
+			member = &hosts[i]
+		}
+	}
+	if serving && member != nil {
+		p.stageOne(*member, largest)
+	}
 }
 
 // wanted returns the model that each host of a fabric domain should hold.
