Give a lost control host's place to a new one; catalogue the new events

Ruled out: joint consensus, as the number of places stays and the log already names the disk of each place.

Change: a committed entry moves a silent host's place to the address of one that has none; the new process speaks under the place's ID and its disk is admitted like any replaced one. The record, links, gossip and pictures follow the addresses.

--- a/cmd/portal.go
+++ b/cmd/portal.go
@@ -11,6 +11,7 @@
 	"github.com/egretreach/egretreach/internal/control/journal"
 	"github.com/egretreach/egretreach/internal/control/portal"
 	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/identity"
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/process/daemon"
 	"github.com/egretreach/egretreach/internal/process/settings"
@@ -44,6 +45,9 @@
 		return daemon.Daemon{}, err
 	}
 	p := portal.New(portal.Options{
+		Rename: func(id host.ID) error {
+			return parts.Credentials.Rename(identity.Identity{Role: host.RoleControl, Host: id}, time.Now())
+		},
 		Self: file.Host.ID, Address: file.API.String(), Link: parts.Link, LinkAddress: file.Link.Address.String(),
 		Pool: pool.New(parts.Link), Seeds: file.Link.LinkAddresses(file.Seeds), Fresh: file.FirstStart,
 		Files: journal.Disk{}, Folder: file.DataFolder, Decode: platform.DecodeTable, Engines: &platform.Engines{},
--- a/internal/control/founding/council.go
+++ b/internal/control/founding/council.go
@@ -4,7 +4,8 @@
 // introduces itself to them. The seed with the lowest address waits until no new host
 // has come for a while, writes the set to its disk and tells it to whoever asks. Every
 // host keeps the set on its disk before it acts on it, so that it stays the same.
-// A host with an empty disk that starts later decides nothing and asks.
+// A host with an empty disk that starts later decides nothing and asks. If its address is
+// not in the set it goes on asking until control has moved a dead host's place to it.
 package founding
 
 import (
@@ -17,6 +18,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/process/pause"
@@ -64,6 +66,29 @@
 	return &Council{opts: opts, seen: map[string]message.Founder{opts.Self.Address: opts.Self}}
 }
 
+// seated reports whether a set has a place for this host.
+func (c *Council) seated(set []message.Founder) bool {
+	return slices.ContainsFunc(set, func(f message.Founder) bool { return f.Address == c.opts.Self.Address })
+}
+
+// Seat returns this host's ID in a set: that of the place at its address.
+func (c *Council) Seat(set []message.Founder) host.ID {
+	for _, f := range set {
+		if f.Address == c.opts.Self.Address {
+			return f.Host
+		}
+	}
+	return ""
+}
+
+// Moved takes in that the set's places have moved, and keeps that.
+func (c *Council) Moved(set []message.Founder) error {
+	c.mu.Lock()
+	c.decided = set
+	c.mu.Unlock()
+	return c.opts.Record.Save(set)
+}
+
 // Answer answers a host that introduces itself.
 func (c *Council) Answer(q *message.FounderQuery) *message.Founders {
 	c.mu.Lock()
@@ -133,10 +158,13 @@
 		if answer == nil {
 			continue
 		}
-		if len(answer.Decided) > 0 {
+		if c.seated(answer.Decided) {
 			return answer.Decided
 		}
 		c.mu.Lock()
+		for _, f := range answer.Decided {
+			c.meet(f)
+		}
 		for _, f := range answer.Seen {
 			c.meet(f)
 		}
--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/transport"
@@ -22,11 +23,16 @@
 	forgetSilence = 3 * time.Minute
 )
 
-// Announce takes in what an endpoint says of itself.
-func (p *Portal) Announce(e roster.Endpoint) {
+// Announce takes in what an endpoint says of itself. It returns ErrUnavailable while this
+// host has nobody to tell it to.
+func (p *Portal) Announce(e roster.Endpoint) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.founders) == 0 {
+		return ErrUnavailable{Reason: "the other control hosts are not known yet"}
+	}
 	p.take(e, time.Now(), true)
+	return nil
 }
 
 // take takes in an announcement; mu is held.
@@ -76,9 +82,9 @@
 }
 
 // gossip tells another control host what endpoints announce here, until ctx ends.
-func (p *Portal) gossip(ctx context.Context, address string) error {
+func (p *Portal) gossip(ctx context.Context, peer host.ID) error {
 	for ctx.Err() == nil {
-		p.gossipOnce(ctx, address)
+		p.gossipOnce(ctx, p.addressOf(peer))
 		pause.For(ctx, gossipRetry)
 	}
 	return nil
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -65,6 +65,8 @@
 	Pool        *pool.Pool
 	// Seeds are the link addresses of some control hosts.
 	Seeds []string
+	// Rename gives this process's links the ID of its place in the quorum.
+	Rename func(id host.ID) error
 	// Fresh says that the whole system starts for the first time.
 	Fresh  bool
 	Files  journal.Files
@@ -87,6 +89,11 @@
 	mu       sync.Mutex
 	log      *replication.Log
 	founders []message.Founder
+	// seat is this host's ID in the quorum, and led since when it has led.
+	seat host.ID
+	led  time.Time
+	// granting says that a place is being moved.
+	granting bool
 	roster   roster.Roster
 	// direct are the endpoints whose last announcement came to this host itself.
 	direct map[string]bool
@@ -158,20 +165,19 @@
 	if err != nil {
 		return err
 	}
+	seat := p.council.Seat(set)
+	if seat != p.opts.Self {
+		if err := p.takeSeat(set, seat); err != nil {
+			return err
+		}
+	}
 	p.mu.Lock()
-	p.founders = set
+	p.founders, p.seat = set, seat
 	p.mu.Unlock()
-	member := false
 	for _, f := range set {
-		if f.Host == p.opts.Self {
-			member = true
-			continue
+		if f.Host != seat {
+			group.Go(func() error { return p.gossip(ctx, f.Host) })
 		}
-		group.Go(func() error { return p.gossip(ctx, f.Address) })
-	}
-	if !member {
-		event.QuorumHostsDiffer.On(p.opts.Logger).Str("reason", "this host is not in the set").Msg("")
-		return nil
 	}
 	return p.runLog(ctx, set)
 }
@@ -183,6 +189,9 @@
 		peers[f.Host] = f.Address
 	}
 	for {
+		for _, f := range p.places() {
+			peers[f.Host] = f.Address
+		}
 		err := p.runLogOnce(ctx, peers)
 		if ctx.Err() != nil {
 			return nil
@@ -201,8 +210,8 @@
 	}
 	defer func() { _ = kept.Close() }()
 	l := replication.New(replication.Options{
-		Self: p.opts.Self, Peers: peers, Journal: kept, Machine: p.machine, Pool: p.opts.Pool,
-		Logger: p.opts.Logger, Timing: quorum.Timing{}, OnLeader: func(replication.Status) { p.notify() },
+		Self: p.seat, Peers: peers, Journal: kept, Machine: p.machine, Pool: p.opts.Pool,
+		Logger: p.opts.Logger, Timing: quorum.Timing{}, OnLeader: p.onLeader,
 	})
 	p.mu.Lock()
 	p.log = l
@@ -233,6 +242,7 @@
 			l.Serve(ctx, s, m)
 		}
 	case *message.FounderQuery:
+		p.considerSeat(ctx, m)
 		_ = s.Send(p.council.Answer(m))
 	case *message.RosterUpdate:
 		p.takeUpdates(s, m)
@@ -277,10 +287,13 @@
 
 // follow keeps the decoded table up with the document in force.
 func (p *Portal) follow(ctx context.Context) error {
+	var decoded uint64
 	for {
 		changed := p.machine.Changed()
+		p.moveSeats()
 		held := p.machine.Held()
-		if held.Version > 0 {
+		if held.Version > decoded {
+			decoded = held.Version
 			table, err := p.opts.Decode(held.Bytes)
 			if err != nil {
 				event.RevisionRefused.On(p.opts.Logger).Uint64("version", held.Version).Err(err).Msg("")
--- a/internal/control/replication/link.go
+++ b/internal/control/replication/link.go
@@ -23,14 +23,23 @@
 
 // sender keeps one stream to a peer and sends it this host's messages.
 type sender struct {
-	log     *Log
-	peer    host.ID
-	address string
-	queue   chan quorum.Message
+	log   *Log
+	peer  host.ID
+	queue chan quorum.Message
+	// moved says that the peer's address has changed.
+	moved chan struct{}
 }
 
-func newSender(l *Log, peer host.ID, address string) *sender {
-	return &sender{log: l, peer: peer, address: address, queue: make(chan quorum.Message, senderQueue)}
+func newSender(l *Log, peer host.ID) *sender {
+	return &sender{log: l, peer: peer, queue: make(chan quorum.Message, senderQueue), moved: make(chan struct{}, 1)}
+}
+
+// move ends the stream to the peer's old address.
+func (s *sender) move() {
+	select {
+	case s.moved <- struct{}{}:
+	default:
+	}
 }
 
 // offer queues a message, unless too many wait.
@@ -67,7 +76,7 @@
 
 // connect opens a stream and sends over it until it fails.
 func (s *sender) connect(ctx context.Context) {
-	stream, err := s.log.opts.Pool.Open(ctx, s.address)
+	stream, err := s.log.opts.Pool.Open(ctx, s.log.addresses.of(s.peer))
 	if err != nil {
 		return
 	}
@@ -92,6 +101,8 @@
 			return
 		case <-ended:
 			return
+		case <-s.moved:
+			return
 		case m := <-s.queue:
 			if s.send(stream, m) != nil {
 				return
--- a/internal/control/replication/loop.go
+++ b/internal/control/replication/loop.go
@@ -156,7 +156,7 @@
 	case quorum.ReasonBusy:
 		w.finish(nil, ErrBusy{})
 	case quorum.ReasonNotLeader:
-		w.finish(nil, ErrNotLeader{Leader: l.opts.Peers[r.Leader]})
+		w.finish(nil, ErrNotLeader{Leader: l.addresses.of(r.Leader)})
 	}
 }
 
--- a/internal/control/replication/replication.go
+++ b/internal/control/replication/replication.go
@@ -70,8 +70,10 @@
 	writes  queue[quorum.Persist]
 	applies queue[applyJob]
 	senders map[host.ID]*sender
-	changes chan Status
-	done    chan struct{}
+	// addresses are where the peers are now.
+	addresses *addresses
+	changes   chan Status
+	done      chan struct{}
 
 	// mu guards machine against Status.
 	mu      sync.Mutex
@@ -99,16 +101,17 @@
 		writes:    newQueue[quorum.Persist](),
 		applies:   newQueue[applyJob](),
 		senders:   map[host.ID]*sender{},
+		addresses: newAddresses(opts.Peers),
 		changes:   make(chan Status, 1),
 		done:      make(chan struct{}),
 		proposals: map[uint64]*waiter{},
 		pending:   map[quorum.Index]*waiter{},
 	}
 	hosts := make([]host.ID, 0, len(opts.Peers))
-	for id, address := range opts.Peers {
+	for id := range opts.Peers {
 		hosts = append(hosts, id)
 		if id != opts.Self {
-			l.senders[id] = newSender(l, id, address)
+			l.senders[id] = newSender(l, id)
 		}
 	}
 	l.machine = quorum.New(time.Now(), quorum.Options{
--- a/internal/control/replication/status.go
+++ b/internal/control/replication/status.go
@@ -51,13 +51,13 @@
 func (l *Log) status(view quorum.View) Status {
 	s := Status{
 		Role: view.Role, Term: uint64(view.Term),
-		Leader: view.Leader, LeaderAddress: l.opts.Peers[view.Leader],
+		Leader: view.Leader, LeaderAddress: l.addresses.of(view.Leader),
 		Admitted: view.Admitted, Last: uint64(view.Last),
 		Commit: uint64(view.Commit), Snapshot: uint64(view.Snapshot),
 	}
 	for _, p := range view.Peers {
 		s.Peers = append(s.Peers, PeerStatus{
-			Host: p.Host, Address: l.opts.Peers[p.Host], Match: uint64(p.Match),
+			Host: p.Host, Address: l.addresses.of(p.Host), Match: uint64(p.Match),
 			Silence: p.Silence, Silent: p.Silence > l.timing.Election, Admitted: p.Admitted,
 		})
 	}
--- a/internal/control/revision/machine.go
+++ b/internal/control/revision/machine.go
@@ -1,12 +1,17 @@
-// Package revision is the replicated state of the operators' configuration: one
-// document under the highest version that was committed.
+// Package revision is the replicated state of control: the operators' document under the
+// highest version that was committed, and where the control hosts are.
 package revision
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
 )
 
 // Document is a configuration as its operator sent it.
@@ -16,9 +21,35 @@
 }
 
 // Encode returns the command that puts d in force.
-func (d Document) Encode() ([]byte, error) {
-	command, err := cbor.Marshal(d)
-	return command, errors.Wrap(err, "encode document")
+func (d Document) Encode() ([]byte, error) { return encode(command{Document: &d}) }
+
+// Seat is one control host's place in the quorum. Its ID stays when another process, at
+// another address and with an empty disk, takes it over.
+type Seat struct {
+	Host    host.ID `cbor:"1,keyasint"`
+	Address string  `cbor:"2,keyasint"`
+	// Sequence counts the processes that have had the seat.
+	Sequence uint64 `cbor:"3,keyasint"`
+}
+
+// Encode returns the command that moves the seat.
+func (s Seat) Encode() ([]byte, error) { return encode(command{Seat: &s}) }
+
+// command is one entry of the log; one field is set.
+type command struct {
+	Document *Document `cbor:"1,keyasint,omitempty"`
+	Seat     *Seat     `cbor:"2,keyasint,omitempty"`
+}
+
+func encode(c command) ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	return data, errors.Wrap(err, "encode command")
+}
+
+// snapshot is the whole state.
+type snapshot struct {
+	Document Document `cbor:"1,keyasint"`
+	Seats    []Seat   `cbor:"2,keyasint,omitempty"`
 }
 
 // Result says what a committed command did.
@@ -29,33 +60,49 @@
 	Taken bool
 }
 
-// Machine holds the document in force. The zero value holds version 0. It implements
+// Machine holds the state. The zero value holds version 0 and no moved seat. It implements
 // replication.StateMachine.
 type Machine struct {
 	mu      sync.Mutex
 	held    Document
+	seats   map[host.ID]Seat
 	changed chan struct{}
 }
 
 // Apply implements replication.StateMachine. A document whose version is not above the
-// one in force changes nothing.
-func (m *Machine) Apply(_ uint64, command []byte) any {
-	var d Document
-	if err := cbor.Unmarshal(command, &d); err != nil {
-		return errors.Wrap(err, "decode document")
+// one in force, and a seat that has been moved since, change nothing.
+func (m *Machine) Apply(_ uint64, data []byte) any {
+	var c command
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return errors.Wrap(err, "decode command")
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d.Version <= m.held.Version {
+	if c.Seat != nil {
+		m.move(*c.Seat)
+	}
+	if c.Document == nil || c.Document.Version <= m.held.Version {
 		return Result{Held: m.held.Version}
 	}
-	m.set(d)
-	return Result{Held: d.Version, Taken: true}
+	m.held = *c.Document
+	m.signal()
+	return Result{Held: m.held.Version, Taken: true}
 }
 
-// set replaces the document; mu is held.
-func (m *Machine) set(d Document) {
-	m.held = d
+// move moves a seat; mu is held.
+func (m *Machine) move(s Seat) {
+	if s.Sequence <= m.seats[s.Host].Sequence {
+		return
+	}
+	if m.seats == nil {
+		m.seats = map[host.ID]Seat{}
+	}
+	m.seats[s.Host] = s
+	m.signal()
+}
+
+// signal wakes those that wait for a change; mu is held.
+func (m *Machine) signal() {
 	if m.changed != nil {
 		close(m.changed)
 		m.changed = nil
@@ -63,20 +110,39 @@
 }
 
 // Snapshot implements replication.StateMachine.
-func (m *Machine) Snapshot() ([]byte, error) { return m.Held().Encode() }
+func (m *Machine) Snapshot() ([]byte, error) {
+	data, err := cbor.Marshal(snapshot{Document: m.Held(), Seats: m.Seats()})
+	return data, errors.Wrap(err, "encode snapshot")
+}
 
-// Restore implements replication.StateMachine.
-func (m *Machine) Restore(snapshot []byte) error {
-	var d Document
-	if err := cbor.Unmarshal(snapshot, &d); err != nil {
+// Restore implements replication.StateMachine. What this host has applied already stays:
+// a log that is opened again begins with an older snapshot.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := cbor.Unmarshal(data, &s); err != nil {
 		return errors.Wrap(err, "decode snapshot")
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.set(d)
+	for _, seat := range s.Seats {
+		m.move(seat)
+	}
+	if s.Document.Version > m.held.Version {
+		m.held = s.Document
+		m.signal()
+	}
 	return nil
 }
 
+// Seats returns the seats that have been moved, by ID.
+func (m *Machine) Seats() []Seat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.SortedFunc(maps.Values(m.seats), func(a, b Seat) int {
+		return strings.Compare(string(a.Host), string(b.Host))
+	})
+}
+
 // Held returns the document in force.
 func (m *Machine) Held() Document {
 	m.mu.Lock()
--- a/internal/link/identity/credentials.go
+++ b/internal/link/identity/credentials.go
@@ -36,6 +36,19 @@
 // Replace swaps in a new pair and bundle, for the same identity. On error the old
 // ones stay in use.
 func (c *Credentials) Replace(pair Pair, authorities []byte) error {
+	old := c.current.Load()
+	if err := c.load(pair, authorities); err != nil {
+		return err
+	}
+	if self := c.Self(); old != nil && old.self != self {
+		c.current.Store(old)
+		return errors.Errorf("the new certificate is for %s, not for %s", self, old.self)
+	}
+	return nil
+}
+
+// load takes a pair and bundle into use.
+func (c *Credentials) load(pair Pair, authorities []byte) error {
 	cert, err := tls.X509KeyPair(pair.Certificate, pair.Key)
 	if err != nil {
 		return errors.Wrap(err, "certificate and key")
@@ -48,9 +61,6 @@
 	if err != nil {
 		return err
 	}
-	if old := c.current.Load(); old != nil && old.self != self {
-		return errors.Errorf("the new certificate is for %s, not for %s", self, old.self)
-	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(authorities) {
 		return errors.New("authority bundle holds no certificate")
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -39,9 +39,11 @@
 
 // Parts are what a daemon is built from.
 type Parts struct {
-	Link    *transport.Endpoint
-	Metrics *metric.Registry
-	Logger  *log.Logger
+	Link *transport.Endpoint
+	// Credentials are the process's own.
+	Credentials *identity.Credentials
+	Metrics     *metric.Registry
+	Logger      *log.Logger
 }
 
 // Setup is the part of the settings that all daemons share.
@@ -74,8 +76,9 @@
 		Link: transport.New(socket, credentials, transport.Options{
 			Offload: setup.Link.Offload, DialFrom: dialFrom(setup.Link.Address),
 		}),
-		Metrics: metric.New(),
-		Logger:  logger,
+		Credentials: credentials,
+		Metrics:     metric.New(),
+		Logger:      logger,
 	}
 	defer func() { _ = parts.Link.Close() }()
 	d, err := setup.Build(parts)
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -29,20 +29,6 @@
 	SubscriberLeft    = register(140, "subscriber_left", log.InfoLevel)
 	LogRestarted      = register(141, "log_restarted", log.ErrorLevel)
 	AnnouncementBad   = register(142, "announcement_bad", log.WarnLevel)
-)
-
-// Events of the gateway, the entry of platforms on which endpoints announce themselves.
-var (
-	RequestAnswered  = register(300, "request_answered", log.InfoLevel)
-	RequestRefused   = register(301, "request_refused", log.WarnLevel)
-	RequestFailed    = register(302, "request_failed", log.WarnLevel)
-	RequestLeft      = register(303, "request_left", log.InfoLevel)
-	AttemptFailed    = register(304, "attempt_failed", log.WarnLevel)
-	StreamResumed    = register(305, "stream_resumed", log.InfoLevel)
-	ControlFollowed  = register(306, "control_followed", log.InfoLevel)
-	ControlLost      = register(307, "control_lost", log.WarnLevel)
-	EndpointBanned   = register(308, "endpoint_banned", log.WarnLevel)
-	ReadinessChanged = register(309, "readiness_changed", log.InfoLevel)
-	LinesDropped     = register(411, "lines_dropped", log.WarnLevel)
-	SettingsReloaded = register(412, "settings_reloaded", log.InfoLevel)
+	SeatTaken         = register(143, "seat_taken", log.WarnLevel)
+	SeatMoved         = register(144, "seat_moved", log.WarnLevel)
 )
--- a/internal/telemetry/event/process.go
+++ b/internal/telemetry/event/process.go
@@ -15,4 +15,7 @@
 	ConfigRefused   = register(408, "config_refused", log.ErrorLevel)
 	LeaderSought    = register(409, "leader_sought", log.InfoLevel)
 	KeysRefused     = register(410, "keys_refused", log.ErrorLevel)
+
+	LinesDropped     = register(411, "lines_dropped", log.WarnLevel)
+	SettingsReloaded = register(412, "settings_reloaded", log.InfoLevel)
 )
