--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -53,9 +53,12 @@
 	Link   settings.Link
 	Health settings.Health
 	Keys   settings.Keys
-	Log    settings.Log
-	Stop   settings.Stop
-	Build  func(Parts) (Daemon, error)
+	// PrivateNetwork says that there are no keys; peers are taken for what they say.
+	PrivateNetwork bool
+
+	Log   settings.Log
+	Stop  settings.Stop
+	Build func(Parts) (Daemon, error)
 }
 
 // Run runs a daemon until SIGINT or SIGTERM, which begin a planned stop; a second
@@ -90,7 +93,7 @@
 	defer signal.Stop(reload)
 	pages := health.Server{Metrics: parts.Metrics, Ready: d.Ready}
 	watch := func(ctx context.Context) error {
-		if setup.Link.PrivateNetwork {
+		if setup.PrivateNetwork {
 			watchSettings(ctx, d, reload)
 			return nil
 		}
@@ -107,7 +110,7 @@
 // openKeys returns the process's credentials: its own unchecked ones on a private network.
 func openKeys(setup Setup) (*identity.Credentials, error) {
 	self := identity.Identity{Role: setup.Role, Host: setup.Host.ID}
-	if setup.Link.PrivateNetwork {
+	if setup.PrivateNetwork {
 		return identity.NewPrivate(self, time.Now())
 	}
 	return identity.Open(setup.Keys.Folder, self)
--- a/internal/process/settings/agent.go
+++ b/internal/process/settings/agent.go
@@ -71,7 +71,6 @@
 	s := DefaultAgent()
 	err := parse(file, data, &s, func(doc *document.Document) {
 		checkLink(doc, s.Link)
-		checkKeyed(doc, s.Link)
 		checkControl(doc, s.Control)
 		checkEndpoints(doc, s)
 	})
--- a/internal/process/settings/control.go
+++ b/internal/process/settings/control.go
@@ -50,7 +50,6 @@
 	s := DefaultControl()
 	err := parse(file, data, &s, func(doc *document.Document) {
 		checkLink(doc, s.Link)
-		checkKeyed(doc, s.Link)
 		checkMembers(doc, s)
 	})
 	if err != nil {
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -66,7 +66,6 @@
 	s := DefaultEntry()
 	err := parse(file, data, &s, func(doc *document.Document) {
 		checkLink(doc, s.Link)
-		checkKeyed(doc, s.Link)
 		checkControl(doc, s.Control)
 	})
 	if err != nil {
--- a/internal/process/settings/page_test.go
+++ b/internal/process/settings/page_test.go
@@ -79,7 +79,9 @@
 func TestPageHoldsEverySetting(t *testing.T) {
 	page, err := os.ReadFile("../../../docs/CONFIGURATION.md")
 	require.NoError(t, err)
-	for _, v := range []any{config.Fleet{Defaults: config.DefaultValues()}, DefaultEntry(), DefaultControl(), DefaultAgent()} {
+	for _, v := range []any{
+		config.Fleet{Defaults: config.DefaultValues()}, DefaultEntry(), DefaultControl(), DefaultAgent(), DefaultPortal(), DefaultGateway(),
+	} {
 		for _, row := range rows(reflect.ValueOf(v), "") {
 			require.Contains(t, string(page), row)
 		}
--- a/internal/process/settings/platform.go
+++ b/internal/process/settings/platform.go
@@ -8,8 +8,8 @@
 
 // Portal is the settings of a portal daemon.
 type Portal struct {
-	Host Host `yaml:"host"`
-	Link Link `yaml:"link"`
+	Host Host     `yaml:"host"`
+	Link OpenLink `yaml:"link"`
 	// API is the address that endpoints and operators call.
 	API    Address  `yaml:"api" validate:"required"`
 	Health Health   `yaml:"health"`
@@ -29,8 +29,8 @@
 
 // Gateway is the settings of a gateway daemon.
 type Gateway struct {
-	Host Host `yaml:"host"`
-	Link Link `yaml:"link"`
+	Host Host     `yaml:"host"`
+	Link OpenLink `yaml:"link"`
 	// API is the address that callers reach.
 	API    Address  `yaml:"api" validate:"required"`
 	Health Health   `yaml:"health"`
@@ -43,6 +43,20 @@
 	Stop    Stop      `yaml:"stop"`
 }
 
+// OpenLink is a Link whose network may be private.
+type OpenLink struct {
+	// Address is the IP address and UDP port that the other processes reach.
+	Address Address `yaml:"address" validate:"required"`
+	// Offload lets the socket use UDP segmentation offload and ECN.
+	Offload bool `yaml:"offload"`
+	// PrivateNetwork says that no keys are provided and every process that can reach the
+	// link is trusted.
+	PrivateNetwork bool `yaml:"private_network"`
+}
+
+// Link returns the part that all daemons have.
+func (l OpenLink) Link() Link { return Link{Address: l.Address, Offload: l.Offload} }
+
 // LinkKeys are Keys that a private network does without.
 type LinkKeys struct {
 	Folder     string        `yaml:"folder"`
@@ -94,7 +108,7 @@
 func ParsePortal(file string, data []byte) (Portal, error) {
 	s := DefaultPortal()
 	err := parse(file, data, &s, func(doc *document.Document) {
-		checkLink(doc, s.Link)
+		checkLink(doc, s.Link.Link())
 		checkKeys(doc, s.Link, s.Keys)
 	})
 	if err != nil {
@@ -119,7 +133,7 @@
 func ParseGateway(file string, data []byte) (Gateway, error) {
 	s := DefaultGateway()
 	err := parse(file, data, &s, func(doc *document.Document) {
-		checkLink(doc, s.Link)
+		checkLink(doc, s.Link.Link())
 		checkKeys(doc, s.Link, s.Keys)
 	})
 	if err != nil {
@@ -131,7 +145,7 @@
 
 // LinkAddresses returns the link addresses of hosts whose API addresses are given: the
 // same IP numbers at the port of this host's link.
-func (l Link) LinkAddresses(apis []Address) []string {
+func (l OpenLink) LinkAddresses(apis []Address) []string {
 	links := make([]string, 0, len(apis))
 	for _, a := range apis {
 		links = append(links, a.withPortOf(l.Address).String())
@@ -140,7 +154,7 @@
 }
 
 // checkKeys asks for keys unless the network is private.
-func checkKeys(doc *document.Document, link Link, keys LinkKeys) {
+func checkKeys(doc *document.Document, link OpenLink, keys LinkKeys) {
 	if keys.Folder == "" && !link.PrivateNetwork {
 		doc.Report("keys.folder", "is needed unless link.private_network is true")
 	}
--- a/internal/process/settings/sample_test.go
+++ b/internal/process/settings/sample_test.go
@@ -55,6 +55,8 @@
 		"fleet.yaml":   {config.Fleet{}, func(f string, d []byte) (any, error) { return config.Parse(f, d) }},
 		"entry.yaml":   {Entry{}, func(f string, d []byte) (any, error) { return ParseEntry(f, d) }},
 		"control.yaml": {Control{}, func(f string, d []byte) (any, error) { return ParseControl(f, d) }},
+		"portal.yaml":  {Portal{}, func(f string, d []byte) (any, error) { return ParsePortal(f, d) }},
+		"gateway.yaml": {Gateway{}, func(f string, d []byte) (any, error) { return ParseGateway(f, d) }},
 		"agent.yaml":   {Agent{}, func(f string, d []byte) (any, error) { return ParseAgent(f, d) }},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -33,9 +33,6 @@
 	Address Address `yaml:"address" validate:"required"`
 	// Offload lets the socket use UDP segmentation offload and ECN.
 	Offload bool `yaml:"offload"`
-	// PrivateNetwork says that no keys are provided and every process that can reach the
-	// link is trusted. Only portals and gateways take it.
-	PrivateNetwork bool `yaml:"private_network"`
 }
 
 // Keys names the folder with certificate.pem, key.pem and authorities.pem.
@@ -111,13 +108,6 @@
 	}
 }
 
-// checkKeyed refuses a link without keys.
-func checkKeyed(doc *document.Document, link Link) {
-	if link.PrivateNetwork {
-		doc.Report("link.private_network", "is for portals and gateways only")
-	}
-}
-
 func checkControl(doc *document.Document, control []Address) {
 	seen := map[Address]bool{}
 	for i, a := range control {
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -4,12 +4,12 @@
 
 // Events of the gateway, the entry of platforms on which endpoints announce themselves.
 var (
-	RequestAnswered  = register(300, "request_answered", log.InfoLevel)
-	RequestRefused   = register(301, "request_refused", log.WarnLevel)
-	RequestFailed    = register(302, "request_failed", log.WarnLevel)
-	RequestLeft      = register(303, "request_left", log.InfoLevel)
-	AttemptFailed    = register(304, "attempt_failed", log.WarnLevel)
-	StreamResumed    = register(305, "stream_resumed", log.InfoLevel)
-	ControlFollowed  = register(306, "control_followed", log.InfoLevel)
-	ControlLost      = register(307, "control_lost", log.WarnLevel)
+	RequestAnswered = register(300, "request_answered", log.InfoLevel)
+	RequestRefused  = register(301, "request_refused", log.WarnLevel)
+	RequestFailed   = register(302, "request_failed", log.WarnLevel)
+	RequestLeft     = register(303, "request_left", log.InfoLevel)
+	AttemptFailed   = register(304, "attempt_failed", log.WarnLevel)
+	StreamResumed   = register(305, "stream_resumed", log.InfoLevel)
+	ControlFollowed = register(306, "control_followed", log.InfoLevel)
+	ControlLost     = register(307, "control_lost", log.WarnLevel)
 )
