--- /dev/null
+++ b/internal/control/revision/machine_test.go
@@ -0,0 +1,76 @@
+package revision
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func apply(t *testing.T, m *Machine, d Document) Result {
+	command, err := d.Encode()
+	require.NoError(t, err)
+	result, ok := m.Apply(1, command).(Result)
+	require.True(t, ok)
+	return result
+}
+
+func TestTheHighestVersionWinsWhateverTheOrder(t *testing.T) {
+	var m Machine
+	require.Equal(t, Result{Held: 5, Taken: true}, apply(t, &m, Document{5, []byte("five")}))
+	require.Equal(t, Result{Held: 5}, apply(t, &m, Document{4, []byte("four")}))
+	require.Equal(t, Result{Held: 5}, apply(t, &m, Document{5, []byte("other content")}))
+	require.Equal(t, []byte("five"), m.Held().Bytes)
+	require.Equal(t, Result{Held: 9, Taken: true}, apply(t, &m, Document{9, []byte("nine")}))
+}
+
+func TestChangedIsClosedByAChangeOnly(t *testing.T) {
+	var m Machine
+	apply(t, &m, Document{2, nil})
+	changed := m.Changed()
+	apply(t, &m, Document{1, nil})
+	require.NotPanics(t, func() {
+		select {
+		case <-changed:
+			require.Fail(t, "an older document is no change")
+		default:
+		}
+	})
+	apply(t, &m, Document{3, nil})
+	<-changed
+}
+
+func TestSeatsMoveInOrder(t *testing.T) {
+	var m Machine
+	for _, s := range []Seat{{"c1", "a:1", 1}, {"c1", "b:1", 2}, {"c1", "a:1", 1}, {"c2", "c:1", 1}} {
+		command, err := s.Encode()
+		require.NoError(t, err)
+		m.Apply(1, command)
+	}
+	require.Equal(t, []Seat{{"c1", "b:1", 2}, {"c2", "c:1", 1}}, m.Seats())
+}
+
+func TestASnapshotHoldsEverythingAndNeverGoesBack(t *testing.T) {
+	var m Machine
+	apply(t, &m, Document{5, []byte("five")})
+	command, err := Seat{"c1", "a:1", 3}.Encode()
+	require.NoError(t, err)
+	m.Apply(2, command)
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+
+	var fresh Machine
+	require.NoError(t, fresh.Restore(data))
+	require.Equal(t, m.Held(), fresh.Held())
+	require.Equal(t, m.Seats(), fresh.Seats())
+
+	apply(t, &m, Document{6, []byte("six")})
+	require.NoError(t, m.Restore(data))
+	require.Equal(t, uint64(6), m.Held().Version)
+}
+
+func TestUnreadableCommandsAreErrors(t *testing.T) {
+	var m Machine
+	require.Error(t, m.Apply(1, []byte{0xff}).(error))
+	require.Error(t, m.Restore([]byte("nonsense")))
+	require.Zero(t, m.Held().Version)
+}
--- /dev/null
+++ b/internal/entry/balance/load_test.go
@@ -0,0 +1,327 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/entry/dialect"
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
+)
+
+var noon = time.Unix(1_000_000, 0)
+
+func engine() *routes.Engine {
+	return &routes.Engine{
+		Slots: 48, Step: 6450 * time.Microsecond, StepEach: 97 * time.Microsecond, ReadRate: 56100, Chunk: 2048, Stride: 5,
+		UsualPrompt: 1042, UsualAnswer: 131,
+		Models: []routes.Model{{Name: "m", Size: 6, Pace: 1}, {Name: "quick", Size: 3, Pace: 0.6}},
+	}
+}
+
+// heads returns a board with n serving heads of model m in one failure domain.
+func heads(n int) *Board {
+	b := &Board{Zone: "a", Gateways: 1}
+	b.Describe([]routes.Service{{Name: "llm", Engine: engine()}, {Name: "plain"}})
+	for i := range n {
+		b.Update([]roster.Endpoint{{
+			ID: fmt.Sprint("h", i), Service: "llm", Zone: "a", Slots: 48, Engine: true, Model: "m", Born: 1,
+			Member: &roster.Membership{Replica: fmt.Sprint("r", i), State: roster.MemberOpen},
+		}})
+	}
+	return b
+}
+
+func plain(n int) *Board {
+	b := &Board{Zone: "a", Gateways: 1}
+	b.Describe([]routes.Service{{Name: "plain"}})
+	for i := range n {
+		b.Update([]roster.Endpoint{{ID: fmt.Sprint("p", i), Service: "plain", Zone: "a", Slots: 6, Born: 1}})
+	}
+	return b
+}
+
+func need(prompt int, now time.Time) Need {
+	return Need{
+		Service: "llm", Model: "m", Prompt: prompt, Objective: 400 * time.Millisecond, Aim: now.Add(400 * time.Millisecond),
+		Since: now, Until: now.Add(140 * time.Millisecond),
+	}
+}
+
+// TestBurstIsRefusedAtOnceOrWaitsBriefly sends ten times what two heads can read in time.
+// What is placed gets its first event in time by the forecast, what is not is decided within
+// its wait, and nobody waits while there is room.
+func TestBurstIsRefusedAtOnceOrWaitsBriefly(t *testing.T) {
+	b := heads(2)
+	placed, waiting := 0, []*Waiter{}
+	for range 100 {
+		d, w := b.Ask(need(1000, noon), noon)
+		switch {
+		case w != nil:
+			waiting = append(waiting, w)
+		case d.Refused:
+			require.Positive(t, d.After)
+		default:
+			require.Empty(t, waiting, "one was placed past those that wait")
+			require.Less(t, d.Forecast, 400*time.Millisecond)
+			placed++
+		}
+	}
+	require.Greater(t, placed, 4)
+	require.Less(t, placed, 40)
+	b.Settle(noon.Add(140 * time.Millisecond))
+	for _, w := range waiting {
+		d := <-w.Decided
+		require.True(t, d.Refused)
+		require.GreaterOrEqual(t, d.After, soonest)
+		require.Positive(t, d.Seen.Serving)
+	}
+	require.Zero(t, b.Waiting())
+}
+
+// TestLargePromptsAreNotStarvedBySmallOnes offers large and small prompts by turns under
+// overload: the large ones are placed as often.
+func TestLargePromptsAreNotStarvedBySmallOnes(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	b := heads(3)
+	type running struct {
+		id    string
+		n     Need
+		first time.Time
+		end   time.Time
+	}
+	var under []running
+	served, asked := map[int]int{}, map[int]int{}
+	for tick := range 4000 {
+		now := noon.Add(time.Duration(tick) * 10 * time.Millisecond)
+		kept := under[:0]
+		for _, r := range under {
+			if !r.first.IsZero() && !now.Before(r.first) {
+				b.First(r.id, r.n, 300*time.Millisecond, 300*time.Millisecond, now)
+				r.first = time.Time{}
+			}
+			b.Heard(r.id, now)
+			if now.Before(r.end) {
+				kept = append(kept, r)
+				continue
+			}
+			b.Ended(r.id, r.n, true, ResultGood, now)
+		}
+		under = kept
+		for range 2 {
+			prompt := []int{300, 5000}[rng.IntN(2)]
+			n := need(prompt, now)
+			n.Until = now
+			asked[prompt]++
+			d, _ := b.Ask(n, now)
+			if d.Refused {
+				continue
+			}
+			served[prompt]++
+			first := now.Add(time.Duration(100+prompt/20) * time.Millisecond)
+			under = append(under, running{d.Endpoint.ID, n, first, first.Add(time.Second)})
+		}
+	}
+	small := float64(served[300]) / float64(asked[300])
+	large := float64(served[5000]) / float64(asked[5000])
+	require.Less(t, small, 0.9, "the load must be an overload")
+	require.Greater(t, large, small/2)
+}
+
+// TestThoseWhoComeBackTakeOnlyRoomToSpare lets callers come back that are late already: they
+// are taken by an idle engine and not where they would make another one late.
+func TestThoseWhoComeBackTakeOnlyRoomToSpare(t *testing.T) {
+	b := heads(1)
+	late := need(1000, noon)
+	late.Aim = noon.Add(-time.Second)
+	late.Until = noon
+	d, _ := b.Ask(late, noon)
+	require.False(t, d.Refused)
+	taken := 0
+	for range 20 {
+		if d, _ := b.Ask(late, noon); !d.Refused {
+			taken++
+		}
+	}
+	require.Less(t, taken, 20)
+	d, w := b.Ask(need(1000, noon), noon)
+	require.Nil(t, w)
+	require.False(t, d.Refused, "a caller in time still finds room")
+	require.Less(t, d.Forecast, 400*time.Millisecond)
+}
+
+// TestABrokenStreamGoesBeforeNewOnes puts a resumed stream first among those that wait.
+func TestABrokenStreamGoesBeforeNewOnes(t *testing.T) {
+	b := heads(1)
+	b.Loaded("h0", dialect.Load{Running: 60, Slots: 48}, noon)
+	first, w1 := b.Ask(need(100, noon), noon)
+	require.NotNil(t, w1, "%v", first)
+	broken := need(100, noon.Add(time.Millisecond))
+	broken.Resumed = true
+	_, w2 := b.Ask(broken, noon)
+	require.NotNil(t, w2)
+	require.Equal(t, []*Waiter{w2, w1}, b.queue)
+	b.Loaded("h0", dialect.Load{Running: 10, Slots: 48}, noon)
+	b.Settle(noon)
+	require.Equal(t, "h0", (<-w2.Decided).Endpoint.ID)
+}
+
+// TestUrgentRequestsGoFirst orders those that wait by rank and then by arrival.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	b := heads(1)
+	b.Loaded("h0", dialect.Load{Running: 60, Slots: 48}, noon)
+	var order []*Waiter
+	for i, rank := range []int{2, 1, 2, 0} {
+		n := need(100, noon.Add(time.Duration(i)*time.Millisecond))
+		n.Rank = rank
+		_, w := b.Ask(n, noon)
+		order = append(order, w)
+	}
+	require.Equal(t, []*Waiter{order[3], order[1], order[0], order[2]}, b.queue)
+}
+
+// TestAHeadThatStandsStillGetsNoWork loses a member behind a head with streams under way.
+func TestAHeadThatStandsStillGetsNoWork(t *testing.T) {
+	b := heads(2)
+	n := need(100, noon)
+	for _, id := range []string{"h0", "h1"} {
+		b.Sent(id, n, noon)
+		b.First(id, n, 100*time.Millisecond, 100*time.Millisecond, noon)
+	}
+	later := noon.Add(500 * time.Millisecond)
+	b.Heard("h1", later)
+	_, stalled := b.Stalled("h0", later)
+	require.True(t, stalled)
+	for range 5 {
+		d, _ := b.Ask(need(100, later), later)
+		require.Equal(t, "h1", d.Endpoint.ID)
+	}
+	b.Heard("h0", later)
+	d, _ := b.Ask(need(100, later), later)
+	require.Equal(t, "h0", d.Endpoint.ID)
+}
+
+// TestAnEngineThatWasSlowIsTriedAgain measures one engine as slow and lets time pass.
+func TestAnEngineThatWasSlowIsTriedAgain(t *testing.T) {
+	b := heads(1)
+	n := need(1000, noon)
+	for range 20 {
+		b.Sent("h0", n, noon)
+		b.First("h0", n, 200*time.Millisecond, 2*time.Second, noon)
+		b.Ended("h0", n, true, ResultGood, noon)
+	}
+	d, w := b.Ask(n, noon)
+	require.True(t, w != nil || d.Refused)
+	later := noon.Add(speedLife + time.Second)
+	n = need(1000, later)
+	d, _ = b.Ask(n, later)
+	require.Equal(t, "h0", d.Endpoint.ID)
+}
+
+// TestAFailingEndpointGetsLittleAndIsForgiven fails one of three plain endpoints half of the
+// time while its health is good.
+func TestAFailingEndpointGetsLittleAndIsForgiven(t *testing.T) {
+	rng := rand.New(rand.NewPCG(2, 2))
+	b := plain(3)
+	play := func(requests int, failing bool) map[string]int {
+		sent := map[string]int{}
+		for range requests {
+			d, _ := b.Ask(Need{Service: "plain", Since: noon, Until: noon}, noon)
+			require.False(t, d.Refused)
+			sent[d.Endpoint.ID]++
+			result := ResultGood
+			if failing && d.Endpoint.ID == "p0" && rng.Float64() < 0.5 {
+				result = ResultFailure
+			}
+			b.Ended(d.Endpoint.ID, Need{Service: "plain"}, false, result, noon)
+		}
+		return sent
+	}
+	require.Less(t, play(600, true)["p0"], 60)
+}
+
+// TestAnUnreachableEndpointIsLeftAloneLonger bans for longer with each failure in a row.
+func TestAnUnreachableEndpointIsLeftAloneLonger(t *testing.T) {
+	b := plain(1)
+	now := noon
+	for _, wait := range []time.Duration{penaltyFirst, 2 * penaltyFirst, 4 * penaltyFirst} {
+		b.Sent("p0", Need{Service: "plain"}, now)
+		b.Ended("p0", Need{Service: "plain"}, false, ResultUnreachable, now)
+		_, ok := b.pick(Need{Service: "plain"}, now.Add(wait-time.Millisecond))
+		require.False(t, ok)
+		now = now.Add(wait)
+		_, ok = b.pick(Need{Service: "plain"}, now)
+		require.True(t, ok)
+	}
+}
+
+func TestDrainingAndGoneEndpointsGetNothing(t *testing.T) {
+	for _, state := range []roster.State{roster.StateDraining, roster.StateLeft} {
+		b := plain(1)
+		b.Update([]roster.Endpoint{{ID: "p0", Service: "plain", Slots: 6, Born: 1, State: state}})
+		d, w := b.Ask(Need{Service: "plain", Since: noon, Until: noon.Add(time.Second)}, noon)
+		require.Nil(t, w, "nobody waits for an endpoint that goes")
+		require.True(t, d.Refused)
+	}
+}
+
+func TestALeftWaiterGivesItsPlaceBack(t *testing.T) {
+	b := plain(1)
+	n := Need{Service: "plain", Since: noon, Until: noon.Add(time.Second)}
+	for range 12 {
+		d, _ := b.Ask(n, noon)
+		require.False(t, d.Refused)
+	}
+	_, w := b.Ask(n, noon)
+	require.NotNil(t, w)
+	_, placed := b.Cancel(w)
+	require.False(t, placed)
+	_, w = b.Ask(n, noon)
+	b.Ended("p0", n, false, ResultGood, noon)
+	b.Settle(noon)
+	d, placed := b.Cancel(w)
+	require.True(t, placed, "the decision came first")
+	require.Equal(t, "p0", d.Endpoint.ID)
+}
+
+// TestRepeatsOfAllGatewaysStayBelowTheirBound plays uneven gateways that repeat whatever
+// they may, and looks at every window.
+func TestRepeatsOfAllGatewaysStayBelowTheirBound(t *testing.T) {
+	const ratio, slack, window = 0.2, 200.0, 10 * time.Second
+	for seed := range uint64(10) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		gateways := 2 + rng.IntN(14)
+		budgets := make([]Budget, gateways)
+		for i := range budgets {
+			budgets[i] = Budget{Ratio: ratio * 0.85, Allowance: slack / float64(gateways) * 0.55, Window: window}
+		}
+		var requests, repeats []time.Duration
+		for at := time.Duration(0); at < 40*time.Second; at += 10 * time.Millisecond {
+			i := rng.IntN(rng.IntN(gateways) + 1)
+			budgets[i].Request(noon.Add(at))
+			requests = append(requests, at)
+			for j := range budgets {
+				if at > 12*time.Second && budgets[j].Repeat(noon.Add(at)) {
+					repeats = append(repeats, at)
+				}
+			}
+		}
+		for _, begin := range repeats {
+			require.LessOrEqual(t, within(repeats, begin, window), ratio*within(requests, begin, window)+slack, "seed %d", seed)
+		}
+	}
+}
+
+func within(times []time.Duration, begin, window time.Duration) float64 {
+	n := 0.0
+	for _, at := range times {
+		if at >= begin && at < begin+window {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -121,9 +121,8 @@
 	for name, values := range from {
 		to[name] = values
 	}
-	stripped := to["Connection"]
 	stripConnection(to)
-	if c.g.stopping.Load() || len(stripped) > 0 && c.g.stopping.Load() {
+	if c.g.stopping.Load() {
 		to.Set("Connection", "close")
 	}
 	if _, ok := from["Content-Type"]; !ok {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -58,7 +58,9 @@
 	Dialect dialect.Dialect
 	Repeats Repeats
 	// Notice is how long a stopping gateway still takes requests.
-	Notice  time.Duration
+	Notice time.Duration
+	// Dial opens connections to endpoints; nil is TCP.
+	Dial    upstream.Dialer
 	Metrics *metric.Registry
 	// Logger may be nil.
 	Logger *log.Logger
@@ -101,6 +103,8 @@
 		meters:  newMeters(opts.Metrics),
 		draw:    newDraw(),
 		seeds:   opts.Seeds,
+
+		upstream: upstream.Pool{Dial: opts.Dial},
 	}
 	g.server = &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -51,7 +51,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+	return newConn(c, address), nil
+}
+
+func newConn(c net.Conn, address string) *conn {
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer)}
 }
 
 // Close closes the connection once.
--- a/internal/entry/upstream/pool.go
+++ b/internal/entry/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 )
@@ -18,8 +19,14 @@
 	maxIdle = 64
 )
 
+// Dialer opens a connection to an IP address and TCP port.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
 // Pool keeps idle connections. The zero value is ready.
 type Pool struct {
+	// Dial opens connections; nil is TCP.
+	Dial Dialer
+
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	counts Counts
@@ -48,6 +55,13 @@
 	p.mu.Lock()
 	p.counts.Dialled++
 	p.mu.Unlock()
+	if p.Dial != nil {
+		c, err := p.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(c, address), nil
+	}
 	return dial(ctx, address, dialTimeout)
 }
 
--- /dev/null
+++ b/internal/entry/upstream/upstream_test.go
@@ -0,0 +1,258 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// script answers the requests of one connection after the other.
+type script func(t *testing.T, c net.Conn, r *bufio.Reader)
+
+// serve listens on loopback and lets each accepted connection run the next script.
+func serve(t *testing.T, scripts ...script) string {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for _, s := range scripts {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s(t, c, bufio.NewReader(c))
+			_ = c.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// read reads one request.
+func read(t *testing.T, r *bufio.Reader) *http.Request {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	body, err := io.ReadAll(request.Body)
+	require.NoError(t, err)
+	request.Body = io.NopCloser(strings.NewReader(string(body)))
+	return request
+}
+
+// say answers a request with these bytes.
+func say(answers ...string) script {
+	return func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		for _, a := range answers {
+			if read(t, r) == nil {
+				return
+			}
+			_, _ = io.WriteString(c, a)
+		}
+	}
+}
+
+var forever = Wait{Tick: 10 * time.Millisecond, GoOn: func() bool { return true }}
+
+func get() *Request { return &Request{Method: http.MethodGet, Target: "/a?b=%2f", Host: "h"} }
+
+func TestAnAnswerIsReadWholeAndItsConnectionKept(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
+	address := serve(t, say(answer, answer))
+	var p Pool
+	for range 2 {
+		x, err := p.Do(t.Context(), address, get(), forever)
+		require.NoError(t, err)
+		body, err := io.ReadAll(x)
+		require.NoError(t, err)
+		require.Equal(t, "ok", string(body))
+		x.Close()
+	}
+	require.Equal(t, Counts{Dialled: 1, Reused: 1}, p.Counts())
+}
+
+func TestTheRequestGoesOutExactly(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	address := serve(t, func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		got <- read(t, r)
+		_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+	})
+	var p Pool
+	x, err := p.Do(t.Context(), address, &Request{
+		Method: http.MethodPost, Target: "/a//b/../c?x=%zz", Host: "h.example", Header: http.Header{"X-One": {"1", "2"}},
+		Body: []byte("body"), HasBody: true,
+	}, forever)
+	require.NoError(t, err)
+	defer x.Close()
+	r := <-got
+	require.Equal(t, "/a//b/../c?x=%zz", r.RequestURI)
+	require.Equal(t, "h.example", r.Host)
+	require.Equal(t, []string{"1", "2"}, r.Header["X-One"])
+	require.Equal(t, int64(4), r.ContentLength)
+}
+
+// TestBytesThatBelongToNobodyEndTheConnection sends more behind a whole answer, at once and
+// while the connection is idle.
+func TestBytesThatBelongToNobodyEndTheConnection(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
+	late := make(chan struct{})
+	for name, first := range map[string]script{
+		"at once": say(whole + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"),
+		"late": func(t *testing.T, c net.Conn, r *bufio.Reader) {
+			say(whole)(t, c, r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+			close(late)
+			_, _ = r.ReadByte()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, first, say(whole))
+			var p Pool
+			x, err := p.Do(t.Context(), address, get(), forever)
+			require.NoError(t, err)
+			_, err = io.ReadAll(x)
+			require.NoError(t, err)
+			x.Close()
+			if name == "late" {
+				<-late
+			}
+			x, err = p.Do(t.Context(), address, get(), forever)
+			require.NoError(t, err)
+			body, err := io.ReadAll(x)
+			require.NoError(t, err)
+			require.Equal(t, "ok", string(body))
+			x.Close()
+			require.Equal(t, uint64(2), p.Counts().Dialled)
+		})
+	}
+}
+
+func TestAnAnswerThatIsCutShortIsNotWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunk":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+		"last chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p Pool
+			x, err := p.Do(t.Context(), serve(t, say(answer)), get(), forever)
+			require.NoError(t, err)
+			_, err = io.ReadAll(x)
+			require.True(t, IsErrBroken(err), "%v", err)
+			x.Close()
+		})
+	}
+}
+
+func TestAnAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	var p Pool
+	x, err := p.Do(t.Context(), serve(t, say("HTTP/1.1 200 OK\r\n\r\nall of it")), get(), forever)
+	require.NoError(t, err)
+	body, err := io.ReadAll(x)
+	require.NoError(t, err)
+	require.Equal(t, "all of it", string(body))
+	x.Close()
+}
+
+func TestAResetConnectionWithoutLengthIsNotWhole(t *testing.T) {
+	reset := func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		read(t, r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		tcp, ok := c.(*net.TCPConn)
+		require.True(t, ok)
+		_ = tcp.SetLinger(0)
+	}
+	var p Pool
+	x, err := p.Do(t.Context(), serve(t, reset), get(), forever)
+	if err == nil {
+		_, err = io.ReadAll(x)
+		x.Close()
+	}
+	require.True(t, IsErrBroken(err), "%v", err)
+}
+
+func TestWhatIsNoAnswerIsBroken(t *testing.T) {
+	for _, answer := range []string{"", "nonsense\r\n\r\n", "HTTP/1.1 200", "HTTP/1.1 101 Switching Protocols\r\n\r\n"} {
+		var p Pool
+		_, err := p.Do(t.Context(), serve(t, say(answer)), get(), forever)
+		require.True(t, IsErrBroken(err), "%q: %v", answer, err)
+		require.False(t, IsErrNotSent(err))
+	}
+}
+
+func TestNobodyListensMeansNotSent(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	var p Pool
+	_, err = p.Do(t.Context(), address, get(), forever)
+	require.True(t, IsErrNotSent(err))
+	require.True(t, IsRefused(err))
+}
+
+func TestASilentEndpointIsGivenUpWhenAsked(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	var p Pool
+	asked := 0
+	_, err := p.Do(t.Context(), serve(t, func(t *testing.T, _ net.Conn, r *bufio.Reader) {
+		read(t, r)
+		<-done
+	}), get(), Wait{Tick: time.Millisecond, GoOn: func() bool { asked++; return asked < 3 }})
+	require.True(t, IsErrAbandoned(err))
+	require.Equal(t, 3, asked)
+}
+
+func TestTheEndOfTheContextEndsTheExchange(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	ctx, cancel := context.WithCancel(t.Context())
+	var p Pool
+	_, err := p.Do(ctx, serve(t, func(t *testing.T, _ net.Conn, r *bufio.Reader) {
+		read(t, r)
+		cancel()
+		<-done
+	}), get(), forever)
+	require.True(t, IsErrBroken(err))
+}
+
+// TestALongBodyIsNotMixedWithTheNextRequest lets an endpoint answer before it has read a
+// long body. The connection must not carry another request then.
+func TestALongBodyIsNotMixedWithTheNextRequest(t *testing.T) {
+	const answer = "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\nKeep-Alive: timeout=5\r\n\r\n"
+	done := make(chan struct{})
+	defer close(done)
+	early := func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, answer)
+		<-done
+	}
+	address := serve(t, early)
+	var p Pool
+	x, err := p.Do(t.Context(), address, &Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, 32<<20), HasBody: true,
+	}, forever)
+	require.NoError(t, err)
+	_, err = io.ReadAll(x)
+	require.NoError(t, err)
+	x.Close()
+	require.Empty(t, p.idle[address])
+}
+
+func TestConnectionsAreLeftBeforeTheEndpointClosesThem(t *testing.T) {
+	for stated, kept := range map[string]time.Duration{
+		"timeout=5": 4300 * time.Millisecond, "timeout=1": 500 * time.Millisecond, "": unstatedIdle, "timeout=x": unstatedIdle,
+	} {
+		c := &conn{address: "a"}
+		var p Pool
+		p.put(c, keepAliveOf(http.Header{"Keep-Alive": {stated}}))
+		require.Equal(t, kept, c.idleLimit, stated)
+	}
+}
--- /dev/null
+++ b/internal/fleet/roster/roster_test.go
@@ -0,0 +1,101 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var noon = time.Unix(1_000_000, 0)
+
+func endpoint(id string, born int64, sequence uint64) Endpoint {
+	return Endpoint{ID: id, Service: "s", Address: "10.0.0.1:80", Slots: 4, Born: born, Sequence: sequence}
+}
+
+func TestAnnouncementsThatComeLateOrTwiceChangeNothing(t *testing.T) {
+	var r Roster
+	require.Equal(t, ChangeContent, r.Announce(endpoint("a", 1, 5), noon))
+	require.Equal(t, ChangeNone, r.Announce(endpoint("a", 1, 5), noon))
+	require.Equal(t, ChangeNone, r.Announce(endpoint("a", 1, 4), noon))
+	require.Equal(t, ChangeHeard, r.Announce(endpoint("a", 1, 6), noon.Add(time.Second)))
+	got, _ := r.Get("a")
+	require.Equal(t, noon.Add(time.Second), got.Heard)
+	require.True(t, got.Quiet)
+}
+
+func TestALaterLifeUnderTheSameIDBeginsAnew(t *testing.T) {
+	var r Roster
+	r.Announce(endpoint("a", 1, 50), noon)
+	require.Equal(t, ChangeContent, r.Announce(endpoint("a", 2, 1), noon))
+	require.Equal(t, ChangeNone, r.Announce(endpoint("a", 1, 51), noon))
+}
+
+func TestAnAddressBelongsToTheLatestLife(t *testing.T) {
+	var r Roster
+	r.Announce(endpoint("old", 1, 5), noon)
+	require.Equal(t, ChangeContent, r.Announce(endpoint("new", 2, 1), noon))
+	old, _ := r.Get("old")
+	require.Equal(t, StateLeft, old.State)
+	require.Equal(t, ChangeNone, r.Announce(endpoint("old", 1, 6), noon), "a late announcement of the dead")
+	got, _ := r.Get("new")
+	require.Equal(t, StateReady, got.State)
+}
+
+func TestASignOffEndsALifeForGood(t *testing.T) {
+	for _, born := range []int64{0, 1} {
+		var r Roster
+		r.Announce(endpoint("a", 1, 5), noon)
+		require.Equal(t, ChangeContent, r.Announce(Endpoint{ID: "a", State: StateLeft, Born: born}, noon))
+		got, _ := r.Get("a")
+		require.Equal(t, StateLeft, got.State)
+		require.Equal(t, "10.0.0.1:80", got.Address)
+		require.Equal(t, ChangeNone, r.Announce(endpoint("a", 1, 6), noon), "a late announcement")
+		require.Equal(t, ChangeContent, r.Announce(endpoint("a", 2, 1), noon), "a new life")
+	}
+}
+
+func TestALateSignOffOfAnEarlierLifeChangesNothing(t *testing.T) {
+	var r Roster
+	r.Announce(endpoint("a", 2, 1), noon)
+	require.Equal(t, ChangeNone, r.Announce(Endpoint{ID: "a", State: StateLeft, Born: 1}, noon))
+}
+
+func TestEveryKindOfNewsIsContent(t *testing.T) {
+	for name, change := range map[string]func(*Endpoint){
+		"state":  func(e *Endpoint) { e.State = StateDraining },
+		"model":  func(e *Endpoint) { e.Model = "m" },
+		"staged": func(e *Endpoint) { e.Staged = []string{"m"} },
+		"member": func(e *Endpoint) { e.Member = &Membership{Replica: "r", State: MemberOpen} },
+		"slots":  func(e *Endpoint) { e.Slots = 9 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r Roster
+			r.Announce(endpoint("a", 1, 1), noon)
+			news := endpoint("a", 1, 2)
+			change(&news)
+			require.Equal(t, ChangeContent, r.Announce(news, noon))
+		})
+	}
+}
+
+func TestForgetsThoseThatLeftOrFellSilentLongAgo(t *testing.T) {
+	var r Roster
+	r.Announce(endpoint("a", 1, 1), noon)
+	r.Announce(Endpoint{ID: "a", State: StateLeft}, noon)
+	r.Forget(noon.Add(time.Minute), time.Minute)
+	require.Len(t, r.All(), 1, "a late announcement may still come")
+	r.Forget(noon.Add(10*time.Minute), time.Minute)
+	require.Empty(t, r.All())
+}
+
+func TestHeadsAreOpenAndOfRankZero(t *testing.T) {
+	e := endpoint("a", 1, 1)
+	require.False(t, e.Heads())
+	e.Member = &Membership{Rank: 0, State: MemberOpen}
+	require.True(t, e.Heads())
+	e.Member = &Membership{Rank: 1, State: MemberOpen}
+	require.False(t, e.Heads())
+	e.Member = &Membership{Rank: 0, State: MemberClosing}
+	require.False(t, e.Heads())
+}
