--- a/internal/entry/gateway/world_test.go
+++ b/internal/entry/gateway/world_test.go
@@ -21,6 +21,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/standin/packet"
 )
 
 // network joins callers, the gateway and endpoints by pipes in virtual time.
@@ -146,46 +147,13 @@
 	client  *http.Client
 }
 
-type pipeListener struct {
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // play runs test in virtual time with a fixture.
 func play(t *testing.T, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
-		listener := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+		listener := packet.NewListener("gateway")
 		go func() { _ = f.g.server.Serve(listener) }()
-		transport := &http.Transport{
-			DialContext: func(context.Context, string, string) (net.Conn, error) {
-				client, server := net.Pipe()
-				select {
-				case listener.conns <- server:
-					return client, nil
-				case <-listener.done:
-					return nil, net.ErrClosed
-				}
-			},
-			DisableCompression: true,
-		}
+		transport := &http.Transport{DialContext: listener.Dial, DisableCompression: true}
 		f.client = &http.Client{Transport: transport}
 		test(f)
 		transport.CloseIdleConnections()
