Give an engine whose own pace is at the target its limit back

Change: three decreases in a row that shorten the gap by less than 4 % are taken back, while the percentiles keep their targets.

--- a/internal/entry/admission/limiter.go
+++ b/internal/entry/admission/limiter.go
@@ -20,6 +20,10 @@
 	// limiterAim is the part of a target at which the limit stops growing, since it
 	// swings around that point.
 	limiterAim = 0.9
+	// limiterHelped is the part of a token gap that limiterTries decreases must have
+	// brought it below to have helped.
+	limiterHelped = 0.96
+	limiterTries  = 3
 	// limiterUsed is the part of the limit that must have been in use before it grows.
 	limiterUsed = 0.8
 )
@@ -38,6 +42,22 @@
 	// settling says that more run than a decrease allows; till they have ended, their
 	// latency says nothing of the new limit.
 	settling bool
+	// lowered are the decreases since the limit last grew, held that they did not help.
+	lowered decreases
+	held    bool
+}
+
+// decreases are some decreases of the limit in a row.
+type decreases struct {
+	count int
+	// from is the limit before the first one, and gap the token gap that led to it.
+	from float64
+	gap  time.Duration
+}
+
+// futile reports whether the token gap has not become shorter by them.
+func (d decreases) futile(gap time.Duration) bool {
+	return d.count >= limiterTries && float64(gap) >= limiterHelped*float64(d.gap)
 }
 
 // NewLimiter returns a Limiter for a replica that decodes capacity requests at once.
@@ -86,16 +106,41 @@
 	if l.settling || now.Sub(l.begun) < limiterWindow || len(l.first)+len(l.gaps) < limiterMinSamples {
 		return
 	}
-	switch over := beyond(quantile(l.first), TargetFirstToken) || beyond(quantile(l.gaps), TargetTokenGap); {
-	case over:
-		l.limit = max(l.min, l.limit*limiterDecrease)
-		l.settling = true
+	first, gap := quantile(l.first), quantile(l.gaps)
+	switch {
+	case first > TargetFirstToken || gap > TargetTokenGap:
+		l.decrease(gap)
+	case beyond(first, TargetFirstToken) || beyond(gap, TargetTokenGap):
+		l.approach(gap)
 	case float64(l.peak) >= limiterUsed*l.limit:
 		l.limit = min(l.max, l.limit+1)
+		l.lowered, l.held = decreases{}, false
 	}
 	l.restart(now)
 }
 
+func (l *Limiter) decrease(gap time.Duration) {
+	if l.lowered.count == 0 {
+		l.lowered = decreases{from: l.limit, gap: gap}
+	}
+	l.lowered.count++
+	l.held = false
+	l.limit = max(l.min, l.limit*limiterDecrease)
+	l.settling = true
+}
+
+// approach decides when a percentile is close to its target and not over it. An engine whose
+// own pace is there gets its limit back, as fewer requests do not quicken it.
+func (l *Limiter) approach(gap time.Duration) {
+	switch {
+	case l.held:
+	case l.lowered.futile(gap):
+		l.limit, l.held = l.lowered.from, true
+	default:
+		l.decrease(gap)
+	}
+}
+
 func (l *Limiter) restart(now time.Time) {
 	l.begun, l.peak = now, 0
 	l.first, l.gaps = l.first[:0], l.gaps[:0]
