Hold back requests that crash endpoints; wait longer for a failed stream

Streams whose first attempt failed were answered 502 after 0.14 s without room. In TestAStreamThatCannotBeResumedDoesNotLookWhole an event that had arrived was dropped when its connection ended at once (1 of 2 runs under the race detector).

Change: a request whose connection broke before its answer, at an endpoint where nobody listens any more, is not sent on and is reported; after two deaths under it gateways refuse it for a minute. A failed stream waits up to its objective for another engine. Bytes that arrived are read before an end is believed.

Ruled out: counting breaks at one endpoint to tell a crash from a lost answer; asking its port is certain.

--- a/internal/control/portal/picture.go
+++ b/internal/control/portal/picture.go
@@ -58,6 +58,7 @@
 		now := time.Now()
 		p.reports[peer] = report{GatewayReport: *r, at: now}
 		p.demand.take(r.Demand, now)
+		p.strikes.take(r.Crashes, now)
 		p.requests = p.requests || r.Requests > 0
 		p.mu.Unlock()
 	}
@@ -95,6 +96,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := &message.Picture{Version: held.Version, Complete: complete, Leader: leader, Gateways: p.gateways(time.Now())}
+	m.HeldBack = p.strikes.held()
 	if held.Version != pt.version {
 		m.Document, pt.version = held.Bytes, held.Version
 	}
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -105,6 +105,7 @@
 	reports  map[host.ID]report
 	health   map[string]health
 	demand   demand
+	strikes  strikes
 	requests bool
 	table    *routes.Table
 	stopping bool
--- a/internal/control/portal/steward.go
+++ b/internal/control/portal/steward.go
@@ -70,6 +70,10 @@
 	p.roster.Forget(now, forgetSilence)
 	sights := p.sights(now)
 	p.watchServices(ctx, now)
+	for _, fingerprint := range p.strikes.settle(now, p.died) {
+		event.RequestHeldBack.On(p.opts.Logger).Uint64("fingerprint", fingerprint).Int("endpoints", strikesOut).Msg("")
+		p.notifyLocked()
+	}
 	for i := range p.table.Services {
 		service := &p.table.Services[i]
 		if service.Engine == nil || len(service.Engine.Models) == 0 {
@@ -107,6 +111,12 @@
 	}
 }
 
+// died reports whether a life of an endpoint has ended; mu is held.
+func (p *Portal) died(l life) bool {
+	e, known := p.roster.Get(l.id)
+	return !known || e.Born != l.born || p.health[l.id].dead
+}
+
 // suspects are the members of replicas whose heads stand still; mu is held.
 func (p *Portal) suspects(sights map[string]formation.Sight) map[string]bool {
 	silent := map[string]bool{}
--- a/internal/entry/gateway/follow.go
+++ b/internal/entry/gateway/follow.go
@@ -166,6 +166,10 @@
 	g.dropOld(news)
 	g.board.Update(news)
 	g.board.Lost(p.Lost, now)
+	g.heldBack = map[uint64]bool{}
+	for _, fingerprint := range p.HeldBack {
+		g.heldBack[fingerprint] = true
+	}
 	if p.Gateways > 0 {
 		g.board.Gateways = p.Gateways
 	}
@@ -215,5 +219,11 @@
 		r.Demand = append(r.Demand, message.Demand{Model: model, Arrived: d.arrived, Refused: d.refused, Work: d.work})
 	}
 	clear(g.demand)
+	for _, c := range g.crashes {
+		r.Crashes = append(r.Crashes, message.Crash{
+			Endpoint: c.endpoint, Born: c.born, Fingerprint: c.fingerprint, Age: now.Sub(c.at),
+		})
+	}
+	g.crashes = nil
 	return r
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -79,6 +79,8 @@
 	demand  map[string]*demand
 
 	seeds    []string
+	crashes  []crash
+	heldBack map[uint64]bool
 	waits    waits
 	upstream upstream.Pool
 	requests atomic.Uint64
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -171,7 +171,7 @@
 
 func TestNobodyListensIsNoSending(t *testing.T) {
 	play(t, func(f *fixture) {
-		f.plains[0].refuses = true
+		f.plains[0].refuses.Store(true)
 		f.plains[1].whole(200, "good")
 		for range 5 {
 			require.Equal(t, 200, f.ask("POST", "/unsafe/", "x").status)
@@ -219,6 +219,37 @@
 	})
 }
 
+// TestARequestThatCrashesItsEndpointIsNotSentToTheNext crashes whoever begins the request,
+// and lets control hold it back after that.
+func TestARequestThatCrashesItsEndpointIsNotSentToTheNext(t *testing.T) {
+	for _, path := range []string{"/stream/", "/safe/"} {
+		t.Run(path, func(t *testing.T) {
+			play(t, func(f *fixture) {
+				for _, list := range [][]*endpoint{f.heads, f.plains} {
+					all(list, func(e *endpoint) {
+						e.script = func(c net.Conn, r *http.Request, _ string) {
+							e.runs(r)
+							e.refuses.Store(true)
+							_ = c.Close()
+						}
+					})
+				}
+				require.Equal(t, 502, f.ask("POST", path, "poison").status)
+				require.Equal(t, 1, f.runs())
+				report := f.g.composeReport(time.Now())
+				require.Len(t, report.Crashes, 1)
+				f.g.take(&message.Picture{HeldBack: []uint64{report.Crashes[0].Fingerprint}})
+				got := f.ask("POST", path, "poison")
+				require.Equal(t, 503, got.status)
+				require.Equal(t, "2", got.header.Get("Retry-After"))
+				require.Equal(t, 1, f.runs())
+				f.g.take(&message.Picture{})
+				require.NotEqual(t, "2", f.ask("POST", path, "poison").header.Get("Retry-After"))
+			})
+		})
+	}
+}
+
 func TestACallersOwnResumptionIsPassedOn(t *testing.T) {
 	play(t, func(f *fixture) {
 		all(f.heads, func(e *endpoint) { e.streams(4, 50*time.Millisecond, endWell) })
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -75,6 +75,10 @@
 	if !c.admit(table) || !c.readBody(table) {
 		return
 	}
+	if c.heldBack() {
+		c.refuse(heldBackTime, "held back: endpoints have crashed under it")
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.route.Kind == routes.KindStream {
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -48,6 +48,10 @@
 		a.failed(err)
 		avoid = append(avoid, a.endpoint.ID)
 		unknown = unknown || v == verdictUnknown
+		if c.crashed(ctx, a) {
+			c.giveUp(err, true)
+			return
+		}
 		if ctx.Err() != nil || v == verdictUnknown && !c.route.Repeatable() {
 			c.timeUp(ctx, err.Error())
 			return
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -63,6 +63,10 @@
 		}
 		a.failed(err)
 		s.unknown = s.unknown || v == verdictUnknown
+		if s.crashed(ctx, a) && !s.begun {
+			s.giveUp(err, true)
+			return
+		}
 		if !s.goOn(ctx, a, err) {
 			return
 		}
@@ -71,8 +75,11 @@
 
 func (s *streaming) need() balance.Need {
 	patience := time.Duration(float64(s.route.Objective) * waitPart)
-	if s.begun {
+	switch {
+	case s.begun:
 		patience = resumePatience
+	case s.unknown:
+		patience = s.route.Objective // It is late already; a failure would be worse.
 	}
 	n := s.call.need(patience)
 	n.Avoid, n.Resumed = s.avoid, s.begun
--- a/internal/entry/gateway/world_test.go
+++ b/internal/entry/gateway/world_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -39,14 +40,14 @@
 	ran []string
 	got []*http.Request
 	// refuses says that nobody listens.
-	refuses bool
+	refuses atomic.Bool
 }
 
 func (n *network) dial(_ context.Context, address string) (net.Conn, error) {
 	n.mu.Lock()
 	e := n.endpoints[address]
 	n.mu.Unlock()
-	if e == nil || e.refuses {
+	if e == nil || e.refuses.Load() {
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
 	client, server := net.Pipe()
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -153,8 +153,8 @@
 			return 0, failed(err)
 		}
 	}
-	if err := x.conn.SetReadDeadline(time.Now().Add(pieceTimeout)); err != nil {
-		return 0, ErrBroken{Cause: err}
+	if err := x.conn.SetReadDeadline(time.Now().Add(pieceTimeout)); err != nil && x.conn.reader.Buffered() == 0 {
+		return 0, ErrBroken{Cause: err} // What has arrived before the end is still read.
 	}
 	n, err := x.Answer.Body.Read(buf)
 	if errors.Is(err, io.EOF) {
--- a/internal/entry/upstream/pool.go
+++ b/internal/entry/upstream/pool.go
@@ -11,6 +11,8 @@
 	// dialTimeout bounds the opening of a connection: many times the way between two
 	// failure domains, and less than the wait for a lost opening packet.
 	dialTimeout = 400 * time.Millisecond
+	// refusalTimeout bounds the wait for a refused connection: many times the way there.
+	refusalTimeout = 100 * time.Millisecond
 	// unstatedIdle is how long a connection counts as kept if the endpoint does not say.
 	unstatedIdle = 500 * time.Millisecond
 	// idleGuard is how long before the endpoint's time-out a connection is not used any more.
@@ -65,6 +67,19 @@
 	return dial(ctx, address, dialTimeout)
 }
 
+// Refuses reports whether nobody listens at an address. An address that does not answer in
+// time refuses nothing.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	c, err := p.get(ctx, address, true)
+	if err != nil {
+		return IsRefused(err)
+	}
+	p.put(c, 0)
+	return false
+}
+
 // kept takes the connection that was used last.
 func (p *Pool) kept(address string) *conn {
 	now := time.Now()
--- a/internal/link/message/picture.go
+++ b/internal/link/message/picture.go
@@ -39,6 +39,8 @@
 	Leader string `cbor:"5,keyasint,omitempty"`
 	// Hosts are the link addresses of all control hosts.
 	Hosts []string `cbor:"8,keyasint,omitempty"`
+	// HeldBack are the fingerprints of requests that have crashed endpoints.
+	HeldBack []uint64 `cbor:"9,keyasint,omitempty"`
 	// Lost names the endpoints that the leader takes for dead.
 	Lost []string `cbor:"6,keyasint,omitempty"`
 	// Gateways is how many gateways the control host hears reports from.
@@ -72,6 +74,17 @@
 	Demand []Demand     `cbor:"2,keyasint,omitempty"`
 	// Requests counts callers' requests since the gateway's start.
 	Requests uint64 `cbor:"3,keyasint,omitempty"`
+	// Crashes are what may have crashed endpoints since the last report.
+	Crashes []Crash `cbor:"4,keyasint,omitempty"`
+}
+
+// Crash is a request that an endpoint had begun when all its connections broke.
+type Crash struct {
+	Endpoint string `cbor:"1,keyasint"`
+	Born     int64  `cbor:"2,keyasint"`
+	// Fingerprint is a hash of the caller's team and the request.
+	Fingerprint uint64        `cbor:"3,keyasint"`
+	Age         time.Duration `cbor:"4,keyasint"`
 }
 
 // Founder is one control host of the replicated log.
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -31,4 +31,5 @@
 	AnnouncementBad   = register(142, "announcement_bad", log.WarnLevel)
 	SeatTaken         = register(143, "seat_taken", log.WarnLevel)
 	SeatMoved         = register(144, "seat_moved", log.WarnLevel)
+	RequestHeldBack   = register(145, "request_held_back", log.WarnLevel)
 )
