--- a/internal/control/formation/compose.go
+++ b/internal/control/formation/compose.go
@@ -159,11 +159,12 @@
 // one more replica adds, so that no model goes without.
 func met(part float64) float64 { return math.Sqrt(min(1, max(0, part))) }
 
-// have counts the replicas of each model that serve or will.
+// have counts the replicas of each model that serve or will, those that are about to end
+// left out.
 func (p *Planner) have() map[string]int {
 	have := map[string]int{}
 	for _, u := range p.units {
-		if u.phase != phaseLeaving {
+		if u.phase != phaseLeaving && u.phase != phaseClosing {
 			have[u.model]++
 		}
 	}
--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -27,6 +27,7 @@
 func (p *Planner) form() {
 	free := p.free()
 	p.watch(free)
+	// What one domain decides counts for the next one.
 	for _, fabric := range slices.Sorted(maps.Keys(free)) {
 		if p.gathering(fabric) || p.exchanging(fabric) {
 			continue
