--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -24,7 +24,7 @@
 		return daemon.ReportInvalid(err)
 	}
 	return daemon.Run(ctx, daemon.Setup{
-		Role: host.RoleEntry, Host: file.Host, Link: file.Link.Link(), Health: file.Health, Keys: settings.Keys(file.Keys),
+		Role: host.RoleEntry, Host: file.Host, Link: file.Link.Link(), Health: file.Health, Metrics: file.Metrics, Keys: settings.Keys(file.Keys),
 		PrivateNetwork: file.Link.PrivateNetwork, Log: file.Log, Stop: file.Stop,
 		Build: func(parts daemon.Parts) (daemon.Daemon, error) { return buildGateway(ctx, c.Config, file, parts) },
 	})
--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -31,6 +31,7 @@
 	if len(p.founders) == 0 {
 		return ErrUnavailable{Reason: "the other control hosts are not known yet"}
 	}
+	p.meters.announcements.Inc(1)
 	p.take(e, time.Now(), true)
 	return nil
 }
--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -110,6 +110,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	pulse := p.opts.Engines.Probe(ctx, e)
+	p.meters.probes.Inc(1)
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,6 +131,7 @@
 	h.refuses = pulse == PulseRefused
 	if !h.dead && (h.refuses || h.missed >= missedProbes) {
 		h.dead = true
+		p.meters.lost.Inc(1)
 		event.EndpointLost.On(p.opts.Logger).Str("endpoint", e.ID).Int("missed", h.missed).Bool("refuses", h.refuses).Msg("")
 	}
 	p.health[e.ID] = h
--- /dev/null
+++ b/internal/control/portal/meters.go
@@ -0,0 +1,28 @@
+package portal
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/egretreach/egretreach/internal/telemetry/metric"
+)
+
+// meters are the portal's counters.
+type meters struct {
+	announcements metrics.Counter
+	revisions     metrics.Counter
+	orders        metrics.Counter
+	unanswered    metrics.Counter
+	probes        metrics.Counter
+	lost          metrics.Counter
+}
+
+func newMeters(r *metric.Registry) meters {
+	return meters{
+		announcements: r.Counter("portal_announcements_total", "Announcements of endpoints to this host."),
+		revisions:     r.Counter("portal_revisions_total", "Documents of operators acknowledged by this host."),
+		orders:        r.Counter("portal_orders_total", "Orders given to engines."),
+		unanswered:    r.Counter("portal_orders_unanswered_total", "Orders that no engine answered in time."),
+		probes:        r.Counter("portal_probes_total", "Probes of endpoints that were silent."),
+		lost:          r.Counter("portal_endpoints_lost_total", "Endpoints that were found dead."),
+	}
+}
--- a/internal/control/portal/operator.go
+++ b/internal/control/portal/operator.go
@@ -66,6 +66,7 @@
 		return ErrRefused{Cause: err}
 	}
 	if held := p.machine.Held(); held.Version >= table.Version {
+		p.meters.revisions.Inc(1)
 		event.RevisionTaken.On(p.opts.Logger).Uint64("version", table.Version).Uint64("held", held.Version).
 			Bool("changed", false).Msg("")
 		return nil
@@ -86,6 +87,7 @@
 	if !ok {
 		return ErrUnavailable{Reason: "the log could not read the document"}
 	}
+	p.meters.revisions.Inc(1)
 	event.RevisionTaken.On(p.opts.Logger).Uint64("version", table.Version).Uint64("held", done.Held).
 		Bool("changed", done.Taken).Msg("")
 	return nil
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -29,6 +29,7 @@
 	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
+	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
 
 // reopenAfter is the pause before a log whose disk failed is opened again.
@@ -77,6 +78,7 @@
 	Engines Engines
 	// Heartbeat is the time between two announcements of an endpoint.
 	Heartbeat time.Duration
+	Metrics   *metric.Registry
 	// Logger may be nil.
 	Logger *log.Logger
 }
@@ -86,6 +88,7 @@
 	opts    Options
 	council *founding.Council
 	machine *revision.Machine
+	meters  meters
 
 	mu       sync.Mutex
 	log      *replication.Log
@@ -121,6 +124,7 @@
 			Record: founding.Record{Files: opts.Files, Folder: opts.Folder},
 		}),
 		machine: &revision.Machine{},
+		meters:  newMeters(opts.Metrics),
 		direct:  map[string]bool{},
 		spoke:   map[string]time.Time{},
 		changed: make(chan struct{}),
--- a/internal/control/portal/steward.go
+++ b/internal/control/portal/steward.go
@@ -146,6 +146,10 @@
 	defer cancel()
 	began := time.Now()
 	answer := p.opts.Engines.Give(ctx, to, o)
+	p.meters.orders.Inc(1)
+	if answer == formation.AnswerNone {
+		p.meters.unanswered.Inc(1)
+	}
 	event.EngineOrdered.On(p.opts.Logger).Str("endpoint", to.ID).Any("order", o).Uint8("answer", uint8(answer)).
 		Dur("took", time.Since(began)).Msg("")
 	p.mu.Lock()
--- a/internal/entry/gateway/meters.go
+++ b/internal/entry/gateway/meters.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/egretreach/egretreach/internal/fleet/team"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
 
@@ -35,5 +37,20 @@
 	}
 }
 
+// observe adds the times of an answered request to the histograms of its team and kind.
+func (c *call) observe() {
+	if c.g.opts.Metrics == nil {
+		return
+	}
+	var id team.ID
+	if c.team != nil {
+		id = team.ID(c.team.Name)
+	}
+	class := team.Class(c.route.Kind.String())
+	c.g.opts.Metrics.Observe(metric.QueueWait, id, class, c.trail.waited)
+	c.g.opts.Metrics.Observe(metric.TimeToFirstToken, id, class, c.trail.first)
+	c.g.opts.Metrics.Observe(metric.Total, id, class, time.Since(c.began))
+}
+
 // newDraw returns a source of numbers spread evenly over 0 up to 1.
 func newDraw() func() float64 { return rand.Float64 }
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -164,5 +164,6 @@
 	}
 	a.end(result)
 	c.g.meters.answered.Inc(1)
+	c.observe()
 	c.line(event.RequestAnswered).Int("status", answer.StatusCode).Msg("")
 }
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -227,6 +227,7 @@
 	}
 	a.end(balance.ResultGood)
 	s.g.meters.answered.Inc(1)
+	s.observe()
 	s.line(event.RequestAnswered).Int("status", http.StatusOK).Msg("")
 	return nil
 }
--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -175,9 +175,18 @@
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // ErrBroken is an exchange that failed after bytes were sent. The request may have run.
-type ErrBroken struct{ Cause error }
+type ErrBroken struct {
+	Cause error
+	// Kept says that the connection had carried another request before.
+	Kept bool
+}
 
-func (e ErrBroken) Error() string { return "broken off: " + e.Cause.Error() }
+func (e ErrBroken) Error() string {
+	if e.Kept {
+		return "broken off on a kept connection: " + e.Cause.Error()
+	}
+	return "broken off: " + e.Cause.Error()
+}
 
 // Unwrap returns the cause.
 func (e ErrBroken) Unwrap() error { return e.Cause }
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -99,26 +99,28 @@
 
 func (x *Exchange) do(r *Request) error {
 	if err := x.send(r); err != nil {
-		return ErrBroken{Cause: err}
+		return x.broken(err)
 	}
 	if err := x.conn.waitByte(x.wait.Tick, x.wait.GoOn); err != nil {
-		return failed(err)
+		return x.failed(err)
 	}
 	answer, err := x.conn.readHead(r.Method, headTimeout) //nolint:bodyclose // The connection is closed or kept in place of the body.
 	if err != nil {
-		return failed(err)
+		return x.failed(err)
 	}
 	x.Answer = answer
 	return nil
 }
 
-func failed(err error) error {
+func (x *Exchange) failed(err error) error {
 	if IsErrAbandoned(err) {
 		return err
 	}
-	return ErrBroken{Cause: unexpectedEnd(err)}
+	return x.broken(unexpectedEnd(err))
 }
 
+func (x *Exchange) broken(cause error) error { return ErrBroken{Cause: cause, Kept: x.conn.used} }
+
 func (x *Exchange) send(r *Request) error {
 	var head bytes.Buffer
 	r.append(&head)
@@ -150,11 +152,11 @@
 	if x.conn.reader.Buffered() == 0 && x.Answer.ContentLength != 0 && !x.ended {
 		err := x.conn.waitByte(x.wait.Tick, x.wait.GoOn)
 		if err != nil && !errors.Is(err, io.EOF) {
-			return 0, failed(err)
+			return 0, x.failed(err)
 		}
 	}
 	if err := x.conn.SetReadDeadline(time.Now().Add(pieceTimeout)); err != nil && x.conn.reader.Buffered() == 0 {
-		return 0, ErrBroken{Cause: err} // What has arrived before the end is still read.
+		return 0, x.broken(err) // What has arrived before the end is still read.
 	}
 	n, err := x.Answer.Body.Read(buf)
 	if errors.Is(err, io.EOF) {
@@ -162,7 +164,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		return n, ErrBroken{Cause: err}
+		return n, x.broken(err)
 	}
 	return n, nil
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -52,7 +52,9 @@
 	Host   settings.Host
 	Link   settings.Link
 	Health settings.Health
-	Keys   settings.Keys
+	// Metrics is a second listener for the same pages, if it has an address.
+	Metrics settings.Health
+	Keys    settings.Keys
 	// PrivateNetwork says that there are no keys; peers are taken for what they say.
 	PrivateNetwork bool
 
@@ -103,8 +105,10 @@
 		watcher.Run(ctx)
 		return nil
 	}
-	serve := func(ctx context.Context) error { return pages.Run(ctx, setup.Health.Address.String()) }
-	return supervise(ctx, d, setup.Stop, watch, serve)
+	serve := func(address settings.Address) func(context.Context) error {
+		return func(ctx context.Context) error { return pages.Run(ctx, address.String()) }
+	}
+	return supervise(ctx, d, setup.Stop, watch, serve(setup.Health.Address), serve(setup.Metrics.Address))
 }
 
 // openKeys returns the process's credentials: its own unchecked ones on a private network.
--- a/internal/process/settings/platform.go
+++ b/internal/process/settings/platform.go
@@ -32,9 +32,11 @@
 	Host Host     `yaml:"host"`
 	Link OpenLink `yaml:"link"`
 	// API is the address that callers reach.
-	API    Address  `yaml:"api" validate:"required"`
-	Health Health   `yaml:"health"`
-	Keys   LinkKeys `yaml:"keys"`
+	API    Address `yaml:"api" validate:"required"`
+	Health Health  `yaml:"health"`
+	// Metrics is a second listener for the pages of Health.
+	Metrics Health   `yaml:"metrics"`
+	Keys    LinkKeys `yaml:"keys"`
 	// Seeds are the API addresses of some portals. Their links are at the same IP numbers
 	// and at the port of this host's link.
 	Seeds   []Address `yaml:"seeds" validate:"min=1,max=9"`
