Bound bad input at the callers' door; tell refused callers of a model to come back later; demand from the mix

Cause: heads over the limit, bodies that trickle and requests with a length and chunks were taken (the second request behind such a one ran, TestSmuggledRequestsNeverReachAnEndpoint); refused callers came back after 0.25 s while a model lacks engines for 1.5 to 2 s; the planner underrated the read-bound model, as one number of writers was assumed for all.

Change: 431, 408, connections closed behind ambiguous framing; when_cut_off; Retry-After of at least 1.6 s where a model has no room; engine time from the mix of prompts and answers.

Ruled out: refusing each chunked body, or closing behind each.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/egretreach/egretreach/internal/entry/gateway"
 	"github.com/egretreach/egretreach/internal/fleet/host"
@@ -30,6 +31,14 @@
 	})
 }
 
+// refuseAfter is how long a gateway that is cut off from control serves on, 0 for ever.
+func refuseAfter(file settings.Gateway) time.Duration {
+	if file.WhenCutOff == settings.WhenCutOffRefuse {
+		return file.CutOffAfter
+	}
+	return 0
+}
+
 func buildGateway(ctx context.Context, path string, file settings.Gateway, parts daemon.Parts) (daemon.Daemon, error) {
 	listener, err := daemon.Listen(ctx, file.API)
 	if err != nil {
@@ -38,8 +47,8 @@
 	g := gateway.New(gateway.Options{
 		Self: file.Host.ID, Zone: file.Host.FailureDomain, Pool: pool.New(parts.Link),
 		Seeds: file.Link.LinkAddresses(file.Seeds), Dialect: platform.Dialect(), Notice: file.Stop.Notice,
-		Repeats: gateway.Repeats{Ratio: file.Repeats.Ratio, Slack: file.Repeats.Slack, Window: file.Repeats.Window},
-		Metrics: parts.Metrics, Logger: parts.Logger,
+		Repeats:     gateway.Repeats{Ratio: file.Repeats.Ratio, Slack: file.Repeats.Slack, Window: file.Repeats.Window},
+		RefuseAfter: refuseAfter(file), Metrics: parts.Metrics, Logger: parts.Logger,
 	})
 	reload := func() {
 		changed, err := settings.LoadGateway(path)
--- a/internal/entry/balance/forecast.go
+++ b/internal/entry/balance/forecast.go
@@ -41,20 +41,26 @@
 	return overhead + time.Duration((reading+chunks*round)*pace)
 }
 
-// busyShare is the share of its slots that a busy engine has writing.
-const busyShare = 0.75
+// fullShare is the share of its slots that an engine keeps writing at most.
+const fullShare = 0.9
 
-// Work is the time that a busy engine spends on one request: on reading its prompt, and
-// its part of the token steps that it shares with others.
-func Work(e *routes.Engine, model string, u dialect.Usage) time.Duration {
+// Work is the time that a busy engine spends on some requests, given the sum of their
+// sizes: on reading their prompts, and their part of the token steps. How many write at the
+// same time follows from the mix: in a round an engine reads one chunk and each writer
+// takes a stride of steps.
+func Work(e *routes.Engine, model string, sum dialect.Usage) time.Duration {
 	m, ok := e.Model(model)
 	if !ok || e.ReadRate <= 0 || e.Slots <= 0 {
 		return 0
 	}
-	writing := float64(e.Slots) * busyShare
+	writing := float64(e.Slots) * fullShare
+	if sum.Prompt > 0 && e.Stride > 0 {
+		writing = min(writing, float64(e.Chunk)*float64(sum.Answer)/(float64(sum.Prompt)*float64(e.Stride)))
+	}
+	writing = max(writing, 1)
 	step := (float64(e.Step) + writing*float64(e.StepEach)) / writing
-	reading := float64(u.Prompt) / e.ReadRate * float64(time.Second)
-	return time.Duration((reading + float64(u.Answer)*step) * m.Pace)
+	reading := float64(sum.Prompt) / e.ReadRate * float64(time.Second)
+	return time.Duration((reading + float64(sum.Answer)*step) * m.Pace)
 }
 
 // firstEvent is the forecast for one more request at an endpoint, corrected by what has
--- a/internal/entry/balance/load_test.go
+++ b/internal/entry/balance/load_test.go
@@ -325,3 +325,19 @@
 	}
 	return n
 }
+
+// TestWorkOfAMixMatchesTheEngine compares the work of two mixes with what the engine does in
+// a round: a read-bound mix is counted by its chunks, one of long answers by its slots.
+func TestWorkOfAMixMatchesTheEngine(t *testing.T) {
+	e := engine()
+	readBound := Work(e, "m", dialect.Usage{Prompt: 1620, Answer: 102})
+	writing := 2048.0 * 102 / (1620 * 5)
+	round := 2048/56100.0 + 5*(0.00645+writing*0.000097)
+	require.InDelta(t, round*1620/2048, readBound.Seconds(), 0.001)
+	long := Work(e, "m", dialect.Usage{Prompt: 10, Answer: 1000})
+	full := 48 * fullShare
+	require.InDelta(t, 1000*(0.00645+full*0.000097)/full, long.Seconds(), 0.001)
+	require.InDelta(t, 0.6*readBound.Seconds(), Work(e, "quick", dialect.Usage{Prompt: 1620, Answer: 102}).Seconds(), 0.001)
+	require.Zero(t, Work(e, "unknown", dialect.Usage{Prompt: 1, Answer: 1}))
+	require.Zero(t, Work(nil, "m", dialect.Usage{Prompt: 1, Answer: 1}))
+}
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// mendTime is about how long a model is short of engines when it has lost a replica: a
+	// caller who comes back sooner is mostly refused again.
+	mendTime = 1600 * time.Millisecond
 	// soonest and latest bound the time after which a refused caller may come back.
 	soonest = 250 * time.Millisecond
 	latest  = 2 * time.Second
@@ -183,5 +186,8 @@
 		}
 	}
 	after := min(latest, soonest+time.Duration(waiting)*20*time.Millisecond)
+	if n.Model != "" {
+		after = max(after, mendTime)
+	}
 	return Decision{Refused: true, After: after, Reason: reason, Seen: b.seen(n, now)}
 }
--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -122,7 +122,7 @@
 		to[name] = values
 	}
 	stripConnection(to)
-	if c.g.stopping.Load() {
+	if c.last {
 		to.Set("Connection", "close")
 	}
 	if _, ok := from["Content-Type"]; !ok {
--- a/internal/entry/gateway/follow.go
+++ b/internal/entry/gateway/follow.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/egretreach/egretreach/internal/entry/balance"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/transport"
@@ -152,6 +153,7 @@
 		}
 	}
 	now := time.Now()
+	g.told.Store(now.UnixNano())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if table := g.table.Load(); table != nil {
@@ -216,7 +218,9 @@
 		r.Heads = append(r.Heads, message.HeadReport{ID: s.ID, Waiting: s.Waiting, Silence: s.Silence, Refused: s.Refused})
 	}
 	for model, d := range g.demand {
-		r.Demand = append(r.Demand, message.Demand{Model: model, Arrived: d.arrived, Refused: d.refused, Work: d.work})
+		r.Demand = append(r.Demand, message.Demand{
+			Model: model, Arrived: d.arrived, Refused: d.refused, Work: balance.Work(d.engine, model, d.size),
+		})
 	}
 	clear(g.demand)
 	for _, c := range g.crashes {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -59,6 +59,8 @@
 	Repeats Repeats
 	// Notice is how long a stopping gateway still takes requests.
 	Notice time.Duration
+	// RefuseAfter is how long the gateway serves without word from control; 0 is for ever.
+	RefuseAfter time.Duration
 	// Dial opens connections to endpoints; nil is TCP.
 	Dial    upstream.Dialer
 	Metrics *metric.Registry
@@ -84,6 +86,8 @@
 	waits    waits
 	upstream upstream.Pool
 	requests atomic.Uint64
+	// told is when control last sent a picture, in nanoseconds of the Unix clock.
+	told     atomic.Int64
 	stopping atomic.Bool
 	server   *http.Server
 	draw     func() float64
@@ -92,7 +96,9 @@
 // demand counts the requests for one model since the last report.
 type demand struct {
 	arrived, refused int
-	work             time.Duration
+	engine           *routes.Engine
+	// size is the sum of the requests' sizes.
+	size dialect.Usage
 }
 
 // New returns a gateway.
@@ -113,6 +119,7 @@
 		MaxHeaderBytes:    defaultHeaderBytes,
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       defaultIdleTimeout,
+		ConnContext:       withConn,
 		ErrorLog:          nil,
 	}
 	return g
@@ -124,7 +131,7 @@
 		Str("address", listener.Addr().String()).Msg("")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		err := g.server.Serve(listener)
+		err := g.server.Serve(framedListener{listener})
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -165,9 +172,17 @@
 	if g.table.Load() == nil {
 		return errors.New("no configuration yet")
 	}
+	if g.cutOff(time.Now()) {
+		return errors.New("cut off from control")
+	}
 	return nil
 }
 
+// cutOff reports whether the gateway may not go on by the configuration that it has.
+func (g *Gateway) cutOff(now time.Time) bool {
+	return g.opts.RefuseAfter > 0 && now.Sub(time.Unix(0, g.told.Load())) > g.opts.RefuseAfter
+}
+
 // Stop stops the gateway without cutting off a request: it is not ready from now on,
 // still takes requests for the notice, and then waits for those under way until ctx ends.
 func (g *Gateway) Stop(ctx context.Context) {
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -322,6 +322,82 @@
 	})
 }
 
+func TestAGatewayThatIsCutOffServesOrRefusesAsItIsSet(t *testing.T) {
+	for _, after := range []time.Duration{0, 5 * time.Second} {
+		play(t, func(f *fixture) {
+			f.g.opts.RefuseAfter = after
+			all(f.plains, func(e *endpoint) { e.whole(200, "x") })
+			require.Equal(t, 200, f.ask("POST", "/unsafe/", "x").status)
+			time.Sleep(6 * time.Second)
+			got := f.ask("POST", "/unsafe/", "x")
+			if after == 0 {
+				require.NoError(t, f.g.Ready())
+				require.Equal(t, 200, got.status)
+				return
+			}
+			require.Error(t, f.g.Ready())
+			require.Equal(t, 503, got.status)
+			require.Equal(t, 1, f.runs())
+		})
+	}
+}
+
+// TestCallersThatSendTooMuchOrTooSlowly bounds heads, bodies and the time that a body takes.
+func TestCallersThatSendTooMuchOrTooSlowly(t *testing.T) {
+	play(t, func(f *fixture) {
+		all(f.plains, func(e *endpoint) { e.whole(200, "x") })
+		require.Equal(t, 431, f.ask("GET", "/safe/", "", "X-Long", strings.Repeat("x", 8<<10)).status)
+		body, writer := io.Pipe()
+		defer func() { _ = writer.Close() }()
+		r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://h/unsafe/", body)
+		require.NoError(t, err)
+		r.Header.Set("X-Key", "secret")
+		r.Header.Set("X-Deadline", "2s")
+		go func() { _, _ = io.WriteString(writer, "begun") }()
+		began := time.Now()
+		response, err := f.client.Do(r)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		require.Equal(t, 408, response.StatusCode)
+		require.LessOrEqual(t, time.Since(began), 3*time.Second)
+		require.Zero(t, f.runs())
+	})
+}
+
+// TestSmuggledRequestsNeverReachAnEndpoint sends conflicting lengths and tricks with chunks
+// over one raw connection each.
+func TestSmuggledRequestsNeverReachAnEndpoint(t *testing.T) {
+	const inner = "GET /safe/inner HTTP/1.1\r\nHost: h\r\nX-Key: secret\r\nX-Request-Id: inner\r\n\r\n"
+	const start = "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Key: secret\r\nX-Request-Id: outer\r\n"
+	for name, raw := range map[string]string{
+		"two lengths":       start + "Content-Length: 5\r\nContent-Length: 50\r\n\r\nhello" + inner,
+		"length and chunks": start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+		"chunked twice":     start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+		"unknown coding":    start + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + inner,
+		"space before":      start + "Content-Length : 5\r\n\r\nhello" + inner,
+		"signed length":     start + "Content-Length: +5\r\n\r\nhello" + inner,
+		"bad chunk size":    start + "Transfer-Encoding: chunked\r\n\r\n0x5\r\nhello\r\n0\r\n\r\n" + inner,
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(f *fixture) {
+				all(f.plains, func(e *endpoint) { e.whole(200, "x") })
+				c, err := f.dial()
+				require.NoError(t, err)
+				go func() { _, _ = io.WriteString(c, raw) }()
+				_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+				answer, err := io.ReadAll(c)
+				_ = c.Close()
+				if err == nil {
+					require.NotContains(t, string(answer), "inner")
+				}
+				for _, e := range f.plains {
+					require.NotContains(t, e.ran, "inner")
+				}
+			})
+		})
+	}
+}
+
 func TestAPlannedStopCutsNothingOff(t *testing.T) {
 	play(t, func(f *fixture) {
 		f.g.opts.Notice = time.Second
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,6 +38,8 @@
 	// aim is when the answer is due to be of full use.
 	aim   time.Time
 	trail trail
+	// last says that its connection takes no other request.
+	last bool
 }
 
 // trail is what happened to a request, for its log line.
@@ -64,7 +67,8 @@
 	c := &call{g: g, w: w, r: r, began: time.Now(), id: r.Header.Get(g.opts.Dialect.Headers.RequestID)}
 	g.requests.Add(1)
 	g.meters.requests.Inc(1)
-	if g.stopping.Load() {
+	c.last = closesBehind(r) || g.stopping.Load()
+	if c.last {
 		w.Header().Set("Connection", "close")
 	}
 	table := g.table.Load()
@@ -72,6 +76,10 @@
 		c.refuse(time.Second, "no configuration yet")
 		return
 	}
+	if g.cutOff(c.began) {
+		c.refuse(time.Second, "cut off from control")
+		return
+	}
 	if !c.admit(table) || !c.readBody(table) {
 		return
 	}
@@ -90,6 +98,10 @@
 
 // admit finds the route and the caller's team. It answers requests that have none.
 func (c *call) admit(table *routes.Table) bool {
+	if limit := table.Limits.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
+		c.deny(http.StatusRequestHeaderFieldsTooLarge, "header too large")
+		return false
+	}
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	route, ok := table.Match(c.r.Host, path)
 	if !ok {
@@ -131,7 +143,9 @@
 	c.g.mu.Lock()
 	d := c.g.demandOf(c.model)
 	d.arrived++
-	d.work += balance.Work(service.Engine, c.model, c.usage)
+	d.engine = service.Engine
+	d.size.Prompt += c.usage.Prompt
+	d.size.Answer += c.usage.Answer
 	c.g.mu.Unlock()
 }
 
@@ -170,13 +184,26 @@
 		c.deny(http.StatusRequestEntityTooLarge, "body too large")
 		return false
 	}
+	controller := http.NewResponseController(c.w)
+	if err := controller.SetReadDeadline(c.deadline); err != nil {
+		c.deny(http.StatusBadRequest, "connection lost")
+		return false
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	if err == nil {
+		err = controller.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
 			c.deny(http.StatusRequestEntityTooLarge, "body too large")
 			return false
 		}
+		var slow net.Error
+		if errors.As(err, &slow) && slow.Timeout() {
+			c.deny(http.StatusRequestTimeout, "body too slow")
+			return false
+		}
 		c.deny(http.StatusBadRequest, "body cut short")
 		return false
 	}
@@ -187,6 +214,17 @@
 	return true
 }
 
+// headerBytes is the size of a request's head: its line and its header lines.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\nHost: \r\n ") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // connectionHeaders concern one connection only (RFC 9110, section 7.6.1).
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
--- a/internal/entry/gateway/world_test.go
+++ b/internal/entry/gateway/world_test.go
@@ -146,6 +146,8 @@
 	heads  []*endpoint
 	plains []*endpoint
 	client *http.Client
+	// dial opens a raw connection to the gateway.
+	dial func() (net.Conn, error)
 }
 
 // play runs test in virtual time with a fixture.
@@ -153,8 +155,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
 		listener := packet.NewListener("gateway")
-		go func() { _ = f.g.server.Serve(listener) }()
+		go func() { _ = f.g.server.Serve(framedListener{listener}) }()
 		transport := &http.Transport{DialContext: listener.Dial, DisableCompression: true}
+		f.dial = func() (net.Conn, error) { return listener.Dial(f.t.Context(), "", "") }
 		f.client = &http.Client{Transport: transport}
 		test(f)
 		transport.CloseIdleConnections()
@@ -203,7 +206,7 @@
 			{Name: "llm", Engine: &routes.Engine{Slots: 48, ReadRate: 56100, Chunk: 2048, Stride: 5, Models: []routes.Model{{Name: "m", Size: 6, Pace: 1}}}},
 		},
 		Teams:  []routes.Team{{Name: "team", Keys: []string{"secret"}}},
-		Limits: routes.Limits{BodyBytes: 1 << 10},
+		Limits: routes.Limits{BodyBytes: 1 << 10, HeaderBytes: 4 << 10},
 	}
 }
 
--- a/internal/process/settings/platform.go
+++ b/internal/process/settings/platform.go
@@ -41,8 +41,12 @@
 	// and at the port of this host's link.
 	Seeds   []Address `yaml:"seeds" validate:"min=1,max=9"`
 	Repeats Repeats   `yaml:"repeats"`
-	Log     Log       `yaml:"log"`
-	Stop    Stop      `yaml:"stop"`
+	// WhenCutOff says what a gateway does that no control host has told anything for
+	// CutOffAfter: serve by the configuration that it has, or refuse.
+	WhenCutOff  string        `yaml:"when_cut_off" validate:"oneof=serve refuse"`
+	CutOffAfter time.Duration `yaml:"cut_off_after" validate:"min=1s,max=1h"`
+	Log         Log           `yaml:"log"`
+	Stop        Stop          `yaml:"stop"`
 }
 
 // OpenLink is a Link whose network may be private.
@@ -75,7 +79,12 @@
 }
 
 const (
-	defaultHeartbeat   = time.Second
+	defaultHeartbeat = time.Second
+	// WhenCutOffRefuse and WhenCutOffServe are the values of Gateway.WhenCutOff.
+	WhenCutOffRefuse = "refuse"
+	WhenCutOffServe  = "serve"
+
+	defaultCutOffAfter = 10 * time.Second
 	defaultRepeatRatio = 0.1
 	defaultRepeatSlack = 20
 	defaultRepeatTime  = 10 * time.Second
@@ -92,7 +101,8 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		Keys: LinkKeys(defaultKeys()), Log: defaultLog(), Stop: defaultStop(),
-		Repeats: Repeats{Ratio: defaultRepeatRatio, Slack: defaultRepeatSlack, Window: defaultRepeatTime},
+		Repeats:    Repeats{Ratio: defaultRepeatRatio, Slack: defaultRepeatSlack, Window: defaultRepeatTime},
+		WhenCutOff: WhenCutOffServe, CutOffAfter: defaultCutOffAfter,
 	}
 }
 
