Keep engines that lack one more of their model for it

Change: a replica that needs loads does not take engines of a worse covered model that lack one more, for 6 s.

--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/routes"
 )
 
 const (
@@ -59,7 +61,7 @@
 	}
 	cold := p.compose(hosts, have, func(c candidate) bool {
 		lack := p.required(c.model) - float64(have[c.model.Name])
-		return lack >= shortfall && p.mayLoad(c.loads)
+		return lack >= shortfall && p.mayLoad(c.loads) && !p.spoils(fabric, c, hosts, have)
 	})
 	if len(cold.replicas) > 1 && !p.mayLoad(cold.loads()) {
 		cold.replicas = cold.replicas[:1]
@@ -67,6 +69,42 @@
 	return cold
 }
 
+// spoils reports whether a replica would take engines that lack one more of their own model,
+// which is worse off. A new or returning engine may complete them.
+func (p *Planner) spoils(fabric string, c candidate, hosts []Host, have map[string]int) bool {
+	if p.now.Sub(p.settled[fabric].since) > completeTime {
+		return false
+	}
+	for _, m := range p.view.Engine.Models {
+		if m.Name == c.model.Name || p.covered(m, have) >= p.covered(c.model, have) {
+			continue
+		}
+		if p.holders(m, hosts) >= m.Size-1 && p.holders(m, c.members) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// completeTime is how long engines that lack one more are kept for it.
+const completeTime = 6 * time.Second
+
+// covered is the part of a model's demand that its replicas meet.
+func (p *Planner) covered(m routes.Model, have map[string]int) float64 {
+	return float64(have[m.Name]) / max(p.required(m), 1)
+}
+
+// holders counts the engines that hold a model.
+func (p *Planner) holders(m routes.Model, hosts []Host) int {
+	n := 0
+	for _, h := range hosts {
+		if p.modelOf(h) == m.Name {
+			n++
+		}
+	}
+	return n
+}
+
 // shortfall is the part of a replica by which a model must lack before a load from the
 // weight store is worth it.
 const shortfall = 0.2
--- a/internal/control/formation/formation_test.go
+++ b/internal/control/formation/formation_test.go
@@ -175,3 +175,27 @@
 	require.GreaterOrEqual(t, w.serving("large"), 2)
 	require.GreaterOrEqual(t, w.serving("small"), 2)
 }
+
+// TestEnginesThatLackOneMoreAreKeptForIt loses members of the large model until a domain has
+// five of its six engines, and brings a new engine there two seconds later: the five serve
+// the large model again, and were not used for the small one, which is better off.
+func TestEnginesThatLackOneMoreAreKeptForIt(t *testing.T) {
+	w := newWorld(t, 1, 1, 6)
+	w.run(9 * time.Second)
+	require.Equal(t, 1, w.serving("large"))
+	w.started = true
+	w.demand = map[string]float64{"large": 2, "small": 1}
+	for range 3 {
+		w.add("fabric-1")
+	}
+	w.run(25 * time.Second)
+	require.Equal(t, 1, w.serving("small"))
+	for _, e := range w.engines[:6] {
+		e.Staged = []string{"large"}
+	}
+	w.memberOf("large", -1).dead = true
+	w.run(2 * time.Second)
+	w.add("fabric-0")
+	took := w.until(30*time.Second, func() bool { return w.serving("large") == 1 })
+	require.Less(t, took, 20*time.Second)
+}
--- a/internal/process/settings/platform.go
+++ b/internal/process/settings/platform.go
@@ -78,12 +78,14 @@
 	Window time.Duration `yaml:"window" validate:"min=100ms,max=1h"`
 }
 
+// The values of Gateway.WhenCutOff.
 const (
-	defaultHeartbeat = time.Second
-	// WhenCutOffRefuse and WhenCutOffServe are the values of Gateway.WhenCutOff.
 	WhenCutOffRefuse = "refuse"
 	WhenCutOffServe  = "serve"
+)
 
+const (
+	defaultHeartbeat   = time.Second
 	defaultCutOffAfter = 10 * time.Second
 	defaultRepeatRatio = 0.1
 	defaultRepeatSlack = 20
