--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -89,11 +89,17 @@
 // completeTime is how long engines that lack one more are kept for it.
 const completeTime = 6 * time.Second
 
-// covered is the part of a model's demand that its replicas meet.
+// covered is the part of a model's demand that its replicas can be expected to meet: the
+// more members a replica has, the more often it loses one.
 func (p *Planner) covered(m routes.Model, have map[string]int) float64 {
-	return float64(have[m.Name]) / max(p.required(m), 1)
+	lasting := 1 / (1 + lossPerMember*float64(m.Size))
+	return lasting * float64(have[m.Name]) / max(p.required(m), 1)
 }
 
+// lossPerMember is the part of a replica that each of its members costs by being lost, on a
+// day on which a quarter of the engines are lost within half a minute.
+const lossPerMember = 0.07
+
 // holders counts the engines that hold a model.
 func (p *Planner) holders(m routes.Model, hosts []Host) int {
 	n := 0
