--- a/internal/control/portal/steward.go
+++ b/internal/control/portal/steward.go
@@ -32,6 +32,7 @@
 	var term uint64
 	var began, sure time.Time
 	for pause.For(ctx, stewardGap) {
+		p.forget(time.Now())
 		changed := p.change()
 		l := p.current()
 		if l == nil || !l.Status().Leads() {
@@ -60,6 +61,17 @@
 	return nil
 }
 
+// forget drops the endpoints that left or fell silent long ago, and what probes found of them.
+func (p *Portal) forget(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range p.roster.Forget(now, forgetSilence) {
+		delete(p.health, id)
+		delete(p.direct, id)
+		delete(p.spoke, id)
+	}
+}
+
 // plan lets the planner of each engine service take a step and gives its orders.
 func (p *Portal) plan(ctx context.Context, planners map[string]*formation.Planner, term uint64, now time.Time) {
 	p.mu.Lock()
@@ -67,7 +79,6 @@
 	if p.table == nil {
 		return
 	}
-	p.roster.Forget(now, forgetSilence)
 	sights := p.sights(now)
 	p.watchServices(ctx, now)
 	for _, fingerprint := range p.strikes.settle(now, p.died) {
--- a/internal/entry/balance/board.go
+++ b/internal/entry/balance/board.go
@@ -105,13 +105,11 @@
 	}
 }
 
-// Endpoint returns an endpoint by its ID.
-func (b *Board) Endpoint(id string) (roster.Endpoint, bool) {
-	t, ok := b.targets[id]
-	if !ok {
-		return roster.Endpoint{}, false
+// Forget drops endpoints that are gone for good.
+func (b *Board) Forget(ids []string) {
+	for _, id := range ids {
+		delete(b.targets, id)
 	}
-	return t.Endpoint, true
 }
 
 // Sent counts a request that goes to an endpoint.
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -196,9 +196,21 @@
 	event.ProcessStopped.On(g.opts.Logger).Str("role", "gateway").Int("cut", 0).Msg("")
 }
 
+// endpointSilence is how long an endpoint is kept of which control says nothing new.
+const endpointSilence = 24 * time.Hour
+
+// forget drops the endpoints that left long ago.
+func (g *Gateway) forget(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.board.Forget(g.roster.Forget(now, endpointSilence))
+}
+
 func (g *Gateway) sweep(ctx context.Context) error {
 	for pause.For(ctx, sweepEvery) {
-		g.upstream.Sweep(time.Now())
+		now := time.Now()
+		g.upstream.Sweep(now)
+		g.forget(now)
 	}
 	return nil
 }
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -26,8 +26,8 @@
 // streaming is the state of a stream over all its attempts.
 type streaming struct {
 	*call
-	// begun says that the caller has the head of the answer.
-	begun bool
+	// opened says that the caller has the head of the answer.
+	opened bool
 	// last is the ID of the last event that the caller has.
 	last string
 	// lost counts attempts that did not run, or whose endpoint has ended.
@@ -63,7 +63,7 @@
 		}
 		a.failed(err)
 		s.unknown = s.unknown || v == verdictUnknown
-		if s.crashed(ctx, a) && !s.begun {
+		if s.crashed(ctx, a) && !s.opened {
 			s.giveUp(err, true)
 			return
 		}
@@ -76,13 +76,13 @@
 func (s *streaming) need() balance.Need {
 	patience := time.Duration(float64(s.route.Objective) * waitPart)
 	switch {
-	case s.begun:
+	case s.opened:
 		patience = resumePatience
 	case s.unknown:
 		patience = s.route.Objective // It is late already; a failure would be worse.
 	}
 	n := s.call.need(patience)
-	n.Avoid, n.Resumed = s.avoid, s.begun
+	n.Avoid, n.Resumed = s.avoid, s.opened
 	return n
 }
 
@@ -95,7 +95,7 @@
 	again := ctx.Err() == nil && (!s.unknown || s.route.Repeatable()) &&
 		s.trail.sends-s.lost < max(s.route.MaxAttempts, 1) && s.trail.tries < maxTries && s.mayRepeat()
 	if again {
-		if s.begun {
+		if s.opened {
 			s.trail.resumes++
 			s.g.meters.resumed.Inc(1)
 			event.StreamResumed.On(s.g.opts.Logger).Str("request", s.id).Str("from", a.endpoint.ID).Str("last", s.last).Msg("")
@@ -105,7 +105,7 @@
 	switch {
 	case s.r.Context().Err() != nil:
 		s.leave()
-	case s.begun:
+	case s.opened:
 		s.cut(err.Error())
 	case ctx.Err() != nil:
 		s.timeUp(ctx, err.Error())
@@ -124,7 +124,7 @@
 
 // noRoom ends a stream for which there is no endpoint.
 func (s *streaming) noRoom(ctx context.Context, d balance.Decision) {
-	if s.begun {
+	if s.opened {
 		if s.r.Context().Err() != nil {
 			s.leave()
 			return
@@ -195,8 +195,8 @@
 }
 
 func (s *streaming) emit(answer *http.Response, e upstream.Event, flush bool) error {
-	if !s.begun {
-		s.begun = true
+	if !s.opened {
+		s.opened = true
 		s.trail.first = time.Since(s.began)
 		s.copyHeader(answer.Header)
 		s.w.WriteHeader(answer.StatusCode)
@@ -221,7 +221,7 @@
 
 // finish ends a stream that its endpoint has ended.
 func (s *streaming) finish(a *attempt) error {
-	if !s.begun {
+	if !s.opened {
 		s.copyHeader(a.exchange.Answer.Header)
 		s.w.WriteHeader(a.exchange.Answer.StatusCode)
 	}
@@ -240,7 +240,7 @@
 		return err
 	}
 	again := a.result == balance.ResultFailure && s.route.Repeatable() && s.trail.sends-s.lost < s.route.MaxAttempts
-	if s.begun || again {
+	if s.opened || again {
 		return errAnswer{"the endpoint answered " + strconv.Itoa(answer.StatusCode)}
 	}
 	s.deliver(a, answer, body)
--- a/internal/entry/gateway/world_test.go
+++ b/internal/entry/gateway/world_test.go
@@ -91,7 +91,7 @@
 // head is the head of a signed answer.
 func head(r *http.Request, status int, more string) string {
 	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Signed: sig-%s\r\nKeep-Alive: timeout=5\r\n%s\r\n",
-		status, r.Header.Get("X-Request-Id"), r.Header.Get("X-Expect-Instance"), more)
+		status, r.Header.Get("X-Request-Id"), r.Header.Get("X-Expect"), more)
 }
 
 // whole answers with a whole body.
@@ -213,7 +213,7 @@
 func testDialect() dialect.Dialect {
 	return dialect.Dialect{
 		Headers: dialect.Headers{
-			RequestID: "X-Request-Id", Deadline: "X-Deadline", Key: "X-Key", Team: "X-Team", Expect: "X-Expect-Instance",
+			RequestID: "X-Request-Id", Deadline: "X-Deadline", Key: "X-Key", Team: "X-Team", Expect: "X-Expect",
 			NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load", Model: "X-Model", Usage: "X-Usage",
 			Priority: "X-Priority", LastEvent: "Last-Event-Id",
 		},
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -205,15 +205,18 @@
 }
 
 // Forget drops endpoints that left long before now, and those that have been silent
-// for longer than silence.
-func (r *Roster) Forget(now time.Time, silence time.Duration) {
+// for longer than silence. It returns their IDs.
+func (r *Roster) Forget(now time.Time, silence time.Duration) []string {
+	var gone []string
 	for id, e := range r.entries {
 		quiet := now.Sub(e.Heard)
 		if e.State == StateLeft && quiet > tombstoneTime || quiet > silence+tombstoneTime {
+			gone = append(gone, id)
 			delete(r.entries, id)
 			if r.addresses[e.Address] == id {
 				delete(r.addresses, e.Address)
 			}
 		}
 	}
+	return gone
 }
