Remove what nobody reads and what stood twice

Cause: the last reading found counts that gateways sent and nobody read, the last sign of life worked out in two places, demand computed twice a plan, a search over all replicas for each engine when staging, and the end of passing an answer on written twice. Ruled out: keeping the counts for a later use; they cost bytes in each report. Change: one lastSign, one demand a plan, one index of replicas by engine, one attempt.body; the unread fields are gone. No change of behaviour, but that an endpoint's failure whose answer breaks off counts as broken for streams too, as it did for whole answers.

--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -191,15 +191,10 @@
 
 // free returns the engines that no replica holds, by fabric domain.
 func (p *Planner) free() map[string][]Host {
-	held := map[string]bool{}
-	for _, u := range p.units {
-		for _, id := range u.members {
-			held[id] = true
-		}
-	}
+	holder := p.unitsByHost()
 	free := map[string][]Host{}
 	for _, h := range p.view.Hosts {
-		if h.usable() && !held[h.ID] && p.released(h) {
+		if h.usable() && holder[h.ID] == nil && p.released(h) {
 			free[h.Fabric] = append(free[h.Fabric], h)
 		}
 	}
@@ -209,6 +204,17 @@
 	return free
 }
 
+// unitsByHost returns the replica that holds each engine.
+func (p *Planner) unitsByHost() map[string]*unit {
+	holder := make(map[string]*unit, len(p.hosts))
+	for _, u := range p.units {
+		for _, id := range u.members {
+			holder[id] = u
+		}
+	}
+	return holder
+}
+
 // released reports whether an engine that no known replica holds may be used: it is in
 // none, or its replica's head is out. Otherwise it is told to leave first.
 func (p *Planner) released(h Host) bool {
--- a/internal/control/formation/stage.go
+++ b/internal/control/formation/stage.go
@@ -14,6 +14,7 @@
 // returns to that model quickly without it. So members get another model, as long as each
 // fabric domain could still form its present replicas after a restart of all its hosts.
 func (p *Planner) stage() {
+	holder := p.unitsByHost()
 	models := slices.Clone(p.view.Engine.Models)
 	slices.SortStableFunc(models, func(a, b routes.Model) int { return cmp.Compare(b.Size, a.Size) })
 	fabrics := map[string][]Host{}
@@ -26,26 +27,26 @@
 		hosts := fabrics[fabric]
 		slices.SortFunc(hosts, byID)
 		if !p.gathering(fabric) {
-			p.stageFabric(models, hosts)
+			p.stageFabric(models, hosts, holder)
 		}
 	}
 }
 
 // stageFabric orders the loads that are due in one fabric domain.
-func (p *Planner) stageFabric(models []routes.Model, hosts []Host) {
-	wanted := p.wanted(models, hosts)
+func (p *Planner) stageFabric(models []routes.Model, hosts []Host, holder map[string]*unit) {
+	wanted := p.wanted(models, hosts, holder)
 	for _, h := range hosts {
 		m, ok := wanted[h.ID]
 		if !ok || h.staged(m.Name) {
 			continue
 		}
-		if p.view.Started && (len(h.Staged) > 0 || p.unitOf(h.ID) != nil) {
+		if p.view.Started && (len(h.Staged) > 0 || holder[h.ID] != nil) {
 			continue // It holds a model already; the weight store has more urgent work.
 		}
 		p.stageOne(h, m)
 	}
 	if p.view.Started && len(p.loading) < reserveLoads {
-		p.stageReserve(models[0], hosts)
+		p.stageReserve(models[0], hosts, holder)
 	}
 }
 
@@ -54,11 +55,11 @@
 
 // stageReserve loads the largest model onto the host of one member of another replica, if
 // its fabric domain has nobody to replace a lost member of the largest one.
-func (p *Planner) stageReserve(largest routes.Model, hosts []Host) {
+func (p *Planner) stageReserve(largest routes.Model, hosts []Host, holder map[string]*unit) {
 	var member *Host
 	serving := false
 	for i, h := range hosts {
-		u := p.unitOf(h.ID)
+		u := holder[h.ID]
 		if u != nil && u.model == largest.Name {
 			serving = true
 			continue
@@ -76,13 +77,13 @@
 }
 
 // wanted returns the model that each host of a fabric domain should hold.
-func (p *Planner) wanted(models []routes.Model, hosts []Host) map[string]routes.Model {
+func (p *Planner) wanted(models []routes.Model, hosts []Host, holder map[string]*unit) map[string]routes.Model {
 	wanted := map[string]routes.Model{}
 	held := map[string]int{}
 	needed := map[string]int{}
 	spares := 0
 	for _, h := range hosts {
-		u := p.unitOf(h.ID)
+		u := holder[h.ID]
 		var m routes.Model
 		if u == nil {
 			m = models[spares%len(models)]
@@ -95,7 +96,7 @@
 		held[m.Name]++
 	}
 	for _, h := range hosts {
-		u := p.unitOf(h.ID)
+		u := holder[h.ID]
 		if u == nil || held[u.model] >= needed[u.model] || wanted[h.ID].Name == u.model {
 			continue
 		}
@@ -104,7 +105,7 @@
 		wanted[h.ID], _ = p.view.Engine.Model(u.model)
 	}
 	for _, h := range hosts {
-		if u := p.unitOf(h.ID); u != nil && !settledMember(u, h) {
+		if u := holder[h.ID]; u != nil && !settledMember(u, h) {
 			delete(wanted, h.ID)
 		}
 	}
@@ -126,16 +127,6 @@
 	return u.phase == phaseServing && h.Member != nil && h.Member.State != roster.MemberJoining
 }
 
-// unitOf returns the replica that holds an engine.
-func (p *Planner) unitOf(id string) *unit {
-	for _, u := range p.units {
-		if slices.Contains(u.members, id) {
-			return u
-		}
-	}
-	return nil
-}
-
 func (p *Planner) stageOne(h Host, m routes.Model) {
 	if _, under := p.loading[life{h.ID, h.Born}]; under || !p.mayLoad(1) {
 		return
--- a/internal/control/formation/view.go
+++ b/internal/control/formation/view.go
@@ -12,8 +12,6 @@
 	roster.Endpoint
 	// Alive says that the engine was heard of lately and has not been found dead.
 	Alive bool
-	// Heard is the last sign of life.
-	Heard time.Time
 	// Refuses says that nobody listens at the engine's address.
 	Refuses bool
 }
--- a/internal/control/formation/world_test.go
+++ b/internal/control/formation/world_test.go
@@ -137,12 +137,7 @@
 func (w *world) view() View {
 	v := View{Engine: w.engine, Heads: map[string]Sight{}, Started: w.started, Term: w.term, Demand: w.demand}
 	for _, e := range w.engines {
-		heard := w.now
-		alive := !e.dead && !e.cut
-		if !alive {
-			heard = w.now.Add(-time.Second)
-		}
-		v.Hosts = append(v.Hosts, Host{Endpoint: e.Endpoint, Alive: alive, Heard: heard})
+		v.Hosts = append(v.Hosts, Host{Endpoint: e.Endpoint, Alive: !e.dead && !e.cut})
 		if e.Heads() && !e.dead && w.whole(e) {
 			v.Heads[e.ID] = Sight{Waiting: 5}
 		}
--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -37,6 +37,14 @@
 	alive  time.Time
 }
 
+// lastSign is when an endpoint last gave a sign of life.
+func (h health) lastSign(e roster.Entry) time.Time {
+	if h.alive.After(e.Heard) {
+		return h.alive
+	}
+	return e.Heard
+}
+
 // revive forgets bad probes when an endpoint has announced itself since; mu is held.
 func (p *Portal) revive(id string, heard time.Time) {
 	h, known := p.health[id]
@@ -62,15 +70,13 @@
 			continue
 		}
 		h := p.health[e.ID]
-		heard := e.Heard
-		if h.alive.After(heard) {
-			heard = h.alive
-		}
+		heard := h.lastSign(e)
 		if e.State != roster.StateLeft {
 			p.probeIfDue(ctx, e, h, now, now.Sub(heard) > p.silent() || suspects[e.ID])
 		}
 		hosts = append(hosts, formation.Host{
-			Endpoint: e.Endpoint, Alive: !h.dead && e.State != roster.StateLeft && now.Sub(heard) < p.silent()+longSilence, Heard: heard, Refuses: h.refuses,
+			Endpoint: e.Endpoint, Refuses: h.refuses,
+			Alive: !h.dead && e.State != roster.StateLeft && now.Sub(heard) < p.silent()+longSilence,
 		})
 	}
 	return hosts
@@ -83,10 +89,7 @@
 			continue
 		}
 		h := p.health[e.ID]
-		heard := e.Heard
-		if h.alive.After(heard) {
-			heard = h.alive
-		}
+		heard := h.lastSign(e)
 		p.probeIfDue(ctx, e, h, now, now.Sub(heard) > p.silent())
 	}
 }
--- a/internal/control/portal/steward.go
+++ b/internal/control/portal/steward.go
@@ -103,12 +103,12 @@
 	ctx context.Context, planner *formation.Planner, service *routes.Service, term uint64, now time.Time,
 	sights map[string]formation.Sight,
 ) {
+	demand := p.demand.replicas(now)
 	orders, notes := planner.Step(now, formation.View{
 		Engine: service.Engine, Hosts: p.hosts(ctx, service.Name, now, p.suspects(sights)), Heads: sights,
-		Demand:  p.demand.replicas(now),
+		Demand:  demand,
 		Started: p.requests || !p.opts.Fresh, Term: term,
 	})
-	demand := p.demand.replicas(now)
 	for _, n := range notes {
 		event.ReplicaDecided.On(p.opts.Logger).Str("replica", n.Replica).Uint64("epoch", n.Epoch).Str("model", n.Model).
 			Strs("members", n.Members).Str("phase", n.What).Float64("demand", demand[n.Model]).Str("reason", n.Reason).Msg("")
--- a/internal/entry/balance/board.go
+++ b/internal/entry/balance/board.go
@@ -254,7 +254,6 @@
 	// Waiting counts requests under way there.
 	Waiting int
 	Silence time.Duration
-	Refused bool
 }
 
 // Sights returns what is seen of the endpoints with requests under way.
@@ -262,12 +261,12 @@
 	var all []Sight
 	for _, id := range slices.Sorted(maps.Keys(b.targets)) {
 		t := b.targets[id]
-		if t.Engine && (t.inflight > 0 || t.refuses) {
+		if t.Engine && t.inflight > 0 {
 			since := t.heard
 			if t.awaited.After(since) && t.streaming == 0 {
 				since = t.awaited
 			}
-			all = append(all, Sight{ID: id, Waiting: t.inflight, Silence: now.Sub(since), Refused: t.refuses})
+			all = append(all, Sight{ID: id, Waiting: t.inflight, Silence: now.Sub(since)})
 		}
 	}
 	return all
--- a/internal/entry/gateway/answer.go
+++ b/internal/entry/gateway/answer.go
@@ -16,11 +16,6 @@
 // refuse answers a request that has not run and will not.
 func (c *call) refuse(after time.Duration, reason string) {
 	c.g.meters.refused.Inc(1)
-	if c.model != "" {
-		c.g.mu.Lock()
-		c.g.demandOf(c.model).refused++
-		c.g.mu.Unlock()
-	}
 	c.line(event.RequestRefused).Int("status", http.StatusServiceUnavailable).Str("reason", reason).Dur("after", after).Msg("")
 	seconds := math.Ceil(after.Seconds()*100) / 100
 	c.w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -189,6 +190,15 @@
 	return verdictAnswered, nil
 }
 
+// body reads the whole answer, up to a byte more than is kept.
+func (a *attempt) body() ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.exchange, maxKept+1))
+	if err != nil && (a.result == 0 || a.result == balance.ResultFailure) {
+		a.result = balance.ResultBroken
+	}
+	return body, err
+}
+
 // errAnswer is an answer that cannot be given to the caller.
 type errAnswer struct{ reason string }
 
--- a/internal/entry/gateway/follow.go
+++ b/internal/entry/gateway/follow.go
@@ -215,12 +215,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.board.Sights(now) {
-		r.Heads = append(r.Heads, message.HeadReport{ID: s.ID, Waiting: s.Waiting, Silence: s.Silence, Refused: s.Refused})
+		r.Heads = append(r.Heads, message.HeadReport{ID: s.ID, Waiting: s.Waiting, Silence: s.Silence})
 	}
 	for model, d := range g.demand {
-		r.Demand = append(r.Demand, message.Demand{
-			Model: model, Arrived: d.arrived, Refused: d.refused, Work: balance.Work(d.engine, model, d.size),
-		})
+		r.Demand = append(r.Demand, message.Demand{Model: model, Work: balance.Work(d.engine, model, d.size)})
 	}
 	clear(g.demand)
 	for _, c := range g.crashes {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -93,10 +93,9 @@
 	draw     func() float64
 }
 
-// demand counts the requests for one model since the last report.
+// demand is what callers have asked of one model since the last report.
 type demand struct {
-	arrived, refused int
-	engine           *routes.Engine
+	engine *routes.Engine
 	// size is the sum of the requests' sizes.
 	size dialect.Usage
 }
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -142,14 +142,13 @@
 	c.model = c.r.Header.Get(h.Model)
 	c.g.mu.Lock()
 	d := c.g.demandOf(c.model)
-	d.arrived++
 	d.engine = service.Engine
 	d.size.Prompt += c.usage.Prompt
 	d.size.Answer += c.usage.Answer
 	c.g.mu.Unlock()
 }
 
-// demandOf returns the counts of a model; mu is held.
+// demandOf returns the demand for a model; mu is held.
 func (g *Gateway) demandOf(model string) *demand {
 	d := g.demand[model]
 	if d == nil {
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -92,51 +92,44 @@
 // passOn reads the whole answer and gives it to the caller. An error says that the caller
 // has had nothing of it and another attempt is due.
 func (c *call) passOn(ctx context.Context, a *attempt) (verdict, error) {
-	answer := a.exchange.Answer
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxKept+1))
+	body, err := a.body()
 	if err != nil {
-		if a.result == 0 || a.result == balance.ResultFailure {
-			a.result = balance.ResultBroken
-		}
 		return verdictUnknown, err
 	}
 	if a.result == balance.ResultFailure && c.route.Repeatable() && c.trail.sends < c.route.MaxAttempts && ctx.Err() == nil && c.mayRepeat() {
-		return c.again(ctx, a, body)
+		if other, second := c.again(ctx, a); other != nil {
+			a.end(a.result)
+			a, body = other, second
+		}
 	}
-	c.deliver(a, answer, body)
+	c.deliver(a, body)
 	return verdictAnswered, nil
 }
 
-// again tries another endpoint after an endpoint's own failure. If there is none with
-// room, the caller gets that failure.
-func (c *call) again(ctx context.Context, a *attempt, body []byte) (verdict, error) {
+// again tries another endpoint after an endpoint's own failure. It returns that attempt and
+// its whole answer, or nil if there is no room or no answer elsewhere.
+func (c *call) again(ctx context.Context, failed *attempt) (*attempt, []byte) {
 	n := c.need(0)
-	n.Avoid = []string{a.endpoint.ID}
+	n.Avoid = []string{failed.endpoint.ID}
 	other, _ := c.acquire(ctx, n)
 	if other == nil {
-		c.deliver(a, a.exchange.Answer, body)
-		return verdictAnswered, nil
+		return nil, nil
 	}
 	v, err := other.run(ctx, "")
-	if v != verdictAnswered {
-		other.failed(err)
-		c.deliver(a, a.exchange.Answer, body)
-		return verdictAnswered, nil
+	var body []byte
+	if v == verdictAnswered {
+		body, err = other.body()
 	}
-	second, err := io.ReadAll(io.LimitReader(other.exchange, maxKept+1))
 	if err != nil {
-		other.result = balance.ResultBroken
 		other.failed(err)
-		c.deliver(a, a.exchange.Answer, body)
-		return verdictAnswered, nil
+		return nil, nil
 	}
-	a.end(a.result)
-	c.deliver(other, other.exchange.Answer, second)
-	return verdictAnswered, nil
+	return other, body
 }
 
 // deliver gives the caller an endpoint's answer, of which body is the beginning or all.
-func (c *call) deliver(a *attempt, answer *http.Response, body []byte) {
+func (c *call) deliver(a *attempt, body []byte) {
+	answer := a.exchange.Answer
 	c.trail.first = time.Since(c.began)
 	c.copyHeader(answer.Header)
 	whole := len(body) <= maxKept
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -235,7 +235,7 @@
 // passFailure gives the caller an endpoint's own failure, unless another attempt is due.
 func (s *streaming) passFailure(a *attempt) error {
 	answer := a.exchange.Answer
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxKept+1))
+	body, err := a.body()
 	if err != nil {
 		return err
 	}
@@ -243,6 +243,6 @@
 	if s.opened || again {
 		return errAnswer{"the endpoint answered " + strconv.Itoa(answer.StatusCode)}
 	}
-	s.deliver(a, answer, body)
+	s.deliver(a, body)
 	return nil
 }
--- a/internal/link/message/picture.go
+++ b/internal/link/message/picture.go
@@ -54,16 +54,11 @@
 	Waiting int `cbor:"2,keyasint,omitempty"`
 	// Silence is how long ago the last byte of the head arrived.
 	Silence time.Duration `cbor:"3,keyasint,omitempty"`
-	// Refused says that the head's address refuses connections.
-	Refused bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Demand is what a gateway has to do for one model.
 type Demand struct {
 	Model string `cbor:"1,keyasint"`
-	// Arrived counts requests since the last report, Refused those that found no room.
-	Arrived int `cbor:"2,keyasint,omitempty"`
-	Refused int `cbor:"3,keyasint,omitempty"`
 	// Work is the engine time of the requests that arrived since the last report.
 	Work time.Duration `cbor:"4,keyasint,omitempty"`
 }
