Let spares hold one model in memory and another on their host; keep late joins of two leaders apart

A domain's three spares held the large, the small and the large model; after one loss of the small model the next replica had to load from the weight store for 12 s, and the five engines beside it stood idle. Ruled out: the callers who come back late. Change: a spare joins a standby place of its own, so that it takes its host's model into memory, from which it joins a replica in 0.2 s; its host then gets the other model. Members that come to an adopted replica after its adoption, or were told to join a later one, do not open it. Notes are handed over with the next step.

--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -218,7 +218,7 @@
 // released reports whether an engine that no known replica holds may be used: it is in
 // none, or its replica's head is out. Otherwise it is told to leave first.
 func (p *Planner) released(h Host) bool {
-	if h.Member == nil || p.ended[h.Member.Replica].clean {
+	if h.Member == nil || h.standsBy() || p.ended[h.Member.Replica].clean {
 		return true
 	}
 	p.give(Leave{h.ID, Place{h.Member.Replica, h.Member.Epoch}})
--- a/internal/control/formation/formation_test.go
+++ b/internal/control/formation/formation_test.go
@@ -199,3 +199,45 @@
 	took := w.until(30*time.Second, func() bool { return w.serving("large") == 1 })
 	require.Less(t, took, 20*time.Second)
 }
+
+// TestAnEngineIsInOneReplica lets an engine carry out an earlier leader's join when it has
+// been told to join another replica, which was given up since: that later order may still
+// come, so the earlier replica is not opened with the engine.
+func TestAnEngineIsInOneReplica(t *testing.T) {
+	w := newWorld(t, 1, 1, 5)
+	earlier := Place{"small.3.6", 3<<counterBits | 6}
+	join := Join{To: "e001", Place: earlier, Model: "small", Members: []string{"e001", "e002", "e003"}}
+	for _, id := range join.Members[1:] {
+		o := join
+		o.To = id
+		require.Equal(t, AnswerDone, w.carryOut(o))
+	}
+	w.term = 4
+	e := w.find("e001")
+	w.until(5*time.Second, func() bool { return e.Member != nil })
+	later := e.Member.Replica
+	w.find("e004").dead = true
+	e.Member, e.highest = nil, 0
+	w.lateShare = 1
+	w.step()
+	w.late, w.lateShare = nil, 0
+	require.Equal(t, AnswerDone, w.carryOut(join))
+	for range 20 {
+		w.step()
+		require.False(t, e.Heads() && e.Member.Replica == earlier.Replica, "%s opens while the join of %s may come", earlier.Replica, later)
+	}
+}
+
+// TestTheEndOfAReplicaIsNoted takes in the answer to an order between two steps.
+func TestTheEndOfAReplicaIsNoted(t *testing.T) {
+	w := settledWorld(t, 1)
+	w.memberOf("small", -1).dead = true
+	w.run(time.Second)
+	var ends []string
+	for _, n := range w.notes {
+		if n.What == "dropped" {
+			ends = append(ends, n.Model)
+		}
+	}
+	require.Equal(t, []string{"small"}, ends)
+}
--- a/internal/control/formation/planner.go
+++ b/internal/control/formation/planner.go
@@ -65,6 +65,9 @@
 	began  time.Time
 	limit  time.Time
 	reason string
+	// late says that a member of an earlier leader's replica came to it after it was
+	// adopted: joins come late, and one of a later replica may be on its way too.
+	late bool
 }
 
 func (u *unit) head() string { return u.members[0] }
@@ -90,6 +93,10 @@
 	arrived map[string]time.Time
 	// held is the model of each engine's last replica, by the engine's life.
 	held map[life]string
+	// joined is the highest epoch of the joins that were given to each engine.
+	joined map[life]uint64
+	// standby is the standby place of each spare that was given one.
+	standby map[life]Place
 
 	now    time.Time
 	view   View
@@ -135,7 +142,9 @@
 	}
 	p.form()
 	p.stage()
-	return p.orders, p.notes
+	notes := p.notes
+	p.notes = nil // Answers to orders add to the next step's.
+	return p.orders, notes
 }
 
 func (p *Planner) begin(now time.Time, v View) {
@@ -144,8 +153,9 @@
 		p.ended, p.settled = map[string]ending{}, map[string]settled{}
 		p.lives, p.arrived = map[life]bool{}, map[string]time.Time{}
 		p.loading, p.exchanged = map[life]load{}, map[string]time.Time{}
+		p.standby, p.joined = map[life]Place{}, map[life]uint64{}
 	}
-	p.now, p.view, p.orders, p.notes = now, v, nil, nil
+	p.now, p.view, p.orders = now, v, nil
 	p.hosts = make(map[string]Host, len(v.Hosts))
 	for _, h := range v.Hosts {
 		p.hosts[h.ID] = h
@@ -199,12 +209,17 @@
 			continue
 		}
 		u := p.units[h.Member.Replica]
-		if u != nil && h.in(u.Place) && h.Member.Rank < len(u.members) && u.members[h.Member.Rank] == "" {
+		if u != nil && h.in(u.Place) && h.Member.Rank < len(u.members) && u.members[h.Member.Rank] == "" && !p.calledAway(h, u) {
 			u.members[h.Member.Rank] = h.ID
+			u.late = u.late || u.began.Before(p.now)
 		}
 	}
 }
 
+// calledAway reports whether an engine was told to join a later replica than u. The order
+// may still come to it, even if that replica was given up.
+func (p *Planner) calledAway(h Host, u *unit) bool { return p.joined[life{h.ID, h.Born}] > u.Epoch }
+
 // placed reports whether the engine belongs to a replica that the planner knows.
 func (p *Planner) placed(h Host) bool {
 	for _, u := range p.units {
@@ -268,6 +283,8 @@
 	switch {
 	case p.hosts[u.head()].Heads() && ready == len(u.members):
 		p.enter(u, phaseServing, "open")
+	case ready == len(u.members) && u.late:
+		p.leave(u, "a member joined late")
 	case ready == len(u.members):
 		p.give(Open{u.head(), u.Place})
 	case p.now.After(u.limit) && (joining == 0 || p.now.After(u.limit.Add(loadingMargin))):
@@ -387,6 +404,10 @@
 		return
 	}
 	p.sent[text] = p.now
+	if join, ok := o.(Join); ok {
+		l := life{join.To, p.hosts[join.To].Born}
+		p.joined[l] = max(p.joined[l], join.Epoch)
+	}
 	p.orders = append(p.orders, o)
 }
 
--- a/internal/control/formation/stage.go
+++ b/internal/control/formation/stage.go
@@ -35,7 +35,11 @@
 // stageFabric orders the loads that are due in one fabric domain.
 func (p *Planner) stageFabric(models []routes.Model, hosts []Host, holder map[string]*unit) {
 	wanted := p.wanted(models, hosts, holder)
+	settled := len(hosts) > 0 && p.now.Sub(p.settled[hosts[0].Fabric].since) > settleFabric
 	for _, h := range hosts {
+		if holder[h.ID] == nil && settled && p.standBy(h) {
+			continue
+		}
 		m, ok := wanted[h.ID]
 		if !ok || h.staged(m.Name) {
 			continue
@@ -85,10 +89,14 @@
 	for _, h := range hosts {
 		u := holder[h.ID]
 		var m routes.Model
-		if u == nil {
+		hot := p.modelOf(h)
+		switch {
+		case u == nil && hot != "":
+			m = another(models, hot)
+		case u == nil:
 			m = models[spares%len(models)]
 			spares++
-		} else {
+		default:
 			needed[u.model]++
 			m = another(models, u.model)
 		}
--- /dev/null
+++ b/internal/control/formation/standby.go
@@ -0,0 +1,34 @@
+package formation
+
+import "strings"
+
+// standbyMark begins the names of standby places. A spare that is alone in one holds a
+// model in its memory, from which it joins a replica sooner than from its host; the host
+// is free for another model then.
+const standbyMark = "standby-"
+
+// standBy lets a spare take the model that its host holds into memory. It reports whether
+// the spare is about to.
+func (p *Planner) standBy(h Host) bool {
+	if len(h.Staged) == 0 || p.modelOf(h) != "" {
+		return false
+	}
+	m, ok := p.view.Engine.Model(h.Staged[len(h.Staged)-1])
+	if !ok || !p.released(h) {
+		return false
+	}
+	l := life{h.ID, h.Born}
+	place, known := p.standby[l]
+	if !known {
+		place = p.nextPlace(m.Name)
+		place.Replica = standbyMark + place.Replica
+		p.standby[l] = place
+	}
+	p.give(Join{h.ID, place, m.Name, []string{h.ID}})
+	return true
+}
+
+// standsBy reports whether an engine is in a standby place.
+func (h Host) standsBy() bool {
+	return h.Member != nil && strings.HasPrefix(h.Member.Replica, standbyMark)
+}
