Add a fault soak of the real daemons, and a command for the portals' configuration

Change: internal/check/soak starts three portals and two gateways on loopback addresses, disturbs them from outside (kills, planned stops, pauses, reloads, lost disks, back ends that crash, leave and come back at their address, connections delayed, silenced, cut one way or reset) and checks what callers, back ends and the operator see. platform/standin plays servers and the operator in the platform's formats. 'egretreach routes get|put|check' works against portals. The checks are tested by answers that break each of them.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 # The sessions of a whole fleet are run under the race detector a few at a time: its
 # runtime does not carry the events of all of them in one process.
 FLEET := ./internal/standin/fleet
+# The first seed of `make soak`; fresh ones: make soak SOAK_FROM=$(date +%s)
+SOAK_FROM ?= 1
 FLEET_RACE := 'Request|Stream|Gone' 'Signoff|Quorum|Resend' 'Loss|Lost|Stop' 'Rollout|Drained|Crashing' 'RandomFaults/seed=[01]$$'
 
 .DEFAULT_GOAL := help
@@ -29,6 +31,14 @@
 		go test -json -race -run "$$tests" $(FLEET) | go run ./internal/check/redlist || exit 1; \
 	done
 
+.PHONY: soak
+soak: build ## Disturb the real daemons: fifty seeds, and those that ever failed.
+	go run ./internal/check/soak --kept internal/check/soak/testdata/seeds.txt --from $(SOAK_FROM) --seeds 50 --at-once 5
+
+.PHONY: soak-short
+soak-short: build ## The same with two seeds beside those that ever failed.
+	go run ./internal/check/soak --kept internal/check/soak/testdata/seeds.txt --seeds 2 --at-once 2 --faults 8s
+
 .PHONY: fuzz
 fuzz: ## Run each fuzz target on its seed corpus.
 	go test -run '^Fuzz' ./...
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -24,6 +24,7 @@
 	Control    controlCommand    `cmd:"" help:"Run a control daemon: the fleet's durable state."`
 	Gateway    gatewayCommand    `cmd:"" help:"Run a gateway: the entry where endpoints announce themselves."`
 	Portal     portalCommand     `cmd:"" help:"Run a portal: the control daemon where endpoints announce themselves."`
+	Routes     routesCommand     `cmd:"" help:"Read and change the configuration of portals."`
 	Agent      agentCommand      `cmd:"" help:"Run an agent: the daemon beside a host's endpoints."`
 	Dev        devCommand        `cmd:"" help:"Run a whole fleet with stand-in engines in one process."`
 	Load       loadCommand       `cmd:"" help:"Drive callers at a running fleet and check their answers."`
