--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -162,8 +162,13 @@
 }
 
 // released reports whether an engine that no known replica holds may be used: it is in
-// none, or its replica's head is out and stays out. Otherwise it is told to leave first.
+// none, or its replica's head is out and stays out. Otherwise it is told to leave first. An
+// engine that has not announced itself since this leader leads may be in a replica that an
+// earlier one formed.
 func (p *Planner) released(h Host) bool {
+	if h.Reported.Before(p.view.Since) {
+		return false
+	}
 	_, resting := p.resting[life{h.ID, h.Born}]
 	if h.Member == nil || h.standsBy() || p.ended[h.Member.Replica].clean {
 		return !resting
--- a/internal/control/formation/formation_test.go
+++ b/internal/control/formation/formation_test.go
@@ -294,3 +294,37 @@
 	}
 	return met / float64(steps)
 }
+
+// TestAnEngineWhoseReportsDoNotArriveIsNotTaken lets a new leader know of three engines only
+// what they said before an earlier leader formed a replica of them.
+func TestAnEngineWhoseReportsDoNotArriveIsNotTaken(t *testing.T) {
+	w := newWorld(t, 1, 1, 3)
+	w.step()
+	for _, e := range w.engines {
+		e.Staged = []string{"small"}
+	}
+	w.step()
+	w.engines[0].mute, w.engines[1].mute, w.engines[2].mute = true, true, true
+	before := w.planner
+	w.planner = Planner{}
+	for _, e := range w.engines {
+		place := Place{"small.1.9", 1<<counterBits | 9}
+		w.carryOut(Join{e.ID, place, "small", []string{"e001", "e002", "e003"}})
+	}
+	w.planner = before
+	for range 30 {
+		w.now = w.now.Add(worldStep)
+		for _, e := range w.engines {
+			w.advance(e)
+		}
+	}
+	w.carryOut(Open{"e001", Place{"small.1.9", 1<<counterBits | 9}})
+	w.planner, w.term, w.since = Planner{}, 2, w.now
+	w.run(5 * time.Second)
+	require.Equal(t, 1, w.serving("small"))
+	for _, e := range w.engines {
+		e.mute = false
+	}
+	w.run(5 * time.Second)
+	require.Equal(t, 1, w.serving("small"))
+}
--- a/internal/control/formation/view.go
+++ b/internal/control/formation/view.go
@@ -12,6 +12,9 @@
 	roster.Endpoint
 	// Alive says that the engine was heard of lately and has not been found dead.
 	Alive bool
+	// Reported is when the engine last announced itself. What it said may be older than its
+	// last sign of life.
+	Reported time.Time
 	// Refuses says that nobody listens at the engine's address.
 	Refuses bool
 }
@@ -68,6 +71,9 @@
 	Demand map[string]float64
 	// Started says that callers' requests have begun, so that loads are dear.
 	Started bool
+	// Since is when this leader began to lead: what engines said before then may have been
+	// changed by an earlier leader.
+	Since time.Time
 	// Term is the leader's term; it makes epochs rise from leader to leader.
 	Term uint64
 }
--- a/internal/control/formation/world_test.go
+++ b/internal/control/formation/world_test.go
@@ -30,7 +30,12 @@
 	readyAt time.Time
 	openAt  time.Time
 	stageAt time.Time
-	staging string
+	// heard is what the planner was last told of it, at reported; mute engines live and take
+	// orders, but their reports do not arrive.
+	heard    roster.Endpoint
+	reported time.Time
+	mute     bool
+	staging  string
 }
 
 // lateOrder is an order that is carried out later than it was given.
@@ -48,6 +53,8 @@
 	engines []*engineSim
 	planner Planner
 	term    uint64
+	// since is when the present leader began to lead.
+	since   time.Time
 	started bool
 	demand  map[string]float64
 	late    []lateOrder
@@ -135,9 +142,12 @@
 }
 
 func (w *world) view() View {
-	v := View{Engine: w.engine, Heads: map[string]Sight{}, Started: w.started, Term: w.term, Demand: w.demand}
+	v := View{Engine: w.engine, Heads: map[string]Sight{}, Started: w.started, Term: w.term, Since: w.since, Demand: w.demand}
 	for _, e := range w.engines {
-		v.Hosts = append(v.Hosts, Host{Endpoint: e.Endpoint, Alive: !e.dead && !e.cut})
+		if !e.mute {
+			e.heard, e.reported = e.Endpoint, w.now
+		}
+		v.Hosts = append(v.Hosts, Host{Endpoint: e.heard, Reported: e.reported, Alive: !e.dead && !e.cut})
 		if e.Heads() && !e.dead && w.whole(e) {
 			v.Heads[e.ID] = Sight{Waiting: 5}
 		}
--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -75,7 +75,7 @@
 			p.probeIfDue(ctx, e, h, now, now.Sub(heard) > p.silent() || suspects[e.ID])
 		}
 		hosts = append(hosts, formation.Host{
-			Endpoint: e.Endpoint, Refuses: h.refuses,
+			Endpoint: e.Endpoint, Reported: e.Heard, Refuses: h.refuses,
 			Alive: !h.dead && e.State != roster.StateLeft && now.Sub(heard) < p.silent()+longSilence,
 		})
 	}
--- a/internal/control/portal/steward.go
+++ b/internal/control/portal/steward.go
@@ -47,7 +47,7 @@
 				sure = now
 			}
 			if (p.opts.Fresh || now.Sub(began) > settleTime) && now.Sub(sure) <= sureTime {
-				p.plan(ctx, planners, term, now)
+				p.plan(ctx, lead{term, began}, planners, now)
 			}
 		}
 		timer := time.NewTimer(stewardEvery)
@@ -72,8 +72,14 @@
 	}
 }
 
+// lead is one host's time as the leader.
+type lead struct {
+	term  uint64
+	since time.Time
+}
+
 // plan lets the planner of each engine service take a step and gives its orders.
-func (p *Portal) plan(ctx context.Context, planners map[string]*formation.Planner, term uint64, now time.Time) {
+func (p *Portal) plan(ctx context.Context, led lead, planners map[string]*formation.Planner, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.table == nil {
@@ -95,19 +101,19 @@
 			planner = &formation.Planner{}
 			planners[service.Name] = planner
 		}
-		p.planService(ctx, planner, service, term, now, sights)
+		p.planService(ctx, led, planner, service, now, sights)
 	}
 }
 
 func (p *Portal) planService(
-	ctx context.Context, planner *formation.Planner, service *routes.Service, term uint64, now time.Time,
+	ctx context.Context, led lead, planner *formation.Planner, service *routes.Service, now time.Time,
 	sights map[string]formation.Sight,
 ) {
 	demand := p.demand.replicas(now)
 	orders, notes := planner.Step(now, formation.View{
 		Engine: service.Engine, Hosts: p.hosts(ctx, service.Name, now, p.suspects(sights)), Heads: sights,
 		Demand:  demand,
-		Started: p.requests || !p.opts.Fresh, Term: term,
+		Started: p.requests || !p.opts.Fresh, Term: led.term, Since: led.since,
 	})
 	for _, n := range notes {
 		event.ReplicaDecided.On(p.opts.Logger).Str("replica", n.Replica).Uint64("epoch", n.Epoch).Str("model", n.Model).
