Gather a domain's announcements to a new leader before forming

Change: an engine counts as arrived in its domain once it may be used. TestANewLeaderWaitsForADomainsWord fails before.

--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -161,12 +161,14 @@
 	return holder
 }
 
+// informed reports whether an engine has announced itself since this leader leads. If not it
+// may be in a replica that an earlier leader formed.
+func (p *Planner) informed(h Host) bool { return !h.Reported.Before(p.view.Since) }
+
 // released reports whether an engine that no known replica holds may be used: it is in
-// none, or its replica's head is out and stays out. Otherwise it is told to leave first. An
-// engine that has not announced itself since this leader leads may be in a replica that an
-// earlier one formed.
+// none, or its replica's head is out and stays out. Otherwise it is told to leave first.
 func (p *Planner) released(h Host) bool {
-	if h.Reported.Before(p.view.Since) {
+	if !p.informed(h) {
 		return false
 	}
 	_, resting := p.resting[life{h.ID, h.Born}]
--- a/internal/control/formation/formation_test.go
+++ b/internal/control/formation/formation_test.go
@@ -36,6 +36,24 @@
 	require.Equal(t, 3, w.serving("large"))
 }
 
+// TestANewLeaderWaitsForADomainsWord lets the engines of a domain announce themselves to a new
+// leader one after the other: none is used for a small replica before all are known.
+func TestANewLeaderWaitsForADomainsWord(t *testing.T) {
+	w := newWorld(t, 1, 1, 11)
+	w.since = w.now
+	for _, e := range w.engines {
+		e.mute = true
+	}
+	for _, e := range w.engines {
+		e.mute = false
+		w.run(100 * time.Millisecond)
+		require.Empty(t, w.planner.units)
+	}
+	w.run(4 * time.Second)
+	require.Equal(t, 1, w.serving("large"))
+	require.Equal(t, 1, w.serving("small"))
+}
+
 func TestReplacesALostMemberFromASpare(t *testing.T) {
 	for _, rank := range []int{0, -1} {
 		w := settledWorld(t, 1)
--- a/internal/control/formation/planner.go
+++ b/internal/control/formation/planner.go
@@ -170,7 +170,7 @@
 	p.hosts = make(map[string]Host, len(v.Hosts))
 	for _, h := range v.Hosts {
 		p.hosts[h.ID] = h
-		if l := (life{h.ID, h.Born}); h.Alive && !p.lives[l] {
+		if l := (life{h.ID, h.Born}); h.Alive && p.informed(h) && !p.lives[l] {
 			p.lives[l] = true
 			p.arrived[h.Fabric] = now
 		}
--- a/internal/control/formation/world_test.go
+++ b/internal/control/formation/world_test.go
@@ -147,6 +147,9 @@
 		if !e.mute {
 			e.heard, e.reported = e.Endpoint, w.now
 		}
+		if e.heard.ID == "" {
+			e.heard = e.Endpoint // Known from before, by an announcement of another time.
+		}
 		v.Hosts = append(v.Hosts, Host{Endpoint: e.heard, Reported: e.reported, Alive: !e.dead && !e.cut})
 		if e.Heads() && !e.dead && w.whole(e) {
 			v.Heads[e.ID] = Sight{Waiting: 5}
