--- a/internal/control/journal/files_test.go
+++ b/internal/control/journal/files_test.go
@@ -1,12 +1,16 @@
 package journal
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
 )
 
 // memoryFiles is a disk in memory that forgets what was not synced, and fails on
@@ -179,3 +183,21 @@
 	}
 	return last
 }
+
+// TestOnlyTheJournalsOwnLeftoversAreRemoved opens a journal in a folder where another record is
+// being replaced at that moment, beside what a crash left of the journal's own files.
+func TestOnlyTheJournalsOwnLeftoversAreRemoved(t *testing.T) {
+	folder := t.TempDir()
+	other := filepath.Join(folder, "founders"+asideSuffix)
+	segment := filepath.Join(folder, fmt.Sprintf(segmentFormat, 7)+asideSuffix)
+	snapshot := filepath.Join(folder, fmt.Sprintf(snapshotFormat, 7)+asideSuffix)
+	for _, name := range []string{other, segment, snapshot} {
+		require.NoError(t, os.WriteFile(name, []byte("half"), 0o600))
+	}
+	j, err := Open(Disk{}, folder)
+	require.NoError(t, err)
+	require.NoError(t, j.Close())
+	require.FileExists(t, other)
+	require.NoFileExists(t, segment)
+	require.NoFileExists(t, snapshot)
+}
--- a/internal/control/journal/journal.go
+++ b/internal/control/journal/journal.go
@@ -203,7 +203,7 @@
 	snapshots []uint64
 }
 
-// scan lists the folder and removes what was left aside.
+// scan lists the folder and removes what the journal left aside.
 func (j *Journal) scan() (scan, error) {
 	var found scan
 	names, err := j.files.List(j.folder)
@@ -214,6 +214,9 @@
 		var number uint64
 		switch {
 		case strings.HasSuffix(name, asideSuffix):
+			if !ours(strings.TrimSuffix(name, asideSuffix)) {
+				continue // Another record of the folder is being replaced.
+			}
 			if err := j.remove(filepath.Join(j.folder, name)); err != nil {
 				return found, err
 			}
@@ -228,6 +231,12 @@
 	return found, nil
 }
 
+// ours reports whether a file is a segment or a snapshot.
+func ours(name string) bool {
+	var number uint64
+	return matches(name, segmentFormat, &number) || matches(name, snapshotFormat, &number)
+}
+
 func matches(name, format string, number *uint64) bool {
 	_, err := fmt.Sscanf(name, format, number)
 	return err == nil && fmt.Sprintf(format, *number) == name
