--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -34,7 +34,7 @@
 		require.Equal(t, "h", r.Host)
 		require.Equal(t, "kept", r.Header.Get("X-Other"))
 		require.Equal(t, "team", r.Header.Get("X-Team"))
-		require.Empty(t, r.Header.Get("X-Key"))
+		require.Empty(t, r.Header.Get("X-Caller-Key"))
 		left, err := time.ParseDuration(r.Header.Get("X-Deadline"))
 		require.NoError(t, err)
 		require.LessOrEqual(t, left, 2*time.Second)
@@ -46,7 +46,7 @@
 		all(f.plains, func(e *endpoint) { e.whole(200, "x") })
 		require.Equal(t, 404, f.ask("GET", "/nowhere/", "").status)
 		require.Equal(t, 404, f.ask("GET", "/saf", "").status)
-		require.Equal(t, 401, f.ask("GET", "/safe/", "", "X-Key", "wrong").status)
+		require.Equal(t, 401, f.ask("GET", "/safe/", "", "X-Caller-Key", "wrong").status)
 		require.Equal(t, 413, f.ask("POST", "/safe/", strings.Repeat("x", 2<<10)).status)
 		require.Zero(t, f.runs())
 	})
@@ -351,7 +351,7 @@
 		defer func() { _ = writer.Close() }()
 		r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://h/unsafe/", body)
 		require.NoError(t, err)
-		r.Header.Set("X-Key", "secret")
+		r.Header.Set("X-Caller-Key", "secret")
 		r.Header.Set("X-Deadline", "2s")
 		go func() { _, _ = io.WriteString(writer, "begun") }()
 		began := time.Now()
@@ -367,8 +367,8 @@
 // TestSmuggledRequestsNeverReachAnEndpoint sends conflicting lengths and tricks with chunks
 // over one raw connection each.
 func TestSmuggledRequestsNeverReachAnEndpoint(t *testing.T) {
-	const inner = "GET /safe/inner HTTP/1.1\r\nHost: h\r\nX-Key: secret\r\nX-Request-Id: inner\r\n\r\n"
-	const start = "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Key: secret\r\nX-Request-Id: outer\r\n"
+	const inner = "GET /safe/inner HTTP/1.1\r\nHost: h\r\nX-Caller-Key: secret\r\nX-Request-Id: inner\r\n\r\n"
+	const start = "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Caller-Key: secret\r\nX-Request-Id: outer\r\n"
 	for name, raw := range map[string]string{
 		"two lengths":       start + "Content-Length: 5\r\nContent-Length: 50\r\n\r\nhello" + inner,
 		"length and chunks": start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
--- a/internal/entry/gateway/world_test.go
+++ b/internal/entry/gateway/world_test.go
@@ -213,7 +213,7 @@
 func testDialect() dialect.Dialect {
 	return dialect.Dialect{
 		Headers: dialect.Headers{
-			RequestID: "X-Request-Id", Deadline: "X-Deadline", Key: "X-Key", Team: "X-Team", Expect: "X-Expect",
+			RequestID: "X-Request-Id", Deadline: "X-Deadline", Key: "X-Caller-Key", Team: "X-Team", Expect: "X-Expect",
 			NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load", Model: "X-Model", Usage: "X-Usage",
 			Priority: "X-Priority", LastEvent: "Last-Event-Id",
 		},
@@ -258,7 +258,7 @@
 	r, err := http.NewRequestWithContext(ctx, method, "http://h"+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 	r.Header.Set("X-Request-Id", "req-1")
-	r.Header.Set("X-Key", "secret")
+	r.Header.Set("X-Caller-Key", "secret")
 	r.Header.Set("X-Model", "m")
 	r.Header.Set("X-Usage", "100,50")
 	for i := 0; i+1 < len(more); i += 2 {
