--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -241,10 +241,21 @@
 func (a *attempt) endFailed(err error) {
 	c := a.call
 	event.AttemptFailed.On(c.g.opts.Logger).Str("request", c.id).Str("endpoint", a.endpoint.ID).
-		Str("address", a.endpoint.Address).Dur("after", time.Since(a.startedAt)).Uint8("result", uint8(a.result)).Err(err).Msg("")
+		Str("address", a.endpoint.Address).Dur("after", time.Since(a.startedAt)).Dur("silent", a.silentFor(time.Now())).
+		Bool("streamed", a.streamed).Uint8("result", uint8(a.result)).Err(err).Msg("")
 	a.end(a.result)
 }
 
+// silentFor returns how long the endpoint has sent this gateway nothing, but at most the time since
+// the attempt began.
+func (a *attempt) silentFor(now time.Time) time.Duration {
+	g := a.call.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	silent, _ := g.balancer.Stalled(a.endpoint.ID, now)
+	return min(silent, now.Sub(a.startedAt))
+}
+
 // dataReceived reports to the balancer that an endpoint has sent data.
 func (c *call) dataReceived(endpoint string) {
 	c.g.mu.Lock()
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -61,6 +61,8 @@
 	maxGap time.Duration
 	// resumes counts how often the stream was to be resumed, whether or not it was.
 	resumes int
+	// noRetry says why no other endpoint was tried after the last failure of a stream.
+	noRetry string
 	// availability is set for a refusal.
 	availability balance.Availability
 }
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -109,6 +109,9 @@
 		entry = entry.Int("serving", s.availability.Serving).Int("banned", s.availability.Banned).
 			Float64("occupied", s.availability.Occupied).Dur("soonest", s.availability.EarliestForecast)
 	}
+	if s.noRetry != "" {
+		entry = entry.Str("no_retry", s.noRetry)
+	}
 	if s.resumes > 0 {
 		entry = entry.Int("resumes", s.resumes)
 	}
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -99,9 +99,8 @@
 	if a.result == balance.ResultWrongEndpoint || a.result == balance.ResultOverloaded || s.endpointGone(a) {
 		s.lostAttempts++
 	}
-	retry := ctx.Err() == nil && (!s.mayHaveRun || s.route.Retryable()) &&
-		s.stats.sends-s.lostAttempts < max(s.route.MaxAttempts, 1) && s.stats.tries < maxTries && s.tryRetry()
-	if retry {
+	s.stats.noRetry = s.noRetryReason(ctx)
+	if s.stats.noRetry == "" {
 		if s.headerSent {
 			// No endpoint has been acquired yet, so the stream may still not be resumed.
 			s.stats.resumes++
@@ -123,6 +122,24 @@
 	return false
 }
 
+// noRetryReason returns why the stream must not be tried at another endpoint, or an empty string if
+// it may be. The retry is then taken from the service's budget.
+func (s *streamCall) noRetryReason(ctx context.Context) string {
+	switch {
+	case ctx.Err() != nil:
+		return "the time is up or the caller has left"
+	case s.mayHaveRun && !s.route.Retryable():
+		return "it may have run and must not run twice"
+	case s.stats.sends-s.lostAttempts >= max(s.route.MaxAttempts, 1):
+		return "the route's attempts are used up"
+	case s.stats.tries >= maxTries:
+		return "too many endpoints were tried"
+	case !s.tryRetry():
+		return "the retry budget is used up"
+	}
+	return ""
+}
+
 // endpointGone reports whether the endpoint of an attempt is known to be gone.
 func (s *streamCall) endpointGone(a *attempt) bool {
 	s.g.mu.Lock()
