soak: check the rule on lost requests, and be as hard as the deployments

Callers with real processes reported requests that were read whole and ended without a complete answer around SIGTERM. The soak found nothing: it excused each request without a response for 3 s after any signal, reported a response that was broken off only if the endpoint had finished it, its streams lasted 0.4 s, its stop settings were 0.3 s and 6 s, and a process got one SIGTERM as a rule.

The check now follows LOST in the platform's rules. A caller records when a request was written whole, the last data and the end of the connection. A request that was passed on, or whose connection ends later than 200 ms after it was sent, must be answered whole: within 9 s of a SIGTERM or SIGINT, beside a SIGHUP or a change of the configuration, and in a steady state too. Excused are a gateway that was killed or paused and an endpoint (of those that ran the request) that crashed or whose connections were disturbed, both since 3 s before the request, the deadline, and work in the last sixth of the 8 s on a request sent no later than 3 s after SIGTERM. "Could not connect", "not sent whole" and "sent whole, no answer" are counted apart. All earlier checks stay; a gateway that is still stopping, which now lasts seconds, no longer counts as undisturbed when it refuses a connect. A process that needs more than 8 s to stop, and was not paused, is reported (10 s before, and only at the end of a run).

Tests: TestJudgeAppliesTheRuleOnLostRequests has the bounds of the rule; TestCallerTellsRefusedConnectsFromLostRequests, TestStopsOfOneRunAreJoined, TestDisturbancesConcernTheEndpointsThatRan and TestFaultKindsSelect guard its inputs, the tests of the endpoint its silence, in virtual time.

--- /dev/null
+++ b/internal/check/soak/faultkind.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// faultKind is a kind of faults, or of planned work and callers that go with them.
+type faultKind string
+
+// The kinds of faults.
+const (
+	// faultKill is a SIGKILL, faultPause a SIGSTOP and a SIGCONT.
+	faultKill  faultKind = "kill"
+	faultPause faultKind = "pause"
+	// faultStop is one SIGTERM, faultInterrupt one SIGINT, and faultRepeatStop a SIGTERM that comes
+	// again while the process stops.
+	faultStop       faultKind = "stop"
+	faultInterrupt  faultKind = "interrupt"
+	faultRepeatStop faultKind = "repeat-stop"
+	// faultReload is a SIGHUP, faultReloadStop a SIGTERM between several SIGHUPs.
+	faultReload     faultKind = "reload"
+	faultReloadStop faultKind = "reload-stop"
+	// faultCrash ends an endpoint, faultDrain drains it before, faultSilence makes it send nothing
+	// for a while.
+	faultCrash   faultKind = "crash"
+	faultDrain   faultKind = "drain"
+	faultSilence faultKind = "silence"
+	// faultLink disturbs the connections to an endpoint.
+	faultLink faultKind = "link"
+	// faultWipe removes the data of a portal.
+	faultWipe faultKind = "wipe"
+	// faultChange changes the configuration all the time.
+	faultChange faultKind = "change"
+	// faultLate lets some callers send the first request on a connection late.
+	faultLate faultKind = "late"
+)
+
+// injectedKinds lists the kinds that the injector starts, as often as their relative frequency.
+var injectedKinds = []faultKind{
+	faultKill, faultKill, faultPause, faultStop, faultStop, faultInterrupt, faultRepeatStop, faultRepeatStop, faultReload,
+	faultReloadStop, faultCrash, faultDrain, faultSilence, faultSilence, faultLink, faultLink, faultWipe,
+}
+
+// faultKinds is a selection of kinds. The empty one selects all.
+type faultKinds []faultKind
+
+// allKinds lists each kind once.
+func allKinds() faultKinds {
+	return append(slices.Compact(slices.Clone(injectedKinds)), faultChange, faultLate)
+}
+
+// String returns the names of the kinds.
+func (k faultKinds) String() string {
+	var names []string
+	for _, kind := range k {
+		names = append(names, string(kind))
+	}
+	return strings.Join(names, ", ")
+}
+
+func (k faultKinds) has(kind faultKind) bool { return len(k) == 0 || slices.Contains(k, kind) }
+
+// validate returns an error if the selection has an unknown kind.
+func (k faultKinds) validate() error {
+	for _, kind := range k {
+		if !slices.Contains(allKinds(), kind) {
+			return errors.Errorf("unknown kind of faults %q; the kinds are: %v", kind, allKinds())
+		}
+	}
+	return nil
+}
+
+// pick returns a random kind of the selection that the injector starts, or "" if there is none.
+func (k faultKinds) pick(rng *rand.Rand) faultKind {
+	var enabled []faultKind
+	for _, kind := range injectedKinds {
+		if k.has(kind) {
+			enabled = append(enabled, kind)
+		}
+	}
+	if len(enabled) == 0 {
+		return ""
+	}
+	return enabled[rng.IntN(len(enabled))]
+}
--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -10,21 +10,34 @@
 )
 
 const (
-	// faultInterval is the mean time between the starts of two faults. Faults may overlap.
-	faultInterval = 500 * time.Millisecond
 	// minFaultDuration and maxFaultDuration bound the duration of a fault.
 	minFaultDuration = 100 * time.Millisecond
 	maxFaultDuration = 2500 * time.Millisecond
 	// wipeInterval is the minimum time between the losses of two disks. In it, the state of the
 	// first one is copied back from the other portals.
 	wipeInterval = 6 * time.Second
+	// minSilence and maxSilence bound the silence of an endpoint.
+	minSilence = 500 * time.Millisecond
+	maxSilence = 1500 * time.Millisecond
+	// maxRepeats is the maximum number of times that a SIGTERM comes again, minRepeatDelay and
+	// maxRepeatDelay bound the time between two of them.
+	maxRepeats     = 3
+	minRepeatDelay = 50 * time.Millisecond
+	maxRepeatDelay = 2 * time.Second
+	// interruptRatio is the number of repeated signals of which one is a SIGINT.
+	interruptRatio = 4
+	// maxReloadDelay bounds the time between a SIGHUP and a SIGTERM.
+	maxReloadDelay = 500 * time.Millisecond
 )
 
 // faultInjector injects faults into a testbed. The seed decides the kind, start and duration of
 // each.
 type faultInjector struct {
-	testbed  *testbed
-	rng      *rand.Rand
+	testbed *testbed
+	rng     *rand.Rand
+	// kinds selects the faults, interval is the mean time between the starts of two of them.
+	kinds    faultKinds
+	interval time.Duration
 	lastWipe time.Time
 	running  sync.WaitGroup
 }
@@ -32,7 +45,7 @@
 // run injects faults until ctx ends, and waits for the end of those in progress.
 func (f *faultInjector) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		time.Sleep(time.Duration(f.rng.ExpFloat64() * float64(faultInterval)))
+		time.Sleep(time.Duration(f.rng.ExpFloat64() * float64(f.interval)))
 		f.injectOne(ctx)
 	}
 	f.running.Wait()
@@ -41,34 +54,53 @@
 // injectOne starts one fault.
 func (f *faultInjector) injectOne(ctx context.Context) {
 	t := f.testbed
-	duration := minFaultDuration + time.Duration(f.rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
+	duration := f.between(minFaultDuration, maxFaultDuration)
 	gateway, portal := t.gateways[f.rng.IntN(gatewayCount)], t.portals[f.rng.IntN(portalCount)]
 	target := t.backends[f.rng.IntN(backendCount)]
 	daemon := gateway
 	if f.rng.IntN(2) == 0 {
 		daemon = portal
 	}
-	switch f.rng.IntN(11) {
-	case 0, 1:
+	switch f.kinds.pick(f.rng) {
+	case faultKill:
 		f.restart(daemon, syscall.SIGKILL, duration)
-	case 2, 3:
-		f.restart(daemon, syscall.SIGTERM, duration)
-	case 4:
+	case faultStop:
+		f.stopOnce(daemon, syscall.SIGTERM, duration)
+	case faultInterrupt:
+		f.stopOnce(daemon, syscall.SIGINT, duration)
+	case faultRepeatStop:
+		f.stopRepeatedly(daemon, duration)
+	case faultReload:
+		f.signal(daemon, syscall.SIGHUP)
+	case faultReloadStop:
+		f.stopAmidReloads(daemon, duration)
+	case faultPause:
 		f.pause(daemon, duration)
-	case 5:
-		t.log("SIGHUP to %s", daemon.name)
-		daemon.signal(syscall.SIGHUP)
-	case 6:
+	case faultCrash:
 		f.crash(ctx, target, duration)
-	case 7:
-		f.wipe(portal, duration)
-	case 8:
+	case faultDrain:
 		f.leave(ctx, target, duration)
-	default:
+	case faultSilence:
+		f.silence(target, f.between(minSilence, maxSilence))
+	case faultLink:
 		f.disturbConnections(target, mode(1+f.rng.IntN(int(modeReset))), duration)
+	case faultWipe:
+		f.wipe(portal, duration)
+	default: // Changes and late callers run all the time.
 	}
 }
 
+// between returns a random duration.
+func (f *faultInjector) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(f.rng.Int64N(int64(most-least)))
+}
+
+// signal sends a signal to a process and logs how many streams it holds.
+func (f *faultInjector) signal(p *process, s syscall.Signal) {
+	f.testbed.log("SIGNAL %v to %s with %d streams", s, p.name, p.streams.Load())
+	p.signal(s)
+}
+
 // after calls end in the background after a delay. run waits for it.
 func (f *faultInjector) after(delay time.Duration, end func()) {
 	f.running.Add(1)
@@ -81,12 +113,66 @@
 
 // restart ends a process by a signal, and starts it again a delay after its end.
 func (f *faultInjector) restart(p *process, s syscall.Signal, duration time.Duration) {
-	f.testbed.log("%v to %s, restarted after %v", s, p.name, duration)
-	p.signal(s)
+	f.signal(p, s)
+	f.startAfterEnd(p, duration)
+}
+
+// startAfterEnd starts a process again a delay after its end.
+func (f *faultInjector) startAfterEnd(p *process, delay time.Duration) {
+	signalled := time.Now()
 	f.after(0, func() {
-		p.wait()
-		time.Sleep(duration)
+		p.end(f.testbed.recorder, signalled)
+		time.Sleep(delay)
 		f.startAgain(p)
+		f.testbed.log("%s is started again", p.name)
+	})
+}
+
+// stopOnce stops a process by one signal, unless it stops already, and starts it again.
+func (f *faultInjector) stopOnce(p *process, s syscall.Signal, duration time.Duration) {
+	if _, running := p.running(); running {
+		f.restart(p, s, duration)
+	}
+}
+
+// stopRepeatedly stops a process by a SIGTERM that is repeated while the process stops.
+func (f *faultInjector) stopRepeatedly(p *process, duration time.Duration) {
+	started, running := p.running()
+	if !running {
+		return
+	}
+	f.restart(p, syscall.SIGTERM, duration)
+	var delay time.Duration
+	for range 1 + f.rng.IntN(maxRepeats) {
+		delay += f.between(minRepeatDelay, maxRepeatDelay)
+		s := syscall.SIGTERM
+		if f.rng.IntN(interruptRatio) == 0 {
+			s = syscall.SIGINT
+		}
+		f.signalAfter(p, started, s, delay)
+	}
+}
+
+// stopAmidReloads sends a process SIGHUPs shortly before and after a SIGTERM.
+func (f *faultInjector) stopAmidReloads(p *process, duration time.Duration) {
+	started, running := p.running()
+	if !running {
+		return
+	}
+	f.signal(p, syscall.SIGHUP)
+	before, after := f.between(0, maxReloadDelay), f.between(0, maxReloadDelay)
+	f.signalAfter(p, started, syscall.SIGHUP, before+after)
+	f.after(before, func() {
+		f.signal(p, syscall.SIGTERM)
+		f.startAfterEnd(p, duration)
+	})
+}
+
+// signalAfter sends a signal after a delay to a process that still runs since a start.
+func (f *faultInjector) signalAfter(p *process, started time.Time, s syscall.Signal, delay time.Duration) {
+	f.after(delay, func() {
+		f.testbed.log("SIGNAL %v to %s with %d streams, if it still runs", s, p.name, p.streams.Load())
+		p.signalRun(started, s)
 	})
 }
 
@@ -157,6 +243,12 @@
 	})
 }
 
+// silence makes the endpoint behind a backend address send nothing for a time.
+func (f *faultInjector) silence(b *backend, duration time.Duration) {
+	f.testbed.log("%s is silent for %v", b.name, duration)
+	b.silence(duration)
+}
+
 // disturbConnections sets the proxy in front of a backend to a mode for a time.
 func (f *faultInjector) disturbConnections(b *backend, m mode, duration time.Duration) {
 	f.testbed.log("connections to %s: %v for %v", b.name, m, duration)
--- a/internal/check/soak/main.go
+++ b/internal/check/soak/main.go
@@ -7,7 +7,10 @@
 //   - An unsafe request runs at most once, and not at all if it was refused.
 //   - A valid request gets a response in time from a gateway that is not disturbed.
 //   - An acknowledged configuration is read back.
-//   - A planned stop interrupts no responses.
+//   - A planned stop interrupts no responses, also if its signal comes again.
+//   - A request that a gateway has read gets a complete response beside a stop, a SIGHUP or a change
+//     of the configuration, unless an endpoint or a connection broke, and also if an endpoint sends
+//     nothing for a while.
 //   - No process exits by itself.
 //   - Soon after the last fault everything serves again.
 package main
@@ -33,17 +36,24 @@
 	Seeds  int           `help:"How many seeds to run." default:"1"`
 	AtOnce int           `help:"How many seeds to run at the same time." default:"1"`
 	Faults time.Duration `help:"How long faults are injected in one run." default:"12s"`
+	Every  time.Duration `help:"The mean time between the starts of two faults." default:"500ms"`
+	Only   faultKinds    `help:"The kinds of faults: ${kinds}. All if empty." optional:""`
 	Kept   string        `help:"A file of seeds that have failed before, to run as well." type:"existingfile" optional:""`
 	Folder string        `help:"Where the logs of failed runs are kept." default:"local/soak" type:"path"`
+	Logs   bool          `help:"Keep the logs of all runs."`
 }
 
 func main() {
 	var opts options
-	k := kong.Parse(&opts, kong.Name("soak"), kong.Description("Inject faults into the real daemons and check their guarantees."))
+	k := kong.Parse(&opts, kong.Name("soak"), kong.Description("Inject faults into the real daemons and check their guarantees."),
+		kong.Vars{"kinds": allKinds().String()})
 	k.FatalIfErrorf(opts.run())
 }
 
 func (o options) run() error {
+	if err := o.Only.validate(); err != nil {
+		return err
+	}
 	seeds, err := keptSeeds(o.Kept)
 	if err != nil {
 		return err
@@ -132,6 +142,9 @@
 		fmt.Fprintf(&report, "  logs: %s\n", folder)
 		return report.String(), false, nil
 	}
+	if o.Logs {
+		return report.String(), true, nil
+	}
 	return report.String(), true, os.RemoveAll(folder)
 }
 
@@ -143,7 +156,7 @@
 // runFaults boots a testbed, injects faults, waits for its recovery and stops it.
 func (o options) runFaults(folder string, seed uint64, log func(string, ...any)) (*recorder, error) {
 	const parts = 4 // Each part of the run, and each caller, has its own random numbers.
-	rngs := make([]*rand.Rand, parts+callerCount)
+	rngs := make([]*rand.Rand, parts+gatewayCount*callersPerGateway)
 	for i := range rngs {
 		rngs[i] = newRand(seed, uint64(i))
 	}
@@ -166,11 +179,15 @@
 	faultCtx, endFaults := context.WithTimeout(ctx, o.Faults)
 	defer endFaults()
 	var running sync.WaitGroup
-	running.Go(func() { t.changeConfig(faultCtx, rngs[0]) })
-	running.Go(func() { (&faultInjector{testbed: t, rng: rngs[1]}).run(faultCtx) })
-	for i := range callerCount {
-		c := newCaller(fmt.Sprintf("caller%d", i+1), t.gateways[i%gatewayCount], t, rngs[parts+i])
-		running.Go(func() { c.run(faultCtx) })
+	if o.Only.has(faultChange) {
+		running.Go(func() { t.changeConfig(faultCtx, rngs[0]) })
+	}
+	injector := &faultInjector{testbed: t, rng: rngs[1], kinds: o.Only, interval: o.Every}
+	running.Go(func() { injector.run(faultCtx) })
+	for i, rng := range rngs[parts:] {
+		c := newCaller(fmt.Sprintf("caller%d", i+1), t.gateways[i%gatewayCount], t, rng)
+		late := i/gatewayCount < lateCallers && o.Only.has(faultLate)
+		running.Go(func() { c.runAs(faultCtx, late) })
 	}
 	running.Wait()
 	log("fault injection has ended")
--- a/internal/check/soak/process.go
+++ b/internal/check/soak/process.go
@@ -8,8 +8,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,15 +40,20 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
-	// stopRequested is set after SIGTERM or SIGKILL, paused while SIGSTOP holds the process.
+	// stopRequested is set after SIGTERM, SIGINT or SIGKILL, paused while SIGSTOP holds the process.
 	stopRequested bool
 	paused        bool
 	// started is the time of the last start.
 	started time.Time
-	// disturbed is the time of the last start, exit or signal other than SIGHUP, plannedStopAt
-	// that of the last SIGTERM, and forcedAt that of the last SIGKILL, SIGSTOP or SIGCONT.
-	disturbed, plannedStopAt, forcedAt time.Time
-	// unexpectedExits describes the exits without a preceding SIGTERM or SIGKILL.
+	// disturbed is the time of the last start, exit or signal other than SIGHUP, and forcedAt that
+	// of the last SIGKILL, SIGSTOP or SIGCONT.
+	disturbed, forcedAt time.Time
+	// stops holds the planned stops of all runs, reloads the times of all SIGHUPs.
+	stops   []plannedStop
+	reloads []time.Time
+	// streams is the number of streams that callers have open.
+	streams atomic.Int64
+	// unexpectedExits describes the exits without a preceding SIGTERM, SIGINT or SIGKILL.
 	unexpectedExits []string
 }
 
@@ -61,7 +68,7 @@
 	if p.role == rolePortal {
 		settings += fmt.Sprintf("first_start: %t\ndata_folder: %s\nstop: {longest: 5s}\n", fresh, p.dataPath())
 	} else {
-		settings += "stop: {notice: 300ms, longest: 6s}\nrepeats: {ratio: 0.2, slack: 200, window: 10s}\n"
+		settings += "stop: {notice: 2500ms, longest: 5s}\nrepeats: {ratio: 0.2, slack: 200, window: 10s}\n"
 	}
 	return errors.Wrap(os.WriteFile(p.settingsPath(), []byte(settings), 0o600), "settings file")
 }
@@ -121,8 +128,9 @@
 		if now.Sub(p.started) < runtimeStartTime {
 			return
 		}
-	case syscall.SIGTERM:
-		p.stopRequested, p.disturbed, p.plannedStopAt = true, now, now
+		p.reloads = append(p.reloads, now)
+	case syscall.SIGTERM, syscall.SIGINT:
+		p.recordStopLocked(now)
 	default:
 		p.stopRequested = p.stopRequested || s == syscall.SIGKILL
 		p.paused = s == syscall.SIGSTOP
@@ -131,7 +139,34 @@
 	_ = p.command.Process.Signal(s) // If the process has just exited, reap records that.
 }
 
-// wait waits up to stopTime until the process has exited, and reports whether it has.
+// recordStopLocked records a SIGTERM or SIGINT.
+func (p *process) recordStopLocked(now time.Time) {
+	p.stopRequested, p.disturbed = true, now
+	if n := len(p.stops); n > 0 && p.stops[n-1].first.After(p.started) {
+		p.stops[n-1].last = now
+		return
+	}
+	p.stops = append(p.stops, plannedStop{first: now, last: now})
+}
+
+// running returns the time of the start if the process runs and got no signal to stop.
+func (p *process) running() (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.started, p.command != nil && !p.stopRequested
+}
+
+// signalRun sends a signal if the process still runs since a start.
+func (p *process) signalRun(started time.Time, s syscall.Signal) {
+	p.mu.Lock()
+	same := p.started.Equal(started)
+	p.mu.Unlock()
+	if same {
+		p.signal(s)
+	}
+}
+
+// wait waits up to stopGrace until the process has exited, and reports whether it has.
 func (p *process) wait() bool {
 	p.mu.Lock()
 	ended, running := p.ended, p.command != nil
@@ -142,16 +177,16 @@
 	select {
 	case <-ended:
 		return true
-	case <-time.After(stopTime):
+	case <-time.After(stopGrace):
 		return false
 	}
 }
 
-// undisturbed reports whether the process runs and has not been disturbed since a time.
+// undisturbed reports whether the process runs, isn't stopping and has not been disturbed since a time.
 func (p *process) undisturbed(since time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.command != nil && !p.paused && p.disturbed.Before(since)
+	return p.command != nil && !p.stopRequested && !p.paused && p.disturbed.Before(since)
 }
 
 // ready probes whether the process is ready.
@@ -170,10 +205,38 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// onlyPlannedStop reports whether the process got a SIGTERM, and no SIGKILL, SIGSTOP or SIGCONT,
-// since a time.
+// onlyPlannedStop reports whether the process got a SIGTERM or SIGINT, and no SIGKILL, SIGSTOP or
+// SIGCONT, since a time.
 func (p *process) onlyPlannedStop(since time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.plannedStopAt.After(since) && p.forcedAt.Before(since)
+	n := len(p.stops)
+	return n > 0 && p.stops[n-1].last.After(since) && p.forcedAt.Before(since)
+}
+
+// plannedWork returns what happened to the process: all signals of planned work, and whether it was
+// disturbed otherwise since a time.
+func (p *process) plannedWork(since time.Time) circumstances {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return circumstances{
+		stops: slices.Clone(p.stops), reloads: slices.Clone(p.reloads),
+		gatewayForced: p.paused || !p.forcedAt.Before(since),
+	}
+}
+
+// end waits until the process has exited after a signal, and kills it after stopGrace. A process that
+// was not paused or killed must not need that.
+func (p *process) end(r *recorder, signalled time.Time) {
+	if p.wait() {
+		return
+	}
+	p.mu.Lock()
+	forced := p.paused || !p.forcedAt.Before(signalled)
+	p.mu.Unlock()
+	if !forced {
+		r.reportViolation("%s did not stop within %v", p.name, stopGrace)
+	}
+	p.signal(syscall.SIGKILL)
+	p.wait()
 }
--- a/internal/check/soak/soak_test.go
+++ b/internal/check/soak/soak_test.go
@@ -47,7 +47,7 @@
 // TestCallerChecksResponses gives a caller responses that are complete, truncated, unsigned or those
 // of another request.
 func TestCallerChecksResponses(t *testing.T) {
-	body := expectedBody("stream", "r1")
+	body := expectedBody(kindStream, "r1", minStreamEvents)
 	for name, c := range map[string]struct {
 		id, signature, body string
 		err                 error
@@ -62,14 +62,17 @@
 		"unsigned":            {"r1", "", body, nil, false, "without its request ID or a signature"},
 		"signed by another":   {"r1", "be9", body, nil, false, "ran on"},
 	} {
-		tb := &testbed{recorder: newRecorder()}
+		tb := newQuietTestbed()
 		tb.recorder.RequestStarted("r1", "be1")
 		names := platform.Dialect().Headers
 		resp := &http.Response{Header: http.Header{}}
 		resp.Header.Set(names.RequestID, c.id)
 		resp.Header.Set(names.Signature, c.signature)
 		caller := &caller{testbed: tb, gateway: &process{}}
-		require.Equal(t, c.complete, caller.checkSuccess("stream", "r1", time.Now(), resp, c.body, c.err), name)
+		now := time.Now()
+		sent := &call{exchange: exchange{id: "r1", kind: kindStream, opened: now, began: now, answered: true}, events: minStreamEvents}
+		caller.checkSuccess(sent, resp, c.body, c.err)
+		require.Equal(t, c.complete, sent.complete, name)
 		require.Equal(t, c.want == "", len(tb.recorder.violations) == 0, "%s: %v", name, tb.recorder.violations)
 		require.Contains(t, strings.Join(tb.recorder.violations, "\n"), c.want, name)
 	}
@@ -86,13 +89,18 @@
 		"undisturbed": {start.Add(-time.Hour), 1},
 		"just killed": {start, 0},
 	} {
-		tb := &testbed{recorder: newRecorder()}
+		tb := newQuietTestbed()
 		g := newRunning(c.disturbed)
-		(&caller{testbed: tb, gateway: g}).checkNoResponse("r1", start, io.EOF)
+		(&caller{testbed: tb, gateway: g}).checkNoResponse(exchange{id: "r1", opened: start, began: start, ended: start}, io.EOF)
 		require.Len(t, tb.recorder.violations, c.violations, name)
 	}
 }
 
+// newQuietTestbed returns a testbed without processes, which logs nothing.
+func newQuietTestbed() *testbed {
+	return &testbed{recorder: newRecorder(), log: func(string, ...any) {}}
+}
+
 // newRunning returns a running process that was last disturbed at a time.
 func newRunning(disturbed time.Time) *process {
 	return &process{command: &exec.Cmd{}, disturbed: disturbed}
--- a/internal/check/soak/testbed.go
+++ b/internal/check/soak/testbed.go
@@ -12,16 +12,17 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"github.com/egretreach/egretreach/platform/standin"
 )
 
 // Sizes of one run.
 const (
-	portalCount        = 3
-	gatewayCount       = 2
-	backendCount       = 4
-	callerCount        = 6
+	portalCount       = 3
+	gatewayCount      = 3
+	backendCount      = 4
+	callersPerGateway = 20
+	// lateCallers is the number of callers per gateway that send the first request on a connection
+	// late.
+	lateCallers        = 4
 	addressTries       = 50
 	rolePortal         = "portal"
 	roleGateway        = "gateway"
@@ -37,13 +38,8 @@
 	// bootTime bounds the start of the testbed, recoverTime its recovery after the last fault.
 	bootTime    = 20 * time.Second
 	recoverTime = 15 * time.Second
-	// stopTime bounds a planned stop: the longest drain of the settings, 6 s, and a margin for a
-	// busy machine.
-	stopTime = 10 * time.Second
 	// pollInterval is the time between two checks of a condition such as readiness.
 	pollInterval = 50 * time.Millisecond
-	// versionInterval is the mean time between two changes of the configuration.
-	versionInterval = 500 * time.Millisecond
 )
 
 // testbed holds the processes and backends of one run, and the recorder of what happens to them.
@@ -56,23 +52,11 @@
 	// sentVersion is the highest configuration version sent, ackedVersion the highest
 	// acknowledged one.
 	sentVersion, ackedVersion atomic.Uint64
+	changesMu                 sync.Mutex
+	changes                   []change
 	log                       func(format string, args ...any)
 }
 
-// backend is an address with a proxy, and the successive endpoints that serve behind it.
-type backend struct {
-	name           string
-	failureDomain  string
-	proxy          *proxy
-	testbed        *testbed
-	mu             sync.Mutex
-	incarnations   int
-	endpoint       *standin.Endpoint
-	stopAnnouncing context.CancelFunc
-	// lastChange is when an endpoint last started, drained or ended.
-	lastChange time.Time
-}
-
 // failureDomainOf assigns a failure domain to a loopback address by its last number.
 func failureDomainOf(ip string) string {
 	var last int
@@ -183,46 +167,6 @@
 	return true
 }
 
-// putNextVersion sends the next configuration version to a portal, and reports whether the portal
-// acknowledged it.
-func (t *testbed) putNextVersion(ctx context.Context, portal int) bool {
-	version := t.sentVersion.Add(1)
-	if standin.PutVersion(ctx, t.portals[portal%len(t.portals)].apiAddress(), version) != nil {
-		return false // It may be in force all the same, but need not be.
-	}
-	for {
-		acked := t.ackedVersion.Load()
-		if acked >= version || t.ackedVersion.CompareAndSwap(acked, version) {
-			return true
-		}
-	}
-}
-
-// changeConfig changes the configuration and reads it back until ctx ends.
-func (t *testbed) changeConfig(ctx context.Context, rng *rand.Rand) {
-	for ctx.Err() == nil {
-		if t.putNextVersion(ctx, rng.IntN(portalCount)) {
-			t.recorder.count("versions")
-		}
-		t.readBack(ctx, t.portals[rng.IntN(portalCount)])
-		time.Sleep(time.Duration(rng.ExpFloat64() * float64(versionInterval)))
-	}
-}
-
-// readBack reads the configuration, whose version must not be older than the highest one
-// acknowledged before. It reports whether the portal responded.
-func (t *testbed) readBack(ctx context.Context, from *process) bool {
-	acked := t.ackedVersion.Load()
-	version, err := standin.GetVersion(ctx, from.apiAddress())
-	if err != nil {
-		return false
-	}
-	if version < acked {
-		t.recorder.reportViolation("%s reads version %d after %d was acknowledged", from.name, version, acked)
-	}
-	return true
-}
-
 // recover ends all faults, and reports a violation unless everything serves again in time.
 func (t *testbed) recover(ctx context.Context, rng *rand.Rand) {
 	for _, p := range t.processes() {
@@ -259,7 +203,7 @@
 		c := newCaller(fmt.Sprintf("check-%s-%d", g.name, t.sentVersion.Load()), g, t, rng)
 		for range rounds {
 			for _, kind := range callKinds {
-				if !c.sendOnce(ctx, kind) {
+				if !c.sendOnce(ctx, kind, checkStreamEvents).complete {
 					return false
 				}
 			}
@@ -270,15 +214,12 @@
 
 // stop ends all processes by a planned stop, and then the endpoints.
 func (t *testbed) stop() {
+	signalled := time.Now()
 	for _, p := range t.processes() {
 		p.signal(syscall.SIGTERM)
 	}
 	for _, p := range t.processes() {
-		if !p.wait() {
-			t.recorder.reportViolation("%s did not stop within %v", p.name, stopTime)
-			p.signal(syscall.SIGKILL)
-			p.wait()
-		}
+		p.end(t.recorder, signalled)
 		for _, exit := range p.unexpectedExits {
 			t.recorder.reportViolation("%s", exit)
 		}
@@ -287,59 +228,3 @@
 		b.crash()
 	}
 }
-
-// endpointsUndisturbed reports whether no endpoint and no proxy has been disturbed since a time.
-func (t *testbed) endpointsUndisturbed(since time.Time) bool {
-	for _, b := range t.backends {
-		b.mu.Lock()
-		changed := b.lastChange
-		b.mu.Unlock()
-		if !b.proxy.undisturbed(since) || !changed.Before(since) {
-			return false
-		}
-	}
-	return true
-}
-
-// start starts a new endpoint behind the proxy, unless one runs.
-func (b *backend) start(ctx context.Context) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.endpoint != nil {
-		return nil
-	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", b.testbed.addressPrefix+".99:0")
-	if err != nil {
-		return errors.Wrap(err, "listen for endpoint")
-	}
-	b.incarnations++
-	b.endpoint = standin.NewEndpoint(fmt.Sprintf("%s-%d", b.name, b.incarnations), standin.ServiceName, listener, b.testbed.recorder)
-	b.proxy.setTarget(listener.Addr().String())
-	announceCtx, stopAnnouncing := context.WithCancel(ctx)
-	b.stopAnnouncing, b.lastChange = stopAnnouncing, time.Now()
-	go b.endpoint.Announce(announceCtx, b.proxy.address(), b.failureDomain, b.testbed.portalAPIs())
-	return nil
-}
-
-// crash ends the endpoint without draining.
-func (b *backend) crash() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.endpoint == nil {
-		return
-	}
-	b.stopAnnouncing()
-	b.proxy.setTarget("")
-	b.endpoint.Crash()
-	b.endpoint, b.lastChange = nil, time.Now()
-}
-
-// drain makes the endpoint announce that it is draining.
-func (b *backend) drain() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.endpoint != nil {
-		b.endpoint.Drain()
-		b.lastChange = time.Now()
-	}
-}
