gateway: keep a silent endpoint's attempt until another endpoint has begun its response

Cause: after 0.3 s without data an attempt was given up first, and only then another endpoint was looked for. Where none had capacity, where all refused or failed, and where the retry budget or the route's attempts were used up, nothing was left: the work in hand had been dropped before there was a replacement.

Fix: while the endpoint is silent, a standby attempt is made at another one, under the same limits as a retry. The silent attempt is given up only once the standby's response has begun. If the endpoint goes on, the standby is canceled; if the standby is refused or fails, the wait goes on and another one may follow. The same holds before the first event, and for safe requests that have waited for longer than their objective.

New log lines standby_started and standby_ended say when and why.

--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -44,9 +44,22 @@
 	// streamed says that the first event has arrived.
 	streamed bool
 	result   balance.Result
-	// responseTimeout is how long the endpoint may take to begin its response; 0 is no limit.
+	// responseTimeout is how long the endpoint may take to begin its response before it counts as
+	// silent; 0 is no limit.
 	responseTimeout time.Duration
-	cancel          context.CancelFunc
+	// onSilence reports whether the attempt can be given up although its endpoint may go on. It is
+	// called repeatedly while the endpoint is silent. Without it the attempt is not given up.
+	onSilence func() bool
+	cancel    context.CancelFunc
+}
+
+// cancelAlso lets the end of the attempt call cancel as well.
+func (a *attempt) cancelAlso(cancel context.CancelFunc) {
+	own := a.cancel
+	a.cancel = func() {
+		own()
+		cancel()
+	}
 }
 
 // acquire waits for an endpoint with capacity. If it returns no attempt, the decision is the
@@ -133,20 +146,26 @@
 // keepWaiting reports whether to wait longer for an endpoint that sends nothing. If not, it
 // sets the result.
 func (a *attempt) keepWaiting() bool {
+	result, silent := a.silence(time.Now())
+	if !silent || a.onSilence == nil || !a.onSilence() {
+		return true
+	}
+	a.result = result
+	return false
+}
+
+// silence reports whether the endpoint is silent, and the result of the attempt if it is given up
+// for that.
+func (a *attempt) silence(now time.Time) (balance.Result, bool) {
 	c := a.call
-	now := time.Now()
 	c.g.mu.Lock()
 	_, stalled := c.g.balancer.Stalled(a.endpoint.ID, now)
 	c.g.mu.Unlock()
 	if stalled && c.route.Retryable() {
-		a.result = balance.ResultStalled
-		return false
-	}
-	if a.responseTimeout > 0 && !a.streamed && now.Sub(a.startedAt) > a.responseTimeout {
-		a.result = balance.ResultInvalidResponse
-		return false
+		return balance.ResultStalled, true
 	}
-	return true
+	late := a.responseTimeout > 0 && !a.streamed && now.Sub(a.startedAt) > a.responseTimeout
+	return balance.ResultInvalidResponse, late
 }
 
 // classifyError sets the result of an attempt that got no response header, and returns its
@@ -237,6 +256,27 @@
 	g.balancer.ProcessQueue(now)
 }
 
+// recordFailure ends a failed attempt and records what it means for a retry.
+func (c *call) recordFailure(r attemptResult) {
+	a := r.attempt
+	if a.result == 0 {
+		a.result = balance.ResultInvalidResponse
+	}
+	a.endFailed(r.err)
+	c.excluded = append(c.excluded, a.endpoint.ID)
+	c.mayHaveRun = c.mayHaveRun || r.outcome == outcomeUnknown
+	if a.result == balance.ResultWrongEndpoint || a.result == balance.ResultOverloaded || c.endpointGone(a) {
+		c.lostAttempts++
+	}
+}
+
+// endpointGone reports whether the endpoint of an attempt is known to be gone.
+func (c *call) endpointGone(a *attempt) bool {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	return c.g.balancer.Gone(a.endpoint.ID)
+}
+
 // endFailed ends an attempt whose response does not complete the request, and logs err.
 func (a *attempt) endFailed(err error) {
 	c := a.call
@@ -263,8 +303,13 @@
 	c.g.balancer.DataReceived(endpoint, time.Now())
 }
 
-// tryRetry reports whether the service's retry budget allows a retry, and takes it if so.
+// tryRetry reports whether the service's retry budget allows a retry, and takes it if so. A token
+// that was taken for a retry that was not sent is used first.
 func (c *call) tryRetry() bool {
+	if c.retryTaken {
+		c.retryTaken = false
+		return true
+	}
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
 	if !c.g.retryBudget(c.service).TryRetry(time.Now()) {
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -39,6 +39,21 @@
 	// objectiveDeadline is the time by which the response should begin.
 	objectiveDeadline time.Time
 	stats             requestStats
+	// excluded lists the IDs of endpoints that have failed the request.
+	excluded []string
+	// lostAttempts counts attempts that did not run or whose endpoint is gone. They do not
+	// count towards the attempts of a stream's route.
+	lostAttempts int
+	// mayHaveRun says that an earlier attempt may have run.
+	mayHaveRun bool
+	// standby is the attempt at another endpoint while the present one is silent, or nil.
+	standby *standby
+	// noStandby says that no other endpoint must be tried while the present one may go on.
+	noStandby bool
+	// nextStandbyAt is the earliest time of the next standby.
+	nextStandbyAt time.Time
+	// retryTaken says that the retry budget has been charged for a retry that was not sent.
+	retryTaken bool
 	// closeAfter says that the connection is closed after the response.
 	closeAfter bool
 }
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -26,52 +26,75 @@
 // servePlain serves a request whose response is not a stream.
 func (c *call) servePlain(ctx context.Context) {
 	c.countRequest()
-	var excluded []string
-	mayHaveRun := false
+	defer c.endStandby()
 	for {
-		req := c.balanceRequest(time.Duration(float64(c.route.Objective) * maxQueueShare))
-		req.Exclude = excluded
-		a, d := c.acquire(ctx, req)
-		if a == nil {
-			c.refuseBy(ctx, d, mayHaveRun)
+		r := c.next(ctx, c.plan(), func(a *attempt) { c.watchSilence(ctx, a) })
+		if r.attempt == nil {
+			c.refuseBy(ctx, r.decision)
 			return
 		}
-		if c.route.Kind == routes.KindSafe && c.stats.sends+1 < c.route.MaxAttempts {
-			a.responseTimeout = c.route.Objective
-		}
-		o, err := a.run(ctx, "")
-		if o == outcomeAnswered {
-			o, err = c.forward(ctx, a)
-			if err == nil {
+		if r.outcome == outcomeAnswered {
+			r.outcome, r.err = c.forward(ctx, r.attempt)
+			if r.err == nil {
 				return
 			}
 		}
-		a.endFailed(err)
-		excluded = append(excluded, a.endpoint.ID)
-		mayHaveRun = mayHaveRun || o == outcomeUnknown
-		if c.mayHaveCrashed(ctx, a) {
-			c.giveUp(err, true)
+		c.recordFailure(r)
+		if c.mayHaveCrashed(ctx, r.attempt) {
+			c.giveUp(r.err, true)
 			return
 		}
-		if ctx.Err() != nil || o == outcomeUnknown && !c.route.Retryable() {
-			c.failUnanswered(ctx, err.Error())
+		if ctx.Err() != nil || r.outcome == outcomeUnknown && !c.route.Retryable() {
+			c.failUnanswered(ctx, r.err.Error())
 			return
 		}
-		if c.stats.sends >= max(c.route.MaxAttempts, 1) || c.stats.tries >= maxTries || !c.tryRetry() {
-			c.giveUp(err, mayHaveRun)
+		if c.standby == nil && c.noRetryReason(ctx) != "" {
+			c.giveUp(r.err, c.mayHaveRun)
 			return
 		}
 	}
 }
 
-// refuseBy ends a request that the balancer has refused. mayHaveRun says that an earlier
-// attempt may have run.
-func (c *call) refuseBy(ctx context.Context, d balance.Decision, mayHaveRun bool) {
+// plan returns the plan for the next attempt.
+func (c *call) plan() attemptPlan {
+	req := c.balanceRequest(time.Duration(float64(c.route.Objective) * maxQueueShare))
+	req.Exclude = c.excluded
+	return attemptPlan{request: req}
+}
+
+// watchSilence lets another endpoint replace the one of a safe request that is silent for longer
+// than the objective.
+func (c *call) watchSilence(ctx context.Context, a *attempt) {
+	if c.route.Kind != routes.KindSafe {
+		return
+	}
+	a.responseTimeout = c.route.Objective
+	a.onSilence = func() bool { return c.replace(ctx, a, c.plan, c.noRetryReason) }
+}
+
+// noRetryReason returns why the request must not be tried at another endpoint, or an empty string
+// if it may be. The retry is then taken from the service's budget.
+func (c *call) noRetryReason(ctx context.Context) string {
+	switch {
+	case ctx.Err() != nil:
+		return "the time is up or the caller has left"
+	case c.stats.sends >= max(c.route.MaxAttempts, 1):
+		return "the route's attempts are used up"
+	case c.stats.tries >= maxTries:
+		return "too many endpoints were tried"
+	case !c.tryRetry():
+		return "the retry budget is used up"
+	}
+	return ""
+}
+
+// refuseBy ends a request that the balancer has refused.
+func (c *call) refuseBy(ctx context.Context, d balance.Decision) {
 	if c.r.Context().Err() != nil {
 		c.callerLeft()
 		return
 	}
-	if mayHaveRun {
+	if c.mayHaveRun {
 		c.failUnanswered(ctx, "no endpoint for another attempt")
 		return
 	}
@@ -99,6 +122,7 @@
 	if err != nil {
 		return outcomeUnknown, err
 	}
+	c.endStandby()
 	if a.result == balance.ResultServerError && c.route.Retryable() && c.stats.sends < c.route.MaxAttempts && ctx.Err() == nil && c.tryRetry() {
 		if other, otherBody := c.retryElsewhere(ctx, a); other != nil {
 			a.end(a.result)
--- a/internal/entry/gateway/silence_test.go
+++ b/internal/entry/gateway/silence_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,3 +160,55 @@
 	require.Equal(t, 200, got.status, got.body)
 	require.Equal(t, "late", got.body)
 }
+
+// TestRandomSilencesBreakOffNoStream guards against streams that are cut, doubled or run too often
+// when all endpoints are silent at random times, some inside events, and some decline at first.
+func TestRandomSilencesBreakOffNoStream(t *testing.T) {
+	const seeds, callers, events = 60, 12, 10
+	for seed := range uint64(seeds) {
+		var got [callers]callerResponse
+		runs := 0
+		withFixture(t, func(f *fixture) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			forEach(f.heads, func(e *fakeEndpoint) { e.randomSilences(rng.Uint64(), events) })
+			var running sync.WaitGroup
+			for i := range callers {
+				start := time.Duration(rng.Int64N(int64(time.Second)))
+				running.Go(func() {
+					time.Sleep(start)
+					got[i] = f.send("POST", "/stream/", "x")
+				})
+			}
+			running.Wait()
+			f.letEndpointsEnd()
+			runs = f.runCount()
+		})
+		for i, r := range got {
+			if r.status == http.StatusServiceUnavailable {
+				continue // Refused, which is truthful: the endpoints have declined it.
+			}
+			require.NoError(t, r.err, "seed %d, caller %d", seed, i)
+			require.Equal(t, eventTexts(events), r.body, "seed %d, caller %d", seed, i)
+		}
+		require.LessOrEqual(t, runs, 2*callers, "seed %d: a route allows two attempts", seed)
+	}
+}
+
+// randomSilences lets the endpoint decline one request in ten, and be silent once in each stream.
+func (e *fakeEndpoint) randomSilences(seed uint64, events int) {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 2))
+	e.script = func(c net.Conn, r *http.Request, body string) {
+		mu.Lock()
+		var drawn fakeEndpoint
+		drawn.pauseAfter(rng.IntN(events), events, time.Duration(rng.Int64N(int64(time.Second))), rng.IntN(2) == 0)
+		if rng.IntN(10) == 0 {
+			drawn.decline()
+		}
+		mu.Unlock()
+		drawn.script(c, r, body)
+		e.mu.Lock()
+		e.startedIDs = append(e.startedIDs, drawn.startedIDs...)
+		e.mu.Unlock()
+	}
+}
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -30,14 +30,7 @@
 	headerSent bool
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
-	// lostAttempts counts attempts that did not run or whose endpoint is gone. They do not
-	// count towards the route's attempts.
-	lostAttempts int
-	// mayHaveRun says that an earlier attempt may have run.
-	mayHaveRun bool
-	// excluded lists the IDs of endpoints that have failed the request.
-	excluded []string
-	flusher  *http.ResponseController
+	flusher     *http.ResponseController
 	// lastEventAt is when the last event was sent to the caller.
 	lastEventAt time.Time
 }
@@ -48,38 +41,36 @@
 	c.countRequest()
 	s := &streamCall{call: c, flusher: http.NewResponseController(c.w)}
 	s.lastEventID = c.r.Header.Get(c.g.opts.Dialect.Headers.LastEventID)
+	defer s.endStandby()
 	for {
-		a, d := c.acquire(ctx, s.balanceRequest())
-		if a == nil {
-			s.endWithoutCapacity(ctx, d)
+		r := s.next(ctx, s.plan(), func(a *attempt) {
+			a.onSilence = func() bool { return s.replace(ctx, a, s.plan, s.noRetryReason) }
+		})
+		if r.attempt == nil {
+			s.endWithoutCapacity(ctx, r.decision)
 			return
 		}
-		o, err := a.run(ctx, s.lastEventID)
-		if o == outcomeAnswered {
-			err = s.forwardEvents(a)
-			if err == nil {
+		if r.outcome == outcomeAnswered {
+			s.endStandby()
+			r.outcome, r.err = outcomeUnknown, s.forwardEvents(r.attempt)
+			if r.err == nil {
 				return
 			}
-			o = outcomeUnknown
 		}
-		if a.result == 0 {
-			a.result = balance.ResultInvalidResponse
-		}
-		a.endFailed(err)
-		s.mayHaveRun = s.mayHaveRun || o == outcomeUnknown
-		if s.mayHaveCrashed(ctx, a) && !s.headerSent {
-			s.giveUp(err, true)
+		s.recordFailure(r)
+		if s.mayHaveCrashed(ctx, r.attempt) && !s.headerSent {
+			s.giveUp(r.err, true)
 			return
 		}
-		if !s.retryOrEnd(ctx, a, err) {
+		if !s.retryOrEnd(ctx, r.attempt, r.err) {
 			return
 		}
 	}
 }
 
-// balanceRequest returns the request for the balancer, with a wait that depends on what has
-// been sent to the caller.
-func (s *streamCall) balanceRequest() balance.Request {
+// plan returns the plan for the next attempt. Its wait for capacity depends on what has been sent
+// to the caller.
+func (s *streamCall) plan() attemptPlan {
 	maxWait := time.Duration(float64(s.route.Objective) * maxQueueShare)
 	switch {
 	case s.headerSent:
@@ -87,22 +78,20 @@
 	case s.mayHaveRun:
 		maxWait = s.route.Objective // The request is late already, but failing it would be worse.
 	}
-	req := s.call.balanceRequest(maxWait)
+	req := s.balanceRequest(maxWait)
 	req.Exclude, req.Resumed = s.excluded, s.headerSent
-	return req
+	return attemptPlan{request: req, lastEventID: s.lastEventID}
 }
 
 // retryOrEnd reports whether to try another endpoint after a failed attempt. If not, it ends
 // the stream.
 func (s *streamCall) retryOrEnd(ctx context.Context, a *attempt, err error) bool {
-	s.excluded = append(s.excluded, a.endpoint.ID)
-	if a.result == balance.ResultWrongEndpoint || a.result == balance.ResultOverloaded || s.endpointGone(a) {
-		s.lostAttempts++
+	if s.standby == nil {
+		s.stats.noRetry = s.noRetryReason(ctx)
 	}
-	s.stats.noRetry = s.noRetryReason(ctx)
-	if s.stats.noRetry == "" {
+	if s.standby != nil || s.stats.noRetry == "" {
 		if s.headerSent {
-			// No endpoint has been acquired yet, so the stream may still not be resumed.
+			// The next endpoint may not be known yet, so the stream may still not be resumed.
 			s.stats.resumes++
 			s.g.metrics.resumed.Inc(1)
 			event.StreamResumed.On(s.g.opts.Logger).Str("request", s.id).Str("from", a.endpoint.ID).Str("last", s.lastEventID).Msg("")
@@ -140,13 +129,6 @@
 	return ""
 }
 
-// endpointGone reports whether the endpoint of an attempt is known to be gone.
-func (s *streamCall) endpointGone(a *attempt) bool {
-	s.g.mu.Lock()
-	defer s.g.mu.Unlock()
-	return s.g.balancer.Gone(a.endpoint.ID)
-}
-
 // endWithoutCapacity ends a stream that the balancer has refused.
 func (s *streamCall) endWithoutCapacity(ctx context.Context, d balance.Decision) {
 	if s.headerSent {
@@ -157,7 +139,7 @@
 		s.abort("no endpoint to resume it: " + d.Reason)
 		return
 	}
-	s.refuseBy(ctx, d, s.mayHaveRun)
+	s.refuseBy(ctx, d)
 }
 
 // forwardEvents sends the events of one attempt to the caller, without those that the caller
@@ -171,6 +153,9 @@
 	events := upstream.NewEventReader(a.exchange)
 	for {
 		e, err := events.Next()
+		if err == nil || errors.Is(err, io.EOF) {
+			s.endStandby()
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return s.finishStream(a)
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -12,4 +12,6 @@
 	StreamResumed   = register(305, "stream_resumed", log.InfoLevel)
 	ControlFollowed = register(306, "control_followed", log.InfoLevel)
 	ControlLost     = register(307, "control_lost", log.WarnLevel)
+	StandbyStarted  = register(308, "standby_started", log.InfoLevel)
+	StandbyEnded    = register(309, "standby_ended", log.InfoLevel)
 )
