upstream: leave the wait for data to the wait policy at any point of a response

What callers saw: a stream broken off 1.5 s after its endpoint fell silent inside an event, although it went on after 1.9 s.

Cause: once a part of a response had arrived, each read had a limit of 1.5 s, and a header one of 2 s, beside the wait policy, which was asked only between chunks. Two rules decided about the same silence.

Fix: the connection itself asks the wait policy while no data arrives, at any point of a response. The request's context bounds the whole, as before.

--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -33,6 +33,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// wait is the wait policy of the present exchange.
+	wait WaitPolicy
 	// idleSince is when the connection became idle. It is not used again after idleTimeout,
 	// since the endpoint may be closing it then.
 	idleSince   time.Time
@@ -57,7 +59,9 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferSize)}
+	result := &conn{Conn: c, address: address}
+	result.reader = bufio.NewReaderSize(result, readBufferSize)
+	return result
 }
 
 // Close closes the connection. Only the first call has an effect.
@@ -91,34 +95,27 @@
 	return err == nil && open
 }
 
-// waitForData returns nil once a byte can be read, or the error of the connection. After each
-// checkInterval without data it calls keepWaiting, and returns ErrAbandoned if that is false.
-func (c *conn) waitForData(checkInterval time.Duration, keepWaiting func() bool) error {
-	for c.reader.Buffered() == 0 {
-		if err := c.SetReadDeadline(time.Now().Add(checkInterval)); err != nil {
-			return err
-		}
-		_, err := c.reader.Peek(1)
-		if err == nil {
-			return nil
+// Read implements net.Conn. While no data arrives it consults the wait policy, and returns
+// ErrAbandoned if that ends the wait.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		if err := c.SetReadDeadline(time.Now().Add(c.wait.CheckInterval)); err != nil {
+			return 0, err
 		}
+		n, err := c.Conn.Read(b)
 		var timeout net.Error
-		if !errors.As(err, &timeout) || !timeout.Timeout() {
-			return err
+		if n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
+			return n, err
 		}
-		if !keepWaiting() {
-			return ErrAbandoned{}
+		if !c.wait.KeepWaiting() {
+			return 0, ErrAbandoned{}
 		}
 	}
-	return nil
 }
 
 // readResponse reads the status and headers of the final response. It skips informational (1xx)
 // responses.
-func (c *conn) readResponse(method string, timeout time.Duration) (*http.Response, error) {
-	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		return nil, err
-	}
+func (c *conn) readResponse(method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -12,11 +12,8 @@
 )
 
 const (
-	// headerTimeout bounds the reading of a response's header after its first byte.
-	headerTimeout = 2 * time.Second
-	// ioTimeout bounds the writing of a request's header and inline body, and each read of a
-	// response's body once some data has arrived.
-	ioTimeout = 1500 * time.Millisecond
+	// writeTimeout bounds the writing of a request's header and inline body.
+	writeTimeout = 1500 * time.Millisecond
 	// maxInlineBody is the size up to which a body is written before the wait for the response
 	// begins.
 	maxInlineBody = 32 << 10
@@ -61,7 +58,8 @@
 	buf.WriteString("\r\n")
 }
 
-// WaitPolicy decides how long to wait for data from an endpoint.
+// WaitPolicy decides how long to wait for data from an endpoint, at any point of its response. The
+// context of the exchange bounds the whole of it.
 type WaitPolicy struct {
 	// CheckInterval is the time between two calls of KeepWaiting while no data arrives.
 	CheckInterval time.Duration
@@ -76,8 +74,7 @@
 	stop func() bool
 	// Response holds the status and headers of the response. The body is read from the
 	// Exchange.
-	Response   *http.Response
-	waitPolicy WaitPolicy
+	Response *http.Response
 	// written is closed once a long body has been written, with the error in writeErr. It is
 	// nil for an inline body.
 	written   chan struct{}
@@ -93,7 +90,8 @@
 	if err != nil {
 		return nil, ErrNotSent{Cause: err}
 	}
-	x := &Exchange{pool: p, conn: c, waitPolicy: wait}
+	c.wait = wait
+	x := &Exchange{pool: p, conn: c}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := x.do(r); err != nil {
 		x.abort()
@@ -106,10 +104,7 @@
 	if err := x.send(r); err != nil {
 		return x.interrupted(err)
 	}
-	if err := x.conn.waitForData(x.waitPolicy.CheckInterval, x.waitPolicy.KeepWaiting); err != nil {
-		return x.waitFailed(err)
-	}
-	response, err := x.conn.readResponse(r.Method, headerTimeout) //nolint:bodyclose // The connection is closed or kept in place of the body.
+	response, err := x.conn.readResponse(r.Method) //nolint:bodyclose // The connection is closed or kept in place of the body.
 	if err != nil {
 		return x.waitFailed(err)
 	}
@@ -117,7 +112,7 @@
 	return nil
 }
 
-// waitFailed returns the error of Do or Read for a failed wait or response header.
+// waitFailed returns the error of Do or Read for a failed read.
 func (x *Exchange) waitFailed(err error) error {
 	if IsErrAbandoned(err) {
 		return err
@@ -133,7 +128,7 @@
 func (x *Exchange) send(r *Request) error {
 	var head bytes.Buffer
 	r.encode(&head)
-	if err := x.conn.SetWriteDeadline(time.Now().Add(ioTimeout)); err != nil {
+	if err := x.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
 	if len(r.Body) <= maxInlineBody {
@@ -158,25 +153,16 @@
 // Read reads the response's body. It returns io.EOF at the end of a complete body, an
 // ErrInterrupted if the body is cut short, and an ErrAbandoned if the wait policy ends the wait.
 func (x *Exchange) Read(buf []byte) (int, error) {
-	if x.conn.reader.Buffered() == 0 && x.Response.ContentLength != 0 && !x.bodyEnded {
-		err := x.conn.waitForData(x.waitPolicy.CheckInterval, x.waitPolicy.KeepWaiting)
-		// An io.EOF is left to Body.Read, since it may be the regular end of the body.
-		if err != nil && !errors.Is(err, io.EOF) {
-			return 0, x.waitFailed(err)
-		}
-	}
-	if err := x.conn.SetReadDeadline(time.Now().Add(ioTimeout)); err != nil && x.conn.reader.Buffered() == 0 {
-		return 0, x.interrupted(err) // Buffered data is still read after an error.
-	}
 	n, err := x.Response.Body.Read(buf)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
 		x.bodyEnded = true
 		return n, io.EOF
+	default:
+		return n, x.waitFailed(err)
 	}
-	if err != nil {
-		return n, x.interrupted(err)
-	}
-	return n, nil
 }
 
 // Close ends the exchange. It keeps the connection for reuse if the body was read to its end
