portal: take a silent endpoint for dead only after 1.4 s

Cause: two probes without an answer within 120 ms each were enough. The leader probes the members of a replica as soon as its head has sent nothing for 0.2 s, so an engine that was silent for half a second was declared dead, and the planner ended the replica: it ordered its members, and the head when it had come back, to leave. Nobody had told a host that is down from a process that is silent.

Fix: a probe for which no connection could be opened is told from one that was accepted and not answered. The first still counts as dead after two, a refused connection at once; a silent endpoint after 1.4 s, which is longer than the second or so that a sound one may be silent.

--- a/internal/control/portal/fixture_test.go
+++ b/internal/control/portal/fixture_test.go
@@ -55,6 +55,8 @@
 	mu     sync.Mutex
 	orders []formation.Order
 	dead   map[string]bool
+	// silentUntil holds the times until which engines accept probes and do not answer them.
+	silentUntil map[string]time.Time
 }
 
 func (r *engineRecorder) SendOrder(_ context.Context, to roster.Endpoint, o formation.Order) formation.Answer {
@@ -71,7 +73,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.dead[to.ID] {
-		return ProbeTimeout
+		return ProbeUnreachable
+	}
+	if time.Now().Before(r.silentUntil[to.ID]) {
+		return ProbeSilent
 	}
 	return ProbeAlive
 }
--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -17,8 +17,12 @@
 	probeRetryInterval = 10 * time.Millisecond
 	// probeValidity is how long a successful probe counts as a sign of life.
 	probeValidity = 800 * time.Millisecond
-	// maxMissedProbes is the number of failed probes after which an endpoint counts as dead.
-	maxMissedProbes = 2
+	// maxUnreachableProbes is the number of probes in a row without a connection after which an
+	// endpoint counts as dead.
+	maxUnreachableProbes = 2
+	// maxSilence is how long an endpoint may accept probes without answering them before it counts as
+	// dead. A sound endpoint may be silent for about a second.
+	maxSilence = 1400 * time.Millisecond
 	// unprobedTimeout is the time in addition to probeAfter after which an endpoint without a
 	// sign of life counts as dead even if it was not probed. A new leader has not probed any
 	// endpoint yet.
@@ -31,8 +35,12 @@
 // endpointHealth is the result of the probes of one endpoint.
 type endpointHealth struct {
 	// probing is true while a probe is under way.
-	probing     bool
-	missed      int
+	probing bool
+	// missed counts the probes without an answer since the last one with an answer, and unreachable
+	// those of them in a row for which no connection could be opened.
+	missed, unreachable int
+	// silentSince is when the first of the missed probes was sent.
+	silentSince time.Time
 	dead        bool
 	connRefused bool
 	// lastProbe is when the last probe ended, and lastSuccess when one last succeeded.
@@ -114,6 +122,7 @@
 }
 
 func (p *Portal) probe(ctx context.Context, e roster.Endpoint) {
+	sentAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	result := p.opts.Engines.Probe(ctx, e)
@@ -125,21 +134,35 @@
 	if !known {
 		return // It has announced itself meanwhile.
 	}
+	wasDead := h.dead
+	h = h.withProbe(result, sentAt, now)
+	p.health[e.ID] = h
+	switch {
+	case wasDead && !h.dead:
+		event.EndpointFound.On(p.opts.Logger).Str("endpoint", e.ID).Msg("")
+	case !wasDead && h.dead:
+		p.metrics.lost.Inc(1)
+		event.EndpointLost.On(p.opts.Logger).Str("endpoint", e.ID).Int("missed", h.missed).Int("unreachable", h.unreachable).
+			Dur("silent", now.Sub(h.silentSince)).Bool("refuses", h.connRefused).Msg("")
+	}
+}
+
+// withProbe returns the health after a probe that was sent at sentAt and ended now.
+func (h endpointHealth) withProbe(result ProbeResult, sentAt, now time.Time) endpointHealth {
 	h.probing, h.lastProbe = false, now
+	h.connRefused = result == ProbeRefused
 	if result == ProbeAlive {
-		if h.dead {
-			event.EndpointFound.On(p.opts.Logger).Str("endpoint", e.ID).Msg("")
-		}
-		h.missed, h.dead, h.connRefused, h.lastSuccess = 0, false, false, now
-		p.health[e.ID] = h
-		return
+		h.missed, h.unreachable, h.dead, h.lastSuccess = 0, 0, false, now
+		return h
+	}
+	if h.missed == 0 {
+		h.silentSince = sentAt
 	}
 	h.missed++
-	h.connRefused = result == ProbeRefused
-	if !h.dead && (h.connRefused || h.missed >= maxMissedProbes) {
-		h.dead = true
-		p.metrics.lost.Inc(1)
-		event.EndpointLost.On(p.opts.Logger).Str("endpoint", e.ID).Int("missed", h.missed).Bool("refuses", h.connRefused).Msg("")
+	h.unreachable++
+	if result != ProbeUnreachable {
+		h.unreachable = 0
 	}
-	p.health[e.ID] = h
+	h.dead = h.dead || h.connRefused || h.unreachable >= maxUnreachableProbes || now.Sub(h.silentSince) >= maxSilence
+	return h
 }
--- /dev/null
+++ b/internal/control/portal/health_test.go
@@ -0,0 +1,37 @@
+package portal
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestHealthWithProbe guards against an endpoint that counts as dead although only its process is
+// silent for a second, and against one on a host that is down and counts as alive for longer than two
+// probes.
+func TestHealthWithProbe(t *testing.T) {
+	const u, s, a, r = ProbeUnreachable, ProbeSilent, ProbeAlive, ProbeRefused
+	for name, c := range map[string]struct {
+		results []ProbeResult
+		dead    bool
+	}{
+		"refused once":             {[]ProbeResult{r}, true},
+		"unreachable once":         {[]ProbeResult{u}, false},
+		"unreachable twice":        {[]ProbeResult{u, u}, true},
+		"unreachable, then silent": {[]ProbeResult{u, s, u, s}, false},
+		"silent for 1.3 s":         {[]ProbeResult{s, s, s, s, s, s, s, s, s, s, s}, false},
+		"silent for 1.4 s":         {[]ProbeResult{s, s, s, s, s, s, s, s, s, s, s, s}, true},
+		"silent, alive, silent":    {[]ProbeResult{s, s, s, s, s, s, s, a, s, s, s, s, s, s, s}, false},
+		"alive again":              {[]ProbeResult{u, u, a}, false},
+	} {
+		now := time.Unix(1, 0)
+		var h endpointHealth
+		for _, result := range c.results {
+			sentAt := now
+			now = now.Add(probeTimeout)
+			h = h.withProbe(result, sentAt, now)
+		}
+		require.Equal(t, c.dead, h.dead, name)
+	}
+}
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -48,8 +48,11 @@
 
 // The results of a probe.
 const (
-	// ProbeTimeout means that the endpoint did not answer in time.
-	ProbeTimeout ProbeResult = iota
+	// ProbeUnreachable means that no connection could be opened in time: the host is down or cut off.
+	ProbeUnreachable ProbeResult = iota
+	// ProbeSilent means that the endpoint's host accepted the probe and that the endpoint did not
+	// answer in time. It may go on.
+	ProbeSilent
 	// ProbeAlive means that the endpoint answered.
 	ProbeAlive
 	// ProbeRefused means that the connection was refused, or that another endpoint answers at the
--- a/internal/control/portal/portal_test.go
+++ b/internal/control/portal/portal_test.go
@@ -257,3 +257,27 @@
 		require.True(t, leader.health["e1"].dead)
 	})
 }
+
+// TestSilentEndpointIsNotLostWithinASecond guards against the end of a sound replica whose member is
+// silent for a second and goes on.
+func TestSilentEndpointIsNotLostWithinASecond(t *testing.T) {
+	for silence, lost := range map[time.Duration]bool{time.Second: false, 3 * time.Second: true} {
+		runCluster(t, 3, func(c *cluster) {
+			c.put("1:first")
+			require.NoError(t, c.nodes[0].Announce(engine(0, 1)))
+			time.Sleep(2 * time.Second)
+			c.engines.mu.Lock()
+			c.engines.silentUntil = map[string]time.Time{"e0": time.Now().Add(silence)}
+			c.engines.mu.Unlock()
+			wasLost := false
+			for range 60 {
+				time.Sleep(50 * time.Millisecond)
+				leader := c.leader()
+				leader.mu.Lock()
+				wasLost = wasLost || leader.health["e0"].dead
+				leader.mu.Unlock()
+			}
+			require.Equal(t, lost, wasLost, "silent for %v", silence)
+		})
+	}
+}
