balance: count the failures of one moment as one

What callers saw: an endpoint that was silent for a second got no requests for up to 5 s more, and requests were refused although it had room.

Cause: each request that was moved off a silent endpoint doubled its ban, so that a head with a few streams reached the longest ban at once. They all tell of one event.

Fix: while an endpoint is banned, further failures neither lengthen nor double its ban. A failure after the ban doubles it, as before.

Evidence: TestFailuresOfOneMomentCountAsOne failed before ("Should be true": banned after minBan).

--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -229,8 +229,12 @@
 	}
 }
 
-// ban keeps requests from the endpoint for a time that doubles with each failure.
+// ban keeps requests from the endpoint for a time that doubles with each failure. The failures of
+// requests that were sent before the ban count as one.
 func (t *endpointState) ban(now time.Time) {
+	if now.Before(t.bannedUntil) {
+		return
+	}
 	t.failures++
 	duration := min(maxBan, minBan<<min(t.failures-1, 5))
 	t.bannedUntil = now.Add(duration)
--- a/internal/entry/balance/balancer_test.go
+++ b/internal/entry/balance/balancer_test.go
@@ -344,3 +344,17 @@
 	require.Zero(t, EngineTime(e, "unknown", dialect.Usage{PromptTokens: 1, MaxOutputTokens: 1}))
 	require.Zero(t, EngineTime(nil, "m", dialect.Usage{PromptTokens: 1, MaxOutputTokens: 1}))
 }
+
+// TestFailuresOfOneMomentCountAsOne guards against a long loss of capacity after a short silence, at
+// which all requests of an endpoint fail together.
+func TestFailuresOfOneMomentCountAsOne(t *testing.T) {
+	b := heads(1)
+	for range 8 {
+		b.RequestSent("h0", newRequest(10, noon), noon)
+	}
+	for range 8 {
+		b.RequestEnded("h0", newRequest(10, noon), false, ResultStalled, noon)
+	}
+	_, ok := b.pick(newRequest(10, noon.Add(minBan)), noon.Add(minBan))
+	require.True(t, ok)
+}
