upstream: don't take a pause of this process for the silence of endpoints

What callers saw: all streams of a gateway broken off in the same millisecond, 1.5 s after their last event, and requests refused although no endpoint had been silent and no signal had been sent.

Cause: on a busy machine the gateway itself stood still for 0.3 s. When it went on, the time limits of its reads had passed, so it asked the wait policy before it read what had arrived meanwhile. All endpoints looked silent at once, all were banned, and with none left to take them over all streams ended.

TestOwnPauseIsNotTakenForSilence failed before ("expected: 0, actual: 1, late by 300ms").

Fix: a wait that ends much later than its limit says that this process stood still; the connection is then read once more before the policy is asked.

--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -96,10 +96,12 @@
 }
 
 // Read implements net.Conn. While no data arrives it consults the wait policy, and returns
-// ErrAbandoned if that ends the wait.
+// ErrAbandoned if that ends the wait. It doesn't consult the policy after a wait that took much longer
+// than it should: then this process itself stood still, and data may have arrived meanwhile.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
-		if err := c.SetReadDeadline(time.Now().Add(c.wait.CheckInterval)); err != nil {
+		deadline := time.Now().Add(c.wait.CheckInterval)
+		if err := c.SetReadDeadline(deadline); err != nil {
 			return 0, err
 		}
 		n, err := c.Conn.Read(b)
@@ -107,7 +109,8 @@
 		if n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
 			return n, err
 		}
-		if !c.wait.KeepWaiting() {
+		stoodStill := time.Since(deadline) > c.wait.CheckInterval
+		if !stoodStill && !c.wait.KeepWaiting() {
 			return 0, ErrAbandoned{}
 		}
 	}
--- a/internal/entry/upstream/upstream_test.go
+++ b/internal/entry/upstream/upstream_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -211,6 +213,49 @@
 	require.Equal(t, 3, calls)
 }
 
+// lateConn is a connection whose first read returns its timeout late, as in a process that stood
+// still for a time in which the response arrived.
+type lateConn struct {
+	net.Conn
+	delay    time.Duration
+	response io.Reader
+	deadline time.Time
+	woken    bool
+}
+
+func (c *lateConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	if !c.woken {
+		c.woken = true
+		time.Sleep(time.Until(c.deadline) + c.delay)
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.response.Read(b)
+}
+
+// TestOwnPauseIsNotTakenForSilence guards against a gateway that stands still for a moment on a busy
+// machine and then gives up all its streams, although their data has arrived.
+func TestOwnPauseIsNotTakenForSilence(t *testing.T) {
+	for delay, asked := range map[time.Duration]int{time.Millisecond: 1, 300 * time.Millisecond: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			client, server := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, server) }()
+			p := Pool{Dial: func(context.Context, string) (net.Conn, error) {
+				return &lateConn{Conn: client, delay: delay, response: strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")}, nil
+			}}
+			calls := 0
+			x, err := p.Do(t.Context(), "a", getRequest(), WaitPolicy{CheckInterval: 50 * time.Millisecond, KeepWaiting: func() bool { calls++; return true }})
+			require.NoError(t, err)
+			x.abort()
+			require.Equal(t, asked, calls, "late by %v", delay)
+		})
+	}
+}
+
 func TestCanceledContextInterruptsTheExchange(t *testing.T) {
 	release := make(chan struct{})
 	defer close(release)
