portal: a probe that ends late tells nothing of its endpoint

The same cause as in the gateway's reads: a portal that stands still for a moment while it probes finds its probes timed out when it goes on, and took their endpoints for dead after two; the planner then ends sound replicas.

Fix: a timed-out probe that has taken more than twice its limit is ignored and sent again. TestLateProbeTellsNothing failed with the check switched off ("Should be false").

--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -147,9 +147,14 @@
 	}
 }
 
-// withProbe returns the health after a probe that was sent at sentAt and ended now.
+// withProbe returns the health after a probe that was sent at sentAt and ended now. A probe that has
+// taken much longer than its limit tells nothing: then this process itself stood still.
 func (h endpointHealth) withProbe(result ProbeResult, sentAt, now time.Time) endpointHealth {
 	h.probing, h.lastProbe = false, now
+	timedOut := result == ProbeUnreachable || result == ProbeSilent
+	if timedOut && now.Sub(sentAt) > 2*probeTimeout {
+		return h
+	}
 	h.connRefused = result == ProbeRefused
 	if result == ProbeAlive {
 		h.missed, h.unreachable, h.dead, h.lastSuccess = 0, 0, false, now
--- a/internal/control/portal/health_test.go
+++ b/internal/control/portal/health_test.go
@@ -35,3 +35,17 @@
 		require.Equal(t, c.dead, h.dead, name)
 	}
 }
+
+// TestLateProbeTellsNothing guards against a portal that stands still for a moment and then takes the
+// endpoints that it was probing for dead.
+func TestLateProbeTellsNothing(t *testing.T) {
+	sentAt := time.Unix(1, 0)
+	for _, result := range []ProbeResult{ProbeUnreachable, ProbeSilent} {
+		var h endpointHealth
+		for range 2 {
+			h = h.withProbe(result, sentAt, sentAt.Add(2*time.Second))
+		}
+		require.False(t, h.dead)
+		require.False(t, h.probing)
+	}
+}
