Log what a planned stop finds in flight, a further signal and what the stop cuts

Before, nothing showed how many requests a stop found in flight nor that a signal came again; a gateway logged cut=0 or an error only; and a request that the end of a stop cut was logged as request_left, as if its caller had closed the connection. Now the process that owns the signals writes the lines, the same way for all five daemons: process_stopping with signal and in_flight, stop_signal_repeated (413), process_stopped with cut and took. A cut request ends with request_failed and the reason "cut by the end of the planned stop". A gateway waits up to 100 ms until the requests that it cuts have been logged. When a stop ends is unchanged.

The entry's count of requests moves to internal/process/inflight, which the gateway uses as well; the signal handling moves to daemon/supervisor.go.

--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -23,7 +23,7 @@
 func (c agentCommand) Run() error {
 	return runDaemon(c.Config, settings.LoadAgent, func(_ context.Context, s settings.Agent) daemon.Options {
 		return daemon.Options{
-			Role: host.RoleAgent, Host: s.Host, Link: s.Link, Health: s.Health, Keys: s.Keys,
+			Name: "agent", Role: host.RoleAgent, Host: s.Host, Link: s.Link, Health: s.Health, Keys: s.Keys,
 			Log: s.Log, Stop: s.Stop,
 			Build: func(deps daemon.Dependencies) (daemon.Daemon, error) { return buildAgent(s, deps) },
 		}
@@ -44,7 +44,11 @@
 			}
 			return nil
 		},
-		Shutdown: func(ctx context.Context) { _ = agent.Shutdown(ctx) },
+		InFlight: agent.InProgress,
+		Shutdown: func(ctx context.Context) int {
+			_ = agent.Shutdown(ctx)
+			return agent.InProgress()
+		},
 	}, nil
 }
 
--- a/cmd/control.go
+++ b/cmd/control.go
@@ -21,7 +21,7 @@
 func (c controlCommand) Run() error {
 	return runDaemon(c.Config, settings.LoadControl, func(_ context.Context, s settings.Control) daemon.Options {
 		return daemon.Options{
-			Role: host.RoleControl, Host: s.Host, Link: s.Link, Health: s.Health, Keys: s.Keys,
+			Name: "control", Role: host.RoleControl, Host: s.Host, Link: s.Link, Health: s.Health, Keys: s.Keys,
 			Log: s.Log, Stop: s.Stop,
 			Build: func(deps daemon.Dependencies) (daemon.Daemon, error) { return buildControl(s, deps) },
 		}
@@ -51,6 +51,10 @@
 			}
 			return nil
 		},
-		Shutdown: func(ctx context.Context) { _ = control.Shutdown(ctx) },
+		InFlight: control.CallsInProgress,
+		Shutdown: func(ctx context.Context) int {
+			_ = control.Shutdown(ctx)
+			return control.CallsInProgress()
+		},
 	}, nil
 }
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -17,7 +17,7 @@
 func (c entryCommand) Run() error {
 	return runDaemon(c.Config, settings.LoadEntry, func(ctx context.Context, s settings.Entry) daemon.Options {
 		return daemon.Options{
-			Role: host.RoleEntry, Host: s.Host, Link: s.Link, Health: s.Health, Keys: s.Keys,
+			Name: "entry", Role: host.RoleEntry, Host: s.Host, Link: s.Link, Health: s.Health, Keys: s.Keys,
 			Log: s.Log, Stop: s.Stop,
 			Build: func(deps daemon.Dependencies) (daemon.Daemon, error) { return buildEntry(ctx, s, deps) },
 		}
@@ -42,6 +42,7 @@
 	return daemon.Daemon{
 		Run:      func(ctx context.Context) error { return entry.Run(ctx, listener) },
 		Ready:    entry.Ready,
+		InFlight: entry.InFlight,
 		Shutdown: entry.Shutdown,
 	}, nil
 }
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -21,7 +21,7 @@
 func (c gatewayCommand) Run() error {
 	return runDaemon(c.Config, settings.LoadGateway, func(ctx context.Context, s settings.Gateway) daemon.Options {
 		return daemon.Options{
-			Role: host.RoleEntry, Host: s.Host, Link: s.Link.Link(), Health: s.Health, Metrics: s.Metrics, Keys: settings.Keys(s.Keys),
+			Name: "gateway", Role: host.RoleEntry, Host: s.Host, Link: s.Link.Link(), Health: s.Health, Metrics: s.Metrics, Keys: settings.Keys(s.Keys),
 			PrivateNetwork: s.Link.PrivateNetwork, Log: s.Log, Stop: s.Stop,
 			Build: func(deps daemon.Dependencies) (daemon.Daemon, error) {
 				return buildGateway(ctx, c.Config, s, deps)
@@ -60,6 +60,7 @@
 	return daemon.Daemon{
 		Run:      func(ctx context.Context) error { return g.Run(ctx, listener) },
 		Ready:    g.Ready,
+		InFlight: g.InFlight,
 		Shutdown: g.Shutdown,
 		Reload:   reload,
 	}, nil
--- a/cmd/portal.go
+++ b/cmd/portal.go
@@ -29,7 +29,7 @@
 func (c portalCommand) Run() error {
 	return runDaemon(c.Config, settings.LoadPortal, func(ctx context.Context, s settings.Portal) daemon.Options {
 		return daemon.Options{
-			Role: host.RoleControl, Host: s.Host, Link: s.Link.Link(), Health: s.Health, Keys: settings.Keys(s.Keys),
+			Name: "portal", Role: host.RoleControl, Host: s.Host, Link: s.Link.Link(), Health: s.Health, Keys: settings.Keys(s.Keys),
 			PrivateNetwork: s.Link.PrivateNetwork, Log: s.Log, Stop: s.Stop,
 			Build: func(deps daemon.Dependencies) (daemon.Daemon, error) { return buildPortal(ctx, s, deps) },
 		}
@@ -69,8 +69,11 @@
 		return group.Wait()
 	}
 	return daemon.Daemon{
-		Run:      run,
-		Ready:    func() error { return nil },
-		Shutdown: func(ctx context.Context) { p.Stop(ctx) },
+		Run:   run,
+		Ready: func() error { return nil },
+		Shutdown: func(ctx context.Context) int {
+			p.Stop(ctx)
+			return 0
+		},
 	}, nil
 }
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -148,7 +148,6 @@
 	group.Go(func() error { return p.runPlanning(ctx) })
 	group.Go(func() error { return p.watchDocument(ctx) })
 	err := group.Wait()
-	event.ProcessStopped.On(p.opts.Logger).Str("role", "portal").Int("cut", 0).Msg("")
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -157,7 +156,6 @@
 
 // Stop transfers the leadership to another host if this host is the leader.
 func (p *Portal) Stop(ctx context.Context) {
-	event.ProcessStopping.On(p.opts.Logger).Str("role", "portal").Msg("")
 	p.mu.Lock()
 	p.stopping = true
 	l := p.log
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -169,16 +169,17 @@
 	if s.stopping.Swap(true) {
 		return nil
 	}
-	event.ProcessStopping.On(s.opts.Logger).Str("role", string(host.RoleControl)).Msg("")
 	err := s.transferLeadership(ctx)
 	s.redirecting.Store(true)
 	s.drainCalls(ctx)
 	s.cancelRun()
 	<-s.runDone
-	event.ProcessStopped.On(s.opts.Logger).Str("role", string(host.RoleControl)).Int("cut", 0).Msg("")
 	return err
 }
 
+// CallsInProgress returns the number of calls whose callers have not yet read the answer.
+func (s *Server) CallsInProgress() int { return int(s.callsInProgress.Load()) }
+
 // transferLeadership transfers the leadership to another control host, within transferTimeout. If
 // all control hosts stop together there is no successor, which is not an error.
 func (s *Server) transferLeadership(ctx context.Context) error {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/process/inflight"
 	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
@@ -94,7 +95,10 @@
 	// lastUpdate is the time of the last update from control, in Unix nanoseconds.
 	lastUpdate atomic.Int64
 	stopping   atomic.Bool
-	server     *http.Server
+	// cutting says that the time of the planned stop is up and its connections are being closed.
+	cutting  atomic.Bool
+	inFlight inflight.Requests
+	server   *http.Server
 	// randomFraction returns a number from 0 up to, but not including, 1.
 	randomFraction func() float64
 }
@@ -189,18 +193,38 @@
 }
 
 // Shutdown shuts the gateway down gracefully: it is not ready from now on, accepts requests for
-// ShutdownDelay, and then waits until those in flight have ended or ctx ends.
-func (g *Gateway) Shutdown(ctx context.Context) {
-	event.ProcessStopping.On(g.opts.Logger).Str("role", "gateway").Msg("")
+// ShutdownDelay, and then waits until those in flight have ended or ctx ends. It returns the number
+// of requests that were cut.
+func (g *Gateway) Shutdown(ctx context.Context) int {
 	g.stopping.Store(true)
 	pause.For(ctx, g.opts.ShutdownDelay)
-	if err := g.server.Shutdown(ctx); err != nil {
-		event.ProcessStopped.On(g.opts.Logger).Str("role", "gateway").Err(err).Msg("")
-		return
+	if g.server.Shutdown(ctx) == nil {
+		return 0
+	}
+	return g.cutRequests(ctx)
+}
+
+// cutTimeout bounds how long a gateway waits until the requests that it cuts have ended.
+const cutTimeout = 100 * time.Millisecond
+
+// cutRequests closes the connections of callers, waits until the requests on them have ended, and
+// returns how many there were.
+func (g *Gateway) cutRequests(ctx context.Context) int {
+	g.cutting.Store(true)
+	cut := g.inFlight.Count()
+	_ = g.server.Close()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutTimeout)
+	defer cancel()
+	select {
+	case <-g.inFlight.WhenIdle():
+	case <-ctx.Done():
 	}
-	event.ProcessStopped.On(g.opts.Logger).Str("role", "gateway").Int("cut", 0).Msg("")
+	return cut
 }
 
+// InFlight returns the number of requests being served.
+func (g *Gateway) InFlight() int { return g.inFlight.Count() }
+
 // endpointRetention is how long an endpoint is kept without a new announcement from control.
 const endpointRetention = 24 * time.Hour
 
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -70,6 +70,8 @@
 // serve is the handler of all requests.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, arrivedAt: time.Now(), id: r.Header.Get(g.opts.Dialect.Headers.RequestID)}
+	g.inFlight.Begin()
+	defer g.inFlight.End()
 	g.requestCount.Add(1)
 	g.metrics.requests.Inc(1)
 	c.closeAfter = mustCloseAfter(r) || g.stopping.Load()
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -51,8 +51,17 @@
 	c.fail(http.StatusGatewayTimeout, "no answer in time")
 }
 
-// callerLeft records that the caller has left before the end of the response.
+// reasonCut is the reason of a request that was in flight when the time of a planned stop was up.
+const reasonCut = "cut by the end of the planned stop"
+
+// callerLeft records that the connection has ended before the end of the response: the caller has
+// left, or the time of a planned stop is up.
 func (c *call) callerLeft() {
+	if c.g.cutting.Load() {
+		c.g.metrics.failed.Inc(1)
+		c.logEntry(event.RequestFailed).Str("reason", reasonCut).Bool("begun", c.stats.timeToFirst > 0).Msg("")
+		return
+	}
 	c.g.metrics.left.Inc(1)
 	c.logEntry(event.RequestLeft).Msg("")
 }
--- a/internal/entry/server/backend.go
+++ b/internal/entry/server/backend.go
@@ -135,8 +135,8 @@
 
 // Serve implements api.Backend.
 func (s *Server) Serve(ctx context.Context, work dispatch.Work, sink dispatch.Sink) dispatch.Result {
-	s.inFlight.begin()
-	defer s.inFlight.end()
+	s.inFlight.Begin()
+	defer s.inFlight.End()
 	observation := s.metrics.begin(work)
 	if !s.session.Valid() {
 		// Without control the ledger cannot be asked. The refusal holds for this
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/session"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/process/inflight"
 	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
@@ -91,7 +92,7 @@
 	cancelBase  context.CancelFunc
 
 	stopping  atomic.Bool
-	inFlight  inFlight
+	inFlight  inflight.Requests
 	refuseNew atomic.Bool
 }
 
@@ -165,9 +166,8 @@
 
 // Shutdown performs a planned stop. Readiness fails at once, requests are still
 // accepted for ShutdownDelay, then requests in flight finish, within DrainTimeout, and
-// the lease is given up.
-func (s *Server) Shutdown(ctx context.Context) {
-	event.ProcessStopping.On(s.opts.Logger).Str("role", "entry").Msg("")
+// the lease is given up. It returns the number of attempts that were cut.
+func (s *Server) Shutdown(ctx context.Context) int {
 	s.stopping.Store(true)
 	pause.For(ctx, s.opts.ShutdownDelay)
 	s.refuseNew.Store(true)
@@ -175,12 +175,15 @@
 	defer timeout.Stop()
 	cut := 0
 	select {
-	case <-s.inFlight.whenIdle():
+	case <-s.inFlight.WhenIdle():
 	case <-timeout.C:
 		cut = s.scheduler.countAttemptsInFlight()
 	case <-ctx.Done():
 		cut = s.scheduler.countAttemptsInFlight()
 	}
 	_ = s.session.Goodbye()
-	event.ProcessStopped.On(s.opts.Logger).Str("role", "entry").Int("cut", cut).Msg("")
+	return cut
 }
+
+// InFlight returns the number of requests being served.
+func (s *Server) InFlight() int { return s.inFlight.Count() }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -12,7 +12,6 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/identity"
@@ -30,9 +29,12 @@
 	Run func(ctx context.Context) error
 	// Ready returns the reason why the daemon accepts no new work, or nil.
 	Ready func() error
+	// InFlight returns how many requests the daemon is serving. It may be nil.
+	InFlight func() int
 	// Shutdown carries out a planned stop: it returns once the work in flight has ended, or
-	// early if ctx ends. The context of Run ends after it has returned.
-	Shutdown func(ctx context.Context)
+	// early if ctx ends, with the number of requests that were cut. The context of Run ends after
+	// it has returned.
+	Shutdown func(ctx context.Context) (cut int)
 	// Reload reads the settings file again. It is called on a private network only, at SIGHUP and
 	// every settingsCheckInterval. It may be nil.
 	Reload func()
@@ -50,6 +52,8 @@
 
 // Options are the settings that all daemons share and the function that creates the daemon.
 type Options struct {
+	// Name is the daemon's name in the log.
+	Name   string
 	Role   host.Role
 	Host   settings.Host
 	Link   settings.Link
@@ -120,7 +124,11 @@
 	serve := func(address settings.Address) func(context.Context) error {
 		return func(ctx context.Context) error { return healthServer.Run(ctx, address.String()) }
 	}
-	return supervise(ctx, d, opts.Stop, watch, serve(opts.Health.Address), serve(opts.Metrics.Address))
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	s := supervisor{daemon: d, name: opts.Name, stop: opts.Stop, signals: signals, logger: logger}
+	return s.run(ctx, watch, serve(opts.Health.Address), serve(opts.Metrics.Address))
 }
 
 // openKeys reads the process's credentials from the keys folder. On a private network it makes
@@ -153,52 +161,6 @@
 	}
 }
 
-// supervise runs d and the auxiliary functions until one of them fails, ctx ends or a signal has
-// stopped d.
-func supervise(ctx context.Context, d Daemon, stop settings.Stop, auxiliary ...func(context.Context) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		defer cancel()
-		return d.Run(ctx)
-	})
-	for _, run := range auxiliary {
-		group.Go(func() error { return run(ctx) })
-	}
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-signals:
-		}
-		shutdown(ctx, d, stop, signals)
-		cancel()
-		return nil
-	})
-	return group.Wait()
-}
-
-// shutdown calls d.Shutdown with the time limit of a planned stop. Another signal cancels the call.
-func shutdown(ctx context.Context, d Daemon, stop settings.Stop, signals <-chan os.Signal) {
-	ctx, cancel := context.WithTimeout(ctx, stop.ShutdownDelay+stop.DrainTimeout)
-	defer cancel()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		d.Shutdown(ctx)
-	}()
-	select {
-	case <-done:
-	case <-signals:
-		cancel()
-		<-done
-	}
-}
-
 // dialFrom returns a function that opens a UDP socket at the IP address of the link, on a free port.
 func dialFrom(address settings.Address) func() (net.PacketConn, error) {
 	return func() (net.PacketConn, error) {
--- /dev/null
+++ b/internal/process/daemon/supervisor_test.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/process/settings"
+)
+
+// fixture is a supervised daemon with one request in flight, which ends after work.
+type fixture struct {
+	work    time.Duration
+	signals chan os.Signal
+	lines   bytes.Buffer
+	// started is when the daemon began to run, stoppedAfter how long it ran, and cut the number of
+	// requests that were in flight at the end.
+	started      time.Time
+	stoppedAfter time.Duration
+	cut          int
+}
+
+func newFixture(work time.Duration) *fixture {
+	return &fixture{work: work, signals: make(chan os.Signal, 2), started: time.Now()}
+}
+
+// run runs the daemon with the auxiliary functions until it ends.
+func (f *fixture) run(ctx context.Context, auxiliary ...func(context.Context) error) error {
+	ended := false
+	s := supervisor{
+		daemon: Daemon{
+			Run: func(ctx context.Context) error {
+				<-ctx.Done()
+				f.stoppedAfter = time.Since(f.started)
+				return nil
+			},
+			InFlight: func() int { return f.inFlight(ended) },
+			Shutdown: func(ctx context.Context) int {
+				timer := time.NewTimer(time.Until(f.started.Add(f.work)))
+				defer timer.Stop()
+				select {
+				case <-timer.C:
+					ended = true
+				case <-ctx.Done():
+				}
+				f.cut = f.inFlight(ended)
+				return f.cut
+			},
+		},
+		name: "gateway", stop: settings.Stop{ShutdownDelay: 2 * time.Second, DrainTimeout: 5 * time.Second}, signals: f.signals,
+		logger: &log.Logger{Writer: &log.IOWriter{Writer: &f.lines}},
+	}
+	return s.run(ctx, auxiliary...)
+}
+
+func (f *fixture) inFlight(ended bool) int {
+	if ended {
+		return 0
+	}
+	return 1
+}
+
+// TestLogShowsHowAStopWent guards against a planned stop of which the log doesn't show what it cut.
+func TestLogShowsHowAStopWent(t *testing.T) {
+	for name, c := range map[string]struct {
+		work time.Duration
+		want string
+	}{
+		"the request ends":     {3 * time.Second, `"name":"process_stopped","role":"gateway","cut":0,"took":2000`},
+		"the stop's time ends": {time.Minute, `"name":"process_stopped","role":"gateway","cut":1,"took":7000`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(c.work)
+				time.AfterFunc(time.Second, func() { f.signals <- syscall.SIGTERM })
+				require.NoError(t, f.run(t.Context()))
+				require.Contains(t, f.lines.String(), `"name":"process_stopping","role":"gateway","signal":"terminated","in_flight":1`)
+				require.Contains(t, f.lines.String(), c.want)
+			})
+		})
+	}
+}
--- a/internal/telemetry/event/process.go
+++ b/internal/telemetry/event/process.go
@@ -18,4 +18,6 @@
 
 	LinesDropped     = register(411, "lines_dropped", log.WarnLevel)
 	SettingsReloaded = register(412, "settings_reloaded", log.InfoLevel)
+
+	StopSignalRepeated = register(413, "stop_signal_repeated", log.WarnLevel)
 )
