--- a/internal/entry/gateway/stop_test.go
+++ b/internal/entry/gateway/stop_test.go
@@ -1,13 +1,21 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/standin/memnet"
 )
 
 // captureLog lets the gateway log to the buffer that it returns.
@@ -32,18 +40,142 @@
 // TestCutRequestIsLoggedAsFailed guards against a planned stop that cuts requests and logs that their
 // callers have left.
 func TestCutRequestIsLoggedAsFailed(t *testing.T) {
+	var got callerResponse
+	var cut int
+	var lines *bytes.Buffer
 	withFixture(t, func(f *fixture) {
-		lines := f.captureLog()
+		lines = f.captureLog()
 		forEach(f.heads, func(e *fakeEndpoint) { e.streamEvents(20, 100*time.Millisecond, endStream) })
 		done := make(chan callerResponse, 1)
 		go func() { done <- f.send("POST", "/stream/", "x") }()
 		time.Sleep(550 * time.Millisecond)
-		require.Equal(t, 1, f.g.InFlight())
-		require.Equal(t, 1, <-f.shutdown(500*time.Millisecond))
-		require.Error(t, (<-done).err)
+		cut = <-f.shutdown(500 * time.Millisecond)
+		got = <-done
 		f.letEndpointsEnd()
-		require.Contains(t, lines.String(), `"name":"request_failed","request":"req-1"`)
-		require.Contains(t, lines.String(), `"reason":"cut by the end of the planned stop","begun":true`)
-		require.NotContains(t, lines.String(), "request_left")
 	})
+	require.Equal(t, 1, cut)
+	require.Error(t, got.err)
+	require.Contains(t, lines.String(), `"name":"request_failed","request":"req-1"`)
+	require.Contains(t, lines.String(), `"reason":"cut by the end of the planned stop","begun":true`)
+	require.NotContains(t, lines.String(), "request_left")
+}
+
+// closingListener accepts connections on which a request can cross the end of the connection.
+type closingListener struct {
+	net.Listener
+	armed chan struct{}
+	// stop is called once a request has been read from a connection after armed was closed. The
+	// request is delivered when the connection has been closed.
+	stop func()
+}
+
+func (l *closingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &closingConn{Conn: c, listener: l, closed: make(chan struct{})}, nil
+}
+
+type closingConn struct {
+	net.Conn
+	listener *closingListener
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (c *closingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.listener.armed:
+		if n > 1 {
+			go c.listener.stop()
+			<-c.closed
+		}
+	default:
+	}
+	return n, err
+}
+
+func (c *closingConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// TestRequestOnAConnectionBeingClosedIsNotPassedOn guards against a request that has been read from an
+// idle connection, which the planned stop closes, and runs at an endpoint although its answer can't
+// be sent.
+func TestRequestOnAConnectionBeingClosedIsNotPassedOn(t *testing.T) {
+	var first, crossing callerResponse
+	var runs int
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		forEach(f.plains, func(e *fakeEndpoint) { e.respondWith(200, "x") })
+		inner := memnet.NewListener("gateway")
+		listener := &closingListener{Listener: inner, armed: make(chan struct{})}
+		stopped := make(chan struct{})
+		listener.stop = func() {
+			defer close(stopped)
+			f.g.Shutdown(t.Context())
+		}
+		go func() { _ = f.g.server.Serve(framingListener{listener}) }()
+		transport := &http.Transport{DialContext: inner.Dial}
+		f.client = &http.Client{Transport: transport}
+		first = f.send("POST", "/unsafe/", "x")
+		synctest.Wait()
+		close(listener.armed)
+		crossing = f.send("POST", "/unsafe/", "x")
+		<-stopped
+		runs = f.runCount()
+		transport.CloseIdleConnections()
+		f.g.upstream.CloseExpired(time.Now().Add(time.Hour))
+		synctest.Wait()
+	})
+	require.Equal(t, 200, first.status)
+	require.Error(t, crossing.err)
+	require.Equal(t, 1, runs, "only the first request runs")
+}
+
+// TestRequestAfterTheNoticeIsRefused guards against a request that arrives late in a planned stop, on a
+// connection that was opened before, and gets neither a response nor a refusal.
+func TestRequestAfterTheNoticeIsRefused(t *testing.T) {
+	var whole, late callerResponse
+	var cut, runs int
+	withFixture(t, func(f *fixture) {
+		f.g.opts.ShutdownDelay = time.Second
+		forEach(f.heads, func(e *fakeEndpoint) { e.streamEvents(20, 100*time.Millisecond, endStream) })
+		forEach(f.plains, func(e *fakeEndpoint) { e.respondWith(200, "x") })
+		opened, err := f.dial()
+		require.NoError(t, err)
+		stream := make(chan callerResponse, 1)
+		go func() { stream <- f.send("POST", "/stream/", "x") }()
+		synctest.Wait()
+		stopped := f.shutdown(7500 * time.Millisecond)
+		time.Sleep(1500 * time.Millisecond)
+		late = sendOn(opened, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Caller-Key: secret\r\nContent-Length: 1\r\n\r\nx")
+		_ = opened.Close()
+		whole, cut, runs = <-stream, <-stopped, f.runCount()
+	})
+	require.NoError(t, whole.err)
+	require.Equal(t, eventTexts(20), whole.body)
+	require.Zero(t, cut)
+	require.NoError(t, late.err)
+	require.Equal(t, http.StatusServiceUnavailable, late.status)
+	require.NotEmpty(t, late.header.Get("Retry-After"))
+	require.True(t, late.closed)
+	require.Equal(t, 1, runs, "only the stream runs")
+}
+
+// sendOn sends the text of a request on an open connection and reads the response.
+func sendOn(c net.Conn, request string) callerResponse {
+	if _, err := io.WriteString(c, request); err != nil {
+		return callerResponse{err: err}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return callerResponse{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return callerResponse{status: response.StatusCode, header: response.Header, body: string(body), err: err, closed: response.Close}
 }
--- a/internal/process/daemon/supervisor_test.go
+++ b/internal/process/daemon/supervisor_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -87,3 +88,27 @@
 		})
 	}
 }
+
+// TestFurtherSignalsDoNotShortenAStop guards against a second SIGTERM or SIGINT that cuts the requests
+// in flight.
+func TestFurtherSignalsDoNotShortenAStop(t *testing.T) {
+	for name, further := range map[string][]os.Signal{
+		"one more":     {syscall.SIGTERM},
+		"another kind": {syscall.SIGINT},
+		"many":         {syscall.SIGTERM, syscall.SIGTERM, syscall.SIGINT, syscall.SIGTERM, syscall.SIGTERM},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(4 * time.Second)
+				time.AfterFunc(time.Second, func() { f.signals <- syscall.SIGTERM })
+				for i, s := range further {
+					time.AfterFunc(time.Second+time.Duration(i+1)*150*time.Millisecond, func() { f.signals <- s })
+				}
+				require.NoError(t, f.run(t.Context()))
+				require.Zero(t, f.cut)
+				require.Equal(t, 4*time.Second, f.stoppedAfter)
+				require.Equal(t, len(further), strings.Count(f.lines.String(), `"name":"stop_signal_repeated"`))
+			})
+		})
+	}
+}
