--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -70,6 +70,9 @@
 	// Reload receives the signals to read the settings again on a private network, and the keys
 	// otherwise. NotifyReload returns such a channel.
 	Reload <-chan os.Signal
+	// StopSignals receives the signals that start a planned stop. NotifyStop returns such a
+	// channel.
+	StopSignals <-chan os.Signal
 	// Build creates the daemon.
 	Build func(Dependencies) (Daemon, error)
 }
@@ -82,8 +85,17 @@
 	return reload
 }
 
-// Run runs a daemon until SIGINT or SIGTERM, which start a planned stop. A second signal ends the
-// planned stop at once.
+// NotifyStop returns a channel that receives the SIGINTs and SIGTERMs of the process, which start a
+// planned stop. They stay caught until the process exits, since one that is not caught ends the
+// process at once.
+func NotifyStop() <-chan os.Signal {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	return signals
+}
+
+// Run runs a daemon until a signal from opts.StopSignals, which starts a planned stop. Further
+// signals change nothing: the settings limit the stop, and only SIGKILL ends the process sooner.
 func Run(ctx context.Context, opts Options) error {
 	writer := logging.NewAsyncWriter(os.Stdout)
 	defer writer.Close()
@@ -124,10 +136,7 @@
 	serve := func(address settings.Address) func(context.Context) error {
 		return func(ctx context.Context) error { return healthServer.Run(ctx, address.String()) }
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	s := supervisor{daemon: d, name: opts.Name, stop: opts.Stop, signals: signals, logger: logger}
+	s := supervisor{daemon: d, name: opts.Name, stop: opts.Stop, signals: opts.StopSignals, logger: logger}
 	return s.run(ctx, watch, serve(opts.Health.Address), serve(opts.Metrics.Address))
 }
 
--- a/internal/process/daemon/supervisor.go
+++ b/internal/process/daemon/supervisor.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// shutdown calls the daemon's Shutdown with the time limit of a planned stop. Another signal cancels
-// the call.
+// shutdown calls the daemon's Shutdown with the time limit of a planned stop. Further signals are
+// logged and change nothing.
 func (s *supervisor) shutdown(ctx context.Context, received os.Signal) {
 	startedAt := time.Now()
 	event.ProcessStopping.On(s.logger).Str("role", s.name).Str("signal", received.String()).Int("in_flight", s.inFlight()).Msg("")
@@ -63,16 +63,16 @@
 	defer cancel()
 	done := make(chan int)
 	go func() { done <- s.daemon.Shutdown(ctx) }()
-	var cut int
-	select {
-	case cut = <-done:
-	case again := <-s.signals:
-		event.StopSignalRepeated.On(s.logger).Str("role", s.name).Str("signal", again.String()).
-			Dur("after", time.Since(startedAt)).Int("in_flight", s.inFlight()).Msg("")
-		cancel()
-		cut = <-done
+	for {
+		select {
+		case cut := <-done:
+			event.ProcessStopped.On(s.logger).Str("role", s.name).Int("cut", cut).Dur("took", time.Since(startedAt)).Msg("")
+			return
+		case again := <-s.signals:
+			event.StopSignalRepeated.On(s.logger).Str("role", s.name).Str("signal", again.String()).
+				Dur("after", time.Since(startedAt)).Int("in_flight", s.inFlight()).Msg("")
+		}
 	}
-	event.ProcessStopped.On(s.logger).Str("role", s.name).Int("cut", cut).Dur("took", time.Since(startedAt)).Msg("")
 }
 
 // inFlight returns how many requests the daemon is serving.
