--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -99,6 +99,9 @@
 	cutting  atomic.Bool
 	inFlight inflight.Requests
 	server   *http.Server
+	conns    busyConns
+	// listener accepts the connections of callers. It is nil before Run.
+	listener atomic.Pointer[net.Listener]
 	// randomFraction returns a number from 0 up to, but not including, 1.
 	randomFraction func() float64
 }
@@ -129,6 +132,7 @@
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		ConnContext:       withConn,
+		ConnState:         g.conns.changed,
 		ErrorLog:          nil,
 	}
 	return g
@@ -138,10 +142,11 @@
 func (g *Gateway) Run(ctx context.Context, listener net.Listener) error {
 	event.ProcessStarted.On(g.opts.Logger).Str("role", "gateway").Str("host", string(g.opts.Self)).
 		Str("address", listener.Addr().String()).Msg("")
+	g.listener.Store(&listener)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		err := g.server.Serve(framingListener{listener})
-		if errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) || g.stopping.Load() && errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		return errors.Wrap(err, "callers' listener")
@@ -193,15 +198,29 @@
 }
 
 // Shutdown shuts the gateway down gracefully: it is not ready from now on, accepts requests for
-// ShutdownDelay, and then waits until those in flight have ended or ctx ends. It returns the number
-// of requests that were cut.
+// ShutdownDelay, and then refuses new ones and waits until those in flight have ended or ctx ends. It
+// returns the number of requests that were cut.
 func (g *Gateway) Shutdown(ctx context.Context) int {
 	g.stopping.Store(true)
 	pause.For(ctx, g.opts.ShutdownDelay)
-	if g.server.Shutdown(ctx) == nil {
+	g.closeToCallers()
+	select {
+	case <-g.conns.whenIdle():
+		_ = g.server.Close()
 		return 0
+	case <-ctx.Done():
+		return g.cutRequests(ctx)
+	}
+}
+
+// closeToCallers refuses requests from now on, accepts no more connections and closes idle ones. It
+// doesn't use the Shutdown of net/http, which drops the requests that it reads from then on.
+func (g *Gateway) closeToCallers() {
+	g.inFlight.Refuse()
+	if listener := g.listener.Load(); listener != nil {
+		_ = (*listener).Close()
 	}
-	return g.cutRequests(ctx)
+	g.server.SetKeepAlivesEnabled(false)
 }
 
 // cutTimeout bounds how long a gateway waits until the requests that it cuts have ended.
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -70,7 +70,7 @@
 // serve is the handler of all requests.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, arrivedAt: time.Now(), id: r.Header.Get(g.opts.Dialect.Headers.RequestID)}
-	g.inFlight.Begin()
+	accepted := g.inFlight.Begin()
 	defer g.inFlight.End()
 	g.requestCount.Add(1)
 	g.metrics.requests.Inc(1)
@@ -78,6 +78,10 @@
 	if c.closeAfter {
 		w.Header().Set("Connection", "close")
 	}
+	if !accepted {
+		c.refuse(stoppingRetryAfter, "stopping")
+		return
+	}
 	table := g.table.Load()
 	if table == nil {
 		c.refuse(time.Second, "no configuration yet")
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -23,6 +23,10 @@
 	c.writeText(http.StatusServiceUnavailable, "not run: "+reason)
 }
 
+// stoppingRetryAfter is the Retry-After of a request that a stopping gateway refuses. Other gateways
+// may serve it at once.
+const stoppingRetryAfter = 10 * time.Millisecond
+
 // deny responds to a request that the caller should not send again unchanged.
 func (c *call) deny(status int, reason string) {
 	c.g.metrics.refused.Inc(1)
--- a/internal/entry/gateway/stop_test.go
+++ b/internal/entry/gateway/stop_test.go
@@ -106,10 +106,11 @@
 // idle connection, which the planned stop closes, and runs at an endpoint although its answer can't
 // be sent.
 func TestRequestOnAConnectionBeingClosedIsNotPassedOn(t *testing.T) {
-	var first, crossing callerResponse
+	var first, crossing, whole callerResponse
 	var runs int
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
+		forEach(f.heads, func(e *fakeEndpoint) { e.streamEvents(20, 100*time.Millisecond, endStream) })
 		forEach(f.plains, func(e *fakeEndpoint) { e.respondWith(200, "x") })
 		inner := memnet.NewListener("gateway")
 		listener := &closingListener{Listener: inner, armed: make(chan struct{})}
@@ -121,19 +122,24 @@
 		go func() { _ = f.g.server.Serve(framingListener{listener}) }()
 		transport := &http.Transport{DialContext: inner.Dial}
 		f.client = &http.Client{Transport: transport}
+		stream := make(chan callerResponse, 1)
+		go func() { stream <- f.send("POST", "/stream/", "x") }()
+		synctest.Wait()
 		first = f.send("POST", "/unsafe/", "x")
 		synctest.Wait()
 		close(listener.armed)
 		crossing = f.send("POST", "/unsafe/", "x")
 		<-stopped
-		runs = f.runCount()
+		whole, runs = <-stream, f.runCount()
 		transport.CloseIdleConnections()
 		f.g.upstream.CloseExpired(time.Now().Add(time.Hour))
 		synctest.Wait()
 	})
 	require.Equal(t, 200, first.status)
 	require.Error(t, crossing.err)
-	require.Equal(t, 1, runs, "only the first request runs")
+	require.NoError(t, whole.err)
+	require.Equal(t, eventTexts(20), whole.body)
+	require.Equal(t, 2, runs, "only the stream and the first request run")
 }
 
 // TestRequestAfterTheNoticeIsRefused guards against a request that arrives late in a planned stop, on a
--- a/internal/process/inflight/inflight.go
+++ b/internal/process/inflight/inflight.go
@@ -4,22 +4,32 @@
 
 import "sync"
 
-// Requests counts the requests being served. The zero value counts none. Unlike with a
-// sync.WaitGroup, requests may begin while something waits for the end of all.
+// Requests counts the requests being served. The zero value counts none and accepts all. Unlike with
+// a sync.WaitGroup, requests may begin while something waits for the end of all.
 type Requests struct {
-	mu    sync.Mutex
-	count int
-	idle  chan struct{}
+	mu       sync.Mutex
+	count    int
+	refusing bool
+	idle     chan struct{}
 }
 
-// Begin counts a request. End must be called at its end.
-func (r *Requests) Begin() {
+// Begin counts a request and reports whether it may be served. If not, it must be refused. In both
+// cases End must be called at its end.
+func (r *Requests) Begin() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.count++
+	return !r.refusing
 }
 
-// End ends the count of a request.
+// Refuse lets Begin return false from now on.
+func (r *Requests) Refuse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusing = true
+}
+
+// End ends a request.
 func (r *Requests) End() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/process/inflight/inflight_test.go
+++ b/internal/process/inflight/inflight_test.go
@@ -28,12 +28,15 @@
 
 func ExampleRequests() {
 	var r Requests
-	r.Begin()
-	fmt.Println(r.Count())
+	fmt.Println(r.Begin(), r.Count())
+	r.Refuse()
+	fmt.Println(r.Begin(), r.Count())
+	r.End()
 	r.End()
 	<-r.WhenIdle()
 	fmt.Println(r.Count())
 	// Output:
-	// 1
+	// true 1
+	// false 2
 	// 0
 }
