--- a/internal/process/settings/agent.go
+++ b/internal/process/settings/agent.go
@@ -85,6 +85,7 @@
 			s.Endpoints[i].Name = string(s.Host.ID)
 		}
 	}
+	s.Stop = s.Stop.withinGrace()
 	return s, nil
 }
 
--- a/internal/process/settings/control.go
+++ b/internal/process/settings/control.go
@@ -57,6 +57,7 @@
 	}
 	s.Keys.Folder = resolvePath(file, s.Keys.Folder)
 	s.DataFolder = resolvePath(file, s.DataFolder)
+	s.Stop = s.Stop.withinGrace()
 	return s, nil
 }
 
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -72,5 +72,6 @@
 		return Entry{}, err
 	}
 	s.Keys.Folder = resolvePath(file, s.Keys.Folder)
+	s.Stop = s.Stop.withinGrace()
 	return s, nil
 }
--- a/internal/process/settings/portal_gateway.go
+++ b/internal/process/settings/portal_gateway.go
@@ -130,6 +130,7 @@
 	}
 	s.Keys.Folder = resolvePath(file, s.Keys.Folder)
 	s.DataFolder = resolvePath(file, s.DataFolder)
+	s.Stop = s.Stop.withinGrace()
 	return s, nil
 }
 
@@ -154,6 +155,7 @@
 		return Gateway{}, err
 	}
 	s.Keys.Folder = resolvePath(file, s.Keys.Folder)
+	s.Stop = s.Stop.withinGrace()
 	return s, nil
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -64,6 +64,28 @@
 	ShutdownDelay time.Duration `yaml:"notice" validate:"min=0s,max=5m"`
 	// DrainTimeout bounds the wait for work in flight.
 	DrainTimeout time.Duration `yaml:"longest" validate:"min=1s,max=1h"`
+	// Grace is the time between the signal and the SIGKILL of whatever stops the process; 0 is no
+	// limit. The settings are read with ShutdownDelay and DrainTimeout reduced to fit into it.
+	Grace time.Duration `yaml:"grace" validate:"min=0s,max=2h"`
+}
+
+const (
+	// graceMargin is the share of Grace, as its divisor, that a planned stop leaves for the exit of
+	// the process.
+	graceMargin = 16
+	// graceNotice is the share of Grace, as its divisor, that ShutdownDelay may take at most.
+	graceNotice = 3
+)
+
+// withinGrace returns s with ShutdownDelay and DrainTimeout reduced so that a planned stop ends before
+// Grace is over.
+func (s Stop) withinGrace() Stop {
+	if s.Grace <= 0 {
+		return s
+	}
+	s.ShutdownDelay = min(s.ShutdownDelay, s.Grace/graceNotice)
+	s.DrainTimeout = min(s.DrainTimeout, s.Grace-s.Grace/graceMargin-s.ShutdownDelay)
+	return s
 }
 
 const (
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -86,3 +86,21 @@
 		}
 	}
 }
+
+// TestStopIsReducedToTheGrace guards against a planned stop that is still going on when its process is
+// killed, and against a grace that lengthens a stop.
+func TestStopIsReducedToTheGrace(t *testing.T) {
+	set := Stop{ShutdownDelay: 2 * time.Second, DrainTimeout: 4 * time.Second}
+	for grace, want := range map[time.Duration]Stop{
+		0:                {ShutdownDelay: 2 * time.Second, DrainTimeout: 4 * time.Second},
+		30 * time.Second: {ShutdownDelay: 2 * time.Second, DrainTimeout: 4 * time.Second},
+		5 * time.Second:  {ShutdownDelay: 5 * time.Second / 3, DrainTimeout: 5*time.Second*15/16 - 5*time.Second/3},
+		time.Second:      {ShutdownDelay: time.Second / 3, DrainTimeout: time.Second*15/16 - time.Second/3},
+	} {
+		set.Grace, want.Grace = grace, grace
+		got := set.withinGrace()
+		require.InDelta(t, want.ShutdownDelay, got.ShutdownDelay, 1, grace.String())
+		require.InDelta(t, want.DrainTimeout, got.DrainTimeout, 2, grace.String())
+		require.Equal(t, grace, got.Grace)
+	}
+}
