--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -85,12 +85,18 @@
 // serve is the handler of all requests.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, arrivedAt: time.Now(), id: r.Header.Get(g.opts.Dialect.Headers.RequestID)}
+	accepted := g.inFlight.Begin()
+	defer g.inFlight.End()
 	g.requestCount.Add(1)
 	g.metrics.requests.Inc(1)
 	c.closeAfter = mustCloseAfter(r) || g.stopping.Load()
 	if c.closeAfter {
 		w.Header().Set("Connection", "close")
 	}
+	if !accepted {
+		c.refuse(stoppingRetryAfter, "stopping")
+		return
+	}
 	table := g.table.Load()
 	if table == nil {
 		c.refuse(time.Second, "no configuration yet")
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -12,7 +12,6 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/identity"
@@ -30,9 +29,12 @@
 	Run func(ctx context.Context) error
 	// Ready returns the reason why the daemon accepts no new work, or nil.
 	Ready func() error
+	// InFlight returns how many requests the daemon is serving. It may be nil.
+	InFlight func() int
 	// Shutdown carries out a planned stop: it returns once the work in flight has ended, or
-	// early if ctx ends. The context of Run ends after it has returned.
-	Shutdown func(ctx context.Context)
+	// early if ctx ends, with the number of requests that were cut. The context of Run ends after
+	// it has returned.
+	Shutdown func(ctx context.Context) (cut int)
 	// Reload reads the settings file again. It is called on a private network only, at SIGHUP and
 	// every settingsCheckInterval. It may be nil.
 	Reload func()
@@ -50,6 +52,8 @@
 
 // Options are the settings that all daemons share and the function that creates the daemon.
 type Options struct {
+	// Name is the daemon's name in the log.
+	Name   string
 	Role   host.Role
 	Host   settings.Host
 	Link   settings.Link
@@ -66,6 +70,9 @@
 	// Reload receives the signals to read the settings again on a private network, and the keys
 	// otherwise. NotifyReload returns such a channel.
 	Reload <-chan os.Signal
+	// StopSignals receives the signals that start a planned stop. NotifyStop returns such a
+	// channel.
+	StopSignals <-chan os.Signal
 	// Build creates the daemon.
 	Build func(Dependencies) (Daemon, error)
 }
@@ -78,8 +85,17 @@
 	return reload
 }
 
-// Run runs a daemon until SIGINT or SIGTERM, which start a planned stop. A second signal ends the
-// planned stop at once.
+// NotifyStop returns a channel that receives the SIGINTs and SIGTERMs of the process, which start a
+// planned stop. They stay caught until the process exits, since one that is not caught ends the
+// process at once.
+func NotifyStop() <-chan os.Signal {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	return signals
+}
+
+// Run runs a daemon until a signal from opts.StopSignals, which starts a planned stop. Further
+// signals change nothing: the settings limit the stop, and only SIGKILL ends the process sooner.
 func Run(ctx context.Context, opts Options) error {
 	writer := logging.NewAsyncWriter(os.Stdout)
 	defer writer.Close()
@@ -120,7 +136,8 @@
 	serve := func(address settings.Address) func(context.Context) error {
 		return func(ctx context.Context) error { return healthServer.Run(ctx, address.String()) }
 	}
-	return supervise(ctx, d, opts.Stop, watch, serve(opts.Health.Address), serve(opts.Metrics.Address))
+	s := supervisor{daemon: d, name: opts.Name, stop: opts.Stop, signals: opts.StopSignals, logger: logger}
+	return s.run(ctx, watch, serve(opts.Health.Address), serve(opts.Metrics.Address))
 }
 
 // openKeys reads the process's credentials from the keys folder. On a private network it makes
@@ -153,52 +170,6 @@
 	}
 }
 
-// supervise runs d and the auxiliary functions until one of them fails, ctx ends or a signal has
-// stopped d.
-func supervise(ctx context.Context, d Daemon, stop settings.Stop, auxiliary ...func(context.Context) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		defer cancel()
-		return d.Run(ctx)
-	})
-	for _, run := range auxiliary {
-		group.Go(func() error { return run(ctx) })
-	}
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-signals:
-		}
-		shutdown(ctx, d, stop, signals)
-		cancel()
-		return nil
-	})
-	return group.Wait()
-}
-
-// shutdown calls d.Shutdown with the time limit of a planned stop. Another signal cancels the call.
-func shutdown(ctx context.Context, d Daemon, stop settings.Stop, signals <-chan os.Signal) {
-	ctx, cancel := context.WithTimeout(ctx, stop.ShutdownDelay+stop.DrainTimeout)
-	defer cancel()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		d.Shutdown(ctx)
-	}()
-	select {
-	case <-done:
-	case <-signals:
-		cancel()
-		<-done
-	}
-}
-
 // dialFrom returns a function that opens a UDP socket at the IP address of the link, on a free port.
 func dialFrom(address settings.Address) func() (net.PacketConn, error) {
 	return func() (net.PacketConn, error) {
