--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -23,6 +23,10 @@
 	c.writeText(http.StatusServiceUnavailable, "not run: "+reason)
 }
 
+// stoppingRetryAfter is the Retry-After of a request that a stopping gateway refuses. Other gateways
+// may serve it at once.
+const stoppingRetryAfter = 10 * time.Millisecond
+
 // deny responds to a request that the caller should not send again unchanged.
 func (c *call) deny(status int, reason string) {
 	c.g.metrics.refused.Inc(1)
@@ -51,8 +55,17 @@
 	c.fail(http.StatusGatewayTimeout, "no answer in time")
 }
 
-// callerLeft records that the caller has left before the end of the response.
+// reasonCut is the reason of a request that was in flight when the time of a planned stop was up.
+const reasonCut = "cut by the end of the planned stop"
+
+// callerLeft records that the connection has ended before the end of the response: the caller has
+// left, or the time of a planned stop is up.
 func (c *call) callerLeft() {
+	if c.g.cutting.Load() {
+		c.g.metrics.failed.Inc(1)
+		c.logEntry(event.RequestFailed).Str("reason", reasonCut).Bool("begun", c.stats.timeToFirst > 0).Msg("")
+		return
+	}
 	c.g.metrics.left.Inc(1)
 	c.logEntry(event.RequestLeft).Msg("")
 }
