--- a/internal/control/journal/file_system_test.go
+++ b/internal/control/journal/file_system_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -54,16 +55,21 @@
 	return nil
 }
 
-// crash loses a random part of the data that was not synced, and at random the changes to the
-// folder. A file may end in zeros instead of its last data. It also releases the lock.
+// crash loses a random part of the data that was not synced and, for each name independently, the
+// changes since the last SyncFolder. A file may end in zeros instead of its last data. It also
+// releases the lock.
 func (m *memoryFileSystem) crash() {
 	m.locked, m.failAfter = false, -1
-	if m.random.IntN(2) == 0 {
-		m.names = map[string]*memoryFile{}
-		for name, f := range m.durable {
+	for _, name := range m.changedNames() {
+		if m.random.IntN(2) == 0 {
+			continue
+		}
+		delete(m.names, name)
+		if f := m.durable[name]; f != nil {
 			m.names[name] = f
 		}
 	}
+	m.durable = maps.Clone(m.names)
 	for _, name := range m.sortedNames() {
 		f := m.names[name]
 		if f.synced == len(f.data) {
@@ -78,6 +84,24 @@
 	}
 }
 
+// changedNames returns, sorted, the names that were created, replaced or removed since the last
+// SyncFolder.
+func (m *memoryFileSystem) changedNames() []string {
+	var changed []string
+	for name, f := range m.names {
+		if m.durable[name] != f {
+			changed = append(changed, name)
+		}
+	}
+	for name := range m.durable {
+		if m.names[name] == nil {
+			changed = append(changed, name)
+		}
+	}
+	slices.Sort(changed)
+	return changed
+}
+
 func (m *memoryFileSystem) sortedNames() []string {
 	var names []string
 	for name := range m.names {
--- a/internal/control/journal/journal_test.go
+++ b/internal/control/journal/journal_test.go
@@ -143,6 +143,27 @@
 	})
 }
 
+// TestPowerLossAfterSnapshotLeavesNoGapBetweenSegments takes a snapshot that covers several
+// segments and then loses power, so that each removal is durable or not, independently of the
+// others. The journal must open with the snapshot. It guards against a host that can never open its
+// journal again.
+func TestPowerLossAfterSnapshotLeavesNoGapBetweenSegments(t *testing.T) {
+	for seed := range uint64(64) {
+		fileSystem := newMemoryFileSystem(seed)
+		j := mustOpen(t, fileSystem)
+		hard := quorum.HardState{Term: 1, Generation: 1}
+		for i := range quorum.Index(4) {
+			require.NoError(t, j.Write([]quorum.Persist{{Hard: &hard, Entries: []quorum.Entry{{Index: 2*i + 1, Term: 1}, {Index: 2*i + 2, Term: 1}}}}))
+			require.NoError(t, j.Write([]quorum.Persist{{Snapshot: &quorum.Snapshot{Index: 2*i + 1, Term: 1}}}))
+		}
+		require.NoError(t, j.Write([]quorum.Persist{{Snapshot: &quorum.Snapshot{Index: 8, Term: 1}}}))
+		fileSystem.crash()
+		j, err := Open(fileSystem, "folder")
+		require.NoError(t, err, "seed %d", seed)
+		require.Equal(t, quorum.Index(8), j.RecoveredState().Snapshot.Index)
+	}
+}
+
 // newFilledFileSystem returns a file system with a closed journal that has a few writes and a
 // snapshot.
 func newFilledFileSystem(t *testing.T) *memoryFileSystem {
--- a/internal/control/journal/snapshot.go
+++ b/internal/control/journal/snapshot.go
@@ -25,12 +25,26 @@
 		}
 		old = j.detachCovered(w.Snapshot.Index)
 	}
-	for _, s := range old {
+	if err := j.removeSegments(old); err != nil {
+		return err
+	}
+	return j.removeSnapshots(w.Snapshot.Index)
+}
+
+// removeSegments removes segments, the oldest first. Each removal is durable before the next one, so
+// that a loss of power leaves no gap between the segments that remain.
+func (j *Journal) removeSegments(old []segment) error {
+	for i, s := range old {
+		if i > 0 {
+			if err := j.syncFolder(); err != nil {
+				return err
+			}
+		}
 		if err := j.removeFile(j.segmentName(s.sequence)); err != nil {
 			return err
 		}
 	}
-	return j.removeSnapshots(w.Snapshot.Index)
+	return nil
 }
 
 // detachCovered removes from the list the oldest segments that have no entry after index, except
--- a/internal/control/journal/write.go
+++ b/internal/control/journal/write.go
@@ -140,5 +140,9 @@
 	if err := j.fileSystem.Rename(temporary, name); err != nil {
 		return classifyError("rename", temporary, err)
 	}
+	return j.syncFolder()
+}
+
+func (j *Journal) syncFolder() error {
 	return classifyError("sync folder", j.folder, j.fileSystem.SyncFolder(j.folder))
 }
