A test that fails: a head that is silent for a second loses its streams

What callers saw: with one replica, a stream ends with an error event (code member_lost, outcome unknown) about 0.1 s after the agent of the head goes on from a silence of 1 s or 1.5 s. The stream had passed on tokens; its replica is sound and serves again half a second later.

The test pauses each kind of process in turn (engine and agent of a head and of a member, agent of a service, entry, control leader, all control hosts) for 1 s beside one stream and for 1.5 s beside 32, with one and two replicas, and sends a sign-off every 100 ms.

The stand-ins gain what the test needs: a network that keeps the packets of a host until it goes on, an engine that can be paused, and a fleet with any number of replicas.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -107,11 +108,13 @@
 	// startID is unique to each start and restart of the engine.
 	startID string
 	// down is closed when the engine crashes.
-	down         chan struct{}
-	isDown       bool
-	frozen       bool
+	down   chan struct{}
+	isDown bool
+	frozen bool
+	// resumed is closed by Resume; nil while the engine is not paused.
+	resumed      chan struct{}
 	crashes      int
-	resumed      int
+	continued    int
 	highestFence uint64
 	// assigned is the load order in force, zero if there is none.
 	assigned      protocol.Order
@@ -172,7 +175,7 @@
 			_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxGenerateBytes))
 			<-r.Context().Done()
 		}
-		if down || frozen {
+		if down || frozen || e.awaitResume(r.Context()) != nil {
 			panic(http.ErrAbortHandler)
 		}
 		mux.ServeHTTP(w, r)
@@ -211,7 +214,7 @@
 func (e *Engine) GenerationsResumed() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.resumed
+	return e.continued
 }
 
 // Hang stalls the current and all later generations at their next step without ending them.
@@ -233,6 +236,41 @@
 	e.frozen = true
 }
 
+// Pause stalls the current and all later requests, health checks included, until Resume.
+func (e *Engine) Pause() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.resumed == nil {
+		e.resumed = make(chan struct{})
+	}
+}
+
+// Resume ends a Pause.
+func (e *Engine) Resume() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.resumed != nil {
+		close(e.resumed)
+		e.resumed = nil
+	}
+}
+
+// awaitResume waits until the engine is not paused, or ctx ends.
+func (e *Engine) awaitResume(ctx context.Context) error {
+	e.mu.Lock()
+	resumed := e.resumed
+	e.mu.Unlock()
+	if resumed == nil {
+		return nil
+	}
+	select {
+	case <-resumed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Restart brings a crashed engine back with no model loaded and an empty cache. The counters and
 // Orders are kept.
 func (e *Engine) Restart() {
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -76,7 +76,7 @@
 	key := runKey{req.RequestID, req.Attempt}
 	e.runs[key]++
 	if req.ResumeOffset > 0 {
-		e.resumed++
+		e.continued++
 	}
 	e.running[key] = stop
 	down := e.down
@@ -166,6 +166,9 @@
 	if frozen {
 		<-r.ctx.Done()
 	}
+	if err := r.engine.awaitResume(r.ctx); err != nil {
+		return err
+	}
 	return sleep(r.ctx, r.batch.tokenGap()*time.Duration(tokens))
 }
 
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/fleet/config"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/standin/engine"
 )
@@ -24,6 +25,8 @@
 	*Fleet
 	t       *testing.T
 	sockets *Memory
+	// replicaCount is the number of replicas that the configuration wants.
+	replicaCount int
 }
 
 // runFleet runs a test on a fixture with 5 engine hosts.
@@ -34,6 +37,15 @@
 
 // runFleetWithHosts runs a test on a fixture once both replicas serve.
 func runFleetWithHosts(t *testing.T, hosts int, test func(s *fixture)) {
+	t.Helper()
+	runFleetWithReplicas(t, hosts, defaultReplicas, test)
+}
+
+// defaultReplicas is the number of replicas in the default configuration.
+const defaultReplicas = 2
+
+// runFleetWithReplicas runs a test on a fixture once all replicas serve.
+func runFleetWithReplicas(t *testing.T, hosts, replicas int, test func(s *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -41,6 +53,7 @@
 		opts := Options{
 			Sockets: memory, ControlCount: 3, EntryCount: 2, DataFolder: t.TempDir(),
 			Services: []HostSpec{{ID: "records-1", FailureDomain: "a"}, {ID: "records-2", FailureDomain: "b"}},
+			Config:   configWithReplicas(replicas),
 		}
 		for i := range hosts {
 			id := host.ID(fmt.Sprintf("host-%d", i+1))
@@ -53,19 +66,24 @@
 		require.NoError(t, err)
 		defer f.Close()
 		defer cancel()
-		s := &fixture{Fleet: f, t: t, sockets: memory}
+		s := &fixture{Fleet: f, t: t, sockets: memory, replicaCount: replicas}
 		s.waitFor(30*time.Second, s.allServing)
 		test(s)
 	})
 }
 
-// allServing reports whether both replicas serve and both entries are ready.
+// configWithReplicas returns the default configuration with a number of replicas.
+func configWithReplicas(replicas int) []byte {
+	return []byte(strings.Replace(string(config.DefaultYAML()), "replicas: 2", fmt.Sprintf("replicas: %d", replicas), 1))
+}
+
+// allServing reports whether all replicas serve and both entries are ready.
 func (s *fixture) allServing() bool {
 	status, err := s.Status(s.ctx)
 	if err != nil || s.Entry(0).Ready() != nil || s.Entry(1).Ready() != nil {
 		return false
 	}
-	return len(status.Deployments) == 1 && status.Deployments[0].Serving == 2
+	return len(status.Deployments) == 1 && status.Deployments[0].Serving == s.replicaCount
 }
 
 // waitFor waits until ok returns true, and returns the virtual time that it took. It fails the
--- a/internal/standin/memnet/network.go
+++ b/internal/standin/memnet/network.go
@@ -23,6 +23,9 @@
 	flows        map[[2]string]bool
 	droppedFlows map[[2]string]bool
 	delay        time.Duration
+	// held holds the IP addresses whose packets wait in heldDatagrams.
+	held          map[string]bool
+	heldDatagrams []heldDatagram
 }
 
 // SetDelay sets the one-way delay of all packets sent from now on.
@@ -97,6 +100,9 @@
 	}
 	n.flows[flow] = true
 	d := datagram{payload: append([]byte(nil), payload...), from: from}
+	if n.hold(from, udp, dest, d) {
+		return
+	}
 	if n.delay == 0 {
 		dest.deliver(d)
 		return
