Tests that fail: a stopping entry closes connections of callers that it still owes an answer

--- FAIL: TestStoppingEntrySendsTheResponseToASlowCaller (0.62s) Error: Received unexpected error: unexpected EOF --- FAIL: TestStoppingEntryAnswersARequestThatArrives (0.32s) Error: Received unexpected error: io: read/write on closed pipe

Both use a caller's connection in place of the handler, which the earlier tests of a stop call directly: what happens to the bytes after the handler could not be seen there. The fleet's entries therefore name the transport that reaches their listener.

--- a/internal/standin/fleet/daemon.go
+++ b/internal/standin/fleet/daemon.go
@@ -62,11 +62,13 @@
 	Service *service.Service
 }
 
-// Entry is a running entry. Address is where it listens for callers.
+// Entry is a running entry. Address is where it listens for callers, Transport reaches it; nil
+// means the default transport.
 type Entry struct {
 	*daemon
 	*entry.Server
-	Address string
+	Address   string
+	Transport http.RoundTripper
 }
 
 func newApplyConfig(base uint64, yaml []byte) message.Message {
@@ -169,7 +171,7 @@
 	if err != nil {
 		return err
 	}
-	listener, _, err := f.opts.Sockets.ListenStream(string(id))
+	listener, roundTripper, err := f.opts.Sockets.ListenStream(string(id))
 	if err != nil {
 		return err
 	}
@@ -180,7 +182,7 @@
 		return err
 	}
 	d := f.run(link, func(ctx context.Context) error { return server.Run(ctx, listener) })
-	f.entries = append(f.entries, &Entry{daemon: d, Server: server, Address: listener.Addr().String()})
+	f.entries = append(f.entries, &Entry{daemon: d, Server: server, Address: listener.Addr().String(), Transport: roundTripper})
 	return nil
 }
 
--- /dev/null
+++ b/internal/standin/fleet/entry_stop_test.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/standin/engine"
+)
+
+// dialEntry opens a caller's connection to an entry.
+func (s *fixture) dialEntry(entry int) net.Conn {
+	conn, err := s.Entry(entry).Transport.(*http.Transport).DialContext(s.ctx, "", "")
+	require.NoError(s.t, err)
+	return conn
+}
+
+// chatHeader is the header of a request with chatBody.
+var chatHeader = fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"+
+	"Authorization: Bearer dev-token-cascadia\r\nContent-Length: %d\r\n\r\n", len(chatBody))
+
+// stopEntry stops an entry as its process does on SIGTERM.
+func (s *fixture) stopEntry(entry int) {
+	s.Entry(entry).Shutdown(s.ctx)
+	s.Entry(entry).Kill()
+}
+
+// readResponse reads one response from conn.
+func readResponse(t *testing.T, conn net.Conn) response {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return response{status: resp.StatusCode, header: resp.Header, body: string(body)}
+}
+
+// TestStoppingEntrySendsTheResponseToASlowCaller stops an entry when a response is final, but the
+// caller has not read it yet.
+func TestStoppingEntrySendsTheResponseToASlowCaller(t *testing.T) {
+	runFleet(t, func(s *fixture) {
+		conn := s.dialEntry(0)
+		_, err := io.WriteString(conn, chatHeader+chatBody)
+		require.NoError(t, err)
+		advance(5 * time.Second)
+		go s.stopEntry(0)
+		advance(time.Second)
+		a := readResponse(t, conn)
+		want, _, err := engine.Completion([]byte(chatBody))
+		require.NoError(t, err)
+		require.Equal(t, want, a.content(t))
+	})
+}
+
+// TestStoppingEntryAnswersARequestThatArrives stops an entry while a request arrives. It must be
+// answered or refused.
+func TestStoppingEntryAnswersARequestThatArrives(t *testing.T) {
+	runFleet(t, func(s *fixture) {
+		conn := s.dialEntry(0)
+		_, err := io.WriteString(conn, chatHeader+chatBody[:20])
+		require.NoError(t, err)
+		go s.stopEntry(0)
+		advance(time.Second)
+		_, err = io.WriteString(conn, chatBody[20:])
+		require.NoError(t, err)
+		a := readResponse(t, conn)
+		require.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+		require.Equal(t, "not_run", a.header.Get("Egretreach-Outcome"))
+	})
+}
