entry: a planned stop waits until its responses are sent

What callers saw: an entry that stops as planned closed the connection of a caller that had not read its whole response yet (unexpected EOF), and one on which a request's body was still arriving, with neither an answer nor a refusal.

Cause: the stop waited for the requests in flight to end, which they do when their outcome is known, and then ended the HTTP server with Close. What follows the outcome (a plain response whole, of a stream the last events and [DONE]) was still to be written, and a request whose body is being read is not in flight yet.

Now the stop calls the server's Shutdown, which waits until each connection is idle, before it gives up the lease and within the same DrainTimeout. A request that arrives in that time is refused as before. process_stopped says whether all was sent.

The tests failed before the change:

--- FAIL: TestStoppingEntrySendsTheResponseToASlowCaller: unexpected EOF --- FAIL: TestStoppingEntryAnswersARequestThatArrives: io: read/write on closed pipe

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -85,6 +85,8 @@
 	scheduler   *scheduler
 	metrics     *requestMetrics
 	handler     http.Handler
+	// callers serves the caller API.
+	callers *http.Server
 	// baseContext ends when Run returns, and with it the work that continues without a
 	// caller.
 	baseContext context.Context
@@ -112,6 +114,10 @@
 		return nil, errors.Wrap(err, "caller API")
 	}
 	s.handler = handler
+	s.callers = &http.Server{
+		Handler: handler, ReadHeaderTimeout: opts.HeaderTimeout, ReadTimeout: opts.BodyTimeout,
+		IdleTimeout: opts.IdleTimeout, MaxHeaderBytes: opts.MaxHeader,
+	}
 	return s, nil
 }
 
@@ -141,16 +147,12 @@
 	if s.opts.MaxConnections > 0 {
 		listener = netutil.LimitListener(listener, s.opts.MaxConnections)
 	}
-	callers := &http.Server{
-		Handler: s.handler, ReadHeaderTimeout: s.opts.HeaderTimeout, ReadTimeout: s.opts.BodyTimeout,
-		IdleTimeout: s.opts.IdleTimeout, MaxHeaderBytes: s.opts.MaxHeader,
-	}
 	event.ProcessStarted.On(s.opts.Logger).Str("role", "entry").Str("host", string(s.opts.Host)).
 		Str("address", listener.Addr().String()).Msg("")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.session.Run(ctx) })
 	group.Go(func() error {
-		err := callers.Serve(listener)
+		err := s.callers.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -158,29 +160,29 @@
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		return callers.Close()
+		return s.callers.Close()
 	})
 	return group.Wait()
 }
 
 // Shutdown performs a planned stop. Readiness fails at once, requests are still
-// accepted for ShutdownDelay, then requests in flight finish, within DrainTimeout, and
-// the lease is given up.
+// accepted for ShutdownDelay, then requests in flight finish and their responses are
+// sent, within DrainTimeout, and the lease is given up.
 func (s *Server) Shutdown(ctx context.Context) {
 	event.ProcessStopping.On(s.opts.Logger).Str("role", "entry").Msg("")
 	s.stopping.Store(true)
 	pause.For(ctx, s.opts.ShutdownDelay)
 	s.refuseNew.Store(true)
-	timeout := time.NewTimer(s.opts.DrainTimeout)
-	defer timeout.Stop()
+	ctx, cancel := context.WithTimeout(ctx, s.opts.DrainTimeout)
+	defer cancel()
 	cut := 0
 	select {
 	case <-s.inFlight.whenIdle():
-	case <-timeout.C:
-		cut = s.scheduler.countAttemptsInFlight()
 	case <-ctx.Done():
 		cut = s.scheduler.countAttemptsInFlight()
 	}
+	// A request may still arrive or its response be on its way to the caller.
+	sent := s.callers.Shutdown(ctx) == nil
 	_ = s.session.Goodbye()
-	event.ProcessStopped.On(s.opts.Logger).Str("role", "entry").Int("cut", cut).Msg("")
+	event.ProcessStopped.On(s.opts.Logger).Str("role", "entry").Int("cut", cut).Bool("responses_sent", sent).Msg("")
 }
--- a/internal/standin/fleet/entry_stop_test.go
+++ b/internal/standin/fleet/entry_stop_test.go
@@ -59,13 +59,14 @@
 	})
 }
 
-// TestStoppingEntryAnswersARequestThatArrives stops an entry while a request arrives. It must be
-// answered or refused.
+// TestStoppingEntryAnswersARequestThatArrives stops an entry while the body of a request arrives. It
+// must be refused.
 func TestStoppingEntryAnswersARequestThatArrives(t *testing.T) {
 	runFleet(t, func(s *fixture) {
 		conn := s.dialEntry(0)
 		_, err := io.WriteString(conn, chatHeader+chatBody[:20])
 		require.NoError(t, err)
+		advance(100 * time.Millisecond)
 		go s.stopEntry(0)
 		advance(time.Second)
 		_, err = io.WriteString(conn, chatBody[20:])
