portal: log a redirect to the leader as such, not as a warning

The users' record of the incident held nothing of control but revision_unsure, version 0, once a second: reads that a follower had answered with the leader's address. That is the regular answer; as a warning it hid what would have mattered. revision_unsure is left for what could not be answered.

--- a/internal/control/portal/operator.go
+++ b/internal/control/portal/operator.go
@@ -115,10 +115,11 @@
 // is known, or ErrUnavailable, and logs it. version is that of the proposed document, or 0 for a
 // read.
 func (p *Portal) translateLogError(version uint64, err error) error {
-	event.RevisionUnsure.On(p.opts.Logger).Uint64("version", version).Err(err).Msg("")
 	var other replication.ErrNotLeader
 	if errors.As(err, &other) && other.LeaderAddress != "" && other.LeaderAddress != p.opts.LinkAddress {
+		event.RevisionRedirected.On(p.opts.Logger).Uint64("version", version).Str("leader", other.LeaderAddress).Msg("")
 		return ErrNotLeader{Address: p.apiAddress(other.LeaderAddress)}
 	}
+	event.RevisionUnsure.On(p.opts.Logger).Uint64("version", version).Err(err).Msg("")
 	return ErrUnavailable{Reason: err.Error()}
 }
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -32,4 +32,6 @@
 	SeatTaken         = register(143, "seat_taken", log.WarnLevel)
 	SeatMoved         = register(144, "seat_moved", log.WarnLevel)
 	RequestHeldBack   = register(145, "request_held_back", log.WarnLevel)
+	// RevisionRedirected is logged in place of RevisionUnsure where another leader is known.
+	RevisionRedirected = register(146, "revision_redirected", log.InfoLevel)
 )
