gateway: send nothing to an endpoint that leaves or is busy, by its own word

An endpoint says in every response that it leaves, and in a 503 for how long it wants no requests.

Both are notices of one incarnation, kept by the balancer. One function, exclusion, says whether a request may go to an endpoint now and why not; placing, the queue, standbys, refusals and their figures ask it. A notice that it leaves is never withdrawn; a busy time is only extended. If all are busy, a request waits only where one returns in time, and a refusal names the earliest return.

--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -71,6 +71,8 @@
 	slowdown float64
 	// slowdownAt is when slowdown was last updated.
 	slowdownAt time.Time
+	// notice is what the endpoint has said about itself.
+	notice notice
 }
 
 // Balancer balances the requests of one gateway over all endpoints. The zero value has no
@@ -87,6 +89,9 @@
 	queue []*Waiter
 	// engines holds the model engine of each service; it is nil for plain services.
 	engines map[string]*routes.Engine
+	// endedNotices are those that TakeEndedNotices has yet to return, at most one for each
+	// incarnation of an endpoint.
+	endedNotices []EndedNotice
 }
 
 // SetServices replaces the services that operators have configured.
@@ -109,17 +114,24 @@
 			fresh := &endpointState{Endpoint: e}
 			if known {
 				fresh.inflight = t.inflight
+				b.endNotice(t)
 			}
 			b.endpoints[e.ID] = fresh
 			continue
 		}
 		t.Endpoint = e
+		if e.State == roster.StateLeft {
+			b.endNotice(t)
+		}
 	}
 }
 
 // RemoveEndpoints removes the endpoints with these IDs.
 func (b *Balancer) RemoveEndpoints(ids []string) {
 	for _, id := range ids {
+		if t, ok := b.endpoints[id]; ok {
+			b.endNotice(t)
+		}
 		delete(b.endpoints, id)
 	}
 }
--- a/internal/entry/balance/balancer_test.go
+++ b/internal/entry/balance/balancer_test.go
@@ -252,11 +252,11 @@
 	for _, ban := range []time.Duration{minBan, 2 * minBan, 4 * minBan} {
 		b.RequestSent("p0", Request{Service: "plain"}, now)
 		b.RequestEnded("p0", Request{Service: "plain"}, false, ResultUnreachable, now)
-		_, ok := b.pick(Request{Service: "plain"}, now.Add(ban-time.Millisecond))
-		require.False(t, ok)
+		picked, _ := b.pick(Request{Service: "plain"}, now.Add(ban-time.Millisecond))
+		require.Nil(t, picked)
 		now = now.Add(ban)
-		_, ok = b.pick(Request{Service: "plain"}, now)
-		require.True(t, ok)
+		picked, _ = b.pick(Request{Service: "plain"}, now)
+		require.NotNil(t, picked)
 	}
 }
 
@@ -355,6 +355,6 @@
 	for range 8 {
 		b.RequestEnded("h0", newRequest(10, noon), false, ResultStalled, noon)
 	}
-	_, ok := b.pick(newRequest(10, noon.Add(minBan)), noon.Add(minBan))
-	require.True(t, ok)
+	picked, _ := b.pick(newRequest(10, noon.Add(minBan)), noon.Add(minBan))
+	require.NotNil(t, picked)
 }
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -7,15 +7,21 @@
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 )
 
-// pick returns the endpoint of the lowest cost that has capacity for a request, if any.
-func (b *Balancer) pick(req Request, now time.Time) (*endpointState, bool) {
-	var best *endpointState
+// pick returns the endpoint of the lowest cost that has capacity for a request, if any. avoided is
+// the number of endpoints that serve the request and have asked for none.
+func (b *Balancer) pick(req Request, now time.Time) (best *endpointState, avoided int) {
 	var lowest float64
 	for _, t := range b.endpoints {
-		if !t.serves(req) || now.Before(t.bannedUntil) || slices.Contains(req.Exclude, t.ID) || t.stalled(now) {
+		if !t.serves(req) || slices.Contains(req.Exclude, t.ID) {
 			continue
 		}
-		if !b.hasCapacity(t, req, now) {
+		if excluded := t.exclusion(now); excluded != ExclusionNone {
+			if excluded == ExclusionLeaving || excluded == ExclusionBusy {
+				avoided++
+			}
+			continue
+		}
+		if b.returning(t, now) || !b.hasCapacity(t, req, now) {
 			continue
 		}
 		cost := b.cost(t, req, now)
@@ -23,7 +29,7 @@
 			best, lowest = t, cost
 		}
 	}
-	return best, best != nil
+	return best, avoided
 }
 
 // serves reports whether an endpoint is ready and serves the request's service and model.
@@ -34,16 +40,6 @@
 	return req.Model == "" || t.IsServingHead() && t.Model == req.Model
 }
 
-// anyServes reports whether any endpoint serves a request, whatever its load.
-func (b *Balancer) anyServes(req Request) bool {
-	for _, t := range b.endpoints {
-		if t.serves(req) {
-			return true
-		}
-	}
-	return false
-}
-
 // hasCapacity reports whether an endpoint has capacity for a request. A plain endpoint needs a
 // slot or a place in its queue. A model engine must also be likely to give the first event in
 // time, or the next event of a resumed stream within maxResumeWait. A request that is late
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -45,6 +45,9 @@
 	Endpoint roster.Endpoint
 	// Forecast is the expected time to the first event at Endpoint.
 	Forecast time.Duration
+	// Avoided counts the endpoints that serve the request and got none because they leave or are
+	// busy. It is set if Endpoint is.
+	Avoided int
 	// Refused says that the request is refused, for Reason. The caller should wait for
 	// RetryAfter before it retries.
 	Refused    bool
@@ -56,9 +59,10 @@
 
 // Availability describes the capacity of the endpoints at the time of a refusal.
 type Availability struct {
-	// Serving counts the endpoints that serve the request, and Banned those of them that are
-	// banned or have stalled.
-	Serving, Banned int
+	// Serving counts the endpoints that serve the request, Banned those of them that are
+	// banned or have stalled, Leaving those that have said that they leave, and Busy those that have
+	// asked for no requests for a time.
+	Serving, Banned, Leaving, Busy int
 	// EarliestForecast is the earliest forecast of a first event among the other endpoints,
 	// and Occupied the estimated number of requests at the endpoint with that forecast.
 	Occupied         float64
@@ -73,9 +77,17 @@
 			continue
 		}
 		a.Serving++
-		if now.Before(t.bannedUntil) || t.stalled(now) {
+		switch t.exclusion(now) {
+		case ExclusionLeaving:
+			a.Leaving++
+			continue
+		case ExclusionBusy:
+			a.Busy++
+			continue
+		case ExclusionBanned, ExclusionSilent:
 			a.Banned++
 			continue
+		case ExclusionNone:
 		}
 		occupied, forecast := b.occupied(t, now), b.forecastFirstEvent(t, req, now)
 		if a.EarliestForecast == 0 || forecast < a.EarliestForecast {
@@ -97,8 +109,12 @@
 	if d, ok := b.place(req, now); ok {
 		return d, nil
 	}
-	if !b.anyServes(req) {
-		return b.refusal(req, "no endpoint serves it", now), nil
+	if !b.anyServesBy(req, req.WaitUntil, now) {
+		reason := "no endpoint serves it"
+		if _, busy := b.allBusyUntil(req, now); busy {
+			reason = "all endpoints have asked for no requests"
+		}
+		return b.refusal(req, reason, now), nil
 	}
 	if !now.Before(req.WaitUntil) {
 		return b.refusal(req, "no room", now), nil
@@ -159,18 +175,18 @@
 
 // place picks an endpoint with capacity and records the request as sent to it.
 func (b *Balancer) place(req Request, now time.Time) (Decision, bool) {
-	t, ok := b.pick(req, now)
-	if !ok {
+	t, avoided := b.pick(req, now)
+	if t == nil {
 		return Decision{}, false
 	}
 	expected := b.forecastFirstEvent(t, req, now)
 	b.RequestSent(t.ID, req, now)
-	return Decision{Endpoint: t.Endpoint, Forecast: expected}, true
+	return Decision{Endpoint: t.Endpoint, Forecast: expected, Avoided: avoided}, true
 }
 
 // refusal returns a refusal. Its Retry-After grows by 20 ms with each request that waits for
 // the same service and model, from minRetryAfter to maxRetryAfter. For models it is at least
-// replicaRecoveryTime.
+// replicaRecoveryTime. While all endpoints are busy it follows the earliest that wants requests again.
 func (b *Balancer) refusal(req Request, reason string, now time.Time) Decision {
 	waiting := 0
 	for _, w := range b.queue {
@@ -182,5 +198,8 @@
 	if req.Model != "" {
 		after = max(after, replicaRecoveryTime)
 	}
+	if until, ok := b.allBusyUntil(req, now); ok {
+		after = max(minRetryAfter, until.Sub(now))
+	}
 	return Decision{Refused: true, RetryAfter: after, Reason: reason, Availability: b.availability(req, now)}
 }
--- a/internal/entry/dialect/dialect.go
+++ b/internal/entry/dialect/dialect.go
@@ -34,6 +34,10 @@
 	Priority string
 	// LastEventID carries the ID of the event after which a stream is resumed.
 	LastEventID string
+	// Leaving marks the responses of an endpoint that leaves.
+	Leaving string
+	// RetryAfter carries how long an endpoint that responds with 503 wants no requests.
+	RetryAfter string
 }
 
 // Load is the load that an endpoint reports.
@@ -63,6 +67,10 @@
 	FormatDeadline func(remaining time.Duration) string
 	ParseLoad      func(text string) (Load, bool)
 	ParseUsage     func(text string) (Usage, bool)
+	// ParseLeaving reports whether the value of Headers.Leaving says that the endpoint leaves.
+	ParseLeaving func(text string) bool
+	// ParseRetryAfter parses a value of Headers.RetryAfter.
+	ParseRetryAfter func(text string) (time.Duration, bool)
 	// FormatPriority formats a priority, of which 0 is the most urgent.
 	FormatPriority func(priority int) string
 }
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -77,13 +77,18 @@
 	if d.Endpoint.ID == "" {
 		return nil, d
 	}
+	if d.Avoided > 0 {
+		g.metrics.avoided.Inc(1)
+	}
 	return &attempt{call: c, balanceRequest: req, endpoint: d.Endpoint, startedAt: time.Now(), forecast: d.Forecast}, d
 }
 
 // awaitDecision waits for the decision on a queued request. If ctx ends first, because the caller
 // has left or the deadline has passed, it returns a refusal without RetryAfter.
 func (g *Gateway) awaitDecision(ctx context.Context, w *balance.Waiter) balance.Decision {
-	timer := time.NewTimer(time.Until(w.WaitUntil))
+	g.mu.Lock()
+	timer := time.NewTimer(time.Until(g.balancer.NextReturn(w, time.Now())))
+	g.mu.Unlock()
 	defer timer.Stop()
 	for {
 		select {
@@ -91,7 +96,9 @@
 			return d
 		case <-timer.C:
 			g.mu.Lock()
-			g.balancer.ProcessQueue(time.Now())
+			now := time.Now()
+			g.balancer.ProcessQueue(now)
+			timer.Reset(time.Until(g.balancer.NextReturn(w, now)))
 			g.mu.Unlock()
 		case <-ctx.Done():
 			g.mu.Lock()
@@ -191,6 +198,7 @@
 	c := a.call
 	names := c.g.opts.Dialect.Headers
 	c.dataReceived(a.endpoint.ID)
+	a.recordNotices(response)
 	if load, ok := c.g.opts.Dialect.ParseLoad(response.Header.Get(names.Load)); ok {
 		c.g.mu.Lock()
 		c.g.balancer.SetLoad(a.endpoint.ID, load, time.Now())
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -92,6 +92,9 @@
 	callerTimeouts callerTimeouts
 	upstream       upstream.Pool
 	requestCount   atomic.Uint64
+	// oddNoticeAt is the time of the last log line about a notice that can't be read, in Unix
+	// nanoseconds.
+	oddNoticeAt atomic.Int64
 	// lastUpdate is the time of the last update from control, in Unix nanoseconds.
 	lastUpdate atomic.Int64
 	stopping   atomic.Bool
@@ -261,6 +264,7 @@
 		now := time.Now()
 		g.upstream.CloseExpired(now)
 		g.removeOldEndpoints(now)
+		g.logEndedNotices(now)
 	}
 	return nil
 }
--- a/internal/entry/gateway/metrics.go
+++ b/internal/entry/gateway/metrics.go
@@ -21,6 +21,9 @@
 	retries  metrics.Counter
 	resumed  metrics.Counter
 	stalled  metrics.Counter
+	leaving  metrics.Counter
+	busy     metrics.Counter
+	avoided  metrics.Counter
 }
 
 func newGatewayMetrics(r *metric.Registry) gatewayMetrics {
@@ -34,6 +37,9 @@
 		retries:  r.Counter("gateway_repeats_total", "Requests sent to an endpoint once more."),
 		resumed:  r.Counter("gateway_resumed_total", "Streams that went on at another endpoint."),
 		stalled:  r.Counter("gateway_stalled_total", "Attempts given up because the endpoint stood still."),
+		leaving:  r.Counter("gateway_leaving_notices_total", "Endpoints that said in a response that they leave."),
+		busy:     r.Counter("gateway_busy_notices_total", "Responses by which endpoints asked for no requests for a time."),
+		avoided:  r.Counter("gateway_avoided_total", "Requests sent elsewhere because an endpoint leaves or is busy."),
 	}
 }
 
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -120,7 +120,7 @@
 	}
 	if s.availability.Serving > 0 {
 		entry = entry.Int("serving", s.availability.Serving).Int("banned", s.availability.Banned).
-			Float64("occupied", s.availability.Occupied).Dur("soonest", s.availability.EarliestForecast)
+			Int("leaving", s.availability.Leaving).Int("busy", s.availability.Busy).Float64("occupied", s.availability.Occupied).Dur("soonest", s.availability.EarliestForecast)
 	}
 	if s.noRetry != "" {
 		entry = entry.Str("no_retry", s.noRetry)
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -14,4 +14,8 @@
 	ControlLost     = register(307, "control_lost", log.WarnLevel)
 	StandbyStarted  = register(308, "standby_started", log.InfoLevel)
 	StandbyEnded    = register(309, "standby_ended", log.InfoLevel)
+
+	EndpointMarked   = register(310, "endpoint_marked", log.InfoLevel)
+	EndpointUnmarked = register(311, "endpoint_unmarked", log.InfoLevel)
+	NoticeOdd        = register(312, "notice_odd", log.WarnLevel)
 )
