--- a/internal/entry/gateway/notice_test.go
+++ b/internal/entry/gateway/notice_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -202,7 +203,7 @@
 	var first, refused, waited callerResponse
 	withFixture(t, func(f *fixture) {
 		for i, e := range f.plains {
-			e.respondOnce(func(*http.Request) string { return busyFor(fmt.Sprint(3 + i)) }, stayOpen)
+			e.respondOnce(func(*http.Request) string { return busyFor(strconv.Itoa(3 + i)) }, stayOpen)
 		}
 		first = f.send("POST", "/safe/", "x")
 		refused = f.send("POST", "/safe/", "x")
