portal: two new control hosts replace two dead voters, not the same one

What callers saw: after two control hosts were replaced at once, the core had one voter fewer than it should, for good, and a second process under one voter's ID. Losing two disks after that leaves no quorum: the configuration that was acknowledged can't be read back.

Cause: the leader gave each host that asks the voter that had been unreachable the longest. A voter that has just been moved stays unreachable until its new disk is admitted, so the second host got the same one. The check for a replacement under way and its start were also two steps.

Fix: a voter that was moved is left alone for voterJoinTimeout (every control host notes the time at which it learns of a move, so it holds over a change of the leader); the claim is one step under the lock; and a host that a voter was moved to counts as a voter as soon as the entry is applied. The test ends with two wiped disks and a restart of all, and reads the acknowledged configuration back.

--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -103,7 +103,9 @@
 	leaderSince time.Time
 	// replacingVoter is true while a voter is being moved to another host.
 	replacingVoter bool
-	roster         roster.Roster
+	// voterMovedAt is when this host learned that a voter was moved to another host.
+	voterMovedAt map[host.ID]time.Time
+	roster       roster.Roster
 	// direct holds the endpoints whose last announcement was sent to this host.
 	direct map[string]bool
 	// contentChanged is when each endpoint last announced new content.
@@ -135,6 +137,7 @@
 		changed:        make(chan struct{}),
 		reports:        map[host.ID]receivedReport{},
 		health:         map[string]endpointHealth{},
+		voterMovedAt:   map[host.ID]time.Time{},
 	}
 }
 
--- a/internal/control/portal/portal_test.go
+++ b/internal/control/portal/portal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/control/formation"
+	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 )
 
@@ -257,3 +259,42 @@
 		require.True(t, leader.health["e1"].dead)
 	})
 }
+
+// TestTwoNewHostsReplaceTwoDeadVoters removes two control hosts for good and starts two empty ones at
+// the same moment. Each must take one of the two voters. It guards against a second host that takes
+// the voter that the first one has just taken, which leaves a dead voter and a host without one: two
+// lost disks are then too many.
+func TestTwoNewHostsReplaceTwoDeadVoters(t *testing.T) {
+	runCluster(t, 5, func(c *cluster) {
+		c.put("1:first")
+		dead := c.nodes[3:5]
+		for _, n := range dead {
+			c.stopNode(n)
+		}
+		replacements := []*node{c.add(7), c.add(8)}
+		for _, n := range replacements {
+			c.start(n, false)
+		}
+		time.Sleep(12 * time.Second)
+		var taken []host.ID
+		for _, n := range replacements {
+			taken = append(taken, n.voter())
+		}
+		require.ElementsMatch(t, []host.ID{dead[0].id, dead[1].id}, taken)
+		for _, p := range c.leader().currentLog().Status().Peers {
+			require.True(t, p.Admitted, p.Host)
+		}
+		c.put("2:second")
+		running := slices.Concat(c.nodes[:3], replacements)
+		for _, n := range running {
+			c.stopNode(n)
+		}
+		for _, n := range running[:2] {
+			c.wipe(n)
+		}
+		for _, n := range running {
+			c.start(n, false)
+		}
+		require.Equal(t, "2:second", c.read())
+	})
+}
--- a/internal/control/portal/voter.go
+++ b/internal/control/portal/voter.go
@@ -16,6 +16,10 @@
 // it. A restart takes less time.
 const voterReplaceTimeout = 2500 * time.Millisecond
 
+// voterJoinTimeout is how long a host that replaces a voter has to be admitted to the quorum. Until
+// then no other host replaces it.
+const voterJoinTimeout = 2 * voterReplaceTimeout
+
 // assumeVoter makes this process identify itself as the voter that it replaces.
 func (p *Portal) assumeVoter(controlHosts []message.Founder, id host.ID) error {
 	if err := p.opts.Rename(id); err != nil {
@@ -57,26 +61,41 @@
 	if q.FirstStart || l == nil {
 		return
 	}
-	p.mu.Lock()
-	isVoter := slices.ContainsFunc(p.controlHosts, func(f message.Founder) bool { return f.Address == q.Self.Address })
-	wait := p.replacingVoter || p.leaderSince.IsZero() || time.Since(p.leaderSince) < voterReplaceTimeout
-	p.mu.Unlock()
-	if isVoter || wait {
-		return
+	if id := p.claimReplacement(l.Status(), q.Self.Address, time.Now()); id != "" {
+		p.replaceVoter(ctx, l, id, q.Self)
 	}
-	unreachable := longestUnreachable(l.Status())
-	if unreachable == "" {
-		return
+}
+
+// claimReplacement returns the voter that the host at address replaces, or "" if there is none. The
+// caller must then call replaceVoter, and until that ends no other voter is replaced.
+func (p *Portal) claimReplacement(s replication.Status, address string, now time.Time) host.ID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isVoterAddress(address) || p.replacingVoter || p.leaderSince.IsZero() || now.Sub(p.leaderSince) < voterReplaceTimeout {
+		return ""
 	}
-	p.replaceVoter(ctx, l, unreachable, q.Self)
+	id := p.longestUnreachable(s, now)
+	p.replacingVoter = id != ""
+	return id
+}
+
+// isVoterAddress reports whether a voter has this address, also one that was moved to it just now. mu
+// is held.
+func (p *Portal) isVoterAddress(address string) bool {
+	return slices.ContainsFunc(p.controlHosts, func(f message.Founder) bool { return f.Address == address }) ||
+		slices.ContainsFunc(p.machine.MovedVoters(), func(v portalstate.Voter) bool { return v.Address == address })
 }
 
 // longestUnreachable returns the peer that has been unreachable the longest, or "" if none has
-// been for voterReplaceTimeout.
-func longestUnreachable(s replication.Status) host.ID {
+// been for voterReplaceTimeout. It leaves out those that another host has just replaced. mu is held.
+func (p *Portal) longestUnreachable(s replication.Status, now time.Time) host.ID {
 	var unreachable host.ID
 	longest := voterReplaceTimeout
 	for _, peer := range s.Peers {
+		moved, known := p.voterMovedAt[peer.Host]
+		if known && now.Sub(moved) < voterJoinTimeout {
+			continue
+		}
 		if peer.SinceLastReply >= longest {
 			unreachable, longest = peer.Host, peer.SinceLastReply
 		}
@@ -84,10 +103,9 @@
 	return unreachable
 }
 
-// replaceVoter commits an entry that moves a voter to another host.
+// replaceVoter commits an entry that moves a voter, returned by claimReplacement, to another host.
 func (p *Portal) replaceVoter(ctx context.Context, l *replication.Log, id host.ID, to message.Founder) {
-	p.setReplacingVoter(true)
-	defer p.setReplacingVoter(false)
+	defer p.finishReplacement(id)
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	sequence := uint64(1)
@@ -104,10 +122,13 @@
 		Str("address", to.Address).Err(err).Msg("")
 }
 
-func (p *Portal) setReplacingVoter(replacing bool) {
+// finishReplacement allows other replacements again. The voter counts as moved even if the outcome
+// is not known, since the entry may still commit.
+func (p *Portal) finishReplacement(id host.ID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.replacingVoter = replacing
+	p.replacingVoter = false
+	p.voterMovedAt[id] = time.Now()
 }
 
 // updateVoterAddresses applies the replicated voter addresses to the log and to the known set of
@@ -117,7 +138,7 @@
 	controlHosts := slices.Clone(p.controlHosts)
 	l := p.log
 	p.mu.Unlock()
-	moved := false
+	var moved []host.ID
 	for _, voter := range p.machine.MovedVoters() {
 		i := slices.IndexFunc(controlHosts, func(f message.Founder) bool { return f.Host == voter.Host })
 		if i < 0 {
@@ -127,14 +148,18 @@
 			l.SetAddress(voter.Host, voter.Address)
 		}
 		if controlHosts[i].Address != voter.Address {
-			controlHosts[i].Address, moved = voter.Address, true
+			controlHosts[i].Address = voter.Address
+			moved = append(moved, voter.Host)
 		}
 	}
-	if !moved {
+	if len(moved) == 0 {
 		return
 	}
 	p.mu.Lock()
 	p.controlHosts = controlHosts
+	for _, id := range moved {
+		p.voterMovedAt[id] = time.Now()
+	}
 	p.mu.Unlock()
 	if err := p.discovery.SaveControlHosts(controlHosts); err != nil {
 		event.JournalFailed.On(p.opts.Logger).Str("reason", err.Error()).Msg("")
