--- a/internal/control/quorum/simulation_test.go
+++ b/internal/control/quorum/simulation_test.go
@@ -57,6 +57,8 @@
 	pendingWrites []pendingPersist
 	down          bool
 	pausedUntil   time.Time
+	// suspended is the time that the node's clock has not counted.
+	suspended time.Duration
 	// clockRate is how fast the node's clock runs; 1 is the speed of the simulation.
 	clockRate   float64
 	applied     Index
@@ -154,7 +156,7 @@
 }
 
 func (s *simulation) clock(n *simNode) time.Time {
-	return s.start.Add(time.Duration(float64(s.now.Sub(s.start)) * n.clockRate))
+	return s.start.Add(time.Duration(float64(s.now.Sub(s.start)-n.suspended) * n.clockRate))
 }
 
 func (s *simulation) run(d time.Duration) {
