A stopping portal answers the calls that it has accepted

An operator whose PUT /config was being committed, or an endpoint whose announcement was being taken, saw the connection closed at a planned stop of the portal: neither an answer nor a refusal, and the operator didn't know whether the configuration was in force.

Cause: the stop of a portal transferred the leadership and then closed all connections of its API, whatever was in flight on them.

The planned stop of the gateway's listener (refuse what arrives late, close idle connections, wait until responses have been sent) moves to the new package internal/process/httpserver, and the portal stops by it as well, after the transfer. Calls that arrive during it get 503, Retry-After and Connection: close; operators and endpoints try another portal.

TestStoppingPortalAnswersWhatItHasAccepted fails with the wait switched off, as the code was: portal_test.go:55: Get "http://portal/config": EOF TestStopWaitsUntilResponsesAreSent fails if the stop waits for handlers only: server_test.go:102: unexpected EOF. It guards the gateway, too.

--- a/cmd/portal.go
+++ b/cmd/portal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/egretreach/egretreach/internal/link/identity"
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/process/daemon"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/process/settings"
 	"github.com/egretreach/egretreach/platform"
 )
@@ -50,30 +52,40 @@
 		Files: journal.OSFileSystem{}, Folder: s.DataFolder, Decode: platform.DecodeTable, Engines: &platform.EngineClient{},
 		Heartbeat: s.Heartbeat, Metrics: deps.Metrics, Logger: deps.Logger,
 	})
-	server := &http.Server{
-		Handler: platform.API{Portal: p, Logger: deps.Logger}.Handler(), ReadHeaderTimeout: portalHeaderTimeout,
-	}
-	run := func(ctx context.Context) error {
-		group, ctx := errgroup.WithContext(ctx)
-		group.Go(func() error { return p.Run(ctx) })
-		group.Go(func() error {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				return errors.Wrap(err, "serve the portal's API")
-			}
-			return nil
-		})
-		group.Go(func() error {
-			<-ctx.Done()
-			return server.Close()
-		})
-		return group.Wait()
-	}
+	api := platform.API{Portal: p, Logger: deps.Logger}
+	return portalDaemon(p.Run, p.Stop, api.Handler(), listener), nil
+}
+
+// portalDaemon returns the daemon of a portal that serves api on listener. run runs the portal, and
+// stop transfers the leadership.
+func portalDaemon(run func(context.Context) error, stop func(context.Context), api http.Handler, listener net.Listener) daemon.Daemon {
+	server := httpserver.New(&http.Server{Handler: api, ReadHeaderTimeout: portalHeaderTimeout}, http.HandlerFunc(refuseStopping))
 	return daemon.Daemon{
-		Run:   run,
-		Ready: func() error { return nil },
+		Run: func(ctx context.Context) error {
+			group, ctx := errgroup.WithContext(ctx)
+			group.Go(func() error { return run(ctx) })
+			group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve the portal's API") })
+			group.Go(func() error {
+				<-ctx.Done()
+				return server.Close()
+			})
+			return group.Wait()
+		},
+		Ready:    func() error { return nil },
+		InFlight: server.InFlight,
 		Shutdown: func(ctx context.Context) int {
-			p.Stop(ctx)
-			return 0
+			stop(ctx)
+			if server.Stop(ctx) == nil {
+				return 0
+			}
+			return server.InFlight()
 		},
-	}, nil
+	}
+}
+
+// refuseStopping refuses a request of an endpoint or operator, which another portal can answer.
+func refuseStopping(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", "0")
+	http.Error(w, "stopping", http.StatusServiceUnavailable)
 }
--- /dev/null
+++ b/cmd/portal_test.go
@@ -0,0 +1,58 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/standin/memnet"
+)
+
+// TestStoppingPortalAnswersWhatItHasAccepted guards against a planned stop of a portal that closes the
+// connection of an operator whose configuration it is committing.
+func TestStoppingPortalAnswersWhatItHasAccepted(t *testing.T) {
+	var body []byte
+	var responseErr error
+	cut := -1
+	synctest.Test(t, func(t *testing.T) {
+		api := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(600 * time.Millisecond)
+			_, _ = io.WriteString(w, "acknowledged")
+		})
+		listener := memnet.NewListener("portal")
+		run := func(ctx context.Context) error {
+			<-ctx.Done()
+			return nil
+		}
+		d := portalDaemon(run, func(context.Context) {}, api, listener)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- d.Run(ctx) }()
+		answered := make(chan struct{})
+		transport := &http.Transport{DialContext: listener.Dial}
+		go func() {
+			defer close(answered)
+			response, err := (&http.Client{Transport: transport}).Get("http://portal/config")
+			if err != nil {
+				responseErr = err
+				return
+			}
+			defer func() { _ = response.Body.Close() }()
+			body, responseErr = io.ReadAll(response.Body)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		cut = d.Shutdown(ctx)
+		cancel()
+		<-answered
+		require.NoError(t, <-ended)
+		time.Sleep(time.Second) // The handler ends in any case.
+	})
+	require.NoError(t, responseErr)
+	require.Equal(t, "acknowledged", string(body))
+	require.Zero(t, cut)
+}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -24,7 +24,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 	"github.com/egretreach/egretreach/internal/link/pool"
-	"github.com/egretreach/egretreach/internal/process/inflight"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
@@ -96,12 +96,8 @@
 	lastUpdate atomic.Int64
 	stopping   atomic.Bool
 	// cutting says that the time of the planned stop is up and its connections are being closed.
-	cutting  atomic.Bool
-	inFlight inflight.Requests
-	server   *http.Server
-	conns    busyConns
-	// listener accepts the connections of callers. It is nil before Run.
-	listener atomic.Pointer[net.Listener]
+	cutting atomic.Bool
+	server  *httpserver.Server
 	// randomFraction returns a number from 0 up to, but not including, 1.
 	randomFraction func() float64
 }
@@ -126,15 +122,14 @@
 
 		upstream: upstream.Pool{Dial: opts.Dial},
 	}
-	g.server = &http.Server{
+	g.server = httpserver.New(&http.Server{
 		Handler:           http.HandlerFunc(g.serve),
 		MaxHeaderBytes:    defaultHeaderBytes,
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		ConnContext:       withConn,
-		ConnState:         g.conns.changed,
 		ErrorLog:          nil,
-	}
+	}, http.HandlerFunc(g.refuseStopping))
 	return g
 }
 
@@ -142,14 +137,9 @@
 func (g *Gateway) Run(ctx context.Context, listener net.Listener) error {
 	event.ProcessStarted.On(g.opts.Logger).Str("role", "gateway").Str("host", string(g.opts.Self)).
 		Str("address", listener.Addr().String()).Msg("")
-	g.listener.Store(&listener)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		err := g.server.Serve(framingListener{listener})
-		if errors.Is(err, http.ErrServerClosed) || g.stopping.Load() && errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		return errors.Wrap(err, "callers' listener")
+		return errors.Wrap(g.server.Serve(framingListener{listener}), "callers' listener")
 	})
 	group.Go(func() error { return g.subscribe(ctx) })
 	group.Go(func() error { return g.sweep(ctx) })
@@ -203,24 +193,10 @@
 func (g *Gateway) Shutdown(ctx context.Context) int {
 	g.stopping.Store(true)
 	pause.For(ctx, g.opts.ShutdownDelay)
-	g.closeToCallers()
-	select {
-	case <-g.conns.whenIdle():
-		_ = g.server.Close()
+	if g.server.Stop(ctx) == nil {
 		return 0
-	case <-ctx.Done():
-		return g.cutRequests(ctx)
-	}
-}
-
-// closeToCallers refuses requests from now on, accepts no more connections and closes idle ones. It
-// doesn't use the Shutdown of net/http, which drops the requests that it reads from then on.
-func (g *Gateway) closeToCallers() {
-	g.inFlight.Refuse()
-	if listener := g.listener.Load(); listener != nil {
-		_ = (*listener).Close()
 	}
-	g.server.SetKeepAlivesEnabled(false)
+	return g.cutRequests(ctx)
 }
 
 // cutTimeout bounds how long a gateway waits until the requests that it cuts have ended.
@@ -230,19 +206,19 @@
 // returns how many there were.
 func (g *Gateway) cutRequests(ctx context.Context) int {
 	g.cutting.Store(true)
-	cut := g.inFlight.Count()
+	cut := g.server.InFlight()
 	_ = g.server.Close()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutTimeout)
 	defer cancel()
 	select {
-	case <-g.inFlight.WhenIdle():
+	case <-g.server.WhenIdle():
 	case <-ctx.Done():
 	}
 	return cut
 }
 
 // InFlight returns the number of requests being served.
-func (g *Gateway) InFlight() int { return g.inFlight.Count() }
+func (g *Gateway) InFlight() int { return g.server.InFlight() }
 
 // endpointRetention is how long an endpoint is kept without a new announcement from control.
 const endpointRetention = 24 * time.Hour
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -67,21 +67,23 @@
 	availability balance.Availability
 }
 
-// serve is the handler of all requests.
+// refuseStopping is the handler of all requests that arrive after ShutdownDelay.
+func (g *Gateway) refuseStopping(w http.ResponseWriter, r *http.Request) {
+	g.metrics.requests.Inc(1)
+	w.Header().Set("Connection", "close")
+	c := &call{g: g, w: w, r: r, arrivedAt: time.Now(), id: r.Header.Get(g.opts.Dialect.Headers.RequestID)}
+	c.refuse(stoppingRetryAfter, "stopping")
+}
+
+// serve is the handler of all other requests.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, arrivedAt: time.Now(), id: r.Header.Get(g.opts.Dialect.Headers.RequestID)}
-	accepted := g.inFlight.Begin()
-	defer g.inFlight.End()
 	g.requestCount.Add(1)
 	g.metrics.requests.Inc(1)
 	c.closeAfter = mustCloseAfter(r) || g.stopping.Load()
 	if c.closeAfter {
 		w.Header().Set("Connection", "close")
 	}
-	if !accepted {
-		c.refuse(stoppingRetryAfter, "stopping")
-		return
-	}
 	table := g.table.Load()
 	if table == nil {
 		c.refuse(time.Second, "no configuration yet")
--- a/internal/entry/gateway/connections.go
+++ b/internal/process/httpserver/connections.go
@@ -1,4 +1,4 @@
-package gateway
+package httpserver
 
 import (
 	"net"
@@ -8,7 +8,7 @@
 	"github.com/egretreach/egretreach/internal/process/inflight"
 )
 
-// busyConns records the callers' connections on which a request is being served or its response is
+// busyConns records the connections on which a request is being served or its response is
 // being sent. The zero value records none.
 type busyConns struct {
 	mu   sync.Mutex
--- /dev/null
+++ b/internal/process/httpserver/server.go
@@ -0,0 +1,79 @@
+// Package httpserver provides an HTTP/1.1 server whose planned stop answers or refuses every request
+// that it has read.
+package httpserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/process/inflight"
+)
+
+// Server is an http.Server with a planned stop. Create it with New.
+type Server struct {
+	server   *http.Server
+	requests inflight.Requests
+	conns    busyConns
+	stopping atomic.Bool
+	// listener is nil before Serve.
+	listener atomic.Pointer[net.Listener]
+}
+
+// New returns a server with the settings of server, which serves requests by the handler of server
+// and, once Stop has been called, by refuse. It changes server, which must not be used otherwise.
+func New(server *http.Server, refuse http.Handler) *Server {
+	s := &Server{server: server}
+	serve := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		accepted := s.requests.Begin()
+		defer s.requests.End()
+		if !accepted {
+			refuse.ServeHTTP(w, r)
+			return
+		}
+		serve.ServeHTTP(w, r)
+	})
+	server.ConnState = s.conns.changed
+	return s
+}
+
+// Serve serves the connections of listener until Stop or Close is called, and then returns nil.
+func (s *Server) Serve(listener net.Listener) error {
+	s.listener.Store(&listener)
+	err := s.server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Stop accepts no more connections, closes idle ones and refuses requests. It returns nil once all
+// responses have been sent and all connections are closed, or the error of ctx if it ends first. It
+// doesn't use the Shutdown of net/http, which drops the requests that it reads from then on.
+func (s *Server) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
+	s.requests.Refuse()
+	if listener := s.listener.Load(); listener != nil {
+		_ = (*listener).Close()
+	}
+	s.server.SetKeepAlivesEnabled(false)
+	select {
+	case <-s.conns.whenIdle():
+		return s.Close()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close closes all connections at once.
+func (s *Server) Close() error { return s.server.Close() }
+
+// InFlight returns the number of requests being served.
+func (s *Server) InFlight() int { return s.requests.Count() }
+
+// WhenIdle returns a channel that is closed once no request is being served.
+func (s *Server) WhenIdle() <-chan struct{} { return s.requests.WhenIdle() }
--- /dev/null
+++ b/internal/process/httpserver/server_test.go
@@ -0,0 +1,124 @@
+package httpserver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/standin/memnet"
+)
+
+// handle answers with a text.
+func handle(status int, text string, after time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(after)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, text)
+	})
+}
+
+// get sends a request on an open connection and returns the status and body of the response.
+func get(c net.Conn) (string, error) {
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		return "", err
+	}
+	return read(c)
+}
+
+func read(c net.Conn) (string, error) {
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return fmt.Sprint(response.StatusCode, " ", string(body)), err
+}
+
+// TestStopAnswersOrRefusesWhatItReads guards against a planned stop that drops a request, whether it
+// began before or arrives on an open connection.
+func TestStopAnswersOrRefusesWhatItReads(t *testing.T) {
+	var early, late string
+	var earlyErr, lateErr, stopErr, serveErr error
+	synctest.Test(t, func(t *testing.T) {
+		s := New(&http.Server{Handler: handle(200, "served", time.Second)}, handle(503, "refused", 0))
+		listener := memnet.NewListener("h")
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(listener) }()
+		first, err := listener.Dial(t.Context(), "", "")
+		require.NoError(t, err)
+		second, err := listener.Dial(t.Context(), "", "")
+		require.NoError(t, err)
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			early, earlyErr = get(first)
+		}()
+		synctest.Wait()
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Stop(t.Context()) }()
+		synctest.Wait()
+		late, lateErr = get(second)
+		<-answered
+		stopErr, serveErr = <-stopped, <-served
+	})
+	require.NoError(t, earlyErr)
+	require.Equal(t, "200 served", early)
+	require.NoError(t, lateErr)
+	require.Equal(t, "503 refused", late)
+	require.NoError(t, stopErr)
+	require.NoError(t, serveErr)
+}
+
+// TestStopWaitsUntilResponsesAreSent guards against a planned stop that ends when the handlers have
+// returned, although a caller has not read the response yet.
+func TestStopWaitsUntilResponsesAreSent(t *testing.T) {
+	var got string
+	var gotErr, stopErr error
+	synctest.Test(t, func(t *testing.T) {
+		s := New(&http.Server{Handler: handle(200, "served", 0)}, handle(503, "refused", 0))
+		listener := memnet.NewListener("h")
+		go func() { _ = s.Serve(listener) }()
+		c, err := listener.Dial(t.Context(), "", "")
+		require.NoError(t, err)
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Zero(t, s.InFlight())
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Stop(t.Context()) }()
+		time.Sleep(time.Second)
+		got, gotErr = read(c)
+		stopErr = <-stopped
+	})
+	require.NoError(t, gotErr)
+	require.Equal(t, "200 served", got)
+	require.NoError(t, stopErr)
+}
+
+// TestStopEndsWithItsContext guards against a planned stop without a limit.
+func TestStopEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(&http.Server{Handler: handle(200, "served", time.Minute)}, handle(503, "refused", 0))
+		listener := memnet.NewListener("h")
+		go func() { _ = s.Serve(listener) }()
+		c, err := listener.Dial(t.Context(), "", "")
+		require.NoError(t, err)
+		go func() { _, _ = get(c) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.ErrorIs(t, s.Stop(ctx), context.DeadlineExceeded)
+		require.Equal(t, 1, s.InFlight())
+		require.NoError(t, s.Close())
+		<-s.WhenIdle()
+	})
+}
