The failure of a side task stops a daemon gracefully

If the listener of the health pages or of the metrics failed, the context of the whole process ended, and callers saw every request in flight end at once, like with a second SIGTERM.

Cause: side tasks and the daemon ran in one errgroup, which cancels all of them at the first error. Such a failure now starts a planned stop, which the log shows as process_stopping with the error; the process returns the error at its end. The listeners are opened before the daemon accepts work, so that an address in use still fails the start at once.

With the code as it was, TestFailedSideTaskStopsTheDaemonGracefully fails: supervisor_test.go:131: expected 4s, actual 1s while it runs, and supervisor_test.go:130: "Should be zero, but was 1" while it stops.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -117,6 +117,10 @@
 		Logger:      logger,
 	}
 	defer func() { _ = deps.Socket.Close() }()
+	pages, err := listenAll(ctx, opts.Health.Address, opts.Metrics.Address)
+	if err != nil {
+		return err
+	}
 	d, err := opts.Build(deps)
 	if err != nil {
 		return err
@@ -133,11 +137,12 @@
 		watcher.Run(ctx)
 		return nil
 	}
-	serve := func(address settings.Address) func(context.Context) error {
-		return func(ctx context.Context) error { return healthServer.Run(ctx, address.String()) }
+	auxiliary := []func(context.Context) error{watch}
+	for _, listener := range pages {
+		auxiliary = append(auxiliary, func(ctx context.Context) error { return healthServer.Serve(ctx, listener) })
 	}
 	s := supervisor{daemon: d, name: opts.Name, stop: opts.Stop, signals: opts.StopSignals, logger: logger}
-	return s.run(ctx, watch, serve(opts.Health.Address), serve(opts.Metrics.Address))
+	return s.run(ctx, auxiliary...)
 }
 
 // openKeys reads the process's credentials from the keys folder. On a private network it makes
@@ -191,6 +196,26 @@
 	return socket, errors.Wrap(err, "link socket")
 }
 
+// listenAll opens listeners at the addresses that are not empty. A daemon does so before it accepts
+// work, which it would cut if it failed.
+func listenAll(ctx context.Context, addresses ...settings.Address) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		if address == "" {
+			continue
+		}
+		listener, err := Listen(ctx, address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
+			return nil, errors.Wrap(err, "health pages")
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
 // Listen opens a TCP listener for HTTP requests of callers, endpoints or operators.
 func Listen(ctx context.Context, address settings.Address) (net.Listener, error) {
 	var config net.ListenConfig
--- a/internal/process/daemon/supervisor.go
+++ b/internal/process/daemon/supervisor.go
@@ -24,41 +24,58 @@
 	logger *log.Logger
 }
 
-// run runs the daemon and the auxiliary functions until one of them fails, ctx ends or a signal has
-// stopped the daemon.
+// run runs the daemon and the auxiliary functions until the daemon fails, ctx ends, or a signal or
+// the failure of an auxiliary function has stopped the daemon. It returns the first error.
 func (s *supervisor) run(ctx context.Context, auxiliary ...func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
+	failed := make(chan error, len(auxiliary))
 	group.Go(func() error {
 		defer cancel()
 		return s.daemon.Run(ctx)
 	})
 	for _, run := range auxiliary {
-		group.Go(func() error { return run(ctx) })
+		group.Go(func() error {
+			if err := run(ctx); err != nil {
+				failed <- err
+			}
+			return nil
+		})
 	}
 	group.Go(func() error {
 		defer cancel()
-		s.awaitStop(ctx)
-		return nil
+		return s.awaitStop(ctx, failed)
 	})
 	return group.Wait()
 }
 
-// awaitStop waits for a signal and carries out a planned stop, or returns when ctx ends.
-func (s *supervisor) awaitStop(ctx context.Context) {
+// awaitStop waits for a signal or the failure of an auxiliary function and carries out a planned
+// stop, or returns when ctx ends. It returns the error of that function.
+func (s *supervisor) awaitStop(ctx context.Context, failed <-chan error) error {
 	select {
 	case <-ctx.Done():
+		return nil
 	case received := <-s.signals:
-		s.shutdown(ctx, received)
+		event.ProcessStopping.On(s.logger).Str("role", s.name).Str("signal", received.String()).Int("in_flight", s.inFlight()).Msg("")
+		s.shutdown(ctx)
+	case err := <-failed:
+		event.ProcessStopping.On(s.logger).Str("role", s.name).Err(err).Int("in_flight", s.inFlight()).Msg("")
+		s.shutdown(ctx)
+		return err
+	}
+	select {
+	case err := <-failed:
+		return err
+	default:
+		return nil
 	}
 }
 
 // shutdown calls the daemon's Shutdown with the time limit of a planned stop. Further signals are
 // logged and change nothing.
-func (s *supervisor) shutdown(ctx context.Context, received os.Signal) {
+func (s *supervisor) shutdown(ctx context.Context) {
 	startedAt := time.Now()
-	event.ProcessStopping.On(s.logger).Str("role", s.name).Str("signal", received.String()).Int("in_flight", s.inFlight()).Msg("")
 	ctx, cancel := context.WithTimeout(ctx, s.stop.ShutdownDelay+s.stop.DrainTimeout)
 	defer cancel()
 	done := make(chan int)
--- a/internal/process/daemon/supervisor_test.go
+++ b/internal/process/daemon/supervisor_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/process/settings"
@@ -112,3 +113,24 @@
 		})
 	}
 }
+
+// TestFailedSideTaskStopsTheDaemonGracefully guards against a health listener whose failure cuts the
+// requests in flight, at once or during a planned stop.
+func TestFailedSideTaskStopsTheDaemonGracefully(t *testing.T) {
+	for name, signalAfter := range map[string]time.Duration{"while it runs": time.Hour, "while it stops": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(4 * time.Second)
+				signal := time.AfterFunc(signalAfter, func() { f.signals <- syscall.SIGTERM })
+				err := f.run(t.Context(), func(context.Context) error {
+					time.Sleep(time.Second)
+					return errors.New("listener failed")
+				})
+				signal.Stop()
+				require.Zero(t, f.cut)
+				require.Equal(t, 4*time.Second, f.stoppedAfter)
+				require.EqualError(t, err, "listener failed")
+			})
+		})
+	}
+}
--- a/internal/process/health/health.go
+++ b/internal/process/health/health.go
@@ -56,20 +56,6 @@
 	fmt.Fprintln(w, "ready")
 }
 
-// Run serves at address, an IP address and TCP port, until ctx ends. If address is empty, it only
-// waits for the end of ctx.
-func (s Server) Run(ctx context.Context, address string) error {
-	if address == "" {
-		<-ctx.Done()
-		return nil
-	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
-	if err != nil {
-		return pkgerrors.Wrap(err, "health listener")
-	}
-	return s.Serve(ctx, listener)
-}
-
 // Serve serves on listener until ctx ends, and closes it.
 func (s Server) Serve(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
