A daemon outlives the reader of its log

If the process that reads a daemon's standard output ended, for example at the restart of a log collector, callers saw all requests in flight end at the daemon's next log line.

Cause: a write to a standard output without reader raises SIGPIPE, by which Go ends the process (file descriptors 1 and 2 only). The signal is now ignored, so that the write fails and the log's writer drops the lines.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -97,6 +97,7 @@
 // Run runs a daemon until a signal from opts.StopSignals, which starts a planned stop. Further
 // signals change nothing: the settings limit the stop, and only SIGKILL ends the process sooner.
 func Run(ctx context.Context, opts Options) error {
+	ignoreBrokenPipes()
 	writer := logging.NewAsyncWriter(os.Stdout)
 	defer writer.Close()
 	logger := logging.New(opts.Log, writer)
@@ -145,6 +146,10 @@
 	return s.run(ctx, auxiliary...)
 }
 
+// ignoreBrokenPipes lets writes to the standard output fail when its reader is gone, which would
+// otherwise end the process by SIGPIPE.
+func ignoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
+
 // openKeys reads the process's credentials from the keys folder. On a private network it makes
 // credentials that peers don't verify.
 func openKeys(opts Options) (*identity.Credentials, error) {
