The end of a stop's time answers the requests that it cuts

A caller whose request was still at an endpoint when the time of a planned stop was up saw its connection closed without a response, although nothing had been sent to it yet.

Cause: the end of the stop closed the connections first, so that the requests noticed it only when nothing could be sent any more. It now ends the contexts of the requests first: what may have run is answered 502, what has not run 503, both with Connection: close and the reason "cut by the end of the planned stop"; streams that have begun are broken off, so that they don't look complete. The connections are closed when all have ended, or 100 ms later.

TestCutRequestIsAnswered fails without it: stop_test.go:211: Post "http://h/unsafe/": EOF

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -95,8 +95,9 @@
 	// lastUpdate is the time of the last update from control, in Unix nanoseconds.
 	lastUpdate atomic.Int64
 	stopping   atomic.Bool
-	// cutting says that the time of the planned stop is up and its connections are being closed.
-	cutting atomic.Bool
+	// serving ends by cut, when the time of a planned stop is up.
+	serving context.Context
+	cut     context.CancelFunc
 	server  *httpserver.Server
 	// randomFraction returns a number from 0 up to, but not including, 1.
 	randomFraction func() float64
@@ -122,6 +123,7 @@
 
 		upstream: upstream.Pool{Dial: opts.Dial},
 	}
+	g.serving, g.cut = context.WithCancel(context.Background())
 	g.server = httpserver.New(&http.Server{
 		Handler:           http.HandlerFunc(g.serve),
 		MaxHeaderBytes:    defaultHeaderBytes,
@@ -199,24 +201,34 @@
 	return g.cutRequests(ctx)
 }
 
-// cutTimeout bounds how long a gateway waits until the requests that it cuts have ended.
+// cutTimeout bounds how long a gateway waits until the requests that it cuts have been answered, and
+// then until those have ended whose callers don't read.
 const cutTimeout = 100 * time.Millisecond
 
-// cutRequests closes the connections of callers, waits until the requests on them have ended, and
-// returns how many there were.
+// cutRequests fails the requests in flight, closes the connections of callers, and returns how many
+// requests there were. Callers to which nothing has been sent get a response.
 func (g *Gateway) cutRequests(ctx context.Context) int {
-	g.cutting.Store(true)
-	cut := g.server.InFlight()
+	count := g.server.InFlight()
+	g.cut()
+	ctx = context.WithoutCancel(ctx)
+	answering, cancel := context.WithTimeout(ctx, cutTimeout)
+	defer cancel()
+	if g.server.Stop(answering) == nil {
+		return count
+	}
 	_ = g.server.Close()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutTimeout)
+	ending, cancel := context.WithTimeout(ctx, cutTimeout)
 	defer cancel()
 	select {
 	case <-g.server.WhenIdle():
-	case <-ctx.Done():
+	case <-ending.Done():
 	}
-	return cut
+	return count
 }
 
+// isCutting reports whether the time of a planned stop is up.
+func (g *Gateway) isCutting() bool { return g.serving.Err() != nil }
+
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int { return g.server.InFlight() }
 
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -102,6 +102,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.serving, cancel)()
 	if c.route.Kind == routes.KindStream {
 		c.serveStream(ctx)
 		return
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -16,6 +16,9 @@
 // refuse responds with 503 and Retry-After to a request that has not run and will not run. The
 // Retry-After is in seconds, rounded up to hundredths.
 func (c *call) refuse(after time.Duration, reason string) {
+	if c.g.isCutting() {
+		reason = reasonCut
+	}
 	c.g.metrics.refused.Inc(1)
 	c.logEntry(event.RequestRefused).Int("status", http.StatusServiceUnavailable).Str("reason", reason).Dur("after", after).Msg("")
 	seconds := math.Ceil(after.Seconds()*100) / 100
@@ -42,12 +45,16 @@
 }
 
 // failUnanswered ends a request that may have run without a response: with 504 if its time is
-// up, else with 502. If the caller has left it sends nothing.
+// up, else with 502, also if the time of a planned stop is up. If the caller has left it sends nothing.
 func (c *call) failUnanswered(ctx context.Context, reason string) {
 	if c.r.Context().Err() != nil {
 		c.callerLeft()
 		return
 	}
+	if c.g.isCutting() {
+		c.fail(http.StatusBadGateway, reasonCut)
+		return
+	}
 	if ctx.Err() == nil {
 		c.fail(http.StatusBadGateway, reason)
 		return
@@ -61,7 +68,7 @@
 // callerLeft records that the connection has ended before the end of the response: the caller has
 // left, or the time of a planned stop is up.
 func (c *call) callerLeft() {
-	if c.g.cutting.Load() {
+	if c.g.isCutting() {
 		c.g.metrics.failed.Inc(1)
 		c.logEntry(event.RequestFailed).Str("reason", reasonCut).Bool("begun", c.stats.timeToFirst > 0).Msg("")
 		return
@@ -73,6 +80,9 @@
 // abort breaks off a response that has begun and cannot be completed, so that the caller does
 // not take it for complete.
 func (c *call) abort(reason string) {
+	if c.g.isCutting() {
+		reason = reasonCut
+	}
 	c.g.metrics.failed.Inc(1)
 	c.logEntry(event.RequestFailed).Str("reason", reason).Bool("begun", true).Msg("")
 	panic(http.ErrAbortHandler)
--- a/internal/entry/gateway/stop_test.go
+++ b/internal/entry/gateway/stop_test.go
@@ -185,3 +185,33 @@
 	body, err := io.ReadAll(response.Body)
 	return callerResponse{status: response.StatusCode, header: response.Header, body: string(body), err: err, closed: response.Close}
 }
+
+// TestCutRequestIsAnswered guards against a planned stop whose end closes the connections of callers
+// to which nothing has been sent, instead of telling them that the request may have run.
+func TestCutRequestIsAnswered(t *testing.T) {
+	var got callerResponse
+	var cut int
+	var lines *bytes.Buffer
+	withFixture(t, func(f *fixture) {
+		lines = f.captureLog()
+		forEach(f.plains, func(e *fakeEndpoint) {
+			e.script = func(c net.Conn, r *http.Request, _ string) {
+				e.recordRun(r)
+				keepConnectionOpen(c)
+			}
+		})
+		done := make(chan callerResponse, 1)
+		go func() { done <- f.send("POST", "/unsafe/", "x") }()
+		synctest.Wait()
+		cut = <-f.shutdown(500 * time.Millisecond)
+		got = <-done
+		f.letEndpointsEnd()
+	})
+	require.Equal(t, 1, cut)
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.True(t, got.closed)
+	require.Equal(t, 500*time.Millisecond, got.took)
+	require.Contains(t, lines.String(), `"name":"request_failed","request":"req-1"`)
+	require.Contains(t, lines.String(), `"status":502,"reason":"cut by the end of the planned stop"`)
+}
