--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -48,8 +48,11 @@
 
 // The results of a probe.
 const (
-	// ProbeTimeout means that the endpoint did not answer in time.
-	ProbeTimeout ProbeResult = iota
+	// ProbeUnreachable means that no connection could be opened in time: the host is down or cut off.
+	ProbeUnreachable ProbeResult = iota
+	// ProbeSilent means that the endpoint's host accepted the probe and that the endpoint did not
+	// answer in time. It may go on.
+	ProbeSilent
 	// ProbeAlive means that the endpoint answered.
 	ProbeAlive
 	// ProbeRefused means that the connection was refused, or that another endpoint answers at the
@@ -148,7 +151,6 @@
 	group.Go(func() error { return p.runPlanning(ctx) })
 	group.Go(func() error { return p.watchDocument(ctx) })
 	err := group.Wait()
-	event.ProcessStopped.On(p.opts.Logger).Str("role", "portal").Int("cut", 0).Msg("")
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -157,7 +159,6 @@
 
 // Stop transfers the leadership to another host if this host is the leader.
 func (p *Portal) Stop(ctx context.Context) {
-	event.ProcessStopping.On(p.opts.Logger).Str("role", "portal").Msg("")
 	p.mu.Lock()
 	p.stopping = true
 	l := p.log
