Tests that fail: a stopping agent does not refuse work that is on its way

--- FAIL: TestStoppingAgentRefusesLateDispatch (0.01s) Error: Received unexpected error: dial 10.0.1.1:7000: timeout: no recent network activity --- FAIL: TestPlannedStopBesideSilenceLosesNoAnswer/service_stops,_other_service_silent/delay=60ms (1.45s) Error: []string{"complete", "not_run"} does not contain "unknown"

The second test joins planned stops and changes of the configuration with a silence of 1.2 s of a process that does not stop, at network delays of 0 and 60 ms: 16 cases, one of which failed in this run. Which one does is random, since the routing is. In a trial with other cases before it, "service stops, entry silent" at 60 ms failed in the same way.

--- a/internal/agent/server/shutdown_test.go
+++ b/internal/agent/server/shutdown_test.go
@@ -108,6 +108,26 @@
 	})
 }
 
+// TestStoppingAgentRefusesLateDispatch sends an idle agent dispatches for 1.5 s after the start of its
+// planned stop, as an entry does that was silent and does not know of the stop yet. Each must
+// be refused, which proves that it did not run.
+func TestStoppingAgentRefusesLateDispatch(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		agent := f.agent(1, engine.Options{})
+		require.Equal(t, request.OutcomeComplete, f.dispatch(agent, signoffDispatch(agent, "badge")).end.Outcome)
+		stopped := make(chan error, 1)
+		go func() { stopped <- agent.server.Shutdown(f.ctx) }()
+		for range 15 {
+			sleep(100 * time.Millisecond)
+			refused := f.dispatch(agent, signoffDispatch(agent, "late")).refused
+			require.NotNil(t, refused)
+			require.Equal(t, gate.CodeDraining, refused.Code)
+		}
+		require.NoError(t, <-stopped)
+		require.Equal(t, 1, agent.service.Counts().Total)
+	})
+}
+
 // TestFirstOrderWaitsForLease sends an order before the first lease grant. The
 // order must be executed once the lease is granted.
 func TestFirstOrderWaitsForLease(t *testing.T) {
--- a/internal/standin/fleet/recovery_test.go
+++ b/internal/standin/fleet/recovery_test.go
@@ -111,15 +111,7 @@
 // TestPlannedStopsRefuseAndInterruptNothing stops daemons as planned, under load.
 func TestPlannedStopsRefuseAndInterruptNothing(t *testing.T) {
 	stops := map[string]func(s *fixture){
-		"control leader": func(s *fixture) {
-			leader := s.leader()
-			for i := range 3 {
-				if s.Control(i).Host == leader {
-					_ = s.Control(i).Shutdown(s.ctx)
-					s.Control(i).Kill()
-				}
-			}
-		},
+		"control leader":     func(s *fixture) { s.stopControl(s.leader()) },
 		"agent of a head":    func(s *fixture) { s.stopAgent(s.replicas()[0].Head()) },
 		"agent of a member":  func(s *fixture) { s.stopAgent(s.replicas()[0].Hosts[1]) },
 		"agent of a service": func(s *fixture) { s.stopAgent("records-1") },
@@ -140,6 +132,16 @@
 	s.Agent(id).Kill()
 }
 
+// stopControl stops a control host as its process does on SIGTERM.
+func (s *fixture) stopControl(id host.ID) {
+	for i := range 3 {
+		if s.Control(i).Host == id {
+			_ = s.Control(i).Shutdown(s.ctx)
+			s.Control(i).Kill()
+		}
+	}
+}
+
 // TestStoppingHeadGetsNoNewWork checks that the head of a replica gets no new generations from 2 s
 // after the start of its planned stop on.
 func TestStoppingHeadGetsNoNewWork(t *testing.T) {
