agent: refuse late dispatches until 2 s after the start of a planned stop

What callers saw: a sign-off sent beside the planned stop of the agent of a service ended unknown ("the agent that holds the request cannot be reached"), although it had not run and the other endpoint of the service was there.

Cause: an idle agent was gone 0.5 s after the start of its stop, the time that its farewell to control takes. An entry that had routed the sign-off before it knew of the stop sent it into the closing link (the new view and the claim each take several network delays, and an entry that is silent for 1.2 s is behind by as much). Nothing proves that it did not run then.

Now a stopping agent keeps refusing until 2 s have passed since its stop began, within the stop's time limit; the entry gets "draining", not run, and sends the work to another endpoint. Answers of earlier attempts can be asked for as long.

The test of the agent now waits for the first lease before it dispatches; without that it panicked now and then.

--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -32,6 +32,9 @@
 	// supersededTimeout limits the time that calls in progress get after another
 	// agent has taken over the host.
 	supersededTimeout = time.Second
+	// lateDispatchTime is how long after the start of a planned stop dispatches may
+	// arrive from entries that do not know of it: they were silent, or a claim took long.
+	lateDispatchTime = 2 * time.Second
 	// DefaultMaxAttemptTime is the default of Options.MaxAttemptTime.
 	DefaultMaxAttemptTime = 5 * time.Minute
 	orderQueueSize        = 64
--- a/internal/agent/server/shutdown.go
+++ b/internal/agent/server/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"time"
 
 	"github.com/egretreach/egretreach/internal/agent/gate"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
@@ -12,10 +13,12 @@
 
 // Shutdown stops the agent gracefully. It refuses new work, waits until the work in
 // progress has ended and, on a member, until the head is idle. Then it releases the
-// replica at the engine and says goodbye to control. If ctx is done first, it waits
-// no longer, so the attempts still in progress are cut off, and returns the error
-// of ctx. InProgress returns their number.
+// replica at the engine and says goodbye to control. It continues to refuse work until
+// lateDispatchTime has passed. If ctx is done first, it waits no longer, so the attempts
+// still in progress are cut off, and returns the error of ctx. InProgress returns their
+// number.
 func (s *Server) Shutdown(ctx context.Context) error {
+	refusesUntil := time.Now().Add(lateDispatchTime)
 	s.mu.Lock()
 	s.gate.Stop()
 	s.mu.Unlock()
@@ -26,6 +29,7 @@
 	s.awaitUnused(ctx, math.MaxUint64)
 	s.releaseReplica(ctx)
 	_ = s.session.Goodbye()
+	pause.For(ctx, time.Until(refusesUntil))
 	s.mu.Lock()
 	stop := s.stop
 	s.mu.Unlock()
--- a/internal/agent/server/shutdown_test.go
+++ b/internal/agent/server/shutdown_test.go
@@ -114,6 +114,7 @@
 func TestStoppingAgentRefusesLateDispatch(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		agent := f.agent(1, engine.Options{})
+		f.replica("r-1", 1, 1)
 		require.Equal(t, request.OutcomeComplete, f.dispatch(agent, signoffDispatch(agent, "badge")).end.Outcome)
 		stopped := make(chan error, 1)
 		go func() { stopped <- agent.server.Shutdown(f.ctx) }()
--- a/internal/standin/fleet/stop_silence_test.go
+++ b/internal/standin/fleet/stop_silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -94,7 +95,7 @@
 	for n := range stopRequests {
 		advance(stopRequestInterval)
 		streams = append(streams, s.sendAsync(n%2, "POST", "/v1/chat/completions", streamBody(n)))
-		signoffs = append(signoffs, s.sendAsync(n%2, "POST", signoffsPath, "{}", "Idempotency-Key", fmt.Sprint(n)))
+		signoffs = append(signoffs, s.sendAsync(n%2, "POST", signoffsPath, "{}", "Idempotency-Key", strconv.Itoa(n)))
 	}
 	for n, out := range streams {
 		a := <-out
