soak: faults for endpoints that leave or are busy by their own word

"leaving": an endpoint says in its responses, but not in its announcements, that it leaves, ends 3 to 5 s later, and another one starts under the same address. "busy": one endpoint refuses everything with a Retry-After for 0.5 to 2 s. "all-busy": all do, for 0.5 to 1.5 s. They are 5 of the 22 entries from which the injector draws.

--- a/internal/check/soak/backend.go
+++ b/internal/check/soak/backend.go
@@ -73,6 +73,24 @@
 	}
 }
 
+// leave makes the endpoint say in its responses that it leaves.
+func (b *backend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.endpoint != nil {
+		b.endpoint.Leave()
+	}
+}
+
+// busy makes the endpoint refuse all requests for a duration.
+func (b *backend) busy(duration time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.endpoint != nil {
+		b.endpoint.Busy(duration)
+	}
+}
+
 // start starts a new endpoint behind the proxy, unless one runs.
 func (b *backend) start(ctx context.Context) error {
 	b.mu.Lock()
--- a/internal/check/soak/faultkind.go
+++ b/internal/check/soak/faultkind.go
@@ -29,6 +29,12 @@
 	faultCrash   faultKind = "crash"
 	faultDrain   faultKind = "drain"
 	faultSilence faultKind = "silence"
+	// faultLeaving lets an endpoint say in its responses, but not in its announcements, that it leaves,
+	// before it ends. faultBusy makes an endpoint refuse all requests for a while, faultAllBusy all
+	// endpoints.
+	faultLeaving faultKind = "leaving"
+	faultBusy    faultKind = "busy"
+	faultAllBusy faultKind = "all-busy"
 	// faultLink disturbs the connections to an endpoint.
 	faultLink faultKind = "link"
 	// faultWipe removes the data of a portal.
@@ -43,6 +49,7 @@
 var injectedKinds = []faultKind{
 	faultKill, faultKill, faultPause, faultStop, faultStop, faultInterrupt, faultRepeatStop, faultRepeatStop, faultReload,
 	faultReloadStop, faultCrash, faultDrain, faultSilence, faultSilence, faultLink, faultLink, faultWipe,
+	faultLeaving, faultLeaving, faultBusy, faultBusy, faultAllBusy,
 }
 
 // faultKinds is a selection of kinds. The empty one selects all.
--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -19,6 +19,13 @@
 	// minSilence and maxSilence bound the silence of an endpoint.
 	minSilence = 500 * time.Millisecond
 	maxSilence = 1500 * time.Millisecond
+	// minLeaving and maxLeaving bound the time from an endpoint's notice that it leaves to its end.
+	minLeaving = 3 * time.Second
+	maxLeaving = 5 * time.Second
+	// minBusy, maxBusy and maxAllBusy bound the time for which one or all endpoints are busy.
+	minBusy    = 500 * time.Millisecond
+	maxBusy    = 2 * time.Second
+	maxAllBusy = 1500 * time.Millisecond
 	// maxRepeats is the maximum number of times that a SIGTERM comes again, minRepeatDelay and
 	// maxRepeatDelay bound the time between two of them.
 	maxRepeats     = 3
@@ -82,6 +89,12 @@
 		f.leave(ctx, target, duration)
 	case faultSilence:
 		f.silence(target, f.between(minSilence, maxSilence))
+	case faultLeaving:
+		f.leaveByNotice(ctx, target, f.between(minLeaving, maxLeaving))
+	case faultBusy:
+		f.busy(f.between(minBusy, maxBusy), target)
+	case faultAllBusy:
+		f.busy(f.between(minBusy, maxAllBusy), t.backends...)
 	case faultLink:
 		f.disturbConnections(target, mode(1+f.rng.IntN(int(modeReset))), duration)
 	case faultWipe:
@@ -235,7 +248,20 @@
 func (f *faultInjector) leave(ctx context.Context, b *backend, duration time.Duration) {
 	f.testbed.log("%s drains, ended and restarted after %v", b.name, duration)
 	b.drain()
-	f.after(duration, func() {
+	f.replaceAfter(ctx, b, duration)
+}
+
+// leaveByNotice makes the endpoint behind a backend address say in its responses that it leaves, ends it
+// after a delay, and starts another one.
+func (f *faultInjector) leaveByNotice(ctx context.Context, b *backend, duration time.Duration) {
+	f.testbed.log("%s leaves by its responses, ended and restarted after %v", b.name, duration)
+	b.leave()
+	f.replaceAfter(ctx, b, duration)
+}
+
+// replaceAfter ends the endpoint behind a backend address after a delay, and starts another one.
+func (f *faultInjector) replaceAfter(ctx context.Context, b *backend, delay time.Duration) {
+	f.after(delay, func() {
 		b.crash()
 		if err := b.start(context.WithoutCancel(ctx)); err != nil {
 			f.testbed.recorder.reportViolation("%v", err)
@@ -249,6 +275,14 @@
 	b.silence(duration)
 }
 
+// busy makes the endpoints behind backend addresses refuse all requests for a time.
+func (f *faultInjector) busy(duration time.Duration, backends ...*backend) {
+	for _, b := range backends {
+		f.testbed.log("%s is busy for %v", b.name, duration)
+		b.busy(duration)
+	}
+}
+
 // disturbConnections sets the proxy in front of a backend to a mode for a time.
 func (f *faultInjector) disturbConnections(b *backend, m mode, duration time.Duration) {
 	f.testbed.log("connections to %s: %v for %v", b.name, m, duration)
