soak: check that gateways obey the notices of endpoints

Callers whose gateway ignores Server-Leaving or Retry-After are sent to endpoints that want nothing, and the users count it (DRAIN, BUDGET). The soak now checks both rules from what endpoints see, per gateway and incarnation of an endpoint:

- DRAIN: no request that its caller sent later than 2 s after a caller of the same gateway had got a response with Server-Leaving reaches that incarnation from there.
The time is taken at the caller, so it is never earlier than the gateway's, and a request is sent when its caller begins.
- BUDGET: at most two requests reach it between 0.5 s after a 503 with Retry-After and the end of that time, counted for each such response.
Links that are disturbed since then excuse.

A start, kill, pause or continuation of the gateway since the notice excuses both; a planned stop doesn't. A caller's request tells the gateway.

--- a/internal/check/soak/caller.go
+++ b/internal/check/soak/caller.go
@@ -158,6 +158,7 @@
 		c.testbed.recorder.recordUnsafe(r.id)
 	}
 	r.began = time.Now()
+	c.testbed.recorder.notices.recordSent(r.id, c.gateway, r.began)
 	r.opened = r.began
 	if c.early != nil {
 		r.opened = c.earlyOpened
@@ -173,6 +174,7 @@
 	}
 	defer resp.Body.Close()
 	r.answered, r.lastData = true, r.ended
+	c.noteLeaving(r, resp)
 	body, err := readTimed(resp.Body, &r.lastData)
 	r.ended = time.Now()
 	r.noteTransport()
@@ -180,6 +182,15 @@
 	return r.exchange
 }
 
+// noteLeaving records a response whose endpoint leaves.
+func (c *caller) noteLeaving(r *call, resp *http.Response) {
+	dialect := platform.Dialect()
+	if dialect.ParseLeaving(resp.Header.Get(dialect.Headers.Leaving)) {
+		c.testbed.recorder.count("answers of leaving endpoints")
+		c.testbed.recorder.notices.passedOn(r.id, resp.Header.Get(dialect.Headers.Signature), r.ended)
+	}
+}
+
 // noteTransport copies what the transport has set.
 func (r *call) noteTransport() {
 	r.connected = r.connectedAt.Load() != 0
--- a/internal/check/soak/main.go
+++ b/internal/check/soak/main.go
@@ -11,6 +11,8 @@
 //   - A request that a gateway has read gets a complete response beside a stop, a SIGHUP or a change
 //     of the configuration, unless an endpoint or a connection broke, and also if an endpoint sends
 //     nothing for a while.
+//   - A gateway sends nothing to an endpoint that has said in a response that it leaves, and hardly
+//     anything to one that has asked for no requests for a while.
 //   - No process exits by itself.
 //   - Soon after the last fault everything serves again.
 package main
--- a/internal/check/soak/recorder.go
+++ b/internal/check/soak/recorder.go
@@ -20,6 +20,7 @@
 	unsafe     map[string]bool
 	violations []string
 	counts     map[string]int
+	notices    noticeCheck
 }
 
 func newRecorder() *recorder {
@@ -29,6 +30,19 @@
 	}
 }
 
+// RequestArrived implements standin.Observer.
+func (r *recorder) RequestArrived(request, endpoint string) {
+	for _, violation := range r.notices.arrived(request, endpoint, time.Now()) {
+		r.reportViolation("%s", violation)
+	}
+}
+
+// RequestRefused implements standin.Observer.
+func (r *recorder) RequestRefused(request, endpoint string, until time.Time) {
+	r.count("refused by a busy endpoint")
+	r.notices.refused(request, endpoint, time.Now(), until)
+}
+
 // RequestStarted implements standin.Observer.
 func (r *recorder) RequestStarted(request, server string) {
 	r.mu.Lock()
--- a/internal/check/soak/testbed.go
+++ b/internal/check/soak/testbed.go
@@ -73,6 +73,7 @@
 		return nil, err
 	}
 	t := &testbed{recorder: newRecorder(), addressPrefix: prefix, log: log}
+	t.recorder.notices.linkDisturbed = t.linkDisturbed
 	add := func(role string, first, count int) (all []*process) {
 		for i := range count {
 			all = append(all, &process{
