--- a/internal/entry/gateway/stop_test.go
+++ b/internal/entry/gateway/stop_test.go
@@ -215,3 +215,35 @@
 	require.Contains(t, lines.String(), `"name":"request_failed","request":"req-1"`)
 	require.Contains(t, lines.String(), `"status":502,"reason":"cut by the end of the planned stop"`)
 }
+
+// TestRequestThatEndsAfterTheNoticeIsRefused guards against a request whose body is whole only after the
+// notice, and that is passed on and cut by the end of the planned stop.
+func TestRequestThatEndsAfterTheNoticeIsRefused(t *testing.T) {
+	var late callerResponse
+	var runs int
+	withFixture(t, func(f *fixture) {
+		f.g.opts.ShutdownDelay = time.Second
+		forEach(f.plains, func(e *fakeEndpoint) {
+			e.script = func(c net.Conn, r *http.Request, _ string) {
+				e.recordRun(r)
+				time.Sleep(time.Second)
+				_, _ = io.WriteString(c, responseHeader(r, 200, "Content-Length: 1\r\n")+"x")
+			}
+		})
+		opened, err := f.dial()
+		require.NoError(t, err)
+		stopped := f.shutdown(2500 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		_, err = io.WriteString(opened, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Caller-Key: secret\r\nContent-Length: 2\r\n\r\nx")
+		require.NoError(t, err)
+		time.Sleep(1300 * time.Millisecond)
+		late = sendOn(opened, "x")
+		_ = opened.Close()
+		<-stopped
+		f.letEndpointsEnd()
+		runs = f.runCount()
+	})
+	require.NoError(t, late.err)
+	require.Equal(t, http.StatusServiceUnavailable, late.status)
+	require.Zero(t, runs)
+}
