--- a/internal/control/portal/health_test.go
+++ b/internal/control/portal/health_test.go
@@ -49,3 +49,20 @@
 		require.False(t, h.probing)
 	}
 }
+
+// TestOwnPauseBetweenProbesIsNotSilence guards against an endpoint that counts as dead after two probes
+// without an answer, because this process stood still between them for longer than an endpoint may be
+// silent.
+func TestOwnPauseBetweenProbesIsNotSilence(t *testing.T) {
+	for name, during := range map[string]bool{"during a probe": true, "between two probes": false} {
+		now := time.Unix(1, 0)
+		h := endpointHealth{}.withProbe(ProbeSilent, now, now.Add(probeTimeout))
+		sentAt := now.Add(probeTimeout)
+		now = sentAt.Add(2 * time.Second)
+		if during {
+			h = h.withProbe(ProbeSilent, sentAt, now)
+		}
+		h = h.withProbe(ProbeSilent, now, now.Add(probeTimeout))
+		require.False(t, h.dead, name)
+	}
+}
