A stopping entry sends the responses that it has made

A caller that reads slowly, or whose request was still being parsed, saw its connection closed at the end of a planned stop.

Cause: the stop waited until no request was being served, and then closed all connections: responses that net/http still held in its buffer were lost, and requests whose body was being read were dropped. The entry now ends by the stop of httpserver, which waits until responses have been sent; the bound stays stop.longest.

TestStopWaitsUntilResponsesAreSent fails without it: shutdown_test.go:56: Received unexpected error: unexpected EOF

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/session"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/process/inflight"
 	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
@@ -86,6 +87,8 @@
 	scheduler   *scheduler
 	metrics     *requestMetrics
 	handler     http.Handler
+	// callers serves the handler over HTTP.
+	callers *httpserver.Server
 	// baseContext ends when Run returns, and with it the work that continues without a
 	// caller.
 	baseContext context.Context
@@ -113,6 +116,10 @@
 		return nil, errors.Wrap(err, "caller API")
 	}
 	s.handler = handler
+	s.callers = httpserver.New(&http.Server{
+		Handler: handler, ReadHeaderTimeout: opts.HeaderTimeout, ReadTimeout: opts.BodyTimeout, IdleTimeout: opts.IdleTimeout,
+		MaxHeaderBytes: opts.MaxHeader,
+	}, handler) // The handler refuses requests by itself, since only it knows whether an earlier submission has run.
 	return s, nil
 }
 
@@ -142,24 +149,14 @@
 	if s.opts.MaxConnections > 0 {
 		listener = netutil.LimitListener(listener, s.opts.MaxConnections)
 	}
-	callers := &http.Server{
-		Handler: s.handler, ReadHeaderTimeout: s.opts.HeaderTimeout, ReadTimeout: s.opts.BodyTimeout,
-		IdleTimeout: s.opts.IdleTimeout, MaxHeaderBytes: s.opts.MaxHeader,
-	}
 	event.ProcessStarted.On(s.opts.Logger).Str("role", "entry").Str("host", string(s.opts.Host)).
 		Str("address", listener.Addr().String()).Msg("")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.session.Run(ctx) })
-	group.Go(func() error {
-		err := callers.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
+	group.Go(func() error { return s.callers.Serve(listener) })
 	group.Go(func() error {
 		<-ctx.Done()
-		return callers.Close()
+		return s.callers.Close()
 	})
 	return group.Wait()
 }
@@ -171,19 +168,26 @@
 	s.stopping.Store(true)
 	pause.For(ctx, s.opts.ShutdownDelay)
 	s.refuseNew.Store(true)
-	timeout := time.NewTimer(s.opts.DrainTimeout)
-	defer timeout.Stop()
+	ctx, cancel := context.WithTimeout(ctx, s.opts.DrainTimeout)
+	defer cancel()
 	cut := 0
-	select {
-	case <-s.inFlight.WhenIdle():
-	case <-timeout.C:
-		cut = s.scheduler.countAttemptsInFlight()
-	case <-ctx.Done():
+	if s.drain(ctx) != nil {
 		cut = s.scheduler.countAttemptsInFlight()
 	}
 	_ = s.session.Goodbye()
 	return cut
 }
 
+// drain waits until no request is in flight and all responses have been sent, or ctx ends.
+// Connections are accepted, and their requests refused, as long as requests are in flight.
+func (s *Server) drain(ctx context.Context) error {
+	select {
+	case <-s.inFlight.WhenIdle():
+		return s.callers.Stop(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int { return s.inFlight.Count() }
