A silent connection to the health pages delays an exit by 0.2 s, not 1 s

A planned stop with a grace of 8 s ends at 7.5 s; the health pages then waited up to 1 s more for a connection that had been opened but had sent nothing, until after SIGKILL. Requests had been answered by then, but the last lines of the log could be lost. The wait is now 200 ms, within what the stop leaves of the grace.

TestSilentConnectionDoesNotDelayTheExit failed before: health_test.go:68: "1s" is not less than "500ms"

--- a/internal/process/health/health.go
+++ b/internal/process/health/health.go
@@ -20,7 +20,9 @@
 	writeTimeout   = 10 * time.Second
 	idleTimeout    = time.Minute
 	maxHeaderBytes = 8 << 10
-	closeTimeout   = time.Second
+	// closeTimeout bounds the wait for responses at the end. It is shorter than the time that a planned
+	// stop leaves between its end and SIGKILL.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // Server serves the pages of one daemon. The zero value has no metrics and is always ready.
--- a/internal/process/health/health_test.go
+++ b/internal/process/health/health_test.go
@@ -6,10 +6,13 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/standin/memnet"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
 
@@ -47,3 +50,22 @@
 	cancel()
 	require.NoError(t, <-done)
 }
+
+// TestSilentConnectionDoesNotDelayTheExit guards against a process that is killed at the end of its
+// planned stop, because a connection to the health pages has sent no request.
+func TestSilentConnectionDoesNotDelayTheExit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := memnet.NewListener("health")
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- Server{}.Serve(ctx, listener) }()
+		c, err := listener.Dial(t.Context(), "", "")
+		require.NoError(t, err)
+		synctest.Wait()
+		endedAt := time.Now()
+		cancel()
+		require.NoError(t, <-done)
+		require.Less(t, time.Since(endedAt), 500*time.Millisecond)
+		_ = c.Close()
+	})
+}
