A portal without a successor leaves time for the calls in flight at its stop

Without a quorum the transfer of the leadership lasts as long as it may, which was the whole stop: the calls in flight at its end were cut.

TestPortalWithoutSuccessorStopsInTime fails without the bound (500 s in its place): portal_test.go: "7.5s" is not less than or equal to "5s". TestIdleServerStopsWithoutTime failed before: server_test.go:133: Received unexpected error: context canceled

--- a/cmd/portal.go
+++ b/cmd/portal.go
@@ -20,8 +20,13 @@
 	"github.com/egretreach/egretreach/platform"
 )
 
-// portalHeaderTimeout bounds how long the header of a request may take to arrive.
-const portalHeaderTimeout = 5 * time.Second
+const (
+	// portalHeaderTimeout bounds how long the header of a request may take to arrive.
+	portalHeaderTimeout = 5 * time.Second
+	// portalTransferTimeout bounds how long a planned stop looks for another leader. Without a
+	// quorum there is none.
+	portalTransferTimeout = 5 * time.Second
+)
 
 type portalCommand struct {
 	Config string `help:"Path of the settings file, such as examples/portal.yaml." required:"" type:"path"`
@@ -74,7 +79,9 @@
 		Ready:    func() error { return nil },
 		InFlight: server.InFlight,
 		Shutdown: func(ctx context.Context) int {
-			stop(ctx)
+			transfer, cancel := context.WithTimeout(ctx, portalTransferTimeout)
+			defer cancel()
+			stop(transfer)
 			if server.Stop(ctx) == nil {
 				return 0
 			}
--- a/cmd/portal_test.go
+++ b/cmd/portal_test.go
@@ -56,3 +56,30 @@
 	require.Equal(t, "acknowledged", string(body))
 	require.Zero(t, cut)
 }
+
+// TestPortalWithoutSuccessorStopsInTime guards against a planned stop that looks for another leader
+// until its time is up, and then cuts the calls in flight.
+func TestPortalWithoutSuccessorStopsInTime(t *testing.T) {
+	var took time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		listener := memnet.NewListener("portal")
+		run := func(ctx context.Context) error {
+			<-ctx.Done()
+			return nil
+		}
+		transfer := func(ctx context.Context) { <-ctx.Done() }
+		d := portalDaemon(run, transfer, http.NotFoundHandler(), listener)
+		runCtx, cancelRun := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- d.Run(runCtx) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 7500*time.Millisecond)
+		defer cancel()
+		startedAt := time.Now()
+		d.Shutdown(ctx)
+		took = time.Since(startedAt)
+		cancelRun()
+		require.NoError(t, <-ended)
+	})
+	require.LessOrEqual(t, took, 5*time.Second)
+}
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -61,10 +61,16 @@
 		_ = (*listener).Close()
 	}
 	s.server.SetKeepAlivesEnabled(false)
+	idle := s.conns.whenIdle()
 	select {
-	case <-s.conns.whenIdle():
+	case <-idle:
 		return s.Close()
 	case <-ctx.Done():
+	}
+	select {
+	case <-idle:
+		return s.Close()
+	default:
 		return ctx.Err()
 	}
 }
--- a/internal/process/httpserver/server_test.go
+++ b/internal/process/httpserver/server_test.go
@@ -122,3 +122,14 @@
 		<-s.WhenIdle()
 	})
 }
+
+// TestIdleServerStopsWithoutTime guards against a planned stop that reports cut requests although none
+// are in flight, because its time is up when it begins.
+func TestIdleServerStopsWithoutTime(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		s := New(&http.Server{Handler: handle(200, "served", 0)}, handle(503, "refused", 0))
+		require.NoError(t, s.Stop(ctx))
+	}
+}
