Test: a leader with a full disk acknowledges only what the others hold

Now and then it got nil: the followers had written and acknowledged the entry before the leader's loop saw that its own write had failed. The acknowledgement is true, since two of three hosts hold the entry; the leader's failed write isn't counted. The product is right, the test was wrong.

The test now has two cases. With a follower down the entry would need the leader's own disk: the proposal must fail with ErrUncertain, in each run. With both up it may also return nil, and then the entry must be in the state of both hosts after the leader has stopped and come back. Besides, a proposal after the failure must return ErrStopped.

--- a/internal/control/replication/cluster_test.go
+++ b/internal/control/replication/cluster_test.go
@@ -255,34 +255,56 @@
 	return f.File.Write(p)
 }
 
-// TestHostWithFullDiskStopsAndCatchesUp fills the disk of one host. That host must stop with a
+// TestHostWithFullDiskStopsAndCatchesUp fills the disk of the leader. That host must stop with a
 // typed error and acknowledge nothing more, while the others continue. It must catch up once the
 // disk has room. With another list of control hosts in its settings, it must not start.
+//
+// With a follower down, the proposal would need the leader's own disk and must fail with
+// ErrUncertain. With both followers up, these two may commit it before the leader stops. The
+// leader may then acknowledge it, but only if it is there afterwards.
 func TestHostWithFullDiskStopsAndCatchesUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3)
-		c.startAll()
-		defer c.stopAll()
-		leader := c.leader()
-		c.propose(leader, "before")
-		full := c.hosts[leader]
-		full.fileSystem.full.Store(true)
-		_, err := full.log.Propose(t.Context(), []byte("no room"))
-		require.True(t, IsErrUncertain(err), "%v", err)
-		err = full.waitFailure()
-		require.True(t, IsErrJournal(err) && journal.IsErrDiskFull(err), "%v", err)
-		next := c.leader()
-		c.propose(next, "meanwhile")
-		full.fileSystem.full.Store(false)
-		c.start(leader)
-		time.Sleep(5 * time.Second)
-		c.stopAll()
-		require.Equal(t, c.hosts[next].state.commands, full.state.commands)
+	for _, followerDown := range []bool{true, false} {
+		t.Run(fmt.Sprintf("follower down %v", followerDown), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { fillLeadersDisk(t, followerDown) })
+		})
+	}
+}
 
-		c.addresses["c4"] = "10.0.0.4:7000"
-		c.start(leader)
-		require.True(t, IsErrHostsDiffer(full.waitFailure()))
-	})
+func fillLeadersDisk(t *testing.T, followerDown bool) {
+	c := newCluster(t, 3)
+	c.startAll()
+	defer c.stopAll()
+	leader := c.leader()
+	c.propose(leader, "before")
+	follower := c.other(leader)
+	if followerDown {
+		c.hosts[follower].stop()
+	}
+	full := c.hosts[leader]
+	full.fileSystem.full.Store(true)
+	_, proposed := full.log.Propose(t.Context(), []byte("no room"))
+	require.True(t, IsErrUncertain(proposed) || proposed == nil && !followerDown, "%v", proposed)
+	err := full.waitFailure()
+	require.True(t, IsErrJournal(err) && journal.IsErrDiskFull(err), "%v", err)
+	_, err = full.log.Propose(t.Context(), []byte("stopped"))
+	require.True(t, IsErrStopped(err), "%v", err)
+	if followerDown {
+		c.start(follower)
+	}
+	next := c.leader()
+	c.propose(next, "meanwhile")
+	full.fileSystem.full.Store(false)
+	c.start(leader)
+	time.Sleep(5 * time.Second)
+	c.stopAll()
+	if proposed == nil {
+		require.Equal(t, []string{"before", "no room", "meanwhile"}, c.hosts[next].state.commands)
+	}
+	require.Equal(t, c.hosts[next].state.commands, full.state.commands)
+
+	c.addresses["c4"] = "10.0.0.4:7000"
+	c.start(leader)
+	require.True(t, IsErrHostsDiffer(full.waitFailure()))
 }
 
 // TestReturningHostDoesNotReplaceLeader cuts off a follower for five minutes, in both directions
