--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
 	"slices"
@@ -124,15 +125,21 @@
 		upstream: upstream.Pool{Dial: opts.Dial},
 	}
 	g.serving, g.cut = context.WithCancel(context.Background())
-	g.server = httpserver.New(&http.Server{
+	g.server = g.newServer(nil)
+	return g
+}
+
+// newServer returns the server of callers. errorLog gets the failures of handlers; nil is the standard
+// log.
+func (g *Gateway) newServer(errorLog *stdlog.Logger) *httpserver.Server {
+	return httpserver.New(&http.Server{
 		Handler:           http.HandlerFunc(g.serve),
 		MaxHeaderBytes:    defaultHeaderBytes,
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		ConnContext:       withConn,
-		ErrorLog:          nil,
+		ErrorLog:          errorLog,
 	}, http.HandlerFunc(g.refuseStopping))
-	return g
 }
 
 // Run serves callers on listener until ctx ends.
