entry: log what follows from each failed attempt

The log of the entry did not say why a request got no answer: a lost link left link_lost, a refusal by an agent, a stall or an attempt without a target left nothing. Now each failed attempt leaves one line with the request, the host, how much of the answer had arrived, for how long the attempt had been silent, the time left and the decision: request_retried (320) with the delay, or request_given_up (321) with the outcome for the caller. The lines go through the writer that drops in place of blocking, and there is at most one for each attempt.

No figure was measured.

--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -26,6 +26,8 @@
 // reports it to the router.
 func (e *executor) runAttempt(ctx context.Context, a execution.Dispatch) execution.Event {
 	start := time.Now()
+	e.target = a.Target
+	e.progress.heardAt = start
 	ended := e.streamAttempt(ctx, a, start)
 	end := AttemptEnd{Kind: ended.Kind, Code: ended.Code, CachedTokens: -1}
 	if ended.Kind == execution.EndComplete {
@@ -69,6 +71,7 @@
 		if err != nil {
 			return e.attemptLost(ctx, err)
 		}
+		e.progress.heardAt = time.Now()
 		if ended, ok := e.handleFrame(m, ref, start); ok {
 			return ended
 		}
--- a/internal/entry/dispatch/dispatcher.go
+++ b/internal/entry/dispatch/dispatcher.go
@@ -81,6 +81,8 @@
 	work       Work
 	progress   answerProgress
 	route      Route
+	// target is that of the last attempt.
+	target execution.Target
 }
 
 func (e *executor) run(ctx context.Context, machine *execution.Machine) Result {
@@ -89,7 +91,9 @@
 		if finish, ok := action.(execution.Finish); ok {
 			return e.result(finish.Result)
 		}
-		action = machine.Step(time.Now(), e.perform(ctx, action))
+		result := e.perform(ctx, action)
+		action = machine.Step(time.Now(), result)
+		e.logDecision(result, action)
 	}
 }
 
--- a/internal/entry/dispatch/progress.go
+++ b/internal/entry/dispatch/progress.go
@@ -46,6 +46,8 @@
 	offset uint64
 	body   []byte
 	end    message.End
+	// heardAt is when the last frame of the current attempt arrived, or when it started.
+	heardAt time.Time
 
 	// firstTokenSeen is set if the current attempt has produced a token. gapStart,
 	// lastTokenAt and tokensSinceGap cover the tokens of that attempt since the last
@@ -69,6 +71,9 @@
 	}
 }
 
+// silence returns for how long nothing of the current attempt has arrived.
+func (p *answerProgress) silence(now time.Time) time.Duration { return now.Sub(p.heardAt) }
+
 // length returns the length of the answer so far, in the unit of offset.
 func (p *answerProgress) length() uint64 { return p.offset }
 
