portal: count only what its probes have seen as an endpoint's silence

What callers would see: a sound replica ended after a portal has stood still.

Cause: the silence was the time since the first missed probe, so that a pause of the portal itself between two probes, or during one, counted as the endpoint's.

Fix: each missed probe adds the time since the one before, at most twice the limit of a probe.

--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -39,8 +39,9 @@
 	// missed counts the probes without an answer since the last one with an answer, and unreachable
 	// those of them in a row for which no connection could be opened.
 	missed, unreachable int
-	// silentSince is when the first of the missed probes was sent.
-	silentSince time.Time
+	// silent is for how long the missed probes have seen no answer. Of the time before each of them
+	// it counts no more than twice probeTimeout, since this process may have stood still.
+	silent      time.Duration
 	dead        bool
 	connRefused bool
 	// lastProbe is when the last probe ended, and lastSuccess when one last succeeded.
@@ -143,13 +144,14 @@
 	case !wasDead && h.dead:
 		p.metrics.lost.Inc(1)
 		event.EndpointLost.On(p.opts.Logger).Str("endpoint", e.ID).Int("missed", h.missed).Int("unreachable", h.unreachable).
-			Dur("silent", now.Sub(h.silentSince)).Bool("refuses", h.connRefused).Msg("")
+			Dur("silent", h.silent).Bool("refuses", h.connRefused).Msg("")
 	}
 }
 
 // withProbe returns the health after a probe that was sent at sentAt and ended now. A probe that has
 // taken much longer than its limit tells nothing: then this process itself stood still.
 func (h endpointHealth) withProbe(result ProbeResult, sentAt, now time.Time) endpointHealth {
+	previous := h.lastProbe
 	h.probing, h.lastProbe = false, now
 	timedOut := result == ProbeUnreachable || result == ProbeSilent
 	if timedOut && now.Sub(sentAt) > 2*probeTimeout {
@@ -157,17 +159,19 @@
 	}
 	h.connRefused = result == ProbeRefused
 	if result == ProbeAlive {
-		h.missed, h.unreachable, h.dead, h.lastSuccess = 0, 0, false, now
+		h.missed, h.unreachable, h.silent, h.dead, h.lastSuccess = 0, 0, 0, false, now
 		return h
 	}
-	if h.missed == 0 {
-		h.silentSince = sentAt
+	since := sentAt
+	if h.missed > 0 {
+		since = previous
 	}
+	h.silent += min(now.Sub(since), 2*probeTimeout)
 	h.missed++
 	h.unreachable++
 	if result != ProbeUnreachable {
 		h.unreachable = 0
 	}
-	h.dead = h.dead || h.connRefused || h.unreachable >= maxUnreachableProbes || now.Sub(h.silentSince) >= maxSilence
+	h.dead = h.dead || h.connRefused || h.unreachable >= maxUnreachableProbes || h.silent >= maxSilence
 	return h
 }
