gateway: refuse a request whose body is whole only after the notice of a stop

What callers saw: the connection closed without an answer, after an unsafe request had run.

Cause: whether a stopping gateway takes a request was decided at its header; the body could arrive until the request's deadline and was then passed on.

Fix: the gateway asks again once it has read the body.

--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -111,6 +111,10 @@
 	if !c.resolve(table) || !c.readBody(table) {
 		return
 	}
+	if g.server.Stopping() {
+		c.refuse(stoppingRetryAfter, "stopping")
+		return
+	}
 	if c.isQuarantined() {
 		c.refuse(quarantineRetryAfter, "held back: endpoints have crashed under it")
 		return
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -75,6 +75,10 @@
 	}
 }
 
+// Stopping reports whether Stop has been called. A handler that reads a long body asks it afterwards,
+// since Stop refuses only requests whose header arrives later.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
 // Close closes all connections at once.
 func (s *Server) Close() error { return s.server.Close() }
 
