gateway: a standby takes over with its first event, and is charged when it is sent

- A header counted as proof that the standby serves.
If it then broke off or was silent, the sound endpoint's stream was lost ("unexpected EOF").
It now takes over with its first event, or with a plain response that is whole.
- A response that had begun counted as silent after the objective; a long one was broken off, and one that was arriving was run elsewhere.
The limit now ends with the header.
- A refused standby was charged to the retry budget, and the token was lost with the request; and one such token let two retries pass.
The budget is now charged once an endpoint has been acquired.
- A standby that was waited for could not be replaced itself.
It can now, and an endpoint that crashed in a stream doesn't count towards the route's attempts.
- The standby wrote the statistics of the request while its end was logged (data race).
It has statistics of its own, which are added when it ends.
- A failure in its goroutine ended the process.
It is a failed attempt now.

--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -51,6 +51,35 @@
 	// called repeatedly while the endpoint is silent. Without it the attempt is not given up.
 	onSilence func() bool
 	cancel    context.CancelFunc
+	// begun says that the header of the response has arrived.
+	begun bool
+	// events reads the events of a stream. readAhead says that firstEvent and firstErr are the
+	// result of its first call, which has yet to be forwarded.
+	events     *upstream.EventReader
+	readAhead  bool
+	firstEvent upstream.Event
+	firstErr   error
+	// body and bodyErr are the result of readBody, once bodyRead is set.
+	bodyRead bool
+	body     []byte
+	bodyErr  error
+}
+
+// eventReader returns the reader of the stream's events.
+func (a *attempt) eventReader() *upstream.EventReader {
+	if a.events == nil {
+		a.events = upstream.NewEventReader(a.exchange)
+	}
+	return a.events
+}
+
+// nextEvent returns the next event, or the one that awaitProof has read ahead.
+func (a *attempt) nextEvent() (upstream.Event, error) {
+	if a.readAhead {
+		a.readAhead = false
+		return a.firstEvent, a.firstErr
+	}
+	return a.eventReader().Next()
 }
 
 // cancelAlso lets the end of the attempt call cancel as well.
@@ -164,7 +193,7 @@
 	if stalled && c.route.Retryable() {
 		return balance.ResultStalled, true
 	}
-	late := a.responseTimeout > 0 && !a.streamed && now.Sub(a.startedAt) > a.responseTimeout
+	late := a.responseTimeout > 0 && !a.begun && now.Sub(a.startedAt) > a.responseTimeout
 	return balance.ResultInvalidResponse, late
 }
 
@@ -190,6 +219,7 @@
 func (a *attempt) classifyResponse(response *http.Response) (outcome, error) {
 	c := a.call
 	names := c.g.opts.Dialect.Headers
+	a.begun = true
 	c.dataReceived(a.endpoint.ID)
 	if load, ok := c.g.opts.Dialect.ParseLoad(response.Header.Get(names.Load)); ok {
 		c.g.mu.Lock()
@@ -219,13 +249,17 @@
 }
 
 // readBody reads the response's body. It stops one byte after maxBufferedResponse, by which a
-// longer body is recognised.
+// longer body is recognised. Further calls return the same.
 func (a *attempt) readBody() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedResponse+1))
-	if err != nil && (a.result == 0 || a.result == balance.ResultServerError) {
+	if a.bodyRead {
+		return a.body, a.bodyErr
+	}
+	a.bodyRead = true
+	a.body, a.bodyErr = io.ReadAll(io.LimitReader(a.exchange, maxBufferedResponse+1))
+	if a.bodyErr != nil && (a.result == 0 || a.result == balance.ResultServerError) {
 		a.result = balance.ResultInvalidResponse
 	}
-	return body, err
+	return a.body, a.bodyErr
 }
 
 // errUnusableResponse is a response that cannot be given to the caller. Its reason can be sent
@@ -303,13 +337,16 @@
 	c.g.balancer.DataReceived(endpoint, time.Now())
 }
 
-// tryRetry reports whether the service's retry budget allows a retry, and takes it if so. A token
-// that was taken for a retry that was not sent is used first.
-func (c *call) tryRetry() bool {
-	if c.retryTaken {
-		c.retryTaken = false
-		return true
+// sends returns how often the request was sent, a pending standby included.
+func (c *call) sends() int {
+	if c.pending != nil && c.pending.acquired.Load() != nil {
+		return c.stats.sends + 1
 	}
+	return c.stats.sends
+}
+
+// tryRetry reports whether the service's retry budget allows a retry, and takes it if so.
+func (c *call) tryRetry() bool {
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
 	if !c.g.retryBudget(c.service).TryRetry(time.Now()) {
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -48,12 +48,14 @@
 	mayHaveRun bool
 	// standby is the attempt at another endpoint while the present one is silent, or nil.
 	standby *standby
-	// noStandby says that no other endpoint must be tried while the present one may go on.
-	noStandby bool
+	// pending is a standby that is waited for after the present attempt has failed, or nil.
+	pending *standby
+	// crashed says that a standby's endpoint may have crashed under the request.
+	crashed bool
 	// nextStandbyAt is the earliest time of the next standby.
 	nextStandbyAt time.Time
-	// retryTaken says that the retry budget has been charged for a retry that was not sent.
-	retryTaken bool
+	// noStandbyLogged says that the log shows why no standby was started.
+	noStandbyLogged bool
 	// closeAfter says that the connection is closed after the response.
 	closeAfter bool
 }
@@ -76,7 +78,7 @@
 	maxGap time.Duration
 	// resumes counts how often the stream was to be resumed, whether or not it was.
 	resumes int
-	// noRetry says why no other endpoint was tried after the last failure of a stream.
+	// noRetry says why no other endpoint was tried after the last failure.
 	noRetry string
 	// availability is set for a refusal.
 	availability balance.Availability
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -27,8 +27,9 @@
 func (c *call) servePlain(ctx context.Context) {
 	c.countRequest()
 	defer c.endStandby()
+	policy := retryPolicy{plan: c.plan, noRetryReason: c.noRetryReason}
 	for {
-		r := c.next(ctx, c.plan(), func(a *attempt) { c.watchSilence(ctx, a) })
+		r := c.next(ctx, policy, func(a *attempt) { c.watchSilence(ctx, a, policy) })
 		if r.attempt == nil {
 			c.refuseBy(ctx, r.decision)
 			return
@@ -48,7 +49,7 @@
 			c.failUnanswered(ctx, r.err.Error())
 			return
 		}
-		if c.standby == nil && c.noRetryReason(ctx) != "" {
+		if c.standby == nil && !c.mayRetry(ctx) {
 			c.giveUp(r.err, c.mayHaveRun)
 			return
 		}
@@ -64,26 +65,36 @@
 
 // watchSilence lets another endpoint replace the one of a safe request that is silent for longer
 // than the objective.
-func (c *call) watchSilence(ctx context.Context, a *attempt) {
+func (c *call) watchSilence(ctx context.Context, a *attempt, p retryPolicy) {
 	if c.route.Kind != routes.KindSafe {
 		return
 	}
 	a.responseTimeout = c.route.Objective
-	a.onSilence = func() bool { return c.replace(ctx, a, c.plan, c.noRetryReason) }
+	a.onSilence = func() bool { return c.replace(ctx, a, p) }
+}
+
+// mayRetry reports whether the request may be tried at another endpoint, and takes the retry from the
+// service's budget if so.
+func (c *call) mayRetry(ctx context.Context) bool {
+	c.stats.noRetry = c.noRetryReason(ctx)
+	if c.stats.noRetry == "" && !c.tryRetry() {
+		c.stats.noRetry = reasonBudget
+	}
+	return c.stats.noRetry == ""
 }
 
 // noRetryReason returns why the request must not be tried at another endpoint, or an empty string
-// if it may be. The retry is then taken from the service's budget.
+// if it may be, as far as the retry budget allows.
 func (c *call) noRetryReason(ctx context.Context) string {
 	switch {
 	case ctx.Err() != nil:
-		return "the time is up or the caller has left"
-	case c.stats.sends >= max(c.route.MaxAttempts, 1):
-		return "the route's attempts are used up"
+		return reasonEnded
+	case c.crashed:
+		return reasonCrashed
+	case c.sends() >= max(c.route.MaxAttempts, 1):
+		return reasonAttempts
 	case c.stats.tries >= maxTries:
-		return "too many endpoints were tried"
-	case !c.tryRetry():
-		return "the retry budget is used up"
+		return reasonTries
 	}
 	return ""
 }
--- a/internal/entry/gateway/standby.go
+++ b/internal/entry/gateway/standby.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/egretreach/egretreach/internal/entry/balance"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
@@ -17,9 +22,13 @@
 
 // standby is an attempt at another endpoint, made while the endpoint of the present attempt is
 // silent. A silent endpoint may go on, so the present attempt is given up only once the response of
-// the standby has begun.
+// the standby has begun: with its first event, or for a plain response with the whole of it.
 type standby struct {
+	// call is a copy of the request, with statistics of its own.
+	call   *call
 	cancel context.CancelFunc
+	// acquired is the attempt, once an endpoint has been acquired for it.
+	acquired atomic.Pointer[attempt]
 	// done is closed once result is set.
 	done   chan struct{}
 	result attemptResult
@@ -41,6 +50,24 @@
 	lastEventID string
 }
 
+// retryPolicy says whether and how a request may be tried at another endpoint.
+type retryPolicy struct {
+	plan func() attemptPlan
+	// noRetryReason returns why the request must not be tried at another endpoint, or an empty
+	// string. It leaves the retry budget out.
+	noRetryReason func(context.Context) string
+}
+
+// Reasons for which a request is not tried at another endpoint.
+const (
+	reasonBudget   = "the retry budget is used up"
+	reasonEnded    = "the time is up or the caller has left"
+	reasonOnce     = "it may have run and must not run twice"
+	reasonAttempts = "the route's attempts are used up"
+	reasonTries    = "too many endpoints were tried"
+	reasonCrashed  = "an endpoint may have crashed under it"
+)
+
 // without returns the plan for an attempt at another endpoint than the one with this ID.
 func (p attemptPlan) without(endpoint string) attemptPlan {
 	p.request.Exclude = append(slices.Clone(p.request.Exclude), endpoint)
@@ -49,15 +76,52 @@
 
 // next returns the next attempt: the standby if there is one, else a new one by plan. It calls
 // prepare with an attempt before its response is forwarded.
-func (c *call) next(ctx context.Context, plan attemptPlan, prepare func(*attempt)) attemptResult {
-	if c.standby != nil {
-		r := c.takeStandby()
-		if r.attempt != nil {
+func (c *call) next(ctx context.Context, p retryPolicy, prepare func(*attempt)) attemptResult {
+	for c.standby != nil {
+		if r := c.awaitStandby(ctx, p); r.attempt != nil {
 			prepare(r.attempt)
 			return r
 		}
+		if c.standby == nil && !c.tryRetry() {
+			return attemptResult{decision: balance.Decision{Refused: true, Reason: reasonBudget}}
+		}
+	}
+	return c.try(ctx, p.plan(), prepare)
+}
+
+// awaitStandby waits for the standby after the present attempt has failed. A standby that is silent
+// itself can be replaced by another one. The result has no attempt if the standby was refused.
+func (c *call) awaitStandby(ctx context.Context, p retryPolicy) attemptResult {
+	present := c.standby
+	c.standby, c.pending = nil, present
+	defer func() { c.pending = nil }()
+	ticker := time.NewTicker(waitCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-present.done:
+			c.pending = nil
+			r := c.settle(present)
+			if r.outcome == outcomeAnswered {
+				c.endStandby()
+			}
+			return r
+		case <-ticker.C:
+		}
+		a := present.acquired.Load()
+		if a == nil {
+			continue
+		}
+		if _, silent := a.silence(time.Now()); silent && c.replace(ctx, a, p) {
+			c.pending = nil
+			present.cancel()
+			if r := c.settle(present); r.attempt != nil {
+				r.attempt.result = balance.ResultStalled
+				c.recordFailure(r)
+			}
+			return c.takeStandby()
+		}
 	}
-	return c.try(ctx, plan, prepare)
 }
 
 // try makes an attempt and waits until its response has begun or it has failed.
@@ -72,48 +136,101 @@
 }
 
 // replace reports whether the silent attempt a can be given up because the response of a standby
-// has begun. If there is no standby it starts one, unless noRetryReason returns why not.
-func (c *call) replace(ctx context.Context, a *attempt, plan func() attemptPlan, noRetryReason func(context.Context) string) bool {
+// has begun. If there is no standby it starts one, if the policy allows a retry.
+func (c *call) replace(ctx context.Context, a *attempt, p retryPolicy) bool {
 	if c.standby != nil {
 		return c.standbyBegun(ctx)
 	}
-	if c.noStandby || time.Now().Before(c.nextStandbyAt) {
+	now := time.Now()
+	if now.Before(c.nextStandbyAt) {
 		return false
 	}
-	c.stats.noRetry = noRetryReason(ctx)
-	if c.stats.noRetry != "" {
-		c.nextStandbyAt = time.Now().Add(standbyInterval)
+	c.nextStandbyAt = now.Add(standbyInterval)
+	if reason := p.noRetryReason(ctx); reason != "" {
+		c.logNoStandby(a, reason)
 		return false
 	}
 	event.StandbyStarted.On(c.g.opts.Logger).Str("request", c.id).Str("silent_endpoint", a.endpoint.ID).
-		Dur("silent", a.silentFor(time.Now())).Msg("")
-	c.startStandby(ctx, plan().without(a.endpoint.ID))
+		Dur("silent", a.silentFor(now)).Msg("")
+	c.startStandby(ctx, p.plan().without(a.endpoint.ID))
 	return false
 }
 
+// logNoStandby logs once in a request why no standby is started.
+func (c *call) logNoStandby(a *attempt, reason string) {
+	if c.noStandbyLogged {
+		return
+	}
+	c.noStandbyLogged = true
+	event.StandbyEnded.On(c.g.opts.Logger).Str("request", c.id).Str("silent_endpoint", a.endpoint.ID).
+		Str("state", "not started").Str("reason", reason).Msg("")
+}
+
 // startStandby starts a standby by plan.
 func (c *call) startStandby(ctx context.Context, plan attemptPlan) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &standby{cancel: cancel, done: make(chan struct{})}
+	own := *c
+	own.stats, own.standby, own.pending = requestStats{}, nil, nil
+	s := &standby{call: &own, cancel: cancel, done: make(chan struct{})}
 	c.standby = s
-	go func() {
-		defer close(s.done)
-		s.result = c.try(ctx, plan, func(*attempt) {})
-		s.result.rejectFailure()
-	}()
+	go s.run(ctx, plan)
 }
 
-// rejectFailure turns the outcome of a response that must not replace the present attempt into a
-// failed attempt.
-func (r *attemptResult) rejectFailure() {
-	if r.outcome != outcomeAnswered {
+// run makes the attempt and sets the result. The retry budget is charged only once an endpoint has
+// been acquired, since a refused standby costs no endpoint anything.
+func (s *standby) run(ctx context.Context, plan attemptPlan) {
+	defer close(s.done)
+	defer s.recoverFailure()
+	a, d := s.call.acquire(ctx, plan.request)
+	if a == nil {
+		s.result.decision = d
 		return
 	}
-	status := r.attempt.exchange.Response.StatusCode
-	isStream := r.attempt.call.route.Kind == routes.KindStream
+	if !s.call.tryRetry() {
+		a.end(balance.ResultCanceled)
+		s.result.decision = balance.Decision{Refused: true, Reason: reasonBudget}
+		return
+	}
+	s.acquired.Store(a)
+	s.result.attempt, s.result.outcome = a, outcomeUnknown
+	o, err := a.run(ctx, plan.lastEventID)
+	if o == outcomeAnswered {
+		if err = a.awaitProof(); err != nil {
+			o = outcomeUnknown
+		}
+	}
+	s.result.outcome, s.result.err = o, err
+}
+
+// recoverFailure turns a panic of run into a failed attempt, as net/http does for a handler.
+func (s *standby) recoverFailure() {
+	if p := recover(); p != nil {
+		s.result.err = errors.Errorf("failure in the gateway: %v", p)
+		if s.result.attempt == nil {
+			s.result.decision = balance.Decision{Refused: true, Reason: s.result.err.Error()}
+		}
+	}
+}
+
+// awaitProof waits for the part of the response that proves that the endpoint serves the request: the
+// first event of a stream, or the whole of a plain response. The part is kept for forwarding. It
+// returns an error if the response must not replace that of a silent endpoint.
+func (a *attempt) awaitProof() error {
+	status := a.exchange.Response.StatusCode
+	isStream := a.call.route.Kind == routes.KindStream
 	if status >= http.StatusInternalServerError || isStream && status != http.StatusOK {
-		r.outcome, r.err = outcomeUnknown, errUnusableResponse{"the endpoint answered " + http.StatusText(status)}
+		return errUnusableResponse{"the endpoint answered " + http.StatusText(status)}
+	}
+	if !isStream {
+		_, err := a.readBody()
+		return err
 	}
+	a.readAhead = true
+	a.firstEvent, a.firstErr = a.eventReader().Next()
+	if errors.Is(a.firstErr, io.EOF) {
+		return nil
+	}
+	return a.firstErr
 }
 
 // standbyBegun reports whether the response of the standby has begun. It ends a standby that has
@@ -132,23 +249,33 @@
 		return false
 	}
 	c.recordFailure(r)
-	c.noStandby = c.mayHaveCrashed(ctx, r.attempt)
+	c.crashed = c.crashed || c.mayHaveCrashed(ctx, r.attempt)
 	return false
 }
 
 // takeStandby waits for the result of the standby and returns it as that of the present attempt.
 func (c *call) takeStandby() attemptResult {
 	s := c.standby
-	<-s.done
 	c.standby = nil
+	return c.settle(s)
+}
+
+// settle waits for the result of a standby and adds its statistics to those of the request.
+func (c *call) settle(s *standby) attemptResult {
+	<-s.done
 	c.nextStandbyAt = time.Now().Add(standbyInterval)
+	c.stats.addStandby(s.call.stats)
 	c.logStandby(s.result)
-	if s.result.attempt == nil {
+	a := s.result.attempt
+	if a == nil {
 		s.cancel()
-		c.retryTaken = true // Nothing was sent, so that the next retry needs no other token.
 		return s.result
 	}
-	s.result.attempt.cancelAlso(s.cancel)
+	a.call = c
+	a.cancelAlso(s.cancel)
+	if s.result.outcome == outcomeAnswered {
+		c.stats.endpoint, c.stats.forecast = a.endpoint.ID, a.forecast
+	}
 	return s.result
 }
 
@@ -166,10 +293,22 @@
 
 // logStandby logs the end of a standby.
 func (c *call) logStandby(r attemptResult) {
-	entry := event.StandbyEnded.On(c.g.opts.Logger).Str("request", c.id).Bool("begun", r.outcome == outcomeAnswered)
-	if r.attempt == nil {
-		entry.Str("reason", r.decision.Reason).Msg("")
-		return
+	entry := event.StandbyEnded.On(c.g.opts.Logger).Str("request", c.id)
+	switch {
+	case r.attempt == nil:
+		entry.Str("state", "refused").Str("reason", r.decision.Reason).Msg("")
+	case r.outcome == outcomeAnswered:
+		entry.Str("state", "begun").Str("endpoint", r.attempt.endpoint.ID).Dur("after", time.Since(r.attempt.startedAt)).Msg("")
+	case errors.Is(r.err, net.ErrClosed) || errors.Is(r.err, context.Canceled):
+		entry.Str("state", "not needed").Str("endpoint", r.attempt.endpoint.ID).Dur("after", time.Since(r.attempt.startedAt)).Msg("")
+	default:
+		entry.Str("state", "failed").Str("endpoint", r.attempt.endpoint.ID).Dur("after", time.Since(r.attempt.startedAt)).Err(r.err).Msg("")
 	}
-	entry.Str("endpoint", r.attempt.endpoint.ID).Dur("after", time.Since(r.attempt.startedAt)).Err(r.err).Msg("")
+}
+
+// addStandby adds the statistics of a standby.
+func (s *requestStats) addStandby(other requestStats) {
+	s.tries += other.tries
+	s.sends += other.sends
+	s.waited += other.waited
 }
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -42,9 +42,10 @@
 	s := &streamCall{call: c, flusher: http.NewResponseController(c.w)}
 	s.lastEventID = c.r.Header.Get(c.g.opts.Dialect.Headers.LastEventID)
 	defer s.endStandby()
+	policy := retryPolicy{plan: s.plan, noRetryReason: s.noRetryReason}
 	for {
-		r := s.next(ctx, s.plan(), func(a *attempt) {
-			a.onSilence = func() bool { return s.replace(ctx, a, s.plan, s.noRetryReason) }
+		r := s.next(ctx, policy, func(a *attempt) {
+			a.onSilence = func() bool { return s.replace(ctx, a, policy) }
 		})
 		if r.attempt == nil {
 			s.endWithoutCapacity(ctx, r.decision)
@@ -86,8 +87,14 @@
 // retryOrEnd reports whether to try another endpoint after a failed attempt. If not, it ends
 // the stream.
 func (s *streamCall) retryOrEnd(ctx context.Context, a *attempt, err error) bool {
+	if s.endpointCrashed(ctx, a) {
+		s.lostAttempts++
+	}
 	if s.standby == nil {
 		s.stats.noRetry = s.noRetryReason(ctx)
+		if s.stats.noRetry == "" && !s.tryRetry() {
+			s.stats.noRetry = reasonBudget
+		}
 	}
 	if s.standby != nil || s.stats.noRetry == "" {
 		if s.headerSent {
@@ -111,20 +118,29 @@
 	return false
 }
 
+// endpointCrashed reports whether the endpoint of a stream that has begun is found to be gone, though
+// control has not said so yet.
+func (s *streamCall) endpointCrashed(ctx context.Context, a *attempt) bool {
+	if !a.streamed || a.result != balance.ResultInvalidResponse || ctx.Err() != nil || s.endpointGone(a) {
+		return false
+	}
+	return s.g.upstream.RefusesConnections(ctx, a.endpoint.Address)
+}
+
 // noRetryReason returns why the stream must not be tried at another endpoint, or an empty string if
-// it may be. The retry is then taken from the service's budget.
+// it may be, as far as the retry budget allows.
 func (s *streamCall) noRetryReason(ctx context.Context) string {
 	switch {
 	case ctx.Err() != nil:
-		return "the time is up or the caller has left"
+		return reasonEnded
+	case s.crashed && !s.headerSent:
+		return reasonCrashed
 	case s.mayHaveRun && !s.route.Retryable():
-		return "it may have run and must not run twice"
-	case s.stats.sends-s.lostAttempts >= max(s.route.MaxAttempts, 1):
-		return "the route's attempts are used up"
+		return reasonOnce
+	case s.sends()-s.lostAttempts >= max(s.route.MaxAttempts, 1):
+		return reasonAttempts
 	case s.stats.tries >= maxTries:
-		return "too many endpoints were tried"
-	case !s.tryRetry():
-		return "the retry budget is used up"
+		return reasonTries
 	}
 	return ""
 }
@@ -150,9 +166,8 @@
 	if response.StatusCode != http.StatusOK {
 		return s.forwardFailure(a)
 	}
-	events := upstream.NewEventReader(a.exchange)
 	for {
-		e, err := events.Next()
+		e, err := a.nextEvent()
 		if err == nil || errors.Is(err, io.EOF) {
 			s.endStandby()
 		}
@@ -166,7 +181,7 @@
 		if e.ID != "" && !isLaterEvent(e.ID, s.lastEventID) {
 			continue
 		}
-		if s.writeEvent(response, e, !events.Buffered()) != nil {
+		if s.writeEvent(response, e, !a.eventReader().Buffered()) != nil {
 			return s.endByCaller(a)
 		}
 	}
