--- a/internal/control/portal/fixture_test.go
+++ b/internal/control/portal/fixture_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
@@ -31,6 +32,8 @@
 	network memnet.Network
 	nodes   []*node
 	engines engineRecorder
+	// logger is used by the nodes that are started from then on. It may be nil.
+	logger *log.Logger
 }
 
 // node is one control host. Its folder is kept over restarts.
@@ -132,6 +135,7 @@
 			return credentials.SetIdentity(identity.Identity{Role: host.RoleControl, Host: id}, time.Now())
 		},
 		FirstStart: firstStart, Files: journal.OSFileSystem{}, Folder: n.folder, Decode: decode, Engines: &c.engines, Heartbeat: 1200 * time.Millisecond,
+		Logger: c.logger,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/control/portal/operator.go
+++ b/internal/control/portal/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -88,8 +89,10 @@
 		return ErrUnavailable{Reason: "the log could not read the document"}
 	}
 	p.metrics.revisions.Inc(1)
+	status := l.Status()
 	event.RevisionTaken.On(p.opts.Logger).Uint64("version", table.Version).Uint64("held", outcome.Version).
-		Bool("changed", outcome.Applied).Msg("")
+		Bool("changed", outcome.Applied).Uint64("term", status.Term).Uint64("index", outcome.Index).
+		Str("holders", fmt.Sprint(status.Holders(outcome.Index))).Msg("")
 	return nil
 }
 
@@ -108,6 +111,9 @@
 	if document.Version == 0 {
 		return document, ErrUnavailable{Reason: "there is no configuration yet"}
 	}
+	status := l.Status()
+	event.RevisionRead.On(p.opts.Logger).Uint64("version", document.Version).Uint64("term", status.Term).
+		Uint64("commit", status.CommitIndex).Msg("")
 	return document, nil
 }
 
--- a/internal/control/portal/portal_test.go
+++ b/internal/control/portal/portal_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/control/formation"
@@ -298,3 +303,30 @@
 		require.Equal(t, "2:second", c.read())
 	})
 }
+
+// TestAcknowledgementNamesItsHolders checks the log line of an acknowledged configuration: it must
+// name the entry and a majority of hosts that hold it. Without them a configuration that is gone later
+// can't be traced.
+func TestAcknowledgementNamesItsHolders(t *testing.T) {
+	runCluster(t, 3, func(c *cluster) {
+		c.put("1:first")
+		logged, err := os.Create(filepath.Join(c.t.TempDir(), "log"))
+		require.NoError(c.t, err)
+		c.logger = &log.Logger{Writer: &log.IOWriter{Writer: logged}}
+		for _, n := range c.nodes {
+			c.stopNode(n)
+			c.start(n, false)
+		}
+		c.put("2:second")
+		for _, n := range c.nodes {
+			c.stopNode(n)
+		}
+		require.NoError(c.t, logged.Close())
+		text, err := os.ReadFile(logged.Name())
+		require.NoError(c.t, err)
+		line := regexp.MustCompile(`"revision_taken".*"version":2,"held":2,"changed":true,"term":\d+,"index":\d+,"holders":"\[(.*)\]"`).
+			FindStringSubmatch(string(text))
+		require.NotNil(c.t, line, string(text))
+		require.GreaterOrEqual(c.t, len(strings.Fields(line[1])), 2)
+	})
+}
--- a/internal/control/portalstate/machine.go
+++ b/internal/control/portalstate/machine.go
@@ -54,6 +54,8 @@
 
 // Result is the effect of a committed command.
 type Result struct {
+	// Index is that of the command's entry in the log.
+	Index uint64
 	// Version is the version in force after the command.
 	Version uint64
 	// Applied is true if the command's document came into force.
@@ -71,7 +73,7 @@
 
 // Apply implements replication.StateMachine. A document whose version is not above the one in
 // force changes nothing, and neither does a voter whose sequence is not above the stored one.
-func (m *Machine) Apply(_ uint64, data []byte) any {
+func (m *Machine) Apply(index uint64, data []byte) any {
 	var c command
 	if err := cbor.Unmarshal(data, &c); err != nil {
 		return errors.Wrap(err, "decode command")
@@ -82,11 +84,11 @@
 		m.moveVoter(*c.Voter)
 	}
 	if c.Document == nil || c.Document.Version <= m.document.Version {
-		return Result{Version: m.document.Version}
+		return Result{Index: index, Version: m.document.Version}
 	}
 	m.document = *c.Document
 	m.notify()
-	return Result{Version: m.document.Version, Applied: true}
+	return Result{Index: index, Version: m.document.Version, Applied: true}
 }
 
 // moveVoter applies the move of a voter. mu is held.
--- a/internal/control/portalstate/machine_test.go
+++ b/internal/control/portalstate/machine_test.go
@@ -16,11 +16,11 @@
 
 func TestHighestVersionWinsInAnyOrder(t *testing.T) {
 	var m Machine
-	require.Equal(t, Result{Version: 5, Applied: true}, apply(t, &m, Document{5, []byte("five")}))
-	require.Equal(t, Result{Version: 5}, apply(t, &m, Document{4, []byte("four")}))
-	require.Equal(t, Result{Version: 5}, apply(t, &m, Document{5, []byte("other content")}))
+	require.Equal(t, Result{Index: 1, Version: 5, Applied: true}, apply(t, &m, Document{5, []byte("five")}))
+	require.Equal(t, Result{Index: 1, Version: 5}, apply(t, &m, Document{4, []byte("four")}))
+	require.Equal(t, Result{Index: 1, Version: 5}, apply(t, &m, Document{5, []byte("other content")}))
 	require.Equal(t, []byte("five"), m.Current().Bytes)
-	require.Equal(t, Result{Version: 9, Applied: true}, apply(t, &m, Document{9, []byte("nine")}))
+	require.Equal(t, Result{Index: 1, Version: 9, Applied: true}, apply(t, &m, Document{9, []byte("nine")}))
 }
 
 func TestChangedIsClosedOnlyByAChange(t *testing.T) {
--- a/internal/control/quorum/status.go
+++ b/internal/control/quorum/status.go
@@ -18,6 +18,8 @@
 	LastIndex     Index
 	CommitIndex   Index
 	SnapshotIndex Index
+	// StableIndex is the last index that is on this host's disk. It is set on a leader only.
+	StableIndex Index
 	// HasLease is true on a leader that may serve reads.
 	HasLease bool
 	// Transferring is true on a leader that is transferring its leadership.
@@ -49,6 +51,7 @@
 	if n.role != RoleLeader {
 		return s
 	}
+	s.StableIndex = n.writes.stableIndex
 	s.HasLease, s.Transferring = n.hasLease(now), n.transferee != ""
 	for _, id := range n.peers {
 		p := n.progress[id]
@@ -79,5 +82,8 @@
 	return nil
 }
 
+// LastIndex returns the index of the last entry, or that of the snapshot if no entry follows it.
+func (s RecoveredState) LastIndex() Index { return s.Snapshot.Index + Index(len(s.Entries)) }
+
 // Timing returns the timing in use, with defaults filled in.
 func (n *Node) Timing() Timing { return n.timing }
--- a/internal/control/replication/replication.go
+++ b/internal/control/replication/replication.go
@@ -129,16 +129,19 @@
 func (l *Log) Run(ctx context.Context) error {
 	defer close(l.done)
 	report := l.opts.Journal.OpenReport()
+	recovered := l.opts.Journal.RecoveredState()
 	event.JournalOpened.On(l.opts.Logger).Bool("created", report.Created).
-		Int("segments", report.Segments).Int("entries", report.Entries).Msg("")
+		Int("segments", report.Segments).Int("entries", report.Entries).
+		Uint64("snapshot", uint64(recovered.Snapshot.Index)).Uint64("last", uint64(recovered.LastIndex())).
+		Uint64("term", uint64(recovered.Hard.Term)).Bool("admitted", recovered.Hard.Admitted).Msg("")
 	if report.TornBytes > 0 {
 		event.JournalTorn.On(l.opts.Logger).Int("bytes", report.TornBytes).Msg("")
 	}
 	hosts := slices.Sorted(maps.Keys(l.opts.Hosts))
-	if initial := l.opts.Journal.RecoveredState().InitialHosts(); initial != nil && !slices.Equal(initial, hosts) {
+	if initial := recovered.InitialHosts(); initial != nil && !slices.Equal(initial, hosts) {
 		return ErrHostsDiffer{InitialHosts: initial, Settings: hosts}
 	}
-	if snapshot := l.opts.Journal.RecoveredState().Snapshot; snapshot.Index > 0 {
+	if snapshot := recovered.Snapshot; snapshot.Index > 0 {
 		if err := l.opts.StateMachine.Restore(snapshot.Data); err != nil {
 			return ErrRestore{Cause: err}
 		}
--- a/internal/control/replication/status.go
+++ b/internal/control/replication/status.go
@@ -19,13 +19,29 @@
 	LastIndex     uint64
 	CommitIndex   uint64
 	SnapshotIndex uint64
-	// Peers is set on the leader only.
-	Peers []PeerStatus
+	// StableIndex, the last index on this host's disk, and Peers are set on the leader only.
+	StableIndex uint64
+	Peers       []PeerStatus
 }
 
 // IsLeader reports whether this host is the leader.
 func (s Status) IsLeader() bool { return s.Role == quorum.RoleLeader }
 
+// Holders returns the hosts that hold the entry at index on disks that may vote, as far as the leader
+// knows. It returns nil on other hosts.
+func (s Status) Holders(index uint64) []host.ID {
+	var holders []host.ID
+	if s.IsLeader() && s.StableIndex >= index {
+		holders = append(holders, s.Leader)
+	}
+	for _, p := range s.Peers {
+		if p.Admitted && p.Match >= index {
+			holders = append(holders, p.Host)
+		}
+	}
+	return holders
+}
+
 // PeerStatus is the status of a peer as known to the leader.
 type PeerStatus struct {
 	Host    host.ID
@@ -54,6 +70,7 @@
 		Leader: nodeStatus.Leader, LeaderAddress: l.addresses.get(nodeStatus.Leader),
 		Admitted: nodeStatus.Admitted, LastIndex: uint64(nodeStatus.LastIndex),
 		CommitIndex: uint64(nodeStatus.CommitIndex), SnapshotIndex: uint64(nodeStatus.SnapshotIndex),
+		StableIndex: uint64(nodeStatus.StableIndex),
 	}
 	for _, p := range nodeStatus.Peers {
 		s.Peers = append(s.Peers, PeerStatus{
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -72,9 +72,11 @@
 
 // Gateway is an entry daemon. Create it with New and start it with Run.
 type Gateway struct {
-	opts    Options
-	table   atomic.Pointer[routes.Table]
-	metrics gatewayMetrics
+	opts  Options
+	table atomic.Pointer[routes.Table]
+	// tableSince is when table came into force in this process.
+	tableSince atomic.Pointer[time.Time]
+	metrics    gatewayMetrics
 
 	// mu guards the fields up to quarantined.
 	mu           sync.Mutex
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -25,9 +25,11 @@
 	arrivedAt time.Time
 	// id is the request ID in the caller's header. It identifies an attempt of the caller, for
 	// which the gateway may make several attempts at endpoints.
-	id    string
-	route *routes.Route
-	team  *routes.Team
+	id string
+	// revision is the version of the configuration by which the request is served.
+	revision uint64
+	route    *routes.Route
+	team     *routes.Team
 	// request is the request that endpoints get.
 	request  *upstream.Request
 	usage    dialect.Usage
@@ -85,6 +87,7 @@
 		c.refuse(time.Second, "cut off from control")
 		return
 	}
+	c.revision = table.Version
 	if !c.resolve(table) || !c.readBody(table) {
 		return
 	}
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -80,6 +80,7 @@
 // logEntry starts the log entry of the request's end.
 func (c *call) logEntry(e event.Event) *log.Entry {
 	entry := e.On(c.g.opts.Logger).Str("request", c.id).Dur("took", time.Since(c.arrivedAt))
+	entry = c.logConfig(entry)
 	if c.route != nil {
 		entry = entry.Str("route", c.route.Name).Str("kind", c.route.Kind.String())
 	}
@@ -118,6 +119,22 @@
 	return entry
 }
 
+// logConfig adds the version of the configuration by which the request was served, how long ago the
+// gateway last changed its configuration and, if that was since, the version in force now.
+func (c *call) logConfig(entry *log.Entry) *log.Entry {
+	if c.revision == 0 {
+		return entry
+	}
+	entry = entry.Uint64("revision", c.revision)
+	if since := c.g.tableSince.Load(); since != nil {
+		entry = entry.Dur("revision_age", time.Since(*since))
+	}
+	if current := c.g.table.Load(); current != nil && current.Version != c.revision {
+		entry = entry.Uint64("revision_now", current.Version)
+	}
+	return entry
+}
+
 // copyResponseHeader copies the headers of an endpoint's response, but for those of the
 // connection.
 func (c *call) copyResponseHeader(from http.Header) {
--- a/internal/entry/gateway/subscription.go
+++ b/internal/entry/gateway/subscription.go
@@ -157,6 +157,8 @@
 		if err != nil {
 			event.ConfigRefused.On(g.opts.Logger).Uint64("revision", update.Version).Err(err).Msg("")
 		} else {
+			now := time.Now()
+			g.tableSince.Store(&now)
 			g.table.Store(table)
 			event.ConfigInForce.On(g.opts.Logger).Uint64("revision", update.Version).Msg("")
 		}
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -32,4 +32,5 @@
 	SeatTaken         = register(143, "seat_taken", log.WarnLevel)
 	SeatMoved         = register(144, "seat_moved", log.WarnLevel)
 	RequestHeldBack   = register(145, "request_held_back", log.WarnLevel)
+	RevisionRead      = register(146, "revision_read", log.InfoLevel)
 )
