--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -34,4 +34,5 @@
 	RequestHeldBack   = register(145, "request_held_back", log.WarnLevel)
 	// RevisionRedirected is logged in place of RevisionUnsure where another leader is known.
 	RevisionRedirected = register(146, "revision_redirected", log.InfoLevel)
+	RevisionRead       = register(147, "revision_read", log.InfoLevel)
 )
