A signal during the start ends a daemon before it accepts work

Since the signals are caught from the beginning of the process, one that comes while the log is opened or keys are read is pending when the daemon starts, and its planned stop ran beside the first steps of its Run; that of a control daemon uses what Run has yet to set. Such a process now ends before it starts, with process_stopping and process_stopped in the log.

TestSignalDuringTheStartEndsTheProcess fails without it: "a side task has started"; supervisor_test.go:147: "Should be zero, but was 7s".

--- a/internal/process/daemon/supervisor.go
+++ b/internal/process/daemon/supervisor.go
@@ -27,6 +27,9 @@
 // run runs the daemon and the auxiliary functions until the daemon fails, ctx ends, or a signal or
 // the failure of an auxiliary function has stopped the daemon. It returns the first error.
 func (s *supervisor) run(ctx context.Context, auxiliary ...func(context.Context) error) error {
+	if s.stoppedBeforeStart() {
+		return nil
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
@@ -50,6 +53,19 @@
 	return group.Wait()
 }
 
+// stoppedBeforeStart reports whether a signal has arrived while the process started. The daemon has
+// accepted nothing yet, and its Shutdown need not work before its Run.
+func (s *supervisor) stoppedBeforeStart() bool {
+	select {
+	case received := <-s.signals:
+		event.ProcessStopping.On(s.logger).Str("role", s.name).Str("signal", received.String()).Int("in_flight", 0).Msg("")
+		event.ProcessStopped.On(s.logger).Str("role", s.name).Int("cut", 0).Dur("took", 0).Msg("")
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitStop waits for a signal or the failure of an auxiliary function and carries out a planned
 // stop, or returns when ctx ends. It returns the error of that function.
 func (s *supervisor) awaitStop(ctx context.Context, failed <-chan error) error {
--- a/internal/process/daemon/supervisor_test.go
+++ b/internal/process/daemon/supervisor_test.go
@@ -134,3 +134,17 @@
 		})
 	}
 }
+
+// TestSignalDuringTheStartEndsTheProcess guards against a planned stop of a daemon that doesn't run yet.
+func TestSignalDuringTheStartEndsTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(time.Minute)
+		f.signals <- syscall.SIGTERM
+		require.NoError(t, f.run(t.Context(), func(context.Context) error {
+			t.Error("a side task has started")
+			return nil
+		}))
+		require.Zero(t, time.Since(f.started))
+		require.Contains(t, f.lines.String(), `"name":"process_stopped","role":"gateway","cut":0,"took":0`)
+	})
+}
