--- a/internal/process/daemon/supervisor.go
+++ b/internal/process/daemon/supervisor.go
@@ -36,7 +36,11 @@
 	failed := make(chan error, len(auxiliary))
 	group.Go(func() error {
 		defer cancel()
-		return s.daemon.Run(ctx)
+		err := s.daemon.Run(ctx)
+		if err != nil {
+			event.ProcessFailed.On(s.logger).Str("role", s.name).Int("in_flight", s.inFlight()).Err(err).Msg("")
+		}
+		return err
 	})
 	for _, run := range auxiliary {
 		group.Go(func() error {
--- a/internal/process/daemon/supervisor_test.go
+++ b/internal/process/daemon/supervisor_test.go
@@ -27,6 +27,8 @@
 	started      time.Time
 	stoppedAfter time.Duration
 	cut          int
+	// fails is the error with which the daemon ends by itself after work. It may be nil.
+	fails error
 }
 
 func newFixture(work time.Duration) *fixture {
@@ -39,6 +41,10 @@
 	s := supervisor{
 		daemon: Daemon{
 			Run: func(ctx context.Context) error {
+				if f.fails != nil {
+					time.Sleep(f.work)
+					return f.fails
+				}
 				<-ctx.Done()
 				f.stoppedAfter = time.Since(f.started)
 				return nil
@@ -148,3 +154,14 @@
 		require.Contains(t, f.lines.String(), `"name":"process_stopped","role":"gateway","cut":0,"took":0`)
 	})
 }
+
+// TestFailureOfTheDaemonIsLogged guards against a daemon that ends and cuts requests without a line in
+// its log.
+func TestFailureOfTheDaemonIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(time.Second)
+		f.fails = errors.New("disk failed")
+		require.EqualError(t, f.run(t.Context()), "disk failed")
+		require.Contains(t, f.lines.String(), `"name":"process_failed","role":"gateway","in_flight":1,"error":"disk failed"`)
+	})
+}
--- a/internal/telemetry/event/process.go
+++ b/internal/telemetry/event/process.go
@@ -20,4 +20,5 @@
 	SettingsReloaded = register(412, "settings_reloaded", log.InfoLevel)
 
 	StopSignalRepeated = register(413, "stop_signal_repeated", log.WarnLevel)
+	ProcessFailed      = register(414, "process_failed", log.ErrorLevel)
 )
