The failure of a gateway's listener cuts no requests

If accepting connections failed for good, callers saw all requests in flight end at once, though their connections were sound: the error ended the context of Run, which closes them. The gateway now stops being ready, refuses what arrives on open connections, completes what is in flight and then returns the error.

TestFailedListenerCutsNoRequests fails without the wait: stop_test.go:265: Received unexpected error: unexpected EOF

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -140,9 +140,7 @@
 	event.ProcessStarted.On(g.opts.Logger).Str("role", "gateway").Str("host", string(g.opts.Self)).
 		Str("address", listener.Addr().String()).Msg("")
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		return errors.Wrap(g.server.Serve(framingListener{listener}), "callers' listener")
-	})
+	group.Go(func() error { return g.serveCallers(ctx, listener) })
 	group.Go(func() error { return g.subscribe(ctx) })
 	group.Go(func() error { return g.sweep(ctx) })
 	group.Go(func() error {
@@ -152,6 +150,18 @@
 	return group.Wait()
 }
 
+// serveCallers serves callers on listener until the server stops. If the listener fails it returns
+// the error once the requests in flight have ended, or ctx has.
+func (g *Gateway) serveCallers(ctx context.Context, listener net.Listener) error {
+	err := g.server.Serve(framingListener{listener})
+	if err == nil {
+		return nil
+	}
+	g.stopping.Store(true)
+	_ = g.server.Stop(ctx) // An error means that ctx has ended, and with it the process.
+	return errors.Wrap(err, "callers' listener")
+}
+
 // SetSeeds replaces the link addresses of the control hosts that the settings name.
 func (g *Gateway) SetSeeds(seeds []string) {
 	g.mu.Lock()
--- a/internal/entry/gateway/stop_test.go
+++ b/internal/entry/gateway/stop_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/standin/memnet"
@@ -215,3 +216,52 @@
 	require.Contains(t, lines.String(), `"name":"request_failed","request":"req-1"`)
 	require.Contains(t, lines.String(), `"status":502,"reason":"cut by the end of the planned stop"`)
 }
+
+// failingListener accepts one connection and then fails.
+type failingListener struct {
+	net.Listener
+	accepted bool
+	fail     <-chan struct{}
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.accepted {
+		l.accepted = true
+		return l.Listener.Accept()
+	}
+	<-l.fail
+	return nil, errors.New("accept failed")
+}
+
+// TestFailedListenerCutsNoRequests guards against a failure of the callers' listener that breaks off
+// the requests on the connections that it has accepted.
+func TestFailedListenerCutsNoRequests(t *testing.T) {
+	var whole callerResponse
+	var serveErr error
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		forEach(f.heads, func(e *fakeEndpoint) { e.streamEvents(20, 100*time.Millisecond, endStream) })
+		inner, fail := memnet.NewListener("gateway"), make(chan struct{})
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			serveErr = f.g.serveCallers(t.Context(), &failingListener{Listener: inner, fail: fail})
+			_ = f.g.server.Close()
+		}()
+		transport := &http.Transport{DialContext: inner.Dial}
+		f.client = &http.Client{Transport: transport}
+		stream := make(chan callerResponse, 1)
+		go func() { stream <- f.send("POST", "/stream/", "x") }()
+		time.Sleep(500 * time.Millisecond)
+		close(fail)
+		<-served
+		whole = <-stream
+		f.letEndpointsEnd()
+		transport.CloseIdleConnections()
+		f.g.upstream.CloseExpired(time.Now().Add(time.Hour))
+		synctest.Wait()
+	})
+	require.ErrorContains(t, serveErr, "accept failed")
+	require.NoError(t, whole.err)
+	require.Equal(t, eventTexts(20), whole.body)
+}
