daemon: the tests' fixture counts what is in flight without a data race

go test -race reported "race detected during execution of test" in TestFurtherSignalsDoNotShortenAStop: the stand-in daemon's Shutdown wrote what its InFlight read in another goroutine.

--- a/internal/process/daemon/supervisor_test.go
+++ b/internal/process/daemon/supervisor_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -37,7 +38,7 @@
 
 // run runs the daemon with the auxiliary functions until it ends.
 func (f *fixture) run(ctx context.Context, auxiliary ...func(context.Context) error) error {
-	ended := false
+	var ended atomic.Bool
 	s := supervisor{
 		daemon: Daemon{
 			Run: func(ctx context.Context) error {
@@ -49,16 +50,16 @@
 				f.stoppedAfter = time.Since(f.started)
 				return nil
 			},
-			InFlight: func() int { return f.inFlight(ended) },
+			InFlight: func() int { return f.inFlight(&ended) },
 			Shutdown: func(ctx context.Context) int {
 				timer := time.NewTimer(time.Until(f.started.Add(f.work)))
 				defer timer.Stop()
 				select {
 				case <-timer.C:
-					ended = true
+					ended.Store(true)
 				case <-ctx.Done():
 				}
-				f.cut = f.inFlight(ended)
+				f.cut = f.inFlight(&ended)
 				return f.cut
 			},
 		},
@@ -68,8 +69,8 @@
 	return s.run(ctx, auxiliary...)
 }
 
-func (f *fixture) inFlight(ended bool) int {
-	if ended {
+func (f *fixture) inFlight(ended *atomic.Bool) int {
+	if ended.Load() {
 		return 0
 	}
 	return 1
