--- a/internal/process/daemon/supervisor_test.go
+++ b/internal/process/daemon/supervisor_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -27,6 +28,8 @@
 	started      time.Time
 	stoppedAfter time.Duration
 	cut          int
+	// fails is the error with which the daemon ends by itself after work. It may be nil.
+	fails error
 }
 
 func newFixture(work time.Duration) *fixture {
@@ -35,24 +38,28 @@
 
 // run runs the daemon with the auxiliary functions until it ends.
 func (f *fixture) run(ctx context.Context, auxiliary ...func(context.Context) error) error {
-	ended := false
+	var ended atomic.Bool
 	s := supervisor{
 		daemon: Daemon{
 			Run: func(ctx context.Context) error {
+				if f.fails != nil {
+					time.Sleep(f.work)
+					return f.fails
+				}
 				<-ctx.Done()
 				f.stoppedAfter = time.Since(f.started)
 				return nil
 			},
-			InFlight: func() int { return f.inFlight(ended) },
+			InFlight: func() int { return f.inFlight(&ended) },
 			Shutdown: func(ctx context.Context) int {
 				timer := time.NewTimer(time.Until(f.started.Add(f.work)))
 				defer timer.Stop()
 				select {
 				case <-timer.C:
-					ended = true
+					ended.Store(true)
 				case <-ctx.Done():
 				}
-				f.cut = f.inFlight(ended)
+				f.cut = f.inFlight(&ended)
 				return f.cut
 			},
 		},
@@ -62,8 +69,8 @@
 	return s.run(ctx, auxiliary...)
 }
 
-func (f *fixture) inFlight(ended bool) int {
-	if ended {
+func (f *fixture) inFlight(ended *atomic.Bool) int {
+	if ended.Load() {
 		return 0
 	}
 	return 1
@@ -134,3 +141,28 @@
 		})
 	}
 }
+
+// TestSignalDuringTheStartEndsTheProcess guards against a planned stop of a daemon that doesn't run yet.
+func TestSignalDuringTheStartEndsTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(time.Minute)
+		f.signals <- syscall.SIGTERM
+		require.NoError(t, f.run(t.Context(), func(context.Context) error {
+			t.Error("a side task has started")
+			return nil
+		}))
+		require.Zero(t, time.Since(f.started))
+		require.Contains(t, f.lines.String(), `"name":"process_stopped","role":"gateway","cut":0,"took":0`)
+	})
+}
+
+// TestFailureOfTheDaemonIsLogged guards against a daemon that ends and cuts requests without a line in
+// its log.
+func TestFailureOfTheDaemonIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(time.Second)
+		f.fails = errors.New("disk failed")
+		require.EqualError(t, f.run(t.Context()), "disk failed")
+		require.Contains(t, f.lines.String(), `"name":"process_failed","role":"gateway","in_flight":1,"error":"disk failed"`)
+	})
+}
