--- a/internal/check/soak/loss.go
+++ b/internal/check/soak/loss.go
@@ -14,6 +14,8 @@
 	// may be lost because of the stop after it.
 	stopGrace     = 8 * time.Second
 	stopAftermath = time.Second
+	// stopTime bounds a planned stop: the grace and a margin for a busy machine.
+	stopTime = stopGrace + 2*time.Second
 	// earlyInStop is how long after SIGTERM a request may be sent that is cut in lastSixth without
 	// a violation, as its endpoint is still at work.
 	earlyInStop = 3 * time.Second
@@ -126,11 +128,11 @@
 	}
 }
 
-// inLastSixth reports whether an exchange that began early in a stop ended just before its end.
+// inLastSixth reports whether an exchange that began early in a stop ended after the last sixth had begun.
 func (c circumstances) inLastSixth(e exchange) bool {
 	return slices.ContainsFunc(c.stops, func(s plannedStop) bool {
 		end := s.first.Add(stopGrace)
-		return !e.sent.After(s.first.Add(earlyInStop)) && !e.ended.Before(end.Add(-lastSixth)) && !e.ended.After(end)
+		return !e.sent.After(s.first.Add(earlyInStop)) && !e.ended.Before(end.Add(-lastSixth)) && !e.ended.After(end.Add(stopAftermath))
 	})
 }
 
--- a/internal/check/soak/loss_test.go
+++ b/internal/check/soak/loss_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"os/exec"
 	"strings"
 	"testing"
@@ -32,8 +33,11 @@
 		"not passed on, held":                {0, 0.3, circumstances{stops: stopAt(0.1, 0.1)}, "LOST beside a stop"},
 		"not passed on, closed at once":      {0, 0.2, circumstances{stops: stopAt(0.1, 0.1)}, "excused: crossed a close"},
 		"passed on, closed at once":          {0, 0.1, circumstances{ran: true, stops: stopAt(0, 0)}, "LOST beside a stop"},
+		"in the aftermath of a stop":         {7, 8.9, circumstances{ran: true, stops: stopAt(0, 0)}, "LOST beside a stop"},
 		"after the aftermath of a stop":      {8, 9.1, circumstances{ran: true, stops: stopAt(0, 0)}, "LOST without any cause"},
 		"at work in the last sixth":          {2.9, 7, circumstances{ran: true, working: true, stops: stopAt(0, 0)}, "excused: at work until the end of a stop"},
+		"at work, cut by the SIGKILL":        {2.9, 8.1, circumstances{ran: true, working: true, stops: stopAt(0, 0)}, "excused: at work until the end of a stop"},
+		"finished, cut by the SIGKILL":       {2.9, 8.1, circumstances{ran: true, stops: stopAt(0, 0)}, "LOST beside a stop"},
 		"sent late, at work in the last one": {3.1, 7, circumstances{ran: true, working: true, stops: stopAt(0, 0)}, "LOST beside a stop"},
 		"finished, cut in the last sixth":    {2.9, 7, circumstances{ran: true, stops: stopAt(0, 0)}, "LOST beside a stop"},
 		"cut before the last sixth":          {2, 6.6, circumstances{ran: true, working: true, stops: stopAt(0, 0)}, "LOST beside a stop"},
@@ -138,3 +142,20 @@
 	tb.backends[1].silence(time.Second)
 	require.True(t, tb.backendsUndisturbed([]string{"be2-1"}, start), "a silence is no disturbance")
 }
+
+// TestSecondDiskIsLostOnlyAfterTheFirstIsReplaced guards against a rig that removes two of three disks
+// before the state of the first is copied back, which no quorum survives.
+func TestSecondDiskIsLostOnlyAfterTheFirstIsReplaced(t *testing.T) {
+	first := &process{name: "portal-1", folder: t.TempDir()}
+	second := &process{name: "portal-2", folder: first.folder}
+	f := &faultInjector{}
+	require.True(t, f.othersAdmitted(second))
+	write := func(lines string) { require.NoError(t, os.WriteFile(first.logPath(), []byte(lines), 0o600)) }
+	const admitted = "{\"name\":\"quorum_admitted\"}\n"
+	write(admitted)
+	f.wiped, f.admissions = first, first.admissions()
+	require.False(t, f.othersAdmitted(second))
+	require.True(t, f.othersAdmitted(first))
+	write(admitted + admitted)
+	require.True(t, f.othersAdmitted(second))
+}
--- a/internal/check/soak/process.go
+++ b/internal/check/soak/process.go
@@ -85,7 +85,7 @@
 	if p.command != nil {
 		return nil
 	}
-	out, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "log")
 	}
@@ -166,7 +166,7 @@
 	}
 }
 
-// wait waits up to stopGrace until the process has exited, and reports whether it has.
+// wait waits up to stopTime until the process has exited, and reports whether it has.
 func (p *process) wait() bool {
 	p.mu.Lock()
 	ended, running := p.ended, p.command != nil
@@ -177,7 +177,7 @@
 	select {
 	case <-ended:
 		return true
-	case <-time.After(stopGrace):
+	case <-time.After(stopTime):
 		return false
 	}
 }
@@ -225,7 +225,7 @@
 	}
 }
 
-// end waits until the process has exited after a signal, and kills it after stopGrace. A process that
+// end waits until the process has exited after a signal, and kills it after stopTime. A process that
 // was not paused or killed must not need that.
 func (p *process) end(r *recorder, signalled time.Time) {
 	if p.wait() {
@@ -235,8 +235,19 @@
 	forced := p.paused || !p.forcedAt.Before(signalled)
 	p.mu.Unlock()
 	if !forced {
-		r.reportViolation("%s did not stop within %v", p.name, stopGrace)
+		r.reportViolation("%s did not stop within %v", p.name, stopTime)
 	}
 	p.signal(syscall.SIGKILL)
 	p.wait()
 }
+
+// admissions returns how often the process logged that it votes with the disk it has.
+func (p *process) admissions() int {
+	text, err := os.ReadFile(p.logPath())
+	if err != nil {
+		return 0
+	}
+	return strings.Count(string(text), `"quorum_admitted"`)
+}
+
+func (p *process) logPath() string { return filepath.Join(p.folder, p.name+".log") }
