httpserver: let idle connections end by themselves in a planned stop

Cause: the stop closed idle connections from outside. On a busy machine a request may lie unread in one for longer than callers wait; it is read, and refused, on a connection that is closed already.

Fix: an idle connection gets a read deadline of 0.1 s and is ended by its own goroutine, which reads and refuses what has arrived. Connections that are still idle after twice that are closed as before.

TestStopRefusesWhatArrivesOnAnIdleConnection failed before with an error in place of the refusal.

--- a/internal/process/httpserver/connections.go
+++ b/internal/process/httpserver/connections.go
@@ -4,15 +4,17 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/egretreach/egretreach/internal/process/inflight"
 )
 
 // busyConns records the connections on which a request is being served or its response is
-// being sent. The zero value records none.
+// being sent, and those that are idle. The zero value records none.
 type busyConns struct {
 	mu   sync.Mutex
 	busy map[net.Conn]bool
+	idle map[net.Conn]bool
 	// count counts the connections in busy.
 	count inflight.Requests
 }
@@ -21,6 +23,13 @@
 func (b *busyConns) changed(c net.Conn, state http.ConnState) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	delete(b.idle, c)
+	if state == http.StateIdle {
+		if b.idle == nil {
+			b.idle = map[net.Conn]bool{}
+		}
+		b.idle[c] = true
+	}
 	active := state == http.StateActive
 	if active == b.busy[c] {
 		return
@@ -39,3 +48,15 @@
 
 // whenIdle returns a channel that is closed once all responses have been sent.
 func (b *busyConns) whenIdle() <-chan struct{} { return b.count.WhenIdle() }
+
+// expireIdle lets idle connections end after a time unless a request arrives on them. Their own
+// goroutines end them, so that no request is read on a connection that is being closed. It reports
+// whether there are any.
+func (b *busyConns) expireIdle(after time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.idle {
+		_ = c.SetReadDeadline(time.Now().Add(after)) // A connection that has just ended needs none.
+	}
+	return len(b.idle) > 0
+}
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/process/inflight"
+	"github.com/egretreach/egretreach/internal/process/pause"
 )
 
 // Server is an http.Server with a planned stop. Create it with New.
@@ -51,6 +53,10 @@
 	return err
 }
 
+// idleExpiry is how long an idle connection stays open in a planned stop: the time that a busy process
+// may take to read a request that has arrived.
+const idleExpiry = 100 * time.Millisecond
+
 // Stop accepts no more connections, closes idle ones and refuses requests. It returns nil once all
 // responses have been sent and all connections are closed, or the error of ctx if it ends first. It
 // doesn't use the Shutdown of net/http, which drops the requests that it reads from then on.
@@ -60,6 +66,9 @@
 	if listener := s.listener.Load(); listener != nil {
 		_ = (*listener).Close()
 	}
+	if s.conns.expireIdle(idleExpiry) {
+		pause.For(ctx, 2*idleExpiry)
+	}
 	s.server.SetKeepAlivesEnabled(false)
 	idle := s.conns.whenIdle()
 	select {
--- a/internal/process/httpserver/server_test.go
+++ b/internal/process/httpserver/server_test.go
@@ -133,3 +133,38 @@
 		require.NoError(t, s.Stop(ctx))
 	}
 }
+
+// TestStopRefusesWhatArrivesOnAnIdleConnection guards against a planned stop that closes an idle
+// connection in the moment at which a request arrives on it: on a busy machine that request is read, and
+// its connection ends without a response.
+func TestStopRefusesWhatArrivesOnAnIdleConnection(t *testing.T) {
+	var first, late string
+	var lateErr, stopErr error
+	var took time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		s := New(&http.Server{Handler: handle(200, "served", 0)}, handle(503, "refused", 0))
+		listener := memnet.NewListener("h")
+		go func() { _ = s.Serve(listener) }()
+		kept, err := listener.Dial(t.Context(), "", "")
+		require.NoError(t, err)
+		unused, err := listener.Dial(t.Context(), "", "")
+		require.NoError(t, err)
+		first, err = get(kept)
+		require.NoError(t, err)
+		_, err = get(unused)
+		require.NoError(t, err)
+		synctest.Wait()
+		stopped := make(chan error, 1)
+		began := time.Now()
+		go func() { stopped <- s.Stop(t.Context()) }()
+		time.Sleep(idleExpiry / 2)
+		late, lateErr = get(kept)
+		stopErr = <-stopped
+		took = time.Since(began)
+	})
+	require.Equal(t, "200 served", first)
+	require.NoError(t, lateErr)
+	require.Equal(t, "503 refused", late)
+	require.NoError(t, stopErr)
+	require.LessOrEqual(t, took, 2*idleExpiry, "an idle connection doesn't delay the stop")
+}
