--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
 	"slices"
@@ -73,9 +74,11 @@
 
 // Gateway is an entry daemon. Create it with New and start it with Run.
 type Gateway struct {
-	opts    Options
-	table   atomic.Pointer[routes.Table]
-	metrics gatewayMetrics
+	opts  Options
+	table atomic.Pointer[routes.Table]
+	// tableSince is when table came into force in this process.
+	tableSince atomic.Pointer[time.Time]
+	metrics    gatewayMetrics
 
 	// mu guards the fields up to quarantined.
 	mu           sync.Mutex
@@ -127,15 +130,21 @@
 		upstream: upstream.Pool{Dial: opts.Dial},
 	}
 	g.serving, g.cut = context.WithCancel(context.Background())
-	g.server = httpserver.New(&http.Server{
+	g.server = g.newServer(nil)
+	return g
+}
+
+// newServer returns the server of callers. errorLog gets the failures of handlers; nil is the standard
+// log.
+func (g *Gateway) newServer(errorLog *stdlog.Logger) *httpserver.Server {
+	return httpserver.New(&http.Server{
 		Handler:           http.HandlerFunc(g.serve),
 		MaxHeaderBytes:    defaultHeaderBytes,
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		ConnContext:       withConn,
-		ErrorLog:          nil,
+		ErrorLog:          errorLog,
 	}, http.HandlerFunc(g.refuseStopping))
-	return g
 }
 
 // Run serves callers on listener until ctx ends.
@@ -143,9 +152,7 @@
 	event.ProcessStarted.On(g.opts.Logger).Str("role", "gateway").Str("host", string(g.opts.Self)).
 		Str("address", listener.Addr().String()).Msg("")
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		return errors.Wrap(g.server.Serve(framingListener{listener}), "callers' listener")
-	})
+	group.Go(func() error { return g.serveCallers(ctx, listener) })
 	group.Go(func() error { return g.subscribe(ctx) })
 	group.Go(func() error { return g.sweep(ctx) })
 	group.Go(func() error {
@@ -155,6 +162,18 @@
 	return group.Wait()
 }
 
+// serveCallers serves callers on listener until the server stops. If the listener fails it returns
+// the error once the requests in flight have ended, or ctx has.
+func (g *Gateway) serveCallers(ctx context.Context, listener net.Listener) error {
+	err := g.server.Serve(framingListener{listener})
+	if err == nil {
+		return nil
+	}
+	g.stopping.Store(true)
+	_ = g.server.Stop(ctx) // An error means that ctx has ended, and with it the process.
+	return errors.Wrap(err, "callers' listener")
+}
+
 // SetSeeds replaces the link addresses of the control hosts that the settings name.
 func (g *Gateway) SetSeeds(seeds []string) {
 	g.mu.Lock()
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -25,9 +25,11 @@
 	arrivedAt time.Time
 	// id is the request ID in the caller's header. It identifies an attempt of the caller, for
 	// which the gateway may make several attempts at endpoints.
-	id    string
-	route *routes.Route
-	team  *routes.Team
+	id string
+	// revision is the version of the configuration by which the request is served.
+	revision uint64
+	route    *routes.Route
+	team     *routes.Team
 	// request is the request that endpoints get.
 	request  *upstream.Request
 	usage    dialect.Usage
@@ -48,12 +50,14 @@
 	mayHaveRun bool
 	// standby is the attempt at another endpoint while the present one is silent, or nil.
 	standby *standby
-	// noStandby says that no other endpoint must be tried while the present one may go on.
-	noStandby bool
+	// pending is a standby that is waited for after the present attempt has failed, or nil.
+	pending *standby
+	// crashed says that a standby's endpoint may have crashed under the request.
+	crashed bool
 	// nextStandbyAt is the earliest time of the next standby.
 	nextStandbyAt time.Time
-	// retryTaken says that the retry budget has been charged for a retry that was not sent.
-	retryTaken bool
+	// noStandbyLogged says that the log shows why no standby was started.
+	noStandbyLogged bool
 	// closeAfter says that the connection is closed after the response.
 	closeAfter bool
 }
@@ -76,7 +80,7 @@
 	maxGap time.Duration
 	// resumes counts how often the stream was to be resumed, whether or not it was.
 	resumes int
-	// noRetry says why no other endpoint was tried after the last failure of a stream.
+	// noRetry says why no other endpoint was tried after the last failure.
 	noRetry string
 	// availability is set for a refusal.
 	availability balance.Availability
@@ -108,9 +112,14 @@
 		c.refuse(time.Second, "cut off from control")
 		return
 	}
+	c.revision = table.Version
 	if !c.resolve(table) || !c.readBody(table) {
 		return
 	}
+	if g.server.Stopping() {
+		c.refuse(stoppingRetryAfter, "stopping")
+		return
+	}
 	if c.isQuarantined() {
 		c.refuse(quarantineRetryAfter, "held back: endpoints have crashed under it")
 		return
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/session"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/process/inflight"
 	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
@@ -86,8 +87,8 @@
 	scheduler   *scheduler
 	metrics     *requestMetrics
 	handler     http.Handler
-	// callers serves the caller API.
-	callers *http.Server
+	// callers serves the handler over HTTP.
+	callers *httpserver.Server
 	// baseContext ends when Run returns, and with it the work that continues without a
 	// caller.
 	baseContext context.Context
@@ -115,10 +116,10 @@
 		return nil, errors.Wrap(err, "caller API")
 	}
 	s.handler = handler
-	s.callers = &http.Server{
-		Handler: handler, ReadHeaderTimeout: opts.HeaderTimeout, ReadTimeout: opts.BodyTimeout,
-		IdleTimeout: opts.IdleTimeout, MaxHeaderBytes: opts.MaxHeader,
-	}
+	s.callers = httpserver.New(&http.Server{
+		Handler: handler, ReadHeaderTimeout: opts.HeaderTimeout, ReadTimeout: opts.BodyTimeout, IdleTimeout: opts.IdleTimeout,
+		MaxHeaderBytes: opts.MaxHeader,
+	}, handler) // The handler refuses requests by itself, since only it knows whether an earlier submission has run.
 	return s, nil
 }
 
@@ -152,13 +153,7 @@
 		Str("address", listener.Addr().String()).Msg("")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.session.Run(ctx) })
-	group.Go(func() error {
-		err := s.callers.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
+	group.Go(func() error { return s.callers.Serve(listener) })
 	group.Go(func() error {
 		<-ctx.Done()
 		return s.callers.Close()
@@ -167,9 +162,8 @@
 }
 
 // Shutdown performs a planned stop. Readiness fails at once, requests are still
-// accepted for ShutdownDelay, then requests in flight finish and their responses are
-// sent, within DrainTimeout, and the lease is given up. It returns the number of attempts
-// that were cut, and at least 1 if a response was not sent.
+// accepted for ShutdownDelay, then requests in flight finish, within DrainTimeout, and
+// the lease is given up. It returns the number of attempts that were cut.
 func (s *Server) Shutdown(ctx context.Context) int {
 	s.stopping.Store(true)
 	pause.For(ctx, s.opts.ShutdownDelay)
@@ -177,18 +171,23 @@
 	ctx, cancel := context.WithTimeout(ctx, s.opts.DrainTimeout)
 	defer cancel()
 	cut := 0
-	select {
-	case <-s.inFlight.WhenIdle():
-	case <-ctx.Done():
+	if s.drain(ctx) != nil {
 		cut = s.scheduler.countAttemptsInFlight()
 	}
-	// A request may still arrive or its response be on its way to the caller.
-	if s.callers.Shutdown(ctx) != nil {
-		cut = max(cut, 1)
-	}
 	_ = s.session.Goodbye()
 	return cut
 }
 
+// drain waits until no request is in flight and all responses have been sent, or ctx ends.
+// Connections are accepted, and their requests refused, as long as requests are in flight.
+func (s *Server) drain(ctx context.Context) error {
+	select {
+	case <-s.inFlight.WhenIdle():
+		return s.callers.Stop(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int { return s.inFlight.Count() }
