balance: keep control's word that an endpoint is dead apart from its bans

A failure that came while control considered the endpoint dead was ignored since the failures of one moment count as one. TestFailureOfALostEndpointCounts failed before (the endpoint was picked again after a second).

--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -60,8 +60,9 @@
 	waitingSince time.Time
 	// failures counts the failures that led to a ban since the last complete response.
 	failures int
-	// bannedUntil is the time until which the endpoint gets no requests.
-	bannedUntil time.Time
+	// bannedUntil is the time until which the endpoint gets no requests since some have failed, and
+	// lostUntil since control considers it dead.
+	bannedUntil, lostUntil time.Time
 	// errorRate is the moving average of the share of responses that were failures.
 	errorRate float64
 	// refusesConnections says that nothing listens at the endpoint's address.
@@ -317,8 +318,8 @@
 func (b *Balancer) MarkLost(ids []string, now time.Time) {
 	for _, id := range ids {
 		t, ok := b.endpoints[id]
-		if ok && now.Sub(t.lastData) > lostBan && now.Add(lostBan).After(t.bannedUntil) {
-			t.bannedUntil = now.Add(lostBan)
+		if ok && now.Sub(t.lastData) > lostBan {
+			t.lostUntil = now.Add(lostBan)
 		}
 	}
 }
--- a/internal/entry/balance/balancer_test.go
+++ b/internal/entry/balance/balancer_test.go
@@ -358,3 +358,18 @@
 	picked, _ := b.pick(newRequest(10, noon.Add(minBan)), noon.Add(minBan))
 	require.NotNil(t, picked)
 }
+
+// TestFailureOfALostEndpointCounts guards against a failure that is ignored because control considers the
+// endpoint dead at that moment.
+func TestFailureOfALostEndpointCounts(t *testing.T) {
+	b := heads(1)
+	now := noon
+	for range 4 {
+		b.MarkLost([]string{"h0"}, now)
+		b.RequestEnded("h0", newRequest(10, now), false, ResultConnectionRefused, now)
+		now = now.Add(maxBan)
+	}
+	now = now.Add(lostBan - maxBan)
+	picked, _ := b.pick(newRequest(10, now), now)
+	require.Nil(t, picked, "four failures ban for longer than control's word")
+}
--- a/internal/entry/balance/exclusion.go
+++ b/internal/entry/balance/exclusion.go
@@ -57,7 +57,7 @@
 		return ExclusionLeaving
 	case now.Before(t.notice.busyUntil):
 		return ExclusionBusy
-	case now.Before(t.bannedUntil):
+	case now.Before(t.bannedUntil), now.Before(t.lostUntil):
 		return ExclusionBanned
 	case t.stalled(now):
 		return ExclusionSilent
