--- /dev/null
+++ b/internal/control/quorum/reads_test.go
@@ -0,0 +1,50 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestPausedLeaderServesNoRead pauses a leader while the others elect a new one and commit. When
+// the old leader resumes and its first event is a read, the read must not be served.
+func TestPausedLeaderServesNoRead(t *testing.T) {
+	s, paused, _ := newSimulationWithLeader(t, 13)
+	s.read(paused)
+	s.run(50 * time.Millisecond)
+	require.Equal(t, 1, s.readsServed)
+	paused.pausedUntil = s.now.Add(time.Hour)
+	s.run(5 * time.Second)
+	s.propose(s.leader(), 1)
+	s.run(time.Second)
+	require.Equal(t, RoleLeader, paused.node.role)
+	s.read(paused)
+	require.Equal(t, 1, s.readsServed)
+	paused.pausedUntil = time.Time{}
+	s.run(time.Second)
+	require.Equal(t, 1, s.readsServed)
+}
+
+// TestSuspendedLeaderServesNoOutdatedRead suspends a leader, so that its clock stands still, while the
+// others elect a new one and commit. By its clock its lease still runs when it resumes. A read that is
+// its first event must not be served before another host has answered it, and thus never.
+func TestSuspendedLeaderServesNoOutdatedRead(t *testing.T) {
+	s, suspended, _ := newSimulationWithLeader(t, 16)
+	began := s.now
+	suspended.pausedUntil = s.now.Add(time.Hour)
+	s.run(5 * time.Second)
+	next := s.leader()
+	require.NotEqual(t, suspended, next)
+	s.propose(next, 1)
+	s.run(time.Second)
+	suspended.suspended, suspended.pausedUntil = s.now.Sub(began), time.Time{}
+	require.Equal(t, RoleLeader, suspended.node.role)
+	require.True(t, suspended.node.hasLease(s.clock(suspended)))
+	s.read(suspended)
+	s.run(time.Second)
+	require.Zero(t, s.readsServed)
+	s.read(next)
+	s.run(time.Second)
+	require.Equal(t, 1, s.readsServed)
+}
--- a/internal/entry/gateway/faults_test.go
+++ b/internal/entry/gateway/faults_test.go
@@ -1,5 +1,7 @@
 package gateway
 
+// The tests of this file run in virtual time: withFixture uses testing/synctest.
+
 import (
 	"context"
 	"io"
--- a/internal/entry/gateway/standby.go
+++ b/internal/entry/gateway/standby.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,46 +33,6 @@
 	result attemptResult
 }
 
-// attemptResult is what is known of an attempt once its response has begun or it has failed.
-type attemptResult struct {
-	// attempt is nil if the balancer has refused it by decision.
-	attempt  *attempt
-	decision balance.Decision
-	outcome  outcome
-	err      error
-}
-
-// attemptPlan says how to make the next attempt.
-type attemptPlan struct {
-	request balance.Request
-	// lastEventID is the ID of the event after which a stream is resumed, or empty.
-	lastEventID string
-}
-
-// retryPolicy says whether and how a request may be tried at another endpoint.
-type retryPolicy struct {
-	plan func() attemptPlan
-	// noRetryReason returns why the request must not be tried at another endpoint, or an empty
-	// string. It leaves the retry budget out.
-	noRetryReason func(context.Context) string
-}
-
-// Reasons for which a request is not tried at another endpoint.
-const (
-	reasonBudget   = "the retry budget is used up"
-	reasonEnded    = "the time is up or the caller has left"
-	reasonOnce     = "it may have run and must not run twice"
-	reasonAttempts = "the route's attempts are used up"
-	reasonTries    = "too many endpoints were tried"
-	reasonCrashed  = "an endpoint may have crashed under it"
-)
-
-// without returns the plan for an attempt at another endpoint than the one with this ID.
-func (p attemptPlan) without(endpoint string) attemptPlan {
-	p.request.Exclude = append(slices.Clone(p.request.Exclude), endpoint)
-	return p
-}
-
 // next returns the next attempt: the standby if there is one, else a new one by plan. It calls
 // prepare with an attempt before its response is forwarded.
 func (c *call) next(ctx context.Context, p retryPolicy, prepare func(*attempt)) attemptResult {
