httpserver: wait until idle connections have ended by themselves

The end of a planned stop's notice still closed idle connections from outside after 0.2 s.

Now the stop waits, for at most 2 s, until each idle connection has been ended by its own goroutine, which reads what has arrived first. Connections that become idle meanwhile are treated the same.

--- a/internal/process/httpserver/connections.go
+++ b/internal/process/httpserver/connections.go
@@ -14,6 +14,7 @@
 type busyConns struct {
 	mu   sync.Mutex
 	busy map[net.Conn]bool
+	// idle says of each idle connection whether expireIdle has set its end.
 	idle map[net.Conn]bool
 	// count counts the connections in busy.
 	count inflight.Requests
@@ -28,7 +29,7 @@
 		if b.idle == nil {
 			b.idle = map[net.Conn]bool{}
 		}
-		b.idle[c] = true
+		b.idle[c] = false
 	}
 	active := state == http.StateActive
 	if active == b.busy[c] {
@@ -55,7 +56,11 @@
 func (b *busyConns) expireIdle(after time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for c := range b.idle {
+	for c, expiring := range b.idle {
+		if expiring {
+			continue
+		}
+		b.idle[c] = true
 		_ = c.SetReadDeadline(time.Now().Add(after)) // A connection that has just ended needs none.
 	}
 	return len(b.idle) > 0
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -53,9 +53,14 @@
 	return err
 }
 
-// idleExpiry is how long an idle connection stays open in a planned stop: the time that a busy process
-// may take to read a request that has arrived.
-const idleExpiry = 100 * time.Millisecond
+const (
+	// idleExpiry is how long an idle connection stays open in a planned stop.
+	idleExpiry = 100 * time.Millisecond
+	// idleCheckInterval is the time between two checks for idle connections, which last for at most
+	// maxIdleWait: a busy process may take long to read a request that has arrived.
+	idleCheckInterval = 20 * time.Millisecond
+	maxIdleWait       = 2 * time.Second
+)
 
 // Stop accepts no more connections, closes idle ones and refuses requests. It returns nil once all
 // responses have been sent and all connections are closed, or the error of ctx if it ends first. It
@@ -66,9 +71,7 @@
 	if listener := s.listener.Load(); listener != nil {
 		_ = (*listener).Close()
 	}
-	if s.conns.expireIdle(idleExpiry) {
-		pause.For(ctx, 2*idleExpiry)
-	}
+	s.awaitIdleEnds(ctx)
 	s.server.SetKeepAlivesEnabled(false)
 	idle := s.conns.whenIdle()
 	select {
@@ -84,6 +87,14 @@
 	}
 }
 
+// awaitIdleEnds lets idle connections end by themselves, and waits until they have.
+func (s *Server) awaitIdleEnds(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxIdleWait)
+	defer cancel()
+	for s.conns.expireIdle(idleExpiry) && pause.For(ctx, idleCheckInterval) {
+	}
+}
+
 // Stopping reports whether Stop has been called. A handler that reads a long body asks it afterwards,
 // since Stop refuses only requests whose header arrives later.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
