placement: tell replicas that span fabric domains from those that replace one in a test

TestDecideKeepsInvariants (KNOWN-RED) failed for a Form of h14, h21 and h26 with the reason cross_fabric. All three lie in fabric a: the replica replaces a serving one that spans domains, and the reason says that it does ("the replica spans fabric domains, or did so"). The planner is right, the check took the reason for the shape of the new replica.

The check is now: a replica that spans domains has the reason cross_fabric, and no one domain had enough free hosts, as before; one in a single domain may have that reason only if its deployment has a replica that spans domains. With a planner that gives the reason to every settled replica it fails ("replaces no replica that spans fabric domains").

--- a/internal/control/placement/invariant_test.go
+++ b/internal/control/placement/invariant_test.go
@@ -86,7 +86,8 @@
 }
 
 // requireLastResort fails if a replica spans fabric domains although one domain has
-// enough free hosts for it.
+// enough free hosts for it, or if a replica in one domain has the reason of one that
+// spans them and replaces none.
 func requireLastResort(t require.TestingT, f Fleet, decisions []Decision, hosts map[host.ID]*Host) {
 	for at, d := range decisions {
 		swap, _ := d.(Swap)
@@ -98,6 +99,10 @@
 			}
 			continue
 		}
+		if len(ids) > 0 && !spansFabrics(ids, hosts) {
+			require.True(t, hasSpanningReplica(f, swap, form, hosts), "%+v replaces no replica that spans fabric domains", d)
+			continue
+		}
 		before := newPlanner(&f)
 		for _, earlier := range decisions[:at] {
 			wait, _ := earlier.(Wait)
@@ -115,6 +120,24 @@
 	}
 }
 
+// spansFabrics reports whether hosts lie in several fabric domains.
+func spansFabrics(ids []host.ID, hosts map[host.ID]*Host) bool {
+	for _, id := range ids {
+		if hosts[id].Fabric != hosts[ids[0]].Fabric {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSpanningReplica reports whether a replica of the deployment of swap or form spans fabric domains.
+func hasSpanningReplica(f Fleet, swap Swap, form Form, hosts map[host.ID]*Host) bool {
+	return slices.ContainsFunc(f.Replicas, func(r Replica) bool {
+		name := r.Spec.Deployment
+		return (name == swap.Spec.Deployment || name == form.Spec.Deployment) && spansFabrics(r.Hosts, hosts)
+	})
+}
+
 // drawFleet draws a fleet snapshot in which each host is in at most one claim.
 func drawFleet(t *rapid.T) Fleet {
 	f := Fleet{Now: epoch, WeightStore: WeightStore{Rate: 4e9, HostRate: 1e9}}
