gateway: log the crash of an endpoint with what can show its cause

The parts come from the prompt's header through the dialect. No decision changes: an attempt that is broken off is probed once more if it had streamed, which only logs. One line a broken attempt, at most 16 parts of 40 bytes. Measured: go test ./internal/entry/gateway three times, passed.

--- a/internal/entry/dialect/dialect.go
+++ b/internal/entry/dialect/dialect.go
@@ -38,6 +38,8 @@
 	Leaving string
 	// RetryAfter carries how long an endpoint that responds with 503 wants no requests.
 	RetryAfter string
+	// PromptParts lists the parts of a request's prompt in order.
+	PromptParts string
 }
 
 // Load is the load that an endpoint reports.
@@ -71,6 +73,9 @@
 	ParseLeaving func(text string) bool
 	// ParseRetryAfter parses a value of Headers.RetryAfter.
 	ParseRetryAfter func(text string) (time.Duration, bool)
+	// ParsePromptParts parses a value of Headers.PromptParts. It returns the IDs of the parts that other
+	// requests may share: all but the last one, which belongs to the request itself.
+	ParsePromptParts func(text string) []string
 	// FormatPriority formats a priority, of which 0 is the most urgent.
 	FormatPriority func(priority int) string
 }
--- a/internal/entry/gateway/crash.go
+++ b/internal/entry/gateway/crash.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/egretreach/egretreach/internal/entry/balance"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
 const (
@@ -17,6 +18,22 @@
 	maxUnreportedCrashes = 64
 )
 
+// maxLoggedParts and maxLoggedPart bound the parts of a prompt in one log line, and each of them in bytes.
+const (
+	maxLoggedParts = 16
+	maxLoggedPart  = 40
+)
+
+// logCrash logs that an attempt was broken off, and what can show why.
+func (c *call) logCrash(a *attempt, refuses bool) {
+	parts := make([]string, 0, maxLoggedParts)
+	for _, part := range c.parts[:min(len(c.parts), maxLoggedParts)] {
+		parts = append(parts, part[:min(len(part), maxLoggedPart)])
+	}
+	event.CrashSeen.On(c.g.opts.Logger).Str("request", c.id).Str("endpoint", a.endpoint.ID).Int64("started", a.endpoint.StartedMs).
+		Bool("streamed", a.streamed).Bool("refuses", refuses).Strs("parts", parts).Msg("")
+}
+
 // crash is a crash of an endpoint with a request that the endpoint may have begun to run.
 type crash struct {
 	endpoint    string
@@ -57,7 +74,12 @@
 // address now. It records the crash for the next report to control. Such a request must not be
 // retried, unless a part of the response has been sent to the caller already.
 func (c *call) mayHaveCrashed(ctx context.Context, a *attempt) bool {
-	if a.result != balance.ResultInvalidResponse || a.streamed || !c.g.upstream.RefusesConnections(ctx, a.endpoint.Address) {
+	if a.result != balance.ResultInvalidResponse || ctx.Err() != nil {
+		return false
+	}
+	refuses := c.g.upstream.RefusesConnections(ctx, a.endpoint.Address)
+	c.logCrash(a, refuses)
+	if a.streamed || !refuses {
 		return false
 	}
 	c.g.mu.Lock()
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -31,8 +31,10 @@
 	route    *routes.Route
 	team     *routes.Team
 	// request is the request that endpoints get.
-	request  *upstream.Request
-	usage    dialect.Usage
+	request *upstream.Request
+	usage   dialect.Usage
+	// parts are the IDs of the parts of the prompt that other requests may share.
+	parts    []string
 	service  string
 	model    string
 	priority int
@@ -161,6 +163,7 @@
 		}
 	}
 	c.service = route.Pick(c.g.randomFraction())
+	c.parts = c.g.opts.Dialect.ParsePromptParts(strings.Join(c.r.Header.Values(h.PromptParts), ","))
 	c.readUsage(table)
 	c.setDeadline()
 	return true
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -18,4 +18,5 @@
 	EndpointMarked   = register(310, "endpoint_marked", log.InfoLevel)
 	EndpointUnmarked = register(311, "endpoint_unmarked", log.InfoLevel)
 	NoticeOdd        = register(312, "notice_odd", log.WarnLevel)
+	CrashSeen        = register(313, "crash_seen", log.WarnLevel)
 )
