Hold back requests that share a part that crashes endpoints

Cause: blame was kept by whole request. A gateway's fingerprint covered team, target and body; no two of these requests are alike, so no count got above one. The same place had three more faults: crashes after the first event were not counted, each crash waited 1 to 2 s until the leader had found the endpoint dead, and the counts were in the memory of one leader. It also blamed a whole request after two crashes whatever else lay at the endpoints: a sound one that is sent again while endpoints end by chance.

Now gateways derive keys of the whole request and of each shared part of its prompt, and report with a crash which keys were broken off and how often they completed lately. The leader blames a key that sets itself apart: present at three or more crashes one after the other, no completed request since, chance below 1e-9 given its share of the completed requests. Held keys are in the replicated log; evidence is reported again to a new leader; one trial at growing intervals ends a hold.

Why it works: a part that crashes endpoints never completes and is in each of its crashes, a sound one completes.

The Retry-After of a held request now is the time until its trial. A stream is not resumed once two endpoints have crashed soon after they began to answer it.

--- /dev/null
+++ b/internal/control/portal/holds.go
@@ -0,0 +1,284 @@
+package portal
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/control/portalstate"
+	"github.com/egretreach/egretreach/internal/control/quarantine"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+const (
+	// firstHold is how long a key is held before a request with it is tried again. Each failed trial doubles
+	// the time, up to maxHold.
+	firstHold = time.Minute
+	maxHold   = time.Hour
+	// trialTimeout is how long a gateway has for a trial before another one gets it. A request may wait,
+	// crash its endpoint and be reported within that time.
+	trialTimeout = 15 * time.Second
+	// refusalTime is how long a gateway's report that it refuses requests with a key is used.
+	refusalTime = 3 * time.Second
+	// idleHold is how long after the end of its time a key is held for which no requests come.
+	idleHold = 10 * time.Minute
+	// proposeRetry is the time between two proposals of the same change to the log.
+	proposeRetry = 300 * time.Millisecond
+)
+
+// holdTime returns how long a key with a number of strikes is held.
+func holdTime(strikes int) time.Duration {
+	d := firstHold
+	for range strikes - 1 {
+		d = min(2*d, maxHold)
+	}
+	return d
+}
+
+// holds decides which keys of requests are held back because they crash endpoints. The keys are kept in the
+// replicated log, so that a new leader and a restarted host hold them too; what is known of the crashes is
+// kept in memory, and gateways report it again to a new leader. The zero value is empty.
+type holds struct {
+	evidence quarantine.Evidence
+	// keys are the held keys by the log.
+	keys map[uint64]heldKey
+	// proposals are changes that the log has yet to commit.
+	proposals map[uint64]*proposal
+	// refusals are the last reports of gateways that refuse requests with a key.
+	refusals map[uint64]refusal
+	trials   map[uint64]*trial
+}
+
+// heldKey is a held key as this host knows it. Its time counts from when the host learned of it, since clocks of
+// hosts differ and may jump.
+type heldKey struct {
+	strikes int
+	since   time.Time
+}
+
+// proposal is a change of a key's hold that is proposed to the log until it is committed.
+type proposal struct {
+	hold    portalstate.Hold
+	triedAt time.Time
+}
+
+type refusal struct {
+	gateway host.ID
+	at      time.Time
+}
+
+// trial is one request with a held key that a gateway may send.
+type trial struct {
+	number  uint64
+	gateway host.ID
+	at      time.Time
+	// crashed and completed are the reported outcomes of requests sent since then.
+	crashed, completed bool
+}
+
+// add records what a gateway reports. It returns the crashes that are new to this host.
+func (h *holds) add(from host.ID, r *message.GatewayReport, now time.Time) []message.Crash {
+	var added []message.Crash
+	for _, c := range r.Crashes {
+		if h.evidence.Observe(h.observation(from, c, now)) {
+			added = append(added, c)
+		}
+	}
+	for _, c := range r.Completions {
+		counts := quarantine.Completions{Scope: c.Scope, Total: c.Total, ByKey: map[uint64]int{}, At: now}
+		for _, s := range c.Watched {
+			counts.ByKey[s.Key] = s.Completed
+			h.complete(s.Key, now.Add(-s.CompletedAge))
+		}
+		h.evidence.Count(string(from), counts)
+	}
+	for _, key := range r.Refused {
+		if h.refusals == nil {
+			h.refusals = map[uint64]refusal{}
+		}
+		h.refusals[key] = refusal{from, now}
+	}
+	return added
+}
+
+// observation converts a reported crash.
+func (h *holds) observation(from host.ID, c message.Crash, now time.Time) quarantine.Observation {
+	o := quarantine.Observation{
+		ID: quarantine.CrashID{Endpoint: c.Endpoint, StartedMs: c.StartedMs}, Observer: string(from), Scope: c.Scope, At: now.Add(-c.Age),
+		Requests: c.Requests, Completed: c.Completed,
+	}
+	for _, s := range c.Suspects {
+		suspect := quarantine.Suspect{Key: s.Key, Whole: s.Whole, SentAt: now.Add(-s.SentAge), Completed: s.Completed}
+		if s.Completed > 0 {
+			suspect.CompletedAt = now.Add(-s.CompletedAge)
+		}
+		if t := h.trials[s.Key]; t != nil && suspect.SentAt.After(t.at) {
+			t.crashed = true
+		}
+		o.Suspects = append(o.Suspects, suspect)
+	}
+	return o
+}
+
+// complete records that a request with a key completed.
+func (h *holds) complete(key uint64, at time.Time) {
+	h.evidence.Complete(key, at)
+	if t := h.trials[key]; t != nil && at.After(t.at) {
+		t.completed = true
+	}
+}
+
+// sync takes over the held keys of the log.
+func (h *holds) sync(committed []portalstate.Hold, now time.Time) {
+	keys := make(map[uint64]heldKey, len(committed))
+	for _, c := range committed {
+		known, ok := h.keys[c.Key]
+		if !ok || known.strikes != c.Strikes {
+			known = heldKey{c.Strikes, now}
+		}
+		keys[c.Key] = known
+	}
+	h.keys = keys
+	maps.DeleteFunc(h.proposals, func(key uint64, p *proposal) bool { return keys[key].strikes == p.hold.Strikes })
+	maps.DeleteFunc(h.trials, func(key uint64, _ *trial) bool { return keys[key].strikes == 0 })
+	maps.DeleteFunc(h.refusals, func(key uint64, _ refusal) bool { return !h.isHeld(key) })
+}
+
+// isHeld reports whether a key is held, or will be.
+func (h *holds) isHeld(key uint64) bool {
+	if h.keys[key].strikes > 0 {
+		return true
+	}
+	p := h.proposals[key]
+	return p != nil && p.hold.Strikes > 0
+}
+
+// propose remembers a change of a key's hold.
+func (h *holds) propose(key uint64, strikes int) {
+	if h.proposals == nil {
+		h.proposals = map[uint64]*proposal{}
+	}
+	h.proposals[key] = &proposal{hold: portalstate.Hold{Key: key, Strikes: strikes}}
+}
+
+// holdChange is a decision about a held key.
+type holdChange struct {
+	key   uint64
+	cause holdCause
+}
+
+// holdCause is the cause of a holdChange: one of blamed, trialStarted, trialFailed and holdReleased.
+type holdCause interface{ holdCause() }
+
+// blamed is a key that is held from now on.
+type blamed struct{ quarantine.Blame }
+
+// trialStarted is a request with a held key that a gateway may send.
+type trialStarted struct{ trial }
+
+// trialFailed is a trial after which the key is held for longer.
+type trialFailed struct{ strikes int }
+
+// holdReleased is a key that is not held any more.
+type holdReleased struct{ reason string }
+
+func (blamed) holdCause()       {}
+func (trialStarted) holdCause() {}
+func (trialFailed) holdCause()  {}
+func (holdReleased) holdCause() {}
+
+// judge decides which keys are held, tried and released. Only the leader calls it.
+func (h *holds) judge(now time.Time) []holdChange {
+	var changes []holdChange
+	for _, b := range h.evidence.Judge(now, h.isHeld) {
+		h.propose(b.Key, 1)
+		changes = append(changes, holdChange{b.Key, blamed{b}})
+	}
+	for _, key := range slices.Sorted(maps.Keys(h.keys)) {
+		if h.proposals[key] != nil {
+			continue
+		}
+		if cause := h.judgeHeld(key, now); cause != nil {
+			changes = append(changes, holdChange{key, cause})
+		}
+	}
+	return changes
+}
+
+// judgeHeld decides about a held key. It returns nil if nothing changes.
+func (h *holds) judgeHeld(key uint64, now time.Time) holdCause {
+	held := h.keys[key]
+	t := h.trials[key]
+	over := now.Sub(held.since) - holdTime(held.strikes)
+	refused, wanted := h.refusals[key]
+	wanted = wanted && now.Sub(refused.at) < refusalTime
+	switch {
+	case t != nil && t.completed:
+		h.propose(key, 0)
+		return holdReleased{"a request with it completed"}
+	case t != nil && t.crashed:
+		delete(h.trials, key)
+		h.propose(key, held.strikes+1)
+		return trialFailed{held.strikes + 1}
+	case over < 0 || t != nil && now.Sub(t.at) < trialTimeout:
+		return nil
+	case wanted:
+		started := trial{number: uint64(now.UnixNano()), gateway: refused.gateway, at: now}
+		if h.trials == nil {
+			h.trials = map[uint64]*trial{}
+		}
+		h.trials[key] = &started
+		return trialStarted{started}
+	case over > idleHold && now.Sub(refused.at) > idleHold:
+		h.propose(key, 0)
+		return holdReleased{"no requests with it came"}
+	}
+	return nil
+}
+
+// due returns the changes to propose to the log now.
+func (h *holds) due(now time.Time) []portalstate.Hold {
+	var due []portalstate.Hold
+	for _, p := range h.proposals {
+		if now.Sub(p.triedAt) >= proposeRetry {
+			p.triedAt = now
+			due = append(due, p.hold)
+		}
+	}
+	slices.SortFunc(due, func(a, b portalstate.Hold) int { return cmp.Compare(a.Key, b.Key) })
+	return due
+}
+
+// stepDown drops what only a leader decides. The next leader gets the crashes from the gateways.
+func (h *holds) stepDown() { h.proposals, h.trials = nil, nil }
+
+// view returns the held keys for a gateway.
+func (h *holds) view(gateway host.ID, now time.Time) []message.HeldKey {
+	var all []message.HeldKey
+	for key, held := range h.keys {
+		k := message.HeldKey{Key: key, For: max(0, held.since.Add(holdTime(held.strikes)).Sub(now))}
+		if t := h.trials[key]; t != nil && t.gateway == gateway {
+			k.Trial = t.number
+		}
+		all = append(all, k)
+	}
+	for key, p := range h.proposals {
+		if h.keys[key].strikes == 0 && p.hold.Strikes > 0 {
+			all = append(all, message.HeldKey{Key: key, For: firstHold})
+		}
+	}
+	slices.SortFunc(all, func(a, b message.HeldKey) int { return cmp.Compare(a.Key, b.Key) })
+	return all
+}
+
+// watched returns the keys of which gateways must report completed requests.
+func (h *holds) watched() []uint64 {
+	keys := h.evidence.Watched()
+	for key := range h.trials {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
--- a/internal/control/portal/metrics.go
+++ b/internal/control/portal/metrics.go
@@ -14,6 +14,9 @@
 	unanswered    metrics.Counter
 	probes        metrics.Counter
 	lost          metrics.Counter
+	crashes       metrics.Counter
+	held          metrics.Counter
+	released      metrics.Counter
 }
 
 func newPortalMetrics(r *metric.Registry) portalMetrics {
@@ -24,5 +27,8 @@
 		unanswered:    r.Counter("portal_orders_unanswered_total", "Orders that no engine answered in time."),
 		probes:        r.Counter("portal_probes_total", "Probes of endpoints that were silent."),
 		lost:          r.Counter("portal_endpoints_lost_total", "Endpoints that were found dead."),
+		crashes:       r.Counter("portal_crashes_total", "Reports of gateways that an endpoint crashed under their requests."),
+		held:          r.Counter("portal_holds_total", "Keys of requests that were held back since they crash endpoints, failed trials included."),
+		released:      r.Counter("portal_releases_total", "Keys of requests that are not held back any more."),
 	}
 }
--- a/internal/control/portal/planning.go
+++ b/internal/control/portal/planning.go
@@ -38,6 +38,7 @@
 		l := p.currentLog()
 		if l == nil || !l.Status().IsLeader() {
 			planners = nil
+			p.followHolds(time.Now())
 		} else {
 			now := time.Now()
 			if status := l.Status(); planners == nil || status.Term != term {
@@ -47,6 +48,9 @@
 			if now.Sub(confirmedAt) > leadershipValidity && l.Barrier(ctx) == nil {
 				confirmedAt = now
 			}
+			if now.Sub(confirmedAt) <= leadershipValidity {
+				p.judgeHolds(ctx, now)
+			}
 			if (p.opts.FirstStart || now.Sub(termSince) > leaderSettleTime) && now.Sub(confirmedAt) <= leadershipValidity {
 				p.plan(ctx, leadership{term, termSince}, planners, now)
 			}
@@ -89,10 +93,6 @@
 	}
 	reports := p.headReports(now)
 	p.probeServices(ctx, now)
-	for _, fingerprint := range p.crashes.process(now, p.incarnationEnded) {
-		event.RequestHeldBack.On(p.opts.Logger).Uint64("fingerprint", fingerprint).Int("endpoints", quarantineThreshold).Msg("")
-		p.notifyLocked()
-	}
 	for i := range p.table.Services {
 		service := &p.table.Services[i]
 		if service.Engine == nil || len(service.Engine.Models) == 0 {
@@ -130,12 +130,6 @@
 	}
 }
 
-// incarnationEnded reports whether an endpoint's incarnation has ended. mu is held.
-func (p *Portal) incarnationEnded(inc roster.Incarnation) bool {
-	e, known := p.roster.Get(inc.ID)
-	return !known || e.StartedMs != inc.StartedMs || p.health[inc.ID].dead
-}
-
 // suspectMembers returns the members of replicas whose heads make no progress. mu is held.
 func (p *Portal) suspectMembers(reports map[string]formation.HeadReport) map[string]bool {
 	stalled := map[string]bool{}
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -118,7 +118,7 @@
 	reports        map[host.ID]receivedReport
 	health         map[string]endpointHealth
 	demand         demandAverage
-	crashes        crashTracker
+	holds          holds
 	trafficStarted bool
 	table          *routes.Table
 	stopping       bool
--- a/internal/control/portal/subscriber.go
+++ b/internal/control/portal/subscriber.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/control/formation"
@@ -40,7 +41,7 @@
 		defer cancel()
 		p.receiveReports(s, peer)
 	}()
-	p.sendUpdates(ctx, s)
+	p.sendUpdates(ctx, s, peer)
 	cancel()
 	event.SubscriberLeft.On(p.opts.Logger).Str("peer", string(peer)).Msg("")
 }
@@ -59,7 +60,7 @@
 		now := time.Now()
 		p.reports[peer] = receivedReport{GatewayReport: *r, at: now}
 		p.demand.add(r.Demand, now)
-		p.crashes.add(r.Crashes, now)
+		p.countCrashes(peer, r, now)
 		p.trafficStarted = p.trafficStarted || r.Requests > 0
 		p.mu.Unlock()
 	}
@@ -70,15 +71,17 @@
 type subscriberState struct {
 	// version is the version of the document.
 	version uint64
+	// watched are the keys of which the subscriber reports completed requests.
+	watched []uint64
 	// sent holds the state of each endpoint, by ID.
 	sent map[string]sentState
 }
 
-func (p *Portal) sendUpdates(ctx context.Context, s *transport.Stream) {
+func (p *Portal) sendUpdates(ctx context.Context, s *transport.Stream, peer host.ID) {
 	state := subscriberState{sent: map[string]sentState{}}
 	for first := true; ; first = false {
 		changed := p.changeNotify()
-		if s.Send(p.nextUpdate(&state, first)) != nil {
+		if s.Send(p.nextUpdate(&state, peer, first)) != nil {
 			return
 		}
 		timer := time.NewTimer(updateInterval)
@@ -94,13 +97,18 @@
 	}
 }
 
-func (p *Portal) nextUpdate(state *subscriberState, complete bool) *message.Picture {
+func (p *Portal) nextUpdate(state *subscriberState, peer host.ID, complete bool) *message.Picture {
 	document := p.machine.Current()
 	leader := p.leaderAddress()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m := &message.Picture{Version: document.Version, Complete: complete, Leader: leader, Gateways: p.gatewayCount(time.Now())}
-	m.Quarantined = p.crashes.quarantined()
+	now := time.Now()
+	m := &message.Picture{Version: document.Version, Complete: complete, Leader: leader, Gateways: p.gatewayCount(now)}
+	p.holds.sync(p.machine.Holds(), now)
+	m.Held = p.holds.view(peer, now)
+	if watched := p.holds.watched(); complete || !slices.Equal(watched, state.watched) {
+		m.Watching, state.watched = &message.Watching{Keys: watched}, watched
+	}
 	if document.Version != state.version {
 		m.Document, state.version = document.Bytes, document.Version
 	}
--- a/internal/control/portalstate/machine.go
+++ b/internal/control/portalstate/machine.go
@@ -1,5 +1,6 @@
 // Package portalstate is the replicated state of the portal: the operators' document with the
-// highest committed version, and the addresses of the voters that were moved to another host.
+// highest committed version, the addresses of the voters that were moved to another host, and the keys of
+// requests that are held back.
 package portalstate
 
 import (
@@ -39,6 +40,7 @@
 type command struct {
 	Document *Document `cbor:"1,keyasint,omitempty"`
 	Voter    *Voter    `cbor:"2,keyasint,omitempty"`
+	Hold     *Hold     `cbor:"3,keyasint,omitempty"`
 }
 
 func encode(c command) ([]byte, error) {
@@ -50,6 +52,9 @@
 type snapshot struct {
 	Document Document `cbor:"1,keyasint"`
 	Voters   []Voter  `cbor:"2,keyasint,omitempty"`
+	Holds    []Hold   `cbor:"3,keyasint,omitempty"`
+	// HoldsIndex is the index of the last command that changed Holds.
+	HoldsIndex uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Result is the effect of a committed command.
@@ -68,7 +73,10 @@
 	mu       sync.Mutex
 	document Document
 	voters   map[host.ID]Voter
-	changed  chan struct{}
+	holds    map[uint64]Hold
+	// holdsIndex is the index of the last command that changed holds.
+	holdsIndex uint64
+	changed    chan struct{}
 }
 
 // Apply implements replication.StateMachine. A document whose version is not above the one in
@@ -83,6 +91,9 @@
 	if c.Voter != nil {
 		m.moveVoter(*c.Voter)
 	}
+	if c.Hold != nil {
+		m.applyHold(index, *c.Hold)
+	}
 	if c.Document == nil || c.Document.Version <= m.document.Version {
 		return Result{Index: index, Version: m.document.Version}
 	}
@@ -113,7 +124,11 @@
 
 // Snapshot implements replication.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
-	data, err := cbor.Marshal(snapshot{Document: m.Current(), Voters: m.MovedVoters()})
+	s := snapshot{Document: m.Current(), Voters: m.MovedVoters()}
+	m.mu.Lock()
+	s.Holds, s.HoldsIndex = m.sortedHolds(), m.holdsIndex
+	m.mu.Unlock()
+	data, err := cbor.Marshal(s)
 	return data, errors.Wrap(err, "encode snapshot")
 }
 
@@ -129,6 +144,7 @@
 	for _, voter := range s.Voters {
 		m.moveVoter(voter)
 	}
+	m.restoreHolds(s.HoldsIndex, s.Holds)
 	if s.Document.Version > m.document.Version {
 		m.document = s.Document
 		m.notify()
@@ -152,7 +168,8 @@
 	return m.document
 }
 
-// Changed returns a channel that is closed at the next change of the document or of a voter.
+// Changed returns a channel that is closed at the next change of the document, of a voter or of
+// the held keys.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -41,9 +41,14 @@
 	startedAt      time.Time
 	forecast       time.Duration
 	exchange       *upstream.Exchange
-	// streamed says that the first event has arrived.
-	streamed bool
-	result   balance.Result
+	// streamed says that the first event has arrived, at firstEventAt.
+	streamed     bool
+	firstEventAt time.Time
+	// harmless says that the response shows that the request doesn't crash the endpoint.
+	harmless bool
+	// crashed says that the endpoint has ended since it broke the attempt off, once crashChecked is set.
+	crashed, crashChecked bool
+	result                balance.Result
 	// responseTimeout is how long the endpoint may take to begin its response before it counts as
 	// silent; 0 is no limit.
 	responseTimeout time.Duration
@@ -294,6 +299,9 @@
 	g := a.call.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if r == balance.ResultSuccess || r == balance.ResultServerError {
+		a.recordHarmless(now)
+	}
 	g.balancer.RequestEnded(a.endpoint.ID, a.balanceRequest, a.streamed, r, now)
 	g.balancer.ProcessQueue(now)
 }
--- a/internal/entry/gateway/crash.go
+++ b/internal/entry/gateway/crash.go
@@ -2,90 +2,186 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/egretreach/egretreach/internal/entry/balance"
+	"github.com/egretreach/egretreach/internal/entry/suspicion"
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
 const (
-	// quarantineRetryAfter is the Retry-After of a quarantined request.
-	quarantineRetryAfter = 2 * time.Second
-	// maxUnreportedCrashes bounds the crashes kept for the next report to control. Further
-	// ones are dropped.
-	maxUnreportedCrashes = 64
-)
-
-// maxLoggedParts and maxLoggedPart bound the parts of a prompt in one log line, and each of them in bytes.
-const (
+	// minHeldRetryAfter is the least Retry-After of a request that is held back.
+	minHeldRetryAfter = 2 * time.Second
+	// crashConfirmTime is how long after a request was broken off control may find that its endpoint has
+	// ended.
+	crashConfirmTime = 4 * time.Second
+	// maxUnconfirmed bounds the requests that were broken off by endpoints that may not have ended.
+	maxUnconfirmed = 64
+	// maxLoggedParts and maxLoggedPart bound the parts of a prompt in one log line, and each of them in bytes.
 	maxLoggedParts = 16
 	maxLoggedPart  = 40
 )
 
-// logCrash logs that an attempt was broken off, and what can show why.
-func (c *call) logCrash(a *attempt, refuses bool) {
-	parts := make([]string, 0, maxLoggedParts)
-	for _, part := range c.parts[:min(len(c.parts), maxLoggedParts)] {
-		parts = append(parts, part[:min(len(part), maxLoggedPart)])
-	}
-	event.CrashSeen.On(c.g.opts.Logger).Str("request", c.id).Str("endpoint", a.endpoint.ID).Int64("started", a.endpoint.StartedMs).
-		Bool("streamed", a.streamed).Bool("refuses", refuses).Strs("parts", parts).Msg("")
-}
+// maxCrashCount is the number of endpoints that may crash soon after they began to answer a request. The
+// request is not sent to another one then: it is likely the cause.
+const maxCrashCount = 2
+
+const reasonHeld = "held back: endpoints have crashed under requests like it"
 
-// crash is a crash of an endpoint with a request that the endpoint may have begun to run.
-type crash struct {
-	endpoint    string
-	startedMs   int64
-	fingerprint uint64
-	at          time.Time
+// brokenRequest is a request that its endpoint has broken off.
+type brokenRequest struct {
+	endpoint roster.Endpoint
+	scope    string
+	keys     []suspicion.Key
+	sentAt   time.Time
+	at       time.Time
 }
 
-// fingerprint returns a hash of the request's team, method, target and body, which is the same
-// when a caller resends it.
-func (c *call) fingerprint() uint64 {
-	h := xxh3.New()
+// scope returns the service and model of the request.
+func (c *call) scope() string { return c.service + "/" + c.model }
+
+// setKeys sets the keys by which the request is held back if it crashes endpoints.
+func (c *call) setKeys() {
+	id := suspicion.Identity{Scope: c.scope(), Method: c.request.Method, Target: c.request.Target, Body: c.request.Body, Parts: c.parts}
 	if c.team != nil {
-		_, _ = h.WriteString(c.team.Name) // Writing to a hash never fails.
+		id.Team = c.team.Name
 	}
-	_, _ = h.WriteString("\n" + c.request.Method + " " + c.request.Target + "\n")
-	_, _ = h.Write(c.request.Body)
-	return h.Sum64()
+	c.keys = id.Keys()
 }
 
-// isQuarantined reports whether control has quarantined the request, because endpoints crashed
-// while they ran it.
-func (c *call) isQuarantined() bool {
+// refuseHeld refuses the request and returns true if control holds it back.
+func (c *call) refuseHeld() bool {
 	c.g.mu.Lock()
-	none := len(c.g.quarantined) == 0
+	held, ok := c.g.observer.Held(c.keys)
+	c.onTrial = !ok && c.g.observer.IsHeld(c.keys)
 	c.g.mu.Unlock()
-	if none {
+	if !ok {
 		return false
 	}
-	fingerprint := c.fingerprint()
+	c.g.metrics.heldBack.Inc(1)
+	c.stats.heldKey = strconv.FormatUint(held.Key, 16)
+	c.refuse(max(held.For, minHeldRetryAfter), reasonHeld)
+	return true
+}
+
+// isHeldMeanwhile reports whether control holds the request back since the gateway let it through.
+func (c *call) isHeldMeanwhile() bool {
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
-	return c.g.quarantined[fingerprint]
+	return !c.onTrial && c.g.observer.IsHeld(c.keys)
+}
+
+// mustNotRepeat reports whether the request must not be sent once more because control holds it back.
+func (c *call) mustNotRepeat() bool { return c.onTrial || c.isHeldMeanwhile() }
+
+// releaseHeld ends an attempt that has not been sent if control holds the request back meanwhile. It returns
+// the refusal and true then.
+func (c *call) releaseHeld(a *attempt) (balance.Decision, bool) {
+	if !c.isHeldMeanwhile() {
+		return balance.Decision{}, false
+	}
+	a.end(balance.ResultCanceled)
+	return balance.Decision{Refused: true, RetryAfter: minHeldRetryAfter, Reason: reasonHeld}, true
 }
 
-// mayHaveCrashed reports whether the request may have crashed its endpoint: the attempt ended
-// with ResultInvalidResponse before an event had arrived, and nothing listens at the endpoint's
-// address now. It records the crash for the next report to control. Such a request must not be
-// retried, unless a part of the response has been sent to the caller already.
+// mayHaveCrashed reports whether the request may have crashed its endpoint: the attempt was broken off before
+// an event had arrived, and the endpoint has ended. Such a request must not be retried, unless a part of the
+// response has been sent to the caller already.
 func (c *call) mayHaveCrashed(ctx context.Context, a *attempt) bool {
+	return c.hasCrashed(ctx, a) && !a.streamed
+}
+
+// hasCrashed reports whether the attempt was broken off and nothing listens at its endpoint's address now. It
+// records that for the next report to control.
+func (c *call) hasCrashed(ctx context.Context, a *attempt) bool {
 	if a.result != balance.ResultInvalidResponse || ctx.Err() != nil {
 		return false
 	}
-	refuses := c.g.upstream.RefusesConnections(ctx, a.endpoint.Address)
-	c.logCrash(a, refuses)
-	if a.streamed || !refuses {
-		return false
+	if !a.crashChecked {
+		a.crashChecked = true
+		a.crashed = c.g.knowsCrash(a.endpoint) || c.g.upstream.RefusesConnections(ctx, a.endpoint.Address)
+		c.recordBroken(a)
 	}
-	c.g.mu.Lock()
-	defer c.g.mu.Unlock()
-	if len(c.g.crashes) < maxUnreportedCrashes {
-		c.g.crashes = append(c.g.crashes, crash{a.endpoint.ID, a.endpoint.StartedMs, c.fingerprint(), time.Now()})
+	return a.crashed
+}
+
+// knowsCrash reports whether an endpoint is known to have ended in a crash.
+func (g *Gateway) knowsCrash(e roster.Endpoint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.observer.HasEnded(e.Incarnation())
+}
+
+// recordBroken records an attempt that was broken off, if its endpoint has crashed or may have. A request
+// whose response has gone on for suspicion.SuspectTime is left out.
+func (c *call) recordBroken(a *attempt) {
+	now := time.Now()
+	c.logCrash(a)
+	if a.streamed && now.Sub(a.firstEventAt) > suspicion.SuspectTime {
+		return
 	}
-	return true
+	if a.crashed {
+		c.crashCount++
+	}
+	b := brokenRequest{endpoint: a.endpoint, scope: c.scope(), keys: c.keys, sentAt: a.startedAt, at: now}
+	g := c.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if a.crashed {
+		g.observer.Crashed(b.endpoint.Incarnation(), b.scope, b.keys, b.sentAt, now)
+		return
+	}
+	if len(g.unconfirmed) < maxUnconfirmed {
+		g.unconfirmed = append(g.unconfirmed, b)
+	}
+}
+
+// confirmCrashes records the crashes of endpoints that control has found dead, or that have started again. mu
+// must be held.
+func (g *Gateway) confirmCrashes(lost []string, now time.Time) {
+	g.unconfirmed = slices.DeleteFunc(g.unconfirmed, func(b brokenRequest) bool {
+		known, ok := g.roster.Get(b.endpoint.ID)
+		restarted := ok && known.StartedMs > b.endpoint.StartedMs
+		if restarted || slices.Contains(lost, b.endpoint.ID) {
+			g.observer.Crashed(b.endpoint.Incarnation(), b.scope, b.keys, b.sentAt, b.at)
+			return true
+		}
+		return now.Sub(b.at) > crashConfirmTime
+	})
+}
+
+// recordHarmless records that the endpoint has answered the request and goes on.
+func (a *attempt) recordHarmless(now time.Time) {
+	if a.harmless {
+		return
+	}
+	a.harmless = true
+	a.call.g.observer.Completed(a.call.scope(), a.call.keys, now)
+}
+
+// logCrash logs that an attempt was broken off, and what can show why.
+func (c *call) logCrash(a *attempt) {
+	parts := make([]string, 0, maxLoggedParts)
+	for _, part := range c.parts[:min(len(c.parts), maxLoggedParts)] {
+		parts = append(parts, part[:min(len(part), maxLoggedPart)])
+	}
+	keys := make([]string, 0, maxLoggedParts+1)
+	for _, key := range c.keys[:min(len(c.keys), maxLoggedParts+1)] {
+		keys = append(keys, strconv.FormatUint(key.Hash, 16))
+	}
+	event.CrashSeen.On(c.g.opts.Logger).Str("request", c.id).Str("endpoint", a.endpoint.ID).Int64("started", a.endpoint.StartedMs).
+		Bool("streamed", a.streamed).Bool("refuses", a.crashed).Str("scope", c.scope()).Strs("parts", parts).Strs("keys", keys).Msg("")
+}
+
+// applyHolds takes over from control which requests are held back and watched. mu must be held.
+func (g *Gateway) applyHolds(update *message.Picture, now time.Time) {
+	if update.Watching != nil {
+		g.watched = update.Watching.Keys
+	}
+	g.observer.SetView(update.Held, g.watched)
+	g.confirmCrashes(update.Lost, now)
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/egretreach/egretreach/internal/entry/balance"
 	"github.com/egretreach/egretreach/internal/entry/dialect"
+	"github.com/egretreach/egretreach/internal/entry/suspicion"
 	"github.com/egretreach/egretreach/internal/entry/upstream"
 	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
@@ -80,7 +81,7 @@
 	tableSince atomic.Pointer[time.Time]
 	metrics    gatewayMetrics
 
-	// mu guards the fields up to quarantined.
+	// mu guards the fields up to unconfirmed.
 	mu           sync.Mutex
 	balancer     balance.Balancer
 	roster       roster.Roster
@@ -88,10 +89,11 @@
 	demand       map[string]*demand
 
 	seeds []string
-	// crashes are those since the last report.
-	crashes []crash
-	// quarantined holds the fingerprints of quarantined requests.
-	quarantined    map[uint64]bool
+	// observer watches for requests that crash endpoints. watched are the keys that control watches, and
+	// unconfirmed the requests broken off by endpoints that may not have ended.
+	observer       suspicion.Observer
+	watched        []uint64
+	unconfirmed    []brokenRequest
 	callerTimeouts callerTimeouts
 	upstream       upstream.Pool
 	requestCount   atomic.Uint64
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/egretreach/egretreach/internal/entry/balance"
 	"github.com/egretreach/egretreach/internal/entry/dialect"
+	"github.com/egretreach/egretreach/internal/entry/suspicion"
 	"github.com/egretreach/egretreach/internal/entry/upstream"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 )
@@ -34,7 +35,11 @@
 	request *upstream.Request
 	usage   dialect.Usage
 	// parts are the IDs of the parts of the prompt that other requests may share.
-	parts    []string
+	parts []string
+	// keys identify what may crash endpoints: the whole request, or a part of the prompt.
+	keys []suspicion.Key
+	// onTrial says that control lets the request through although a key of it is held back.
+	onTrial  bool
 	service  string
 	model    string
 	priority int
@@ -56,6 +61,8 @@
 	pending *standby
 	// crashed says that a standby's endpoint may have crashed under the request.
 	crashed bool
+	// crashCount counts the endpoints that crashed soon after they began to answer the request.
+	crashCount int
 	// nextStandbyAt is the earliest time of the next standby.
 	nextStandbyAt time.Time
 	// noStandbyLogged says that the log shows why no standby was started.
@@ -84,6 +91,8 @@
 	resumes int
 	// noRetry says why no other endpoint was tried after the last failure.
 	noRetry string
+	// heldKey is the key by which the request is held back, or empty.
+	heldKey string
 	// availability is set for a refusal.
 	availability balance.Availability
 }
@@ -122,8 +131,8 @@
 		c.refuse(stoppingRetryAfter, "stopping")
 		return
 	}
-	if c.isQuarantined() {
-		c.refuse(quarantineRetryAfter, "held back: endpoints have crashed under it")
+	c.setKeys()
+	if c.refuseHeld() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/internal/entry/gateway/metrics.go
+++ b/internal/entry/gateway/metrics.go
@@ -24,6 +24,7 @@
 	leaving  metrics.Counter
 	busy     metrics.Counter
 	avoided  metrics.Counter
+	heldBack metrics.Counter
 }
 
 func newGatewayMetrics(r *metric.Registry) gatewayMetrics {
@@ -40,6 +41,7 @@
 		leaving:  r.Counter("gateway_leaving_notices_total", "Endpoints that said in a response that they leave."),
 		busy:     r.Counter("gateway_busy_notices_total", "Responses by which endpoints asked for no requests for a time."),
 		avoided:  r.Counter("gateway_avoided_total", "Requests sent elsewhere because an endpoint leaves or is busy."),
+		heldBack: r.Counter("gateway_held_back_total", "Requests refused because requests like them crash endpoints."),
 	}
 }
 
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -91,6 +91,8 @@
 		return reasonEnded
 	case c.crashed:
 		return reasonCrashed
+	case c.mustNotRepeat():
+		return reasonHeld
 	case c.sends() >= max(c.route.MaxAttempts, 1):
 		return reasonAttempts
 	case c.stats.tries >= maxTries:
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -133,6 +133,9 @@
 		entry = entry.Int("serving", s.availability.Serving).Int("banned", s.availability.Banned).
 			Int("leaving", s.availability.Leaving).Int("busy", s.availability.Busy).Float64("occupied", s.availability.Occupied).Dur("soonest", s.availability.EarliestForecast)
 	}
+	if s.heldKey != "" {
+		entry = entry.Str("key", s.heldKey)
+	}
 	if s.noRetry != "" {
 		entry = entry.Str("no_retry", s.noRetry)
 	}
--- a/internal/entry/gateway/standby.go
+++ b/internal/entry/gateway/standby.go
@@ -89,6 +89,9 @@
 	if a == nil {
 		return attemptResult{decision: d}
 	}
+	if d, held := c.releaseHeld(a); held {
+		return attemptResult{decision: d}
+	}
 	prepare(a)
 	o, err := a.run(ctx, plan.lastEventID)
 	return attemptResult{attempt: a, decision: d, outcome: o, err: err}
@@ -145,6 +148,10 @@
 		s.result.decision = d
 		return
 	}
+	if d, held := s.call.releaseHeld(a); held {
+		s.result.decision = d
+		return
+	}
 	if !s.call.tryRetry() {
 		a.end(balance.ResultCanceled)
 		s.result.decision = balance.Decision{Refused: true, Reason: reasonBudget}
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/entry/balance"
+	"github.com/egretreach/egretreach/internal/entry/suspicion"
 	"github.com/egretreach/egretreach/internal/entry/upstream"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
@@ -121,10 +122,7 @@
 // endpointCrashed reports whether the endpoint of a stream that has begun is found to be gone, though
 // control has not said so yet.
 func (s *streamCall) endpointCrashed(ctx context.Context, a *attempt) bool {
-	if !a.streamed || a.result != balance.ResultInvalidResponse || ctx.Err() != nil || s.endpointGone(a) {
-		return false
-	}
-	return s.g.upstream.RefusesConnections(ctx, a.endpoint.Address)
+	return a.streamed && !s.endpointGone(a) && s.hasCrashed(ctx, a)
 }
 
 // noRetryReason returns why the stream must not be tried at another endpoint, or an empty string if
@@ -133,8 +131,10 @@
 	switch {
 	case ctx.Err() != nil:
 		return reasonEnded
-	case s.crashed && !s.headerSent:
+	case s.crashed && !s.headerSent, s.crashCount >= maxCrashCount:
 		return reasonCrashed
+	case s.mustNotRepeat():
+		return reasonHeld
 	case s.mayHaveRun && !s.route.Retryable():
 		return reasonOnce
 	case s.sends()-s.lostAttempts >= max(s.route.MaxAttempts, 1):
@@ -202,9 +202,12 @@
 	defer s.g.mu.Unlock()
 	if a.streamed {
 		s.g.balancer.DataReceived(a.endpoint.ID, now)
+		if now.Sub(a.firstEventAt) > suspicion.SuspectTime {
+			a.recordHarmless(now)
+		}
 		return
 	}
-	a.streamed = true
+	a.streamed, a.firstEventAt = true, now
 	s.g.balancer.FirstEventReceived(a.endpoint.ID, a.balanceRequest, a.forecast, now.Sub(a.startedAt), now)
 }
 
--- a/internal/entry/gateway/subscription.go
+++ b/internal/entry/gateway/subscription.go
@@ -106,6 +106,9 @@
 	if err := stream.Send(&message.Subscribe{FailureDomain: string(g.opts.FailureDomain)}); err != nil {
 		return err.Error()
 	}
+	g.mu.Lock()
+	g.observer.Resubscribed()
+	g.mu.Unlock()
 	event.ControlFollowed.On(g.opts.Logger).Str("address", address).Msg("")
 	ended := make(chan struct{})
 	defer close(ended)
@@ -179,10 +182,7 @@
 	g.dropReplaced(changed)
 	g.balancer.UpdateEndpoints(changed)
 	g.balancer.MarkLost(update.Lost, now)
-	g.quarantined = map[uint64]bool{}
-	for _, fingerprint := range update.Quarantined {
-		g.quarantined[fingerprint] = true
-	}
+	g.applyHolds(update, now)
 	if update.Gateways > 0 {
 		g.balancer.Gateways = update.Gateways
 	}
@@ -226,7 +226,7 @@
 	}
 }
 
-// composeReport returns the next report. It resets the demand and the crashes reported.
+// composeReport returns the next report. It resets the demand and what is reported once.
 func (g *Gateway) composeReport(now time.Time) *message.GatewayReport {
 	r := &message.GatewayReport{Requests: g.requestCount.Load()}
 	g.mu.Lock()
@@ -238,11 +238,6 @@
 		r.Demand = append(r.Demand, message.Demand{Model: model, EngineTime: balance.EngineTime(d.engine, model, d.usage)})
 	}
 	clear(g.demand)
-	for _, c := range g.crashes {
-		r.Crashes = append(r.Crashes, message.Crash{
-			Endpoint: c.endpoint, StartedMs: c.startedMs, Fingerprint: c.fingerprint, Age: now.Sub(c.at),
-		})
-	}
-	g.crashes = nil
+	g.observer.Report(r, now)
 	return r
 }
--- /dev/null
+++ b/internal/entry/suspicion/observer.go
@@ -0,0 +1,215 @@
+package suspicion
+
+import (
+	"slices"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+const (
+	// SuspectTime is how long after the beginning of its response a request is suspected if its endpoint
+	// crashes. A request that has been answered for longer is proven harmless.
+	SuspectTime = time.Second
+	// crashTime is how long a crash is kept, to be reported to another control host.
+	crashTime = 10 * time.Minute
+	// maxCrashes bounds the crashes that are kept, maxSuspects the keys of each, and maxScopes the scopes
+	// whose completed requests are counted.
+	maxCrashes  = 64
+	maxSuspects = 512
+	maxScopes   = 64
+	// maxRefused bounds the keys in one report of refused requests.
+	maxRefused = 64
+	// mergeTime is the time in which all requests at an endpoint break when it crashes. The crash is reported
+	// after that.
+	mergeTime = 50 * time.Millisecond
+)
+
+// Observer watches the requests of one gateway for those that crash endpoints: it records the crashes and
+// the requests that complete, for reports to control, and says which requests control holds back.
+//
+// The zero value is ready to use. It reads no clock and is not safe for concurrent use.
+type Observer struct {
+	crashes []*seenCrash
+	history map[string]*history
+	held    map[uint64]message.HeldKey
+	// tried holds the number of the last trial for which a request was let through, by key.
+	tried   map[uint64]uint64
+	watched []uint64
+	refused map[uint64]bool
+}
+
+// seenCrash is the end of an incarnation, seen by the requests that it broke off.
+type seenCrash struct {
+	incarnation roster.Incarnation
+	scope       string
+	at          time.Time
+	requests    int
+	suspects    map[Key]time.Time
+	reported    bool
+}
+
+// SetView replaces what control holds back and watches.
+func (o *Observer) SetView(held []message.HeldKey, watched []uint64) {
+	o.held = make(map[uint64]message.HeldKey, len(held))
+	for _, h := range held {
+		o.held[h.Key] = h
+	}
+	for key := range o.tried {
+		if _, ok := o.held[key]; !ok {
+			delete(o.tried, key)
+		}
+	}
+	o.watched = watched
+}
+
+// Held returns the held key of a request, if there is one. A request that control lets through as a trial
+// is not held; another one with the same key is.
+func (o *Observer) Held(keys []Key) (message.HeldKey, bool) {
+	if len(o.held) == 0 {
+		return message.HeldKey{}, false
+	}
+	var trials []message.HeldKey
+	for _, key := range keys {
+		h, ok := o.held[key.Hash]
+		if !ok {
+			continue
+		}
+		if h.Trial == 0 || o.tried[h.Key] == h.Trial {
+			o.refuse(h.Key)
+			return h, true
+		}
+		trials = append(trials, h)
+	}
+	for _, h := range trials {
+		if o.tried == nil {
+			o.tried = map[uint64]uint64{}
+		}
+		o.tried[h.Key] = h.Trial
+	}
+	return message.HeldKey{}, false
+}
+
+// refuse records a refused request for the next report.
+func (o *Observer) refuse(key uint64) {
+	if o.refused == nil {
+		o.refused = map[uint64]bool{}
+	}
+	if len(o.refused) < maxRefused {
+		o.refused[key] = true
+	}
+}
+
+// IsHeld reports whether a request that was let through must not be sent once more.
+func (o *Observer) IsHeld(keys []Key) bool {
+	return slices.ContainsFunc(keys, func(key Key) bool {
+		_, held := o.held[key.Hash]
+		return held
+	})
+}
+
+// Completed records a request that has proven harmless.
+func (o *Observer) Completed(scope string, keys []Key, now time.Time) {
+	h := o.history[scope]
+	if h == nil {
+		if len(o.history) >= maxScopes {
+			return
+		}
+		if o.history == nil {
+			o.history = map[string]*history{}
+		}
+		h = &history{}
+		o.history[scope] = h
+	}
+	h.add(keys, now)
+}
+
+// HasEnded reports whether an incarnation is known to have ended in a crash.
+func (o *Observer) HasEnded(incarnation roster.Incarnation) bool { return o.find(incarnation) != nil }
+
+func (o *Observer) find(incarnation roster.Incarnation) *seenCrash {
+	i := slices.IndexFunc(o.crashes, func(c *seenCrash) bool { return c.incarnation == incarnation })
+	if i < 0 {
+		return nil
+	}
+	return o.crashes[i]
+}
+
+// Crashed records a request that was broken off by the crash of its endpoint.
+func (o *Observer) Crashed(incarnation roster.Incarnation, scope string, keys []Key, sentAt, now time.Time) {
+	c := o.find(incarnation)
+	if c == nil {
+		o.crashes = slices.DeleteFunc(o.crashes, func(old *seenCrash) bool { return now.Sub(old.at) > crashTime })
+		if len(o.crashes) >= maxCrashes {
+			o.crashes = slices.Delete(o.crashes, 0, 1)
+		}
+		c = &seenCrash{incarnation: incarnation, scope: scope, at: now, suspects: map[Key]time.Time{}}
+		o.crashes = append(o.crashes, c)
+	}
+	c.requests++
+	for _, key := range keys {
+		if last, known := c.suspects[key]; sentAt.After(last) && (known || len(c.suspects) < maxSuspects) {
+			c.suspects[key] = sentAt
+		}
+	}
+}
+
+// Resubscribed makes the next report contain all crashes that are kept, since it goes to another control
+// host.
+func (o *Observer) Resubscribed() {
+	for _, c := range o.crashes {
+		c.reported = false
+	}
+}
+
+// Report adds to a report what control must know.
+func (o *Observer) Report(r *message.GatewayReport, now time.Time) {
+	for _, c := range o.crashes {
+		if !c.reported && now.Sub(c.at) >= mergeTime {
+			c.reported = true
+			r.Crashes = append(r.Crashes, o.crashReport(c, now))
+		}
+	}
+	for key := range o.refused {
+		r.Refused = append(r.Refused, key)
+	}
+	slices.Sort(r.Refused)
+	clear(o.refused)
+	if len(o.watched) == 0 {
+		return
+	}
+	for scope, h := range o.history {
+		r.Completions = append(r.Completions, h.report(scope, o.watched, now))
+	}
+}
+
+// report sums up the completed requests of a scope.
+func (h *history) report(scope string, watched []uint64, now time.Time) message.Completions {
+	m := message.Completions{Scope: scope, Total: h.total(now)}
+	for _, key := range watched {
+		if c := h.withKey(key, now); c.count > 0 {
+			m.Watched = append(m.Watched, message.Suspect{Key: key, Completed: c.count, CompletedAge: now.Sub(c.lastAt)})
+		}
+	}
+	return m
+}
+
+func (o *Observer) crashReport(c *seenCrash, now time.Time) message.Crash {
+	m := message.Crash{
+		Endpoint: c.incarnation.ID, StartedMs: c.incarnation.StartedMs, Age: now.Sub(c.at), Scope: c.scope, Requests: c.requests,
+	}
+	h := o.history[c.scope]
+	if h != nil {
+		m.Completed = h.total(now)
+	}
+	for key, sentAt := range c.suspects {
+		s := message.Suspect{Key: key.Hash, Whole: key.Whole, SentAge: now.Sub(sentAt)}
+		if h != nil {
+			done := h.withKey(key.Hash, now)
+			s.Completed, s.CompletedAge = done.count, now.Sub(done.lastAt)
+		}
+		m.Suspects = append(m.Suspects, s)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/entry/suspicion/observer_test.go
@@ -0,0 +1,106 @@
+package suspicion
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+var observerStart = time.Unix(3_000_000, 0)
+
+func keysOf(parts ...string) []Key {
+	return Identity{Scope: "s/m", Body: []byte("x"), Parts: parts}.Keys()
+}
+
+// TestTrialLetsOneRequestThrough guards against a trial by which more than one request with a held part
+// reaches an endpoint, and against a request with two held parts that passes by a trial of one of them.
+func TestTrialLetsOneRequestThrough(t *testing.T) {
+	var o Observer
+	a, b := keysOf("a"), keysOf("a", "b")
+	held := func(aTrial uint64) []message.HeldKey {
+		return []message.HeldKey{{Key: a[1].Hash, Trial: aTrial}, {Key: b[2].Hash}}
+	}
+	o.SetView(held(0), nil)
+	_, refused := o.Held(a)
+	require.True(t, refused)
+	o.SetView(held(7), nil)
+	_, refused = o.Held(b)
+	require.True(t, refused, "its other part is held")
+	for _, want := range []bool{false, true, true} {
+		_, refused = o.Held(a)
+		require.Equal(t, want, refused)
+		o.SetView(held(7), nil)
+	}
+	o.SetView(held(8), nil)
+	_, refused = o.Held(a)
+	require.False(t, refused, "a new trial")
+	_, refused = o.Held(keysOf("c"))
+	require.False(t, refused)
+	var r message.GatewayReport
+	o.Report(&r, observerStart)
+	require.Len(t, r.Refused, 2)
+}
+
+// TestCrashIsReportedOnceToEachControlHost guards against crashes that a new leader doesn't learn of, and
+// against requests at the same endpoint that count as several crashes.
+func TestCrashIsReportedOnceToEachControlHost(t *testing.T) {
+	var o Observer
+	now := observerStart
+	o.Completed("s/m", keysOf("a"), now)
+	endpoint := roster.Incarnation{ID: "e", StartedMs: 1}
+	o.Crashed(endpoint, "s/m", keysOf("a"), now, now)
+	o.Crashed(endpoint, "s/m", keysOf("b"), now, now)
+	require.True(t, o.HasEnded(endpoint))
+	report := func(after time.Duration) []message.Crash {
+		var r message.GatewayReport
+		o.Report(&r, now.Add(after))
+		return r.Crashes
+	}
+	require.Empty(t, report(0), "more requests may break off")
+	crashes := report(time.Second)
+	require.Len(t, crashes, 1)
+	require.Equal(t, 2, crashes[0].Requests)
+	require.Equal(t, 1, crashes[0].Completed)
+	require.Len(t, crashes[0].Suspects, 3, "the requests, which are the same, and the two parts")
+	require.Empty(t, report(2*time.Second))
+	o.Resubscribed()
+	require.Equal(t, 3*time.Second, report(3 * time.Second)[0].Age)
+}
+
+// TestObserverIsBounded guards against crashes, keys and scopes without end that fill a gateway's memory.
+func TestObserverIsBounded(t *testing.T) {
+	var o Observer
+	now := observerStart
+	for i := range 3 * maxHistoryKeys {
+		keys := []Key{{Hash: uint64(i)}}
+		o.Completed("s/m", keys, now)
+		o.Completed(time.Duration(i).String(), keys, now)
+		o.Crashed(roster.Incarnation{ID: "e", StartedMs: int64(i / maxSuspects)}, "s/m", keys, now, now)
+		o.Crashed(roster.Incarnation{ID: "e", StartedMs: 0}, "s/m", keys, now, now)
+	}
+	require.LessOrEqual(t, len(o.crashes), maxCrashes)
+	require.LessOrEqual(t, len(o.history), maxScopes)
+	require.Len(t, o.history["s/m"].buckets[o.history["s/m"].current%int64(historyBuckets)].keys, maxHistoryKeys)
+	for _, c := range o.crashes {
+		require.LessOrEqual(t, len(c.suspects), maxSuspects)
+	}
+}
+
+// TestHistoryForgetsOldRequests guards against a part that once was harmless and is never blamed since, and
+// against a clock that jumps.
+func TestHistoryForgetsOldRequests(t *testing.T) {
+	var h history
+	keys := []Key{{Hash: 1}}
+	h.add(keys, observerStart)
+	h.add(keys, observerStart.Add(20*time.Second))
+	require.Equal(t, completed{2, observerStart.Add(20 * time.Second)}, h.withKey(1, observerStart.Add(30*time.Second)))
+	require.Equal(t, 1, h.withKey(1, observerStart.Add(historyTime+10*time.Second)).count)
+	require.Zero(t, h.total(observerStart.Add(2*historyTime)))
+	h.add(keys, observerStart.Add(24*time.Hour))
+	h.add(keys, observerStart)
+	require.Equal(t, 1, h.total(observerStart))
+}
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -35,4 +35,8 @@
 	// RevisionRedirected is logged in place of RevisionUnsure where another leader is known.
 	RevisionRedirected = register(146, "revision_redirected", log.InfoLevel)
 	RevisionRead       = register(147, "revision_read", log.InfoLevel)
+	CrashCounted       = register(148, "crash_counted", log.WarnLevel)
+	HoldTrial          = register(149, "hold_trial", log.InfoLevel)
+	HoldEnded          = register(150, "hold_ended", log.InfoLevel)
+	HoldUnsure         = register(151, "hold_unsure", log.WarnLevel)
 )
