quarantine: keep the blame for crashes in one place for portals and control

The decisions (Keeper), the replicated set of held keys (HoldSet) and the messages leave the portal; nothing changes but names, and the fields of reports and updates move into one structure each.

--- a/internal/control/portal/hold_log.go
+++ b/internal/control/portal/hold_log.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/control/portalstate"
+	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
@@ -16,10 +16,9 @@
 
 // countCrashes records the crashes and completed requests that a gateway reports. mu is held.
 func (p *Portal) countCrashes(gateway host.ID, r *message.GatewayReport, now time.Time) {
-	for _, c := range p.holds.add(gateway, r, now) {
+	for _, c := range p.holds.Add(gateway, r.Blame, now) {
 		p.metrics.crashes.Inc(1)
-		event.CrashCounted.On(p.opts.Logger).Str("endpoint", c.Endpoint).Int64("started", c.StartedMs).Str("gateway", string(gateway)).
-			Str("scope", c.Scope).Dur("age", c.Age).Int("requests", c.Requests).Int("suspects", len(c.Suspects)).Int("completed", c.Completed).Msg("")
+		quarantine.LogCrash(p.opts.Logger, gateway, c)
 		p.notifyLocked()
 	}
 }
@@ -28,55 +27,45 @@
 func (p *Portal) followHolds(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.holds.stepDown()
-	p.holds.sync(p.machine.Holds(), now)
+	p.holds.StepDown()
+	p.holds.Sync(p.machine.Holds(), now)
 }
 
 // judgeHolds decides which keys of requests are held back and proposes the changes to the log.
 func (p *Portal) judgeHolds(ctx context.Context, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.holds.sync(p.machine.Holds(), now)
-	for _, c := range p.holds.judge(now) {
+	p.holds.Sync(p.machine.Holds(), now)
+	for _, c := range p.holds.Judge(now) {
 		p.logHold(c)
 		p.notifyLocked()
 	}
-	for _, h := range p.holds.due(now) {
+	for _, h := range p.holds.Due(now) {
 		go p.proposeHold(ctx, h)
 	}
 }
 
-// formatKey formats the key of requests as all logs have it.
-func formatKey(key uint64) string { return strconv.FormatUint(key, 16) }
-
-func (p *Portal) logHold(c holdChange) {
-	key := formatKey(c.key)
-	switch cause := c.cause.(type) {
-	case blamed:
-		p.metrics.held.Inc(1)
-		event.RequestHeldBack.On(p.opts.Logger).Str("key", key).Str("scope", cause.Scope).Bool("whole", cause.Whole).
-			Int("crashes", cause.Crashes).Int("others", cause.Others).Float64("chance", cause.Chance).Int("strikes", 1).Dur("for", firstHold).Msg("")
-	case trialFailed:
+// logHold logs and counts a decision about a held key.
+func (p *Portal) logHold(c quarantine.HoldChange) {
+	c.Log(p.opts.Logger)
+	switch c.Cause.(type) {
+	case quarantine.Blamed, quarantine.TrialFailed:
 		p.metrics.held.Inc(1)
-		event.RequestHeldBack.On(p.opts.Logger).Str("key", key).Int("strikes", cause.strikes).Dur("for", holdTime(cause.strikes)).Msg("")
-	case trialStarted:
-		event.HoldTrial.On(p.opts.Logger).Str("key", key).Str("gateway", string(cause.gateway)).Uint64("trial", cause.number).Msg("")
-	case holdReleased:
+	case quarantine.Released:
 		p.metrics.released.Inc(1)
-		event.HoldEnded.On(p.opts.Logger).Str("key", key).Str("reason", cause.reason).Msg("")
 	}
 }
 
 // proposeHold proposes a change of a key's hold to the log. It is proposed again while it is not committed.
-func (p *Portal) proposeHold(ctx context.Context, h portalstate.Hold) {
+func (p *Portal) proposeHold(ctx context.Context, h quarantine.Hold) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	command, err := h.Encode()
+	command, err := portalstate.EncodeHold(h)
 	if err == nil {
 		err = p.proposeCommand(ctx, command)
 	}
 	if err != nil {
-		event.HoldUnsure.On(p.opts.Logger).Str("key", formatKey(h.Key)).Int("strikes", h.Strikes).Err(err).Msg("")
+		event.HoldUnsure.On(p.opts.Logger).Str("key", quarantine.FormatKey(h.Key)).Int("strikes", h.Strikes).Err(err).Msg("")
 	}
 }
 
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -19,6 +19,7 @@
 	"github.com/egretreach/egretreach/internal/control/formation"
 	"github.com/egretreach/egretreach/internal/control/journal"
 	"github.com/egretreach/egretreach/internal/control/portalstate"
+	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/control/replication"
 	"github.com/egretreach/egretreach/internal/fleet/host"
@@ -118,7 +119,7 @@
 	reports        map[host.ID]receivedReport
 	health         map[string]endpointHealth
 	demand         demandAverage
-	holds          holds
+	holds          quarantine.Keeper
 	trafficStarted bool
 	table          *routes.Table
 	stopping       bool
--- a/internal/control/portal/subscriber.go
+++ b/internal/control/portal/subscriber.go
@@ -104,10 +104,10 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	m := &message.Picture{Version: document.Version, Complete: complete, Leader: leader, Gateways: p.gatewayCount(now)}
-	p.holds.sync(p.machine.Holds(), now)
-	m.Held = p.holds.view(peer, now)
-	if watched := p.holds.watched(); complete || !slices.Equal(watched, state.watched) {
-		m.Watching, state.watched = &message.Watching{Keys: watched}, watched
+	p.holds.Sync(p.machine.Holds(), now)
+	m.Holds.Held = p.holds.View(peer, now)
+	if watched := p.holds.Watched(); complete || !slices.Equal(watched, state.watched) {
+		m.Holds.Watching, state.watched = &message.Watching{Keys: watched}, watched
 	}
 	if document.Version != state.version {
 		m.Document, state.version = document.Bytes, document.Version
--- a/internal/control/portalstate/machine.go
+++ b/internal/control/portalstate/machine.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 )
 
@@ -38,11 +39,14 @@
 
 // command is an entry of the log. Exactly one field is set.
 type command struct {
-	Document *Document `cbor:"1,keyasint,omitempty"`
-	Voter    *Voter    `cbor:"2,keyasint,omitempty"`
-	Hold     *Hold     `cbor:"3,keyasint,omitempty"`
+	Document *Document        `cbor:"1,keyasint,omitempty"`
+	Voter    *Voter           `cbor:"2,keyasint,omitempty"`
+	Hold     *quarantine.Hold `cbor:"3,keyasint,omitempty"`
 }
 
+// EncodeHold returns the command that holds a key of requests back, or releases it if there are no strikes.
+func EncodeHold(h quarantine.Hold) ([]byte, error) { return encode(command{Hold: &h}) }
+
 func encode(c command) ([]byte, error) {
 	data, err := cbor.Marshal(c)
 	return data, errors.Wrap(err, "encode command")
@@ -50,11 +54,9 @@
 
 // snapshot is the whole state.
 type snapshot struct {
-	Document Document `cbor:"1,keyasint"`
-	Voters   []Voter  `cbor:"2,keyasint,omitempty"`
-	Holds    []Hold   `cbor:"3,keyasint,omitempty"`
-	// HoldsIndex is the index of the last command that changed Holds.
-	HoldsIndex uint64 `cbor:"4,keyasint,omitempty"`
+	Document Document                `cbor:"1,keyasint"`
+	Voters   []Voter                 `cbor:"2,keyasint,omitempty"`
+	Holds    quarantine.HoldSnapshot `cbor:"3,keyasint"`
 }
 
 // Result is the effect of a committed command.
@@ -73,10 +75,8 @@
 	mu       sync.Mutex
 	document Document
 	voters   map[host.ID]Voter
-	holds    map[uint64]Hold
-	// holdsIndex is the index of the last command that changed holds.
-	holdsIndex uint64
-	changed    chan struct{}
+	holds    quarantine.HoldSet
+	changed  chan struct{}
 }
 
 // Apply implements replication.StateMachine. A document whose version is not above the one in
@@ -91,8 +91,8 @@
 	if c.Voter != nil {
 		m.moveVoter(*c.Voter)
 	}
-	if c.Hold != nil {
-		m.applyHold(index, *c.Hold)
+	if c.Hold != nil && m.holds.Apply(index, *c.Hold) {
+		m.notify()
 	}
 	if c.Document == nil || c.Document.Version <= m.document.Version {
 		return Result{Index: index, Version: m.document.Version}
@@ -126,7 +126,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	s := snapshot{Document: m.Current(), Voters: m.MovedVoters()}
 	m.mu.Lock()
-	s.Holds, s.HoldsIndex = m.sortedHolds(), m.holdsIndex
+	s.Holds = m.holds.Snapshot()
 	m.mu.Unlock()
 	data, err := cbor.Marshal(s)
 	return data, errors.Wrap(err, "encode snapshot")
@@ -144,7 +144,9 @@
 	for _, voter := range s.Voters {
 		m.moveVoter(voter)
 	}
-	m.restoreHolds(s.HoldsIndex, s.Holds)
+	if m.holds.Restore(s.Holds) {
+		m.notify()
+	}
 	if s.Document.Version > m.document.Version {
 		m.document = s.Document
 		m.notify()
@@ -161,6 +163,13 @@
 	})
 }
 
+// Holds returns the keys of requests that are held back, sorted.
+func (m *Machine) Holds() []quarantine.Hold {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holds.List()
+}
+
 // Current returns the document in force.
 func (m *Machine) Current() Document {
 	m.mu.Lock()
--- a/internal/control/portal/holds.go
+++ b/internal/control/quarantine/keeper.go
@@ -1,4 +1,4 @@
-package portal
+package quarantine
 
 import (
 	"cmp"
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/egretreach/egretreach/internal/control/portalstate"
-	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
 )
@@ -37,11 +35,12 @@
 	return d
 }
 
-// holds decides which keys of requests are held back because they crash endpoints. The keys are kept in the
+// Keeper decides which keys of requests are held back because they crash endpoints. The keys are kept in the
 // replicated log, so that a new leader and a restarted host hold them too; what is known of the crashes is
-// kept in memory, and gateways report it again to a new leader. The zero value is empty.
-type holds struct {
-	evidence quarantine.Evidence
+// kept in memory, and gateways report it again to a new leader. The zero value is empty. It reads no clock and is
+// not safe for concurrent use.
+type Keeper struct {
+	evidence Evidence
 	// keys are the held keys by the log.
 	keys map[uint64]heldKey
 	// proposals are changes that the log has yet to commit.
@@ -60,7 +59,7 @@
 
 // proposal is a change of a key's hold that is proposed to the log until it is committed.
 type proposal struct {
-	hold    portalstate.Hold
+	hold    Hold
 	triedAt time.Time
 }
 
@@ -78,8 +77,8 @@
 	crashed, completed bool
 }
 
-// add records what a gateway reports. It returns the crashes that are new to this host.
-func (h *holds) add(from host.ID, r *message.GatewayReport, now time.Time) []message.Crash {
+// Add records what a gateway reports. It returns the crashes that are new to this host.
+func (h *Keeper) Add(from host.ID, r message.Blame, now time.Time) []message.Crash {
 	var added []message.Crash
 	for _, c := range r.Crashes {
 		if h.evidence.Observe(h.observation(from, c, now)) {
@@ -87,7 +86,7 @@
 		}
 	}
 	for _, c := range r.Completions {
-		counts := quarantine.Completions{Scope: c.Scope, Total: c.Total, ByKey: map[uint64]int{}, At: now}
+		counts := Completions{Scope: c.Scope, Total: c.Total, ByKey: map[uint64]int{}, At: now}
 		for _, s := range c.Watched {
 			counts.ByKey[s.Key] = s.Completed
 			h.complete(s.Key, now.Add(-s.CompletedAge))
@@ -104,13 +103,13 @@
 }
 
 // observation converts a reported crash.
-func (h *holds) observation(from host.ID, c message.Crash, now time.Time) quarantine.Observation {
-	o := quarantine.Observation{
-		ID: quarantine.CrashID{Endpoint: c.Endpoint, StartedMs: c.StartedMs}, Observer: string(from), Scope: c.Scope, At: now.Add(-c.Age),
+func (h *Keeper) observation(from host.ID, c message.Crash, now time.Time) Observation {
+	o := Observation{
+		ID: CrashID{Endpoint: c.Endpoint, StartedMs: c.StartedMs}, Observer: string(from), Scope: c.Scope, At: now.Add(-c.Age),
 		Requests: c.Requests, Completed: c.Completed,
 	}
 	for _, s := range c.Suspects {
-		suspect := quarantine.Suspect{Key: s.Key, Whole: s.Whole, SentAt: now.Add(-s.SentAge), Completed: s.Completed}
+		suspect := Suspect{Key: s.Key, Whole: s.Whole, SentAt: now.Add(-s.SentAge), Completed: s.Completed}
 		if s.Completed > 0 {
 			suspect.CompletedAt = now.Add(-s.CompletedAge)
 		}
@@ -123,15 +122,15 @@
 }
 
 // complete records that a request with a key completed.
-func (h *holds) complete(key uint64, at time.Time) {
+func (h *Keeper) complete(key uint64, at time.Time) {
 	h.evidence.Complete(key, at)
 	if t := h.trials[key]; t != nil && at.After(t.at) {
 		t.completed = true
 	}
 }
 
-// sync takes over the held keys of the log.
-func (h *holds) sync(committed []portalstate.Hold, now time.Time) {
+// Sync takes over the held keys of the log.
+func (h *Keeper) Sync(committed []Hold, now time.Time) {
 	keys := make(map[uint64]heldKey, len(committed))
 	for _, c := range committed {
 		known, ok := h.keys[c.Key]
@@ -147,7 +146,7 @@
 }
 
 // isHeld reports whether a key is held, or will be.
-func (h *holds) isHeld(key uint64) bool {
+func (h *Keeper) isHeld(key uint64) bool {
 	if h.keys[key].strikes > 0 {
 		return true
 	}
@@ -156,59 +155,68 @@
 }
 
 // propose remembers a change of a key's hold.
-func (h *holds) propose(key uint64, strikes int) {
+func (h *Keeper) propose(key uint64, strikes int) {
 	if h.proposals == nil {
 		h.proposals = map[uint64]*proposal{}
 	}
-	h.proposals[key] = &proposal{hold: portalstate.Hold{Key: key, Strikes: strikes}}
+	h.proposals[key] = &proposal{hold: Hold{Key: key, Strikes: strikes}}
 }
 
-// holdChange is a decision about a held key.
-type holdChange struct {
-	key   uint64
-	cause holdCause
+// HoldChange is a decision about a held key.
+type HoldChange struct {
+	Key   uint64
+	Cause Cause
 }
 
-// holdCause is the cause of a holdChange: one of blamed, trialStarted, trialFailed and holdReleased.
-type holdCause interface{ holdCause() }
+// Cause is the cause of a HoldChange: one of Blamed, TrialStarted, TrialFailed and Released.
+type Cause interface{ cause() }
 
-// blamed is a key that is held from now on.
-type blamed struct{ quarantine.Blame }
+// Blamed is a key that is held from now on.
+type Blamed struct {
+	Blame
+	For time.Duration
+}
 
-// trialStarted is a request with a held key that a gateway may send.
-type trialStarted struct{ trial }
+// TrialStarted is a request with a held key that a gateway may send.
+type TrialStarted struct {
+	Number  uint64
+	Gateway host.ID
+}
 
-// trialFailed is a trial after which the key is held for longer.
-type trialFailed struct{ strikes int }
+// TrialFailed is a trial after which the key is held for longer.
+type TrialFailed struct {
+	Strikes int
+	For     time.Duration
+}
 
-// holdReleased is a key that is not held any more.
-type holdReleased struct{ reason string }
+// Released is a key that is not held any more.
+type Released struct{ Reason string }
 
-func (blamed) holdCause()       {}
-func (trialStarted) holdCause() {}
-func (trialFailed) holdCause()  {}
-func (holdReleased) holdCause() {}
+func (Blamed) cause()       {}
+func (TrialStarted) cause() {}
+func (TrialFailed) cause()  {}
+func (Released) cause()     {}
 
-// judge decides which keys are held, tried and released. Only the leader calls it.
-func (h *holds) judge(now time.Time) []holdChange {
-	var changes []holdChange
+// Judge decides which keys are held, tried and released. Only the leader calls it.
+func (h *Keeper) Judge(now time.Time) []HoldChange {
+	var changes []HoldChange
 	for _, b := range h.evidence.Judge(now, h.isHeld) {
 		h.propose(b.Key, 1)
-		changes = append(changes, holdChange{b.Key, blamed{b}})
+		changes = append(changes, HoldChange{b.Key, Blamed{b, firstHold}})
 	}
 	for _, key := range slices.Sorted(maps.Keys(h.keys)) {
 		if h.proposals[key] != nil {
 			continue
 		}
 		if cause := h.judgeHeld(key, now); cause != nil {
-			changes = append(changes, holdChange{key, cause})
+			changes = append(changes, HoldChange{key, cause})
 		}
 	}
 	return changes
 }
 
 // judgeHeld decides about a held key. It returns nil if nothing changes.
-func (h *holds) judgeHeld(key uint64, now time.Time) holdCause {
+func (h *Keeper) judgeHeld(key uint64, now time.Time) Cause {
 	held := h.keys[key]
 	t := h.trials[key]
 	over := now.Sub(held.since) - holdTime(held.strikes)
@@ -217,11 +225,11 @@
 	switch {
 	case t != nil && t.completed:
 		h.propose(key, 0)
-		return holdReleased{"a request with it completed"}
+		return Released{"a request with it completed"}
 	case t != nil && t.crashed:
 		delete(h.trials, key)
 		h.propose(key, held.strikes+1)
-		return trialFailed{held.strikes + 1}
+		return TrialFailed{held.strikes + 1, holdTime(held.strikes + 1)}
 	case over < 0 || t != nil && now.Sub(t.at) < trialTimeout:
 		return nil
 	case wanted:
@@ -230,32 +238,32 @@
 			h.trials = map[uint64]*trial{}
 		}
 		h.trials[key] = &started
-		return trialStarted{started}
+		return TrialStarted{started.number, started.gateway}
 	case over > idleHold && now.Sub(refused.at) > idleHold:
 		h.propose(key, 0)
-		return holdReleased{"no requests with it came"}
+		return Released{"no requests with it came"}
 	}
 	return nil
 }
 
-// due returns the changes to propose to the log now.
-func (h *holds) due(now time.Time) []portalstate.Hold {
-	var due []portalstate.Hold
+// Due returns the changes to propose to the log now.
+func (h *Keeper) Due(now time.Time) []Hold {
+	var due []Hold
 	for _, p := range h.proposals {
 		if now.Sub(p.triedAt) >= proposeRetry {
 			p.triedAt = now
 			due = append(due, p.hold)
 		}
 	}
-	slices.SortFunc(due, func(a, b portalstate.Hold) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(due, func(a, b Hold) int { return cmp.Compare(a.Key, b.Key) })
 	return due
 }
 
-// stepDown drops what only a leader decides. The next leader gets the crashes from the gateways.
-func (h *holds) stepDown() { h.proposals, h.trials = nil, nil }
+// StepDown drops what only a leader decides. The next leader gets the crashes from the gateways.
+func (h *Keeper) StepDown() { h.proposals, h.trials = nil, nil }
 
-// view returns the held keys for a gateway.
-func (h *holds) view(gateway host.ID, now time.Time) []message.HeldKey {
+// View returns the held keys for a gateway.
+func (h *Keeper) View(gateway host.ID, now time.Time) []message.HeldKey {
 	var all []message.HeldKey
 	for key, held := range h.keys {
 		k := message.HeldKey{Key: key, For: max(0, held.since.Add(holdTime(held.strikes)).Sub(now))}
@@ -273,8 +281,8 @@
 	return all
 }
 
-// watched returns the keys of which gateways must report completed requests.
-func (h *holds) watched() []uint64 {
+// Watched returns the keys of which gateways must report completed requests.
+func (h *Keeper) Watched() []uint64 {
 	keys := h.evidence.Watched()
 	for key := range h.trials {
 		keys = append(keys, key)
--- a/internal/entry/gateway/crash.go
+++ b/internal/entry/gateway/crash.go
@@ -179,9 +179,6 @@
 
 // applyHolds takes over from control which requests are held back and watched. mu must be held.
 func (g *Gateway) applyHolds(update *message.Picture, now time.Time) {
-	if update.Watching != nil {
-		g.watched = update.Watching.Keys
-	}
-	g.observer.SetView(update.Held, g.watched)
+	g.observer.SetHolds(update.Holds)
 	g.confirmCrashes(update.Lost, now)
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -89,10 +89,9 @@
 	demand       map[string]*demand
 
 	seeds []string
-	// observer watches for requests that crash endpoints. watched are the keys that control watches, and
-	// unconfirmed the requests broken off by endpoints that may not have ended.
+	// observer watches for requests that crash endpoints. unconfirmed are the
+	// requests broken off by endpoints that may not have ended.
 	observer       suspicion.Observer
-	watched        []uint64
 	unconfirmed    []brokenRequest
 	callerTimeouts callerTimeouts
 	upstream       upstream.Pool
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -238,20 +238,20 @@
 				require.Equal(t, 502, f.send("POST", path, "poison").status)
 				require.Equal(t, 1, f.runCount())
 				time.Sleep(100 * time.Millisecond)
-				report := f.g.composeReport(time.Now())
+				report := f.g.composeReport(time.Now()).Blame
 				require.Len(t, report.Crashes, 1)
 				require.Equal(t, 1, report.Crashes[0].Requests)
 				require.Len(t, report.Crashes[0].Suspects, 1)
 				held := message.HeldKey{Key: report.Crashes[0].Suspects[0].Key, For: 40 * time.Second}
 				for left, want := range map[time.Duration]string{40 * time.Second: "40", 0: "2"} {
 					held.For = left
-					f.g.applyUpdate(&message.Picture{Held: []message.HeldKey{held}})
+					f.g.applyUpdate(&message.Picture{Holds: message.Holds{Held: []message.HeldKey{held}}})
 					got := f.send("POST", path, "poison")
 					require.Equal(t, 503, got.status)
 					require.Equal(t, want, got.header.Get("Retry-After"))
 				}
 				require.Equal(t, 1, f.runCount())
-				require.Equal(t, []uint64{held.Key}, f.g.composeReport(time.Now()).Refused)
+				require.Equal(t, []uint64{held.Key}, f.g.composeReport(time.Now()).Blame.Refused)
 				require.NotEqual(t, "2", f.send("POST", path, "other").header.Get("Retry-After"))
 				f.g.applyUpdate(&message.Picture{})
 				require.NotEqual(t, "2", f.send("POST", path, "poison").header.Get("Retry-After"))
--- a/internal/entry/gateway/subscription.go
+++ b/internal/entry/gateway/subscription.go
@@ -238,6 +238,6 @@
 		r.Demand = append(r.Demand, message.Demand{Model: model, EngineTime: balance.EngineTime(d.engine, model, d.usage)})
 	}
 	clear(g.demand)
-	g.observer.Report(r, now)
+	r.Blame = g.observer.Report(now)
 	return r
 }
--- a/internal/entry/suspicion/observer.go
+++ b/internal/entry/suspicion/observer.go
@@ -50,10 +50,10 @@
 	reported    bool
 }
 
-// SetView replaces what control holds back and watches.
-func (o *Observer) SetView(held []message.HeldKey, watched []uint64) {
-	o.held = make(map[uint64]message.HeldKey, len(held))
-	for _, h := range held {
+// SetHolds replaces what control holds back and watches.
+func (o *Observer) SetHolds(holds message.Holds) {
+	o.held = make(map[uint64]message.HeldKey, len(holds.Held))
+	for _, h := range holds.Held {
 		o.held[h.Key] = h
 	}
 	for key := range o.tried {
@@ -61,7 +61,9 @@
 			delete(o.tried, key)
 		}
 	}
-	o.watched = watched
+	if holds.Watching != nil {
+		o.watched = holds.Watching.Keys
+	}
 }
 
 // Held returns the held key of a request, if there is one. A request that control lets through as a trial
@@ -163,8 +165,9 @@
 	}
 }
 
-// Report adds to a report what control must know.
-func (o *Observer) Report(r *message.GatewayReport, now time.Time) {
+// Report returns what control must know.
+func (o *Observer) Report(now time.Time) message.Blame {
+	var r message.Blame
 	for _, c := range o.crashes {
 		if !c.reported && now.Sub(c.at) >= mergeTime {
 			c.reported = true
@@ -177,11 +180,12 @@
 	slices.Sort(r.Refused)
 	clear(o.refused)
 	if len(o.watched) == 0 {
-		return
+		return r
 	}
 	for scope, h := range o.history {
 		r.Completions = append(r.Completions, h.report(scope, o.watched, now))
 	}
+	return r
 }
 
 // report sums up the completed requests of a scope.
--- a/internal/entry/suspicion/observer_test.go
+++ b/internal/entry/suspicion/observer_test.go
@@ -24,25 +24,23 @@
 	held := func(aTrial uint64) []message.HeldKey {
 		return []message.HeldKey{{Key: a[1].Hash, Trial: aTrial}, {Key: b[2].Hash}}
 	}
-	o.SetView(held(0), nil)
+	o.SetHolds(message.Holds{Held: held(0)})
 	_, refused := o.Held(a)
 	require.True(t, refused)
-	o.SetView(held(7), nil)
+	o.SetHolds(message.Holds{Held: held(7)})
 	_, refused = o.Held(b)
 	require.True(t, refused, "its other part is held")
 	for _, want := range []bool{false, true, true} {
 		_, refused = o.Held(a)
 		require.Equal(t, want, refused)
-		o.SetView(held(7), nil)
+		o.SetHolds(message.Holds{Held: held(7)})
 	}
-	o.SetView(held(8), nil)
+	o.SetHolds(message.Holds{Held: held(8)})
 	_, refused = o.Held(a)
 	require.False(t, refused, "a new trial")
 	_, refused = o.Held(keysOf("c"))
 	require.False(t, refused)
-	var r message.GatewayReport
-	o.Report(&r, observerStart)
-	require.Len(t, r.Refused, 2)
+	require.Len(t, o.Report(observerStart).Refused, 2)
 }
 
 // TestCrashIsReportedOnceToEachControlHost guards against crashes that a new leader doesn't learn of, and
@@ -55,11 +53,7 @@
 	o.Crashed(endpoint, "s/m", keysOf("a"), now, now)
 	o.Crashed(endpoint, "s/m", keysOf("b"), now, now)
 	require.True(t, o.HasEnded(endpoint))
-	report := func(after time.Duration) []message.Crash {
-		var r message.GatewayReport
-		o.Report(&r, now.Add(after))
-		return r.Crashes
-	}
+	report := func(after time.Duration) []message.Crash { return o.Report(now.Add(after)).Crashes }
 	require.Empty(t, report(0), "more requests may break off")
 	crashes := report(time.Second)
 	require.Len(t, crashes, 1)
