entry: hold back requests that share a message that crashes engines

The entry now uses the same Observer as the gateway, control the same Keeper and HoldSet as the portal: parts are the messages of a chat but the last. Reports travel with the renewals of the entry's lease, held keys with its grants; the agent numbers the engine's crashes.

The log gets one more command (Hold). A control host of an older build stops at it, as at any command that it doesn't know, until it is replaced too; it is proposed only once a key is blamed.

--- a/internal/agent/server/crash.go
+++ b/internal/agent/server/crash.go
@@ -43,13 +43,14 @@
 func (s *Server) handleCrash() {
 	s.mu.Lock()
 	assigned, _, _ := s.gate.AssignedReplica()
+	s.crashCount++
 	var suspects []uint64
 	seen := map[uint64]bool{}
 	for _, r := range s.running {
-		if r.dispatch.Generate == nil || r.crashed {
+		if r.dispatch.Generate == nil || r.crash > 0 {
 			continue
 		}
-		r.crashed = true
+		r.crash = s.crashCount
 		if hash := r.dispatch.BodyHash; !seen[hash] {
 			seen[hash] = true
 			suspects = append(suspects, hash)
--- a/internal/agent/server/dispatch.go
+++ b/internal/agent/server/dispatch.go
@@ -18,8 +18,8 @@
 type runningAttempt struct {
 	dispatch *message.Dispatch
 	cancel   context.CancelCauseFunc
-	// crashed is true if the engine crashed during the attempt.
-	crashed bool
+	// crash is the number of the engine's crash that ended the attempt, 0 if none did.
+	crash uint64
 }
 
 // serveDispatch serves one attempt that an entry dispatched: it runs the attempt
--- a/internal/agent/server/generate.go
+++ b/internal/agent/server/generate.go
@@ -60,7 +60,7 @@
 		go s.cancelAtEngine(r.dispatch.Ref)
 		return s.endForCause(ctx, r)
 	case engine.IsErrResponseCut(err) && (s.isCrashed(r) || s.detectCrash()):
-		return unknownEnd(codeEngineCrashed, err)
+		return s.crashedEnd(r, err)
 	case engine.IsErrResponseCut(err), engine.IsErrMissingTokens(err):
 		return unknownEnd(codeAnswerCut, err)
 	default:
@@ -72,7 +72,16 @@
 func (s *Server) isCrashed(r *runningAttempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return r.crashed
+	return r.crash > 0
+}
+
+// crashedEnd returns the End for an attempt that a crash of the engine has ended.
+func (s *Server) crashedEnd(r *runningAttempt, err error) *message.End {
+	end := unknownEnd(codeEngineCrashed, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end.Crash = r.crash
+	return end
 }
 
 // endForCause returns the End for an attempt whose context was canceled, by its
@@ -83,7 +92,7 @@
 	var stopped errStopped
 	switch {
 	case s.isCrashed(r):
-		return unknownEnd(codeEngineCrashed, cause)
+		return s.crashedEnd(r, cause)
 	case errors.As(cause, &closed):
 		return unknownEnd(closed.Code, cause)
 	case errors.As(cause, &stopped):
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -39,6 +39,8 @@
 	rejected      atomic.Uint64
 
 	mu sync.Mutex
+	// crashCount counts the crashes of the engine.
+	crashCount uint64
 	// runCtx is the context of Run.
 	runCtx   context.Context
 	stop     context.CancelCauseFunc
--- a/internal/control/quarantine/hold.go
+++ b/internal/control/quarantine/hold.go
@@ -54,6 +54,9 @@
 	return true
 }
 
+// Next returns the number after that of the last change.
+func (s *HoldSet) Next() uint64 { return s.number + 1 }
+
 // Restore replaces the set by a snapshot, unless that is older. It reports whether it did.
 func (s *HoldSet) Restore(snapshot HoldSnapshot) bool {
 	if snapshot.Number <= s.number {
--- a/internal/control/server/fleet_snapshot.go
+++ b/internal/control/server/fleet_snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/egretreach/egretreach/internal/control/membership"
+	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/control/state"
 	"github.com/egretreach/egretreach/internal/fleet/config"
 	"github.com/egretreach/egretreach/internal/fleet/host"
@@ -24,6 +25,7 @@
 	// replicaIndex is the index of each replica in replicas.
 	replicaIndex map[replica.ID]int
 	quarantine   []view.Quarantine
+	holds        []quarantine.Hold
 	// daemons holds copies of the entries of the membership table.
 	daemons map[host.ID]membership.Daemon
 	// reclaimableAt is the time from which no lease of the host's admitted incarnation can be
@@ -44,6 +46,7 @@
 		fleet.hosts = m.Hosts()
 		fleet.replicas = m.Replicas()
 		fleet.quarantine = m.Quarantine(now)
+		fleet.holds = m.Holds()
 		revision, yaml, _ := m.Config(0)
 		fleet.revision = revision
 		fleet.config = l.configCache.get(revision, yaml)
--- /dev/null
+++ b/internal/control/server/holds.go
@@ -0,0 +1,35 @@
+package server
+
+import (
+	"time"
+
+	"github.com/egretreach/egretreach/internal/control/quarantine"
+	"github.com/egretreach/egretreach/internal/control/state"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// holdCommands decides which requests are held back and returns the commands that record it. mu is held.
+func (l *leader) holdCommands(now time.Time, committed []quarantine.Hold) []state.Command {
+	l.keeper.Sync(committed, now)
+	for _, c := range l.keeper.Judge(now) {
+		c.Log(l.server.opts.Logger)
+	}
+	var commands []state.Command
+	for _, h := range l.keeper.Due(now) {
+		commands = append(commands, state.Hold{Hold: h})
+	}
+	return commands
+}
+
+// recordBlame records an entry's report of requests that crash engines, and returns the requests that it must
+// hold back. mu is held.
+func (l *leader) recordBlame(entry host.ID, blame *message.Blame, now time.Time) *message.Holds {
+	if blame != nil {
+		for _, c := range l.keeper.Add(entry, *blame, now) {
+			quarantine.LogCrash(l.server.opts.Logger, entry, c)
+		}
+		l.requestReconcile()
+	}
+	return &message.Holds{Held: l.keeper.View(entry, now), Watching: &message.Watching{Keys: l.keeper.Watched()}}
+}
--- a/internal/control/server/leader.go
+++ b/internal/control/server/leader.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/egretreach/egretreach/internal/control/membership"
+	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/control/quota"
 	"github.com/egretreach/egretreach/internal/control/state"
 	"github.com/egretreach/egretreach/internal/fleet/host"
@@ -38,6 +39,8 @@
 	configCache configCache
 	quota       *quota.Allocator
 	history     *placementHistory
+	// keeper decides which requests are held back since they crash engines.
+	keeper quarantine.Keeper
 }
 
 func newLeader(s *Server, term uint64) *leader {
@@ -122,7 +125,7 @@
 	for _, session := range l.sessions {
 		session.requestPush()
 	}
-	commands := admitCommands(l.table.Admissible(now))
+	commands := append(admitCommands(l.table.Admissible(now)), l.holdCommands(now, fleet.holds)...)
 	if lost := fleet.hostsToForget(); len(lost) > 0 {
 		for _, id := range lost {
 			l.table.StopGrants(id)
--- a/internal/control/server/session.go
+++ b/internal/control/server/session.go
@@ -187,7 +187,7 @@
 	if err := l.confirmLeadership(ctx); err != nil {
 		return err
 	}
-	shares, ok := l.recordRenewal(s, r)
+	grant, ok := l.recordRenewal(s, r)
 	if !ok {
 		// An empty grant informs the daemon that the leader is alive but grants no lease.
 		return s.stream.Send(&message.Grant{})
@@ -198,28 +198,28 @@
 	if err != nil {
 		return err
 	}
-	return s.stream.Send(&message.Grant{Grants: []message.LeaseGrant{{
-		Host: r.Host, Sequence: r.Sequence, Revision: revision, Shares: shares,
-	}}})
+	grant.Host, grant.Sequence, grant.Revision = r.Host, r.Sequence, revision
+	return s.stream.Send(&message.Grant{Grants: []message.LeaseGrant{grant}})
 }
 
 // recordRenewal records a renewal and requests a run of reconcile if the state of the daemon has
 // changed. It reports whether the lease is granted, and for an entry returns its shares of the
-// limits of the teams.
-func (l *leader) recordRenewal(s *session, r message.Renewal) (map[string]float64, bool) {
+// limits of the teams and the requests that it must hold back.
+func (l *leader) recordRenewal(s *session, r message.Renewal) (message.LeaseGrant, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before := significantState(l.table.Daemon(s.info.ID))
-	if !l.table.Renew(time.Now(), r) {
-		return nil, false
+	now := time.Now()
+	if !l.table.Renew(now, r) {
+		return message.LeaseGrant{}, false
 	}
 	if before != significantState(l.table.Daemon(s.info.ID)) {
 		l.requestReconcile()
 	}
 	if s.role != host.RoleEntry {
-		return nil, true
+		return message.LeaseGrant{}, true
 	}
-	return l.quota.Renew(time.Now(), r), true
+	return message.LeaseGrant{Shares: l.quota.Renew(now, r), Holds: l.recordBlame(s.info.ID, r.Blame, now)}, true
 }
 
 func (l *leader) orderDone(s *session, done message.OrderDone) {
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -131,6 +131,12 @@
 	BodyHash uint64 `cbor:"1,keyasint"`
 }
 
+// Hold holds the requests with a key back, since they crash engines, or releases them. Its result is
+// HoldChanged.
+type Hold struct {
+	Hold quarantine.Hold `cbor:"1,keyasint"`
+}
+
 // commandNumber identifies the type of a command in the log.
 type commandNumber uint8
 
@@ -152,6 +158,7 @@
 	commandClearQuarantine
 	commandLead
 	commandForget
+	commandHold
 )
 
 func (ApplyConfig) number() commandNumber     { return commandApplyConfig }
@@ -165,6 +172,7 @@
 func (Drain) number() commandNumber           { return commandDrain }
 func (Claim) number() commandNumber           { return commandClaim }
 func (Forget) number() commandNumber          { return commandForget }
+func (Hold) number() commandNumber            { return commandHold }
 func (Lead) number() commandNumber            { return commandLead }
 func (Settle) number() commandNumber          { return commandSettle }
 func (Crash) number() commandNumber           { return commandCrash }
@@ -232,6 +240,8 @@
 		return decodeAs[ClearSuspects](e.Body)
 	case commandLead:
 		return decodeAs[Lead](e.Body)
+	case commandHold:
+		return decodeAs[Hold](e.Body)
 	case commandForget:
 		return decodeAs[Forget](e.Body)
 	case commandClearQuarantine:
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -33,6 +33,8 @@
 	ledger   *ledger.Ledger
 	// quarantine is not shared with callers.
 	quarantine quarantine.State
+	// holds are the keys of requests that are held back.
+	holds quarantine.HoldSet
 	// unknownCommand is the ErrUnknownCommand that stopped the machine, or nil.
 	unknownCommand error
 }
@@ -152,6 +154,9 @@
 		return m.settle(c)
 	case Crash:
 		return QuarantineChanged{Change: m.quarantine.Crash(m.now(), c.Report)}
+	case Hold:
+		m.holds.Apply(m.holds.Next(), c.Hold)
+		return HoldChanged{}
 	case ClearSuspects:
 		return QuarantineChanged{Change: m.quarantine.Complete(m.now(), c.BodyHashes)}
 	case ClearQuarantine:
@@ -191,6 +196,9 @@
 // Quarantine returns the bodies that are suspect or quarantined at now.
 func (m *Machine) Quarantine(now time.Time) []view.Quarantine { return m.quarantine.View(now) }
 
+// Holds returns the keys of requests that are held back, sorted.
+func (m *Machine) Holds() []quarantine.Hold { return m.holds.List() }
+
 func (m *Machine) now() time.Time { return time.UnixMilli(m.nowMs) }
 
 // Request returns what the ledger knows about a request with a claim.
--- a/internal/control/state/result.go
+++ b/internal/control/state/result.go
@@ -36,6 +36,9 @@
 // Settled is the result of Settle, with one element for each item.
 type Settled struct{ Recorded []bool }
 
+// HoldChanged is the result of Hold.
+type HoldChanged struct{}
+
 // QuarantineChanged is the result of Crash, ClearSuspects and ClearQuarantine.
 type QuarantineChanged struct{ Change quarantine.Change }
 
@@ -46,3 +49,5 @@
 func (Claimed) result()           {}
 func (Settled) result()           {}
 func (QuarantineChanged) result() {}
+
+func (HoldChanged) result() {}
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -23,6 +23,8 @@
 	LedgerPolicy     ledger.Policy     `cbor:"8,keyasint"`
 	QuarantinePolicy quarantine.Policy `cbor:"9,keyasint"`
 	Term             uint64            `cbor:"10,keyasint"`
+
+	Holds quarantine.HoldSnapshot `cbor:"11,keyasint"`
 }
 
 // maxSnapshotItems is the largest number of items of one list in a snapshot.
@@ -61,7 +63,7 @@
 		NowMs: m.nowMs, Fence: m.fence, Config: m.config,
 		Hosts: m.Hosts(), Replicas: m.Replicas(), Ledger: m.ledger.Snapshot(),
 		Quarantine: m.quarantine, LedgerPolicy: m.ledger.Policy, QuarantinePolicy: m.quarantine.Policy,
-		Term: m.term,
+		Term: m.term, Holds: m.holds.Snapshot(),
 	})
 	return data, errors.Wrap(err, "encode snapshot")
 }
@@ -89,5 +91,7 @@
 	m.ledger = ledger.Restore(s.LedgerPolicy, s.Ledger)
 	m.quarantine = s.Quarantine
 	m.quarantine.Policy = s.QuarantinePolicy
+	m.holds = quarantine.HoldSet{}
+	m.holds.Restore(s.Holds)
 	return nil
 }
--- a/internal/entry/api/completion.go
+++ b/internal/entry/api/completion.go
@@ -72,6 +72,7 @@
 		return
 	}
 	work.BodyHash = a.backend.BodyHash(c.r.Method, c.r.URL.Path, body)
+	work.Parts = promptParts(req.Messages)
 	work.Body = dispatch.Generation{
 		Path: c.r.URL.Path, Model: model.Model, Version: model.Version, Adapter: model.Adapter,
 		Prompt: prompt, PromptTokens: len(prompt)/bytesPerToken + 1, MaxTokens: tokens,
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -29,7 +29,7 @@
 	e.target = a.Target
 	e.progress.heardAt = start
 	ended := e.streamAttempt(ctx, a, start)
-	end := AttemptEnd{Kind: ended.Kind, Code: ended.Code, CachedTokens: -1}
+	end := AttemptEnd{Kind: ended.Kind, Code: ended.Code, CachedTokens: -1, Crash: ended.Crash}
 	if ended.Kind == execution.EndComplete {
 		end.CachedTokens = e.progress.end.CachedTokens
 	}
@@ -143,7 +143,7 @@
 	case request.OutcomeNotRun:
 		return execution.Ended{Kind: execution.EndNotRun, Code: m.Code, Reason: m.Reason, Final: m.Code == codeInvalidRequest}
 	case request.OutcomeUnknown:
-		ended := execution.Ended{Kind: execution.EndLost, Code: m.Code, Reason: m.Reason, ReportedUnknown: true}
+		ended := execution.Ended{Kind: execution.EndLost, Code: m.Code, Reason: m.Reason, ReportedUnknown: true, Crash: m.Crash}
 		if m.Code == execution.CodeEngineCrashed {
 			ended.RetryAfter = suspicion.RetryAfterCrash
 		}
--- a/internal/entry/dispatch/work.go
+++ b/internal/entry/dispatch/work.go
@@ -28,8 +28,12 @@
 	// CallerKey is set if the caller chose the key; otherwise the entry generated it.
 	CallerKey bool
 	// BodyHash identifies the body in the quarantine.
-	BodyHash    uint64
-	Suspect     bool
+	BodyHash uint64
+	Suspect  bool
+	// Parts identify the parts of the prompt that other requests may share.
+	Parts []string
+	// OnTrial is set if control lets the request through although a part of it is held back.
+	OnTrial     bool
 	TraceParent string
 	// MaxAnswer bounds the answer in bytes.
 	MaxAnswer int64
@@ -111,6 +115,8 @@
 	// CachedTokens is the number of prompt tokens that the engine found in its cache, -1
 	// if unknown.
 	CachedTokens int
+	// Crash is the number of the engine's crash that ended the attempt, 0 if none did.
+	Crash uint64
 }
 
 // Router chooses the targets of attempts.
--- a/internal/entry/execution/event.go
+++ b/internal/entry/execution/event.go
@@ -53,6 +53,8 @@
 	// ReportedUnknown is set if the agent itself reported the outcome unknown, so that
 	// asking it again gives nothing new.
 	ReportedUnknown bool
+	// Crash is the number of the engine's crash that ended the attempt, 0 if none did.
+	Crash uint64
 	// Final is set if no other attempt may follow: another attempt would fail alike, or
 	// the caller is gone or already has a part of the answer that cannot be continued.
 	Final bool
--- a/internal/entry/server/backend.go
+++ b/internal/entry/server/backend.go
@@ -143,7 +143,11 @@
 		// submission only; an earlier one may have run.
 		return observation.end(dispatch.Result{Result: *notReady()})
 	}
-	if refused := s.checkAcceptance(work); refused != nil {
+	refused := s.checkAcceptance(work)
+	if refused == nil {
+		refused = s.admitHeld(&work)
+	}
+	if refused != nil {
 		return observation.end(s.dispatcher.Refuse(ctx, work, sink, *refused))
 	}
 	var result dispatch.Result
--- /dev/null
+++ b/internal/entry/server/holds.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/entry/dispatch"
+	"github.com/egretreach/egretreach/internal/entry/execution"
+	"github.com/egretreach/egretreach/internal/entry/suspicion"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/fleet/view"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// minHeldRetryAfter is the least retry delay of a request that is held back.
+const minHeldRetryAfter = 2 * time.Second
+
+// setHolds takes over from control which requests are held back.
+func (sched *scheduler) setHolds(holds message.Holds) {
+	sched.mu.Lock()
+	defer sched.mu.Unlock()
+	sched.observer.SetHolds(holds)
+}
+
+// resubscribed makes the next renewal report all crashes that are kept.
+func (sched *scheduler) resubscribed() {
+	sched.mu.Lock()
+	defer sched.mu.Unlock()
+	sched.observer.Resubscribed()
+}
+
+// partKeys returns the keys of the shared parts of a request's prompt. The quarantine of bodies concerns the
+// whole request.
+func partKeys(work dispatch.Work) []suspicion.Key {
+	generation, ok := work.Body.(dispatch.Generation)
+	if !ok || len(work.Parts) == 0 {
+		return nil
+	}
+	return suspicion.Identity{Scope: generation.Model, Parts: work.Parts}.Keys()[1:]
+}
+
+// admitHeld returns the refusal of a request that control holds back because of a part of its prompt, or nil.
+// It marks a request that control lets through as a trial.
+func (s *Server) admitHeld(work *dispatch.Work) *execution.Result {
+	sched := s.scheduler
+	keys := partKeys(*work)
+	sched.mu.Lock()
+	defer sched.mu.Unlock()
+	held, ok := sched.observer.Held(keys)
+	if ok {
+		return &execution.Result{
+			Outcome: request.OutcomeNotRun, Code: codeQuarantined, Reason: reasonPartHeld, RetryAfter: max(held.For, minHeldRetryAfter),
+		}
+	}
+	work.OnTrial = sched.observer.IsHeld(keys)
+	return nil
+}
+
+// isHeldMeanwhile reports whether control holds the request back since it was admitted. mu is held.
+func (sched *scheduler) isHeldMeanwhile(work dispatch.Work) bool {
+	return !work.OnTrial && sched.observer.IsHeld(partKeys(work))
+}
+
+// attemptTimes are the times of an attempt that decide whether its request is a suspect of a crash.
+type attemptTimes struct{ sentAt, firstTokenAt time.Time }
+
+// recordHarm records for control what the end of an attempt tells of the parts of its prompt. mu is held.
+func (sched *scheduler) recordHarm(work dispatch.Work, route view.Route, times attemptTimes, end dispatch.AttemptEnd, now time.Time) {
+	generation, ok := work.Body.(dispatch.Generation)
+	if !ok {
+		return
+	}
+	keys := partKeys(work)
+	switch {
+	case end.Kind == execution.EndComplete:
+		sched.observer.Completed(generation.Model, keys, now)
+	case end.Crash == 0:
+	case times.firstTokenAt.IsZero() || now.Sub(times.firstTokenAt) <= suspicion.SuspectTime:
+		engine := fmt.Sprintf("%s/%x", route.Replica.Head(), uint64(route.Incarnation))
+		crash := roster.Incarnation{ID: engine, StartedMs: int64(end.Crash)} //nolint:gosec // A count of crashes is small.
+		sched.observer.Crashed(crash, generation.Model, keys, times.sentAt, now)
+	}
+}
--- a/internal/entry/server/router.go
+++ b/internal/entry/server/router.go
@@ -24,6 +24,7 @@
 
 	codeQuarantined   = "quarantined"
 	reasonQuarantined = "this request has crashed endpoints and is held back"
+	reasonPartHeld    = "requests that share a part of the prompt have crashed endpoints and are held back"
 )
 
 // Route implements dispatch.Router.
@@ -49,6 +50,11 @@
 	case suspicion.Suspect:
 		work.Suspect = true
 	}
+	if sched.isHeldMeanwhile(work) {
+		return dispatch.Route{}, dispatch.ErrUnroutable{
+			Code: codeQuarantined, Reason: reasonPartHeld, RetryAfter: minHeldRetryAfter, Final: true,
+		}
+	}
 	req := routing.Request{
 		Deployment: body.Model, Version: body.Version, Adapter: body.Adapter,
 		PromptTokens: body.PromptTokens, PrefixHashes: body.PrefixHashes, BodyHash: work.BodyHash,
@@ -99,13 +105,15 @@
 	limiter.Started(sched.router.InFlight(id))
 	sched.suspects.Begin(work.BodyHash, id, work.Suspect)
 	sched.attemptsInFlight++
+	times := &attemptTimes{sentAt: now}
 	return dispatch.Route{
 		Target: target(choice.Route), Suspect: work.Suspect, Revoked: sched.newRevokeContext(work, attemptID),
 		FirstTokenTimeout: firstTokenTimeout(work, choice),
 		OnFirstToken: func(after time.Duration) {
 			sched.mu.Lock()
 			defer sched.mu.Unlock()
-			sched.router.FirstToken(time.Now(), attemptID)
+			times.firstTokenAt = time.Now()
+			sched.router.FirstToken(times.firstTokenAt, attemptID)
 			limiter.FirstToken(time.Now(), after)
 		},
 		OnTokenGap: func(gap time.Duration) {
@@ -114,12 +122,12 @@
 			limiter.TokenGap(time.Now(), gap)
 		},
 		OnEnd: func(end dispatch.AttemptEnd) {
-			s.attemptEnded(work, choice.Route, attemptID, end)
+			s.attemptEnded(work, choice.Route, attemptID, *times, end)
 		},
 	}
 }
 
-func (s *Server) attemptEnded(work dispatch.Work, route view.Route, attemptID routing.AttemptID, end dispatch.AttemptEnd) {
+func (s *Server) attemptEnded(work dispatch.Work, route view.Route, attemptID routing.AttemptID, times attemptTimes, end dispatch.AttemptEnd) {
 	sched := s.scheduler
 	id := route.Replica.ID
 	sched.mu.Lock()
@@ -129,6 +137,7 @@
 	sched.suspects.End(work.BodyHash, id, work.Suspect)
 	sched.attemptsInFlight--
 	sched.removeRevocable(attemptID)
+	sched.recordHarm(work, route, times, end, now)
 	if end.Code == execution.CodeEngineCrashed {
 		sched.suspects.Crashed(now, work.BodyHash, id, route.Replica.Fence)
 		sched.revokeSuspects(now)
--- a/internal/entry/server/scheduler.go
+++ b/internal/entry/server/scheduler.go
@@ -29,6 +29,7 @@
 	services *routing.Services
 	budget   *retry.Budget
 	suspects *suspicion.Tracker
+	observer suspicion.Observer
 	quota    *admission.Quota
 	queues   map[string]*modelQueue
 	limiters map[replica.ID]*admission.Limiter
@@ -121,7 +122,11 @@
 	defer sched.mu.Unlock()
 	elapsed := now.Sub(sched.lastRenewal)
 	sched.lastRenewal = now
-	return message.Renewal{EngineHealthy: true, Demand: sched.quota.Demand(elapsed), Shares: sched.quota.Shares()}
+	r := message.Renewal{EngineHealthy: true, Demand: sched.quota.Demand(elapsed), Shares: sched.quota.Shares()}
+	if blame := sched.observer.Report(now); !blame.IsEmpty() {
+		r.Blame = &blame
+	}
+	return r
 }
 
 // applyView applies a view, unless the current one is at least as new.
--- a/internal/entry/server/session.go
+++ b/internal/entry/server/session.go
@@ -41,10 +41,13 @@
 	if grant.Shares != nil {
 		s.scheduler.setShares(time.Now(), grant.Shares)
 	}
+	if grant.Holds != nil {
+		s.scheduler.setHolds(*grant.Holds)
+	}
 }
 
-// OnWelcome implements session.Daemon.
-func (s *Server) OnWelcome(message.Welcome) {}
+// OnWelcome implements session.Daemon. The control host may be a new leader, which must learn of the crashes.
+func (s *Server) OnWelcome(message.Welcome) { s.scheduler.resubscribed() }
 
 // OnMessage implements session.Daemon.
 func (s *Server) OnMessage(_ context.Context, m message.Message) {
--- a/internal/link/message/blame.go
+++ b/internal/link/message/blame.go
@@ -13,6 +13,11 @@
 	Refused []uint64 `cbor:"3,keyasint,omitempty"`
 }
 
+// IsEmpty reports whether there is nothing to report.
+func (b Blame) IsEmpty() bool {
+	return len(b.Crashes) == 0 && len(b.Completions) == 0 && len(b.Refused) == 0
+}
+
 // Holds says which requests a gateway or entry must hold back.
 type Holds struct {
 	Held []HeldKey `cbor:"1,keyasint,omitempty"`
--- a/internal/link/message/dispatch.go
+++ b/internal/link/message/dispatch.go
@@ -106,6 +106,9 @@
 	PromptTokens     int    `cbor:"7,keyasint,omitempty"`
 	CompletionTokens int    `cbor:"8,keyasint,omitempty"`
 	CachedTokens     int    `cbor:"9,keyasint,omitempty"`
+	// Crash numbers the engine's crashes that an incarnation of the agent has seen. It is set if such a crash
+	// ended the attempt.
+	Crash uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Cancel asks the agent to abandon an attempt.
--- a/internal/link/message/session.go
+++ b/internal/link/message/session.go
@@ -75,6 +75,8 @@
 	Demand map[string]float64 `cbor:"7,keyasint,omitempty"`
 	// Shares are the shares of the teams' limits that an entry holds, 0 to 1.
 	Shares map[string]float64 `cbor:"8,keyasint,omitempty"`
+	// Blame is what an entry reports of requests that crash engines.
+	Blame *Blame `cbor:"9,keyasint,omitempty"`
 }
 
 // Grant answers a Renew and extends the leases.
@@ -92,6 +94,8 @@
 	Revision view.Revision `cbor:"3,keyasint"`
 	// Shares is an entry's share of each team's limit, 0 to 1.
 	Shares map[string]float64 `cbor:"4,keyasint,omitempty"`
+	// Holds are the requests that an entry must hold back.
+	Holds *Holds `cbor:"5,keyasint,omitempty"`
 }
 
 // ConfigPush sends an accepted configuration to a daemon.
--- /dev/null
+++ b/internal/standin/fleet/crash_part_test.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestPartThatCrashesEnginesIsHeldBack guards against requests of which no two are alike, but that share a
+// message that crashes each engine that begins to answer them. Requests that share the other messages must be
+// served.
+func TestPartThatCrashesEnginesIsHeldBack(t *testing.T) {
+	const crashLimit, allowedLater = 5, 3
+	runFleet(t, func(s *fixture) {
+		chat := func(messages ...string) string {
+			var all []string
+			for _, m := range messages {
+				all = append(all, fmt.Sprintf(`{"role":"user","content":%q}`, m))
+			}
+			return `{"model":"drafter","messages":[` + strings.Join(all, ",") + `],"max_tokens":16}`
+		}
+		crashes := func() int {
+			count := 0
+			for _, spec := range s.opts.Engines {
+				count += s.Agent(spec.ID).Engine.Crashes()
+			}
+			return count
+		}
+		var callers sync.WaitGroup
+		var mu sync.Mutex
+		served := 0
+		for i := range 600 {
+			callers.Go(func() {
+				time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+				got := s.send(i%2, "POST", "/v1/chat/completions", chat("common", fmt.Sprint("shared ", i%7), fmt.Sprint("sound ", i)))
+				mu.Lock()
+				defer mu.Unlock()
+				if got.status == http.StatusOK && i >= 500 {
+					served++
+				}
+			})
+		}
+		time.Sleep(20 * time.Second)
+		for i := range 200 {
+			callers.Go(func() {
+				time.Sleep(time.Duration(i) * 500 * time.Millisecond)
+				s.send(i%2, "POST", "/v1/chat/completions", chat("common", "CRASH", fmt.Sprint("bad ", i)))
+			})
+		}
+		callers.Wait()
+		t.Logf("%d crashes, %d of the last 100 sound requests served", crashes(), served)
+		require.LessOrEqual(t, crashes(), crashLimit+allowedLater)
+		require.GreaterOrEqual(t, served, 95)
+	})
+}
