Keep to the limits that endpoints name, for all gateways together

Cause (H1): nothing read the header. H2 and H3 would have followed: gateways know their number, not each other's load, and what one hears stays with it. The class of fault is a limit that is shared and that each process keeps alone.

Now a gateway reports what it hears and its arrivals; the leader grants permits, each for one request, from one token bucket an endpoint, in proportion to the arrivals. Why it holds: no window can contain more permits than the bucket gave, whatever the number of gateways, their load, restarts or a change of the leader. Ruled out: equal shares (unused under uneven load) and rates by demand (each gateway may save up a request).

--- a/internal/control/portal/metrics.go
+++ b/internal/control/portal/metrics.go
@@ -17,6 +17,7 @@
 	crashes       metrics.Counter
 	held          metrics.Counter
 	released      metrics.Counter
+	limits        metrics.Counter
 }
 
 func newPortalMetrics(r *metric.Registry) portalMetrics {
@@ -30,5 +31,6 @@
 		crashes:       r.Counter("portal_crashes_total", "Reports of gateways that an endpoint crashed under their requests."),
 		held:          r.Counter("portal_holds_total", "Keys of requests that were held back since they crash endpoints, failed trials included."),
 		released:      r.Counter("portal_releases_total", "Keys of requests that are not held back any more."),
+		limits:        r.Counter("portal_limits_total", "Rate limits of endpoints that were named, changed or ended."),
 	}
 }
--- a/internal/control/portal/planning.go
+++ b/internal/control/portal/planning.go
@@ -39,6 +39,7 @@
 		if l == nil || !l.Status().IsLeader() {
 			planners = nil
 			p.followHolds(time.Now())
+			p.stopGranting(time.Now())
 		} else {
 			now := time.Now()
 			if status := l.Status(); planners == nil || status.Term != term {
@@ -50,6 +51,7 @@
 			}
 			if now.Sub(confirmedAt) <= leadershipValidity {
 				p.judgeHolds(ctx, now)
+				p.grantPermits(now)
 			}
 			if (p.opts.FirstStart || now.Sub(termSince) > leaderSettleTime) && now.Sub(confirmedAt) <= leadershipValidity {
 				p.plan(ctx, leadership{term, termSince}, planners, now)
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -18,6 +18,7 @@
 	"github.com/egretreach/egretreach/internal/control/bootstrap"
 	"github.com/egretreach/egretreach/internal/control/formation"
 	"github.com/egretreach/egretreach/internal/control/journal"
+	"github.com/egretreach/egretreach/internal/control/permit"
 	"github.com/egretreach/egretreach/internal/control/portalstate"
 	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/control/quorum"
@@ -115,11 +116,16 @@
 	// contentChanged is when each endpoint last announced new content.
 	contentChanged map[string]time.Time
 	// changed is closed and replaced at each change that subscribers or the planner must see.
-	changed        chan struct{}
-	reports        map[host.ID]receivedReport
-	health         map[string]endpointHealth
-	demand         demandAverage
-	holds          quarantine.Keeper
+	changed chan struct{}
+	reports map[host.ID]receivedReport
+	health  map[string]endpointHealth
+	demand  demandAverage
+	holds   quarantine.Keeper
+	// permits divides the limits of endpoints between the gateways. grantedAt is when it last did so here, and
+	// permitsReady is closed and replaced when gateways must hear of it.
+	permits        permit.Allocator
+	grantedAt      time.Time
+	permitsReady   chan struct{}
 	trafficStarted bool
 	table          *routes.Table
 	stopping       bool
@@ -139,6 +145,7 @@
 		direct:         map[string]bool{},
 		contentChanged: map[string]time.Time{},
 		changed:        make(chan struct{}),
+		permitsReady:   make(chan struct{}),
 		reports:        map[host.ID]receivedReport{},
 		health:         map[string]endpointHealth{},
 		voterMovedAt:   map[host.ID]time.Time{},
--- a/internal/control/portal/subscriber.go
+++ b/internal/control/portal/subscriber.go
@@ -61,6 +61,7 @@
 		p.reports[peer] = receivedReport{GatewayReport: *r, at: now}
 		p.demand.add(r.Demand, now)
 		p.countCrashes(peer, r, now)
+		p.hearLimits(peer, r.Limits, now)
 		p.trafficStarted = p.trafficStarted || r.Requests > 0
 		p.mu.Unlock()
 	}
@@ -84,15 +85,30 @@
 		if s.Send(p.nextUpdate(&state, peer, first)) != nil {
 			return
 		}
-		timer := time.NewTimer(updateInterval)
+		if !p.sendPermits(ctx, s, peer, changed) || !pause.For(ctx, updateDelay) {
+			return
+		}
+	}
+}
+
+// sendPermits sends permits as they are granted until the next update is due. It returns false if the stream has
+// failed or ctx has ended.
+func (p *Portal) sendPermits(ctx context.Context, s *transport.Stream, peer host.ID, changed <-chan struct{}) bool {
+	timer := time.NewTimer(updateInterval)
+	defer timer.Stop()
+	for {
+		ready := p.permitsNotify()
 		select {
 		case <-ctx.Done():
+			return false
 		case <-changed:
+			return true
 		case <-timer.C:
+			return true
+		case <-ready:
 		}
-		timer.Stop()
-		if !pause.For(ctx, updateDelay) {
-			return
+		if m := p.permitUpdate(peer); m != nil && s.Send(m) != nil {
+			return false
 		}
 	}
 }
@@ -112,6 +128,7 @@
 	if document.Version != state.version {
 		m.Document, state.version = document.Bytes, document.Version
 	}
+	m.Limits, m.Granting = p.permits.Take(peer, complete, now), p.isGranting(now)
 	for _, e := range p.roster.All() {
 		last, known := state.sent[e.ID]
 		if known && (last.startedMs == e.StartedMs && last.state == e.State) && (last.sequence == e.Sequence || e.Unchanged && last.at.Equal(p.contentChanged[e.ID])) {
--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -74,6 +74,8 @@
 	slowdownAt time.Time
 	// notice is what the endpoint has said about itself.
 	notice notice
+	// limit is what it has said about the requests that it takes.
+	limit rateLimit
 }
 
 // Balancer balances the requests of one gateway over all endpoints. The zero value has no
@@ -93,6 +95,11 @@
 	// endedNotices are those that TakeEndedNotices has yet to return, at most one for each
 	// incarnation of an endpoint.
 	endedNotices []EndedNotice
+	// grantingAt is when a control host that grants permits was last heard from.
+	grantingAt time.Time
+	// promised is the latest time that a Retry-After has named, by service and model, while the limits of
+	// endpoints were the cause.
+	promised map[string]time.Time
 }
 
 // SetServices replaces the services that operators have configured.
--- a/internal/entry/balance/exclusion.go
+++ b/internal/entry/balance/exclusion.go
@@ -19,10 +19,12 @@
 	ExclusionBanned
 	// ExclusionSilent is an endpoint with open streams that sends nothing.
 	ExclusionSilent
+	// ExclusionLimited is an endpoint whose limit of requests a second is used up.
+	ExclusionLimited
 )
 
 func (e Exclusion) String() string {
-	return [...]string{"none", "leaving", "busy", "banned", "silent"}[e]
+	return [...]string{"none", "leaving", "busy", "banned", "silent", "limited"}[e]
 }
 
 // returnTime is how long after the end of a busy time the requests in flight at an endpoint take to
@@ -51,7 +53,7 @@
 
 // exclusion returns why the endpoint gets no requests now. Every decision about where to send a
 // request asks it.
-func (t *endpointState) exclusion(now time.Time) Exclusion {
+func (b *Balancer) exclusion(t *endpointState, now time.Time) Exclusion {
 	switch {
 	case t.notice.leaving:
 		return ExclusionLeaving
@@ -61,6 +63,8 @@
 		return ExclusionBanned
 	case t.stalled(now):
 		return ExclusionSilent
+	case b.isLimited(t, now):
+		return ExclusionLimited
 	}
 	return ExclusionNone
 }
@@ -106,19 +110,22 @@
 	var earliest time.Time
 	for _, t := range b.endpoints {
 		until := t.notice.busyUntil
-		if t.serves(req) && t.exclusion(now) == ExclusionBusy && (earliest.IsZero() || until.Before(earliest)) {
+		if t.serves(req) && b.exclusion(t, now) == ExclusionBusy && (earliest.IsZero() || until.Before(earliest)) {
 			earliest = until
 		}
 	}
 	return earliest, !earliest.IsZero()
 }
 
-// NextReturn returns the earliest end of a busy time for which a waiting request need not wait beyond
-// its own end, or that end.
+// NextReturn returns the earliest time at which a waiting request may find an endpoint by the passing of time
+// alone, or the end of its wait.
 func (b *Balancer) NextReturn(w *Waiter, now time.Time) time.Time {
 	if until, ok := b.nextReturn(w.Request, now); ok && until.Before(w.WaitUntil) {
 		return until
 	}
+	if next := now.Add(selfGrantInterval); b.grantsItself(now) && b.HasLimits() && next.Before(w.WaitUntil) {
+		return next
+	}
 	return w.WaitUntil
 }
 
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -8,15 +8,15 @@
 )
 
 // pick returns the endpoint of the lowest cost that has capacity for a request, if any. avoided is
-// the number of endpoints that serve the request and have asked for none.
+// the number of endpoints that serve the request and have asked for none, or for no more.
 func (b *Balancer) pick(req Request, now time.Time) (best *endpointState, avoided int) {
 	var lowest float64
 	for _, t := range b.endpoints {
 		if !t.serves(req) || slices.Contains(req.Exclude, t.ID) {
 			continue
 		}
-		if excluded := t.exclusion(now); excluded != ExclusionNone {
-			if excluded == ExclusionLeaving || excluded == ExclusionBusy {
+		if excluded := b.exclusion(t, now); excluded != ExclusionNone {
+			if excluded == ExclusionLeaving || excluded == ExclusionBusy || excluded == ExclusionLimited {
 				avoided++
 			}
 			continue
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -45,8 +45,8 @@
 	Endpoint roster.Endpoint
 	// Forecast is the expected time to the first event at Endpoint.
 	Forecast time.Duration
-	// Avoided counts the endpoints that serve the request and got none because they leave or are
-	// busy. It is set if Endpoint is.
+	// Avoided counts the endpoints that serve the request and got none because they leave, are
+	// busy or have a limit. It is set if Endpoint is.
 	Avoided int
 	// Refused says that the request is refused, for Reason. The caller should wait for
 	// RetryAfter before it retries.
@@ -61,8 +61,8 @@
 type Availability struct {
 	// Serving counts the endpoints that serve the request, Banned those of them that are
 	// banned or have stalled, Leaving those that have said that they leave, and Busy those that have
-	// asked for no requests for a time.
-	Serving, Banned, Leaving, Busy int
+	// asked for no requests for a time, and Limited those whose limit is used up.
+	Serving, Banned, Leaving, Busy, Limited int
 	// EarliestForecast is the earliest forecast of a first event among the other endpoints,
 	// and Occupied the estimated number of requests at the endpoint with that forecast.
 	Occupied         float64
@@ -77,7 +77,7 @@
 			continue
 		}
 		a.Serving++
-		switch t.exclusion(now) {
+		switch b.exclusion(t, now) {
 		case ExclusionLeaving:
 			a.Leaving++
 			continue
@@ -87,6 +87,9 @@
 		case ExclusionBanned, ExclusionSilent:
 			a.Banned++
 			continue
+		case ExclusionLimited:
+			a.Limited++
+			continue
 		case ExclusionNone:
 		}
 		occupied, forecast := b.occupied(t, now), b.forecastFirstEvent(t, req, now)
@@ -119,6 +122,9 @@
 	if !now.Before(req.WaitUntil) {
 		return b.refusal(req, "no room", now), nil
 	}
+	if b.waitsInVain(req, now) {
+		return b.refusal(req, reasonLimited, now), nil
+	}
 	w := &Waiter{Request: req, Decided: make(chan Decision, 1)}
 	b.queue = append(b.queue, w)
 	slices.SortStableFunc(b.queue, compareWaiters)
@@ -181,25 +187,23 @@
 	}
 	expected := b.forecastFirstEvent(t, req, now)
 	b.RequestSent(t.ID, req, now)
+	t.usePermit()
 	return Decision{Endpoint: t.Endpoint, Forecast: expected, Avoided: avoided}, true
 }
 
 // refusal returns a refusal. Its Retry-After grows by 20 ms with each request that waits for
 // the same service and model, from minRetryAfter to maxRetryAfter. For models it is at least
-// replicaRecoveryTime. While all endpoints are busy it follows the earliest that wants requests again.
+// replicaRecoveryTime. While all endpoints are busy it follows the earliest that wants requests again,
+// and while all have limits it follows these.
 func (b *Balancer) refusal(req Request, reason string, now time.Time) Decision {
-	waiting := 0
-	for _, w := range b.queue {
-		if w.Service == req.Service && w.Model == req.Model {
-			waiting++
-		}
-	}
-	after := min(maxRetryAfter, minRetryAfter+time.Duration(waiting)*20*time.Millisecond)
+	after := min(maxRetryAfter, minRetryAfter+time.Duration(b.waitingFor(req))*20*time.Millisecond)
 	if req.Model != "" {
 		after = max(after, replicaRecoveryTime)
 	}
 	if until, ok := b.allBusyUntil(req, now); ok {
 		after = max(minRetryAfter, until.Sub(now))
+	} else if limited, ok := b.limitedReturn(req, now); ok {
+		after = max(minRetryAfter, limited)
 	}
 	return Decision{Refused: true, RetryAfter: after, Reason: reason, Availability: b.availability(req, now)}
 }
--- a/internal/entry/dialect/dialect.go
+++ b/internal/entry/dialect/dialect.go
@@ -38,6 +38,8 @@
 	Leaving string
 	// RetryAfter carries how long an endpoint that responds with 503 wants no requests.
 	RetryAfter string
+	// Limit carries how many requests a second an endpoint takes from all gateways together.
+	Limit string
 	// PromptParts lists the parts of a request's prompt in order.
 	PromptParts string
 }
@@ -73,6 +75,8 @@
 	ParseLeaving func(text string) bool
 	// ParseRetryAfter parses a value of Headers.RetryAfter.
 	ParseRetryAfter func(text string) (time.Duration, bool)
+	// ParseLimit parses a value of Headers.Limit, in requests a second.
+	ParseLimit func(text string) (float64, bool)
 	// ParsePromptParts parses a value of Headers.PromptParts. It returns the IDs of the parts that other
 	// requests may share: all but the last one, which belongs to the request itself.
 	ParsePromptParts func(text string) []string
--- a/internal/entry/gateway/fixture_test.go
+++ b/internal/entry/gateway/fixture_test.go
@@ -217,7 +217,7 @@
 			RequestID: "X-Request-Id", Deadline: "X-Deadline", APIKey: "X-Caller-Key", Team: "X-Team", ExpectedEndpoint: "X-Expect",
 			NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load", Model: "X-Model", Usage: "X-Usage",
 			Priority: "X-Priority", LastEventID: "Last-Event-Id",
-			Leaving: "X-Leaving", RetryAfter: "Retry-After", PromptParts: "X-Parts",
+			Leaving: "X-Leaving", RetryAfter: "Retry-After", PromptParts: "X-Parts", Limit: "X-Limit",
 		},
 		ParseTable: func(document []byte) (*routes.Table, error) {
 			table := testTable()
@@ -236,6 +236,10 @@
 		ParseUsage:     func(string) (dialect.Usage, bool) { return dialect.Usage{PromptTokens: 100, MaxOutputTokens: 50}, true },
 		FormatPriority: strconv.Itoa,
 		ParseLeaving:   func(text string) bool { return text == "1" },
+		ParseLimit: func(text string) (float64, bool) {
+			perSecond, err := strconv.ParseFloat(text, 64)
+			return perSecond, err == nil
+		},
 		ParsePromptParts: func(text string) []string {
 			parts := strings.Split(text, ",")
 			return parts[:len(parts)-1]
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -81,7 +81,7 @@
 	tableSince atomic.Pointer[time.Time]
 	metrics    gatewayMetrics
 
-	// mu guards the fields up to unconfirmed.
+	// mu guards the fields up to resubscribed.
 	mu           sync.Mutex
 	balancer     balance.Balancer
 	roster       roster.Roster
@@ -91,8 +91,12 @@
 	seeds []string
 	// observer watches for requests that crash endpoints. unconfirmed are the
 	// requests broken off by endpoints that may not have ended.
-	observer       suspicion.Observer
-	unconfirmed    []brokenRequest
+	observer    suspicion.Observer
+	unconfirmed []brokenRequest
+	// arrivals counts the requests since the last report, by scope. resubscribed says that the next report goes
+	// to another control host.
+	arrivals       map[string]int
+	resubscribed   bool
 	callerTimeouts callerTimeouts
 	upstream       upstream.Pool
 	requestCount   atomic.Uint64
@@ -124,6 +128,7 @@
 		balancer:       balance.Balancer{FailureDomain: string(opts.FailureDomain)},
 		retryBudgets:   map[string]*balance.RetryBudget{},
 		demand:         map[string]*demand{},
+		arrivals:       map[string]int{},
 		metrics:        newGatewayMetrics(opts.Metrics),
 		randomFraction: newRandomFraction(),
 		seeds:          opts.Seeds,
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -135,6 +135,7 @@
 	if c.refuseHeld() {
 		return
 	}
+	c.countArrival()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(g.serving, cancel)()
--- a/internal/entry/gateway/metrics.go
+++ b/internal/entry/gateway/metrics.go
@@ -25,6 +25,7 @@
 	busy     metrics.Counter
 	avoided  metrics.Counter
 	heldBack metrics.Counter
+	limits   metrics.Counter
 }
 
 func newGatewayMetrics(r *metric.Registry) gatewayMetrics {
@@ -40,7 +41,8 @@
 		stalled:  r.Counter("gateway_stalled_total", "Attempts given up because the endpoint stood still."),
 		leaving:  r.Counter("gateway_leaving_notices_total", "Endpoints that said in a response that they leave."),
 		busy:     r.Counter("gateway_busy_notices_total", "Responses by which endpoints asked for no requests for a time."),
-		avoided:  r.Counter("gateway_avoided_total", "Requests sent elsewhere because an endpoint leaves or is busy."),
+		avoided:  r.Counter("gateway_avoided_total", "Requests sent elsewhere because an endpoint leaves, is busy or has a limit."),
+		limits:   r.Counter("gateway_limits_total", "Rate limits of endpoints that were named, changed or ended."),
 		heldBack: r.Counter("gateway_held_back_total", "Requests refused because requests like them crash endpoints."),
 	}
 }
--- a/internal/entry/gateway/notice.go
+++ b/internal/entry/gateway/notice.go
@@ -11,9 +11,10 @@
 const oddNoticeInterval = 10 * time.Second
 
 // recordNotices records what an endpoint says of itself in the header of a response: that it leaves,
-// or that it wants no requests for a time. It concerns only the incarnation to which the request
+// that it wants no requests for a time, or how many it takes. It concerns only the incarnation to which the request
 // was sent.
 func (a *attempt) recordNotices(response *http.Response) {
+	a.recordLimit(response)
 	names := a.call.g.opts.Dialect.Headers
 	if a.call.g.opts.Dialect.ParseLeaving(response.Header.Get(names.Leaving)) {
 		a.recordLeaving()
--- a/internal/entry/gateway/notice_test.go
+++ b/internal/entry/gateway/notice_test.go
@@ -217,3 +217,33 @@
 	require.Equal(t, 200, waited.status, "the first endpoint returns within the wait")
 	require.InDelta(t, 100*time.Millisecond, waited.took, float64(20*time.Millisecond))
 }
+
+// TestLimitIsHeardInEveryKindOfAnswer guards against a limit that is overlooked because the answer is a failure, and
+// against one that is taken from another endpoint's answer.
+func TestLimitIsHeardInEveryKindOfAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		more   string
+		heard  bool
+	}{
+		"success": {200, "", true}, "failure": {500, "", true}, "declined": {503, "X-Not-Run: 1\r\n", true}, "another endpoint": {421, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFixture(t, func(f *fixture) {
+				forEach(f.plains, func(e *fakeEndpoint) {
+					e.script = func(c2 net.Conn, r *http.Request, _ string) {
+						_, _ = io.WriteString(c2, responseHeader(r, c.status, c.more+"X-Limit: 2.5\r\nContent-Length: 0\r\n"))
+					}
+				})
+				f.send("POST", "/unsafe/", "x")
+				report := f.g.composeReport(time.Now())
+				if !c.heard {
+					require.Empty(t, report.Limits.Limits)
+					return
+				}
+				require.Len(t, report.Limits.Limits, 1)
+				require.Equal(t, 2.5, report.Limits.Limits[0].PerSecond)
+			})
+		})
+	}
+}
--- a/internal/entry/gateway/subscription.go
+++ b/internal/entry/gateway/subscription.go
@@ -108,6 +108,7 @@
 	}
 	g.mu.Lock()
 	g.observer.Resubscribed()
+	g.resubscribed = true
 	g.mu.Unlock()
 	event.ControlFollowed.On(g.opts.Logger).Str("address", address).Msg("")
 	ended := make(chan struct{})
@@ -155,6 +156,10 @@
 // applyUpdate applies a fleet snapshot or a change of it. Its configuration is ignored if its
 // version is not above the one in force.
 func (g *Gateway) applyUpdate(update *message.Picture) {
+	if update.Partial {
+		g.applyPermits(update)
+		return
+	}
 	if current := g.table.Load(); len(update.Document) > 0 && (current == nil || update.Version > current.Version) {
 		table, err := g.opts.Dialect.ParseTable(update.Document)
 		if err != nil {
@@ -183,12 +188,23 @@
 	g.balancer.UpdateEndpoints(changed)
 	g.balancer.MarkLost(update.Lost, now)
 	g.applyHolds(update, now)
+	g.applyLimits(update, now)
 	if update.Gateways > 0 {
 		g.balancer.Gateways = update.Gateways
 	}
 	g.balancer.ProcessQueue(now)
 }
 
+// applyPermits applies an update between two snapshots.
+func (g *Gateway) applyPermits(update *message.Picture) {
+	now := time.Now()
+	g.lastUpdate.Store(now.UnixNano())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.applyLimits(update, now)
+	g.balancer.ProcessQueue(now)
+}
+
 // dropReplaced passes the endpoints that have left on to the balancer, and closes the idle
 // connections to those of changed that have left. In the roster an endpoint has also left if
 // another endpoint has taken over its address. mu must be held.
@@ -239,5 +255,6 @@
 	}
 	clear(g.demand)
 	r.Blame = g.observer.Report(now)
+	r.Limits = g.limitReport(now)
 	return r
 }
--- a/internal/link/message/portal.go
+++ b/internal/link/message/portal.go
@@ -46,6 +46,12 @@
 	Hosts []string `cbor:"8,keyasint,omitempty"`
 	// Holds are the requests that the gateway must hold back.
 	Holds Holds `cbor:"10,keyasint"`
+	// Limits are the rate limits of endpoints that have changed, or all if Complete, with permits for the gateway.
+	Limits []EndpointLimit `cbor:"11,keyasint,omitempty"`
+	// Granting reports that the control host leads and grants permits.
+	Granting bool `cbor:"12,keyasint,omitempty"`
+	// Partial reports that only Leader, Limits and Granting are set.
+	Partial bool `cbor:"13,keyasint,omitempty"`
 	// Lost are the IDs of the endpoints that control considers dead.
 	Lost []string `cbor:"6,keyasint,omitempty"`
 	// Gateways is the number of gateways that report to the control host.
@@ -77,6 +83,8 @@
 	// Requests counts callers' requests since the gateway started.
 	Requests uint64 `cbor:"3,keyasint,omitempty"`
 	Blame    Blame  `cbor:"5,keyasint"`
+	// Limits are the rate limits that endpoints named.
+	Limits LimitReport `cbor:"6,keyasint"`
 }
 
 // Founder is one control host, a voter of the replicated log.
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -39,4 +39,5 @@
 	HoldTrial          = register(149, "hold_trial", log.InfoLevel)
 	HoldEnded          = register(150, "hold_ended", log.InfoLevel)
 	HoldUnsure         = register(151, "hold_unsure", log.WarnLevel)
+	LimitChanged       = register(152, "limit_changed", log.InfoLevel)
 )
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -19,4 +19,5 @@
 	EndpointUnmarked = register(311, "endpoint_unmarked", log.InfoLevel)
 	NoticeOdd        = register(312, "notice_odd", log.WarnLevel)
 	CrashSeen        = register(313, "crash_seen", log.WarnLevel)
+	LimitHeard       = register(314, "limit_heard", log.InfoLevel)
 )
