--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -49,12 +49,13 @@
 func New(opts Options) *Client {
 	transport := opts.Transport
 	if transport == nil {
-		transport = newTransport()
+		transport = NewTransport()
 	}
 	return &Client{baseURL: strings.TrimSuffix(opts.URL, "/"), ordererToken: opts.OrdererToken, transport: transport}
 }
 
-func newTransport() *http.Transport {
+// NewTransport returns the transport for an engine.
+func NewTransport() *http.Transport {
 	return &http.Transport{
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
--- a/internal/agent/plainservice/client.go
+++ b/internal/agent/plainservice/client.go
@@ -48,11 +48,14 @@
 func New(opts Options) *Client {
 	transport := opts.Transport
 	if transport == nil {
-		transport = &http.Transport{DisableCompression: true}
+		transport = NewTransport()
 	}
 	return &Client{baseURL: strings.TrimSuffix(opts.URL, "/"), transport: transport}
 }
 
+// NewTransport returns the transport for a service.
+func NewTransport() *http.Transport { return &http.Transport{DisableCompression: true} }
+
 // ResponseSink receives the response of a service as it arrives. The data passed to
 // WriteData is only valid until WriteData returns.
 type ResponseSink interface {
--- a/internal/agent/server/dispatch.go
+++ b/internal/agent/server/dispatch.go
@@ -117,6 +117,9 @@
 	if d.Suspect && s.suspectRunsLocked() {
 		return gate.ErrClosed{Code: codeSuspectBusy, Reason: "another suspect request runs here"}
 	}
+	if err := s.limitOf(d).admit(time.Now()); err != nil {
+		return err
+	}
 	if err := s.attempts.Accept(d.Ref, d.AtMostOnce); err != nil {
 		return err
 	}
@@ -140,6 +143,14 @@
 	return nil
 }
 
+// limitOf returns the limit of the endpoint that an acceptable attempt is for.
+func (s *Server) limitOf(d *message.Dispatch) *endpointLimit {
+	if d.Generate != nil {
+		return s.engineLimit
+	}
+	return s.serviceLimits[d.Call.Service]
+}
+
 func (s *Server) suspectRunsLocked() bool {
 	for _, r := range s.running {
 		if r.dispatch.Suspect {
@@ -154,7 +165,11 @@
 func (s *Server) refuse(stream *transport.Stream, ref message.Ref, err error) {
 	refused := &message.Refused{Ref: ref, Reason: err.Error()}
 	var closed gate.ErrClosed
+	var limited ErrLimited
 	switch {
+	case errors.As(err, &limited):
+		refused.Code = codeOverloaded
+		refused.RetryAfterMs = limited.RetryAfter.Milliseconds() + 1
 	case attempt.IsErrDuplicate(err):
 		s.countRejected(stream.Peer().String(), err.Error(), 1)
 		_ = stream.Send(&message.End{Ref: ref, Outcome: request.OutcomeUnknown, Code: codeDuplicate, Reason: err.Error()})
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -32,7 +32,10 @@
 	session  *session.Session
 	engine   *engine.Client
 	services map[string]*plainservice.Client
-	orders   chan *message.Order
+	// engineLimit and serviceLimits are the limits that the endpoints name.
+	engineLimit   *endpointLimit
+	serviceLimits map[string]*endpointLimit
+	orders        chan *message.Order
 	// pollRequested requests an engine poll at once, gateChanged a check of the gate.
 	pollRequested chan struct{}
 	gateChanged   chan struct{}
@@ -84,6 +87,7 @@
 	s := &Server{
 		opts:          opts,
 		services:      map[string]*plainservice.Client{},
+		serviceLimits: map[string]*endpointLimit{},
 		orders:        make(chan *message.Order, orderQueueSize),
 		pollRequested: make(chan struct{}, 1),
 		gateChanged:   make(chan struct{}, 1),
@@ -93,10 +97,22 @@
 		waiters:       map[attempt.WaiterID]chan message.AskResult{},
 	}
 	if opts.EngineURL != "" {
-		s.engine = engine.New(engine.Options{URL: opts.EngineURL, OrdererToken: opts.OrdererToken, Transport: opts.EngineTransport})
+		transport := opts.EngineTransport
+		if transport == nil {
+			transport = engine.NewTransport()
+		}
+		s.engineLimit = &endpointLimit{name: "engine", logger: opts.Logger}
+		transport = limitTransport{transport, s.engineLimit, isGeneration}
+		s.engine = engine.New(engine.Options{URL: opts.EngineURL, OrdererToken: opts.OrdererToken, Transport: transport})
 	}
 	for name, url := range opts.Services {
-		s.services[name] = plainservice.New(plainservice.Options{URL: url, Transport: opts.ServiceTransport})
+		transport := opts.ServiceTransport
+		if transport == nil {
+			transport = plainservice.NewTransport()
+		}
+		s.serviceLimits[name] = &endpointLimit{name: name, logger: opts.Logger}
+		transport = limitTransport{transport, s.serviceLimits[name], isServiceCall}
+		s.services[name] = plainservice.New(plainservice.Options{URL: url, Transport: transport})
 	}
 	s.registerMetrics()
 	s.session = session.New(session.Options{Pool: opts.Pool, ControlAddresses: opts.ControlAddresses, Daemon: s, Logger: opts.Logger})
--- a/internal/telemetry/event/agent.go
+++ b/internal/telemetry/event/agent.go
@@ -14,4 +14,5 @@
 	EngineCrashed     = register(207, "engine_crashed", log.ErrorLevel)
 	AgentSuperseded   = register(208, "agent_superseded", log.ErrorLevel)
 	CrashUnreported   = register(209, "crash_unreported", log.ErrorLevel)
+	EndpointLimited   = register(210, "endpoint_limited", log.InfoLevel)
 )
