upstream: bound what an endpoint can make a process hold

Bytes that are no answer may come without end, in a head or a body.

Cause: http.ReadResponse reads a line or a header for as long as it comes; an event or a body held whole may be 1 MiB, times all exchanges. Now a head is bounded (64 KiB, 256 fields, 16 informational responses), and what responses hold is counted for each endpoint (2 MiB) and in all (48 MiB). A body that may not be held is passed on as it comes, an event that may not breaks the stream off.

--- a/cmd/portal.go
+++ b/cmd/portal.go
@@ -23,6 +23,8 @@
 const (
 	// portalHeaderTimeout bounds how long the header of a request may take to arrive.
 	portalHeaderTimeout = 5 * time.Second
+	// portalHeaderBytes bounds the header of a request.
+	portalHeaderBytes = 16 << 10
 	// portalTransferTimeout bounds how long a planned stop looks for another leader. Without a
 	// quorum there is none.
 	portalTransferTimeout = 5 * time.Second
@@ -64,7 +66,7 @@
 // portalDaemon returns the daemon of a portal that serves api on listener. run runs the portal, and
 // stop transfers the leadership.
 func portalDaemon(run func(context.Context) error, stop func(context.Context), api http.Handler, listener net.Listener) daemon.Daemon {
-	server := httpserver.New(&http.Server{Handler: api, ReadHeaderTimeout: portalHeaderTimeout}, http.HandlerFunc(refuseStopping))
+	server := httpserver.New(&http.Server{Handler: api, ReadHeaderTimeout: portalHeaderTimeout, MaxHeaderBytes: portalHeaderBytes}, http.HandlerFunc(refuseStopping))
 	return daemon.Daemon{
 		Run: func(ctx context.Context) error {
 			group, ctx := errgroup.WithContext(ctx)
--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -24,6 +24,7 @@
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConns        = 64
 	maxResponseBytes    = 1 << 20
+	maxHeaderBytes      = 64 << 10
 	jsonContentType     = "application/json"
 )
 
@@ -62,6 +63,8 @@
 		IdleConnTimeout:     idleConnTimeout,
 		TLSHandshakeTimeout: tlsHandshakeTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/agent/plainservice/client.go
+++ b/internal/agent/plainservice/client.go
@@ -54,7 +54,12 @@
 }
 
 // NewTransport returns the transport for a service.
-func NewTransport() *http.Transport { return &http.Transport{DisableCompression: true} }
+func NewTransport() *http.Transport {
+	return &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
+}
+
+// maxHeaderBytes bounds the header of a response.
+const maxHeaderBytes = 64 << 10
 
 // ResponseSink receives the response of a service as it arrives. The data passed to
 // WriteData is only valid until WriteData returns.
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -65,9 +64,9 @@
 	firstEvent upstream.Event
 	firstErr   error
 	// body and bodyErr are the result of readBody, once bodyRead is set.
-	bodyRead bool
-	body     []byte
-	bodyErr  error
+	bodyRead, bodyWhole bool
+	body                []byte
+	bodyErr             error
 }
 
 // eventReader returns the reader of the stream's events.
@@ -261,14 +260,14 @@
 	return outcomeAnswered, nil
 }
 
-// readBody reads the response's body. It stops one byte after maxBufferedResponse, by which a
-// longer body is recognised. Further calls return the same.
+// readBody reads the response's body, up to maxBufferedResponse and as far as it may be held. bodyWhole then says
+// whether that is all. Further calls return the same.
 func (a *attempt) readBody() ([]byte, error) {
 	if a.bodyRead {
 		return a.body, a.bodyErr
 	}
 	a.bodyRead = true
-	a.body, a.bodyErr = io.ReadAll(io.LimitReader(a.exchange, maxBufferedResponse+1))
+	a.body, a.bodyWhole, a.bodyErr = a.exchange.ReadUpTo(maxBufferedResponse)
 	if a.bodyErr != nil && (a.result == 0 || a.result == balance.ResultServerError) {
 		a.result = balance.ResultInvalidResponse
 	}
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -167,13 +167,13 @@
 	return other, body
 }
 
-// sendResponse sends an endpoint's response to the caller. body is its whole body or, if longer
-// than maxBufferedResponse, the beginning.
+// sendResponse sends an endpoint's response to the caller. body is its whole body or, if bodyWhole is not
+// set, the beginning.
 func (c *call) sendResponse(a *attempt, body []byte) {
 	response := a.exchange.Response
 	c.stats.timeToFirst = time.Since(c.arrivedAt)
 	c.copyResponseHeader(response.Header)
-	whole := len(body) <= maxBufferedResponse
+	whole := a.bodyWhole
 	if whole && c.r.Method != http.MethodHead {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -42,6 +42,10 @@
 	// reused says that the connection was kept idle in the pool before.
 	reused bool
 	closed atomic.Bool
+	// headLeft is how many more bytes may be read for the head of a response, while inHead is set. What is read
+	// ahead of the body counts as well.
+	headLeft int
+	inHead   bool
 }
 
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
@@ -99,12 +103,16 @@
 // ErrAbandoned if that ends the wait. It doesn't consult the policy after a wait that took much longer
 // than it should: then this process itself stood still, and data may have arrived meanwhile.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.inHead && c.headLeft <= 0 {
+		return 0, errTooMuch
+	}
 	for {
 		deadline := time.Now().Add(c.wait.CheckInterval)
 		if err := c.SetReadDeadline(deadline); err != nil {
 			return 0, err
 		}
 		n, err := c.Conn.Read(b)
+		c.headLeft -= n
 		var timeout net.Error
 		if n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
 			return n, err
@@ -117,9 +125,11 @@
 }
 
 // readResponse reads the status and headers of the final response. It skips informational (1xx)
-// responses.
+// responses. All of that may not be larger than maxHead.
 func (c *conn) readResponse(method string) (*http.Response, error) {
-	for {
+	c.inHead, c.headLeft = true, maxHead+readBufferSize
+	defer func() { c.inHead = false }()
+	for range maxInformational + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -131,6 +141,7 @@
 			return nil, errors.New("endpoint switched protocols")
 		}
 	}
+	return nil, errTooMuch
 }
 
 // keepAliveTimeout returns the timeout of a Keep-Alive header, 0 if there is none.
--- a/internal/entry/upstream/event_reader.go
+++ b/internal/entry/upstream/event_reader.go
@@ -25,8 +25,13 @@
 	// scanned is the length of the part of buf that is known to hold no end of an event.
 	scanned int
 	err     error
+	// reserved is the size of buf that has been reserved at the source, in bytes.
+	reserved int
 }
 
+// reserver is a source that bounds what its reader may hold. Exchange is one.
+type reserver interface{ Reserve(n int) bool }
+
 // NewEventReader returns a reader of the events in a response's body.
 func NewEventReader(source io.Reader) *EventReader { return &EventReader{source: source} }
 
@@ -64,15 +69,25 @@
 		e.err = ErrInterrupted{Cause: errors.New("an event is too large")}
 		return
 	}
-	const readSize = 4 << 10
-	if cap(e.buf)-len(e.buf) < readSize/2 {
-		e.buf = append(make([]byte, 0, len(e.buf)+readSize), e.buf...)
+	if cap(e.buf)-len(e.buf) < minReadSize/2 && !e.grow(len(e.buf)+max(minReadSize, len(e.buf)/2)) {
+		e.err = ErrInterrupted{Cause: errTooMuch}
+		return
 	}
 	n, err := e.source.Read(e.buf[len(e.buf):cap(e.buf)])
 	e.buf = e.buf[:len(e.buf)+n]
 	e.err = err
 }
 
+// grow moves buf to a buffer of another size. It returns false if the source doesn't allow that.
+func (e *EventReader) grow(size int) bool {
+	if r, ok := e.source.(reserver); ok && !r.Reserve(size-e.reserved) {
+		return false
+	}
+	e.reserved = size
+	e.buf = append(make([]byte, 0, size), e.buf...)
+	return true
+}
+
 // eventLength returns the length of the first complete event in b, or 0 if there is none.
 func eventLength(b []byte) int {
 	for at := 0; ; {
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -80,6 +80,8 @@
 	written   chan struct{}
 	writeErr  error
 	bodyEnded bool
+	// held is what the exchange has reserved, in bytes.
+	held int
 }
 
 // Do sends a request and returns once the header of the response has arrived. Its errors are
@@ -108,6 +110,9 @@
 	if err != nil {
 		return x.waitFailed(err)
 	}
+	if err := x.reserveHead(response.Header); err != nil {
+		return x.interrupted(err)
+	}
 	x.Response = response
 	return nil
 }
@@ -168,6 +173,7 @@
 // Close ends the exchange. It keeps the connection for reuse if the body was read to its end
 // and the endpoint does not close the connection.
 func (x *Exchange) Close() {
+	x.release()
 	if !x.stop() || !x.reusable() {
 		x.abort()
 		return
@@ -197,6 +203,7 @@
 
 // abort closes the connection.
 func (x *Exchange) abort() {
+	x.release()
 	x.stop()
 	_ = x.conn.Close()
 }
--- a/internal/entry/upstream/pool.go
+++ b/internal/entry/upstream/pool.go
@@ -36,6 +36,8 @@
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	stats Stats
+	// held counts what responses make the process hold.
+	held heldMemory
 }
 
 // Stats counts what a pool has done.
