roster: bound the endpoints that are remembered

An endpoint may announce ever new IDs; each was kept for two minutes after the next one, with up to 64 KiB of fields, at every portal and gateway. TestRosterIsBounded fails without the bound (16,385 entries); an endpoint that serves is never displaced.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -15,6 +15,10 @@
 // the same incarnation does not bring it back.
 const tombstoneTTL = 2 * time.Minute
 
+// maxEntries bounds the endpoints that are remembered. Beyond it those that left long ago are dropped first, and no
+// others are added if none has left.
+const maxEntries = 8192
+
 // State is an endpoint's readiness for new work.
 type State uint8
 
@@ -153,7 +157,7 @@
 	if e.Address == "" {
 		e = old.withSignOff(e)
 	}
-	if !r.claimAddress(e) {
+	if !known && !r.makeRoom() || !r.claimAddress(e) {
 		return ChangeNone
 	}
 	if at, found := slices.BinarySearch(r.ids, e.ID); !found {
@@ -167,6 +171,34 @@
 	return ChangeContent
 }
 
+// makeRoom reports whether there is room for one more entry. If not it drops the endpoint that left first.
+func (r *Roster) makeRoom() bool {
+	if len(r.entries) < maxEntries {
+		return true
+	}
+	oldest := Entry{}
+	for _, e := range r.entries {
+		if e.State == StateLeft && (oldest.ID == "" || e.LastSeen.Before(oldest.LastSeen)) {
+			oldest = e
+		}
+	}
+	if oldest.ID == "" {
+		return false
+	}
+	r.remove(oldest.Endpoint)
+	at, _ := slices.BinarySearch(r.ids, oldest.ID)
+	r.ids = slices.Delete(r.ids, at, at+1)
+	return true
+}
+
+// remove drops an entry, but not its place in ids.
+func (r *Roster) remove(e Endpoint) {
+	delete(r.entries, e.ID)
+	if r.addresses[e.Address] == e.ID {
+		delete(r.addresses, e.Address)
+	}
+}
+
 // withSignOff returns e with the incarnation, sequence and state of a sign-off, which may have no
 // other fields.
 func (e Endpoint) withSignOff(signOff Endpoint) Endpoint {
@@ -233,10 +265,7 @@
 		age := now.Sub(e.LastSeen)
 		if e.State == StateLeft && age > tombstoneTTL || age > maxAge+tombstoneTTL {
 			removed = append(removed, id)
-			delete(r.entries, id)
-			if r.addresses[e.Address] == id {
-				delete(r.addresses, e.Address)
-			}
+			r.remove(e.Endpoint)
 		}
 	}
 	if len(removed) > 0 {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -99,3 +100,27 @@
 	e.Member = &Membership{Rank: 0, State: MemberClosing}
 	require.False(t, e.IsServingHead())
 }
+
+// TestRosterIsBounded guards against an endpoint that announces ever new IDs until the process has no memory left, and
+// against one that displaces others by that.
+func TestRosterIsBounded(t *testing.T) {
+	var r Roster
+	now := time.Unix(1_000_000, 0)
+	sound := Endpoint{ID: "sound", Service: "s", Address: "10.0.0.1:80", StartedMs: 1, Sequence: 1}
+	require.Equal(t, ChangeContent, r.Announce(sound, now))
+	for i := range 2 * maxEntries {
+		now = now.Add(time.Millisecond)
+		r.Announce(Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: "10.0.0.2:80", StartedMs: int64(i + 1), Sequence: 1}, now)
+	}
+	require.Len(t, r.All(), maxEntries)
+	_, known := r.Get("sound")
+	require.True(t, known)
+	last, _ := r.Get(fmt.Sprint("e", 2*maxEntries-1))
+	require.Equal(t, StateReady, last.State)
+	for i := range maxEntries {
+		r.Announce(Endpoint{ID: fmt.Sprint("f", i), Service: "s", Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), StartedMs: 1, Sequence: 1}, now)
+	}
+	require.Len(t, r.All(), maxEntries)
+	require.Equal(t, ChangeNone, r.Announce(Endpoint{ID: "g", Service: "s", Address: "10.0.0.3:80", StartedMs: 1, Sequence: 1}, now), "all of them serve")
+	require.Equal(t, ChangeLiveness, r.Announce(Endpoint{ID: "sound", Service: "s", Address: "10.0.0.1:80", StartedMs: 1, Sequence: 2}, now))
+}
