soak: requests that crash endpoints, and endpoints with limits

Two kinds that run all the time, as changes do: requests that share a part that crashes endpoints, and endpoints that name limits. It checks that the former soon reach no endpoint from gateways in touch, and that the latter get no more than the rule allows.

The rig was wrong about a crash: its proxy went on accepting connections and reset them, where a host whose process ended refuses. It now closes its listener. What this showed is mended besides: a gateway that can't see the crash itself learns it from the next incarnation at the address, also under another ID (TestCrashIsSeenByTheNextIncarnation failed before).

--- a/internal/check/soak/backend.go
+++ b/internal/check/soak/backend.go
@@ -27,8 +27,13 @@
 	// lastChange is when an endpoint last started, drained or ended, and lastCrash when one last
 	// ended.
 	lastChange, lastCrash time.Time
+	// limitedTill is the end of the time for which the endpoint names a limit.
+	limitedTill time.Time
 }
 
+// endpointID returns the ID of the latest endpoint. mu is held.
+func (b *backend) endpointID() string { return fmt.Sprintf("%s-%d", b.name, b.incarnations) }
+
 // endpointsUndisturbed reports whether no endpoint and no proxy has been disturbed since a time.
 func (t *testbed) endpointsUndisturbed(since time.Time) bool {
 	for _, b := range t.backends {
@@ -103,11 +108,15 @@
 		return errors.Wrap(err, "listen for endpoint")
 	}
 	b.incarnations++
-	b.endpoint = standin.NewEndpoint(fmt.Sprintf("%s-%d", b.name, b.incarnations), standin.ServiceName, listener, b.testbed.recorder)
-	b.proxy.setTarget(listener.Addr().String())
+	b.endpoint = standin.NewEndpoint(b.endpointID(), standin.ServiceName, listener, b.testbed.recorder)
+	stage := standin.CrashStage(b.incarnations % (int(standin.CrashAfterEvent) + 1)) //nolint:gosec // At most 2.
+	b.endpoint.CrashOn(badPart, stage, func() { b.crashUnderRequest(context.WithoutCancel(ctx)) })
+	if err := b.proxy.setTarget(listener.Addr().String()); err != nil {
+		return err
+	}
 	announceCtx, stopAnnouncing := context.WithCancel(ctx)
 	b.stopAnnouncing, b.lastChange = stopAnnouncing, time.Now()
-	go b.endpoint.Announce(announceCtx, b.proxy.address(), b.failureDomain, b.testbed.portalAPIs())
+	go b.endpoint.Announce(announceCtx, b.proxy.address, b.failureDomain, b.testbed.portalAPIs())
 	return nil
 }
 
@@ -119,7 +128,7 @@
 		return
 	}
 	b.stopAnnouncing()
-	b.proxy.setTarget("")
+	_ = b.proxy.setTarget("") // Closing a listener doesn't fail.
 	b.endpoint.Crash()
 	b.endpoint, b.lastChange = nil, time.Now()
 	b.lastCrash = b.lastChange
--- a/internal/check/soak/caller.go
+++ b/internal/check/soak/caller.go
@@ -235,13 +235,19 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "compose request")
 	}
+	setCallerHeaders(r, call.id, deadline)
+	r.Header.Set(platform.Dialect().Headers.PromptParts, fmt.Sprintf("%s:40,%s:300", commonPart, call.id))
+	return c.client.Do(r)
+}
+
+// setCallerHeaders sets what each request to a gateway has.
+func setCallerHeaders(r *http.Request, id string, deadline time.Duration) {
 	names := platform.Dialect().Headers
 	r.Host = standin.RouteHost
 	r.GetBody = nil // Keeps net/http from retrying the request by itself.
-	r.Header.Set(names.RequestID, call.id)
+	r.Header.Set(names.RequestID, id)
 	r.Header.Set(names.APIKey, standin.TeamKey)
 	r.Header.Set(names.Deadline, platform.Dialect().FormatDeadline(deadline))
-	return c.client.Do(r)
 }
 
 // checkNoResponse records a request without a response. It is a violation if the gateway was not
--- a/internal/check/soak/faultkind.go
+++ b/internal/check/soak/faultkind.go
@@ -43,6 +43,10 @@
 	faultChange faultKind = "change"
 	// faultLate lets some callers send the first request on a connection late.
 	faultLate faultKind = "late"
+	// faultPoison sends requests that share a part that crashes endpoints. faultLimit lets endpoints name limits
+	// of requests a second.
+	faultPoison faultKind = "poison"
+	faultLimit  faultKind = "limit"
 )
 
 // injectedKinds lists the kinds that the injector starts, as often as their relative frequency.
@@ -57,7 +61,7 @@
 
 // allKinds lists each kind once.
 func allKinds() faultKinds {
-	return append(slices.Compact(slices.Clone(injectedKinds)), faultChange, faultLate)
+	return append(slices.Compact(slices.Clone(injectedKinds)), faultChange, faultLate, faultPoison, faultLimit)
 }
 
 // String returns the names of the kinds.
--- a/internal/check/soak/main.go
+++ b/internal/check/soak/main.go
@@ -13,6 +13,8 @@
 //     nothing for a while.
 //   - A gateway sends nothing to an endpoint that has said in a response that it leaves, and hardly
 //     anything to one that has asked for no requests for a while.
+//   - Requests that share a part that crashes endpoints soon reach no endpoint.
+//   - An endpoint that names a limit of requests a second gets not much more from all gateways together.
 //   - No process exits by itself.
 //   - Soon after the last fault everything serves again.
 package main
@@ -155,6 +157,12 @@
 	return rand.New(rand.NewPCG(seed, part)) //nolint:gosec // A run must be reproducible from its seed.
 }
 
+// The parts of a run whose random numbers are independent of the number of callers.
+const (
+	poisonPart = 1000
+	limitPart  = 1001
+)
+
 // runFaults boots a testbed, injects faults, waits for its recovery and stops it.
 func (o options) runFaults(folder string, seed uint64, log func(string, ...any)) (*recorder, error) {
 	const parts = 4 // Each part of the run, and each caller, has its own random numbers.
@@ -184,6 +192,12 @@
 	if o.Only.has(faultChange) {
 		running.Go(func() { t.changeConfig(faultCtx, rngs[0]) })
 	}
+	if o.Only.has(faultPoison) {
+		running.Go(func() { t.sendPoison(faultCtx, newRand(seed, poisonPart)) })
+	}
+	if o.Only.has(faultLimit) {
+		running.Go(func() { t.limitEndpoints(faultCtx, newRand(seed, limitPart)) })
+	}
 	injector := &faultInjector{testbed: t, rng: rngs[1], kinds: o.Only, interval: o.Every}
 	running.Go(func() { injector.run(faultCtx) })
 	for i, rng := range rngs[parts:] {
--- a/internal/check/soak/proxy.go
+++ b/internal/check/soak/proxy.go
@@ -41,8 +41,11 @@
 
 // proxy forwards the connections of gateways to the endpoint of one backend, and disturbs them.
 type proxy struct {
+	ctx     context.Context //nolint:containedctx // It ends with the run.
+	address string
+	mu      sync.Mutex
+	// listener is nil while there is no target, so that connections are refused as on a host whose process ended.
 	listener net.Listener
-	mu       sync.Mutex
 	target   string
 	mode     mode
 	// changed is the time at which the mode was last set.
@@ -55,20 +58,18 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, conns: map[net.Conn]bool{}}
-	go p.serve(ctx)
+	p := &proxy{ctx: ctx, address: listener.Addr().String(), listener: listener, conns: map[net.Conn]bool{}}
+	go p.serve(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
-
-func (p *proxy) serve(ctx context.Context) {
+func (p *proxy) serve(listener net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
-			return // The run is over.
+			return // The run is over, or the target has ended.
 		}
-		go p.handle(ctx, c)
+		go p.handle(p.ctx, c)
 	}
 }
 
@@ -149,11 +150,28 @@
 	}
 }
 
-// setTarget sets the address that new connections are forwarded to; "" resets them.
-func (p *proxy) setTarget(target string) {
+// setTarget sets the address that new connections are forwarded to; "" refuses them.
+func (p *proxy) setTarget(target string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.target = target
+	if target == "" {
+		if p.listener != nil {
+			_ = p.listener.Close()
+			p.listener = nil
+		}
+		return nil
+	}
+	if p.listener != nil {
+		return nil
+	}
+	listener, err := (&net.ListenConfig{}).Listen(p.ctx, "tcp", p.address)
+	if err != nil {
+		return errors.Wrap(err, "listen again")
+	}
+	p.listener = listener
+	go p.serve(listener)
+	return nil
 }
 
 // undisturbed reports whether the proxy has been in modePass since a time.
--- a/internal/check/soak/recorder.go
+++ b/internal/check/soak/recorder.go
@@ -21,6 +21,10 @@
 	violations []string
 	counts     map[string]int
 	notices    noticeCheck
+	poison     poisonCheck
+	limits     limitCheck
+	// inTouch reports whether a gateway and control were undisturbed for a while before a time.
+	inTouch func(g *process, at time.Time) bool
 }
 
 func newRecorder() *recorder {
@@ -35,6 +39,12 @@
 	for _, violation := range r.notices.arrived(request, endpoint, time.Now()) {
 		r.reportViolation("%s", violation)
 	}
+	if r.poison.arrived(request, r.inTouch) {
+		r.reportViolation("BUDGET %s is the fourth with the bad part to reach an endpoint, %s, long after the fifth crash", request, endpoint)
+	}
+	if violation := r.limits.arrived(request, endpoint, time.Now()); violation != "" {
+		r.reportViolation("%s", violation)
+	}
 }
 
 // RequestRefused implements standin.Observer.
--- a/internal/check/soak/testbed.go
+++ b/internal/check/soak/testbed.go
@@ -74,6 +74,7 @@
 	}
 	t := &testbed{recorder: newRecorder(), addressPrefix: prefix, log: log}
 	t.recorder.notices.linkDisturbed = t.linkDisturbed
+	t.recorder.inTouch = t.inTouch
 	add := func(role string, first, count int) (all []*process) {
 		for i := range count {
 			all = append(all, &process{
--- a/internal/entry/gateway/crash.go
+++ b/internal/entry/gateway/crash.go
@@ -144,7 +144,7 @@
 // must be held.
 func (g *Gateway) confirmCrashes(lost []string, now time.Time) {
 	g.unconfirmed = slices.DeleteFunc(g.unconfirmed, func(b brokenRequest) bool {
-		known, ok := g.roster.Get(b.endpoint.ID)
+		known, ok := g.roster.At(b.endpoint.Address)
 		restarted := ok && known.StartedMs > b.endpoint.StartedMs
 		if restarted || slices.Contains(lost, b.endpoint.ID) {
 			g.observer.Crashed(b.endpoint.Incarnation(), b.scope, b.keys, b.sentAt, b.at)
--- a/internal/entry/gateway/faults_test.go
+++ b/internal/entry/gateway/faults_test.go
@@ -17,6 +17,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/entry/balance"
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/link/message"
 )
 
 // TestFaultsLeaveNothingBehind guards against requests that stay counted at an endpoint or in the
@@ -162,3 +164,24 @@
 	time.Sleep(d)
 	e.refuses.Store(false)
 }
+
+// TestCrashIsSeenByTheNextIncarnation guards against a crash that is overlooked because another endpoint serves at the
+// address, or something resets connections to it, before the gateway has looked.
+func TestCrashIsSeenByTheNextIncarnation(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		forEach(f.plains, func(e *fakeEndpoint) {
+			e.script = func(c net.Conn, _ *http.Request, _ string) { _ = c.Close() }
+		})
+		require.Equal(t, 502, f.send("POST", "/unsafe/", "poison").status)
+		time.Sleep(time.Second)
+		require.Empty(t, f.g.composeReport(time.Now()).Blame.Crashes, "the answer may have been lost")
+		for i := range 2 {
+			f.g.applyUpdate(&message.Picture{Endpoints: []roster.Endpoint{{
+				ID: "next-" + strconv.Itoa(i), Service: "plain", Address: "p" + strconv.Itoa(i), FailureDomain: "a", Slots: 6, StartedMs: 2, Sequence: 1,
+			}}})
+		}
+		crashes := f.g.composeReport(time.Now()).Blame.Crashes
+		require.Len(t, crashes, 1)
+		require.Equal(t, 1, crashes[0].Requests)
+	})
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -248,6 +248,12 @@
 	return e, ok
 }
 
+// At returns the entry of the latest incarnation at an address.
+func (r *Roster) At(address string) (Entry, bool) {
+	e, ok := r.entries[r.addresses[address]]
+	return e, ok
+}
+
 // All returns all entries by ID, including those that left.
 func (r *Roster) All() []Entry {
 	all := make([]Entry, 0, len(r.ids))
