quarantine: judge crashes at a cost that a storm doesn't multiply

Measured at the target size, after a storm that 40 gateways saw: one judgement took 31 ms and could take place a hundred times a second, on a leader with half a core. Now the probability is computed only for the keys with the most crashes, 128 crashes are kept in place of 256, and a judgement takes place ten times a second at most: 9.0 ms each (BenchmarkJudge).

--- a/internal/control/portal/hold_log.go
+++ b/internal/control/portal/hold_log.go
@@ -11,8 +11,12 @@
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
-// proposeTimeout bounds the proposal of a change to the log.
-const proposeTimeout = 2 * time.Second
+const (
+	// proposeTimeout bounds the proposal of a change to the log.
+	proposeTimeout = 2 * time.Second
+	// judgeInterval is the least time between two judgements of the crashes.
+	judgeInterval = 100 * time.Millisecond
+)
 
 // countCrashes records the crashes and completed requests that a gateway reports. mu is held.
 func (p *Portal) countCrashes(gateway host.ID, r *message.GatewayReport, now time.Time) {
@@ -35,6 +39,10 @@
 func (p *Portal) judgeHolds(ctx context.Context, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now.Sub(p.judgedAt) < judgeInterval {
+		return
+	}
+	p.judgedAt = now
 	p.holds.Sync(p.machine.Holds(), now)
 	for _, c := range p.holds.Judge(now) {
 		p.logHold(c)
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -120,7 +120,9 @@
 	reports map[host.ID]receivedReport
 	health  map[string]endpointHealth
 	demand  demandAverage
-	holds   quarantine.Keeper
+	// holds decides which requests are held back. judgedAt is when it last judged the crashes.
+	holds    quarantine.Keeper
+	judgedAt time.Time
 	// permits divides the limits of endpoints between the gateways. grantedAt is when it last did so here, and
 	// permitsReady is closed and replaced when gateways must hear of it.
 	permits        permit.Allocator
--- a/internal/control/quarantine/evidence.go
+++ b/internal/control/quarantine/evidence.go
@@ -23,8 +23,8 @@
 	// completionsTime is how long an observer's report of completed requests counts.
 	completionsTime = 5 * time.Second
 	// maxEvidence bounds the crashes that are kept, the latest ones.
-	maxEvidence = 256
-	// maxWatched bounds the keys that are watched, those that are most likely to be blamed.
+	maxEvidence = 128
+	// maxWatched bounds the keys that are watched, those with the most crashes.
 	maxWatched = 128
 )
 
@@ -284,75 +284,92 @@
 	key   uint64
 	scope string
 	whole bool
-	// crashes counts those of which each request was sent after the one before. others counts the crashes
-	// in between without the key.
-	crashes, others int
-	// logChance is the logarithm of the probability that a request with the key was broken off at each
-	// of the crashes.
-	logChance float64
-	lastAt    time.Time
+	// crashes counts those of which each request was sent after the one before. ignored counts the others with
+	// the key, and before the crashes of the scope that came before the first one.
+	crashes, ignored, before int
+	lastAt                   time.Time
 }
 
-// candidates returns the blame of all keys with a crash that counts, the strongest first.
+// candidates returns the blame of the keys that are most likely to be blamed, those with the most crashes.
 func (e *Evidence) candidates() []Blame {
+	records, seen := e.records()
+	slices.SortFunc(records, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.key, b.key))
+	})
+	records = records[:min(len(records), maxWatched)]
+	candidates := make([]Blame, 0, len(records))
+	for _, r := range records {
+		b := Blame{Key: r.key, Scope: r.scope, Whole: r.whole, Crashes: r.crashes, Others: seen[r.scope] - r.before - r.ignored - r.crashes, Chance: 1}
+		if b.Crashes >= minCrashes {
+			b.Chance = b.chance(e.logChance(b))
+		}
+		candidates = append(candidates, b)
+	}
+	return candidates
+}
+
+// records returns the records of all keys, and the number of crashes in each scope.
+func (e *Evidence) records() ([]*record, map[string]int) {
 	byKey := map[uint64]*record{}
 	seen := map[string]int{}
-	// seenAtStart is how many crashes of the scope came before the key's first one.
-	seenAtStart := map[uint64]int{}
-	ignored := map[uint64]int{}
 	for _, c := range e.crashes {
 		for key, s := range c.suspects {
 			r := byKey[key]
 			if r == nil {
-				r = &record{key: key, scope: c.scope, whole: s.Whole}
-				byKey[key], seenAtStart[key] = r, seen[c.scope]
+				r = &record{key: key, scope: c.scope, whole: s.Whole, before: seen[c.scope]}
+				byKey[key] = r
 			}
 			if !s.SentAt.After(r.lastAt) {
-				ignored[key]++ // The request was under way already at the crash before.
+				r.ignored++ // The request was under way already at the crash before.
 				continue
 			}
 			r.crashes++
-			r.logChance += math.Log(e.chance(c, s))
 			r.lastAt = c.at
 		}
 		seen[c.scope]++
 	}
-	candidates := make([]Blame, 0, len(byKey))
-	for key, r := range byKey {
-		r.others = seen[r.scope] - seenAtStart[key] - ignored[key] - r.crashes
-		candidates = append(candidates, r.blame())
+	return slices.Collect(maps.Values(byKey)), seen
+}
+
+// logChance returns the logarithm of the probability that requests with a key were broken off at each of its
+// crashes by chance.
+func (e *Evidence) logChance(b Blame) float64 {
+	total, withKey := e.completed(b.Scope, b.Key)
+	sum := 0.0
+	var lastAt time.Time
+	for _, c := range e.crashes {
+		s, present := c.suspects[b.Key]
+		if !present || !s.SentAt.After(lastAt) {
+			continue
+		}
+		sum += math.Log(c.chance(s, total, withKey))
+		lastAt = c.at
 	}
-	slices.SortFunc(candidates, func(a, b Blame) int {
-		return cmp.Or(cmp.Compare(a.Chance, b.Chance), cmp.Compare(a.Key, b.Key))
-	})
-	return candidates
+	return sum
 }
 
 // chance returns the probability that a key is among the requests broken off by a crash that it has
-// nothing to do with, estimated by the share of the completed requests that had it.
-func (e *Evidence) chance(c observedCrash, s Suspect) float64 {
-	total, withKey := e.completed(c.scope, s.Key)
+// nothing to do with, estimated by its share of the completed requests: of those that all gateways report, or of
+// those of the ones that saw the crash.
+func (c *observedCrash) chance(s Suspect, total, withKey int) float64 {
 	total, withKey = max(total, c.completed), max(withKey, s.Completed)
 	share := (float64(withKey) + 1) / (float64(total) + 2)
 	return 1 - math.Pow(1-min(share, 1), float64(max(c.requests, 1)))
 }
 
-// blame returns the blame of a record's key. The chance considers that a key can be present at any of the
-// crashes of the time.
-func (r record) blame() Blame {
-	n, _ := math.Lgamma(float64(r.crashes+r.others) + 1)
-	k, _ := math.Lgamma(float64(r.crashes) + 1)
-	rest, _ := math.Lgamma(float64(r.others) + 1)
-	return Blame{
-		Key: r.key, Scope: r.scope, Whole: r.whole, Crashes: r.crashes, Others: r.others,
-		Chance: min(1, math.Exp(n-k-rest+r.logChance)),
-	}
+// chance returns the probability of the crashes of a key, of which logChance is the logarithm for these very ones. It
+// considers that the key can be present at any of the crashes of the time.
+func (b Blame) chance(logChance float64) float64 {
+	n, _ := math.Lgamma(float64(b.Crashes+b.Others) + 1)
+	k, _ := math.Lgamma(float64(b.Crashes) + 1)
+	rest, _ := math.Lgamma(float64(b.Others) + 1)
+	return min(1, math.Exp(n-k-rest+logChance))
 }
 
-// watch updates the watched keys: the strongest candidates.
+// watch updates the watched keys: the candidates.
 func (e *Evidence) watch(candidates []Blame, now time.Time) {
 	watched := make(map[uint64]time.Time, maxWatched)
-	for _, b := range candidates[:min(len(candidates), maxWatched)] {
+	for _, b := range candidates {
 		since, known := e.watchedSince[b.Key]
 		if !known {
 			since = now
--- a/internal/control/quarantine/evidence_test.go
+++ b/internal/control/quarantine/evidence_test.go
@@ -270,3 +270,26 @@
 		}
 	}
 }
+
+// BenchmarkJudge measures one judgement after a storm: as many crashes as are kept, each seen by 40 gateways with 100
+// suspects, of which two gateways share each.
+func BenchmarkJudge(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var e Evidence
+	for i := range maxEvidence {
+		at := noonOfEvidence.Add(time.Duration(i) * 100 * time.Millisecond)
+		for g := range 40 {
+			o := Observation{
+				ID: CrashID{strconv.Itoa(i), 1}, Observer: strconv.Itoa(g), Scope: "service", At: at, Requests: 5, Completed: 1000,
+			}
+			for range 5 {
+				o.Suspects = append(o.Suspects, Suspect{Key: rng.Uint64N(20_000), SentAt: at.Add(-200 * time.Millisecond), Completed: 1, CompletedAt: at.Add(-time.Minute)})
+			}
+			e.Observe(o)
+		}
+	}
+	for b.Loop() {
+		e.changed = true
+		e.Judge(noonOfEvidence.Add(time.Minute), func(uint64) bool { return false })
+	}
+}
