limits: tell of a wavering limit once, and let resumed streams wait for room

A resumed stream was refused for the requests that wait behind it. The history of completed requests may take a quarter of the memory (2048 keys in 6 buckets for 32 scopes).

--- a/internal/control/permit/allocator.go
+++ b/internal/control/permit/allocator.go
@@ -46,6 +46,8 @@
 type limit struct {
 	scope     string
 	perSecond float64
+	// told is the limit as of the last change that gateways were told of.
+	told float64
 	// heardAt is when a gateway heard the limit last. A limit of 0 has ended.
 	heardAt time.Time
 	// tokens are the permits that may be handed out, as of filledAt.
@@ -123,7 +125,7 @@
 	maps.DeleteFunc(g.arrivals, func(_ string, rate float64) bool { return rate < 1e-3 })
 }
 
-// hear records a limit as a gateway heard it, and reports whether it is new. An end counts only if the answer
+// hear records a limit as a gateway heard it, and reports whether gateways must be told. An end counts only if the answer
 // without a limit belongs to a request that was sent after the limit was last heard.
 func (a *Allocator) hear(l message.EndpointLimit, scope func(roster.Incarnation) string, now time.Time) bool {
 	id, heardAt := l.Incarnation(), now.Add(-l.Age)
@@ -143,14 +145,15 @@
 		return false
 	}
 	known.heardAt = heardAt
-	if known.perSecond == l.PerSecond {
-		return false
-	}
 	if known.perSecond == 0 {
 		known.tokens, known.filledAt = 0, now
 	}
+	known.perSecond = l.PerSecond
+	if !roster.IsOtherLimit(known.told, l.PerSecond) {
+		return false
+	}
 	a.changed++
-	known.perSecond, known.changed = l.PerSecond, a.changed
+	known.told, known.changed = l.PerSecond, a.changed
 	return true
 }
 
--- a/internal/entry/balance/limit.go
+++ b/internal/entry/balance/limit.go
@@ -30,6 +30,8 @@
 // together, and this gateway's part of it. The zero value is no limit.
 type rateLimit struct {
 	perSecond float64
+	// told is the limit as of the last change that was worth telling.
+	told float64
 	// heardAt is when the limit was last named, as far as this gateway knows, or when it ended.
 	heardAt time.Time
 	// unreported says that control has yet to learn what the endpoint has said, in the answer to a request that
@@ -140,15 +142,16 @@
 	return false
 }
 
-// change sets the limit and reports whether it is another one. A new one begins without permits.
+// change sets the limit and reports whether that is worth telling. A new one begins without permits.
 func (l *rateLimit) change(perSecond float64, now time.Time) bool {
-	if l.perSecond == perSecond {
-		return false
-	}
-	if l.perSecond == 0 || perSecond == 0 {
+	if (l.perSecond == 0) != (perSecond == 0) {
 		l.permits, l.granted, l.ownTokens, l.ownAt = nil, 0, 0, now
 	}
 	l.perSecond = perSecond
+	if !roster.IsOtherLimit(l.told, perSecond) {
+		return false
+	}
+	l.told = perSecond
 	return true
 }
 
@@ -251,10 +254,10 @@
 }
 
 // waitsInVain reports whether the limits of all endpoints leave a request no room before its wait ends, after
-// those that wait already.
+// those that wait already. A resumed stream comes before these.
 func (b *Balancer) waitsInVain(req Request, now time.Time) bool {
 	share, limited := b.limitedShare(req, now)
-	return limited && float64(b.waitingFor(req)) > share*req.WaitUntil.Sub(now).Seconds()+1
+	return limited && !req.Resumed && float64(b.waitingFor(req)) > share*req.WaitUntil.Sub(now).Seconds()+1
 }
 
 // waitingFor returns the number of requests that wait for the same service and model.
--- a/internal/entry/balance/limit_test.go
+++ b/internal/entry/balance/limit_test.go
@@ -123,3 +123,17 @@
 	require.LessOrEqual(t, waiting, 4, "half a second at half of eight a second")
 	require.Greater(t, last, 3*time.Second, "sixteen requests at half of eight a second")
 }
+
+// TestWaveringLimitIsToldOnce guards against a log line and an update for each answer of an endpoint that names
+// another limit each time.
+func TestWaveringLimitIsToldOnce(t *testing.T) {
+	b := plain(1)
+	told := 0
+	for i := range 100 {
+		if b.HearLimit(limited("p0"), 10+float64(i%5)/10, noon, noon) {
+			told++
+		}
+	}
+	require.Equal(t, 1, told)
+	require.True(t, b.HearLimit(limited("p0"), 5, noon, noon))
+}
--- a/internal/entry/suspicion/history.go
+++ b/internal/entry/suspicion/history.go
@@ -8,7 +8,7 @@
 	historyBucketTime = 10 * time.Second
 	historyBuckets    = int(historyTime / historyBucketTime)
 	// maxHistoryKeys bounds the keys of a bucket. Further ones are not counted.
-	maxHistoryKeys = 4096
+	maxHistoryKeys = 2048
 )
 
 // history counts the completed requests of a scope in a moving window, by key. The zero value is empty.
--- a/internal/entry/suspicion/observer.go
+++ b/internal/entry/suspicion/observer.go
@@ -18,7 +18,7 @@
 	// whose completed requests are counted.
 	maxCrashes  = 64
 	maxSuspects = 512
-	maxScopes   = 64
+	maxScopes   = 32
 	// maxRefused bounds the keys in one report of refused requests.
 	maxRefused = 64
 	// mergeTime is the time in which all requests at an endpoint break when it crashes. The crash is reported
