agent: let control know of a planned stop after a change of the leader too

Callers saw: beside the planned stop of a service's agent, while the control leader was silent for 1.2 s, a sign-off ended unknown (agent_unreachable); the work had not run.

Cause: an agent tells control once that it stops. A session that is opened anew meanwhile, with another leader or the same one, begins with an announcement, which clears that: entries get the agent as a target again, and it exits 2 s after the start of its stop whether or not they know. Ruled out: a lost End (the attempt was never accepted).

Now each renewal of a stopping agent says so, and the agent refuses late work until a second grant has answered such a renewal and a second has passed for the view to reach entries, 4 s at most.

--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -35,6 +35,10 @@
 	// lateDispatchTime is how long after the start of a planned stop dispatches may
 	// arrive from entries that do not know of it: they were silent, or a claim took long.
 	lateDispatchTime = 2 * time.Second
+	// stopKnownTimeout bounds the wait until control knows of a planned stop.
+	stopKnownTimeout = 4 * time.Second
+	// viewPushTime is how long after control knows of it dispatches may still arrive.
+	viewPushTime = time.Second
 	// DefaultMaxAttemptTime is the default of Options.MaxAttemptTime.
 	DefaultMaxAttemptTime = 5 * time.Minute
 	orderQueueSize        = 64
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -42,6 +42,11 @@
 	rejected      atomic.Uint64
 
 	mu sync.Mutex
+	// stoppingRenewed says that a renewal has told control of a planned stop. stoppingGrants counts the grants of
+	// this session since then, the last of which came at stopKnownAt. The first may answer an earlier renewal.
+	stoppingRenewed bool
+	stoppingGrants  int
+	stopKnownAt     time.Time
 	// crashCount counts the crashes of the engine.
 	crashCount uint64
 	// runCtx is the context of Run.
--- a/internal/agent/server/session.go
+++ b/internal/agent/server/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/egretreach/egretreach/internal/agent/gate"
 	"github.com/egretreach/egretreach/internal/fleet/host"
@@ -23,7 +24,8 @@
 	held := s.heldReplicas()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return message.Renewal{EngineHealthy: s.engine == nil || s.gate.EngineHealthy(), Held: held}
+	s.stoppingRenewed = s.gate.Stopping()
+	return message.Renewal{EngineHealthy: s.engine == nil || s.gate.EngineHealthy(), Held: held, Stopping: s.stoppingRenewed}
 }
 
 func (s *Server) heldReplicas() []message.HeldReplica {
@@ -46,6 +48,10 @@
 	signal(s.gateChanged)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stoppingRenewed {
+		s.stoppingGrants++
+		s.stopKnownAt = time.Now()
+	}
 	s.broadcastLocked()
 }
 
@@ -53,6 +59,7 @@
 func (s *Server) OnWelcome(w message.Welcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stoppingGrants = 0
 	s.gate.SetFenceFloor(w.FenceFloor)
 }
 
--- a/internal/agent/server/shutdown.go
+++ b/internal/agent/server/shutdown.go
@@ -27,6 +27,7 @@
 	_ = s.session.Send(&message.Goodbye{Draining: true})
 	s.await(ctx, func() bool { return s.dispatchCount == 0 })
 	s.awaitUnused(ctx, math.MaxUint64)
+	refusesUntil = s.awaitStopKnown(ctx, refusesUntil)
 	s.releaseReplica(ctx)
 	_ = s.session.Goodbye()
 	pause.For(ctx, time.Until(refusesUntil))
@@ -39,6 +40,22 @@
 	return ctx.Err()
 }
 
+// awaitStopKnown waits until a leader knows of the planned stop, but not longer than stopKnownTimeout, and returns until
+// when dispatches may arrive. A leader that is elected meanwhile hasn't got the first notice.
+func (s *Server) awaitStopKnown(ctx context.Context, refusesUntil time.Time) time.Time {
+	ctx, cancel := context.WithTimeout(ctx, stopKnownTimeout)
+	defer cancel()
+	var knownAt time.Time
+	s.await(ctx, func() bool {
+		knownAt = s.stopKnownAt
+		return s.stoppingGrants > 1
+	})
+	if late := knownAt.Add(viewPushTime); late.After(refusesUntil) {
+		return late
+	}
+	return refusesUntil
+}
+
 // InProgress returns the number of attempts in progress.
 func (s *Server) InProgress() int {
 	s.mu.Lock()
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -187,6 +187,7 @@
 	}
 	d.lastGrant = now
 	d.Renewed = true
+	d.Stopping = d.Stopping || r.Stopping
 	if d.EngineHealthy != r.EngineHealthy {
 		d.EngineHealthy = r.EngineHealthy
 		d.EngineHealthChangedAt = now
--- a/internal/link/message/session.go
+++ b/internal/link/message/session.go
@@ -75,6 +75,8 @@
 	Demand map[string]float64 `cbor:"7,keyasint,omitempty"`
 	// Shares are the shares of the teams' limits that an entry holds, 0 to 1.
 	Shares map[string]float64 `cbor:"8,keyasint,omitempty"`
+	// Stopping reports that a planned stop of the daemon has begun.
+	Stopping bool `cbor:"10,keyasint,omitempty"`
 	// Blame is what an entry reports of requests that crash engines.
 	Blame *Blame `cbor:"9,keyasint,omitempty"`
 }
