Names that a reader of the last changes would stumble over

Found by reading the diff as a newcomer: two types named Blame (the message is CrashEvidence now), a Held that lets a trial through and counts a refusal (Refuse), a Suspect that counted completed requests (CompletedKey), a receiver h of a Keeper, a variable named any. No logic changes; tests of the packages concerned pass.

--- a/internal/control/permit/allocator.go
+++ b/internal/control/permit/allocator.go
@@ -163,7 +163,7 @@
 	maps.DeleteFunc(a.limits, func(id roster.Incarnation, l *limit) bool { return gone(id) || now.Sub(l.heardAt) > limitTime })
 	maps.DeleteFunc(a.gateways, func(_ host.ID, g *gateway) bool { return now.Sub(g.reportedAt) > 2*reportTime })
 	weights := map[string][]weight{}
-	any := false
+	granted := false
 	for id, l := range a.limits {
 		if l.perSecond == 0 {
 			continue
@@ -173,9 +173,9 @@
 			shares = a.weights(l.scope, now)
 			weights[l.scope] = shares
 		}
-		any = a.grant(id, l, shares, now) || any
+		granted = a.grant(id, l, shares, now) || granted
 	}
-	return any
+	return granted
 }
 
 // weight is the weight of a gateway among those that share a limit.
@@ -215,7 +215,7 @@
 func (a *Allocator) grant(id roster.Incarnation, l *limit, shares []weight, now time.Time) bool {
 	l.tokens = min(l.tokens+l.perSecond*now.Sub(l.filledAt).Seconds(), 1+l.perSecond*burstTime.Seconds())
 	l.filledAt = now
-	any := false
+	granted := false
 	for l.tokens >= 1 && len(shares) > 0 {
 		l.tokens--
 		best := 0
@@ -227,10 +227,10 @@
 		}
 		l.credits[shares[best].id]--
 		shares[best].g.pending[id]++
-		any = true
+		granted = true
 	}
 	maps.DeleteFunc(l.credits, func(id host.ID, _ float64) bool { return a.gateways[id] == nil })
-	return any
+	return granted
 }
 
 // Take returns the limits that have changed since the last call for a gateway, and its permits. With all set it
--- a/internal/control/portal/hold_log.go
+++ b/internal/control/portal/holds.go
@@ -20,7 +20,7 @@
 
 // countCrashes records the crashes and completed requests that a gateway reports. mu is held.
 func (p *Portal) countCrashes(gateway host.ID, r *message.GatewayReport, now time.Time) {
-	for _, c := range p.holds.Add(gateway, r.Blame, now) {
+	for _, c := range p.holds.Add(gateway, r.Evidence, now) {
 		p.metrics.crashes.Inc(1)
 		quarantine.LogCrash(p.opts.Logger, gateway, c)
 		p.notifyLocked()
--- a/internal/control/quarantine/keeper.go
+++ b/internal/control/quarantine/keeper.go
@@ -78,32 +78,32 @@
 }
 
 // Add records what a gateway reports. It returns the crashes that are new to this host.
-func (h *Keeper) Add(from host.ID, r message.Blame, now time.Time) []message.Crash {
+func (k *Keeper) Add(from host.ID, r message.CrashEvidence, now time.Time) []message.Crash {
 	var added []message.Crash
 	for _, c := range r.Crashes {
-		if h.evidence.Observe(h.observation(from, c, now)) {
+		if k.evidence.Observe(k.observation(from, c, now)) {
 			added = append(added, c)
 		}
 	}
 	for _, c := range r.Completions {
 		counts := Completions{Scope: c.Scope, Total: c.Total, ByKey: map[uint64]int{}, At: now}
 		for _, s := range c.Watched {
-			counts.ByKey[s.Key] = s.Completed
-			h.complete(s.Key, now.Add(-s.CompletedAge))
+			counts.ByKey[s.Key] = s.Count
+			k.complete(s.Key, now.Add(-s.Age))
 		}
-		h.evidence.Count(string(from), counts)
+		k.evidence.Count(string(from), counts)
 	}
 	for _, key := range r.Refused {
-		if h.refusals == nil {
-			h.refusals = map[uint64]refusal{}
+		if k.refusals == nil {
+			k.refusals = map[uint64]refusal{}
 		}
-		h.refusals[key] = refusal{from, now}
+		k.refusals[key] = refusal{from, now}
 	}
 	return added
 }
 
 // observation converts a reported crash.
-func (h *Keeper) observation(from host.ID, c message.Crash, now time.Time) Observation {
+func (k *Keeper) observation(from host.ID, c message.Crash, now time.Time) Observation {
 	o := Observation{
 		ID: CrashID{Endpoint: c.Endpoint, StartedMs: c.StartedMs}, Observer: string(from), Scope: c.Scope, At: now.Add(-c.Age),
 		Requests: c.Requests, Completed: c.Completed,
@@ -113,7 +113,7 @@
 		if s.Completed > 0 {
 			suspect.CompletedAt = now.Add(-s.CompletedAge)
 		}
-		if t := h.trials[s.Key]; t != nil && suspect.SentAt.After(t.at) {
+		if t := k.trials[s.Key]; t != nil && suspect.SentAt.After(t.at) {
 			t.crashed = true
 		}
 		o.Suspects = append(o.Suspects, suspect)
@@ -122,44 +122,44 @@
 }
 
 // complete records that a request with a key completed.
-func (h *Keeper) complete(key uint64, at time.Time) {
-	h.evidence.Complete(key, at)
-	if t := h.trials[key]; t != nil && at.After(t.at) {
+func (k *Keeper) complete(key uint64, at time.Time) {
+	k.evidence.Complete(key, at)
+	if t := k.trials[key]; t != nil && at.After(t.at) {
 		t.completed = true
 	}
 }
 
 // Sync takes over the held keys of the log.
-func (h *Keeper) Sync(committed []Hold, now time.Time) {
+func (k *Keeper) Sync(committed []Hold, now time.Time) {
 	keys := make(map[uint64]heldKey, len(committed))
 	for _, c := range committed {
-		known, ok := h.keys[c.Key]
+		known, ok := k.keys[c.Key]
 		if !ok || known.strikes != c.Strikes {
 			known = heldKey{c.Strikes, now}
 		}
 		keys[c.Key] = known
 	}
-	h.keys = keys
-	maps.DeleteFunc(h.proposals, func(key uint64, p *proposal) bool { return keys[key].strikes == p.hold.Strikes })
-	maps.DeleteFunc(h.trials, func(key uint64, _ *trial) bool { return keys[key].strikes == 0 })
-	maps.DeleteFunc(h.refusals, func(key uint64, _ refusal) bool { return !h.isHeld(key) })
+	k.keys = keys
+	maps.DeleteFunc(k.proposals, func(key uint64, p *proposal) bool { return keys[key].strikes == p.hold.Strikes })
+	maps.DeleteFunc(k.trials, func(key uint64, _ *trial) bool { return keys[key].strikes == 0 })
+	maps.DeleteFunc(k.refusals, func(key uint64, _ refusal) bool { return !k.isHeld(key) })
 }
 
 // isHeld reports whether a key is held, or will be.
-func (h *Keeper) isHeld(key uint64) bool {
-	if h.keys[key].strikes > 0 {
+func (k *Keeper) isHeld(key uint64) bool {
+	if k.keys[key].strikes > 0 {
 		return true
 	}
-	p := h.proposals[key]
+	p := k.proposals[key]
 	return p != nil && p.hold.Strikes > 0
 }
 
 // propose remembers a change of a key's hold.
-func (h *Keeper) propose(key uint64, strikes int) {
-	if h.proposals == nil {
-		h.proposals = map[uint64]*proposal{}
+func (k *Keeper) propose(key uint64, strikes int) {
+	if k.proposals == nil {
+		k.proposals = map[uint64]*proposal{}
 	}
-	h.proposals[key] = &proposal{hold: Hold{Key: key, Strikes: strikes}}
+	k.proposals[key] = &proposal{hold: Hold{Key: key, Strikes: strikes}}
 }
 
 // HoldChange is a decision about a held key.
@@ -198,17 +198,17 @@
 func (Released) cause()     {}
 
 // Judge decides which keys are held, tried and released. Only the leader calls it.
-func (h *Keeper) Judge(now time.Time) []HoldChange {
+func (k *Keeper) Judge(now time.Time) []HoldChange {
 	var changes []HoldChange
-	for _, b := range h.evidence.Judge(now, h.isHeld) {
-		h.propose(b.Key, 1)
+	for _, b := range k.evidence.Judge(now, k.isHeld) {
+		k.propose(b.Key, 1)
 		changes = append(changes, HoldChange{b.Key, Blamed{b, firstHold}})
 	}
-	for _, key := range slices.Sorted(maps.Keys(h.keys)) {
-		if h.proposals[key] != nil {
+	for _, key := range slices.Sorted(maps.Keys(k.keys)) {
+		if k.proposals[key] != nil {
 			continue
 		}
-		if cause := h.judgeHeld(key, now); cause != nil {
+		if cause := k.judgeHeld(key, now); cause != nil {
 			changes = append(changes, HoldChange{key, cause})
 		}
 	}
@@ -216,40 +216,40 @@
 }
 
 // judgeHeld decides about a held key. It returns nil if nothing changes.
-func (h *Keeper) judgeHeld(key uint64, now time.Time) Cause {
-	held := h.keys[key]
-	t := h.trials[key]
+func (k *Keeper) judgeHeld(key uint64, now time.Time) Cause {
+	held := k.keys[key]
+	t := k.trials[key]
 	over := now.Sub(held.since) - holdTime(held.strikes)
-	refused, wanted := h.refusals[key]
+	refused, wanted := k.refusals[key]
 	wanted = wanted && now.Sub(refused.at) < refusalTime
 	switch {
 	case t != nil && t.completed:
-		h.propose(key, 0)
+		k.propose(key, 0)
 		return Released{"a request with it completed"}
 	case t != nil && t.crashed:
-		delete(h.trials, key)
-		h.propose(key, held.strikes+1)
+		delete(k.trials, key)
+		k.propose(key, held.strikes+1)
 		return TrialFailed{held.strikes + 1, holdTime(held.strikes + 1)}
 	case over < 0 || t != nil && now.Sub(t.at) < trialTimeout:
 		return nil
 	case wanted:
 		started := trial{number: uint64(now.UnixNano()), gateway: refused.gateway, at: now}
-		if h.trials == nil {
-			h.trials = map[uint64]*trial{}
+		if k.trials == nil {
+			k.trials = map[uint64]*trial{}
 		}
-		h.trials[key] = &started
+		k.trials[key] = &started
 		return TrialStarted{started.number, started.gateway}
 	case over > idleHold && now.Sub(refused.at) > idleHold:
-		h.propose(key, 0)
+		k.propose(key, 0)
 		return Released{"no requests with it came"}
 	}
 	return nil
 }
 
 // Due returns the changes to propose to the log now.
-func (h *Keeper) Due(now time.Time) []Hold {
+func (k *Keeper) Due(now time.Time) []Hold {
 	var due []Hold
-	for _, p := range h.proposals {
+	for _, p := range k.proposals {
 		if now.Sub(p.triedAt) >= proposeRetry {
 			p.triedAt = now
 			due = append(due, p.hold)
@@ -260,20 +260,20 @@
 }
 
 // StepDown drops what only a leader decides. The next leader gets the crashes from the gateways.
-func (h *Keeper) StepDown() { h.proposals, h.trials = nil, nil }
+func (k *Keeper) StepDown() { k.proposals, k.trials = nil, nil }
 
 // View returns the held keys for a gateway.
-func (h *Keeper) View(gateway host.ID, now time.Time) []message.HeldKey {
+func (k *Keeper) View(gateway host.ID, now time.Time) []message.HeldKey {
 	var all []message.HeldKey
-	for key, held := range h.keys {
-		k := message.HeldKey{Key: key, For: max(0, held.since.Add(holdTime(held.strikes)).Sub(now))}
-		if t := h.trials[key]; t != nil && t.gateway == gateway {
-			k.Trial = t.number
+	for key, held := range k.keys {
+		m := message.HeldKey{Key: key, For: max(0, held.since.Add(holdTime(held.strikes)).Sub(now))}
+		if t := k.trials[key]; t != nil && t.gateway == gateway {
+			m.Trial = t.number
 		}
-		all = append(all, k)
+		all = append(all, m)
 	}
-	for key, p := range h.proposals {
-		if h.keys[key].strikes == 0 && p.hold.Strikes > 0 {
+	for key, p := range k.proposals {
+		if k.keys[key].strikes == 0 && p.hold.Strikes > 0 {
 			all = append(all, message.HeldKey{Key: key, For: firstHold})
 		}
 	}
@@ -282,9 +282,9 @@
 }
 
 // Watched returns the keys of which gateways must report completed requests.
-func (h *Keeper) Watched() []uint64 {
-	keys := h.evidence.Watched()
-	for key := range h.trials {
+func (k *Keeper) Watched() []uint64 {
+	keys := k.evidence.Watched()
+	for key := range k.trials {
 		keys = append(keys, key)
 	}
 	slices.Sort(keys)
--- a/internal/control/quarantine/quarantine.go
+++ b/internal/control/quarantine/quarantine.go
@@ -3,6 +3,9 @@
 // After a crash of an engine, every body that was in flight there is a suspect. A body
 // that is in flight at a second crash is quarantined. The package is part of the
 // replicated state: it is deterministic, takes the time as input and encodes to CBOR.
+//
+// A request may also crash engines by a part of its prompt that others share. Evidence finds such parts, a Keeper
+// decides which are held back and tried again, and a HoldSet is the replicated result.
 package quarantine
 
 import (
--- a/internal/control/server/holds.go
+++ b/internal/control/server/holds.go
@@ -22,11 +22,11 @@
 	return commands
 }
 
-// recordBlame records an entry's report of requests that crash engines, and returns the requests that it must
+// recordEvidence records an entry's report of requests that crash engines, and returns the requests that it must
 // hold back. mu is held.
-func (l *leader) recordBlame(entry host.ID, blame *message.Blame, now time.Time) *message.Holds {
-	if blame != nil {
-		for _, c := range l.keeper.Add(entry, *blame, now) {
+func (l *leader) recordEvidence(entry host.ID, evidence *message.CrashEvidence, now time.Time) *message.Holds {
+	if evidence != nil {
+		for _, c := range l.keeper.Add(entry, *evidence, now) {
 			quarantine.LogCrash(l.server.opts.Logger, entry, c)
 		}
 		l.requestReconcile()
--- a/internal/control/server/session.go
+++ b/internal/control/server/session.go
@@ -219,7 +219,7 @@
 	if s.role != host.RoleEntry {
 		return message.LeaseGrant{}, true
 	}
-	return message.LeaseGrant{Shares: l.quota.Renew(now, r), Holds: l.recordBlame(s.info.ID, r.Blame, now)}, true
+	return message.LeaseGrant{Shares: l.quota.Renew(now, r), Holds: l.recordEvidence(s.info.ID, r.Evidence, now)}, true
 }
 
 func (l *leader) orderDone(s *session, done message.OrderDone) {
--- a/internal/entry/gateway/crash.go
+++ b/internal/entry/gateway/crash.go
@@ -56,7 +56,7 @@
 // refuseHeld refuses the request and returns true if control holds it back.
 func (c *call) refuseHeld() bool {
 	c.g.mu.Lock()
-	held, ok := c.g.observer.Held(c.keys)
+	held, ok := c.g.observer.Refuse(c.keys)
 	c.onTrial = !ok && c.g.observer.IsHeld(c.keys)
 	c.g.mu.Unlock()
 	if !ok {
--- a/internal/entry/gateway/faults_test.go
+++ b/internal/entry/gateway/faults_test.go
@@ -174,13 +174,13 @@
 		})
 		require.Equal(t, 502, f.send("POST", "/unsafe/", "poison").status)
 		time.Sleep(time.Second)
-		require.Empty(t, f.g.composeReport(time.Now()).Blame.Crashes, "the answer may have been lost")
+		require.Empty(t, f.g.composeReport(time.Now()).Evidence.Crashes, "the answer may have been lost")
 		for i := range 2 {
 			f.g.applyUpdate(&message.Picture{Endpoints: []roster.Endpoint{{
 				ID: "next-" + strconv.Itoa(i), Service: "plain", Address: "p" + strconv.Itoa(i), FailureDomain: "a", Slots: 6, StartedMs: 2, Sequence: 1,
 			}}})
 		}
-		crashes := f.g.composeReport(time.Now()).Blame.Crashes
+		crashes := f.g.composeReport(time.Now()).Evidence.Crashes
 		require.Len(t, crashes, 1)
 		require.Equal(t, 1, crashes[0].Requests)
 	})
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -238,7 +238,7 @@
 				require.Equal(t, 502, f.send("POST", path, "poison").status)
 				require.Equal(t, 1, f.runCount())
 				time.Sleep(100 * time.Millisecond)
-				report := f.g.composeReport(time.Now()).Blame
+				report := f.g.composeReport(time.Now()).Evidence
 				require.Len(t, report.Crashes, 1)
 				require.Equal(t, 1, report.Crashes[0].Requests)
 				require.Len(t, report.Crashes[0].Suspects, 1)
@@ -251,7 +251,7 @@
 					require.Equal(t, want, got.header.Get("Retry-After"))
 				}
 				require.Equal(t, 1, f.runCount())
-				require.Equal(t, []uint64{held.Key}, f.g.composeReport(time.Now()).Blame.Refused)
+				require.Equal(t, []uint64{held.Key}, f.g.composeReport(time.Now()).Evidence.Refused)
 				require.NotEqual(t, "2", f.send("POST", path, "other").header.Get("Retry-After"))
 				f.g.applyUpdate(&message.Picture{})
 				require.NotEqual(t, "2", f.send("POST", path, "poison").header.Get("Retry-After"))
--- a/internal/entry/gateway/subscription.go
+++ b/internal/entry/gateway/subscription.go
@@ -254,7 +254,7 @@
 		r.Demand = append(r.Demand, message.Demand{Model: model, EngineTime: balance.EngineTime(d.engine, model, d.usage)})
 	}
 	clear(g.demand)
-	r.Blame = g.observer.Report(now)
+	r.Evidence = g.observer.Report(now)
 	r.Limits = g.limitReport(now)
 	return r
 }
--- a/internal/entry/server/holds.go
+++ b/internal/entry/server/holds.go
@@ -47,7 +47,7 @@
 	keys := partKeys(*work)
 	sched.mu.Lock()
 	defer sched.mu.Unlock()
-	held, ok := sched.observer.Held(keys)
+	held, ok := sched.observer.Refuse(keys)
 	if ok {
 		return &execution.Result{
 			Outcome: request.OutcomeNotRun, Code: codeQuarantined, Reason: reasonPartHeld, RetryAfter: max(held.For, minHeldRetryAfter),
--- a/internal/entry/server/scheduler.go
+++ b/internal/entry/server/scheduler.go
@@ -123,8 +123,8 @@
 	elapsed := now.Sub(sched.lastRenewal)
 	sched.lastRenewal = now
 	r := message.Renewal{EngineHealthy: true, Demand: sched.quota.Demand(elapsed), Shares: sched.quota.Shares()}
-	if blame := sched.observer.Report(now); !blame.IsEmpty() {
-		r.Blame = &blame
+	if evidence := sched.observer.Report(now); !evidence.IsEmpty() {
+		r.Evidence = &evidence
 	}
 	return r
 }
--- a/internal/entry/suspicion/observer.go
+++ b/internal/entry/suspicion/observer.go
@@ -66,9 +66,9 @@
 	}
 }
 
-// Held returns the held key of a request, if there is one. A request that control lets through as a trial
-// is not held; another one with the same key is.
-func (o *Observer) Held(keys []Key) (message.HeldKey, bool) {
+// Refuse reports whether a new request must be refused, and the held key for which. It lets one request through for each
+// trial.
+func (o *Observer) Refuse(keys []Key) (message.HeldKey, bool) {
 	if len(o.held) == 0 {
 		return message.HeldKey{}, false
 	}
@@ -79,7 +79,7 @@
 			continue
 		}
 		if h.Trial == 0 || o.tried[h.Key] == h.Trial {
-			o.refuse(h.Key)
+			o.recordRefusal(h.Key)
 			return h, true
 		}
 		trials = append(trials, h)
@@ -93,8 +93,8 @@
 	return message.HeldKey{}, false
 }
 
-// refuse records a refused request for the next report.
-func (o *Observer) refuse(key uint64) {
+// recordRefusal records a refused request for the next report.
+func (o *Observer) recordRefusal(key uint64) {
 	if o.refused == nil {
 		o.refused = map[uint64]bool{}
 	}
@@ -166,8 +166,8 @@
 }
 
 // Report returns what control must know.
-func (o *Observer) Report(now time.Time) message.Blame {
-	var r message.Blame
+func (o *Observer) Report(now time.Time) message.CrashEvidence {
+	var r message.CrashEvidence
 	for _, c := range o.crashes {
 		if !c.reported && now.Sub(c.at) >= mergeTime {
 			c.reported = true
@@ -193,7 +193,7 @@
 	m := message.Completions{Scope: scope, Total: h.total(now)}
 	for _, key := range watched {
 		if c := h.withKey(key, now); c.count > 0 {
-			m.Watched = append(m.Watched, message.Suspect{Key: key, Completed: c.count, CompletedAge: now.Sub(c.lastAt)})
+			m.Watched = append(m.Watched, message.CompletedKey{Key: key, Count: c.count, Age: now.Sub(c.lastAt)})
 		}
 	}
 	return m
--- a/internal/entry/suspicion/observer_test.go
+++ b/internal/entry/suspicion/observer_test.go
@@ -25,20 +25,20 @@
 		return []message.HeldKey{{Key: a[1].Hash, Trial: aTrial}, {Key: b[2].Hash}}
 	}
 	o.SetHolds(message.Holds{Held: held(0)})
-	_, refused := o.Held(a)
+	_, refused := o.Refuse(a)
 	require.True(t, refused)
 	o.SetHolds(message.Holds{Held: held(7)})
-	_, refused = o.Held(b)
+	_, refused = o.Refuse(b)
 	require.True(t, refused, "its other part is held")
 	for _, want := range []bool{false, true, true} {
-		_, refused = o.Held(a)
+		_, refused = o.Refuse(a)
 		require.Equal(t, want, refused)
 		o.SetHolds(message.Holds{Held: held(7)})
 	}
 	o.SetHolds(message.Holds{Held: held(8)})
-	_, refused = o.Held(a)
+	_, refused = o.Refuse(a)
 	require.False(t, refused, "a new trial")
-	_, refused = o.Held(keysOf("c"))
+	_, refused = o.Refuse(keysOf("c"))
 	require.False(t, refused)
 	require.Len(t, o.Report(observerStart).Refused, 2)
 }
--- a/internal/link/message/blame.go
+++ b/internal/link/message/crash_evidence.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Blame is what a gateway or entry reports of requests that crash endpoints.
-type Blame struct {
+// CrashEvidence is what a gateway or entry reports of requests that crash endpoints.
+type CrashEvidence struct {
 	// Crashes are the crashes of endpoints that the gateway saw, new ones and, to a control host that it has
 	// just subscribed to, those of the last minutes.
 	Crashes []Crash `cbor:"1,keyasint,omitempty"`
@@ -14,8 +14,8 @@
 }
 
 // IsEmpty reports whether there is nothing to report.
-func (b Blame) IsEmpty() bool {
-	return len(b.Crashes) == 0 && len(b.Completions) == 0 && len(b.Refused) == 0
+func (e CrashEvidence) IsEmpty() bool {
+	return len(e.Crashes) == 0 && len(e.Completions) == 0 && len(e.Refused) == 0
 }
 
 // Holds says which requests a gateway or entry must hold back.
@@ -75,6 +75,14 @@
 type Completions struct {
 	Scope string `cbor:"1,keyasint"`
 	Total int    `cbor:"2,keyasint"`
-	// Watched are those with watched keys. Their Whole and SentAge are not set.
-	Watched []Suspect `cbor:"3,keyasint,omitempty"`
+	// Watched are those with watched keys.
+	Watched []CompletedKey `cbor:"3,keyasint,omitempty"`
+}
+
+// CompletedKey counts the requests with a key that a gateway saw complete lately.
+type CompletedKey struct {
+	Key   uint64 `cbor:"1,keyasint"`
+	Count int    `cbor:"2,keyasint"`
+	// Age is the time since the last one.
+	Age time.Duration `cbor:"3,keyasint"`
 }
--- a/internal/link/message/portal.go
+++ b/internal/link/message/portal.go
@@ -82,7 +82,8 @@
 	Demand []Demand     `cbor:"2,keyasint,omitempty"`
 	// Requests counts callers' requests since the gateway started.
 	Requests uint64 `cbor:"3,keyasint,omitempty"`
-	Blame    Blame  `cbor:"5,keyasint"`
+	// Evidence is about requests that crash endpoints.
+	Evidence CrashEvidence `cbor:"5,keyasint"`
 	// Limits are the rate limits that endpoints named.
 	Limits LimitReport `cbor:"6,keyasint"`
 }
--- a/internal/link/message/session.go
+++ b/internal/link/message/session.go
@@ -77,8 +77,8 @@
 	Shares map[string]float64 `cbor:"8,keyasint,omitempty"`
 	// Stopping reports that a planned stop of the daemon has begun.
 	Stopping bool `cbor:"10,keyasint,omitempty"`
-	// Blame is what an entry reports of requests that crash engines.
-	Blame *Blame `cbor:"9,keyasint,omitempty"`
+	// Evidence is what an entry reports of requests that crash engines.
+	Evidence *CrashEvidence `cbor:"9,keyasint,omitempty"`
 }
 
 // Grant answers a Renew and extends the leases.
