--- a/internal/control/quorum/event.go
+++ b/internal/control/quorum/event.go
@@ -21,7 +21,12 @@
 }
 
 // Read asks for an index at which a read is linearizable. ReadReady or Rejected repeats its ID.
-type Read struct{ ID uint64 }
+type Read struct {
+	ID uint64
+	// Confirmed asks for an answer only once a majority has confirmed, after the read, that this host still
+	// leads. The lease alone doesn't show that if the clock stood still while the host was suspended.
+	Confirmed bool
+}
 
 // Persisted reports that the Persist action with this sequence and all before it are on disk.
 type Persisted struct{ Sequence uint64 }
--- a/internal/control/quorum/leader.go
+++ b/internal/control/quorum/leader.go
@@ -50,6 +50,13 @@
 		p := n.progress[id]
 		n.expireInflight(now, p)
 		n.sendEntries(now, id)
+	}
+	n.sendHeartbeats(now)
+}
+
+func (n *Node) sendHeartbeats(now time.Time) {
+	for _, id := range n.peers {
+		p := n.progress[id]
 		n.send(n.newMessage(id, p.generation, Heartbeat{
 			Commit: min(n.commit, p.match), Sent: n.toLeaderTime(now),
 		}))
@@ -78,17 +85,19 @@
 }
 
 // hasLease reports whether no other host can have been elected yet. A majority has answered a
-// message sent at majorityTime(sendTimes) or later, and each of these hosts supports no other
+// message sent at confirmedAt or later, and each of these hosts supports no other
 // candidate for an election timeout after it received that message.
 func (n *Node) hasLease(now time.Time) bool {
-	if n.leaseRevoked {
-		return false
-	}
+	return !n.leaseRevoked && now.Before(n.confirmedAt(now).Add(n.timing.lease()))
+}
+
+// confirmedAt returns the latest time at which a message was sent that a majority has answered.
+func (n *Node) confirmedAt(now time.Time) time.Time {
 	sendTimes := []time.Time{now}
 	for _, p := range n.progress {
 		sendTimes = append(sendTimes, p.ackedSendTime)
 	}
-	return now.Before(n.majorityTime(sendTimes).Add(n.timing.lease()))
+	return n.majorityTime(sendTimes)
 }
 
 // majorityTime returns the latest time that a majority of times has reached.
@@ -97,24 +106,34 @@
 	return times[n.majority()-1]
 }
 
-func (n *Node) read(id uint64) {
+// read queues a read and, if it must be confirmed, asks the peers whether this host still leads.
+func (n *Node) read(now time.Time, r Read) {
 	if n.role != RoleLeader {
-		n.emit(Rejected{ID: id, Reason: ReasonNotLeader, Leader: n.leader})
+		n.emit(Rejected{ID: r.ID, Reason: ReasonNotLeader, Leader: n.leader})
 		return
 	}
-	n.pendingReads = append(n.pendingReads, id)
+	pending := pendingRead{id: r.ID}
+	if r.Confirmed {
+		pending.confirmedBy = n.fromLeaderTime(n.toLeaderTime(now)) // As precise as the times in messages.
+		n.sendHeartbeats(now)
+	}
+	n.pendingReads = append(n.pendingReads, pending)
 }
 
-// serveReads answers the pending reads while the lease holds and an entry of this term is
-// committed.
+// serveReads answers the pending reads while the lease holds and an entry of this term is committed, those to be
+// confirmed once they are.
 func (n *Node) serveReads(now time.Time) {
 	if len(n.pendingReads) == 0 || n.role != RoleLeader || n.commit < n.termStart || !n.hasLease(now) {
 		return
 	}
-	for _, id := range n.pendingReads {
-		n.emit(ReadReady{ID: id, Index: n.commit})
-	}
-	n.pendingReads = nil
+	confirmed := n.confirmedAt(now)
+	n.pendingReads = slices.DeleteFunc(n.pendingReads, func(r pendingRead) bool {
+		if r.confirmedBy.After(confirmed) {
+			return false
+		}
+		n.emit(ReadReady{ID: r.id, Index: n.commit})
+		return true
+	})
 }
 
 // advanceCommit commits the entries that a majority of admitted disks holds, provided that the
--- a/internal/control/quorum/node.go
+++ b/internal/control/quorum/node.go
@@ -51,7 +51,7 @@
 	// none. leaseRevoked is true once that peer has been asked to start an election.
 	progress         map[host.ID]*progress
 	termStart        Index
-	pendingReads     []uint64
+	pendingReads     []pendingRead
 	transferee       host.ID
 	transferDeadline time.Time
 	leaseRevoked     bool
@@ -60,6 +60,13 @@
 	actions []Action
 }
 
+// pendingRead is a read that a leader has not answered. If confirmedBy is set, a majority must have answered a
+// message that was sent then or later.
+type pendingRead struct {
+	id          uint64
+	confirmedBy time.Time
+}
+
 // incomingSnapshot is a snapshot of which some chunks have been received.
 type incomingSnapshot struct {
 	term Term
@@ -111,7 +118,7 @@
 	case Propose:
 		n.propose(now, e.Proposals)
 	case Read:
-		n.read(e.ID)
+		n.read(now, e)
 	case Persisted:
 		n.handlePersisted(now, e.Sequence)
 	case SnapshotTaken:
@@ -191,8 +198,8 @@
 
 // resetRole clears the state that only a leader or candidate has and rejects pending reads.
 func (n *Node) resetRole() {
-	for _, id := range n.pendingReads {
-		n.emit(Rejected{ID: id, Reason: ReasonNotLeader, Leader: n.leader})
+	for _, r := range n.pendingReads {
+		n.emit(Rejected{ID: r.id, Reason: ReasonNotLeader, Leader: n.leader})
 	}
 	n.pendingReads, n.progress, n.votes = nil, nil, nil
 	n.transferee, n.leaseRevoked, n.byTransfer = "", false, false
--- a/internal/control/quorum/reads_test.go
+++ b/internal/control/quorum/reads_test.go
@@ -48,3 +48,25 @@
 	s.run(time.Second)
 	require.Equal(t, 1, s.readsServed)
 }
+
+// TestSuspendedLeaderServesNoOutdatedConfirmedRead is the same for reads that a majority must confirm, as those of
+// operators: a host that was suspended must never answer them with a configuration that has been replaced.
+func TestSuspendedLeaderServesNoOutdatedConfirmedRead(t *testing.T) {
+	s, suspended, _ := newSimulationWithLeader(t, 16)
+	began := s.now
+	suspended.pausedUntil = s.now.Add(time.Hour)
+	s.run(5 * time.Second)
+	next := s.leader()
+	require.NotEqual(t, suspended, next)
+	s.propose(next, 1)
+	s.run(time.Second)
+	suspended.suspended, suspended.pausedUntil = s.now.Sub(began), time.Time{}
+	require.Equal(t, RoleLeader, suspended.node.role)
+	require.True(t, suspended.node.hasLease(s.clock(suspended)))
+	s.readAs(suspended, true)
+	s.run(time.Second)
+	require.Zero(t, s.readsServed)
+	s.readAs(next, true)
+	s.run(time.Second)
+	require.Equal(t, 1, s.readsServed)
+}
--- a/internal/control/quorum/simulation_test.go
+++ b/internal/control/quorum/simulation_test.go
@@ -333,10 +333,13 @@
 	s.step(n, p)
 }
 
-func (s *simulation) read(n *simNode) {
+func (s *simulation) read(n *simNode) { s.readAs(n, false) }
+
+// readAs reads at a node, and asks for a confirmation if confirmed is set.
+func (s *simulation) readAs(n *simNode, confirmed bool) {
 	s.lastID++
 	n.reads[s.lastID] = len(s.committed)
-	s.step(n, Read{ID: s.lastID})
+	s.step(n, Read{ID: s.lastID, Confirmed: confirmed})
 }
 
 func (s *simulation) snapshot(n *simNode) {
--- a/internal/control/replication/propose.go
+++ b/internal/control/replication/propose.go
@@ -42,7 +42,10 @@
 	waiter  *waiter
 }
 
-type inputBarrier struct{ waiter *waiter }
+type inputBarrier struct {
+	waiter    *waiter
+	confirmed bool
+}
 
 type inputTransfer struct{ waiter *waiter }
 
@@ -74,9 +77,15 @@
 // Barrier waits until the application state reflects every proposal that was answered before
 // the call. If it returns nil, this host was the leader at some moment since the call. Otherwise
 // it returns ErrNotLeader, ErrNoReadPoint, ErrBusy or ErrStopped.
-func (l *Log) Barrier(ctx context.Context) error {
+func (l *Log) Barrier(ctx context.Context) error { return l.barrier(ctx, false) }
+
+// ConfirmedBarrier is a Barrier for which a majority confirms, after the call, that this host still leads. It holds also
+// on a host that was suspended and whose clock stood still, and costs a round trip.
+func (l *Log) ConfirmedBarrier(ctx context.Context) error { return l.barrier(ctx, true) }
+
+func (l *Log) barrier(ctx context.Context, confirmed bool) error {
 	w := newWaiter()
-	if err := l.enqueue(ctx, inputBarrier{waiter: w}); err != nil {
+	if err := l.enqueue(ctx, inputBarrier{waiter: w, confirmed: confirmed}); err != nil {
 		return err
 	}
 	_, err := l.wait(ctx, w)
