--- a/internal/entry/upstream/memory.go
+++ b/internal/entry/upstream/memory.go
@@ -11,7 +11,7 @@
 const (
 	// maxHead bounds the head of a response in bytes, informational responses included, and maxHeadFields the
 	// number of its fields.
-	maxHead       = 64 << 10
+	maxHead       = 32 << 10
 	maxHeadFields = 256
 	// maxInformational bounds the informational responses before the final one.
 	maxInformational = 16
