--- a/internal/control/quorum/reads_test.go
+++ b/internal/control/quorum/reads_test.go
@@ -29,29 +29,13 @@
 // TestSuspendedLeaderServesNoOutdatedRead suspends a leader, so that its clock stands still, while the
 // others elect a new one and commit. By its clock its lease still runs when it resumes. A read that is
 // its first event must not be served before another host has answered it, and thus never.
-func TestSuspendedLeaderServesNoOutdatedRead(t *testing.T) {
-	s, suspended, _ := newSimulationWithLeader(t, 16)
-	began := s.now
-	suspended.pausedUntil = s.now.Add(time.Hour)
-	s.run(5 * time.Second)
-	next := s.leader()
-	require.NotEqual(t, suspended, next)
-	s.propose(next, 1)
-	s.run(time.Second)
-	suspended.suspended, suspended.pausedUntil = s.now.Sub(began), time.Time{}
-	require.Equal(t, RoleLeader, suspended.node.role)
-	require.True(t, suspended.node.hasLease(s.clock(suspended)))
-	s.read(suspended)
-	s.run(time.Second)
-	require.Zero(t, s.readsServed)
-	s.read(next)
-	s.run(time.Second)
-	require.Equal(t, 1, s.readsServed)
-}
+func TestSuspendedLeaderServesNoOutdatedRead(t *testing.T) { requireNoOutdatedRead(t, false) }
 
 // TestSuspendedLeaderServesNoOutdatedConfirmedRead is the same for reads that a majority must confirm, as those of
 // operators: a host that was suspended must never answer them with a configuration that has been replaced.
-func TestSuspendedLeaderServesNoOutdatedConfirmedRead(t *testing.T) {
+func TestSuspendedLeaderServesNoOutdatedConfirmedRead(t *testing.T) { requireNoOutdatedRead(t, true) }
+
+func requireNoOutdatedRead(t *testing.T, confirmed bool) {
 	s, suspended, _ := newSimulationWithLeader(t, 16)
 	began := s.now
 	suspended.pausedUntil = s.now.Add(time.Hour)
@@ -63,10 +47,10 @@
 	suspended.suspended, suspended.pausedUntil = s.now.Sub(began), time.Time{}
 	require.Equal(t, RoleLeader, suspended.node.role)
 	require.True(t, suspended.node.hasLease(s.clock(suspended)))
-	s.readAs(suspended, true)
+	s.readAs(suspended, confirmed)
 	s.run(time.Second)
 	require.Zero(t, s.readsServed)
-	s.readAs(next, true)
+	s.readAs(next, confirmed)
 	s.run(time.Second)
 	require.Equal(t, 1, s.readsServed)
 }
--- a/internal/standin/fleet/crash_part_test.go
+++ b/internal/standin/fleet/crash_part_test.go
@@ -1,5 +1,7 @@
 package fleet
 
+// The test of this file runs in virtual time: runFleet uses testing/synctest.
+
 import (
 	"fmt"
 	"net/http"
