--- a/internal/check/soak/backend.go
+++ b/internal/check/soak/backend.go
@@ -110,7 +110,7 @@
 	b.incarnations++
 	b.endpoint = standin.NewEndpoint(b.endpointID(), standin.ServiceName, listener, b.testbed.recorder)
 	stage := standin.CrashStage(b.incarnations % (int(standin.CrashAfterEvent) + 1)) //nolint:gosec // At most 2.
-	b.endpoint.CrashOn(badPart, stage, func() { b.crashUnderRequest(context.WithoutCancel(ctx)) })
+	b.endpoint.CrashOn(stage, func() { b.crashUnderRequest(context.WithoutCancel(ctx)) }, badPart)
 	if err := b.proxy.setTarget(listener.Addr().String()); err != nil {
 		return err
 	}
