gateway: a crowd is refused at once, by a queue that holds no more than can be placed

Cause: each request that found no capacity waited 0.35 of its objective, and each event tried all waiting requests at all endpoints. A gateway held 50 and more, spent 0.6 ms of processor time on each refusal, more than a third of it in the queue, and ran up to 1.46 s late (its own lateness in the log lines): it read requests after their callers had given up, noticed departures late, and sent what nobody waited for.

Now a request is refused on arrival if, by the recent throughput of its service and model, it would not be placed before its wait ends. At least four may wait and take the first slots that come free, so each free slot is still used; streams to be resumed and more urgent requests are queued as before. Endpoints are found by an index of what they serve.

TestFlashCrowdIsRefusedAtOnce failed before (70 requests waited, the bound is 4).

--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -88,8 +88,12 @@
 
 	// endpoints holds the endpoints by ID.
 	endpoints map[string]*endpointState
+	// index holds the endpoints that are ready by what they serve. It is nil if it has to be built.
+	index map[scope][]*endpointState
 	// queue holds the waiting requests in the order in which they are tried.
 	queue []*Waiter
+	// placed is the recent throughput of this gateway's requests.
+	placed map[scope]throughput
 	// engines holds the model engine of each service; it is nil for plain services.
 	engines map[string]*routes.Engine
 	// endedNotices are those that TakeEndedNotices has yet to return, at most one for each
@@ -116,6 +120,7 @@
 	if b.endpoints == nil {
 		b.endpoints = map[string]*endpointState{}
 	}
+	b.index = nil
 	for _, e := range endpoints {
 		t, known := b.endpoints[e.ID]
 		if !known || t.StartedMs != e.StartedMs {
@@ -136,6 +141,7 @@
 
 // RemoveEndpoints removes the endpoints with these IDs.
 func (b *Balancer) RemoveEndpoints(ids []string) {
+	b.index = nil
 	for _, id := range ids {
 		if t, ok := b.endpoints[id]; ok {
 			b.endNotice(t)
--- a/internal/entry/balance/exclusion.go
+++ b/internal/entry/balance/exclusion.go
@@ -108,9 +108,9 @@
 // and whether there is one.
 func (b *Balancer) nextReturn(req Request, now time.Time) (time.Time, bool) {
 	var earliest time.Time
-	for _, t := range b.endpoints {
+	for _, t := range b.serving(req) {
 		until := t.notice.busyUntil
-		if t.serves(req) && b.exclusion(t, now) == ExclusionBusy && (earliest.IsZero() || until.Before(earliest)) {
+		if b.exclusion(t, now) == ExclusionBusy && (earliest.IsZero() || until.Before(earliest)) {
 			earliest = until
 		}
 	}
@@ -131,8 +131,8 @@
 
 // anyServesBy reports whether an endpoint that serves a request may get it by a time.
 func (b *Balancer) anyServesBy(req Request, by, now time.Time) bool {
-	for _, t := range b.endpoints {
-		if !t.serves(req) || t.notice.leaving {
+	for _, t := range b.serving(req) {
+		if t.notice.leaving {
 			continue
 		}
 		if !now.Before(t.notice.busyUntil) || t.notice.busyUntil.Before(by) {
@@ -145,8 +145,8 @@
 // allBusyUntil returns the earliest end of a busy time if all endpoints that serve a request, and do
 // not leave, are busy.
 func (b *Balancer) allBusyUntil(req Request, now time.Time) (time.Time, bool) {
-	for _, t := range b.endpoints {
-		if t.serves(req) && !t.notice.leaving && !now.Before(t.notice.busyUntil) {
+	for _, t := range b.serving(req) {
+		if !t.notice.leaving && !now.Before(t.notice.busyUntil) {
 			return time.Time{}, false
 		}
 	}
--- a/internal/entry/balance/limit.go
+++ b/internal/entry/balance/limit.go
@@ -234,10 +234,7 @@
 // gateway. It returns false if one of them that may get requests has no limit.
 func (b *Balancer) limitedShare(req Request, now time.Time) (float64, bool) {
 	sum, limited := 0.0, false
-	for _, t := range b.endpoints {
-		if !t.serves(req) {
-			continue
-		}
+	for _, t := range b.serving(req) {
 		switch b.exclusion(t, now) {
 		case ExclusionNone:
 			if t.limit.perSecond == 0 {
@@ -264,7 +261,7 @@
 func (b *Balancer) waitingFor(req Request) int {
 	waiting := 0
 	for _, w := range b.queue {
-		if w.Service == req.Service && w.Model == req.Model {
+		if w.scope() == req.scope() {
 			waiting++
 		}
 	}
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -3,16 +3,14 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/egretreach/egretreach/internal/fleet/roster"
 )
 
 // pick returns the endpoint of the lowest cost that has capacity for a request, if any. avoided is
 // the number of endpoints that serve the request and have asked for none, or for no more.
 func (b *Balancer) pick(req Request, now time.Time) (best *endpointState, avoided int) {
 	var lowest float64
-	for _, t := range b.endpoints {
-		if !t.serves(req) || slices.Contains(req.Exclude, t.ID) {
+	for _, t := range b.serving(req) {
+		if slices.Contains(req.Exclude, t.ID) {
 			continue
 		}
 		if excluded := b.exclusion(t, now); excluded != ExclusionNone {
@@ -25,21 +23,13 @@
 			continue
 		}
 		cost := b.cost(t, req, now)
-		if best == nil || cost < lowest || cost == lowest && t.ID < best.ID {
+		if best == nil || cost < lowest {
 			best, lowest = t, cost
 		}
 	}
 	return best, avoided
 }
 
-// serves reports whether an endpoint is ready and serves the request's service and model.
-func (t *endpointState) serves(req Request) bool {
-	if t.Service != req.Service || t.State != roster.StateReady {
-		return false
-	}
-	return req.Model == "" || t.IsServingHead() && t.Model == req.Model
-}
-
 // hasCapacity reports whether an endpoint has capacity for a request. A plain endpoint needs a
 // slot or a place in its queue. A model engine must also be likely to give the first event in
 // time, or the next event of a resumed stream within maxResumeWait. A request that is late
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -72,10 +72,7 @@
 // availability sums up the endpoints that serve a request.
 func (b *Balancer) availability(req Request, now time.Time) Availability {
 	var a Availability
-	for _, t := range b.endpoints {
-		if !t.serves(req) {
-			continue
-		}
+	for _, t := range b.serving(req) {
 		a.Serving++
 		switch b.exclusion(t, now) {
 		case ExclusionLeaving:
@@ -125,14 +122,28 @@
 	if b.waitsInVain(req, now) {
 		return b.refusal(req, reasonLimited, now), nil
 	}
+	if b.queueFull(req, now) {
+		return b.refusal(req, reasonQueueFull, now), nil
+	}
+	return Decision{}, b.enqueue(req)
+}
+
+// enqueue adds a request to the queue, behind those that are tried at the same time.
+func (b *Balancer) enqueue(req Request) *Waiter {
 	w := &Waiter{Request: req, Decided: make(chan Decision, 1)}
-	b.queue = append(b.queue, w)
-	slices.SortStableFunc(b.queue, compareWaiters)
-	return Decision{}, w
+	at := len(b.queue)
+	for at > 0 && compareRequests(b.queue[at-1].Request, req) > 0 {
+		at--
+	}
+	b.queue = slices.Insert(b.queue, at, w)
+	return w
 }
 
-// compareWaiters orders waiting requests: resumed ones first, then by priority, then by arrival.
-func compareWaiters(a, b *Waiter) int {
+// reasonQueueFull is the reason of a refusal for the requests that are queued before.
+const reasonQueueFull = "the queue is full"
+
+// compareRequests orders waiting requests: resumed ones first, then by priority, then by arrival.
+func compareRequests(a, b Request) int {
 	if a.Resumed != b.Resumed {
 		if a.Resumed {
 			return -1
@@ -187,10 +198,19 @@
 	}
 	expected := b.forecastFirstEvent(t, req, now)
 	b.RequestSent(t.ID, req, now)
+	b.countPlaced(req, now)
 	t.usePermit()
 	return Decision{Endpoint: t.Endpoint, Forecast: expected, Avoided: avoided}, true
 }
 
+// countPlaced adds a request that has found an endpoint to the throughput.
+func (b *Balancer) countPlaced(req Request, now time.Time) {
+	if b.placed == nil {
+		b.placed = map[scope]throughput{}
+	}
+	b.placed[req.scope()] = b.placed[req.scope()].with(now)
+}
+
 // refusal returns a refusal. Its Retry-After grows by 20 ms with each request that waits for
 // the same service and model, from minRetryAfter to maxRetryAfter. For models it is at least
 // replicaRecoveryTime. While all endpoints are busy it follows the earliest that wants requests again,
