gateway: an attempt is broken off once its caller has left, also by a process that runs late

The socket was looked at only before a send; from then on the gateway relied on the goroutine of net/http that reads ahead on the caller's connection, which runs when its turn comes, and in a late process that is more than a second.

While an endpoint sends nothing the attempt now looks at the caller's socket with each check of its wait (50 ms), also if that check is late itself. A stream with events needs no look: its next writes fail.

TestDepartureIsNoticedByALateProcess delays exactly that goroutine. Without the look it fails: the attempt goes on until a standby or the deadline.

--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -158,14 +158,15 @@
 	c.stats.endpoint, c.stats.forecast = a.endpoint.ID, a.forecast
 	c.g.metrics.attempts.Inc(1)
 	ctx, a.cancel = context.WithCancel(ctx)
-	if httpserver.CallerLeft(ctx) {
-		a.result = balance.ResultCanceled
+	if a.unwanted(ctx) {
 		c.stats.sends--
 		return outcomeNotRun, upstream.ErrNotSent{Cause: ctx.Err()}
 	}
 	request := *c.request
 	request.Header = a.requestHeader(lastEventID)
-	x, err := c.g.upstream.Do(ctx, a.endpoint.Address, &request, upstream.WaitPolicy{CheckInterval: waitCheckInterval, KeepWaiting: a.keepWaiting})
+	x, err := c.g.upstream.Do(ctx, a.endpoint.Address, &request, upstream.WaitPolicy{
+		CheckInterval: waitCheckInterval, KeepWaiting: a.keepWaiting, Unwanted: func() bool { return a.unwanted(ctx) },
+	})
 	if err != nil {
 		return a.classifyError(err), err
 	}
@@ -189,6 +190,16 @@
 	return h
 }
 
+// unwanted reports whether the caller has left, in which case it sets the result. It asks the operating system, since the goroutine
+// that waits for the end of the caller's connection may run late.
+func (a *attempt) unwanted(ctx context.Context) bool {
+	if !httpserver.CallerLeft(ctx) {
+		return false
+	}
+	a.result = balance.ResultCanceled
+	return true
+}
+
 // keepWaiting reports whether to wait longer for an endpoint that sends nothing. If not, it
 // sets the result.
 func (a *attempt) keepWaiting() bool {
--- a/internal/entry/gateway/caller_left_test.go
+++ b/internal/entry/gateway/caller_left_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,3 +74,71 @@
 		require.Zero(t, f.runCount(), path)
 	}
 }
+
+// lateListener accepts connections whose closing is not noticed by reading: once a request has been read, further reads wait until
+// late is closed, as the goroutine of net/http does in a process that runs late.
+type lateListener struct {
+	net.Listener
+	late chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{TCPConn: c.(*net.TCPConn), late: l.late}, nil
+}
+
+type lateConn struct {
+	*net.TCPConn
+	late chan struct{}
+	read atomic.Bool
+}
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	if c.read.Swap(true) {
+		<-c.late
+	}
+	return c.TCPConn.Read(b)
+}
+
+// TestDepartureIsNoticedByALateProcess guards against endpoints that work on for callers that left after their requests were sent,
+// while the gateway runs late: the attempt ends though net/http has not noticed the end of the connection, before the first event and
+// between two events.
+func TestDepartureIsNoticedByALateProcess(t *testing.T) {
+	for _, path := range []string{"/safe/", "/stream/"} {
+		f := newFixture(t)
+		stopAnswers := f.answerQuestions()
+		begun, ended := make(chan struct{}), make(chan struct{})
+		markBegun, markEnded := sync.OnceFunc(func() { close(begun) }), sync.OnceFunc(func() { close(ended) })
+		script := func(c net.Conn, r *http.Request, _ string) {
+			if path == "/stream/" {
+				_, _ = io.WriteString(c, responseHeader(r, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+chunk(eventText(1)))
+			}
+			markBegun()
+			_, _ = io.Copy(io.Discard, c) // Ends when the gateway closes the connection.
+			markEnded()
+		}
+		forEach(append(f.plains, f.heads...), func(e *fakeEndpoint) { e.script = script })
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		late := make(chan struct{})
+		served := make(chan error, 1)
+		go func() { served <- f.g.server.Serve(framingListener{lateListener{listener, late}}) }()
+		c, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Caller-Key: secret\r\nX-Model: m\r\nContent-Length: 4\r\n\r\nbody", path)
+		require.NoError(t, err)
+		<-begun
+		require.NoError(t, c.Close())
+		<-ended
+		<-f.g.server.WhenIdle()
+		require.EqualValues(t, 1, f.g.metrics.left.Count(), "requests whose callers left: %s", path)
+		require.Zero(t, f.g.metrics.failed.Count(), path)
+		close(late)
+		require.NoError(t, f.g.server.Close())
+		require.NoError(t, <-served)
+		stopAnswers()
+	}
+}
--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -101,7 +101,8 @@
 
 // Read implements net.Conn. While no data arrives it consults the wait policy, and returns
 // ErrAbandoned if that ends the wait. It doesn't consult the policy after a wait that took much longer
-// than it should: then this process itself stood still, and data may have arrived meanwhile.
+// than it should: then this process itself stood still, and data may have arrived meanwhile. Whether the response is still wanted
+// it asks all the same.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.inHead && c.headLeft <= 0 {
 		return 0, errTooMuch
@@ -117,6 +118,9 @@
 		if n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
 			return n, err
 		}
+		if c.wait.Unwanted != nil && c.wait.Unwanted() {
+			return 0, ErrAbandoned{}
+		}
 		stoodStill := time.Since(deadline) > c.wait.CheckInterval
 		if !stoodStill && !c.wait.KeepWaiting() {
 			return 0, ErrAbandoned{}
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -65,6 +65,8 @@
 	CheckInterval time.Duration
 	// KeepWaiting reports whether to wait longer.
 	KeepWaiting func() bool
+	// Unwanted reports whether nobody waits for the response any more, which ends the wait as well. It may be nil.
+	Unwanted func() bool
 }
 
 // Exchange is a request to an endpoint and its response. It must be closed.
