portal: a head is silent if no gateway hears from it, not if none has just sent to it

Cause, from the portals' log lines of one such replica: its member was cut off at 17.5 s, found dead at 19.1 s only (no probe, as its head was not suspected), and the replica was kept until 23.6 s, as its head counted as active. A gateway reports how long a head has kept it waiting, counted from its own first request if the head was idle for it, and control took the least of all reports. With 47 gateways there is always one that has just sent its first request.

Ruled out: late announcements (the others had arrived), the planner's wait for a new leader (it had been elected 2.8 s before), the choice of engines.

A gateway now reports both how long it has waited and when the last byte came. A head is silent since its last byte at any gateway, but at most for the longest wait of a gateway, so that a head without work is not. With one gateway that is what it was.

--- a/internal/control/formation/view.go
+++ b/internal/control/formation/view.go
@@ -41,7 +41,8 @@
 type HeadReport struct {
 	// Waiting is the number of requests that wait for the head.
 	Waiting int
-	// SinceLastData is the time since any gateway last received a byte from the head.
+	// SinceLastData is the time since any gateway last received a byte from the head, but at most the longest time that requests
+	// at any gateway have been waiting for one.
 	SinceLastData time.Duration
 }
 
--- a/internal/control/portal/subscriber.go
+++ b/internal/control/portal/subscriber.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/egretreach/egretreach/internal/control/formation"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -181,26 +180,6 @@
 	return status.LeaderAddress
 }
 
-// headReports merges the gateways' recent reports on heads. mu is held.
-func (p *Portal) headReports(now time.Time) map[string]formation.HeadReport {
-	all := map[string]formation.HeadReport{}
-	for _, r := range p.reports {
-		age := now.Sub(r.at)
-		if age > reportTTL {
-			continue
-		}
-		for _, h := range r.Heads {
-			report, known := all[h.ID]
-			sinceLastData := h.SinceLastData + age
-			if known {
-				sinceLastData = min(sinceLastData, report.SinceLastData)
-			}
-			all[h.ID] = formation.HeadReport{Waiting: report.Waiting + h.Waiting, SinceLastData: sinceLastData}
-		}
-	}
-	return all
-}
-
 // endpointByID returns the endpoint with an ID. mu is held.
 func (p *Portal) endpointByID(id string) (roster.Endpoint, bool) {
 	e, ok := p.roster.Get(id)
--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -301,23 +301,32 @@
 	ID string
 	// InFlight counts the requests in flight.
 	InFlight int
-	// SinceLastData is how long the endpoint has sent nothing. Without open streams it counts at
-	// the earliest from when a request was last sent to the idle endpoint or the last one ended.
+	// WaitingFor is how long these have been waiting for data. Without open streams it counts at the earliest from when a
+	// request was last sent to the idle endpoint or the last one ended.
+	WaitingFor time.Duration
+	// SinceLastData is how long the endpoint has sent this gateway nothing, whatever was sent to it meanwhile, at most
+	// maxSinceLastData.
 	SinceLastData time.Duration
 }
 
+// maxSinceLastData bounds HeadReport.SinceLastData, which has no other bound for an endpoint that has never sent anything.
+const maxSinceLastData = time.Minute
+
 // HeadReports returns the engine endpoints with requests in flight, ordered by ID.
 func (b *Balancer) HeadReports(now time.Time) []HeadReport {
 	var all []HeadReport
 	for _, id := range slices.Sorted(maps.Keys(b.endpoints)) {
 		t := b.endpoints[id]
-		if t.Engine && t.inflight > 0 {
-			since := t.lastData
-			if t.waitingSince.After(since) && t.streaming == 0 {
-				since = t.waitingSince
-			}
-			all = append(all, HeadReport{ID: id, InFlight: t.inflight, SinceLastData: now.Sub(since)})
+		if !t.Engine || t.inflight == 0 {
+			continue
+		}
+		waitingSince := t.lastData
+		if t.waitingSince.After(waitingSince) && t.streaming == 0 {
+			waitingSince = t.waitingSince
 		}
+		all = append(all, HeadReport{
+			ID: id, InFlight: t.inflight, WaitingFor: now.Sub(waitingSince), SinceLastData: min(now.Sub(t.lastData), maxSinceLastData),
+		})
 	}
 	return all
 }
--- a/internal/entry/gateway/report.go
+++ b/internal/entry/gateway/report.go
@@ -40,7 +40,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.balancer.HeadReports(now) {
-		r.Heads = append(r.Heads, message.HeadReport{ID: s.ID, Waiting: s.InFlight, SinceLastData: s.SinceLastData})
+		r.Heads = append(r.Heads, message.HeadReport{ID: s.ID, Waiting: s.InFlight, WaitingFor: s.WaitingFor, SinceLastData: s.SinceLastData})
 	}
 	for model, d := range g.demand {
 		r.Demand = append(r.Demand, message.Demand{Model: model, EngineTime: balance.EngineTime(d.engine, model, d.usage)})
--- a/internal/link/message/portal.go
+++ b/internal/link/message/portal.go
@@ -75,10 +75,14 @@
 type HeadReport struct {
 	// ID is the ID of the head's endpoint.
 	ID string `cbor:"1,keyasint"`
-	// Waiting is the number of requests that wait for data from the head.
+	// Waiting is the number of requests in flight at the head.
 	Waiting int `cbor:"2,keyasint,omitempty"`
-	// SinceLastData is the time since the head's last byte arrived.
-	SinceLastData time.Duration `cbor:"3,keyasint,omitempty"`
+	// WaitingFor is how long they have been waiting for data: the time since the head's last byte arrived or, if there are no open
+	// streams and that is later, since a request was last sent to the idle head or one ended.
+	WaitingFor time.Duration `cbor:"3,keyasint,omitempty"`
+	// SinceLastData is the time since the head's last byte arrived, whatever was sent since. Gateways of earlier versions leave it
+	// out.
+	SinceLastData time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Demand is the load that a gateway's requests put on one model.
