--- a/internal/control/formation/compose.go
+++ b/internal/control/formation/compose.go
@@ -19,6 +19,9 @@
 	// surplusValue weighs a replica beyond the demand against one within it. It is also the least
 	// share that valueOf assumes for a model.
 	surplusValue = 0.05
+	// demandHeadroom is how many times the replicas that a demand would keep busy all the time are worth having: requests
+	// arrive unevenly, and replicas are lost.
+	demandHeadroom = 1.3
 	// preTrafficLoadFactor is the fraction of the configured load time that a load takes before
 	// the first caller's request.
 	preTrafficLoadFactor = 0.1
@@ -139,7 +142,7 @@
 	total := 0.0
 	count := map[string]int{}
 	for _, c := range replicas {
-		required := max(p.requiredReplicas(c.model), 1)
+		required := max(p.requiredReplicas(c.model)*demandHeadroom, 1)
 		n := float64(existing[c.model.Name] + count[c.model.Name])
 		count[c.model.Name]++
 		gain := demandUtility((n+1)/required) - demandUtility(n/required) + surplusValue/required
