quorum: hosts that have all restarted elect a leader without waiting

Cause: a host that starts supports no candidate for an election timeout (it may have answered a leader whose lease runs), and asks for votes after 1 to 1.5 of it.

Ruled out: the disk (journals were open 50 ms after the start), links, gateways (they followed a control host before there was a leader).

A leader's lease needs a leader. A host becomes a candidate only by entering a term, so a follower or pre-candidate that has a term on its disk never leads in it, and says so in its reply. When all hosts have said that of the same term, and a majority has no newer log, no lease can be left, and the votes of the next term are given without a wait. A leader that is silent or cut off says nothing, and then all is as before. Hosts ask eight times as often in their first election timeout; one that is bound itself doesn't count its own pre-vote then (TestLeaseEndsBeforeNextLeaderIsElected failed without that).

--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -113,36 +113,38 @@
 // startPreVote asks the peers whether this host would win an election. A host that is not
 // admitted only restarts its election timer.
 func (n *Node) startPreVote(now time.Time) {
-	n.timerDue = now.Add(n.electionTimeout())
+	n.timerDue = now.Add(n.preVoteInterval(now))
 	if !n.hard.Admitted {
 		n.becomeFollower(now, n.hard.Term, "")
 		return
 	}
 	n.resetRole()
 	n.role, n.leader = RolePreCandidate, ""
-	n.votes = map[host.ID]bool{}
+	n.votes, n.neverLeads = map[host.ID]bool{}, map[host.ID]bool{}
 	for _, p := range n.peers {
 		n.send(n.newMessage(p, 0, PreVote{
 			Next: n.hard.Term + 1, LastIndex: n.log.last(), LastTerm: n.log.lastTerm(),
 		}))
 	}
-	n.countVote(now, n.self)
+	if !n.boundToLeader(now, n.self) {
+		n.countVote(now, n.self)
+	}
 }
 
 // startElection makes this host a candidate in the next term. The vote requests are sent
 // once the candidate's vote for itself is on disk.
 func (n *Node) startElection(now time.Time) {
-	transfer := n.byTransfer
+	transfer, leaderless := n.byTransfer, n.isLeaderless()
 	n.resetRole()
 	n.role, n.leader = RoleCandidate, ""
 	n.hard.Term++
 	n.hard.Vote = n.self
 	n.voteSequence = n.writes.lastSequence + 1
 	n.votes = map[host.ID]bool{}
-	n.timerDue = now.Add(n.electionTimeout())
+	n.timerDue = now.Add(n.preVoteInterval(now))
 	for _, p := range n.peers {
 		n.sendDurable(n.newMessage(p, 0, Vote{
-			LastIndex: n.log.last(), LastTerm: n.log.lastTerm(), Transfer: transfer,
+			LastIndex: n.log.last(), LastTerm: n.log.lastTerm(), Transfer: transfer, Leaderless: leaderless,
 		}))
 	}
 }
@@ -180,10 +182,10 @@
 	if !n.hard.Admitted {
 		return
 	}
-	granted := body.Next > n.hard.Term &&
-		!n.boundToLeader(now, msg.From) &&
-		n.log.upToDate(body.LastIndex, body.LastTerm)
-	n.sendDurable(n.reply(msg, PreVoteReply{Next: body.Next, Granted: granted}))
+	upToDate := n.log.upToDate(body.LastIndex, body.LastTerm)
+	granted := body.Next > n.hard.Term && !n.boundToLeader(now, msg.From) && upToDate
+	neverLeads := n.role == RoleFollower || n.role == RolePreCandidate
+	n.sendDurable(n.reply(msg, PreVoteReply{Next: body.Next, Granted: granted, UpToDate: upToDate, NeverLeads: neverLeads}))
 }
 
 // receivePreVoteReply counts a reply whose term is not later than this host's. A reply of an
@@ -193,16 +195,41 @@
 		n.enterTerm(now, msg)
 		return
 	}
-	if n.role == RolePreCandidate && body.Granted && body.Next == n.hard.Term+1 && n.isVoter(msg) {
+	if n.role != RolePreCandidate || body.Next != n.hard.Term+1 || !n.isVoter(msg) {
+		return
+	}
+	if body.NeverLeads && msg.Term == n.hard.Term {
+		n.neverLeads[msg.From] = body.UpToDate
+	}
+	switch {
+	case body.Granted:
 		n.countVote(now, msg.From)
+	case n.isLeaderless():
+		n.startElection(now)
+	}
+}
+
+// isLeaderless reports whether this host knows that no host leads in its term, and none ever will, and that it can be elected. All
+// hosts, itself included, have said so in messages of this term, which they sent once the term was on their disks. A leader of an earlier
+// term has entered this one, so no lease of any leader is left, and nobody has to wait for its end: all hosts have restarted, for example.
+func (n *Node) isLeaderless() bool {
+	if n.role != RolePreCandidate || len(n.neverLeads) < len(n.peers) {
+		return false
+	}
+	supporters := 1
+	for _, upToDate := range n.neverLeads {
+		if upToDate {
+			supporters++
+		}
 	}
+	return supporters >= n.majority()
 }
 
 func (n *Node) receiveVote(now time.Time, msg Message, body Vote) {
 	if !n.hard.Admitted || msg.Term < n.hard.Term {
 		return
 	}
-	if !body.Transfer && n.boundToLeader(now, msg.From) {
+	if !body.Transfer && !body.Leaderless && n.boundToLeader(now, msg.From) {
 		return
 	}
 	if msg.Term > n.hard.Term {
--- a/internal/control/quorum/message.go
+++ b/internal/control/quorum/message.go
@@ -35,6 +35,11 @@
 type PreVoteReply struct {
 	Next    Term `cbor:"1,keyasint"`
 	Granted bool `cbor:"2,keyasint"`
+	// UpToDate is true if the candidate's log contains all that the sender's does.
+	UpToDate bool `cbor:"3,keyasint,omitempty"`
+	// NeverLeads is true if the sender does not lead in the message's term and never will: a host becomes a candidate only by
+	// entering a term.
+	NeverLeads bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Vote requests a vote in the message's term.
@@ -44,6 +49,8 @@
 	// Transfer is true if the leader of the term before gave up its lease and asked for this
 	// candidacy.
 	Transfer bool `cbor:"3,keyasint,omitempty"`
+	// Leaderless is true if no host leads in the term before, and none ever will.
+	Leaderless bool `cbor:"4,keyasint,omitempty"`
 }
 
 // VoteReply answers Vote.
--- a/internal/control/quorum/node.go
+++ b/internal/control/quorum/node.go
@@ -38,6 +38,9 @@
 	// joinDue is when a host that is not admitted sends its next Join.
 	joinDue time.Time
 	votes   map[host.ID]bool
+	// neverLeads holds the hosts that have told this pre-candidate that they never lead in its term, and whether its log is up to
+	// date for them.
+	neverLeads map[host.ID]bool
 	// voteSequence is the sequence of the write that makes the candidate's own vote durable.
 	voteSequence uint64
 	// byTransfer is true if the leader asked for this candidacy.
@@ -105,7 +108,7 @@
 		}
 	}
 	slices.Sort(n.peers)
-	n.timerDue = now.Add(n.electionTimeout())
+	n.timerDue = now.Add(n.preVoteInterval(now))
 	if latest := n.log.membership(); n.hard.Admitted && latest != nil && latest.Current[n.self] != n.hard.Generation {
 		n.expel()
 	}
@@ -176,6 +179,18 @@
 	return n.timing.ElectionTimeout + time.Duration(n.random.Int64N(int64(n.timing.ElectionTimeout/2)))
 }
 
+// preVoteInterval returns the time until the next pre-vote. For one election timeout after its start a host asks more often: it supports
+// nobody in that time, but if the others have restarted as well nobody has to wait.
+func (n *Node) preVoteInterval(now time.Time) time.Duration {
+	if now.Before(n.clockOrigin.Add(n.timing.ElectionTimeout)) {
+		return n.electionTimeout() / startupPreVotes
+	}
+	return n.electionTimeout()
+}
+
+// startupPreVotes is how many pre-votes a host starts in its first election timeout, about.
+const startupPreVotes = 8
+
 // stamp returns the stamp of a message that is sent now. Each round of heartbeats adds one to the time, so that later
 // rounds have greater stamps even if the clock stands still.
 func (n *Node) stamp(now time.Time) LeaderTime {
@@ -213,7 +228,7 @@
 	for _, r := range n.pendingReads {
 		n.emit(Rejected{ID: r.id, Reason: ReasonNotLeader, Leader: n.leader})
 	}
-	n.pendingReads, n.progress, n.votes = nil, nil, nil
+	n.pendingReads, n.progress, n.votes, n.neverLeads = nil, nil, nil, nil
 	n.roundSentAt = time.Time{}
 	n.transferee, n.leaseRevoked, n.byTransfer = "", false, false
 }
--- /dev/null
+++ b/internal/control/quorum/restart_test.go
@@ -0,0 +1,86 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newClusterWithLeader returns a simulation of five hosts with a leader, and its other hosts.
+func newClusterWithLeader(t *testing.T, seed uint64) (*simulation, *simNode, []*simNode) {
+	s := newSimulation(t, 5, seed)
+	s.run(5 * time.Second)
+	leader := s.leader()
+	require.NotNil(t, leader)
+	var others []*simNode
+	for _, id := range s.hosts {
+		if n := s.nodes[id]; n != leader {
+			others = append(others, n)
+		}
+	}
+	return s, leader, others
+}
+
+// runUntilLeader runs until a host other than former leads, at most for limit, and returns the time that it took.
+func runUntilLeader(s *simulation, former *simNode, limit time.Duration) time.Duration {
+	began := s.now
+	for s.now.Sub(began) < limit {
+		if n := s.leader(); n != nil && n != former {
+			break
+		}
+		s.run(s.tick)
+	}
+	return s.now.Sub(began)
+}
+
+// TestRestartOfAllHostsNeedsNoWait guards against an election timeout without a leader after a restart of all hosts: each of them is bound to a
+// leader that none remembers, but all together they know that there is none.
+func TestRestartOfAllHostsNeedsNoWait(t *testing.T) {
+	slow := 0
+	const seeds = 40
+	for seed := range uint64(seeds) {
+		s, _, _ := newClusterWithLeader(t, seed)
+		for _, id := range s.hosts {
+			s.crash(id)
+		}
+		s.run(100 * time.Millisecond)
+		for _, id := range s.hosts {
+			s.boot(id)
+			s.run(2 * tick)
+		}
+		if runUntilLeader(s, nil, 5*time.Second) > testTiming.ElectionTimeout/2 {
+			slow++
+		}
+	}
+	require.LessOrEqual(t, slow, seeds/10, "of %d restarts that took more than half an election timeout", seeds)
+}
+
+// TestRestartBesideALeaderEndsNoLease restarts all other hosts, or most of them, while the leader holds its lease and can't be reached, or answers
+// late. checkLeases fails if another host is elected before the lease has ended.
+func TestRestartBesideALeaderEndsNoLease(t *testing.T) {
+	for seed := range uint64(60) {
+		s, leader, others := newClusterWithLeader(t, seed)
+		spreadClocks(s, leader)
+		s.tick = time.Millisecond
+		s.run(testTiming.HeartbeatInterval * 2)
+		if seed%2 == 0 {
+			s.block(leader.id, true, true)
+		}
+		for i, n := range others {
+			if i == 3 && seed%3 == 0 {
+				continue
+			}
+			s.crash(n.id)
+			s.boot(n.id)
+			s.run(time.Duration(seed%5) * time.Millisecond)
+		}
+		s.run(3 * testTiming.ElectionTimeout)
+		if seed%2 == 0 {
+			require.NotEqual(t, leader, s.leader(), "seed %d: a leader without a majority", seed)
+		}
+		s.heal()
+		s.run(3 * time.Second)
+		require.NotNil(t, s.leader(), "seed %d", seed)
+	}
+}
