portal: gateways hear of the endpoints that get requests, not of each member of each replica

It grows with engines times gateways.

After the first update, which is complete, a gateway is sent the changes of plain endpoints, of serving heads, of heads that have just ceased to be ones, and any change of readiness (an endpoint that leaves frees its address). The IDs of dead endpoints are limited in the same way. Freshness is what it was: the first update of each subscription holds everything, so a gateway that changes its control host knows what that knows.

TestGatewaysHearOfHeadsOnly failed before (two members' announcements in the second update).

--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -106,6 +106,8 @@
 	// at is the time at which the state was sent to a control host. For a subscriber it is the time
 	// of the endpoint's last new content.
 	at time.Time
+	// takesRequests says that the endpoint was one that gets requests.
+	takesRequests bool
 }
 
 func (p *Portal) gossipOnce(ctx context.Context, address string) {
@@ -122,7 +124,7 @@
 	}
 	sent := map[string]sentState{}
 	for _, h := range all {
-		sent[h.Endpoint.ID] = sentState{h.Endpoint.Sequence, h.Endpoint.StartedMs, h.Endpoint.State, time.Now()}
+		sent[h.Endpoint.ID] = sentState{h.Endpoint.Sequence, h.Endpoint.StartedMs, h.Endpoint.State, time.Now(), takesRequests(h.Endpoint)}
 	}
 	for pause.For(ctx, gossipInterval) {
 		changes := p.changesSince(sent)
@@ -160,7 +162,7 @@
 		if e.Unchanged && now.Sub(last.at) < refreshInterval {
 			continue
 		}
-		sent[e.ID] = sentState{e.Sequence, e.StartedMs, e.State, now}
+		sent[e.ID] = sentState{e.Sequence, e.StartedMs, e.State, now, takesRequests(e.Endpoint)}
 		changes = append(changes, message.Heard{Endpoint: e.Endpoint, Age: now.Sub(e.LastSeen)})
 	}
 	return changes
--- a/internal/control/portal/subscriber.go
+++ b/internal/control/portal/subscriber.go
@@ -77,10 +77,17 @@
 	version uint64
 	// watched are the keys of which the subscriber reports completed requests.
 	watched []uint64
-	// sent holds the state of each endpoint, by ID.
+	// sent holds the state of each endpoint that the subscriber knows, by ID.
 	sent map[string]sentState
 }
 
+// wants reports whether the subscriber needs a change of an endpoint. After the first update, which is complete, those are the changes of
+// endpoints that get requests, or got some until now, and of their readiness. Members of replicas and spares change far more often.
+func (s subscriberState) wants(e roster.Endpoint) bool {
+	last, known := s.sent[e.ID]
+	return takesRequests(e) || known && (last.takesRequests || last.state != e.State)
+}
+
 func (p *Portal) sendUpdates(ctx context.Context, s *transport.Stream, peer host.ID, asker *asker) {
 	state := subscriberState{sent: map[string]sentState{}}
 	for first := true; ; first = false {
@@ -138,18 +145,21 @@
 	}
 	m.Limits, m.Granting = p.permits.Take(peer, complete, now), p.isGranting(now)
 	for _, e := range p.roster.All() {
+		if !complete && !state.wants(e.Endpoint) {
+			continue
+		}
 		last, known := state.sent[e.ID]
 		if known && (last.startedMs == e.StartedMs && last.state == e.State) && (last.sequence == e.Sequence || e.Unchanged && last.at.Equal(p.contentChanged[e.ID])) {
 			continue
 		}
-		state.sent[e.ID] = sentState{e.Sequence, e.StartedMs, e.State, p.contentChanged[e.ID]}
+		state.sent[e.ID] = sentState{e.Sequence, e.StartedMs, e.State, p.contentChanged[e.ID], takesRequests(e.Endpoint)}
 		m.Endpoints = append(m.Endpoints, e.Endpoint)
 	}
 	for _, f := range p.controlHosts {
 		m.Hosts = append(m.Hosts, f.Address)
 	}
 	for id, h := range p.health {
-		if h.dead {
+		if last := state.sent[id]; h.dead && last.takesRequests {
 			m.Lost = append(m.Lost, id)
 		}
 	}
@@ -185,3 +195,6 @@
 	e, ok := p.roster.Get(id)
 	return e.Endpoint, ok
 }
+
+// takesRequests reports whether gateways may send requests to an endpoint: to plain ones, and to the serving heads of replicas.
+func takesRequests(e roster.Endpoint) bool { return !e.Engine || e.IsServingHead() }
