gateway: attempt_failed names its result

Operators met numbers in the log line (result=9) and had to look them up in docs/EVENTS.md. The line says stalled, server_error and so on now.

--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -217,6 +217,17 @@
 	ResultStalled
 )
 
+// String returns the name of the result in log lines.
+func (r Result) String() string {
+	names := [...]string{
+		"none", "success", "server_error", "overloaded", "invalid_response", "unreachable", "connection_refused", "wrong_endpoint", "canceled", "stalled",
+	}
+	if int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // RequestEnded records the end of a request at an endpoint. streamed says that its first event
 // had arrived.
 func (b *Balancer) RequestEnded(id string, req Request, streamed bool, r Result, now time.Time) {
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -351,7 +351,7 @@
 	c := a.call
 	event.AttemptFailed.On(c.g.opts.Logger).Str("request", c.id).Str("endpoint", a.endpoint.ID).
 		Str("address", a.endpoint.Address).Dur("after", time.Since(a.startedAt)).Dur("silent", a.silentFor(time.Now())).
-		Bool("streamed", a.streamed).Uint8("result", uint8(a.result)).Err(err).Msg("")
+		Bool("streamed", a.streamed).Str("result", a.result.String()).Err(err).Msg("")
 	a.end(a.result)
 }
 
