--- a/internal/check/soak/faultkind.go
+++ b/internal/check/soak/faultkind.go
@@ -49,6 +49,8 @@
 	faultLimit  faultKind = "limit"
 	// faultDepart lets some callers leave before the response.
 	faultDepart faultKind = "depart"
+	// faultSlow gives gateways too little processor time for a while.
+	faultSlow faultKind = "slow"
 )
 
 // injectedKinds lists the kinds that the injector starts, as often as their relative frequency.
@@ -63,7 +65,7 @@
 
 // allKinds lists each kind once.
 func allKinds() faultKinds {
-	return append(slices.Compact(slices.Clone(injectedKinds)), faultChange, faultLate, faultPoison, faultLimit, faultDepart)
+	return append(slices.Compact(slices.Clone(injectedKinds)), faultChange, faultLate, faultPoison, faultLimit, faultDepart, faultSlow)
 }
 
 // String returns the names of the kinds.
--- a/internal/check/soak/main.go
+++ b/internal/check/soak/main.go
@@ -162,6 +162,7 @@
 	poisonPart     = 1000
 	limitPart      = 1001
 	addedRoutePart = 1002
+	slowdownPart   = 1003
 )
 
 // runFaults boots a testbed, injects faults, waits for its recovery and stops it.
@@ -200,6 +201,9 @@
 	if o.Only.has(faultLimit) {
 		running.Go(func() { t.limitEndpoints(faultCtx, newRand(seed, limitPart)) })
 	}
+	if o.Only.has(faultSlow) {
+		running.Go(func() { t.slowDown(faultCtx, newRand(seed, slowdownPart)) })
+	}
 	if o.Only.has(faultDepart) {
 		for _, g := range t.gateways {
 			running.Go(func() { t.runLeaver(faultCtx, g) })
