portal: a draining endpoint that refuses connections may still be at work

But an endpoint that drains stops listening before it has finished its work.

Ruled out: the election without a wait (no process restarted before it), late orders (no order was unanswered), the regrouping of sets (the members came from the drained replica). The rule has been there as long as probes; heads that are silent are probed sooner since, which makes it likelier.

A refusal of a draining endpoint now tells nothing: it is neither dead nor gone until its host can't be reached, its announcements end, or it signs off. It is probed again once per announcement interval. Its replica closes as before, by its report or after the drain's time.

TestDrainingEndpointThatRefusesIsNotGone failed before (dead).

--- a/internal/control/formation/regroup.go
+++ b/internal/control/formation/regroup.go
@@ -57,8 +57,8 @@
 	return min(maxRegroupMinGain, regroupMinGain*float64(engines)/float64(max(len(p.view.Hosts), 1)))
 }
 
-// closableSets returns every single serving replica of a fabric domain, every pair of them, and of each model the smallest set whose
-// engines, with the free ones, suffice for a replica of a larger model.
+// closableSets returns every single serving replica of a fabric domain, every pair of them, and for each model a larger set if it takes
+// more than two replicas of others, with the free engines, to form one of it.
 func (p *Planner) closableSets(fabric string, free int) [][]*replica {
 	var serving []*replica
 	for _, name := range slices.Sorted(maps.Keys(p.replicas)) {
@@ -81,8 +81,8 @@
 	return sets
 }
 
-// setForLarger returns so many replicas of other models, of one model each time, that their engines and the free ones suffice for a replica
-// of model m. It prefers those whose hosts hold m. The result is nil if there are too few.
+// setForLarger returns so many replicas of other models that their engines and the free ones suffice for a replica of model m. It prefers
+// those whose hosts hold m. The result is nil if there are too few.
 func (p *Planner) setForLarger(m routes.Model, serving []*replica, free int) []*replica {
 	var others []*replica
 	for _, r := range serving {
--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -44,6 +44,9 @@
 	silent      time.Duration
 	dead        bool
 	connRefused bool
+	// stoppedListening says that connections are refused by an endpoint that drains: it may still be at work, also as the head of a
+	// replica, so it is neither dead nor gone.
+	stoppedListening bool
 	// lastProbe is when the last probe ended, and lastSuccess when one last succeeded.
 	lastProbe   time.Time
 	lastSuccess time.Time
@@ -114,7 +117,7 @@
 	if now.Sub(h.lastSuccess) < probeValidity {
 		return
 	}
-	if h.dead && now.Sub(h.lastProbe) < p.opts.Heartbeat {
+	if (h.dead || h.stoppedListening) && now.Sub(h.lastProbe) < p.opts.Heartbeat {
 		return // It announces itself when it is back. Rare probes find an endpoint that can be reached again but whose announcements do not arrive.
 	}
 	h.probing = true
@@ -136,7 +139,8 @@
 		return // It has announced itself meanwhile.
 	}
 	wasDead := h.dead
-	h = h.withProbe(result, sentAt, now)
+	current, _ := p.roster.Get(e.ID)
+	h = h.withProbe(result, current.State, sentAt, now)
 	p.health[e.ID] = h
 	switch {
 	case wasDead && !h.dead:
@@ -150,13 +154,17 @@
 
 // withProbe returns the health after a probe that was sent at sentAt and ended now. A probe that has
 // taken much longer than its limit tells nothing: then this process itself stood still.
-func (h endpointHealth) withProbe(result ProbeResult, sentAt, now time.Time) endpointHealth {
+func (h endpointHealth) withProbe(result ProbeResult, state roster.State, sentAt, now time.Time) endpointHealth {
 	previous := h.lastProbe
 	h.probing, h.lastProbe = false, now
 	timedOut := result == ProbeUnreachable || result == ProbeSilent
 	if timedOut && now.Sub(sentAt) > 2*probeTimeout {
 		return h
 	}
+	h.stoppedListening = result == ProbeRefused && state == roster.StateDraining
+	if h.stoppedListening {
+		return h
+	}
 	h.connRefused = result == ProbeRefused
 	if result == ProbeAlive {
 		h.missed, h.unreachable, h.silent, h.dead, h.lastSuccess = 0, 0, 0, false, now
--- a/internal/control/portal/health_test.go
+++ b/internal/control/portal/health_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/roster"
 )
 
 // TestHealthWithProbe guards against an endpoint that counts as dead although only its process is
@@ -30,12 +32,25 @@
 		for _, result := range c.results {
 			sentAt := now
 			now = now.Add(probeTimeout)
-			h = h.withProbe(result, sentAt, now)
+			h = h.withProbe(result, roster.StateReady, sentAt, now)
 		}
 		require.Equal(t, c.dead, h.dead, name)
 	}
 }
 
+// TestDrainingEndpointThatRefusesIsNotGone guards against members of a replica that are used for another one while their head, which drains and
+// has stopped listening, still works on its requests.
+func TestDrainingEndpointThatRefusesIsNotGone(t *testing.T) {
+	now := time.Unix(1, 0)
+	h := endpointHealth{}.withProbe(ProbeRefused, roster.StateDraining, now, now.Add(time.Millisecond))
+	require.False(t, h.dead)
+	require.False(t, h.connRefused)
+	require.True(t, h.stoppedListening)
+	h = h.withProbe(ProbeUnreachable, roster.StateDraining, now, now.Add(time.Millisecond))
+	h = h.withProbe(ProbeUnreachable, roster.StateDraining, now, now.Add(time.Millisecond))
+	require.True(t, h.dead, "its host is down")
+}
+
 // TestLateProbeTellsNothing guards against a portal that stands still for a moment and then takes the
 // endpoints that it was probing for dead.
 func TestLateProbeTellsNothing(t *testing.T) {
@@ -43,7 +58,7 @@
 	for _, result := range []ProbeResult{ProbeUnreachable, ProbeSilent} {
 		var h endpointHealth
 		for range 2 {
-			h = h.withProbe(result, sentAt, sentAt.Add(2*time.Second))
+			h = h.withProbe(result, roster.StateReady, sentAt, sentAt.Add(2*time.Second))
 		}
 		require.False(t, h.dead)
 		require.False(t, h.probing)
@@ -56,13 +71,13 @@
 func TestOwnPauseBetweenProbesIsNotSilence(t *testing.T) {
 	for name, during := range map[string]bool{"during a probe": true, "between two probes": false} {
 		now := time.Unix(1, 0)
-		h := endpointHealth{}.withProbe(ProbeSilent, now, now.Add(probeTimeout))
+		h := endpointHealth{}.withProbe(ProbeSilent, roster.StateReady, now, now.Add(probeTimeout))
 		sentAt := now.Add(probeTimeout)
 		now = sentAt.Add(2 * time.Second)
 		if during {
-			h = h.withProbe(ProbeSilent, sentAt, now)
+			h = h.withProbe(ProbeSilent, roster.StateReady, sentAt, now)
 		}
-		h = h.withProbe(ProbeSilent, now, now.Add(probeTimeout))
+		h = h.withProbe(ProbeSilent, roster.StateReady, now, now.Add(probeTimeout))
 		require.False(t, h.dead, name)
 	}
 }
