quorum: tests of two protections of the election without a wait that had none

Nothing was wrong in the code; a later change could have broken it unseen. The other two (a host that is bound doesn't count its own pre-vote; all hosts must have answered) fail TestLeaseEndsBeforeNextLeaderIsElected and TestRestartBesideALeaderEndsNoLease when switched off (two leases at once).

TestLeaderIsNeverLeaderless cuts a host off from its leader's heartbeats but not from its answers; TestAnswerOfAnEarlierTermClaimsNothing sends those answers. Both fail with their protection off, and pass with it. The package's tests pass.

--- a/internal/control/quorum/restart_test.go
+++ b/internal/control/quorum/restart_test.go
@@ -84,3 +84,50 @@
 		require.NotNil(t, s.leader(), "seed %d", seed)
 	}
 }
+
+// TestLeaderIsNeverLeaderless lets a host that gets the leader's answers, but none of its heartbeats, ask for votes while the leader holds its lease.
+// The leader's own answer must keep it from being elected.
+func TestLeaderIsNeverLeaderless(t *testing.T) {
+	for seed := range uint64(20) {
+		s, leader, others := newClusterWithLeader(t, seed)
+		cut := others[0]
+		s.drop = func(m Message) bool {
+			if m.From != leader.id || m.To != cut.id {
+				return false
+			}
+			_, answer := m.Body.(PreVoteReply)
+			return !answer
+		}
+		term := leader.node.hard.Term
+		s.run(10 * testTiming.ElectionTimeout)
+		require.Equal(t, leader, s.leader(), "seed %d", seed)
+		require.Equal(t, term, leader.node.hard.Term, "seed %d", seed)
+	}
+}
+
+// TestAnswerOfAnEarlierTermClaimsNothing guards against an election that ends a lease: a host that answers in an earlier term may still become
+// the leader of the one that the asking host is in.
+func TestAnswerOfAnEarlierTermClaimsNothing(t *testing.T) {
+	s, _, others := newClusterWithLeader(t, 1)
+	asking := others[0]
+	term := asking.node.hard.Term
+	asking.node.startPreVote(s.clock(asking))
+	answer := func(from *simNode, in Term) {
+		s.step(asking, Received{Message: Message{
+			From: from.id, To: asking.id, Generation: from.node.hard.Generation, Term: in, Admitted: true,
+			Body: PreVoteReply{Next: term + 1, UpToDate: true, NeverLeads: true},
+		}})
+	}
+	for _, id := range s.hosts {
+		if id != asking.id {
+			answer(s.nodes[id], term-1)
+		}
+	}
+	require.Equal(t, RolePreCandidate, asking.node.role)
+	for _, id := range s.hosts {
+		if id != asking.id {
+			answer(s.nodes[id], term)
+		}
+	}
+	require.Equal(t, RoleCandidate, asking.node.role)
+}
