gateway: the last line of a request names the load that decided

On-call could not see why a request went to its endpoint: the line had the forecast, but not the load that it rested on, nor where that was from and how old it was.

Cause: the balancer's decision carried the forecast only. Ruled out: logging a line for each candidate (fifty heads a request).

The decision now has the estimated requests at the endpoint, their source (endpoint or own) and its age, and the line shows them by name. The rule of choice is the same: one function says the source, and the two estimates that had each asked for the age use it. One line is 50 bytes longer; no further line.

TestLastLineNamesTheLoadThatDecided failed before (no such fields).

--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -301,7 +301,7 @@
 // load report it assumes that each gateway has as many there as this one.
 func (b *Balancer) occupied(t *endpointState, now time.Time) float64 {
 	own := float64(t.inflight)
-	if now.Sub(t.loadAt) > loadTTL {
+	if source, _ := t.loadSource(now); source == LoadFromOwn {
 		return own * float64(max(b.Gateways, 1))
 	}
 	return max(own, float64(t.load.Running+t.load.Waiting+t.sentSinceLoad))
--- a/internal/entry/balance/forecast.go
+++ b/internal/entry/balance/forecast.go
@@ -72,7 +72,7 @@
 	service := b.engines[t.Service]
 	model, _ := service.Model(t.Model)
 	decoding, promptTokens := t.streaming, t.pendingPromptTokens
-	if now.Sub(t.loadAt) <= loadTTL {
+	if source, _ := t.loadSource(now); source == LoadFromEndpoint {
 		decoding = max(decoding, t.load.Running)
 		ownWaiting := t.inflight - t.streaming
 		if othersWaiting := t.load.Waiting - ownWaiting; othersWaiting > 0 && service != nil {
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -45,6 +45,10 @@
 	Endpoint roster.Endpoint
 	// Forecast is the expected time to the first event at Endpoint.
 	Forecast time.Duration
+	// Occupied is the estimated number of requests at Endpoint. LoadFrom is what that rests on, and LoadAge how old it is.
+	Occupied float64
+	LoadFrom LoadSource
+	LoadAge  time.Duration
 	// Avoided counts the endpoints that serve the request and got none because they leave, are
 	// busy or have a limit. It is set if Endpoint is.
 	Avoided int
@@ -196,11 +200,14 @@
 	if t == nil {
 		return Decision{}, false
 	}
-	expected := b.forecastFirstEvent(t, req, now)
+	expected, occupied := b.forecastFirstEvent(t, req, now), b.occupied(t, now)
+	source, age := t.loadSource(now)
 	b.RequestSent(t.ID, req, now)
 	b.countPlaced(req, now)
 	t.usePermit()
-	return Decision{Endpoint: t.Endpoint, Forecast: expected, Avoided: avoided}, true
+	return Decision{
+		Endpoint: t.Endpoint, Forecast: expected, Occupied: occupied, LoadFrom: source, LoadAge: age, Avoided: avoided,
+	}, true
 }
 
 // countPlaced adds a request that has found an endpoint to the throughput.
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -39,8 +39,9 @@
 	balanceRequest balance.Request
 	endpoint       roster.Endpoint
 	startedAt      time.Time
-	forecast       time.Duration
-	exchange       *upstream.Exchange
+	// decision is why the balancer chose the endpoint.
+	decision balance.Decision
+	exchange *upstream.Exchange
 	// streamed says that the first event has arrived, at firstEventAt.
 	streamed     bool
 	firstEventAt time.Time
@@ -114,7 +115,7 @@
 	if d.Avoided > 0 {
 		g.metrics.avoided.Inc(1)
 	}
-	return &attempt{call: c, balanceRequest: req, endpoint: d.Endpoint, startedAt: time.Now(), forecast: d.Forecast}, d
+	return &attempt{call: c, balanceRequest: req, endpoint: d.Endpoint, startedAt: time.Now(), decision: d}, d
 }
 
 // awaitDecision waits for the decision on a queued request. If ctx ends first, because the caller
@@ -155,7 +156,7 @@
 	c := a.call
 	c.stats.tries++
 	c.stats.sends++
-	c.stats.endpoint, c.stats.forecast = a.endpoint.ID, a.forecast
+	c.stats.endpoint, c.stats.decision = a.endpoint.ID, a.decision
 	c.g.metrics.attempts.Inc(1)
 	ctx, a.cancel = context.WithCancel(ctx)
 	if a.unwanted(ctx) {
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -75,8 +75,8 @@
 	sends int
 	// endpoint is the ID of the endpoint tried last.
 	endpoint string
-	// forecast is the expected time to the first event at endpoint.
-	forecast time.Duration
+	// decision is why the balancer chose endpoint.
+	decision balance.Decision
 	// waited is the time spent in the queue, and timeToFirst the time to the first event or
 	// the beginning of the response.
 	waited      time.Duration
--- a/internal/entry/gateway/log_test.go
+++ b/internal/entry/gateway/log_test.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/entry/dialect"
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
@@ -62,3 +63,25 @@
 		require.Contains(t, logged.take(), `"revision":5,"revision_age":100,"revision_now":6,`)
 	})
 }
+
+// TestLastLineNamesTheLoadThatDecided guards against requests of which nobody can tell why they went to their endpoint: the line has the load
+// that was assumed there, what that rested on, and how old it was.
+func TestLastLineNamesTheLoadThatDecided(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		var logged lockedBuffer
+		f.g.opts.Logger = &log.Logger{Writer: &log.IOWriter{Writer: &logged}}
+		f.g.balancer.Gateways = 3
+		forEach(f.heads, func(e *fakeEndpoint) { e.streamEvents(1, time.Millisecond, endStream) })
+		require.Equal(t, http.StatusOK, f.send(http.MethodPost, "/stream/x", "").status)
+		synctest.Wait()
+		require.Contains(t, logged.take(), `"load":0,"load_from":"own","load_age":0,`)
+
+		for _, head := range []string{"h0", "h1"} {
+			f.g.balancer.SetLoad(head, dialect.Load{Running: 7, Waiting: 2, Slots: 48}, time.Now())
+		}
+		time.Sleep(40 * time.Millisecond)
+		require.Equal(t, http.StatusOK, f.send(http.MethodPost, "/stream/x", "").status)
+		synctest.Wait()
+		require.Contains(t, logged.take(), `"load":9,"load_from":"endpoint","load_age":40,`)
+	})
+}
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -126,8 +126,8 @@
 	if s.timeToFirst > 0 {
 		entry = entry.Dur("first", s.timeToFirst)
 	}
-	if s.forecast > 0 {
-		entry = entry.Dur("forecast", s.forecast)
+	if d := s.decision; d.Forecast > 0 {
+		entry = entry.Dur("forecast", d.Forecast).Float64("load", d.Occupied).Str("load_from", d.LoadFrom.String()).Dur("load_age", d.LoadAge)
 	}
 	if s.events > 0 {
 		entry = entry.Int("events", s.events).Dur("pause", s.maxGap)
--- a/internal/entry/gateway/standby.go
+++ b/internal/entry/gateway/standby.go
@@ -240,7 +240,7 @@
 	a.call = c
 	a.cancelAlso(s.cancel)
 	if s.result.outcome == outcomeAnswered {
-		c.stats.endpoint, c.stats.forecast = a.endpoint.ID, a.forecast
+		c.stats.endpoint, c.stats.decision = a.endpoint.ID, a.decision
 	}
 	return s.result
 }
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -208,7 +208,7 @@
 		return
 	}
 	a.streamed, a.firstEventAt = true, now
-	s.g.balancer.FirstEventReceived(a.endpoint.ID, a.balanceRequest, a.forecast, now.Sub(a.startedAt), now)
+	s.g.balancer.FirstEventReceived(a.endpoint.ID, a.balanceRequest, a.decision.Forecast, now.Sub(a.startedAt), now)
 }
 
 // isLaterEvent reports whether an event's ID is above that of the last one. IDs that are not
