review: case 1, a heartbeat with an unreadable ID cuts all gateways off from control

Rule CONFIG: a request sent later than config_ms after the acknowledgement of a version is handled as only an older one allows. Cause: the ID comes from the path of the heartbeat and may be no UTF-8; the decoder of the links refuses each frame with it.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the programs of the cases into target/review.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+go build -o target/review/ ./review/case1
