review: case 3, a late extra answer makes the gateway refuse a request that runs

Rule REFUSED: a request that isn't idempotent is answered 503 and has run. Cause: the gateway looks at X-Not-Executed and 421 before it compares the ID of the response with that of the request.

--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -58,8 +58,8 @@
 	Slots                      int
 	Work                       time.Duration
 	Runs                       *Runs
-	// After is called with the connection once a response has been written, before the next request is read.
-	After func(c net.Conn, request *http.Request)
+	// Before is called with the connection once a request has been read, and After once its response has been written.
+	Before, After func(c net.Conn, request *http.Request)
 
 	rig      *Rig
 	born     int64
@@ -136,6 +136,9 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
+		if s.Before != nil {
+			s.Before(c, request)
+		}
 		if _, err := c.Write(s.answer(request)); err != nil {
 			return
 		}
