--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,8 @@
 	Slots                      int
 	Work                       time.Duration
 	Runs                       *Runs
+	// Portal is the portal that gets its heartbeats first, or nil for any.
+	Portal *Process
 	// Before is called with the connection once a request has been read, and After once its response has been written.
 	Before, After func(c net.Conn, request *http.Request)
 
@@ -66,6 +69,9 @@
 	sequence atomic.Int64
 	listener net.Listener
 	silent   atomic.Bool
+	// running ends with the server.
+	running context.Context
+	end     context.CancelFunc
 }
 
 // NewServer starts a server on an address of its own.
@@ -78,6 +84,7 @@
 		ID: id, Service: service, Zone: "a", Address: listener.Addr().String(), Slots: 6, Work: 20 * time.Millisecond, Runs: runs,
 		rig: r, born: time.Now().UnixMilli(), listener: listener,
 	}
+	s.running, s.end = context.WithCancel(r.Context)
 	return s, nil
 }
 
@@ -95,8 +102,11 @@
 	go s.beat()
 }
 
-// Close stops listening.
-func (s *Server) Close() { _ = s.listener.Close() }
+// Close ends the server: it stops listening and closes its connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.end()
+}
 
 // StopBeats ends the heartbeats.
 func (s *Server) StopBeats() { s.silent.Store(true) }
@@ -107,9 +117,15 @@
 		s.Service, s.Address, s.Zone, s.Slots, state, s.born, s.sequence.Add(1))
 }
 
+// SignOffBody returns the body of the server's sign-off.
+func (s *Server) SignOffBody() string {
+	return fmt.Sprintf(`{"born":%d,"sequence":%d}`, s.born, s.sequence.Add(1))
+}
+
 // beat sends a heartbeat every HeartbeatInterval, to the next portal if one does not acknowledge it.
 func (s *Server) beat() {
-	for portal := 0; s.rig.Context.Err() == nil && !s.silent.Load(); {
+	portal := max(0, slices.Index(s.rig.Portals, s.Portal))
+	for s.rig.Context.Err() == nil && !s.silent.Load() {
 		for range s.rig.Portals {
 			if s.rig.Beat(http.MethodPut, s.rig.Portals[portal], "/instances/"+s.ID, s.BeatBody("ready")) == http.StatusOK {
 				break
@@ -125,7 +141,7 @@
 
 func (s *Server) serveConn(c net.Conn) {
 	defer c.Close() //nolint:errcheck // Nothing depends on it.
-	stop := context.AfterFunc(s.rig.Context, func() { _ = c.Close() })
+	stop := context.AfterFunc(s.running, func() { _ = c.Close() })
 	defer stop()
 	reader := bufio.NewReader(c)
 	for {
@@ -153,7 +169,7 @@
 	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != s.ID {
 		return Response(http.StatusMisdirectedRequest, id, "", "X-Not-Executed: 1\r\n", "")
 	}
-	if request.URL.Path == "/healthz" {
+	if request.URL.Path == "/healthz" || request.URL.Path == "/report" {
 		return Response(http.StatusOK, id, "", "X-Instance-Id: "+s.ID+"\r\n", "ok")
 	}
 	s.Runs.Add(Run{ID: id, Service: s.Service, Server: s.ID, Path: request.URL.Path, At: time.Now()})
