--- a/review/extraanswer/main.go
+++ b/review/extraanswer/main.go
@@ -73,7 +73,7 @@
 		if err != nil {
 			return false, err
 		}
-		if i < 2 && r.Trouble {
+		if i == 0 && r.Trouble {
 			f := &faultyServer{rig: r, server: s, held: map[net.Conn]string{}}
 			s.Before, s.After = f.before, f.after
 			faulty = append(faulty, f)
