review: case 4, a portal that acts for a replaced one is refused by a peer for good

Cause: a handshake that is under way while the portal takes over the ID of the replaced one yields a link with the old ID.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/ ./review/badid ./review/badrank ./review/extraanswer ./review/lostsignoff
+go build -o target/review/ ./review/badid ./review/badrank ./review/extraanswer ./review/lostsignoff ./review/staleidentity
--- a/review/rig/process.go
+++ b/review/rig/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,7 @@
 	ended    chan struct{}
 	stopping bool
 	ownEnds  int
+	started  time.Time
 }
 
 // API returns the address for clients, or for servers and operators.
@@ -48,7 +50,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
-	p.command, p.ended, p.stopping = command, make(chan struct{}), false
+	p.command, p.ended, p.stopping, p.started = command, make(chan struct{}), false, time.Now()
 	p.rig.Record.Logf("%s started", p.Name)
 	go p.reap(command, out, p.ended)
 	return nil
@@ -83,6 +85,13 @@
 	return p.ownEnds
 }
 
+// Started returns the time of the last start.
+func (p *Process) Started() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.started
+}
+
 // Signal sends a signal to the process, if it runs.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
@@ -124,5 +133,14 @@
 	return p.command.Process.Pid
 }
 
+// Logged returns how often the process has logged an event.
+func (p *Process) Logged(event string) int {
+	text, err := os.ReadFile(p.LogPath())
+	if err != nil {
+		return 0
+	}
+	return strings.Count(string(text), `"`+event+`"`)
+}
+
 // LogPath returns the path of the file with the process's output.
 func (p *Process) LogPath() string { return filepath.Join(p.rig.Folder, p.Name+".log") }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -21,7 +21,7 @@
 	ConfigBound       = 2000 * time.Millisecond
 	TouchBound        = 3000 * time.Millisecond
 	DrainBound        = 2000 * time.Millisecond
-	graceBound        = 8 * time.Second
+	RecoverBound      = 12 * time.Second
 )
 
 const (
@@ -128,30 +128,53 @@
 // NewIP returns a loopback address that nothing uses.
 func (r *Rig) NewIP() string { return fmt.Sprintf("%s.%d", r.prefix, r.lastIP.Add(1)) }
 
-// writeSettings writes the settings as the templates of the deploy file have them.
-func (r *Rig) writeSettings(first bool) error {
+// AddPortal prepares a portal on a new machine with an empty disk, which the caller starts.
+func (r *Rig) AddPortal() (*Process, error) {
+	n := len(r.Portals) + 1
+	p := r.newProcess("portal", fmt.Sprintf("core-%d", n), n)
+	r.Portals = append(r.Portals, p)
+	return p, r.writeSettingsOf(p, n-1, r.seeds(), false)
+}
+
+// LoseDisk empties the data folder of a portal that does not run.
+func (r *Rig) LoseDisk(p *Process) error { return os.RemoveAll(r.dataFolder(p)) }
+
+func (r *Rig) dataFolder(p *Process) string { return filepath.Join(r.Folder, p.Name+"-data") }
+
+// seeds returns the addresses of the first three portals.
+func (r *Rig) seeds() string {
 	var seeds []string
 	for _, p := range r.Portals {
 		seeds = append(seeds, `"`+p.API()+`"`)
 	}
+	return strings.Join(seeds[:min(3, len(seeds))], ", ")
+}
+
+// writeSettings writes the settings of all processes.
+func (r *Rig) writeSettings(first bool) error {
 	for i, p := range append(append([]*Process{}, r.Portals...), r.Gateways...) {
-		zone := string(rune('a' + i%3))
-		text := fmt.Sprintf("host:\n  id: %q\n  failure_domain: %q\nlink:\n  address: \"%s:%d\"\n  private_network: true\napi: %q\nseeds: [%s]\n",
-			p.Name, zone, p.IP, r.linkPort, p.API(), strings.Join(seeds[:min(3, len(seeds))], ", "))
-		if p.Role == "portal" {
-			text += fmt.Sprintf("health:\n  address: \"%s:%d\"\nfirst_start: %t\ndata_folder: %q\nheartbeat: 1200ms\nstop:\n  grace: 8s\n",
-				p.IP, r.healthPort, first, filepath.Join(r.Folder, p.Name+"-data"))
-		} else {
-			text += fmt.Sprintf("health:\n  address: \"%s:%d\"\nmetrics:\n  address: \"%s:%d\"\nrepeats:\n  ratio: 0.2\n  slack: 202\n  window: 10s\n"+
-				"in_force_within: 2000ms\nstop:\n  notice: 2500ms\n  grace: 8s\n", p.IP, r.healthPort-1, p.IP, r.healthPort)
-		}
-		if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		if err := r.writeSettingsOf(p, i, r.seeds(), first); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// writeSettingsOf writes the settings of a process as the templates of the deploy file have them.
+func (r *Rig) writeSettingsOf(p *Process, index int, seeds string, first bool) error {
+	zone := string(rune('a' + index%3))
+	text := fmt.Sprintf("host:\n  id: %q\n  failure_domain: %q\nlink:\n  address: \"%s:%d\"\n  private_network: true\napi: %q\nseeds: [%s]\n",
+		p.Name, zone, p.IP, r.linkPort, p.API(), seeds)
+	if p.Role == "portal" {
+		text += fmt.Sprintf("health:\n  address: \"%s:%d\"\nfirst_start: %t\ndata_folder: %q\nheartbeat: 1200ms\nstop:\n  grace: 8s\n",
+			p.IP, r.healthPort, first, r.dataFolder(p))
+	} else {
+		text += fmt.Sprintf("health:\n  address: \"%s:%d\"\nmetrics:\n  address: \"%s:%d\"\nrepeats:\n  ratio: 0.2\n  slack: 202\n  window: 10s\n"+
+			"in_force_within: 2000ms\nstop:\n  notice: 2500ms\n  grace: 8s\n", p.IP, r.healthPort-1, p.IP, r.healthPort)
+	}
+	return os.WriteFile(p.settings, []byte(text), 0o600)
+}
+
 func (r *Rig) boot() error {
 	if err := r.writeSettings(true); err != nil {
 		return err
