pool: no link keeps an earlier identity of the process

Cause: a portal that takes over a vote changes the identity in its certificate and drops its open links. A handshake that is under way with a peer that stands still has read the earlier certificate; its link enters the pool after the change and stays, as keep-alives hold it and each new stream uses it.

Change: a link remembers the identity that this process showed on it, read before the certificate, and the pool hands out no link with another one than the present. A dial that ends with an earlier identity is made again.

Why it works: the check is at each use of a link and doesn't depend on when the change comes.

Ruled out: that the peer is wrong to refuse; it can't know who speaks.

--- a/internal/link/pool/pool.go
+++ b/internal/link/pool/pool.go
@@ -1,5 +1,5 @@
 // Package pool keeps one open link to each peer process. It replaces a link that has
-// ended, also by the idle timeout.
+// ended, also by the idle timeout, or that identifies this process by an earlier identity.
 package pool
 
 import (
@@ -68,16 +68,26 @@
 	if conn := p.liveConn(address); conn != nil {
 		return conn, nil
 	}
-	conn, err := p.socket.Dial(context.Background(), address)
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := p.socket.Dial(context.Background(), address)
+		if err != nil {
+			return nil, err
+		}
+		if p.isOutdated(conn) {
+			conn.Close() // The identity has changed during the handshake.
+			continue
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.conns[address] = conn
+		return conn, nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.conns[address] = conn
-	return conn, nil
 }
 
+// isOutdated reports whether the peer knows this process by an earlier identity.
+func (p *Pool) isOutdated(conn *transport.Conn) bool { return conn.Self() != p.socket.Self() }
+
+// liveConn returns the open link to address, or nil if there is none. It closes a link with an earlier identity of this process.
 func (p *Pool) liveConn(address string) *transport.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -85,6 +95,11 @@
 	if conn == nil {
 		return nil
 	}
+	if p.isOutdated(conn) {
+		delete(p.conns, address)
+		conn.Close()
+		return nil
+	}
 	select {
 	case <-conn.Done():
 		delete(p.conns, address)
@@ -94,6 +109,18 @@
 	}
 }
 
+// CloseOutdated closes the links that identify this process by an earlier identity.
+func (p *Pool) CloseOutdated() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		if p.isOutdated(conn) {
+			delete(p.conns, address)
+			conn.Close()
+		}
+	}
+}
+
 func (p *Pool) removeConn(address string, conn *transport.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/link/transport/conn.go
+++ b/internal/link/transport/conn.go
@@ -36,17 +36,22 @@
 // Conn is one link, a QUIC connection to a peer process.
 type Conn struct {
 	conn *quic.Conn
+	// self is the identity in the certificate that this process has shown to the peer.
+	self identity.Identity
 	peer identity.Identity
 }
 
-func newConn(c *quic.Conn) (*Conn, error) {
+func newConn(c *quic.Conn, self identity.Identity) (*Conn, error) {
 	peer, err := identity.FromConnectionState(c.ConnectionState().TLS)
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{conn: c, peer: peer}, nil
+	return &Conn{conn: c, self: self, peer: peer}, nil
 }
 
+// Self returns the identity by which the peer knows this process.
+func (c *Conn) Self() identity.Identity { return c.self }
+
 // Peer returns the identity in the peer's certificate.
 func (c *Conn) Peer() identity.Identity { return c.peer }
 
--- a/internal/link/transport/transport.go
+++ b/internal/link/transport/transport.go
@@ -99,6 +99,9 @@
 // Address returns the local address on which links are accepted.
 func (s *Socket) Address() net.Addr { return s.transport.Conn.LocalAddr() }
 
+// Self returns the identity by which links that are opened now identify this process.
+func (s *Socket) Self() identity.Identity { return s.credentials.Self() }
+
 // Close ends all links and closes their UDP sockets.
 func (s *Socket) Close() error {
 	s.dialSockets.close()
@@ -116,11 +119,12 @@
 	if err != nil {
 		return nil, ErrDial{Address: address, Cause: err}
 	}
+	self := s.Self() // Before the certificate is read, which may be of a later identity.
 	conn, err := s.dial(ctx, udp)
 	if err != nil {
 		return nil, ErrDial{Address: address, Cause: err}
 	}
-	return newConn(conn)
+	return newConn(conn, self)
 }
 
 func (s *Socket) dial(ctx context.Context, to *net.UDPAddr) (*quic.Conn, error) {
@@ -162,7 +166,7 @@
 		if err != nil {
 			return errors.Wrap(err, "accept")
 		}
-		conn, err := newConn(accepted)
+		conn, err := newConn(accepted, s.Self())
 		if err != nil {
 			_ = accepted.CloseWithError(codeIdentity, err.Error())
 			continue
