portal: a host whose vote was moved while it stood still asks for the next free one

Cause: who is gone and who stands still looks the same, so the vote of the wrong one may be moved.

Change: a voter that knows no leader asks the others with the generation of its disk. A leader that a majority has confirmed after the question moves the vote back if its newest membership names that disk, and says that the disk is replaced for good if a committed one names another. Sets carry the number of moves, so that an older one replaces nothing. The answer that gives a vote already names it.

Why it works: a committed membership is never undone, and the leader is confirmed after the question, so no disk is given up that still counts; each vote that is free is taken by a host that runs.

Ruled out: the leader's choice alone. No time tells both kinds of silence apart, and a longer wait leaves lost hosts without a successor.

--- a/internal/control/bootstrap/discovery.go
+++ b/internal/control/bootstrap/discovery.go
@@ -8,10 +8,14 @@
 //
 // A host that starts later with an empty disk decides nothing and only asks. If its address is
 // not in the set, it goes on asking until control has moved the voter of a dead host to it.
+//
+// The voter of a host that stands still may be moved as well. That host learns of it once it goes on (AskVote), saves a set without
+// itself, by which it gives up its journal, and asks like a host with an empty disk.
 package bootstrap
 
 import (
 	"context"
+	"iter"
 	"net"
 	"slices"
 	"strings"
@@ -20,6 +24,8 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/egretreach/egretreach/internal/control/journal"
+	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/pool"
@@ -58,16 +64,33 @@
 type Discovery struct {
 	opts Options
 
-	mu      sync.Mutex
-	decided []message.Founder
-	seen    map[string]message.Founder
+	// saving is held while the set is saved.
+	saving sync.Mutex
+
+	mu sync.Mutex
+	// firstStart is Options.FirstStart until a set is known.
+	firstStart bool
+	decided    []message.Founder
+	seen       map[string]message.Founder
 	// lastNew is when the last unknown host was seen.
 	lastNew time.Time
 }
 
 // New returns a Discovery.
 func New(opts Options) *Discovery {
-	return &Discovery{opts: opts, seen: map[string]message.Founder{opts.Self.Address: opts.Self}}
+	return &Discovery{
+		opts: opts, firstStart: opts.FirstStart, seen: map[string]message.Founder{opts.Self.Address: opts.Self},
+	}
+}
+
+// setVersion returns the number of moves of voters that led to a set. Moves are entries of one log, so that of two sets the one with the
+// higher version is newer.
+func setVersion(set []message.Founder) uint64 {
+	var version uint64
+	for _, f := range set {
+		version += f.Sequence
+	}
+	return version
 }
 
 // includesSelf reports whether a set contains this host's address.
@@ -85,12 +108,39 @@
 	return ""
 }
 
-// SaveControlHosts replaces the set of control hosts after voters have been moved, and saves it.
+// SaveControlHosts replaces the set of control hosts after voters have been moved, and saves it. A set without this host gives up its vote and
+// its journal: the next Run removes the journal.
 func (d *Discovery) SaveControlHosts(set []message.Founder) error {
+	d.saving.Lock()
+	defer d.saving.Unlock()
+	if setVersion(set) < setVersion(d.known()) {
+		return nil
+	}
+	if err := d.opts.Store.Save(set); err != nil {
+		return err
+	}
+	d.setKnown(set)
+	return nil
+}
+
+// known returns the newest set that this host knows, empty if there is none.
+func (d *Discovery) known() []message.Founder {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.decided
+}
+
+// setKnown records a set. A host that knows one decides none.
+func (d *Discovery) setKnown(set []message.Founder) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decided, d.firstStart = set, false
+}
+
+func (d *Discovery) isFirstStart() bool {
 	d.mu.Lock()
-	d.decided = set
-	d.mu.Unlock()
-	return d.opts.Store.Save(set)
+	defer d.mu.Unlock()
+	return d.firstStart
 }
 
 // Answer returns the answer to a host that introduces itself.
@@ -103,6 +153,15 @@
 	return &message.Founders{Decided: d.decided, Seen: d.sortedSeen()}
 }
 
+// Hear records control hosts of which another one has told, so that this host asks them too.
+func (d *Discovery) Hear(hosts []message.Founder) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, f := range hosts {
+		d.addSeen(f)
+	}
+}
+
 // addSeen records a host. mu is held.
 func (d *Discovery) addSeen(f message.Founder) {
 	if _, known := d.seen[f.Address]; !known {
@@ -120,13 +179,14 @@
 	return list
 }
 
-// Run returns the set once it is decided and saved on this host's disk.
+// Run returns the set once it is decided, contains this host and is saved on its disk. It may be called again after SaveControlHosts with a
+// set without this host.
 func (d *Discovery) Run(ctx context.Context) ([]message.Founder, error) {
-	controlHosts, err := d.opts.Store.Load()
+	controlHosts, err := d.load()
 	if err != nil {
 		return nil, err
 	}
-	began := time.Now()
+	began, fresh := time.Now(), d.isFirstStart()
 	for len(controlHosts) == 0 {
 		if controlHosts = d.queryHosts(ctx); len(controlHosts) == 0 {
 			controlHosts = d.decide(began)
@@ -141,47 +201,81 @@
 			return nil, ctx.Err()
 		}
 	}
-	d.mu.Lock()
-	d.decided = controlHosts
-	d.mu.Unlock()
-	event.FoundersKnown.On(d.opts.Logger).Int("hosts", len(controlHosts)).Bool("fresh", d.opts.FirstStart).Msg("")
+	d.setKnown(controlHosts)
+	event.FoundersKnown.On(d.opts.Logger).Int("hosts", len(controlHosts)).Bool("fresh", fresh).Msg("")
 	return controlHosts, nil
 }
 
+// load returns the saved set, or nil if there is none or this host is not in it. In the latter case the host has given up its vote, and load
+// removes its journal.
+func (d *Discovery) load() ([]message.Founder, error) {
+	saved, err := d.opts.Store.Load()
+	if err != nil || len(saved) == 0 {
+		return nil, err
+	}
+	d.setKnown(saved)
+	if d.includesSelf(saved) {
+		return saved, nil
+	}
+	return nil, journal.Discard(d.opts.Store.Files, d.opts.Store.Folder)
+}
+
 // queryHosts asks all known hosts. It returns the decided set if one of them has a set that
-// contains this host, and nil otherwise.
+// contains this host and is no older than the one known here, and nil otherwise.
 func (d *Discovery) queryHosts(ctx context.Context) []message.Founder {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
+	known := setVersion(d.known())
+	for answer := range d.answers(ctx, &message.FounderQuery{Self: d.opts.Self, FirstStart: d.isFirstStart()}) {
+		if d.includesSelf(answer.Decided) && setVersion(answer.Decided) >= known {
+			return answer.Decided
+		}
+		d.Hear(answer.Decided)
+		d.Hear(answer.Seen)
+	}
+	return nil
+}
+
+// AskVote asks the other control hosts whether the disk with which this host was a voter still counts. It returns the set without this host
+// once a majority has confirmed that another process has the vote for good, and nil otherwise.
+func (d *Discovery) AskVote(ctx context.Context, voter host.ID, g quorum.Generation) []message.Founder {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	known := setVersion(d.known())
+	for answer := range d.answers(ctx, &message.FounderQuery{Self: d.opts.Self, Voter: voter, Generation: uint64(g)}) {
+		if answer.Replaced && setVersion(answer.Decided) > known && !d.includesSelf(answer.Decided) {
+			return answer.Decided
+		}
+	}
+	return nil
+}
+
+// answers sends a query to all known hosts and returns their answers as they arrive, until ctx ends.
+func (d *Discovery) answers(ctx context.Context, q *message.FounderQuery) iter.Seq[*message.Founders] {
 	targets := d.targets()
 	answers := make(chan *message.Founders, len(targets))
 	for _, address := range targets {
-		go func() { answers <- d.query(ctx, address) }()
+		go func() { answers <- d.query(ctx, address, q) }()
 	}
-	for range targets {
-		answer := <-answers
-		if answer == nil {
-			continue
-		}
-		if d.includesSelf(answer.Decided) {
-			return answer.Decided
-		}
-		d.mu.Lock()
-		for _, f := range answer.Decided {
-			d.addSeen(f)
-		}
-		for _, f := range answer.Seen {
-			d.addSeen(f)
+	return func(yield func(*message.Founders) bool) {
+		for range targets {
+			if answer := <-answers; answer != nil && !yield(answer) {
+				return
+			}
 		}
-		d.mu.Unlock()
 	}
-	return nil
 }
 
+// targets returns the addresses of all known hosts but this one.
 func (d *Discovery) targets() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	targets := slices.Clone(d.opts.Seeds)
+	for _, f := range d.decided {
+		if !slices.Contains(targets, f.Address) {
+			targets = append(targets, f.Address)
+		}
+	}
 	for address := range d.seen {
 		if !slices.Contains(targets, address) {
 			targets = append(targets, address)
@@ -190,7 +284,8 @@
 	return slices.DeleteFunc(targets, func(a string) bool { return a == d.opts.Self.Address })
 }
 
-func (d *Discovery) query(ctx context.Context, address string) *message.Founders {
+// query sends a query to one host and returns its answer, or nil if there is none.
+func (d *Discovery) query(ctx context.Context, address string, q *message.FounderQuery) *message.Founders {
 	stream, err := d.opts.Pool.Open(ctx, address)
 	if err != nil {
 		return nil // The host is not up yet; the next round asks it again.
@@ -198,7 +293,7 @@
 	defer stream.Cancel()
 	stop := stream.CancelOn(ctx)
 	defer stop()
-	if stream.Send(&message.FounderQuery{Self: d.opts.Self, FirstStart: d.opts.FirstStart}) != nil {
+	if stream.Send(q) != nil {
 		return nil
 	}
 	answer, err := stream.Receive()
@@ -212,7 +307,7 @@
 // decide returns the set if this host has to decide it and no other host is expected, and nil
 // otherwise.
 func (d *Discovery) decide(began time.Time) []message.Founder {
-	if !d.opts.FirstStart || len(d.opts.Seeds) == 0 || lowestAddress(d.opts.Seeds) != d.opts.Self.Address {
+	if !d.isFirstStart() || len(d.opts.Seeds) == 0 || lowestAddress(d.opts.Seeds) != d.opts.Self.Address {
 		return nil
 	}
 	d.mu.Lock()
--- a/internal/control/portal/fixture_test.go
+++ b/internal/control/portal/fixture_test.go
@@ -26,6 +26,9 @@
 	"github.com/egretreach/egretreach/internal/standin/memnet"
 )
 
+// maxSeeds is how many control hosts the settings of a process name.
+const maxSeeds = 3
+
 // cluster is a set of portals that run in one process and in virtual time.
 type cluster struct {
 	t       *testing.T
@@ -43,6 +46,8 @@
 	ip     string
 	folder string
 	stop   func()
+	// gone is true if the node never comes back. It is no seed any more.
+	gone bool
 }
 
 // voter returns the node's ID in the quorum, or "" if it has none.
@@ -131,8 +136,10 @@
 	require.NoError(c.t, err)
 	link := transport.New(socket, credentials, transport.Options{})
 	var seeds []string
-	for _, other := range c.nodes[:min(3, len(c.nodes))] {
-		seeds = append(seeds, other.ip+":7340")
+	for _, other := range c.nodes {
+		if !other.gone && len(seeds) < maxSeeds {
+			seeds = append(seeds, other.ip+":7340")
+		}
 	}
 	n.Portal = New(Options{
 		Self: n.id, Address: n.ip + ":8229", Link: link, LinkAddress: n.ip + ":7340", Pool: pool.New(link), Seeds: seeds,
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -102,10 +102,14 @@
 	log *replication.Log
 	// controlHosts are the voters of the quorum, empty until they are known.
 	controlHosts []message.Founder
-	// voterID is this host's ID in the quorum. leaderSince is when it became the leader, or zero
+	// voterID is this host's ID in the quorum, or "" if it has no vote. leaderSince is when it became the leader, or zero
 	// if it is not.
 	voterID     host.ID
 	leaderSince time.Time
+	// linkID is the ID by which links that are opened now identify this process.
+	linkID host.ID
+	// voteMoved is true if the replicated state says that another process has this host's vote.
+	voteMoved bool
 	// replacingVoter is true while a voter is being moved to another host.
 	replacingVoter bool
 	// voterMovedAt is when this host learned that a voter was moved to another host.
@@ -139,7 +143,8 @@
 func New(opts Options) *Portal {
 	self := message.Founder{Host: opts.Self, Address: opts.LinkAddress}
 	return &Portal{
-		opts: opts,
+		opts:   opts,
+		linkID: opts.Self,
 		discovery: bootstrap.New(bootstrap.Options{
 			Self: self, Seeds: opts.Seeds, FirstStart: opts.FirstStart, Pool: opts.Pool, Logger: opts.Logger,
 			Store: bootstrap.Store{Files: opts.Files, Folder: opts.Folder},
@@ -162,7 +167,7 @@
 		Str("address", p.opts.Address).Bool("fresh", p.opts.FirstStart).Msg("")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.opts.Link.Serve(ctx, p.handleStream) })
-	group.Go(func() error { return p.joinQuorum(ctx, group) })
+	group.Go(func() error { return p.joinQuorum(ctx) })
 	group.Go(func() error { return p.runPlanning(ctx) })
 	group.Go(func() error { return p.watchDocument(ctx) })
 	group.Go(func() error { return p.answerQuestions(ctx, true) })
@@ -187,30 +192,6 @@
 	}
 }
 
-// joinQuorum discovers the set of control hosts, then runs the log and forwards the announcements
-// that arrive here to the others.
-func (p *Portal) joinQuorum(ctx context.Context, group *errgroup.Group) error {
-	controlHosts, err := p.discovery.Run(ctx)
-	if err != nil {
-		return err
-	}
-	id := p.discovery.VoterID(controlHosts)
-	if id != p.opts.Self {
-		if err := p.assumeVoter(controlHosts, id); err != nil {
-			return err
-		}
-	}
-	p.mu.Lock()
-	p.controlHosts, p.voterID = controlHosts, id
-	p.mu.Unlock()
-	for _, f := range controlHosts {
-		if f.Host != id {
-			group.Go(func() error { return p.gossip(ctx, f.Host) })
-		}
-	}
-	return p.runLog(ctx, controlHosts)
-}
-
 // runLog runs the replicated log, and opens it again after a failure, such as that of its disk.
 func (p *Portal) runLog(ctx context.Context, controlHosts []message.Founder) error {
 	addresses := map[host.ID]string{}
@@ -237,7 +218,7 @@
 	}
 	defer func() { _ = logJournal.Close() }()
 	l := replication.New(replication.Options{
-		Self: p.voterID, Hosts: addresses, Journal: logJournal, StateMachine: p.machine, Pool: p.opts.Pool,
+		Self: p.currentVoter(), Hosts: addresses, Journal: logJournal, StateMachine: p.machine, Pool: p.opts.Pool,
 		Logger: p.opts.Logger, Timing: quorum.Timing{}, OnStatusChange: p.onStatusChange,
 	})
 	p.mu.Lock()
@@ -269,8 +250,7 @@
 			l.Serve(ctx, s, m)
 		}
 	case *message.FounderQuery:
-		p.considerReplacement(ctx, m)
-		_ = s.Send(p.discovery.Answer(m))
+		_ = s.Send(p.answerQuery(ctx, m))
 	case *message.RosterUpdate:
 		p.receiveAnnouncements(s, m)
 	case *message.VersionQuery:
--- /dev/null
+++ b/internal/control/portal/quorum.go
@@ -0,0 +1,129 @@
+package portal
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/egretreach/egretreach/internal/control/replication"
+	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/process/pause"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+)
+
+// voteCheckInterval is the time between two checks whether this host still has its vote.
+const voteCheckInterval = 250 * time.Millisecond
+
+// errVoteLost ends a voter's work when another process has its vote for good.
+var errVoteLost = errors.New("another process has the vote of this host")
+
+// joinQuorum discovers the set of control hosts and works as a voter. If its vote is moved to another process while it stands still, it gives up
+// its journal and asks for another vote, like a host with an empty disk.
+func (p *Portal) joinQuorum(ctx context.Context) error {
+	for ctx.Err() == nil {
+		controlHosts, err := p.discovery.Run(ctx)
+		if err != nil {
+			return err
+		}
+		if err := p.assumeVoter(controlHosts, p.discovery.VoterID(controlHosts)); err != nil {
+			return err
+		}
+		if err := p.runVoter(ctx, controlHosts); !errors.Is(err, errVoteLost) {
+			return err
+		}
+		if err := p.leaveQuorum(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// runVoter runs the log and forwards the announcements that arrive here to the other control hosts. It returns errVoteLost if another process has
+// this host's vote for good.
+func (p *Portal) runVoter(ctx context.Context, controlHosts []message.Founder) error {
+	group, ctx := errgroup.WithContext(ctx)
+	id := p.currentVoter()
+	for _, f := range controlHosts {
+		if f.Host != id {
+			group.Go(func() error { return p.gossip(ctx, f.Host) })
+		}
+	}
+	group.Go(func() error { return p.watchVote(ctx, id) })
+	group.Go(func() error { return p.runLog(ctx, controlHosts) })
+	return group.Wait()
+}
+
+// assumeVoter makes this process a voter of the quorum, by whose ID its links identify it.
+func (p *Portal) assumeVoter(controlHosts []message.Founder, id host.ID) error {
+	if err := p.identify(id); err != nil {
+		return err
+	}
+	if id != p.opts.Self {
+		event.SeatTaken.On(p.opts.Logger).Str("seat", string(id)).Str("address", p.opts.LinkAddress).Msg("")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.controlHosts, p.voterID, p.voteMoved = controlHosts, id, false
+	return nil
+}
+
+// leaveQuorum makes this process one without a vote again.
+func (p *Portal) leaveQuorum() error {
+	p.mu.Lock()
+	p.controlHosts, p.voterID, p.leaderSince = nil, "", time.Time{}
+	p.mu.Unlock()
+	return p.identify(p.opts.Self)
+}
+
+// identify makes all links identify this process by id.
+func (p *Portal) identify(id host.ID) error {
+	if id == p.linkID {
+		return nil
+	}
+	if err := p.opts.Rename(id); err != nil {
+		return err
+	}
+	p.linkID = id
+	p.opts.Pool.CloseOutdated()
+	return nil
+}
+
+// watchVote asks the other control hosts whether this host still has its vote, while it knows no leader or its own state says that the vote was
+// moved. It returns errVoteLost once the vote is lost for good, which is saved on disk by then.
+func (p *Portal) watchVote(ctx context.Context, id host.ID) error {
+	for pause.For(ctx, voteCheckInterval) {
+		l := p.currentLog()
+		if l == nil || !p.doubtsVote(l.Status()) {
+			continue
+		}
+		disk := l.Status().Generation
+		set := p.discovery.AskVote(ctx, id, disk)
+		if set == nil {
+			continue
+		}
+		event.SeatLost.On(p.opts.Logger).Str("seat", string(id)).Uint64("generation", uint64(disk)).Msg("")
+		if err := p.discovery.SaveControlHosts(set); err != nil {
+			event.JournalFailed.On(p.opts.Logger).Str("reason", err.Error()).Msg("")
+			continue
+		}
+		return errVoteLost
+	}
+	return nil
+}
+
+// doubtsVote reports whether another process may have this host's vote.
+func (p *Portal) doubtsVote(s replication.Status) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.voteMoved || s.Leader == "" && !s.IsLeader()
+}
+
+// currentVoter returns this host's ID in the quorum, or "" if it has no vote.
+func (p *Portal) currentVoter() host.ID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.voterID
+}
--- a/internal/control/portal/voter.go
+++ b/internal/control/portal/voter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/egretreach/egretreach/internal/control/portalstate"
+	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/control/replication"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -20,18 +21,6 @@
 // then no other host replaces it.
 const voterJoinTimeout = 2 * voterReplaceTimeout
 
-// assumeVoter makes this process identify itself as the voter that it replaces.
-func (p *Portal) assumeVoter(controlHosts []message.Founder, id host.ID) error {
-	if err := p.opts.Rename(id); err != nil {
-		return err
-	}
-	for _, f := range controlHosts {
-		p.opts.Pool.Drop(f.Address) // Open links still use the old ID.
-	}
-	event.SeatTaken.On(p.opts.Logger).Str("seat", string(id)).Str("address", p.opts.LinkAddress).Msg("")
-	return nil
-}
-
 // currentControlHosts returns the voters of the quorum with their current link addresses.
 func (p *Portal) currentControlHosts() []message.Founder {
 	p.mu.Lock()
@@ -52,20 +41,57 @@
 	p.notifyLocked()
 }
 
-// considerReplacement lets a control host that is no voter replace a voter that has been
-// unreachable for voterReplaceTimeout. Only the leader decides this, and it needs the votes of a
-// majority without the replaced host. If that host comes back, the quorum does not admit its disk
-// again.
-func (p *Portal) considerReplacement(ctx context.Context, q *message.FounderQuery) {
+// answerQuery answers a control host that introduces itself. A host without a vote may get that of a voter that is lost, and a voter that
+// stood still learns whether it still has its vote.
+func (p *Portal) answerQuery(ctx context.Context, q *message.FounderQuery) *message.Founders {
 	l := p.currentLog()
-	if q.FirstStart || l == nil {
-		return
+	replaced := false
+	switch {
+	case q.FirstStart || l == nil:
+	case q.Voter != "":
+		replaced = p.considerReturn(ctx, l, q)
+	default:
+		p.considerReplacement(ctx, l, q)
 	}
+	answer := p.discovery.Answer(q)
+	answer.Replaced = replaced
+	return answer
+}
+
+// considerReplacement lets a control host that is no voter replace a voter that has been
+// unreachable for voterReplaceTimeout. Only the leader decides this, and it needs the votes of a
+// majority without the replaced host.
+func (p *Portal) considerReplacement(ctx context.Context, l *replication.Log, q *message.FounderQuery) {
 	if id := p.claimReplacement(l.Status(), q.Self.Address, time.Now()); id != "" {
 		p.replaceVoter(ctx, l, id, q.Self)
 	}
 }
 
+// considerReturn serves a voter that may have been replaced while it stood still. It reports whether the quorum has another disk in place of the
+// asker's for good. While the asker's disk still counts, its vote is moved back to it: the process that has taken it over may be gone, and its
+// disk holds less.
+func (p *Portal) considerReturn(ctx context.Context, l *replication.Log, q *message.FounderQuery) bool {
+	if l.Barrier(ctx) != nil {
+		return false // This host can't tell: it is not the leader, or no majority answers it.
+	}
+	disk := quorum.Generation(q.Generation)
+	if l.IsCurrent(q.Voter, disk) && p.claimReturn(q.Self.Address) {
+		p.replaceVoter(ctx, l, q.Voter, q.Self)
+	}
+	return l.IsReplaced(q.Voter, disk)
+}
+
+// claimReturn reports whether a vote must be moved back to the host at address, which had it before. The caller must then call replaceVoter.
+func (p *Portal) claimReturn(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isVoterAddress(address) || p.replacingVoter {
+		return false
+	}
+	p.replacingVoter = true
+	return true
+}
+
 // claimReplacement returns the voter that the host at address replaces, or "" if there is none. The
 // caller must then call replaceVoter, and until that ends no other voter is replaced.
 func (p *Portal) claimReplacement(s replication.Status, address string, now time.Time) host.ID {
@@ -103,7 +129,7 @@
 	return unreachable
 }
 
-// replaceVoter commits an entry that moves a voter, returned by claimReplacement, to another host.
+// replaceVoter commits an entry that moves a voter, claimed by claimReplacement or claimReturn, to another host.
 func (p *Portal) replaceVoter(ctx context.Context, l *replication.Log, id host.ID, to message.Founder) {
 	defer p.finishReplacement(id)
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
@@ -118,8 +144,9 @@
 	if err == nil {
 		_, err = l.Propose(ctx, command)
 	}
+	p.updateVoterAddresses() // So that the answer to the host already says so.
 	event.SeatMoved.On(p.opts.Logger).Str("seat", string(id)).Str("host", string(to.Host)).
-		Str("address", to.Address).Err(err).Msg("")
+		Str("address", to.Address).Uint64("sequence", sequence).Err(err).Msg("")
 }
 
 // finishReplacement allows other replacements again. The voter counts as moved even if the outcome
@@ -132,38 +159,46 @@
 }
 
 // updateVoterAddresses applies the replicated voter addresses to the log and to the known set of
-// control hosts.
+// control hosts. This host's own vote stays in its set until the quorum has confirmed that it is lost.
 func (p *Portal) updateVoterAddresses() {
+	voters := p.machine.MovedVoters()
+	controlHosts, changed := p.applyMoves(voters)
+	if l := p.currentLog(); l != nil {
+		for _, voter := range voters {
+			l.SetAddress(voter.Host, voter.Address)
+		}
+	}
+	if !changed {
+		return
+	}
+	if err := p.discovery.SaveControlHosts(controlHosts); err != nil {
+		event.JournalFailed.On(p.opts.Logger).Str("reason", err.Error()).Msg("")
+	}
+}
+
+// applyMoves applies the replicated voter addresses to the known set of control hosts. It returns the set and whether it has changed.
+func (p *Portal) applyMoves(voters []portalstate.Voter) ([]message.Founder, bool) {
 	p.mu.Lock()
-	controlHosts := slices.Clone(p.controlHosts)
-	l := p.log
-	p.mu.Unlock()
-	var moved []host.ID
-	for _, voter := range p.machine.MovedVoters() {
+	defer p.mu.Unlock()
+	controlHosts, changed := slices.Clone(p.controlHosts), false
+	for _, voter := range voters {
 		i := slices.IndexFunc(controlHosts, func(f message.Founder) bool { return f.Host == voter.Host })
-		if i < 0 {
+		if i < 0 || voter.Sequence <= controlHosts[i].Sequence {
 			continue
 		}
-		if l != nil {
-			l.SetAddress(voter.Host, voter.Address)
+		if voter.Host == p.voterID {
+			if p.voteMoved = voter.Address != p.opts.LinkAddress; p.voteMoved {
+				continue
+			}
 		}
 		if controlHosts[i].Address != voter.Address {
-			controlHosts[i].Address = voter.Address
-			moved = append(moved, voter.Host)
+			p.voterMovedAt[voter.Host] = time.Now()
 		}
+		controlHosts[i].Address, controlHosts[i].Sequence = voter.Address, voter.Sequence
+		changed = true
 	}
-	if len(moved) == 0 {
-		return
-	}
-	p.mu.Lock()
 	p.controlHosts = controlHosts
-	for _, id := range moved {
-		p.voterMovedAt[id] = time.Now()
-	}
-	p.mu.Unlock()
-	if err := p.discovery.SaveControlHosts(controlHosts); err != nil {
-		event.JournalFailed.On(p.opts.Logger).Str("reason", err.Error()).Msg("")
-	}
+	return controlHosts, changed
 }
 
 // controlHostAddress returns the link address of a control host.
--- a/internal/control/quorum/status.go
+++ b/internal/control/quorum/status.go
@@ -62,6 +62,19 @@
 	return s
 }
 
+// IsReplaced reports whether this host's committed log names another disk than g as that of the host id, and no later entry
+// of the log names g.
+func (n *Node) IsReplaced(id host.ID, g Generation) bool {
+	committed, latest := n.log.membershipAt(n.commit), n.log.membership()
+	return committed != nil && committed.Current[id] != g && latest.Current[id] != g
+}
+
+// IsCurrent reports whether the latest membership of this host's log, committed or not, names g as the disk of the host id.
+func (n *Node) IsCurrent(id host.ID, g Generation) bool {
+	latest := n.log.membership()
+	return latest != nil && latest.Current[id] == g
+}
+
 func (n *Node) missingPromises() []host.ID {
 	var missing []host.ID
 	for _, id := range n.peers {
--- a/internal/control/replication/status.go
+++ b/internal/control/replication/status.go
@@ -14,6 +14,8 @@
 	// Leader is empty if no leader is known. LeaderAddress is the leader's link address.
 	Leader        host.ID
 	LeaderAddress string
+	// Generation identifies this host's disk.
+	Generation quorum.Generation
 	// Admitted is true if this host's disk may vote.
 	Admitted      bool
 	LastIndex     uint64
@@ -64,11 +66,26 @@
 	return l.newStatus(nodeStatus)
 }
 
+// IsReplaced reports whether the committed log names another disk than g for a control host. On the confirmed leader that is final:
+// no later entry names g again.
+func (l *Log) IsReplaced(id host.ID, g quorum.Generation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.IsReplaced(id, g)
+}
+
+// IsCurrent reports whether the log's latest entries name g as the disk of a control host.
+func (l *Log) IsCurrent(id host.ID, g quorum.Generation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.IsCurrent(id, g)
+}
+
 func (l *Log) newStatus(nodeStatus quorum.Status) Status {
 	s := Status{
 		Role: nodeStatus.Role, Term: uint64(nodeStatus.Term),
 		Leader: nodeStatus.Leader, LeaderAddress: l.addresses.get(nodeStatus.Leader),
-		Admitted: nodeStatus.Admitted, LastIndex: uint64(nodeStatus.LastIndex),
+		Generation: nodeStatus.Generation, Admitted: nodeStatus.Admitted, LastIndex: uint64(nodeStatus.LastIndex),
 		CommitIndex: uint64(nodeStatus.CommitIndex), SnapshotIndex: uint64(nodeStatus.SnapshotIndex),
 		StableIndex: uint64(nodeStatus.StableIndex),
 	}
--- a/internal/link/message/portal.go
+++ b/internal/link/message/portal.go
@@ -111,6 +111,8 @@
 type Founder struct {
 	Host    host.ID `cbor:"1,keyasint"`
 	Address string  `cbor:"2,keyasint"`
+	// Sequence counts the processes that have replaced the voter.
+	Sequence uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // FounderQuery introduces a control host to another one and asks for the set of
@@ -119,6 +121,10 @@
 	Self Founder `cbor:"1,keyasint"`
 	// FirstStart reports that the whole system starts for the first time.
 	FirstStart bool `cbor:"2,keyasint,omitempty"`
+	// Voter is the vote that the host has or had, and Generation identifies its disk. Both are zero for a host that
+	// has neither.
+	Voter      host.ID `cbor:"3,keyasint,omitempty"`
+	Generation uint64  `cbor:"4,keyasint,omitempty"`
 }
 
 // Founders answers a FounderQuery.
@@ -127,6 +133,8 @@
 	Decided []Founder `cbor:"1,keyasint,omitempty"`
 	// Seen are the control hosts that the answering host knows of.
 	Seen []Founder `cbor:"2,keyasint,omitempty"`
+	// Replaced reports that a majority has confirmed after the query that its Voter has another disk for good.
+	Replaced bool `cbor:"3,keyasint,omitempty"`
 }
 
 // VersionQuery asks the control leader which version of the configuration is in force, for the questions of another host's
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -47,4 +47,5 @@
 	BlameWeighed        = register(154, "blame_weighed", log.InfoLevel)
 	CrashesCleared      = register(155, "crashes_cleared", log.InfoLevel)
 	EndpointSkipped     = register(156, "endpoint_skipped", log.WarnLevel)
+	SeatLost            = register(157, "seat_lost", log.WarnLevel)
 )
