portal: voters tell a host with an empty disk where they are

Cause: only the host without a set asks, and only its seeds. Besides, a stream on which announcements are passed on noticed its end only at the next announcement, so that without endpoints nobody spoke to the restarted hosts.

Change: the first message of such a stream names the control hosts, and a host without a set asks them too. The stream's end ends the sending.

Evidence: TestWipedHostsAreFoundWithoutSeeds fails without the change (a voter doesn't count for over 10 s).

--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -74,6 +74,7 @@
 // receiveAnnouncements records the announcements that another control host forwards, until its stream
 // ends.
 func (p *Portal) receiveAnnouncements(s *transport.Stream, first *message.RosterUpdate) {
+	p.discovery.Hear(first.Hosts)
 	for update := first; ; {
 		now := time.Now()
 		p.mu.Lock()
@@ -121,10 +122,16 @@
 		return // The host is down or unreachable; the replication package logs such links.
 	}
 	defer s.Cancel()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	stop := s.CancelOn(ctx)
 	defer stop()
+	go func() {
+		defer cancel()
+		_, _ = s.Receive() // The peer sends nothing, so this returns when the stream ends.
+	}()
 	all := p.allAnnouncements()
-	if s.Send(&message.RosterUpdate{Heard: all}) != nil {
+	if s.Send(&message.RosterUpdate{Heard: all, Hosts: p.currentControlHosts()}) != nil {
 		return
 	}
 	sent := map[string]sentState{}
--- a/internal/control/portal/voter_test.go
+++ b/internal/control/portal/voter_test.go
@@ -198,3 +198,17 @@
 		})
 	}
 }
+
+// TestWipedHostsAreFoundWithoutSeeds wipes the disks of two control hosts whose seeds are each other and a host that is gone. It guards against
+// hosts that ask nobody who could answer, while all that could answer know where they are.
+func TestWipedHostsAreFoundWithoutSeeds(t *testing.T) {
+	runCluster(t, 5, func(c *cluster) {
+		c.put("1:first")
+		c.stopNode(c.nodes[2])
+		c.start(c.add(7), false)
+		time.Sleep(8 * time.Second)
+		c.loseDisks(c.nodes[0], c.nodes[1])
+		c.requireAllVotersAdmitted()
+		require.Equal(t, "1:first", c.read())
+	})
+}
--- a/internal/link/message/portal.go
+++ b/internal/link/message/portal.go
@@ -18,6 +18,8 @@
 // answered.
 type RosterUpdate struct {
 	Heard []Heard `cbor:"1,keyasint,omitempty"`
+	// Hosts are the control hosts. They are set in the first message of a stream, for a host that has lost its disk and whose seeds are gone.
+	Hosts []Founder `cbor:"2,keyasint,omitempty"`
 }
 
 // Subscribe asks a control host for updates of the fleet snapshot until the stream
