portal: a drain or sign-off is acknowledged once the replicated log holds it

Cause: Announce answered from the memory of one process. An endpoint says that it leaves once, so nothing brings the loss back; a heartbeat that says draining may also be the last one that arrives.

Change: such an announcement is acknowledged when an entry of the log holds it; those of one moment share an entry, and a portal that doesn't lead asks the leader.

Why it works: what is acknowledged is on the disks of a majority, so it outlives any process, also if all are killed at once.

Ruled out: the memory of a majority, since all may be killed at one moment.

--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -27,9 +27,20 @@
 	forgetAfter = 3 * time.Minute
 )
 
-// Announce records an endpoint's announcement. It returns ErrUnavailable while the other control
-// hosts are not known, because the announcement could not be forwarded to them.
-func (p *Portal) Announce(e roster.Endpoint) error {
+// Announce records an endpoint's announcement. One that says that the endpoint drains or leaves is acknowledged only when it is in the replicated log,
+// since the endpoint may say it just once. Announce returns ErrUnavailable if that takes too long, or while the other
+// control hosts are not known, because the announcement could not be forwarded to them.
+func (p *Portal) Announce(ctx context.Context, e roster.Endpoint) error {
+	if err := p.recordAnnouncement(e); err != nil {
+		return err
+	}
+	if departing, ok := p.unkeptDeparture(e); ok {
+		return p.keepDeparture(ctx, departing)
+	}
+	return nil
+}
+
+func (p *Portal) recordAnnouncement(e roster.Endpoint) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.controlHosts) == 0 {
@@ -40,11 +51,22 @@
 	return nil
 }
 
+// unkeptDeparture returns the state of the endpoint that has sent e, if e says that it drains or leaves and the replicated log doesn't.
+func (p *Portal) unkeptDeparture(e roster.Endpoint) (roster.Endpoint, bool) {
+	p.mu.Lock()
+	current, known := p.roster.Get(e.ID)
+	p.mu.Unlock()
+	if !known || e.State == roster.StateReady || current.State == roster.StateReady {
+		return roster.Endpoint{}, false
+	}
+	return current.Endpoint, !p.machine.KeepsDeparture(current.Endpoint, current.LastReady)
+}
+
 // applyAnnouncement records an announcement that arrived at seenAt. direct is true if the
 // endpoint sent it to this host. mu is held.
 func (p *Portal) applyAnnouncement(e roster.Endpoint, seenAt time.Time, direct bool) {
 	if err := e.Validate(); err != nil {
-		event.EndpointSkipped.On(p.opts.Logger).Str("endpoint", strconv.QuoteToASCII(e.ID)).Bool("direct", direct).Err(err).Msg("")
+		p.skipAnnouncement(e, direct, err)
 		return
 	}
 	old, known := p.roster.Get(e.ID)
@@ -71,6 +93,10 @@
 	p.notifyLocked()
 }
 
+func (p *Portal) skipAnnouncement(e roster.Endpoint, direct bool, err error) {
+	event.EndpointSkipped.On(p.opts.Logger).Str("endpoint", strconv.QuoteToASCII(e.ID)).Bool("direct", direct).Err(err).Msg("")
+}
+
 // receiveAnnouncements records the announcements that another control host forwards, until its stream
 // ends.
 func (p *Portal) receiveAnnouncements(s *transport.Stream, first *message.RosterUpdate) {
--- a/internal/control/portal/confirmation.go
+++ b/internal/control/portal/confirmation.go
@@ -72,22 +72,27 @@
 	return l.LazyBarrier(ctx)
 }
 
-// queryVersion asks the leader which version is in force. It ends once another host leads, or none: the one that is asked may be
+// callLeader sends a request to the leader and returns the answer. It ends once another host leads, or none: the one that is asked may be
 // down.
-func (p *Portal) queryVersion(ctx context.Context, leader string, urgent bool) (uint64, error) {
+func (p *Portal) callLeader(ctx context.Context, leader string, request message.Message) (message.Message, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go p.cancelUnlessLeading(ctx, cancel, leader)
 	stream, err := p.opts.Pool.Open(ctx, leader)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	defer stream.Cancel()
 	defer stream.CancelOn(ctx)()
-	if err := stream.Send(&message.VersionQuery{Urgent: urgent}); err != nil {
-		return 0, err
+	if err := stream.Send(request); err != nil {
+		return nil, err
 	}
-	m, err := stream.Receive()
+	return stream.Receive()
+}
+
+// queryVersion asks the leader which version is in force.
+func (p *Portal) queryVersion(ctx context.Context, leader string, urgent bool) (uint64, error) {
+	m, err := p.callLeader(ctx, leader, &message.VersionQuery{Urgent: urgent})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/control/portal/fixture_test.go
+++ b/internal/control/portal/fixture_test.go
@@ -31,7 +31,7 @@
 
 // cluster is a set of portals that run in one process and in virtual time.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	network memnet.Network
 	nodes   []*node
 	engines engineRecorder
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -133,7 +133,9 @@
 	grantedAt    time.Time
 	permitsReady chan struct{}
 	// questions are those of the gateways on the configuration. They have a mutex of their own.
-	questions      questions
+	questions questions
+	// departures wait to be kept in the log. They have a mutex of their own.
+	departures     departures
 	trafficStarted bool
 	table          *routes.Table
 	stopping       bool
@@ -170,6 +172,7 @@
 	group.Go(func() error { return p.joinQuorum(ctx) })
 	group.Go(func() error { return p.runPlanning(ctx) })
 	group.Go(func() error { return p.watchDocument(ctx) })
+	group.Go(func() error { return p.keepDepartures(ctx) })
 	group.Go(func() error { return p.answerQuestions(ctx, true) })
 	group.Go(func() error { return p.answerQuestions(ctx, false) })
 	err := group.Wait()
@@ -253,6 +256,8 @@
 		_ = s.Send(p.answerQuery(ctx, m))
 	case *message.RosterUpdate:
 		p.receiveAnnouncements(s, m)
+	case *message.Depart:
+		p.serveDepart(ctx, s, m)
 	case *message.VersionQuery:
 		p.serveVersionQuery(ctx, s, m)
 	case *message.Subscribe:
@@ -289,12 +294,13 @@
 }
 
 // watchDocument follows the replicated state: it decodes each document that comes into force, and
-// applies the moves of voters.
+// applies the moves of voters and the departures of endpoints.
 func (p *Portal) watchDocument(ctx context.Context) error {
-	var decodedVersion uint64
+	var decodedVersion, appliedDepartures uint64
 	for {
 		changed := p.machine.Changed()
 		p.updateVoterAddresses()
+		appliedDepartures = p.applyDepartures(appliedDepartures)
 		document := p.machine.Current()
 		if document.Version > decodedVersion {
 			decodedVersion = document.Version
--- a/internal/control/portal/portal_test.go
+++ b/internal/control/portal/portal_test.go
@@ -173,7 +173,7 @@
 		c.start(extra, false)
 		time.Sleep(8 * time.Second)
 		require.Empty(t, extra.voter())
-		require.True(t, IsErrUnavailable(extra.Announce(roster.Endpoint{ID: "e"})), "the host knows no other control hosts")
+		require.True(t, IsErrUnavailable(extra.Announce(c.t.Context(), roster.Endpoint{ID: "e"})), "the host knows no other control hosts")
 		c.put("2:second")
 	})
 }
@@ -191,10 +191,10 @@
 	runCluster(t, 5, func(c *cluster) {
 		c.put("1:first")
 		for i := range 10 {
-			require.NoError(t, c.nodes[i%5].Announce(engine(i, 1)))
+			require.NoError(t, c.nodes[i%5].Announce(c.t.Context(), engine(i, 1)))
 		}
 		time.Sleep(300 * time.Millisecond)
-		require.NoError(t, c.nodes[3].Announce(roster.Endpoint{ID: "e4", State: roster.StateLeft}))
+		require.NoError(t, c.nodes[3].Announce(c.t.Context(), roster.Endpoint{ID: "e4", State: roster.StateLeft}))
 		time.Sleep(200 * time.Millisecond)
 		for _, n := range c.nodes {
 			n.mu.Lock()
@@ -212,7 +212,7 @@
 	runCluster(t, 3, func(c *cluster) {
 		c.put("1:first")
 		for i := range 3 {
-			require.NoError(t, c.nodes[i].Announce(engine(i, 1)))
+			require.NoError(t, c.nodes[i].Announce(c.t.Context(), engine(i, 1)))
 		}
 		time.Sleep(2 * time.Second)
 		first := joins(c.engines.sentOrders())
@@ -226,7 +226,7 @@
 			for i := range 3 {
 				for _, n := range c.nodes {
 					if n.stop != nil {
-						require.NoError(t, n.Announce(engine(i, sequence+2)))
+						require.NoError(t, n.Announce(c.t.Context(), engine(i, sequence+2)))
 						break
 					}
 				}
@@ -254,7 +254,7 @@
 		c.engines.dead = map[string]bool{"e1": true}
 		c.put("1:first")
 		for i := range 2 {
-			require.NoError(t, c.nodes[0].Announce(engine(i, 1)))
+			require.NoError(t, c.nodes[0].Announce(c.t.Context(), engine(i, 1)))
 		}
 		time.Sleep(4 * time.Second)
 		leader := c.leader()
@@ -271,7 +271,7 @@
 	for silence, lost := range map[time.Duration]bool{time.Second: false, 3 * time.Second: true} {
 		runCluster(t, 3, func(c *cluster) {
 			c.put("1:first")
-			require.NoError(t, c.nodes[0].Announce(engine(0, 1)))
+			require.NoError(t, c.nodes[0].Announce(c.t.Context(), engine(0, 1)))
 			time.Sleep(2 * time.Second)
 			c.engines.mu.Lock()
 			c.engines.silentUntil = map[string]time.Time{"e0": time.Now().Add(silence)}
--- a/internal/control/portalstate/machine.go
+++ b/internal/control/portalstate/machine.go
@@ -1,6 +1,6 @@
 // Package portalstate is the replicated state of the portal: the operators' document with the
-// highest committed version, the addresses of the voters that were moved to another host, and the keys of
-// requests that are held back.
+// highest committed version, the addresses of the voters that were moved to another host, the keys of
+// requests that are held back, and the endpoints that drained or left last.
 package portalstate
 
 import (
@@ -14,6 +14,7 @@
 
 	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/roster"
 )
 
 // Document is a configuration as its operator sent it.
@@ -37,11 +38,13 @@
 // Encode returns the command that moves the voter.
 func (v Voter) Encode() ([]byte, error) { return encode(command{Voter: &v}) }
 
-// command is an entry of the log. Exactly one field is set.
+// command is an entry of the log. One field is set.
 type command struct {
 	Document *Document        `cbor:"1,keyasint,omitempty"`
 	Voter    *Voter           `cbor:"2,keyasint,omitempty"`
 	Hold     *quarantine.Hold `cbor:"3,keyasint,omitempty"`
+	// Departures are announcements of endpoints that drain or have left.
+	Departures []roster.Endpoint `cbor:"4,keyasint,omitempty"`
 }
 
 // EncodeHold returns the command that holds a key of requests back, or releases it if there are no strikes.
@@ -57,6 +60,8 @@
 	Document Document                `cbor:"1,keyasint"`
 	Voters   []Voter                 `cbor:"2,keyasint,omitempty"`
 	Holds    quarantine.HoldSnapshot `cbor:"3,keyasint"`
+	// Departures are in the order of their indexes.
+	Departures []departure `cbor:"4,keyasint,omitempty"`
 }
 
 // Result is the effect of a committed command.
@@ -76,7 +81,9 @@
 	document Document
 	voters   map[host.ID]Voter
 	holds    quarantine.HoldSet
-	changed  chan struct{}
+	// departures are those of the last endpoints that drained or left.
+	departures departureSet
+	changed    chan struct{}
 }
 
 // Apply implements replication.StateMachine. A document whose version is not above the one in
@@ -94,6 +101,9 @@
 	if c.Hold != nil && m.holds.Apply(index, *c.Hold) {
 		m.notify()
 	}
+	if m.departures.add(newDepartures(index, c.Departures)) {
+		m.notify()
+	}
 	if c.Document == nil || c.Document.Version <= m.document.Version {
 		return Result{Index: index, Version: m.document.Version}
 	}
@@ -126,7 +136,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	s := snapshot{Document: m.Current(), Voters: m.MovedVoters()}
 	m.mu.Lock()
-	s.Holds = m.holds.Snapshot()
+	s.Holds, s.Departures = m.holds.Snapshot(), m.departures.list
 	m.mu.Unlock()
 	data, err := cbor.Marshal(s)
 	return data, errors.Wrap(err, "encode snapshot")
@@ -147,6 +157,9 @@
 	if m.holds.Restore(s.Holds) {
 		m.notify()
 	}
+	if m.departures.add(s.Departures) {
+		m.notify()
+	}
 	if s.Document.Version > m.document.Version {
 		m.document = s.Document
 		m.notify()
@@ -177,8 +190,8 @@
 	return m.document
 }
 
-// Changed returns a channel that is closed at the next change of the document, of a voter or of
-// the held keys.
+// Changed returns a channel that is closed at the next change of the document, of a voter, of
+// the held keys or of the departures.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -99,8 +99,8 @@
 	return e.Member != nil && e.Member.Rank == 0 && e.Member.State == MemberOpen
 }
 
-// isNewerThan reports whether e supersedes old, the last announcement of the same ID.
-func (e Endpoint) isNewerThan(old Endpoint) bool {
+// Supersedes reports whether e is newer than old, the last announcement of the same ID.
+func (e Endpoint) Supersedes(old Endpoint) bool {
 	if e.State == StateLeft && e.StartedMs == 0 {
 		return old.State != StateLeft // A sign-off without a start time belongs to the current incarnation.
 	}
@@ -120,6 +120,8 @@
 	LastSeen time.Time
 	// Unchanged is true if the last announcement had no new content.
 	Unchanged bool
+	// LastReady is the sequence of the incarnation's last announcement with StateReady, 0 if there is none.
+	LastReady uint64
 }
 
 // Roster is the set of known endpoints. The zero value is empty. It is not safe for
@@ -151,7 +153,7 @@
 		r.entries, r.addresses = map[string]Entry{}, map[string]string{}
 	}
 	old, known := r.entries[e.ID]
-	if known && !e.isNewerThan(old.Endpoint) {
+	if known && !e.Supersedes(old.Endpoint) {
 		return ChangeNone
 	}
 	if e.Address == "" {
@@ -164,13 +166,25 @@
 		r.ids = slices.Insert(r.ids, at, e.ID)
 	}
 	unchanged := known && equalContent(old.Endpoint, e)
-	r.entries[e.ID] = Entry{Endpoint: e, LastSeen: seenAt, Unchanged: unchanged}
+	r.entries[e.ID] = Entry{Endpoint: e, LastSeen: seenAt, Unchanged: unchanged, LastReady: lastReady(old, e)}
 	if unchanged {
 		return ChangeLiveness
 	}
 	return ChangeContent
 }
 
+// lastReady returns Entry.LastReady after an announcement that supersedes old.
+func lastReady(old Entry, e Endpoint) uint64 {
+	switch {
+	case e.State == StateReady:
+		return e.Sequence
+	case e.StartedMs == old.StartedMs:
+		return old.LastReady
+	default:
+		return 0
+	}
+}
+
 // makeRoom reports whether there is room for one more entry. If not it drops the endpoint that left first.
 func (r *Roster) makeRoom() bool {
 	if len(r.entries) < maxEntries {
--- a/internal/link/message/kind.go
+++ b/internal/link/message/kind.go
@@ -68,6 +68,8 @@
 	kindFounders
 	kindVersionQuery
 	kindVersionAnswer
+	kindDepart
+	kindDepartAnswer
 )
 
 // newMessage returns an empty message of kind k, or nil if k is unknown.
@@ -129,4 +131,6 @@
 	kindFounders:         func() Message { return &Founders{} },
 	kindVersionQuery:     func() Message { return &VersionQuery{} },
 	kindVersionAnswer:    func() Message { return &VersionAnswer{} },
+	kindDepart:           func() Message { return &Depart{} },
+	kindDepartAnswer:     func() Message { return &DepartAnswer{} },
 }
--- a/internal/link/message/portal.go
+++ b/internal/link/message/portal.go
@@ -152,6 +152,21 @@
 	Version   uint64 `cbor:"2,keyasint,omitempty"`
 }
 
+// Depart asks the control leader to keep the announcements of endpoints that drain or have left, so that they outlast every process.
+type Depart struct {
+	Endpoints []roster.Endpoint `cbor:"1,keyasint,omitempty"`
+}
+
+// DepartAnswer answers a Depart.
+type DepartAnswer struct {
+	// Kept reports that a majority of the control hosts has the announcements on its disks. If it is false they may be kept or not.
+	Kept bool `cbor:"1,keyasint,omitempty"`
+}
+
+func (*Depart) kind() Kind { return kindDepart }
+
+func (*DepartAnswer) kind() Kind { return kindDepartAnswer }
+
 func (*RosterUpdate) kind() Kind { return kindRosterUpdate }
 
 func (*Subscribe) kind() Kind { return kindSubscribe }
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -48,4 +48,6 @@
 	CrashesCleared      = register(155, "crashes_cleared", log.InfoLevel)
 	EndpointSkipped     = register(156, "endpoint_skipped", log.WarnLevel)
 	SeatLost            = register(157, "seat_lost", log.WarnLevel)
+	DeparturesKept      = register(158, "departures_kept", log.InfoLevel)
+	DeparturesUnsure    = register(159, "departures_unsure", log.WarnLevel)
 )
