state: a text that is no UTF-8 stops no control host

Cause: commands are encoded with any text and decoded only as UTF-8. A claim with such a key is committed; each control host takes the entry for one of a later version and stops its state machine.

Ruled out: that links stop it. Since they accept such texts, as they must.

--- a/internal/control/portalstate/machine.go
+++ b/internal/control/portalstate/machine.go
@@ -47,6 +47,17 @@
 	Departures []roster.Endpoint `cbor:"4,keyasint,omitempty"`
 }
 
+// decoding reads commands and snapshots whatever the bytes of their texts are: a committed command must be applied by all hosts.
+var decoding = mustDecoding()
+
+func mustDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // EncodeHold returns the command that holds a key of requests back, or releases it if there are no strikes.
 func EncodeHold(h quarantine.Hold) ([]byte, error) { return encode(command{Hold: &h}) }
 
@@ -90,7 +101,7 @@
 // force changes nothing, and neither does a voter whose sequence is not above the stored one.
 func (m *Machine) Apply(index uint64, data []byte) any {
 	var c command
-	if err := cbor.Unmarshal(data, &c); err != nil {
+	if err := decoding.Unmarshal(data, &c); err != nil {
 		return errors.Wrap(err, "decode command")
 	}
 	m.mu.Lock()
@@ -146,7 +157,7 @@
 // applied, because a log that is opened again starts with an older snapshot.
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
+	if err := decoding.Unmarshal(data, &s); err != nil {
 		return errors.Wrap(err, "decode snapshot")
 	}
 	m.mu.Lock()
--- a/internal/control/portalstate/machine_test.go
+++ b/internal/control/portalstate/machine_test.go
@@ -74,3 +74,16 @@
 	require.Error(t, m.Restore([]byte("nonsense")))
 	require.Zero(t, m.Current().Version)
 }
+
+// TestUnreadableTextInTheLogIsApplied guards against an entry or a snapshot that no host can read because a text in it is no UTF-8.
+func TestUnreadableTextInTheLogIsApplied(t *testing.T) {
+	var m Machine
+	command, err := Voter{"c\xff", "a:1", 1}.Encode()
+	require.NoError(t, err)
+	require.IsType(t, Result{}, m.Apply(1, command))
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	var restored Machine
+	require.NoError(t, restored.Restore(data))
+	require.Equal(t, []Voter{{"c\xff", "a:1", 1}}, restored.MovedVoters())
+}
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -203,7 +203,7 @@
 // decode returns the command in data and its envelope.
 func decode(data []byte) (Command, envelope, error) {
 	var e envelope
-	if err := cbor.Unmarshal(data, &e); err != nil {
+	if err := decoding.Unmarshal(data, &e); err != nil {
 		return nil, e, errors.Wrap(err, "decode command")
 	}
 	c, err := decodeBody(e)
@@ -253,7 +253,7 @@
 
 func decodeAs[C Command](body []byte) (Command, error) {
 	var c C
-	if err := cbor.Unmarshal(body, &c); err != nil {
+	if err := decoding.Unmarshal(body, &c); err != nil {
 		return nil, errors.Wrapf(err, "decode %T", c)
 	}
 	return c, nil
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -38,6 +38,8 @@
 func mustDecoding() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		MaxArrayElements: maxSnapshotItems, MaxMapPairs: maxSnapshotItems,
+		// A committed command must be applied by all hosts, whatever the texts in it are.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -116,6 +116,7 @@
 		"many tokens":     {"POST", "/v1/completions", `{"model":"drafter","prompt":"a","max_tokens":101}`, nil, 400, "too_many_tokens"},
 		"unknown class":   {"POST", "/v1/completions", prompt, []string{HeaderClass, "x"}, 400, "unknown_class"},
 		"bad timeout":     {"POST", "/v1/completions", prompt, []string{HeaderTimeout, "5 apples"}, 400, "bad_timeout"},
+		"unreadable key":  {"POST", "/v1/completions", prompt, []string{HeaderIdempotencyKey, "k\xff"}, 400, "bad_idempotency_key"},
 		"long key":        {"POST", "/v1/completions", prompt, []string{HeaderIdempotencyKey, strings.Repeat("k", 257)}, 400, "bad_idempotency_key"},
 		"unknown service": {"GET", "/services/x/y", "", nil, 404, "unknown_service"},
 		"unknown path":    {"GET", "/v2/models", "", nil, 404, "no_such_route"},
--- a/internal/entry/api/read.go
+++ b/internal/entry/api/read.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -109,8 +110,8 @@
 // returns false.
 func (a *API) addKey(c *call, work *dispatch.Work, body []byte, idempotent bool) bool {
 	key := c.r.Header.Get(HeaderIdempotencyKey)
-	if len(key) > maxIdempotencyKeyBytes {
-		a.writeError(c, errorResponse{status: http.StatusBadRequest, code: "bad_idempotency_key", message: fmt.Sprintf("an Idempotency-Key has at most %d bytes", maxIdempotencyKeyBytes)})
+	if len(key) > maxIdempotencyKeyBytes || !utf8.ValidString(key) {
+		a.writeError(c, errorResponse{status: http.StatusBadRequest, code: "bad_idempotency_key", message: fmt.Sprintf("an Idempotency-Key is UTF-8 of at most %d bytes", maxIdempotencyKeyBytes)})
 		return false
 	}
 	if key == "" && idempotent {
