upstream, agent: tests that a response cut anywhere in its head is none

A report from other operators: a server stopped in the middle of its answer's head, and clients got a 200 with an empty or short body, framed as whole.

--- a/internal/agent/engine/client_test.go
+++ b/internal/agent/engine/client_test.go
@@ -92,3 +92,28 @@
 		require.True(t, IsErrResponseCut(err), "%q: %v", cut, err)
 	}
 }
+
+// TestGenerationThatIsCutAnywhereIsNotComplete ends the connection after each byte of an answer, its head included. It guards against a chat that
+// looks whole with an empty or short text.
+func TestGenerationThatIsCutAnywhereIsNotComplete(t *testing.T) {
+	d := &message.Dispatch{Generate: &message.Generate{Path: "/v1/completions"}}
+	d.Ref.Attempt = 1
+	token := fmt.Sprintf(`{"request_id":"%s","attempt":1,"offset":0,"text":"word"}`+"\n", d.Ref.Request.String())
+	body := token + fmt.Sprintf(strings.Replace(endEvent, `"offset":0`, `"offset":1`, 1), d.Ref.Request.String())
+	for _, head := range []string{
+		fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body)),
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		fmt.Sprintf("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body)),
+	} {
+		whole := head + body
+		end := len(strings.TrimSuffix(whole, "}\n")) // Without its last bytes the end event is none.
+		for cut := range end {
+			url := serveEngine(t, func(c net.Conn, _ *http.Request, _ int) {
+				_, _ = io.WriteString(c, whole[:cut])
+				_ = c.Close()
+			})
+			_, err := New(Options{URL: url}).Generate(t.Context(), d, func(TokenBatch) error { return nil })
+			require.True(t, IsErrResponseCut(err), "%q: %v", whole[:cut], err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/plainservice/client_test.go
@@ -0,0 +1,66 @@
+package plainservice
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// recorder records what a caller would get.
+type recorder struct {
+	status int
+	body   []byte
+}
+
+func (r *recorder) WriteHeader(status int, _ http.Header) error {
+	r.status = status
+	return nil
+}
+
+func (r *recorder) WriteData(data []byte) error {
+	r.body = append(r.body, data...)
+	return nil
+}
+
+// serveOnce serves one connection, on which it writes response after a request and closes. It returns the URL.
+func serveOnce(t *testing.T, response string) string {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, response)
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// TestResponseThatIsCutIsNotWhole ends the connection after each byte of a response. It guards against a success that looks whole of a service that
+// stopped in the middle of its head or body.
+func TestResponseThatIsCutIsNotWhole(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+	} {
+		for cut := range len(response) {
+			var got recorder
+			client := New(Options{URL: serveOnce(t, response[:cut])})
+			err := client.Call(t.Context(), &message.Dispatch{Call: &message.Call{Method: http.MethodGet, Path: "/a"}}, &got)
+			require.Error(t, err, "%q", response[:cut])
+			require.False(t, IsErrNotSent(err), "%q", response[:cut])
+		}
+	}
+}
