entry: a planned stop that takes too long answers what it cuts

What callers saw: a sign-off, a chat and a stream that last longer than a stop of their entry may end with a closed connection and no answer, so that nobody can tell what became of a request that may not be repeated.

Cause: at the end of stop.longest Shutdown returned at once, and the end of Run closed the callers' connections before any handler could write.

Change: Shutdown ends all work first, then waits up to 100 ms until the requests are answered: 502 or 504 with the outcome unknown, an error event in a stream. The work of requests that may be repeated ends with it too. process_stopped counts requests; sign-offs were left out.

--- a/internal/entry/server/backend.go
+++ b/internal/entry/server/backend.go
@@ -140,6 +140,9 @@
 func (s *Server) Serve(ctx context.Context, work dispatch.Work, sink dispatch.Sink) dispatch.Result {
 	s.inFlight.Begin()
 	defer s.inFlight.End()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.baseContext, cancel)()
 	observation := s.metrics.begin(work)
 	if !s.session.Valid() {
 		// Without control the ledger cannot be asked. The refusal holds for this
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -89,8 +89,8 @@
 	handler     http.Handler
 	// callers serves the handler over HTTP.
 	callers *httpserver.Server
-	// baseContext ends when Run returns, and with it the work that continues without a
-	// caller.
+	// baseContext ends when the time of a planned stop is up or Run returns, and with it all work, also that which continues without
+	// a caller.
 	baseContext context.Context
 	cancelBase  context.CancelFunc
 
@@ -163,7 +163,7 @@
 
 // Shutdown performs a planned stop. Readiness fails at once, requests are still
 // accepted for ShutdownDelay, then requests in flight finish, within DrainTimeout, and
-// the lease is given up. It returns the number of attempts that were cut.
+// the lease is given up. Those that last longer are cut, and their callers get an answer. It returns the number of requests that were cut.
 func (s *Server) Shutdown(ctx context.Context) int {
 	s.stopping.Store(true)
 	pause.For(ctx, s.opts.ShutdownDelay)
@@ -172,12 +172,24 @@
 	defer cancel()
 	cut := 0
 	if s.drain(ctx) != nil {
-		cut = s.scheduler.countAttemptsInFlight()
+		cut = s.inFlight.Count()
+		s.cutRequests(ctx)
 	}
 	_ = s.session.Goodbye()
 	return cut
 }
 
+// cutTimeout bounds how long a stopping entry waits until the requests that it cuts have been answered.
+const cutTimeout = 100 * time.Millisecond
+
+// cutRequests ends the work for all requests in flight and waits until their callers have got an answer.
+func (s *Server) cutRequests(ctx context.Context) {
+	s.cancelBase()
+	answering, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutTimeout)
+	defer cancel()
+	_ = s.callers.Stop(answering) // An error means that some callers don't read.
+}
+
 // drain waits until no request is in flight and all responses have been sent, or ctx ends.
 // Connections are accepted, and their requests refused, as long as requests are in flight.
 func (s *Server) drain(ctx context.Context) error {
