transport: a link ends with the function that serves it

What callers saw: nothing yet; found by a test of control hosts that restart within their process.

Cause: serve closed the link by context.AfterFunc and stopped that function when AcceptStream returned. Both notice the end of the context; if AcceptStream does so first the function never runs, and the link stays open with nobody to accept calls. Keep-alives hold it, and the peer sends its messages into it.

Change: serve closes the link when it returns.

Evidence: TestLinksEndWithServe, with a context whose end reaches AfterFunc late, fails before (a link is open that nobody serves).

--- a/internal/link/transport/conn.go
+++ b/internal/link/transport/conn.go
@@ -70,7 +70,9 @@
 // Close ends the link and every call on it.
 func (c *Conn) Close() { _ = c.conn.CloseWithError(codeClosed, "") }
 
+// serve handles the calls that the peer starts on the link until ctx or the link ends. The link ends with it.
 func (c *Conn) serve(ctx context.Context, handle Handler) {
+	defer c.Close() // The function below doesn't run if AcceptStream notices the end of ctx first.
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	for {
