control: a host whose disk was full takes part again once there is room

Cause: the log of a failed disk must be opened again. Portals do so each second; egretreach control ended and left it to a supervisor.

The file system with a full disk that three tests need is one package.

--- a/cmd/control.go
+++ b/cmd/control.go
@@ -37,7 +37,7 @@
 	replicated := server.ReplicatedLogOptions{
 		ID: s.Host.ID, Hosts: hosts, FileSystem: journal.OSFileSystem{}, Folder: s.DataFolder, Pool: links, Logger: deps.Logger,
 	}
-	control, err := server.New(server.Options{
+	control, err := server.NewDaemon(server.Options{
 		ID: s.Host.ID, Socket: deps.Socket, Pool: links, Hosts: hosts, Log: replicated.Open, Logger: deps.Logger,
 	})
 	if err != nil {
--- a/internal/control/portal/fixture_test.go
+++ b/internal/control/portal/fixture_test.go
@@ -16,13 +16,13 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/control/formation"
-	"github.com/egretreach/egretreach/internal/control/journal"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 	"github.com/egretreach/egretreach/internal/link/identity"
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/standin/disk"
 	"github.com/egretreach/egretreach/internal/standin/memnet"
 )
 
@@ -45,6 +45,7 @@
 	id     host.ID
 	ip     string
 	folder string
+	disk   disk.FileSystem
 	stop   func()
 	// gone is true if the node never comes back. It is no seed any more.
 	gone bool
@@ -146,7 +147,7 @@
 		Rename: func(id host.ID) error {
 			return credentials.SetIdentity(identity.Identity{Role: host.RoleControl, Host: id}, time.Now())
 		},
-		FirstStart: firstStart, Files: journal.OSFileSystem{}, Folder: n.folder, Decode: decode, Engines: &c.engines, Heartbeat: 1200 * time.Millisecond,
+		FirstStart: firstStart, Files: &n.disk, Folder: n.folder, Decode: decode, Engines: &c.engines, Heartbeat: 1200 * time.Millisecond,
 		Logger: c.logger,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/control/portal/portal_test.go
+++ b/internal/control/portal/portal_test.go
@@ -383,3 +383,32 @@
 		}
 	})
 }
+
+// TestPortalsWhoseDisksFillInTurnGoOn fills the disks of all control hosts for a few seconds each, one after another, in a storm of changes with large documents. It
+// guards against changes that are refused or stay unanswered long after the last disk has room again.
+func TestPortalsWhoseDisksFillInTurnGoOn(t *testing.T) {
+	const documentBytes = 64 << 10
+	runCluster(t, 5, func(c *cluster) {
+		version := 0
+		change := func() string {
+			version++
+			document := fmt.Sprintf("%d:%s", version, strings.Repeat("x", documentBytes))
+			c.put(document)
+			return document
+		}
+		change()
+		for _, n := range c.nodes {
+			n.disk.SetFull(true)
+			for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(100 * time.Millisecond) {
+				change()
+			}
+			n.disk.SetFull(false)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(4 * time.Second)
+		c.requireAllVotersAdmitted()
+		last := change()
+		c.loseDisks(c.nodes[0], c.nodes[1])
+		require.Equal(t, last, c.read())
+	})
+}
--- a/internal/control/portal/voter_test.go
+++ b/internal/control/portal/voter_test.go
@@ -137,14 +137,19 @@
 	return voters
 }
 
-// stall cuts a node off, or lets it stand still, until the returned function is called.
+// stall cuts a node off, lets it stand still or fills its disk, until the returned function is called.
 func (c *cluster) stall(n *node, random *rand.Rand) func() {
-	if random.IntN(2) == 0 {
+	switch random.IntN(3) {
+	case 0:
 		c.network.Hold(n.ip)
 		return func() { c.network.Release(n.ip) }
+	case 1:
+		n.disk.SetFull(true)
+		return func() { n.disk.SetFull(false) }
+	default:
+		c.partition(n, true)
+		return func() { c.partition(n, false) }
 	}
-	c.partition(n, true)
-	return func() { c.partition(n, false) }
 }
 
 // strike replaces a node by a new one at another address, wipes its disk or restarts it.
@@ -163,7 +168,7 @@
 	}
 }
 
-// TestRandomReplacementsLoseNoAcknowledgedChange strikes one voter while another one stands still or is cut off, several times, and wipes the
+// TestRandomReplacementsLoseNoAcknowledgedChange strikes one voter while another one stands still, is cut off or has a full disk, several times, and wipes the
 // disks of two voters after each time of calm. It guards against a host that runs without a vote, or a vote without a host, in any of the
 // orders that chance brings: two lost disks then end the quorum.
 func TestRandomReplacementsLoseNoAcknowledgedChange(t *testing.T) {
--- a/internal/control/replication/cluster_test.go
+++ b/internal/control/replication/cluster_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +20,7 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/standin/disk"
 	"github.com/egretreach/egretreach/internal/standin/memnet"
 )
 
@@ -52,7 +52,7 @@
 
 type testHost struct {
 	folder     string
-	fileSystem limitedFileSystem
+	fileSystem disk.FileSystem
 	state      *commandList
 	log        *Log
 	// stop stops the host. waitFailure waits until Log.Run returns by itself and returns its error.
@@ -232,29 +232,6 @@
 	}
 }
 
-// limitedFileSystem is a file system on which writes fail with ENOSPC while full is set.
-type limitedFileSystem struct {
-	journal.OSFileSystem
-	full atomic.Bool
-}
-
-type limitedFile struct {
-	journal.File
-	fileSystem *limitedFileSystem
-}
-
-func (l *limitedFileSystem) Create(name string) (journal.File, error) {
-	f, err := l.OSFileSystem.Create(name)
-	return limitedFile{File: f, fileSystem: l}, err
-}
-
-func (f limitedFile) Write(p []byte) (int, error) {
-	if f.fileSystem.full.Load() {
-		return 0, syscall.ENOSPC
-	}
-	return f.File.Write(p)
-}
-
 // TestHostWithFullDiskStopsAndCatchesUp fills the disk of the leader. That host must stop with a
 // typed error and acknowledge nothing more, while the others continue. It must catch up once the
 // disk has room. With another list of control hosts in its settings, it must not start.
@@ -281,7 +258,7 @@
 		c.hosts[follower].stop()
 	}
 	full := c.hosts[leader]
-	full.fileSystem.full.Store(true)
+	full.fileSystem.SetFull(true)
 	_, proposed := full.log.Propose(t.Context(), []byte("no room"))
 	require.True(t, IsErrUncertain(proposed) || proposed == nil && !followerDown, "%v", proposed)
 	err := full.waitFailure()
@@ -293,7 +270,7 @@
 	}
 	next := c.leader()
 	c.propose(next, "meanwhile")
-	full.fileSystem.full.Store(false)
+	full.fileSystem.SetFull(false)
 	c.start(leader)
 	time.Sleep(5 * time.Second)
 	c.stopAll()
