gateway: the bodies of requests have a bound in memory

Cause: bodies were read whole and counted nowhere.

Change: bodies count towards body_memory, 64 MiB by default, from their first bytes until their requests end. One that can't be held is read to its end and refused with 503, not run, Retry-After 1 s. The space for a body doubles as it arrives, so that a slow caller takes no more than it has sent.

Not measured yet: the memory of a real process beside 20 such callers.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -50,8 +50,8 @@
 	g := gateway.New(gateway.Options{
 		Self: s.Host.ID, FailureDomain: s.Host.FailureDomain, Pool: pool.New(deps.Socket),
 		Seeds: s.Link.LinkAddresses(s.Seeds), Dialect: platform.Dialect(), ShutdownDelay: s.Stop.ShutdownDelay,
-		Retries:     gateway.RetryLimits{Ratio: s.Retries.Ratio, Burst: s.Retries.Burst, Window: s.Retries.Window},
-		RefuseAfter: refuseAfter(s), ConfigAge: configAge(s), Metrics: deps.Metrics, Logger: deps.Logger,
+		Retries:    gateway.RetryLimits{Ratio: s.Retries.Ratio, Burst: s.Retries.Burst, Window: s.Retries.Window},
+		BodyMemory: int64(s.BodyMemory), RefuseAfter: refuseAfter(s), ConfigAge: configAge(s), Metrics: deps.Metrics, Logger: deps.Logger,
 	})
 	reload := func() {
 		changed, err := settings.LoadGateway(path)
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -72,6 +72,8 @@
 	// ConfigAge is how old the configuration may be by which requests are served while control can be reached. 0 is
 	// the default, 1.5 s.
 	ConfigAge time.Duration
+	// BodyMemory bounds the bodies of requests that the gateway holds at once, in bytes. 0 is DefaultBodyMemory.
+	BodyMemory int64
 	// Dial opens connections to endpoints; nil uses TCP.
 	Dial    upstream.Dialer
 	Metrics *metric.Registry
@@ -115,6 +117,7 @@
 	resubscribed   bool
 	callerTimeouts callerTimeouts
 	upstream       upstream.Pool
+	bodies         bodyMemory
 	requestCount   atomic.Uint64
 	// oddNoticeAt is the time of the last log line about a notice that can't be read, in Unix
 	// nanoseconds.
@@ -152,6 +155,9 @@
 
 		upstream: upstream.Pool{Dial: opts.Dial},
 	}
+	if g.bodies.limit = opts.BodyMemory; g.bodies.limit == 0 {
+		g.bodies.limit = DefaultBodyMemory
+	}
 	g.serving, g.cut = context.WithCancel(context.Background())
 	g.server = g.newServer(nil)
 	return g
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -30,7 +30,9 @@
 	team      *routes.Team
 	// request is the request that endpoints get.
 	request *upstream.Request
-	usage   dialect.Usage
+	// body is the request's body.
+	body  heldBody
+	usage dialect.Usage
 	// parts are the IDs of the parts of the prompt that other requests may share.
 	parts []string
 	// keys identify what may crash endpoints: the whole request, or a part of the prompt.
@@ -127,7 +129,11 @@
 		return
 	}
 	c.revision = table.Version
-	if !c.resolveConfirmed(table) || !c.readBody() {
+	if !c.resolveConfirmed(table) {
+		return
+	}
+	defer func() { c.body.release() }()
+	if !c.readBody() {
 		return
 	}
 	if g.server.Stopping() {
--- a/internal/entry/gateway/request.go
+++ b/internal/entry/gateway/request.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -20,9 +19,15 @@
 		c.deny(http.StatusBadRequest, "connection lost")
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.bodyLimit))
-	if err == nil {
-		err = controller.SetReadDeadline(time.Time{})
+	err := c.readWholeBody()
+	if err == nil || errors.Is(err, errBodyMemory) {
+		if deadlineErr := controller.SetReadDeadline(time.Time{}); deadlineErr != nil {
+			err = deadlineErr
+		}
+	}
+	if errors.Is(err, errBodyMemory) {
+		c.refuse(bodyMemoryRetryAfter, err.Error())
+		return false
 	}
 	if err != nil {
 		var large *http.MaxBytesError
@@ -38,6 +43,7 @@
 		c.deny(http.StatusBadRequest, "body cut short")
 		return false
 	}
+	body := c.body.data
 	c.request = &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.endpointHeader(), Body: body,
 		HasBody: len(body) > 0 || c.r.ContentLength == 0 && c.r.Header.Get("Content-Length") != "" || c.r.Method == http.MethodPost,
--- a/internal/process/settings/portal_gateway.go
+++ b/internal/process/settings/portal_gateway.go
@@ -48,8 +48,10 @@
 	// InForceWithin is how soon an acknowledged configuration must be in force. The gateway refuses requests while
 	// its configuration may be older and a portal can be reached.
 	InForceWithin time.Duration `yaml:"in_force_within" validate:"min=10ms,max=1h"`
-	Log           Log           `yaml:"log"`
-	Stop          Stop          `yaml:"stop"`
+	// BodyMemory bounds the bodies of requests that the gateway holds at once.
+	BodyMemory document.Size `yaml:"body_memory" validate:"min=1048576,max=1099511627776"`
+	Log        Log           `yaml:"log"`
+	Stop       Stop          `yaml:"stop"`
 }
 
 // PlatformLink is the Link of a portal or gateway, whose network may be private.
@@ -94,6 +96,7 @@
 	defaultRetryRatio  = 0.1
 	defaultRetryBurst  = 20
 	defaultRetryWindow = 10 * time.Second
+	defaultBodyMemory  = 64 << 20
 )
 
 // DefaultPortal returns the settings that apply to keys that a file leaves out.
@@ -109,7 +112,7 @@
 		Keys: OptionalKeys(defaultKeys()), Log: defaultLog(), Stop: defaultStop(),
 		Retries:    RetryLimits{Ratio: defaultRetryRatio, Burst: defaultRetryBurst, Window: defaultRetryWindow},
 		WhenCutOff: WhenCutOffServe, CutOffAfter: defaultCutOffAfter,
-		InForceWithin: defaultInForce,
+		InForceWithin: defaultInForce, BodyMemory: defaultBodyMemory,
 	}
 }
 
