gateway: a body counts as a whole from its beginning, and 32 MiB are held by default

Change: a known length is reserved at once, so that what can't be held is refused before its space is made; the space grows by four, so that less is garbage; a refused body gives up what it had. The default is 32 MiB.

--- a/internal/entry/gateway/body.go
+++ b/internal/entry/gateway/body.go
@@ -12,10 +12,10 @@
 
 const (
 	// DefaultBodyMemory is the default of Options.BodyMemory.
-	DefaultBodyMemory = 64 << 20
-	// firstBodySize is the space for the beginning of a body, in bytes. It doubles as the body arrives, so that a slow caller takes no more than it
-	// has sent.
+	DefaultBodyMemory = 32 << 20
+	// firstBodySize is the space for the beginning of a body, in bytes. It grows by bodyGrowth as the body arrives.
 	firstBodySize = 4 << 10
+	bodyGrowth    = 4
 	// bodyMemoryRetryAfter is the Retry-After of a request whose body can't be held now. Bodies are held until their requests end.
 	bodyMemoryRetryAfter = time.Second
 )
@@ -47,31 +47,43 @@
 	reserved int64
 }
 
-// grow makes room for a body of size bytes.
-func (b *heldBody) grow(size int) error {
-	n := int64(size) - b.reserved
+// reserve counts size bytes in all for the body.
+func (b *heldBody) reserve(size int) error {
+	n := max(int64(size)-b.reserved, 0)
 	if !b.memory.reserve(n) {
 		return errBodyMemory
 	}
 	b.reserved += n
+	return nil
+}
+
+// grow makes room for a body of size bytes.
+func (b *heldBody) grow(size int) error {
+	if err := b.reserve(size); err != nil {
+		return err
+	}
 	b.data = append(make([]byte, 0, size), b.data...)
 	return nil
 }
 
 // readFrom reads a body, of length bytes or, if length is negative, of a length that is not known. If it can't be held it reads the rest all the
-// same, so that the caller gets the refusal, and returns errBodyMemory.
+// same, so that the caller gets the refusal, and returns errBodyMemory. A known length counts as a whole from the beginning.
 func (b *heldBody) readFrom(r io.Reader, length int64) error {
 	if length == 0 {
 		return nil
 	}
-	most := math.MaxInt
+	most, whole := math.MaxInt, 0
 	if length > 0 {
 		most = int(length) + 1 // The end of the body is read behind its last byte.
+		whole = most
+	}
+	err := b.reserve(whole)
+	if err == nil {
+		err = b.grow(min(firstBodySize, most))
 	}
-	err := b.grow(min(firstBodySize, most))
 	for err == nil {
 		if len(b.data) == cap(b.data) {
-			if err = b.grow(min(2*cap(b.data), most)); err != nil {
+			if err = b.grow(min(bodyGrowth*cap(b.data), most)); err != nil {
 				break
 			}
 		}
@@ -83,6 +95,7 @@
 	case errors.Is(err, io.EOF):
 		return nil
 	case errors.Is(err, errBodyMemory):
+		b.release()
 		if _, err := io.Copy(io.Discard, r); err != nil {
 			return err
 		}
@@ -97,6 +110,7 @@
 	if b.memory != nil {
 		b.memory.release(b.reserved)
 	}
+	b.data, b.reserved = nil, 0
 }
 
 // readWholeBody reads the request's body, which counts towards the memory for bodies until the request ends.
--- a/internal/process/settings/portal_gateway.go
+++ b/internal/process/settings/portal_gateway.go
@@ -96,7 +96,7 @@
 	defaultRetryRatio  = 0.1
 	defaultRetryBurst  = 20
 	defaultRetryWindow = 10 * time.Second
-	defaultBodyMemory  = 64 << 20
+	defaultBodyMemory  = 32 << 20
 )
 
 // DefaultPortal returns the settings that apply to keys that a file leaves out.
