gateway: the look for two framings of a request allocates nothing

Cause: each read from a caller's connection was copied twice, joined with the end of the read before and then in lower case, to look for a Content-Length beside a Transfer-Encoding.

Change: the names are looked for at the beginnings of lines, without a copy; a border of some bytes joins two reads.

TestLookingForFramingsAllocatesNothing; TestBothFramingsAreSeenInAnyPieces, in pieces of each size.

--- a/internal/entry/gateway/framing.go
+++ b/internal/entry/gateway/framing.go
@@ -20,14 +20,17 @@
 type framingConn struct {
 	net.Conn
 	// tail is the end of the data read so far, in which a header name may have begun.
-	tail                []byte
+	tail                [maxFramingLine]byte
+	tailSize            int
 	sawLength           atomic.Bool
 	sawTransferEncoding atomic.Bool
 }
 
-var (
-	contentLengthLine    = []byte("\ncontent-length")
-	transferEncodingLine = []byte("\ntransfer-encoding")
+const (
+	contentLengthName    = "content-length"
+	transferEncodingName = "transfer-encoding"
+	// maxFramingLine is the length of the longest of these names with the line feed before it, in bytes.
+	maxFramingLine = len("\n" + transferEncodingName)
 )
 
 // Read implements net.Conn.
@@ -36,15 +39,44 @@
 	if n == 0 || c.sawLength.Load() && c.sawTransferEncoding.Load() {
 		return n, err
 	}
-	seen := bytes.ToLower(append(c.tail, b[:n]...))
-	if bytes.Contains(seen, contentLengthLine) {
-		c.sawLength.Store(true)
+	c.lookAt(b[:n])
+	return n, err
+}
+
+// lookAt looks for the names in data that follows the tail, and across the border. It allocates nothing, since all bodies pass it.
+func (c *framingConn) lookAt(data []byte) {
+	var border [2 * maxFramingLine]byte
+	size := copy(border[:], c.tail[:c.tailSize])
+	size += copy(border[size:], data[:min(len(data), maxFramingLine)])
+	c.findNames(border[:size])
+	c.findNames(data)
+	if len(data) >= maxFramingLine {
+		c.tailSize = copy(c.tail[:], data[len(data)-maxFramingLine:])
+		return
 	}
-	if bytes.Contains(seen, transferEncodingLine) {
-		c.sawTransferEncoding.Store(true)
+	c.tailSize = copy(c.tail[:], border[max(0, size-maxFramingLine):size])
+}
+
+// findNames records the names that stand at the beginnings of lines.
+func (c *framingConn) findNames(data []byte) {
+	for {
+		i := bytes.IndexByte(data, '\n')
+		if i < 0 {
+			return
+		}
+		data = data[i+1:]
+		if beginsWithName(data, contentLengthName) {
+			c.sawLength.Store(true)
+		}
+		if beginsWithName(data, transferEncodingName) {
+			c.sawTransferEncoding.Store(true)
+		}
 	}
-	c.tail = append(c.tail[:0], seen[max(0, len(seen)-len(transferEncodingLine)):]...)
-	return n, err
+}
+
+// beginsWithName reports whether a line begins with a name, in letters of either case.
+func beginsWithName(line []byte, name string) bool {
+	return len(line) >= len(name) && bytes.EqualFold(line[:len(name)], []byte(name))
 }
 
 // SyscallConn implements syscall.Conn.
--- /dev/null
+++ b/internal/entry/gateway/framing_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// piecesConn delivers a text in pieces of a size.
+type piecesConn struct {
+	net.Conn
+	rest []byte
+	size int
+}
+
+func (c *piecesConn) Read(b []byte) (int, error) {
+	n := copy(b[:min(len(b), c.size)], c.rest)
+	c.rest = c.rest[n:]
+	if n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// TestBothFramingsAreSeenInAnyPieces guards against a request with two framings that is not noticed because a name arrives in pieces.
+func TestBothFramingsAreSeenInAnyPieces(t *testing.T) {
+	const both = "POST / HTTP/1.1\r\nHost: h\r\nCONTENT-Length: 5\r\nX-Content-Length: 1\r\ntransfer-ENCODING: chunked\r\n\r\n"
+	one := strings.Replace(both, "\r\nCONTENT", "\r\nXCONTENT", 1)
+	for size := 1; size <= len(both); size++ {
+		for text, ambiguous := range map[string]bool{both: true, one: false} {
+			c := &framingConn{Conn: &piecesConn{rest: []byte(text), size: size}}
+			_, err := io.Copy(io.Discard, c)
+			require.NoError(t, err)
+			require.Equal(t, ambiguous, c.takeAmbiguous(), "%q in pieces of %d", text, size)
+		}
+	}
+}
+
+// TestLookingForFramingsAllocatesNothing guards against garbage of twice the size of all bodies.
+func TestLookingForFramingsAllocatesNothing(t *testing.T) {
+	body := bytes.Repeat([]byte("a line of a body\n"), 4<<10)
+	c := &framingConn{}
+	require.Zero(t, testing.AllocsPerRun(100, func() { c.lookAt(body) }))
+}
