--- a/internal/entry/upstream/cut_head_test.go
+++ b/internal/entry/upstream/cut_head_test.go
@@ -14,10 +14,10 @@
 // success that looks whole, with an empty or short body, of an endpoint that stopped in the middle of its head.
 func TestHeadThatIsCutIsNoResponse(t *testing.T) {
 	for _, head := range []string{
-		"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Length: 12\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Response-Signature: s\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nConnection: close\r\n\r\n",
-		"HTTP/1.1 204 No Content\r\nX-Response-Signature: s\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Signed: s\r\nContent-Length: 12\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Signed: s\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Signed: s\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nX-Signed: s\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
