quarantine: the terms of a circuit breaker in place of a vocabulary of its own

Names that leave the process (log fields, CBOR keys, events) and all behaviour are unchanged. Tested: go test ./internal/control/quarantine, go vet ./internal/control/...

--- a/internal/control/portal/holds.go
+++ b/internal/control/portal/holds.go
@@ -45,7 +45,7 @@
 	}
 	p.judgedAt = now
 	p.holds.Sync(p.machine.Holds(), now)
-	for _, c := range p.holds.Judge(now) {
+	for _, c := range p.holds.Evaluate(now) {
 		p.logHold(c)
 		p.notifyLocked()
 	}
@@ -58,7 +58,7 @@
 func (p *Portal) logHold(c quarantine.HoldChange) {
 	c.Log(p.opts.Logger)
 	switch c.Cause.(type) {
-	case quarantine.Blamed, quarantine.TrialFailed:
+	case quarantine.Opened, quarantine.ProbeFailed:
 		p.metrics.held.Inc(1)
 	case quarantine.Released:
 		p.metrics.released.Inc(1)
@@ -74,7 +74,7 @@
 		err = p.proposeCommand(ctx, command)
 	}
 	if err != nil {
-		event.HoldUnsure.On(p.opts.Logger).Str("key", quarantine.FormatKey(h.Key)).Int("strikes", h.Strikes).Err(err).Msg("")
+		event.HoldUnsure.On(p.opts.Logger).Str("key", quarantine.FormatKey(h.Key)).Int("strikes", h.Failures).Err(err).Msg("")
 	}
 }
 
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -125,7 +125,7 @@
 	health  map[string]endpointHealth
 	demand  demandAverage
 	// holds decides which requests are held back. judgedAt is when it last judged the crashes.
-	holds    quarantine.Keeper
+	holds    quarantine.Breaker
 	judgedAt time.Time
 	// permits divides the limits of endpoints between the gateways. grantedAt is when it last did so here, and
 	// permitsReady is closed and replaced when gateways must hear of it.
--- a/internal/control/quarantine/evidence.go
+++ b/internal/control/quarantine/evidence.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// minCrashes is the least number of crashes, one after the other, from which a key is blamed. Two may
+	// minCrashes is the least number of crashes, one after the other, from which a key is confirmed. Two may
 	// be a coincidence for a request that its caller sends again at once.
 	minCrashes = 3
 	// maxChance is the greatest probability at which the crashes of a key could be due to chance, so that
-	// it is blamed.
+	// it is confirmed.
 	maxChance = 1e-9
-	// maxExpected is the greatest number of keys that chance alone is expected to show in this way, so that a key is doubted:
+	// maxExpected is the greatest number of keys that chance alone is expected to show in this way, so that a key is suspected:
 	// one request with it at a time then shows whether it crashes endpoints.
 	maxExpected = 1e-3
-	// proofTime is how long a key is watched before it is blamed: the time in which every gateway learns
+	// proofTime is how long a key is watched before it is confirmed: the time in which every gateway learns
 	// that it is watched and reports its completed requests.
 	proofTime = 300 * time.Millisecond
 	// evidenceTime is how long a crash counts.
@@ -92,8 +92,8 @@
 // survivalFactor is how many times as long as the response at a crash another one must go on to clear its keys.
 const survivalFactor = 2
 
-// Blame is a key that is blamed for crashes.
-type Blame struct {
+// Finding is a key that is found to cause crashes.
+type Finding struct {
 	Key   uint64
 	Scope string
 	Whole bool
@@ -126,8 +126,8 @@
 
 // Evidence finds the keys of requests that crash endpoints. Such a key sets itself apart: no request with
 // it completes, or goes on for much longer than those that a crash broke off, and it is present at one crash
-// after the other more often than its share of the completed requests explains. A key that most requests have is thus never blamed, and neither is one that is
-// present when many endpoints end at the same time.
+// after the other more often than its share of the completed requests explains. A key that most requests have is thus
+// never confirmed, and neither is one that is present when many endpoints end at the same time.
 //
 // The zero value is empty. Evidence reads no clock and is not safe for concurrent use.
 type Evidence struct {
@@ -141,10 +141,10 @@
 	completions map[completionsKey]Completions
 	// watchedSince is since when a key is watched.
 	watchedSince map[uint64]time.Time
-	// strongest is the key that came closest to blame at the last judgement, of those that were not blamed.
-	strongest Blame
-	// changed says that something was added since Judge looked at the evidence, and waiting that a key may
-	// be blamed once it has been watched for long enough.
+	// strongest is the key that came closest to being confirmed at the last evaluation, of those that were not confirmed.
+	strongest Finding
+	// changed says that something was added since Evaluate looked at the evidence, and waiting that a key may
+	// be confirmed once it has been watched for long enough.
 	changed, waiting bool
 }
 
@@ -293,42 +293,42 @@
 const (
 	// VerdictNone is a key of which nothing is held.
 	VerdictNone Verdict = iota
-	// VerdictDoubted is a key that may crash endpoints. Its crashes count for it alone as long as that is not known.
-	VerdictDoubted
-	// VerdictBlamed is a key that crashes endpoints. Its crashes count for nothing else.
-	VerdictBlamed
+	// VerdictSuspected is a key that may crash endpoints. Its crashes count for it alone as long as that is not known.
+	VerdictSuspected
+	// VerdictConfirmed is a key that crashes endpoints. Its crashes count for nothing else.
+	VerdictConfirmed
 )
 
 // Verdict returns what is held of the key from now on.
-func (b Blame) Verdict() Verdict {
+func (b Finding) Verdict() Verdict {
 	switch {
 	case b.Crashes < minCrashes:
 		return VerdictNone
 	case b.Chance < maxChance:
-		return VerdictBlamed
+		return VerdictConfirmed
 	case b.Expected < maxExpected:
-		return VerdictDoubted
+		return VerdictSuspected
 	default:
 		return VerdictNone
 	}
 }
 
-// Judge drops old crashes, updates the watched keys and returns those that are doubted or blamed from now on. known
+// Evaluate drops old crashes, updates the watched keys and returns those that are suspected or confirmed from now on. known
 // returns what is held of a key already.
-func (e *Evidence) Judge(now time.Time, known func(key uint64) Verdict) []Blame {
+func (e *Evidence) Evaluate(now time.Time, known func(key uint64) Verdict) []Finding {
 	if !e.changed && !e.waiting {
 		return nil
 	}
 	e.changed, e.waiting = false, false
 	e.expire(now)
-	e.crashes = unexplained(e.crashes, func(key uint64) bool { return known(key) == VerdictBlamed })
-	open := unexplained(e.crashes, func(key uint64) bool { return known(key) == VerdictDoubted })
-	var blamed []Blame
-	e.strongest = Blame{Chance: 1}
+	e.crashes = unexplained(e.crashes, func(key uint64) bool { return known(key) == VerdictConfirmed })
+	open := unexplained(e.crashes, func(key uint64) bool { return known(key) == VerdictSuspected })
+	var confirmed []Finding
+	e.strongest = Finding{Chance: 1}
 	for {
 		candidates := e.candidates(open)
 		e.watch(candidates, now)
-		best := Blame{Chance: 1}
+		best := Finding{Chance: 1}
 		for _, b := range candidates {
 			if b.Crashes >= minCrashes && b.isStrongerThan(e.strongest) {
 				e.strongest = b
@@ -342,13 +342,13 @@
 			}
 		}
 		if best.Crashes == 0 {
-			return blamed
+			return confirmed
 		}
-		blamed = append(blamed, best)
-		e.strongest = Blame{Chance: 1}
+		confirmed = append(confirmed, best)
+		e.strongest = Finding{Chance: 1}
 		isBest := func(key uint64) bool { return key == best.Key }
 		open = unexplained(open, isBest)
-		if best.Verdict() == VerdictBlamed {
+		if best.Verdict() == VerdictConfirmed {
 			e.crashes = unexplained(e.crashes, isBest)
 		}
 	}
@@ -360,9 +360,9 @@
 	return watched && now.Sub(since) >= proofTime
 }
 
-// isStrongerThan orders blames. Of two equally strong ones that of a part explains the crashes of further
+// isStrongerThan orders findings. Of two equally strong ones that of a part explains the crashes of further
 // requests as well, and no request with the part has completed.
-func (b Blame) isStrongerThan(other Blame) bool {
+func (b Finding) isStrongerThan(other Finding) bool {
 	if b.Chance != other.Chance {
 		return b.Chance < other.Chance
 	}
@@ -400,7 +400,7 @@
 }
 
 // watch updates the watched keys: the candidates.
-func (e *Evidence) watch(candidates []Blame, now time.Time) {
+func (e *Evidence) watch(candidates []Finding, now time.Time) {
 	watched := make(map[uint64]time.Time, maxWatched)
 	for _, b := range candidates {
 		since, known := e.watchedSince[b.Key]
--- a/internal/control/quarantine/evidence_test.go
+++ b/internal/control/quarantine/evidence_test.go
@@ -66,15 +66,15 @@
 	lastAt    [simulatedGateways]map[uint64]time.Duration
 	total     [simulatedGateways]int
 	evidence  Evidence
-	blamed    []uint64
-	// doubted holds when the doubted keys were last tried, and doubts counts them.
-	doubted map[uint64]time.Duration
-	doubts  int
-	// sent and refused count the sound requests, and those refused since they have a doubted key.
+	confirmed []uint64
+	// suspected holds when the suspected keys were last tried, and doubts counts them.
+	suspected map[uint64]time.Duration
+	doubts    int
+	// sent and refused count the sound requests, and those refused since they have a suspected key.
 	sent, refused int
-	// crashesByBad counts the crashes by bad requests, until the bad key is blamed.
+	// crashesByBad counts the crashes by bad requests, until the bad key is confirmed.
 	crashesByBad int
-	// badAfter is the number of crashes after which the bad key was blamed, 0 for never.
+	// badAfter is the number of crashes after which the bad key was confirmed, 0 for never.
 	badAfter int
 }
 
@@ -105,7 +105,7 @@
 	default:
 		keys = append(keys, part)
 	}
-	if slices.ContainsFunc(keys, func(k uint64) bool { return slices.Contains(s.blamed, k) }) {
+	if slices.ContainsFunc(keys, func(k uint64) bool { return slices.Contains(s.confirmed, k) }) {
 		return
 	}
 	if !bad {
@@ -135,34 +135,34 @@
 	s.After(simulatedService, func() { s.complete(endpoint, r) })
 }
 
-// admitDoubted reports whether a request may be sent: it has no doubted key, or it is the one that tries it.
+// admitDoubted reports whether a request may be sent: it has no suspected key, or it is the one that tries it.
 func (s *evidenceSimulation) admitDoubted(keys []uint64) bool {
 	admitted := true
 	for _, key := range keys {
-		triedAt, doubted := s.doubted[key]
-		if doubted && s.Now()-triedAt < doubtTrialTimeout {
+		triedAt, suspected := s.suspected[key]
+		if suspected && s.Now()-triedAt < suspectProbeTimeout {
 			admitted = false
 			continue
 		}
-		if doubted {
-			s.doubted[key] = s.Now()
+		if suspected {
+			s.suspected[key] = s.Now()
 		}
 	}
 	return admitted
 }
 
-// blameDoubted blames the doubted keys of a request that a crash broke off although it was sent as a trial.
-func (s *evidenceSimulation) blameDoubted(r *simulatedRequest) {
+// confirmSuspected confirms the suspected keys of a request that a crash broke off although it was sent as a probe.
+func (s *evidenceSimulation) confirmSuspected(r *simulatedRequest) {
 	for _, key := range r.keys {
-		if triedAt, doubted := s.doubted[key]; doubted && triedAt == r.sentAt {
-			delete(s.doubted, key)
-			s.blame(key)
+		if triedAt, suspected := s.suspected[key]; suspected && triedAt == r.sentAt {
+			delete(s.suspected, key)
+			s.confirm(key)
 		}
 	}
 }
 
-func (s *evidenceSimulation) blame(key uint64) {
-	s.blamed = append(s.blamed, key)
+func (s *evidenceSimulation) confirm(key uint64) {
+	s.confirmed = append(s.confirmed, key)
 	if key == badKey {
 		s.badAfter = s.crashesByBad
 	}
@@ -177,7 +177,7 @@
 	for _, key := range r.keys {
 		s.completed[r.gateway][key]++
 		s.lastAt[r.gateway][key] = s.Now()
-		s.After(simulatedReport, func() { delete(s.doubted, key) })
+		s.After(simulatedReport, func() { delete(s.suspected, key) })
 		if slices.Contains(s.evidence.Watched(), key) {
 			at := s.clock(s.Now())
 			s.After(simulatedReport, func() { s.evidence.Complete(key, at) })
@@ -197,7 +197,7 @@
 		if s.Now()-r.sentAt < simulatedStart+simulatedProof {
 			byGateway[r.gateway] = append(byGateway[r.gateway], r)
 		}
-		s.blameDoubted(r)
+		s.confirmSuspected(r)
 	}
 	s.running[endpoint] = nil
 	for gateway, requests := range byGateway {
@@ -228,16 +228,16 @@
 
 // verdict returns what is held of a key.
 func (s *evidenceSimulation) verdict(key uint64) Verdict {
-	if slices.Contains(s.blamed, key) {
-		return VerdictBlamed
+	if slices.Contains(s.confirmed, key) {
+		return VerdictConfirmed
 	}
-	if _, doubted := s.doubted[key]; doubted {
-		return VerdictDoubted
+	if _, suspected := s.suspected[key]; suspected {
+		return VerdictSuspected
 	}
 	return VerdictNone
 }
 
-// nothingHeld is what Judge is told if no key is held.
+// nothingHeld is what Evaluate is told if no key is held.
 func nothingHeld(uint64) Verdict { return VerdictNone }
 
 // count reports the completed requests of a gateway.
@@ -258,7 +258,7 @@
 func simulateEvidence(load evidenceLoad, seed uint64) *evidenceSimulation {
 	s := &evidenceSimulation{
 		load: load, rng: rand.New(rand.NewPCG(seed, 9)), running: map[int][]*simulatedRequest{}, starts: map[int]int64{}, down: map[int]bool{},
-		doubted: map[uint64]time.Duration{},
+		suspected: map[uint64]time.Duration{},
 	}
 	for i := range simulatedGateways {
 		s.completed[i], s.lastAt[i] = map[uint64]int{}, map[uint64]time.Duration{}
@@ -277,12 +277,12 @@
 		for i := range simulatedGateways {
 			s.count(i)
 		}
-		for _, b := range s.evidence.Judge(s.clock(s.Now()), s.verdict) {
-			if b.Verdict() == VerdictBlamed {
-				s.blame(b.Key)
+		for _, b := range s.evidence.Evaluate(s.clock(s.Now()), s.verdict) {
+			if b.Verdict() == VerdictConfirmed {
+				s.confirm(b.Key)
 				continue
 			}
-			s.doubted[b.Key] = s.Now() - doubtTrialTimeout
+			s.suspected[b.Key] = s.Now() - suspectProbeTimeout
 			s.doubts++
 		}
 		s.After(simulatedReport, judge)
@@ -292,9 +292,9 @@
 	return s
 }
 
-// TestOnlyThePartThatCrashesEndpointsIsBlamed guards against a bad part that is blamed too late, and against
-// sound parts that are blamed for its crashes because requests with them lay at the same endpoints.
-func TestOnlyThePartThatCrashesEndpointsIsBlamed(t *testing.T) {
+// TestOnlyThePartThatCrashesEndpointsIsConfirmed guards against a bad part that is confirmed too late, and against
+// sound parts that are confirmed for its crashes because requests with them lay at the same endpoints.
+func TestOnlyThePartThatCrashesEndpointsIsConfirmed(t *testing.T) {
 	const crashLimit, allowedLater = 5, 3
 	for _, load := range []evidenceLoad{
 		{sound: 33, bad: 0.3, parts: 60},
@@ -310,16 +310,16 @@
 		load.duration = 90 * time.Second
 		for seed := range uint64(5) {
 			s := simulateEvidence(load, seed)
-			require.Equal(t, []uint64{badKey}, s.blamed, "%+v seed %d", load, seed)
+			require.Equal(t, []uint64{badKey}, s.confirmed, "%+v seed %d", load, seed)
 			require.LessOrEqual(t, s.badAfter, crashLimit+allowedLater+int(2*load.bad), "%+v seed %d", load, seed)
 		}
 	}
 }
 
-// TestEndpointsThatEndByChanceBlameNothing guards against parts that are blamed because requests with them
+// TestEndpointsThatEndByChanceConfirmNothing guards against parts that are confirmed because requests with them
 // lay at endpoints that ended by chance, one after the other or many at once, and against sound requests that are refused
-// since their parts are doubted.
-func TestEndpointsThatEndByChanceBlameNothing(t *testing.T) {
+// since their parts are suspected.
+func TestEndpointsThatEndByChanceConfirmNothing(t *testing.T) {
 	const maxRefusedShare = 0.001
 	for _, load := range []evidenceLoad{
 		{chance: 0.7, parts: 60},
@@ -334,14 +334,14 @@
 			load.sound, load.duration = sound, 2*time.Minute
 			for seed := range uint64(2) {
 				s := simulateEvidence(load, seed)
-				require.Empty(t, s.blamed, fmt.Sprintf("%+v seed %d", load, seed))
+				require.Empty(t, s.confirmed, fmt.Sprintf("%+v seed %d", load, seed))
 				require.LessOrEqual(t, float64(s.refused), maxRefusedShare*float64(s.sent), "%+v seed %d: %d doubts", load, seed, s.doubts)
 			}
 		}
 	}
 }
 
-// BenchmarkJudge measures one judgement after a storm: as many crashes as are kept, each seen by 40 gateways with 100
+// BenchmarkJudge measures one evaluation after a storm: as many crashes as are kept, each seen by 40 gateways with 100
 // suspects, of which two gateways share each.
 func BenchmarkJudge(b *testing.B) {
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -360,7 +360,7 @@
 	}
 	for b.Loop() {
 		e.changed = true
-		e.Judge(noonOfEvidence.Add(time.Minute), nothingHeld)
+		e.Evaluate(noonOfEvidence.Add(time.Minute), nothingHeld)
 	}
 }
 
@@ -375,7 +375,7 @@
 		require.True(t, added)
 		require.Empty(t, cleared)
 	}
-	e.Judge(noonOfEvidence.Add(3*time.Second), nothingHeld)
+	e.Evaluate(noonOfEvidence.Add(3*time.Second), nothingHeld)
 	require.Equal(t, 3, e.strongest.Crashes)
 	at := noonOfEvidence.Add(1500 * time.Millisecond)
 	require.Equal(t, []Cleared{{badKey, 2, at}}, e.Complete(badKey, at))
@@ -383,7 +383,7 @@
 }
 
 // TestLongerResponseClearsOnlySoonerCrashes guards against a part that crashes endpoints a while after the response has begun and that
-// counts as harmless by then, and against one that is blamed although responses with it outlast the crashes.
+// counts as harmless by then, and against one that is confirmed although responses with it outlast the crashes.
 func TestLongerResponseClearsOnlySoonerCrashes(t *testing.T) {
 	var e Evidence
 	observe := func(second int, lasted time.Duration) {
@@ -404,9 +404,9 @@
 	for i := range 3 {
 		observe(25+5*i, 3*time.Second)
 	}
-	require.Empty(t, e.Judge(at.Add(20*time.Second), nothingHeld), "not watched yet")
-	blamed := e.Judge(at.Add(21*time.Second), nothingHeld)
-	require.Len(t, blamed, 1)
-	require.True(t, blamed[0].Late)
-	require.Equal(t, 4, blamed[0].Crashes)
+	require.Empty(t, e.Evaluate(at.Add(20*time.Second), nothingHeld), "not watched yet")
+	confirmed := e.Evaluate(at.Add(21*time.Second), nothingHeld)
+	require.Len(t, confirmed, 1)
+	require.True(t, confirmed[0].Late)
+	require.Equal(t, 4, confirmed[0].Crashes)
 }
--- a/internal/control/quarantine/hold.go
+++ b/internal/control/quarantine/hold.go
@@ -12,8 +12,8 @@
 // Hold says that requests with a key are held back because they crash endpoints.
 type Hold struct {
 	Key uint64 `cbor:"1,keyasint"`
-	// Strikes counts the times that the key was blamed. It is 0 for a key that is released.
-	Strikes int `cbor:"2,keyasint"`
+	// Failures counts the times that the key was confirmed. It is 0 for a key that is released.
+	Failures int `cbor:"2,keyasint"`
 	// Number orders the holds by the time of their last change.
 	Number uint64 `cbor:"3,keyasint,omitempty"`
 }
@@ -39,7 +39,7 @@
 		return false
 	}
 	s.number, h.Number = number, number
-	if h.Strikes == 0 {
+	if h.Failures == 0 {
 		delete(s.holds, h.Key)
 		return true
 	}
--- a/internal/control/quarantine/log.go
+++ b/internal/control/quarantine/log.go
@@ -18,13 +18,13 @@
 func (c HoldChange) Log(logger *log.Logger) {
 	key := FormatKey(c.Key)
 	switch cause := c.Cause.(type) {
-	case Weighed:
+	case Suspected:
 		cause.log(event.BlameWeighed.On(logger)).Msg("")
-	case Blamed:
-		cause.log(event.RequestHeldBack.On(logger)).Int("strikes", cause.Strikes).Dur("for", cause.For).Msg("")
-	case TrialFailed:
-		event.RequestHeldBack.On(logger).Str("key", key).Int("strikes", cause.Strikes).Dur("for", cause.For).Msg("")
-	case TrialStarted:
+	case Opened:
+		cause.log(event.RequestHeldBack.On(logger)).Int("strikes", cause.Failures).Dur("for", cause.For).Msg("")
+	case ProbeFailed:
+		event.RequestHeldBack.On(logger).Str("key", key).Int("strikes", cause.Failures).Dur("for", cause.For).Msg("")
+	case ProbeStarted:
 		event.HoldTrial.On(logger).Str("key", key).Str("gateway", string(cause.Gateway)).Uint64("trial", cause.Number).Msg("")
 	case Released:
 		event.HoldEnded.On(logger).Str("key", key).Str("reason", cause.Reason).Msg("")
@@ -32,7 +32,7 @@
 }
 
 // log adds the key and what speaks against it to a log entry.
-func (b Blame) log(entry *log.Entry) *log.Entry {
+func (b Finding) log(entry *log.Entry) *log.Entry {
 	return entry.Str("key", FormatKey(b.Key)).Str("scope", b.Scope).Bool("whole", b.Whole).Int("crashes", b.Crashes).Int("others", b.Others).Bool("late", b.Late).
 		Float64("chance", b.Chance).Float64("expected", b.Expected).Int("completed", b.Completed).Int("completed_with_key", b.WithKey)
 }
--- a/internal/control/quarantine/quarantine.go
+++ b/internal/control/quarantine/quarantine.go
@@ -4,7 +4,7 @@
 // that is in flight at a second crash is quarantined. The package is part of the
 // replicated state: it is deterministic, takes the time as input and encodes to CBOR.
 //
-// A request may also crash engines by a part of its prompt that others share. Evidence finds such parts, a Keeper
+// A request may also crash engines by a part of its prompt that others share. Evidence finds such parts, a Breaker
 // decides which are held back and tried again, and a HoldSet is the replicated result.
 package quarantine
 
--- a/internal/control/quarantine/record.go
+++ b/internal/control/quarantine/record.go
@@ -34,8 +34,8 @@
 	r.crashes = append(r.crashes, c)
 }
 
-// candidates returns the blame of the keys that are most likely to be blamed, those with the most crashes.
-func (e *Evidence) candidates(crashes []observedCrash) []Blame {
+// candidates returns the findings on the keys that are most likely to be confirmed, those with the most crashes.
+func (e *Evidence) candidates(crashes []observedCrash) []Finding {
 	records, seen := recordsOf(crashes)
 	suspects := map[string]float64{}
 	for _, r := range records {
@@ -46,9 +46,9 @@
 		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.key, b.key))
 	})
 	records = records[:min(len(records), maxWatched)]
-	candidates := make([]Blame, 0, len(records))
+	candidates := make([]Finding, 0, len(records))
 	for _, r := range records {
-		b := Blame{Key: r.key, Scope: r.scope, Whole: r.whole, Late: r.late, Crashes: len(r.crashes), Chance: 1}
+		b := Finding{Key: r.key, Scope: r.scope, Whole: r.whole, Late: r.late, Crashes: len(r.crashes), Chance: 1}
 		b.Others = seen[r.scope] - r.before - r.ignored - b.Crashes
 		if b.Crashes >= minCrashes {
 			b.Completed, b.WithKey = e.completed(b.Scope, b.Key)
@@ -128,7 +128,7 @@
 
 // chance returns the probability of the crashes of a key, of which logChance is the logarithm for these very ones. It
 // considers that the key can be present at any of the crashes of the time.
-func (b Blame) chance(logChance float64) float64 {
+func (b Finding) chance(logChance float64) float64 {
 	n, _ := math.Lgamma(float64(b.Crashes+b.Others) + 1)
 	k, _ := math.Lgamma(float64(b.Crashes) + 1)
 	rest, _ := math.Lgamma(float64(b.Others) + 1)
--- a/internal/control/server/holds.go
+++ b/internal/control/server/holds.go
@@ -12,7 +12,7 @@
 // holdCommands decides which requests are held back and returns the commands that record it. mu is held.
 func (l *leader) holdCommands(now time.Time, committed []quarantine.Hold) []state.Command {
 	l.keeper.Sync(committed, now)
-	for _, c := range l.keeper.Judge(now) {
+	for _, c := range l.keeper.Evaluate(now) {
 		c.Log(l.server.opts.Logger)
 	}
 	var commands []state.Command
