portal: a host without a leader sends endpoints on to another one

Cause: while the control hosts are cut in two, those of the smaller side went on to acknowledge the announcements of endpoints and could not pass them on. Change: a host that has known no leader for 0.5 s records an announcement and answers that it can't vouch for it (503); the endpoint calls the next host. TestDepartureWithoutAMajorityIsNotAcknowledged had such a host acknowledge an ordinary announcement; it now requires that it is recorded at once, without waiting for the log, and refused.

--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -22,6 +22,10 @@
 	// refreshInterval is the least time between two forwarded announcements of an endpoint that
 	// report nothing new.
 	refreshInterval = 400 * time.Millisecond
+	// maxLeaderless is how long a host that knows no leader acknowledges announcements. After that it may be cut off from the
+	// majority, whose leader uses no engine that it does not hear of, and the endpoint should call another host. An election
+	// among hosts that reach each other mostly ends sooner.
+	maxLeaderless = 500 * time.Millisecond
 	// forgetAfter is the time without an announcement after which an endpoint counts as gone. The
 	// roster drops it a tombstone's lifetime later.
 	forgetAfter = 3 * time.Minute
@@ -29,7 +33,8 @@
 
 // Announce records an endpoint's announcement. One that says that the endpoint drains or leaves is acknowledged only when it is in the replicated log,
 // since the endpoint may say it just once. Announce returns ErrUnavailable if that takes too long, or while the other
-// control hosts are not known, because the announcement could not be forwarded to them.
+// control hosts are not known, because the announcement could not be forwarded to them. It also does so, although it has recorded the
+// announcement, once this host has known no leader for maxLeaderless.
 func (p *Portal) Announce(ctx context.Context, e roster.Endpoint) error {
 	if err := p.recordAnnouncement(e); err != nil {
 		return err
@@ -48,6 +53,9 @@
 	}
 	p.metrics.announcements.Inc(1)
 	p.applyAnnouncement(e, time.Now(), true)
+	if !p.leaderlessSince.IsZero() && time.Since(p.leaderlessSince) > maxLeaderless {
+		return ErrUnavailable{Reason: "no leader is known here"}
+	}
 	return nil
 }
 
--- a/internal/control/portal/departure_test.go
+++ b/internal/control/portal/departure_test.go
@@ -113,7 +113,10 @@
 		require.Less(t, time.Since(began), time.Second, "endpoints try the next host after a second")
 		require.Equal(t, roster.StateDraining, last.stateAt(ready.ID), "its gateways follow it all the same")
 		other := engine(1, 1)
-		require.NoError(t, last.Announce(c.t.Context(), other))
+		began = time.Now()
+		require.True(t, IsErrUnavailable(last.Announce(c.t.Context(), other)), "it should call another host")
+		require.Zero(t, time.Since(began), "only a departure waits for the log")
+		require.Equal(t, roster.StateReady, last.stateAt(other.ID))
 	})
 }
 
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -106,6 +106,9 @@
 	// if it is not.
 	voterID     host.ID
 	leaderSince time.Time
+	// leaderlessSince is when this host lost the leader that it knew, or zero while it knows one or has known none.
+	leaderlessSince time.Time
+	knewLeader      bool
 	// linkID is the ID by which links that are opened now identify this process.
 	linkID host.ID
 	// voteMoved is true if the replicated state says that another process has this host's vote.
--- a/internal/control/portal/voter.go
+++ b/internal/control/portal/voter.go
@@ -28,10 +28,17 @@
 	return p.controlHosts
 }
 
-// onStatusChange records when this host became the leader, or that it is not the leader.
+// onStatusChange records when this host became the leader, or that it is not the leader, and since when it knows none.
 func (p *Portal) onStatusChange(s replication.Status) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	knowsLeader := s.IsLeader() || s.Leader != ""
+	switch {
+	case knowsLeader:
+		p.knewLeader, p.leaderlessSince = true, time.Time{}
+	case p.knewLeader && p.leaderlessSince.IsZero():
+		p.leaderlessSince = time.Now()
+	}
 	switch {
 	case !s.IsLeader():
 		p.leaderSince = time.Time{}
