portal, gateway: evacuate failure domains, allowed regions of routes and teams

An operator must be able to stop all requests to the endpoints of a failure domain, and a route or team may allow only some regions.

Change: the replicated state of portals has a set of evacuated failure domains, whose revision is the log index of its last change. Gateways get the set with their updates; the answer to a numbered question confirms its revision as well as the version of the configuration. balance excludes the endpoints of evacuated domains and those outside the allowed regions from every decision, and refuses at once what none may get. A placed request is checked again immediately before it is written. The planner forms, stages and counts nothing in an evacuated domain and closes its replicas once they are idle.

Tested: the existing tests of portalstate, portal, formation, balance, upstream, gateway, message, settings, event, cmd and platform pass.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -51,7 +51,7 @@
 		Self: s.Host.ID, FailureDomain: s.Host.FailureDomain, Pool: pool.New(deps.Socket),
 		Seeds: s.Link.LinkAddresses(s.Seeds), Dialect: platform.Dialect(), ShutdownDelay: s.Stop.ShutdownDelay,
 		Retries:    gateway.RetryLimits{Ratio: s.Retries.Ratio, Burst: s.Retries.Burst, Window: s.Retries.Window},
-		BodyMemory: int64(s.BodyMemory), RefuseAfter: refuseAfter(s), ConfigAge: configAge(s), Metrics: deps.Metrics, Logger: deps.Logger,
+		BodyMemory: int64(s.BodyMemory), RefuseAfter: refuseAfter(s), ConfigAge: configAge(s), Regions: s.Regions, Metrics: deps.Metrics, Logger: deps.Logger,
 	})
 	reload := func() {
 		changed, err := settings.LoadGateway(path)
--- a/cmd/routes.go
+++ b/cmd/routes.go
@@ -16,6 +16,9 @@
 	Get   routesGetCommand   `cmd:"" help:"Print the configuration in force at the portals."`
 	Put   routesPutCommand   `cmd:"" help:"Put a configuration in force. Sending the same configuration again is safe."`
 	Check routesCheckCommand `cmd:"" help:"Check a configuration without sending it."`
+
+	Evacuate    routesEvacuateCommand    `cmd:"" help:"Send no more requests to the endpoints of a failure domain. Repeating it is safe."`
+	Evacuations routesEvacuationsCommand `cmd:"" help:"Print the failure domains that are evacuated."`
 }
 
 // portalsFlag holds the addresses of the portals.
@@ -72,6 +75,47 @@
 	})
 }
 
+type routesEvacuateCommand struct {
+	portalsFlag `embed:""`
+	Cancel      bool   `help:"Withdraw the evacuation: requests are sent there again."`
+	Domain      string `arg:"" help:"Name of the failure domain."`
+}
+
+// Run begins or withdraws the evacuation of a failure domain.
+func (c routesEvacuateCommand) Run(out io.Writer) error {
+	return c.tryEach(func(ctx context.Context, client platform.Client) error {
+		if err := client.Evacuate(ctx, c.Domain, !c.Cancel); err != nil {
+			return err
+		}
+		state := "is evacuated"
+		if c.Cancel {
+			state = "is not evacuated"
+		}
+		_, err := fmt.Fprintf(out, "failure domain %q %s\n", c.Domain, state)
+		return err
+	})
+}
+
+type routesEvacuationsCommand struct {
+	portalsFlag `embed:""`
+}
+
+// Run prints the evacuated failure domains, one a line.
+func (c routesEvacuationsCommand) Run(out io.Writer) error {
+	return c.tryEach(func(ctx context.Context, client platform.Client) error {
+		domains, err := client.Evacuations(ctx)
+		if err != nil {
+			return err
+		}
+		for _, domain := range domains {
+			if _, err := fmt.Fprintln(out, domain); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
 type routesCheckCommand struct {
 	File string `arg:"" type:"existingfile" help:"Path of the configuration, in the platform's format."`
 }
--- a/internal/control/formation/compose.go
+++ b/internal/control/formation/compose.go
@@ -163,7 +163,7 @@
 func (p *Planner) replicaCounts() map[string]int {
 	counts := map[string]int{}
 	for _, r := range p.replicas {
-		if r.phase != phaseLeaving && r.phase != phaseClosing {
+		if r.phase != phaseLeaving && r.phase != phaseClosing && !p.isEvacuated(r) {
 			counts[r.model]++
 		}
 	}
@@ -176,7 +176,7 @@
 	if demand, known := p.view.Demand[m.Name]; known && p.view.TrafficStarted {
 		return demand
 	}
-	return m.Share * float64(len(p.view.Hosts)) / float64(max(m.Size, 1))
+	return m.Share * float64(p.hostCount()) / float64(max(m.Size, 1))
 }
 
 // readyTime returns how long an engine takes to hold a model.
--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -144,7 +144,7 @@
 	replicaOf := p.replicasByHost()
 	free := map[string][]Host{}
 	for _, h := range p.view.Hosts {
-		if h.usable() && replicaOf[h.ID] == nil && p.ensureReleased(h) {
+		if p.available(h) && replicaOf[h.ID] == nil && p.ensureReleased(h) {
 			free[h.Fabric] = append(free[h.Fabric], h)
 		}
 	}
--- a/internal/control/formation/planner.go
+++ b/internal/control/formation/planner.go
@@ -73,6 +73,10 @@
 	// that are not used because of that.
 	unanswered   map[ReplicaRef]unansweredOrders
 	blockedHeads map[roster.Incarnation]ReplicaRef
+	// evacuated holds the fabric domains with engines in evacuated failure domains. withdrawnAt is when the last evacuation in a fabric
+	// domain was withdrawn.
+	evacuated   map[string]bool
+	withdrawnAt map[string]time.Time
 
 	now       time.Time
 	view      View
@@ -129,6 +133,7 @@
 		p.ended, p.freeSets = map[string]endedReplica{}, map[string]freeSet{}
 		p.loading, p.lastArrival = map[roster.Incarnation]runningLoad{}, map[string]time.Time{}
 		p.lastRegroup, p.lastRegroupCheck = map[string]time.Time{}, map[string]time.Time{}
+		p.withdrawnAt = map[string]time.Time{}
 		p.unanswered, p.blockedHeads = map[ReplicaRef]unansweredOrders{}, map[roster.Incarnation]ReplicaRef{}
 	}
 	p.now, p.view, p.orders = now, v, nil
@@ -137,6 +142,7 @@
 		p.hosts[h.ID] = h
 	}
 	p.updateHistory()
+	p.trackEvacuations()
 	p.limiter.rate = v.Engine.LoadRate
 	p.dropFinishedLoads()
 	p.markReopened()
--- a/internal/control/formation/regroup.go
+++ b/internal/control/formation/regroup.go
@@ -28,7 +28,7 @@
 // replicas of higher value without loads from the weight store. It must gain enough over current, the best composition of
 // the free engines alone. It reports whether it closed any replica.
 func (p *Planner) regroup(fabric string, hosts []Host, existing map[string]int, current composition) bool {
-	if !p.view.TrafficStarted || p.now.Sub(p.lastRegroup[fabric]) < regroupInterval || p.now.Sub(p.lastRegroupCheck[fabric]) < regroupCheckInterval {
+	if p.recentlyWithdrawn(fabric) || !p.view.TrafficStarted || p.now.Sub(p.lastRegroup[fabric]) < regroupInterval || p.now.Sub(p.lastRegroupCheck[fabric]) < regroupCheckInterval {
 		return false
 	}
 	p.lastRegroupCheck[fabric] = p.now
@@ -120,7 +120,7 @@
 	for _, r := range closed {
 		for _, id := range r.members {
 			h, known := p.hosts[id]
-			if !known || !h.usable() {
+			if !known || !p.available(h) {
 				return 0
 			}
 			pool = append(pool, h)
--- a/internal/control/formation/replica.go
+++ b/internal/control/formation/replica.go
@@ -35,6 +35,8 @@
 	// had been adopted. Its join was carried out late, and a join for a later replica may be
 	// still to come.
 	lateJoin bool
+	// evacuated is true if the replica is closed since a member is in an evacuated failure domain. It is not ended by force then.
+	evacuated bool
 }
 
 func (r *replica) head() string { return r.members[0] }
@@ -69,6 +71,10 @@
 		}
 		return
 	}
+	if p.isEvacuated(r) && !p.hosts[r.head()].IsServingHead() {
+		p.startLeaving(r, reasonEvacuated)
+		return
+	}
 	ready, joining := 0, 0
 	for _, id := range r.members {
 		h, known := p.hosts[id]
@@ -125,15 +131,21 @@
 	}
 	if report.stalled() {
 		p.startLeaving(r, "the head makes no progress")
+		return
 	}
+	p.closeIfEvacuated(r)
 }
 
 func (p *Planner) advanceClosing(r *replica) {
 	head, known := p.hosts[r.head()]
-	if !known || !head.Alive || !head.memberOf(r.ReplicaRef) || p.now.Sub(r.since) > drainTimeout {
+	if !known || !head.Alive || !head.memberOf(r.ReplicaRef) || !r.evacuated && p.now.Sub(r.since) > drainTimeout {
 		p.startLeaving(r, "closed")
 		return
 	}
+	if r.evacuated && p.view.Heads[r.head()].stalled() {
+		p.startLeaving(r, "the head makes no progress")
+		return
+	}
 	switch head.Member.State {
 	case roster.MemberOpen:
 		p.send(Close{r.head(), r.ReplicaRef})
--- a/internal/control/formation/stage.go
+++ b/internal/control/formation/stage.go
@@ -20,7 +20,7 @@
 	slices.SortStableFunc(models, func(a, b routes.Model) int { return cmp.Compare(b.Size, a.Size) })
 	fabrics := map[string][]Host{}
 	for _, h := range p.view.Hosts {
-		if h.usable() {
+		if p.available(h) {
 			fabrics[h.Fabric] = append(fabrics[h.Fabric], h)
 		}
 	}
--- a/internal/control/formation/view.go
+++ b/internal/control/formation/view.go
@@ -71,6 +71,8 @@
 	Heads map[string]HeadReport
 	// Demand is the number of replicas that the work for each model would keep busy.
 	Demand map[string]float64
+	// Evacuated are the failure domains in which no replica is formed or loaded, and whose replicas are closed once they are idle.
+	Evacuated []string
 	// TrafficStarted is true once callers' requests have begun. From then on loads are slow and
 	// limited.
 	TrafficStarted bool
--- a/internal/control/portal/confirmation.go
+++ b/internal/control/portal/confirmation.go
@@ -42,8 +42,8 @@
 	return nil
 }
 
-// confirmVersion returns nil once this host holds the configuration that is in force at some time after the call. A host that does
-// not lead asks the leader for its version.
+// confirmVersion returns nil once this host holds the configuration and the evacuations that are in force at some time after the call. A
+// host that does not lead asks the leader for its version.
 func (p *Portal) confirmVersion(ctx context.Context, urgent bool) error {
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
@@ -58,11 +58,11 @@
 	if status.LeaderAddress == "" {
 		return replication.ErrNotLeader{}
 	}
-	version, err := p.queryVersion(ctx, status.LeaderAddress, urgent)
+	answer, err := p.queryVersion(ctx, status.LeaderAddress, urgent)
 	if err != nil {
 		return err
 	}
-	return p.awaitVersion(ctx, version)
+	return p.awaitVersion(ctx, answer)
 }
 
 func confirmLeadership(ctx context.Context, l *replication.Log, urgent bool) error {
@@ -90,17 +90,17 @@
 	return stream.Receive()
 }
 
-// queryVersion asks the leader which version is in force.
-func (p *Portal) queryVersion(ctx context.Context, leader string, urgent bool) (uint64, error) {
+// queryVersion asks the leader which version of the configuration and of the evacuations is in force.
+func (p *Portal) queryVersion(ctx context.Context, leader string, urgent bool) (*message.VersionAnswer, error) {
 	m, err := p.callLeader(ctx, leader, &message.VersionQuery{Urgent: urgent})
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	answer, ok := m.(*message.VersionAnswer)
 	if !ok || !answer.Confirmed {
-		return 0, replication.ErrNotLeader{}
+		return nil, replication.ErrNotLeader{}
 	}
-	return answer.Version, nil
+	return answer, nil
 }
 
 // cancelUnlessLeading calls cancel once this host does not take the host at address for the leader any more. It returns when ctx ends.
@@ -125,16 +125,17 @@
 	answer := &message.VersionAnswer{}
 	if l := p.currentLog(); l != nil && confirmLeadership(ctx, l, m.Urgent) == nil {
 		answer.Confirmed, answer.Version = true, p.machine.Current().Version
+		answer.EvacuationRevision = p.machine.Evacuations().Revision
 	}
 	_ = s.Send(answer) // The host asks again.
 	_, _ = s.Receive() // It closes the stream once it has the answer.
 }
 
-// awaitVersion waits until this host holds a version or a higher one.
-func (p *Portal) awaitVersion(ctx context.Context, version uint64) error {
+// awaitVersion waits until this host holds what the leader has confirmed, or later states of it.
+func (p *Portal) awaitVersion(ctx context.Context, confirmed *message.VersionAnswer) error {
 	for {
 		changed := p.machine.Changed()
-		if p.machine.Current().Version >= version {
+		if p.machine.Current().Version >= confirmed.Version && p.machine.Evacuations().Revision >= confirmed.EvacuationRevision {
 			return nil
 		}
 		select {
--- a/internal/control/portal/operator.go
+++ b/internal/control/portal/operator.go
@@ -41,10 +41,10 @@
 	return errors.As(err, &e)
 }
 
-// ErrRefused is returned for a configuration that is invalid. The call had no effect.
+// ErrRefused is returned for a configuration or an evacuation that is invalid. The call had no effect.
 type ErrRefused struct{ Cause error }
 
-func (e ErrRefused) Error() string { return "configuration refused: " + e.Cause.Error() }
+func (e ErrRefused) Error() string { return "refused: " + e.Cause.Error() }
 
 // Unwrap returns the cause.
 func (e ErrRefused) Unwrap() error { return e.Cause }
--- a/internal/control/portal/planning.go
+++ b/internal/control/portal/planning.go
@@ -139,7 +139,7 @@
 	demand := p.demand.replicas(now)
 	orders, decisions := planner.Step(now, formation.View{
 		Engine: service.Engine, Hosts: p.plannerHosts(ctx, service.Name, now, p.suspectMembers(reports)), Heads: reports,
-		Demand:         demand,
+		Demand: demand, Evacuated: p.machine.Evacuations().Domains,
 		TrafficStarted: p.trafficStarted || !p.opts.FirstStart, Term: lead.term, LeaderSince: lead.since,
 	})
 	for _, d := range decisions {
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -294,13 +294,14 @@
 }
 
 // watchDocument follows the replicated state: it decodes each document that comes into force, and
-// applies the moves of voters and the departures of endpoints.
+// applies the moves of voters, the departures of endpoints and the evacuations.
 func (p *Portal) watchDocument(ctx context.Context) error {
-	var decodedVersion, appliedDepartures uint64
+	var decodedVersion, appliedDepartures, evacuationRevision uint64
 	for {
 		changed := p.machine.Changed()
 		p.updateVoterAddresses()
 		appliedDepartures = p.applyDepartures(appliedDepartures)
+		evacuationRevision = p.applyEvacuations(evacuationRevision)
 		document := p.machine.Current()
 		if document.Version > decodedVersion {
 			decodedVersion = document.Version
--- a/internal/control/portal/subscriber.go
+++ b/internal/control/portal/subscriber.go
@@ -75,6 +75,8 @@
 type subscriberState struct {
 	// version is the version of the document.
 	version uint64
+	// evacuationRevision is the revision of the evacuated failure domains.
+	evacuationRevision uint64
 	// watched are the keys of which the subscriber reports completed requests.
 	watched []uint64
 	// sent holds the state of each endpoint that the subscriber knows, by ID.
@@ -129,7 +131,7 @@
 }
 
 func (p *Portal) nextUpdate(state *subscriberState, peer host.ID, complete bool) *message.Picture {
-	document := p.machine.Current()
+	document, evacuations := p.machine.Current(), p.machine.Evacuations()
 	leader := p.leaderAddress()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -140,6 +142,10 @@
 	if watched := p.holds.Watched(); complete || !slices.Equal(watched, state.watched) {
 		m.Holds.Watching, state.watched = &message.Watching{Keys: watched}, watched
 	}
+	m.EvacuationRevision = evacuations.Revision
+	if complete || evacuations.Revision != state.evacuationRevision {
+		m.Evacuated, state.evacuationRevision = &message.Evacuated{Domains: evacuations.Domains}, evacuations.Revision
+	}
 	if document.Version != state.version {
 		m.Document, state.version = document.Bytes, document.Version
 	}
--- a/internal/control/portalstate/machine.go
+++ b/internal/control/portalstate/machine.go
@@ -1,6 +1,6 @@
 // Package portalstate is the replicated state of the portal: the operators' document with the
 // highest committed version, the addresses of the voters that were moved to another host, the keys of
-// requests that are held back, and the endpoints that drained or left last.
+// requests that are held back, the endpoints that drained or left last, and the failure domains that are evacuated.
 package portalstate
 
 import (
@@ -45,6 +45,7 @@
 	Hold     *quarantine.Hold `cbor:"3,keyasint,omitempty"`
 	// Departures are announcements of endpoints that drain or have left.
 	Departures []roster.Endpoint `cbor:"4,keyasint,omitempty"`
+	Evacuation *Evacuation       `cbor:"5,keyasint,omitempty"`
 }
 
 // decoding reads commands and snapshots whatever the bytes of their texts are: a committed command must be applied by all hosts.
@@ -72,7 +73,8 @@
 	Voters   []Voter                 `cbor:"2,keyasint,omitempty"`
 	Holds    quarantine.HoldSnapshot `cbor:"3,keyasint"`
 	// Departures are in the order of their indexes.
-	Departures []departure `cbor:"4,keyasint,omitempty"`
+	Departures  []departure `cbor:"4,keyasint,omitempty"`
+	Evacuations Evacuations `cbor:"5,keyasint"`
 }
 
 // Result is the effect of a committed command.
@@ -93,8 +95,9 @@
 	voters   map[host.ID]Voter
 	holds    quarantine.HoldSet
 	// departures are those of the last endpoints that drained or left.
-	departures departureSet
-	changed    chan struct{}
+	departures  departureSet
+	evacuations Evacuations
+	changed     chan struct{}
 }
 
 // Apply implements replication.StateMachine. A document whose version is not above the one in
@@ -115,6 +118,9 @@
 	if m.departures.add(newDepartures(index, c.Departures)) {
 		m.notify()
 	}
+	if c.Evacuation != nil {
+		return m.evacuate(index, *c.Evacuation)
+	}
 	if c.Document == nil || c.Document.Version <= m.document.Version {
 		return Result{Index: index, Version: m.document.Version}
 	}
@@ -147,7 +153,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	s := snapshot{Document: m.Current(), Voters: m.MovedVoters()}
 	m.mu.Lock()
-	s.Holds, s.Departures = m.holds.Snapshot(), m.departures.list
+	s.Holds, s.Departures, s.Evacuations = m.holds.Snapshot(), m.departures.list, m.evacuations
 	m.mu.Unlock()
 	data, err := cbor.Marshal(s)
 	return data, errors.Wrap(err, "encode snapshot")
@@ -171,6 +177,7 @@
 	if m.departures.add(s.Departures) {
 		m.notify()
 	}
+	m.restoreEvacuations(s.Evacuations)
 	if s.Document.Version > m.document.Version {
 		m.document = s.Document
 		m.notify()
@@ -202,7 +209,7 @@
 }
 
 // Changed returns a channel that is closed at the next change of the document, of a voter, of
-// the held keys or of the departures.
+// the held keys, of the departures or of the evacuations.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -85,7 +85,11 @@
 	FailureDomain string
 	// Gateways is how many gateways share the endpoints, 0 if that is not known.
 	Gateways int
+	// Regions are the regions of failure domains. Endpoints in other domains get no request that names regions.
+	Regions map[string]string
 
+	// evacuations are the failure domains to which no request is sent.
+	evacuations evacuations
 	// endpoints holds the endpoints by ID.
 	endpoints map[string]*endpointState
 	// index holds the endpoints that are ready by what they serve. It is nil if it has to be built.
--- a/internal/entry/balance/exclusion.go
+++ b/internal/entry/balance/exclusion.go
@@ -21,10 +21,14 @@
 	ExclusionSilent
 	// ExclusionLimited is an endpoint whose limit of requests a second is used up.
 	ExclusionLimited
+	// ExclusionEvacuated is an endpoint in a failure domain that an operator has evacuated.
+	ExclusionEvacuated
+	// ExclusionRegion is an endpoint outside the regions that the request allows, or in no known one.
+	ExclusionRegion
 )
 
 func (e Exclusion) String() string {
-	return [...]string{"none", "leaving", "busy", "banned", "silent", "limited"}[e]
+	return [...]string{"none", "leaving", "busy", "banned", "silent", "limited", "evacuated", "region"}[e]
 }
 
 // returnTime is how long after the end of a busy time the requests in flight at an endpoint take to
@@ -51,9 +55,12 @@
 	ended bool
 }
 
-// exclusion returns why the endpoint gets no requests now. Every decision about where to send a
+// exclusion returns why the endpoint does not get the request now. Every decision about where to send a
 // request asks it.
-func (b *Balancer) exclusion(t *endpointState, now time.Time) Exclusion {
+func (b *Balancer) exclusion(t *endpointState, req Request, now time.Time) Exclusion {
+	if barred := b.Bars(t.Endpoint, req); barred != ExclusionNone {
+		return barred
+	}
 	switch {
 	case t.notice.leaving:
 		return ExclusionLeaving
@@ -116,7 +123,7 @@
 	var earliest time.Time
 	for _, t := range b.serving(req) {
 		until := t.notice.busyUntil
-		if b.exclusion(t, now) == ExclusionBusy && (earliest.IsZero() || until.Before(earliest)) {
+		if b.exclusion(t, req, now) == ExclusionBusy && (earliest.IsZero() || until.Before(earliest)) {
 			earliest = until
 		}
 	}
@@ -138,7 +145,7 @@
 // anyServesBy reports whether an endpoint that serves a request may get it by a time.
 func (b *Balancer) anyServesBy(req Request, by, now time.Time) bool {
 	for _, t := range b.serving(req) {
-		if t.notice.leaving {
+		if t.notice.leaving || b.Bars(t.Endpoint, req) != ExclusionNone {
 			continue
 		}
 		if !now.Before(t.notice.busyUntil) || t.notice.busyUntil.Before(by) {
@@ -148,11 +155,11 @@
 	return false
 }
 
-// allBusyUntil returns the earliest end of a busy time if all endpoints that serve a request, and do
-// not leave, are busy.
+// allBusyUntil returns the earliest end of a busy time if all endpoints that serve a request, may get it
+// and do not leave, are busy.
 func (b *Balancer) allBusyUntil(req Request, now time.Time) (time.Time, bool) {
 	for _, t := range b.serving(req) {
-		if !t.notice.leaving && !now.Before(t.notice.busyUntil) {
+		if !t.notice.leaving && !now.Before(t.notice.busyUntil) && b.Bars(t.Endpoint, req) == ExclusionNone {
 			return time.Time{}, false
 		}
 	}
--- a/internal/entry/balance/limit.go
+++ b/internal/entry/balance/limit.go
@@ -235,7 +235,7 @@
 func (b *Balancer) limitedShare(req Request, now time.Time) (float64, bool) {
 	sum, limited := 0.0, false
 	for _, t := range b.serving(req) {
-		switch b.exclusion(t, now) {
+		switch b.exclusion(t, req, now) {
 		case ExclusionNone:
 			if t.limit.perSecond == 0 {
 				return 0, false
@@ -244,7 +244,7 @@
 		case ExclusionLimited:
 			sum += b.share(t, now)
 			limited = true
-		case ExclusionLeaving, ExclusionBusy, ExclusionBanned, ExclusionSilent:
+		case ExclusionLeaving, ExclusionBusy, ExclusionBanned, ExclusionSilent, ExclusionEvacuated, ExclusionRegion:
 		}
 	}
 	return sum, limited
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -13,7 +13,7 @@
 		if slices.Contains(req.Exclude, t.ID) {
 			continue
 		}
-		if excluded := b.exclusion(t, now); excluded != ExclusionNone {
+		if excluded := b.exclusion(t, req, now); excluded != ExclusionNone {
 			if excluded == ExclusionLeaving || excluded == ExclusionBusy || excluded == ExclusionLimited {
 				avoided++
 			}
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -29,6 +29,8 @@
 	Exclude []string
 	// Resumed says that the caller has received a part of the response already.
 	Resumed bool
+	// Regions are the regions in which endpoints may get the request.
+	Regions Regions
 	// ObjectiveDeadline is the time by which the first event, or the response, should arrive.
 	ObjectiveDeadline time.Time
 	// Objective is the latency objective of the request's route.
@@ -67,6 +69,8 @@
 	// banned or have stalled, Leaving those that have said that they leave, and Busy those that have
 	// asked for no requests for a time, and Limited those whose limit is used up.
 	Serving, Banned, Leaving, Busy, Limited int
+	// Evacuated counts those in evacuated failure domains, and Region those outside the allowed regions.
+	Evacuated, Region int
 	// EarliestForecast is the earliest forecast of a first event among the other endpoints,
 	// and Occupied the estimated number of requests at the endpoint with that forecast.
 	Occupied         float64
@@ -78,7 +82,7 @@
 	var a Availability
 	for _, t := range b.serving(req) {
 		a.Serving++
-		switch b.exclusion(t, now) {
+		switch b.exclusion(t, req, now) {
 		case ExclusionLeaving:
 			a.Leaving++
 			continue
@@ -91,6 +95,12 @@
 		case ExclusionLimited:
 			a.Limited++
 			continue
+		case ExclusionEvacuated:
+			a.Evacuated++
+			continue
+		case ExclusionRegion:
+			a.Region++
+			continue
 		case ExclusionNone:
 		}
 		occupied, forecast := b.occupied(t, now), b.forecastFirstEvent(t, req, now)
@@ -113,6 +123,9 @@
 	if d, ok := b.place(req, now); ok {
 		return d, nil
 	}
+	if reason := b.barredReason(req); reason != "" {
+		return b.refusal(req, reason, now), nil
+	}
 	if !b.anyServesBy(req, req.WaitUntil, now) {
 		reason := "no endpoint serves it"
 		if _, busy := b.allBusyUntil(req, now); busy {
@@ -158,7 +171,7 @@
 }
 
 // ProcessQueue places the waiting requests for which there is capacity now, and refuses those
-// whose wait has ended.
+// whose wait has ended or that no endpoint may get any more.
 func (b *Balancer) ProcessQueue(now time.Time) {
 	kept := b.queue[:0]
 	for _, w := range b.queue {
@@ -166,6 +179,10 @@
 			w.Decided <- d
 			continue
 		}
+		if reason := b.barredReason(w.Request); reason != "" {
+			w.Decided <- b.refusal(w.Request, reason, now)
+			continue
+		}
 		if !now.Before(w.WaitUntil) {
 			w.Decided <- b.refusal(w.Request, "no room in time", now)
 			continue
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -54,6 +54,8 @@
 	// crashed says that the endpoint has ended since it broke the attempt off, once crashChecked is set.
 	crashed, crashChecked bool
 	result                balance.Result
+	// withheld says why the request was not sent to the endpoint although it was placed there, or is empty.
+	withheld string
 	// responseTimeout is how long the endpoint may take to begin its response before it counts as
 	// silent; 0 is no limit.
 	responseTimeout time.Duration
@@ -171,6 +173,7 @@
 	request.Header = a.requestHeader(lastEventID)
 	x, err := c.g.upstream.Do(ctx, a.endpoint.Address, &request, upstream.WaitPolicy{
 		CheckInterval: waitCheckInterval, KeepWaiting: a.keepWaiting, Unwanted: func() bool { return a.unwanted(ctx) },
+		BeforeSend: func() error { return a.checkSend(ctx) },
 	})
 	if err != nil {
 		return a.classifyError(err), err
@@ -238,7 +241,7 @@
 		a.call.stats.sends--
 		a.result = balance.ResultUnreachable
 		switch {
-		case a.call.r.Context().Err() != nil:
+		case a.withheld != "", a.call.r.Context().Err() != nil:
 			a.result = balance.ResultCanceled
 		case upstream.IsConnectionRefused(err):
 			a.result = balance.ResultConnectionRefused
@@ -350,6 +353,7 @@
 	a.endFailed(r.err)
 	c.excluded = append(c.excluded, a.endpoint.ID)
 	c.mayHaveRun = c.mayHaveRun || r.outcome == outcomeUnknown
+	c.withheld = a.withheld
 	if a.result == balance.ResultWrongEndpoint || a.result == balance.ResultOverloaded || c.endpointGone(a) {
 		c.lostAttempts++
 	}
@@ -396,8 +400,13 @@
 	return c.stats.sends
 }
 
-// tryRetry reports whether the service's retry budget allows a retry, and takes it if so.
+// tryRetry reports whether the service's retry budget allows a retry, and takes it if so. The next attempt after one that was withheld
+// is no further request to an endpoint.
 func (c *call) tryRetry() bool {
+	if c.withheld != "" {
+		c.withheld = ""
+		return true
+	}
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
 	if !c.g.retryBudget(c.service).TryRetry(time.Now()) {
--- a/internal/entry/gateway/confirmation.go
+++ b/internal/entry/gateway/confirmation.go
@@ -24,6 +24,9 @@
 	unconfirmedRetryAfter = 500 * time.Millisecond
 )
 
+// reasonUnconfirmed is the reason of a refusal for the age of the configuration and the evacuations.
+const reasonUnconfirmed = "the configuration may be outdated"
+
 // evidence is what a gateway knows about the age of its configuration.
 type evidence struct {
 	// age is the time since control was asked the latest question that it has answered.
@@ -69,7 +72,7 @@
 	if c.confirmConfig() || c.g.evidence().allowsService(c.g.configAge()) { // Control may have been lost meanwhile.
 		return c.g.table.Load()
 	}
-	c.refuse(unconfirmedRetryAfter, "the configuration may be outdated")
+	c.refuse(unconfirmedRetryAfter, reasonUnconfirmed)
 	return nil
 }
 
@@ -110,15 +113,18 @@
 
 // confirmConfig waits until control has answered a question that was asked after the request had arrived, and returns
 // false if it does not in time, or can't be asked.
-func (c *call) confirmConfig() bool {
-	g := c.g
+func (c *call) confirmConfig() bool { return c.g.confirmFrom(c.r.Context(), c.firstQuestion) }
+
+// confirmFrom waits until control has answered the question with a number or a later one, and returns false if it does not in time, or
+// can't be asked.
+func (g *Gateway) confirmFrom(ctx context.Context, question uint64) bool {
 	if !g.subscribed.Load() && g.evidence().outOfReach() {
 		return false
 	}
 	g.askUrgently()
-	ctx, cancel := context.WithTimeout(c.r.Context(), confirmTimeout)
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	return g.freshness.Wait(ctx, c.firstQuestion)
+	return g.freshness.Wait(ctx, question)
 }
 
 // askUrgently has the next question sent at once.
@@ -135,8 +141,9 @@
 }
 
 // applyConfig puts the configuration of an update in force if its version is above the one in force. The first one of this
-// process needs the confirmation that it is the newest: control hosts may be behind.
-func (g *Gateway) applyConfig(update *message.Picture) {
+// process needs the confirmation that it is the newest: control hosts may be behind. holdsEvacuations reports that the gateway has the
+// evacuations that the update names, without which it confirms nothing.
+func (g *Gateway) applyConfig(update *message.Picture, holdsEvacuations bool) {
 	current := g.table.Load()
 	if len(update.Document) > 0 && (current == nil || update.Version > current.Version) {
 		table, err := g.opts.Dialect.ParseTable(update.Document)
@@ -147,7 +154,7 @@
 		g.pending.Store(table)
 	}
 	pending := g.pending.Load()
-	confirmed := update.Confirmed > 0 && pending != nil && update.Version <= pending.Version
+	confirmed := update.Confirmed > 0 && holdsEvacuations && pending != nil && update.Version <= pending.Version
 	if pending != nil && (current != nil || confirmed) {
 		now := time.Now()
 		g.pending.Store(nil)
@@ -155,7 +162,7 @@
 		g.table.Store(pending)
 		event.ConfigInForce.On(g.opts.Logger).Uint64("revision", pending.Version).Uint64("question", update.Confirmed).Msg("")
 	}
-	if table := g.table.Load(); table != nil && table.Version >= update.Version {
+	if table := g.table.Load(); table != nil && table.Version >= update.Version && holdsEvacuations {
 		g.freshness.Confirm(update.Confirmed)
 	}
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -72,6 +72,8 @@
 	// ConfigAge is how old the configuration may be by which requests are served while control can be reached. 0 is
 	// the default, 1.5 s.
 	ConfigAge time.Duration
+	// Regions are the regions of failure domains. Endpoints in other domains get no request whose route or team names regions.
+	Regions map[string]string
 	// BodyMemory bounds the bodies of requests that the gateway holds at once, in bytes. 0 is DefaultBodyMemory.
 	BodyMemory int64
 	// Dial opens connections to endpoints; nil uses TCP.
@@ -100,11 +102,13 @@
 	metrics    gatewayMetrics
 
 	// mu guards the fields up to resubscribed.
-	mu           sync.Mutex
-	balancer     balance.Balancer
-	roster       roster.Roster
-	retryBudgets map[string]*balance.RetryBudget
-	demand       map[string]*demand
+	mu       sync.Mutex
+	balancer balance.Balancer
+	// evacuationRevision is that of the evacuated failure domains in balancer.
+	evacuationRevision uint64
+	roster             roster.Roster
+	retryBudgets       map[string]*balance.RetryBudget
+	demand             map[string]*demand
 
 	seeds []string
 	// observer watches for requests that crash endpoints. unconfirmed are the
@@ -144,7 +148,7 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{
 		opts:           opts,
-		balancer:       balance.Balancer{FailureDomain: string(opts.FailureDomain)},
+		balancer:       balance.Balancer{FailureDomain: string(opts.FailureDomain), Regions: opts.Regions},
 		retryBudgets:   map[string]*balance.RetryBudget{},
 		demand:         map[string]*demand{},
 		arrivals:       map[string]int{},
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -54,6 +54,8 @@
 	lostAttempts int
 	// mayHaveRun says that an earlier attempt may have run.
 	mayHaveRun bool
+	// withheld says why the last attempt was not sent although it was placed, or is empty.
+	withheld string
 	// standby is the attempt at another endpoint while the present one is silent, or nil.
 	standby *standby
 	// pending is a standby that is waited for after the present attempt has failed, or nil.
@@ -164,6 +166,6 @@
 	}
 	return balance.Request{
 		Service: c.service, Model: c.model, Priority: c.priority, PromptTokens: c.usage.PromptTokens, ObjectiveDeadline: c.objectiveDeadline,
-		Objective: c.route.Objective, ArrivedAt: c.arrivedAt, WaitUntil: until,
+		Objective: c.route.Objective, ArrivedAt: c.arrivedAt, WaitUntil: until, Regions: c.regions(),
 	}
 }
--- a/internal/entry/gateway/metrics.go
+++ b/internal/entry/gateway/metrics.go
@@ -26,6 +26,9 @@
 	avoided  metrics.Counter
 	heldBack metrics.Counter
 	limits   metrics.Counter
+	// evacuations counts changes of evacuated domains, and withheld attempts that were placed and not sent.
+	evacuations metrics.Counter
+	withheld    metrics.Counter
 }
 
 func newGatewayMetrics(r *metric.Registry) gatewayMetrics {
@@ -44,6 +47,9 @@
 		avoided:  r.Counter("gateway_avoided_total", "Requests sent elsewhere because an endpoint leaves, is busy or has a limit."),
 		limits:   r.Counter("gateway_limits_total", "Rate limits of endpoints that were named, changed or ended."),
 		heldBack: r.Counter("gateway_held_back_total", "Requests refused because requests like them crash endpoints."),
+
+		evacuations: r.Counter("gateway_evacuations_total", "Failure domains to which the gateway stopped or resumed sending."),
+		withheld:    r.Counter("gateway_withheld_total", "Requests not sent to their endpoint since its failure domain was evacuated meanwhile or may be."),
 	}
 }
 
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -89,6 +89,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return reasonEnded
+	case c.withheld == reasonUnconfirmed:
+		return reasonUnconfirmed
 	case c.crashed:
 		return reasonCrashed
 	case c.mustNotRepeat():
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -134,7 +134,8 @@
 	}
 	if s.availability.Serving > 0 {
 		entry = entry.Int("serving", s.availability.Serving).Int("banned", s.availability.Banned).
-			Int("leaving", s.availability.Leaving).Int("busy", s.availability.Busy).Int("limited", s.availability.Limited).Float64("occupied", s.availability.Occupied).Dur("soonest", s.availability.EarliestForecast)
+			Int("leaving", s.availability.Leaving).Int("busy", s.availability.Busy).Int("limited", s.availability.Limited).
+			Int("evacuated", s.availability.Evacuated).Int("region", s.availability.Region).Float64("occupied", s.availability.Occupied).Dur("soonest", s.availability.EarliestForecast)
 	}
 	if s.heldKey != "" {
 		entry = entry.Str("key", s.heldKey)
--- a/internal/entry/gateway/standby.go
+++ b/internal/entry/gateway/standby.go
@@ -132,7 +132,7 @@
 func (c *call) startStandby(ctx context.Context, plan attemptPlan) {
 	ctx, cancel := context.WithCancel(ctx)
 	own := *c
-	own.stats, own.standby, own.pending = requestStats{}, nil, nil
+	own.stats, own.standby, own.pending, own.withheld = requestStats{}, nil, nil, ""
 	s := &standby{call: &own, cancel: cancel, done: make(chan struct{})}
 	c.standby = s
 	go s.run(ctx, plan)
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -133,6 +133,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return reasonEnded
+	case s.withheld == reasonUnconfirmed:
+		return reasonUnconfirmed
 	case s.crashed && !s.headerSent, s.crashCount >= maxCrashCount:
 		return reasonCrashed
 	case s.mustNotRepeat():
--- a/internal/entry/gateway/update.go
+++ b/internal/entry/gateway/update.go
@@ -15,7 +15,7 @@
 		g.applyPermits(update)
 		return
 	}
-	g.applyConfig(update)
+	g.applyConfig(update, g.applyEvacuations(update))
 	now := time.Now()
 	g.updated.Set()
 	g.mu.Lock()
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -58,13 +58,16 @@
 	buf.WriteString("\r\n")
 }
 
-// WaitPolicy decides how long to wait for data from an endpoint, at any point of its response. The
+// WaitPolicy decides whether a request is sent, and how long to wait for data from an endpoint, at any point of its response. The
 // context of the exchange bounds the whole of it.
 type WaitPolicy struct {
 	// CheckInterval is the time between two calls of KeepWaiting while no data arrives.
 	CheckInterval time.Duration
 	// KeepWaiting reports whether to wait longer.
 	KeepWaiting func() bool
+	// BeforeSend is called when there is a connection, immediately before the request is written. With an error the request isn't sent. It
+	// may be nil.
+	BeforeSend func() error
 	// Unwanted reports whether nobody waits for the response any more, which ends the wait as well. It may be nil.
 	Unwanted func() bool
 }
@@ -97,6 +100,10 @@
 	if err != nil {
 		return nil, ErrNotSent{Cause: err}
 	}
+	if err := beforeSend(wait); err != nil {
+		_ = c.Close()
+		return nil, ErrNotSent{Cause: err}
+	}
 	c.wait = wait
 	x := &Exchange{pool: p, conn: c}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -107,6 +114,13 @@
 	return x, nil
 }
 
+func beforeSend(wait WaitPolicy) error {
+	if wait.BeforeSend == nil {
+		return nil
+	}
+	return wait.BeforeSend()
+}
+
 func (x *Exchange) do(r *Request) error {
 	if err := x.send(r); err != nil {
 		return x.interrupted(err)
--- a/internal/fleet/routes/routes.go
+++ b/internal/fleet/routes/routes.go
@@ -67,6 +67,8 @@
 	Anonymous bool
 	// Resumable streams may be resumed at another endpoint after the last event received.
 	Resumable bool
+	// Regions are the regions whose endpoints may get the requests; none is no limit.
+	Regions []string
 }
 
 // Retryable reports whether a request of the route may run more than once.
@@ -145,6 +147,8 @@
 	Keys []string
 	// Priority overrides the route's priority unless it is nil.
 	Priority *int
+	// Regions are the regions whose endpoints may get the team's requests, besides those of the route; none is no limit.
+	Regions []string
 }
 
 // Limits bound callers' requests and connections.
--- a/internal/link/message/portal.go
+++ b/internal/link/message/portal.go
@@ -67,10 +67,19 @@
 	// Lost are the IDs of the endpoints that control considers dead.
 	Lost []string `cbor:"6,keyasint,omitempty"`
 	// Confirmed is the number of the latest question to which this is the answer: a majority of the control hosts has
-	// confirmed after the question arrived that Version is in force. It is 0 if none was answered on this stream.
+	// confirmed after the question arrived that Version and EvacuationRevision are in force. It is 0 if none was answered on this stream.
 	Confirmed uint64 `cbor:"14,keyasint,omitempty"`
 	// Gateways is the number of gateways that report to the control host.
 	Gateways int `cbor:"7,keyasint,omitempty"`
+	// EvacuationRevision is that of the evacuated failure domains, 0 if none was ever evacuated.
+	EvacuationRevision uint64 `cbor:"15,keyasint,omitempty"`
+	// Evacuated is nil if the evacuated failure domains have not changed since the last update.
+	Evacuated *Evacuated `cbor:"16,keyasint,omitempty"`
+}
+
+// Evacuated are the failure domains to whose endpoints no request is sent, sorted.
+type Evacuated struct {
+	Domains []string `cbor:"1,keyasint,omitempty"`
 }
 
 // HeadReport is a gateway's observation of the head of a replica.
@@ -139,17 +148,20 @@
 	Replaced bool `cbor:"3,keyasint,omitempty"`
 }
 
-// VersionQuery asks the control leader which version of the configuration is in force, for the questions of another host's
-// gateways.
+// VersionQuery asks the control leader which version of the configuration and which evacuations are in force, for the questions of
+// another host's gateways.
 type VersionQuery struct {
 	Urgent bool `cbor:"1,keyasint,omitempty"`
 }
 
 // VersionAnswer answers a VersionQuery.
 type VersionAnswer struct {
-	// Confirmed reports that a majority has confirmed Version after the query. It is false at a host that does not lead.
+	// Confirmed reports that a majority has confirmed Version and EvacuationRevision after the query. It is false at a host that does
+	// not lead.
 	Confirmed bool   `cbor:"1,keyasint,omitempty"`
 	Version   uint64 `cbor:"2,keyasint,omitempty"`
+	// EvacuationRevision is that of the evacuated failure domains.
+	EvacuationRevision uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Depart asks the control leader to keep the announcements of endpoints that drain or have left, so that they outlast every process.
--- a/internal/process/settings/portal_gateway.go
+++ b/internal/process/settings/portal_gateway.go
@@ -50,8 +50,11 @@
 	InForceWithin time.Duration `yaml:"in_force_within" validate:"min=10ms,max=1h"`
 	// BodyMemory bounds the bodies of requests that the gateway holds at once.
 	BodyMemory document.Size `yaml:"body_memory" validate:"min=1048576,max=1099511627776"`
-	Log        Log           `yaml:"log"`
-	Stop       Stop          `yaml:"stop"`
+	// Regions maps failure domains to the regions that they are in. Endpoints in other domains get no request whose route or team names
+	// regions.
+	Regions map[string]string `yaml:"regions"`
+	Log     Log               `yaml:"log"`
+	Stop    Stop              `yaml:"stop"`
 }
 
 // PlatformLink is the Link of a portal or gateway, whose network may be private.
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -50,4 +50,9 @@
 	SeatLost            = register(157, "seat_lost", log.WarnLevel)
 	DeparturesKept      = register(158, "departures_kept", log.InfoLevel)
 	DeparturesUnsure    = register(159, "departures_unsure", log.WarnLevel)
+	// EvacuationBegun says that the evacuation of a failure domain was acknowledged, and EvacuationWithdrawn that its end was.
+	EvacuationBegun     = register(170, "evacuation_begun", log.WarnLevel)
+	EvacuationWithdrawn = register(171, "evacuation_withdrawn", log.WarnLevel)
+	// EvacuationsInForce says that the set of evacuated failure domains changed at a control host.
+	EvacuationsInForce = register(172, "evacuations_in_force", log.InfoLevel)
 )
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -22,4 +22,9 @@
 	LimitHeard       = register(314, "limit_heard", log.InfoLevel)
 	SuspectCompleted = register(315, "suspect_completed", log.InfoLevel)
 	UpdateSkipped    = register(316, "update_skipped", log.WarnLevel)
+	// DomainStopped says that a gateway stopped sending to a failure domain, and DomainResumed that it sends to it again.
+	DomainStopped = register(330, "domain_stopped", log.WarnLevel)
+	DomainResumed = register(331, "domain_resumed", log.WarnLevel)
+	// AttemptWithheld says that a placed request was not sent.
+	AttemptWithheld = register(332, "attempt_withheld", log.InfoLevel)
 )
