--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -50,6 +50,9 @@
 		{[]string{"keys", "rotate", vault}, exitOK, "both authorities"},
 		{[]string{"keys", "rotate", vault, "--finish"}, exitOK, "new authority only"},
 		{[]string{"keys", "rotate", "--help"}, exitOK, "Complete each step"},
+		{[]string{"routes", "evacuate", "--portal=127.0.0.1:1"}, exitUsage, "<domain>"},
+		{[]string{"routes", "evacuate", "--help"}, exitOK, "--cancel"},
+		{[]string{"routes", "evacuations"}, exitUsage, "--portal"},
 		{[]string{"completion", "fish"}, exitOK, "complete -f -c egretreach"},
 	} {
 		code, output := runLine(c.args...)
--- a/internal/control/formation/simulation_test.go
+++ b/internal/control/formation/simulation_test.go
@@ -67,6 +67,9 @@
 	wasReady  map[string]map[string]bool
 	startedMs int64
 	decisions []Decision
+	// evacuated are the failure domains, which are the fabric domains here, that are evacuated. idle holds the heads without requests.
+	evacuated []string
+	idle      map[string]bool
 }
 
 func newSimulation(t require.TestingT, seed uint64, domains, each int) *simulation {
@@ -92,7 +95,7 @@
 func (s *simulation) add(fabric string) *simEngine {
 	s.startedMs++
 	e := &simEngine{Endpoint: roster.Endpoint{
-		ID: fmt.Sprintf("e%03d", s.startedMs), Service: "s", Fabric: fabric, Slots: 48, Engine: true, StartedMs: s.startedMs,
+		ID: fmt.Sprintf("e%03d", s.startedMs), Service: "s", Fabric: fabric, FailureDomain: fabric, Slots: 48, Engine: true, StartedMs: s.startedMs,
 	}}
 	s.engines = append(s.engines, e)
 	return e
@@ -142,7 +145,7 @@
 }
 
 func (s *simulation) view() View {
-	v := View{Engine: s.engine, Heads: map[string]HeadReport{}, TrafficStarted: s.trafficStarted, Term: s.term, LeaderSince: s.leaderSince, Demand: s.demand}
+	v := View{Engine: s.engine, Heads: map[string]HeadReport{}, TrafficStarted: s.trafficStarted, Term: s.term, LeaderSince: s.leaderSince, Demand: s.demand, Evacuated: s.evacuated}
 	for _, e := range s.engines {
 		if !e.reportsLost {
 			e.lastReport, e.reportedAt = e.Endpoint, s.now
@@ -151,7 +154,7 @@
 			e.lastReport = e.Endpoint // Known from an announcement before the simulation began.
 		}
 		v.Hosts = append(v.Hosts, Host{Endpoint: e.lastReport, LastReport: e.reportedAt, Alive: !e.dead && !e.partitioned})
-		if e.IsServingHead() && !e.dead && s.complete(e) {
+		if e.IsServingHead() && !e.dead && s.complete(e) && !s.idle[e.ID] {
 			v.Heads[e.ID] = HeadReport{Waiting: 5}
 		}
 	}
