permit, balance, portal, gateway: warm-up limit of endpoints

Cause: an endpoint that has just started crashes when it gets many more requests a second than it tolerates. Change: a service may have a warm-up limit (cold_s, cold_per_s). Portals and gateways track which endpoints are cold; the leader divides the limit with short permits whose age gateways bound by their own reports, and takes back those that expire unused. Without a leader a gateway grants itself a share at times of its own. The planner prefers a head that isn't cold.

--- a/internal/control/formation/form.go
+++ b/internal/control/formation/form.go
@@ -194,7 +194,7 @@
 		ReplicaRef: p.nextRef(c.model.Name), model: c.model.Name, fabric: fabric, phase: phaseForming,
 		since: p.now, deadline: p.now.Add(c.readyTime + formingMargin),
 	}
-	for _, h := range c.members {
+	for _, h := range warmestFirst(c.members) {
 		r.members = append(r.members, h.ID)
 	}
 	p.replicas[r.Replica] = r
@@ -203,3 +203,18 @@
 		p.send(Join{id, r.ReplicaRef, r.model, r.members})
 	}
 }
+
+// warmestFirst returns the members of a new replica with the one that is cold for the shortest time first. The first one becomes the
+// head, and only heads get requests.
+func warmestFirst(members []Host) []Host {
+	best := 0
+	for i, h := range members {
+		if h.Cold < members[best].Cold {
+			best = i
+		}
+	}
+	if best == 0 {
+		return members
+	}
+	return slices.Concat(members[best:best+1], members[:best], members[best+1:])
+}
--- a/internal/control/formation/view.go
+++ b/internal/control/formation/view.go
@@ -17,6 +17,8 @@
 	LastReport time.Time
 	// ConnRefused is true if connections to the engine's address are refused.
 	ConnRefused bool
+	// Cold is how much longer the engine is cold, 0 if it isn't.
+	Cold time.Duration
 }
 
 // usable reports whether the engine may become a member of a new replica.
--- a/internal/control/permit/allocator.go
+++ b/internal/control/permit/allocator.go
@@ -40,6 +40,8 @@
 	gateways map[host.ID]*gateway
 	// changed is increased with each change of a limit.
 	changed uint64
+	// warm holds the warm-up limits of the endpoints that are cold.
+	warm map[roster.Incarnation]*limit
 }
 
 // limit is what an incarnation of an endpoint has said last.
@@ -57,6 +59,10 @@
 	credits map[host.ID]float64
 	// changed is the value of Allocator.changed after the last change.
 	changed uint64
+	// issued are the permits of the last warmWindow that may have been used, the oldest first, if this is a warm-up limit.
+	// issuedCount is their number.
+	issued      []issue
+	issuedCount int
 }
 
 // gateway is what a gateway has reported, and its permits that have yet to be sent.
@@ -67,6 +73,13 @@
 	pending  map[roster.Incarnation]int
 	// sent is the value of Allocator.changed up to which it knows the limits.
 	sent uint64
+	// report is the number of its latest report, and warm are its permits for cold endpoints that have yet to be sent. warmReport is
+	// the value of report when the first of these was granted.
+	report     uint64
+	warm       map[roster.Incarnation]int
+	warmReport uint64
+	// serial is the number of the grant that warm belongs to.
+	serial uint64
 }
 
 // Change is a limit that an endpoint has named first, changed or ended.
@@ -82,6 +95,8 @@
 func (a *Allocator) Report(from host.ID, r message.LimitReport, scope func(roster.Incarnation) string, now time.Time) []Change {
 	g := a.gateway(from)
 	a.recordArrivals(g, r.Arrivals, now)
+	g.report = r.Number
+	a.takeBack(from, r.Unused)
 	var changes []Change
 	for _, l := range r.Limits {
 		if known := a.limits[l.Incarnation()]; known != nil {
@@ -215,8 +230,13 @@
 func (a *Allocator) grant(id roster.Incarnation, l *limit, shares []weight, now time.Time) bool {
 	l.tokens = min(l.tokens+l.perSecond*now.Sub(l.filledAt).Seconds(), 1+l.perSecond*burstTime.Seconds())
 	l.filledAt = now
+	return a.handOut(id, l, shares, false)
+}
+
+// handOut turns the tokens of an endpoint into permits. warm says that they are those of its warm-up limit.
+func (a *Allocator) handOut(id roster.Incarnation, l *limit, shares []weight, warm bool) bool {
 	granted := false
-	for l.tokens >= 1 && len(shares) > 0 {
+	for l.tokens >= 1 && len(shares) > 0 && (!warm || l.hasWindowRoom()) {
 		l.tokens--
 		best := 0
 		for i, s := range shares {
@@ -226,7 +246,11 @@
 			}
 		}
 		l.credits[shares[best].id]--
-		shares[best].g.pending[id]++
+		if warm {
+			a.giveWarm(id, l, shares[best])
+		} else {
+			shares[best].g.pending[id]++
+		}
 		granted = true
 	}
 	maps.DeleteFunc(l.credits, func(id host.ID, _ float64) bool { return a.gateways[id] == nil })
@@ -265,7 +289,9 @@
 func (a *Allocator) StepDown(now time.Time) {
 	for _, g := range a.gateways {
 		clear(g.pending)
+		clear(g.warm)
 	}
+	clear(a.warm)
 	for _, l := range a.limits {
 		l.tokens, l.filledAt = 0, now
 	}
--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -75,12 +75,13 @@
 		return
 	}
 	p.direct[e.ID] = direct
+	current, _ := p.roster.Get(e.ID)
+	p.judgeAnnouncement(old, current, direct, seenAt)
 	p.clearHealth(e.ID, seenAt)
 	if change != roster.ChangeContent {
 		return
 	}
 	p.contentChanged[e.ID] = time.Now()
-	current, _ := p.roster.Get(e.ID)
 	line := event.EndpointAnnounced.On(p.opts.Logger).Str("endpoint", current.ID).Str("address", current.Address).
 		Uint64("sequence", current.Sequence).Int64("born", current.StartedMs).Uint8("state", uint8(current.State)).Bool("direct", direct)
 	if current.Engine {
@@ -106,6 +107,7 @@
 		p.mu.Lock()
 		for _, h := range update.Heard {
 			p.applyAnnouncement(h.Endpoint, now.Add(-h.Age), false)
+			p.takeOverCold(h, now)
 		}
 		p.mu.Unlock()
 		next, err := s.Receive()
@@ -177,7 +179,7 @@
 	defer p.mu.Unlock()
 	var all []message.Heard
 	for _, e := range p.roster.All() {
-		all = append(all, message.Heard{Endpoint: e.Endpoint, Age: time.Since(e.LastSeen)})
+		all = append(all, message.Heard{Endpoint: e.Endpoint, Age: time.Since(e.LastSeen), Cold: p.coldRemaining(e.Endpoint, time.Now())})
 	}
 	return all
 }
@@ -201,7 +203,7 @@
 			continue
 		}
 		sent[e.ID] = sentState{e.Sequence, e.StartedMs, e.State, now, takesRequests(e.Endpoint)}
-		changes = append(changes, message.Heard{Endpoint: e.Endpoint, Age: now.Sub(e.LastSeen)})
+		changes = append(changes, message.Heard{Endpoint: e.Endpoint, Age: now.Sub(e.LastSeen), Cold: p.coldRemaining(e.Endpoint, now)})
 	}
 	return changes
 }
--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -92,6 +92,7 @@
 		}
 		hosts = append(hosts, formation.Host{
 			Endpoint: e.Endpoint, LastReport: e.LastSeen, ConnRefused: h.connRefused,
+			Cold:  p.coldRemaining(e.Endpoint, now),
 			Alive: !h.dead && e.State != roster.StateLeft && now.Sub(lastSeen) < p.probeAfter()+unprobedTimeout,
 		})
 	}
--- a/internal/control/portal/metrics.go
+++ b/internal/control/portal/metrics.go
@@ -18,6 +18,7 @@
 	held          metrics.Counter
 	released      metrics.Counter
 	limits        metrics.Counter
+	cold          metrics.Counter
 }
 
 func newPortalMetrics(r *metric.Registry) portalMetrics {
@@ -32,5 +33,6 @@
 		held:          r.Counter("portal_holds_total", "Keys of requests that were held back since they crash endpoints, failed trials included."),
 		released:      r.Counter("portal_releases_total", "Keys of requests that are not held back any more."),
 		limits:        r.Counter("portal_limits_total", "Rate limits of endpoints that were named, changed or ended."),
+		cold:          r.Counter("portal_cold_total", "Endpoints that became cold, by this host's judgement."),
 	}
 }
--- a/internal/control/portal/permits.go
+++ b/internal/control/portal/permits.go
@@ -14,6 +14,7 @@
 
 // hearLimits records what a gateway reports of the limits of endpoints. mu is held.
 func (p *Portal) hearLimits(gateway host.ID, r message.LimitReport, now time.Time) {
+	p.hearCold(gateway, r.Cold, now)
 	changes := p.permits.Report(gateway, r, p.scopeOf, now)
 	for _, c := range changes {
 		p.metrics.limits.Inc(1)
@@ -38,15 +39,19 @@
 }
 
 // grantPermits divides the limits of endpoints between the gateways. Only a leader that has confirmed its leadership
-// calls it.
-func (p *Portal) grantPermits(now time.Time) {
+// calls it. leaderSince is when it became the leader.
+func (p *Portal) grantPermits(now, leaderSince time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if now.Sub(p.grantedAt) < permitInterval {
 		return
 	}
 	p.grantedAt = now
-	if p.permits.Grant(now, p.incarnationGone) {
+	granted := p.permits.Grant(now, p.incarnationGone)
+	if now.Sub(leaderSince) >= warmUpSettleTime {
+		granted = p.permits.GrantCold(p.coldEndpoints(now), now) || granted
+	}
+	if granted {
 		p.notifyPermits()
 	}
 }
@@ -85,9 +90,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	limits := p.permits.Take(peer, false, now)
-	if len(limits) == 0 {
+	limits, warmUp := p.permits.Take(peer, false, now), p.warmUpUpdate(peer, false, now)
+	if len(limits) == 0 && (warmUp == nil || len(warmUp.Cold) == 0) {
 		return nil
 	}
-	return &message.Picture{Partial: true, Leader: leader, Limits: limits, Granting: p.isGranting(now)}
+	return &message.Picture{Partial: true, Leader: leader, Limits: limits, Granting: p.isGranting(now), WarmUp: warmUp}
 }
--- a/internal/control/portal/planning.go
+++ b/internal/control/portal/planning.go
@@ -85,7 +85,7 @@
 		return
 	}
 	p.judgeHolds(ctx, now)
-	p.grantPermits(now)
+	p.grantPermits(now, state.since)
 	if p.opts.FirstStart || now.Sub(state.since) > leaderSettleTime {
 		p.plan(ctx, state.leadership, state.planners, now)
 	}
@@ -96,9 +96,11 @@
 func (p *Portal) forgetEndpoints(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.tracker.Step(now)
 	for _, id := range p.roster.Forget(now, forgetAfter) {
 		delete(p.health, id)
 		delete(p.direct, id)
+		p.tracker.Forget(id)
 		delete(p.contentChanged, id)
 	}
 }
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -23,6 +23,7 @@
 	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/control/replication"
+	"github.com/egretreach/egretreach/internal/control/warmup"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
@@ -132,6 +133,9 @@
 	permits      permit.Allocator
 	grantedAt    time.Time
 	permitsReady chan struct{}
+	// tracker knows the cold endpoints, and warmUps holds the warm-up limits of the services that have one.
+	tracker warmup.Tracker
+	warmUps map[string]routes.WarmUp
 	// questions are those of the gateways on the configuration. They have a mutex of their own.
 	questions questions
 	// departures wait to be kept in the log. They have a mutex of their own.
@@ -160,6 +164,7 @@
 		reports:        map[host.ID]receivedReport{},
 		health:         map[string]endpointHealth{},
 		voterMovedAt:   map[host.ID]time.Time{},
+		tracker:        warmup.Tracker{FirstStart: opts.FirstStart, MaxSilence: opts.Heartbeat*5/3 + unprobedTimeout},
 	}
 }
 
@@ -310,7 +315,7 @@
 			} else {
 				event.ConfigInForce.On(p.opts.Logger).Uint64("revision", document.Version).Msg("")
 				p.mu.Lock()
-				p.table = table
+				p.setTable(table)
 				p.notifyLocked()
 				p.mu.Unlock()
 			}
--- a/internal/control/portal/subscriber.go
+++ b/internal/control/portal/subscriber.go
@@ -144,6 +144,7 @@
 		m.Document, state.version = document.Bytes, document.Version
 	}
 	m.Limits, m.Granting = p.permits.Take(peer, complete, now), p.isGranting(now)
+	m.WarmUp = p.warmUpUpdate(peer, true, now)
 	for _, e := range p.roster.All() {
 		if !complete && !state.wants(e.Endpoint) {
 			continue
--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -76,6 +76,8 @@
 	notice notice
 	// limit is what it has said about the requests that it takes.
 	limit rateLimit
+	// warm is its warm-up.
+	warm warmUp
 }
 
 // Balancer balances the requests of one gateway over all endpoints. The zero value has no
@@ -85,6 +87,8 @@
 	FailureDomain string
 	// Gateways is how many gateways share the endpoints, 0 if that is not known.
 	Gateways int
+	// Phase is a number from 0 up to, but not including, 1 that differs between gateways.
+	Phase float64
 
 	// endpoints holds the endpoints by ID.
 	endpoints map[string]*endpointState
@@ -104,6 +108,11 @@
 	// promised is the latest time that a Retry-After has named, by service and model, while the limits of
 	// endpoints were the cause.
 	promised map[string]time.Time
+	// warmUps holds the warm-up limits of the services that have one. It is nil if there are none.
+	warmUps map[string]routes.WarmUp
+	// mostGateways is the greatest value of Gateways within gatewayMemory, and mostGatewaysAt when it was last set.
+	mostGateways   int
+	mostGatewaysAt time.Time
 }
 
 // SetServices replaces the services that operators have configured.
@@ -112,6 +121,7 @@
 	for _, s := range services {
 		b.engines[s.Name] = s.Engine
 	}
+	b.setWarmUps(services)
 }
 
 // UpdateEndpoints adds endpoints or replaces what is known of them. An endpoint that has
@@ -169,6 +179,7 @@
 	if t, ok := b.endpoints[id]; ok {
 		t.lastData = now
 		t.refusesConnections = false
+		b.connected(t, now)
 	}
 }
 
@@ -176,7 +187,7 @@
 // request, and measured the time from its sending to the event.
 func (b *Balancer) FirstEventReceived(id string, req Request, forecast, measured time.Duration, now time.Time) {
 	if t, ok := b.endpoints[id]; ok {
-		t.updateSlowdown(forecast, measured, now)
+		t.updateSlowdown(forecast, measured, b.isCold(t, now), now)
 		t.streaming++
 		t.pendingPromptTokens = max(0, t.pendingPromptTokens-req.PromptTokens)
 		t.lastData = now
@@ -244,6 +255,9 @@
 	}
 	t.waitingSince = now
 	t.applyResult(r, now)
+	if r == ResultConnectionRefused || r == ResultUnreachable {
+		b.connectFailed(t, now)
+	}
 }
 
 // applyResult updates the endpoint's health and load by a request's result.
--- a/internal/entry/balance/exclusion.go
+++ b/internal/entry/balance/exclusion.go
@@ -21,10 +21,12 @@
 	ExclusionSilent
 	// ExclusionLimited is an endpoint whose limit of requests a second is used up.
 	ExclusionLimited
+	// ExclusionCold is an endpoint that is cold and whose warm-up limit is used up.
+	ExclusionCold
 )
 
 func (e Exclusion) String() string {
-	return [...]string{"none", "leaving", "busy", "banned", "silent", "limited"}[e]
+	return [...]string{"none", "leaving", "busy", "banned", "silent", "limited", "cold"}[e]
 }
 
 // returnTime is how long after the end of a busy time the requests in flight at an endpoint take to
@@ -63,6 +65,10 @@
 		return ExclusionBanned
 	case t.stalled(now):
 		return ExclusionSilent
+	case b.isCold(t, now):
+		if b.isColdAndUsedUp(t, now) {
+			return ExclusionCold
+		}
 	case b.isLimited(t, now):
 		return ExclusionLimited
 	}
@@ -129,12 +135,28 @@
 	if until, ok := b.nextReturn(w.Request, now); ok && until.Before(w.WaitUntil) {
 		return until
 	}
-	if next := now.Add(selfGrantInterval); b.grantsItself(now) && b.HasLimits() && next.Before(w.WaitUntil) {
+	if next := now.Add(selfGrantInterval); b.mayGrantItself(w.Request, now) && next.Before(w.WaitUntil) {
 		return next
 	}
 	return w.WaitUntil
 }
 
+// mayGrantItself reports whether the gateway may grant itself permits for a request.
+func (b *Balancer) mayGrantItself(req Request, now time.Time) bool {
+	if b.grantsItself(now) && b.HasLimits() {
+		return true
+	}
+	if len(b.warmUps) == 0 {
+		return false
+	}
+	for _, t := range b.serving(req) {
+		if b.isCold(t, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // anyServesBy reports whether an endpoint that serves a request may get it by a time.
 func (b *Balancer) anyServesBy(req Request, by, now time.Time) bool {
 	for _, t := range b.serving(req) {
--- a/internal/entry/balance/forecast.go
+++ b/internal/entry/balance/forecast.go
@@ -104,12 +104,18 @@
 	return t.slowdown
 }
 
-// updateSlowdown updates the endpoint's slowdown by a measured time to the first event.
-func (t *endpointState) updateSlowdown(forecast, measured time.Duration, now time.Time) {
+// updateSlowdown updates the endpoint's slowdown by a measured time to the first event. The first measurements of a cold endpoint,
+// which is slower than before, weigh more: their mean counts.
+func (t *endpointState) updateSlowdown(forecast, measured time.Duration, cold bool, now time.Time) {
 	if forecast <= 0 {
 		return
 	}
 	slowdown := t.currentSlowdown(now)
 	measuredSlowdown := min(maxSlowdown, max(minSlowdown, slowdown*float64(measured)/float64(forecast)))
-	t.slowdown, t.slowdownAt = slowdown+(measuredSlowdown-slowdown)*slowdownWeight, now
+	weight := slowdownWeight
+	if cold {
+		t.warm.measured++
+		weight = max(weight, 1/float64(t.warm.measured))
+	}
+	t.slowdown, t.slowdownAt = slowdown+(measuredSlowdown-slowdown)*weight, now
 }
--- a/internal/entry/balance/limit.go
+++ b/internal/entry/balance/limit.go
@@ -169,6 +169,9 @@
 
 // share returns how many requests a second this gateway may expect to send to a limited endpoint.
 func (b *Balancer) share(t *endpointState, now time.Time) float64 {
+	if b.isCold(t, now) {
+		return b.warmShare(t, now)
+	}
 	l := &t.limit
 	if l.granted > 0 {
 		return min(l.average(earlier(now, b.grantingAt.Add(grantSilence))), l.perSecond)
@@ -216,8 +219,18 @@
 	l.ownTokens = min(1, l.ownTokens+b.share(t, now)*now.Sub(since).Seconds())
 }
 
-// usePermit takes the permit for a request that is placed at an endpoint.
-func (t *endpointState) usePermit() {
+// usePermit takes the permit for a request that is placed at an endpoint. It returns until when the request may be sent, or zero for
+// no bound.
+func (b *Balancer) usePermit(t *endpointState, now time.Time) time.Time {
+	if b.isCold(t, now) {
+		return b.useWarmPermit(t, now)
+	}
+	t.useLimitPermit()
+	return time.Time{}
+}
+
+// useLimitPermit takes the permit of a limit that the endpoint has named.
+func (t *endpointState) useLimitPermit() {
 	l := &t.limit
 	switch {
 	case l.perSecond == 0:
@@ -237,11 +250,11 @@
 	for _, t := range b.serving(req) {
 		switch b.exclusion(t, now) {
 		case ExclusionNone:
-			if t.limit.perSecond == 0 {
+			if t.limit.perSecond == 0 && !b.isCold(t, now) {
 				return 0, false
 			}
 			fallthrough
-		case ExclusionLimited:
+		case ExclusionLimited, ExclusionCold:
 			sum += b.share(t, now)
 			limited = true
 		case ExclusionLeaving, ExclusionBusy, ExclusionBanned, ExclusionSilent:
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -14,7 +14,7 @@
 			continue
 		}
 		if excluded := b.exclusion(t, now); excluded != ExclusionNone {
-			if excluded == ExclusionLeaving || excluded == ExclusionBusy || excluded == ExclusionLimited {
+			if excluded == ExclusionLeaving || excluded == ExclusionBusy || excluded == ExclusionLimited || excluded == ExclusionCold {
 				avoided++
 			}
 			continue
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -52,6 +52,10 @@
 	// Avoided counts the endpoints that serve the request and got none because they leave, are
 	// busy or have a limit. It is set if Endpoint is.
 	Avoided int
+	// Cold counts those of them whose warm-up limit was used up.
+	Cold int
+	// SendBy is until when the request may be sent to a cold Endpoint. It is zero if there is no bound.
+	SendBy time.Time
 	// Refused says that the request is refused, for Reason. The caller should wait for
 	// RetryAfter before it retries.
 	Refused    bool
@@ -65,8 +69,9 @@
 type Availability struct {
 	// Serving counts the endpoints that serve the request, Banned those of them that are
 	// banned or have stalled, Leaving those that have said that they leave, and Busy those that have
-	// asked for no requests for a time, and Limited those whose limit is used up.
-	Serving, Banned, Leaving, Busy, Limited int
+	// asked for no requests for a time, and Limited those whose limit is used up. Cold are
+	// those whose warm-up limit is.
+	Serving, Banned, Leaving, Busy, Limited, Cold int
 	// EarliestForecast is the earliest forecast of a first event among the other endpoints,
 	// and Occupied the estimated number of requests at the endpoint with that forecast.
 	Occupied         float64
@@ -91,6 +96,9 @@
 		case ExclusionLimited:
 			a.Limited++
 			continue
+		case ExclusionCold:
+			a.Cold++
+			continue
 		case ExclusionNone:
 		}
 		occupied, forecast := b.occupied(t, now), b.forecastFirstEvent(t, req, now)
@@ -204,8 +212,10 @@
 	source, age := t.loadSource(now)
 	b.RequestSent(t.ID, req, now)
 	b.countPlaced(req, now)
-	t.usePermit()
+	cold := b.countCold(req, now)
+	sendBy := b.usePermit(t, now)
 	return Decision{
+		SendBy: sendBy, Cold: cold,
 		Endpoint: t.Endpoint, Forecast: expected, Occupied: occupied, LoadFrom: source, LoadAge: age, Avoided: avoided,
 	}, true
 }
--- a/internal/entry/dialect/dialect.go
+++ b/internal/entry/dialect/dialect.go
@@ -40,6 +40,8 @@
 	RetryAfter string
 	// Limit carries how many requests a second an endpoint takes from all gateways together.
 	Limit string
+	// Cold carries how much longer an endpoint stays cold.
+	Cold string
 	// PromptParts lists the parts of a request's prompt in order.
 	PromptParts string
 }
@@ -77,6 +79,8 @@
 	ParseRetryAfter func(text string) (time.Duration, bool)
 	// ParseLimit parses a value of Headers.Limit, in requests a second.
 	ParseLimit func(text string) (float64, bool)
+	// ParseCold parses a value of Headers.Cold.
+	ParseCold func(text string) (time.Duration, bool)
 	// ParsePromptParts parses a value of Headers.PromptParts. It returns the IDs of the parts that other
 	// requests may share: all but the last one, which belongs to the request itself.
 	ParsePromptParts func(text string) []string
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -41,6 +41,9 @@
 	startedAt      time.Time
 	// decision is why the balancer chose the endpoint.
 	decision balance.Decision
+	// sendBy is until when the request may be sent by clock.Now, zero for no bound. tooLate says that it was not sent for that.
+	sendBy   time.Time
+	tooLate  bool
 	exchange *upstream.Exchange
 	// streamed says that the first event has arrived, at firstEventAt.
 	streamed     bool
@@ -107,6 +110,7 @@
 	g := c.g
 	startedAt := time.Now()
 	g.mu.Lock()
+	g.dropOldPermits()
 	d, waiter := g.balancer.Submit(req, startedAt)
 	g.mu.Unlock()
 	if waiter != nil {
@@ -119,7 +123,12 @@
 	if d.Avoided > 0 {
 		g.metrics.avoided.Inc(1)
 	}
-	return &attempt{call: c, balanceRequest: req, endpoint: d.Endpoint, startedAt: time.Now(), decision: d}, d
+	if d.Cold > 0 {
+		g.metrics.coldAvoided.Inc(1)
+	}
+	a := &attempt{call: c, balanceRequest: req, endpoint: d.Endpoint, startedAt: time.Now(), decision: d}
+	a.setSendBy(a.startedAt)
+	return a, d
 }
 
 // awaitDecision waits for the decision on a queued request. If ctx ends first, because the caller
@@ -135,6 +144,7 @@
 			return d
 		case <-timer.C:
 			g.mu.Lock()
+			g.dropOldPermits()
 			now := time.Now()
 			g.balancer.ProcessQueue(now)
 			timer.Reset(time.Until(g.balancer.NextReturn(w, now)))
@@ -170,7 +180,7 @@
 	request := *c.request
 	request.Header = a.requestHeader(lastEventID)
 	x, err := c.g.upstream.Do(ctx, a.endpoint.Address, &request, upstream.WaitPolicy{
-		CheckInterval: waitCheckInterval, KeepWaiting: a.keepWaiting, Unwanted: func() bool { return a.unwanted(ctx) },
+		CheckInterval: waitCheckInterval, KeepWaiting: a.keepWaiting, Unwanted: func() bool { return a.unwanted(ctx) }, MaySend: a.maySend,
 	})
 	if err != nil {
 		return a.classifyError(err), err
@@ -238,7 +248,7 @@
 		a.call.stats.sends--
 		a.result = balance.ResultUnreachable
 		switch {
-		case a.call.r.Context().Err() != nil:
+		case a.tooLate, a.call.r.Context().Err() != nil:
 			a.result = balance.ResultCanceled
 		case upstream.IsConnectionRefused(err):
 			a.result = balance.ResultConnectionRefused
@@ -334,6 +344,7 @@
 	g := a.call.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.dropOldPermits()
 	if r == balance.ResultSuccess && a.provesHarmless() {
 		a.recordHarmless(now)
 	}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -99,7 +99,7 @@
 	lateness   lateness.Meter
 	metrics    gatewayMetrics
 
-	// mu guards the fields up to resubscribed.
+	// mu guards the fields up to warmUps.
 	mu           sync.Mutex
 	balancer     balance.Balancer
 	roster       roster.Roster
@@ -115,6 +115,7 @@
 	// to another control host.
 	arrivals       map[string]int
 	resubscribed   bool
+	warmUps        warmUps
 	callerTimeouts callerTimeouts
 	upstream       upstream.Pool
 	bodies         bodyMemory
@@ -158,6 +159,7 @@
 	if g.bodies.limit = opts.BodyMemory; g.bodies.limit == 0 {
 		g.bodies.limit = DefaultBodyMemory
 	}
+	g.balancer.Phase = g.randomFraction()
 	g.serving, g.cut = context.WithCancel(context.Background())
 	g.server = g.newServer(nil)
 	return g
--- a/internal/entry/gateway/limit.go
+++ b/internal/entry/gateway/limit.go
@@ -52,6 +52,8 @@
 
 // applyLimits takes over the limits of endpoints and the permits that control sends. mu must be held.
 func (g *Gateway) applyLimits(update *message.Picture, now time.Time) {
+	g.dropOldPermits()
+	g.applyCold(update, now)
 	if update.Granting {
 		g.balancer.SetGranting(now)
 	}
@@ -72,8 +74,9 @@
 	for _, l := range g.balancer.TakeLimits(g.resubscribed, now) {
 		r.Limits = append(r.Limits, limitMessage(l, now))
 	}
+	g.coldReport(&r, g.resubscribed, now)
 	g.resubscribed = false
-	if g.balancer.HasLimits() {
+	if g.balancer.HasLimits() || g.balancer.HasWarmUps() {
 		for scope, count := range g.arrivals {
 			r.Arrivals = append(r.Arrivals, message.Arrivals{Scope: scope, Count: count})
 		}
--- a/internal/entry/gateway/metrics.go
+++ b/internal/entry/gateway/metrics.go
@@ -26,6 +26,9 @@
 	avoided  metrics.Counter
 	heldBack metrics.Counter
 	limits   metrics.Counter
+	cold     metrics.Counter
+	// coldAvoided and coldRefused count the requests that a warm-up limit has moved or refused.
+	coldAvoided, coldRefused metrics.Counter
 }
 
 func newGatewayMetrics(r *metric.Registry) gatewayMetrics {
@@ -43,6 +46,11 @@
 		busy:     r.Counter("gateway_busy_notices_total", "Responses by which endpoints asked for no requests for a time."),
 		avoided:  r.Counter("gateway_avoided_total", "Requests sent elsewhere because an endpoint leaves, is busy or has a limit."),
 		limits:   r.Counter("gateway_limits_total", "Rate limits of endpoints that were named, changed or ended."),
+		cold:     r.Counter("gateway_cold_total", "Endpoints that became cold, as control or the endpoint said."),
+
+		coldAvoided: r.Counter("gateway_cold_avoided_total", "Requests sent elsewhere or later because the warm-up limit of an endpoint was used up."),
+		coldRefused: r.Counter("gateway_cold_refused_total", "Requests refused while the warm-up limit of an endpoint was used up."),
+
 		heldBack: r.Counter("gateway_held_back_total", "Requests refused because requests like them crash endpoints."),
 	}
 }
--- a/internal/entry/gateway/notice.go
+++ b/internal/entry/gateway/notice.go
@@ -15,6 +15,7 @@
 // was sent.
 func (a *attempt) recordNotices(response *http.Response) {
 	a.recordLimit(response)
+	a.recordCold(response)
 	names := a.call.g.opts.Dialect.Headers
 	if a.call.g.opts.Dialect.ParseLeaving(response.Header.Get(names.Leaving)) {
 		a.recordLeaving()
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -112,6 +112,9 @@
 		return
 	}
 	c.stats.availability = d.Availability
+	if d.Availability.Cold > 0 {
+		c.g.metrics.coldRefused.Inc(1)
+	}
 	c.refuse(d.RetryAfter, d.Reason)
 }
 
--- a/internal/entry/gateway/subscription.go
+++ b/internal/entry/gateway/subscription.go
@@ -70,6 +70,8 @@
 	g.mu.Lock()
 	g.observer.Resubscribed()
 	g.resubscribed = true
+	g.warmUps.serial = 0
+	g.balancer.ForgetGrants()
 	g.mu.Unlock()
 	event.ControlFollowed.On(g.opts.Logger).Str("address", address).Msg("")
 	ended := make(chan struct{})
--- a/internal/entry/gateway/update.go
+++ b/internal/entry/gateway/update.go
@@ -24,23 +24,29 @@
 		g.balancer.SetServices(table.Services)
 	}
 	var changed []roster.Endpoint
+	var fresh []roster.Incarnation
 	for _, e := range update.Endpoints {
 		if err := e.Validate(); err != nil {
 			event.UpdateSkipped.On(g.opts.Logger).Str("endpoint", strconv.QuoteToASCII(e.ID)).Err(err).Msg("")
 			continue
 		}
+		old, known := g.roster.Get(e.ID)
 		if g.roster.Announce(e, now) == roster.ChangeContent {
 			changed = append(changed, e)
+			if !known || old.StartedMs != e.StartedMs {
+				fresh = append(fresh, e.Incarnation())
+			}
 		}
 	}
 	g.dropReplaced(changed)
 	g.balancer.UpdateEndpoints(changed)
 	g.balancer.MarkLost(update.Lost, now)
 	g.applyHolds(update, now)
-	g.applyLimits(update, now)
 	if update.Gateways > 0 {
-		g.balancer.Gateways = update.Gateways
+		g.balancer.SetGateways(update.Gateways, now)
 	}
+	g.assumeCold(update, fresh, now)
+	g.applyLimits(update, now)
 	g.balancer.ProcessQueue(now)
 }
 
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -67,8 +67,13 @@
 	KeepWaiting func() bool
 	// Unwanted reports whether nobody waits for the response any more, which ends the wait as well. It may be nil.
 	Unwanted func() bool
+	// MaySend reports whether the request may still be sent once there is a connection. It may be nil.
+	MaySend func() bool
 }
 
+// errTooLate is the cause of an ErrNotSent if MaySend forbids it.
+var errTooLate = errors.New("the request may not be sent any more")
+
 // Exchange is a request to an endpoint and its response. It must be closed.
 type Exchange struct {
 	pool *Pool
@@ -97,6 +102,10 @@
 	if err != nil {
 		return nil, ErrNotSent{Cause: err}
 	}
+	if wait.MaySend != nil && !wait.MaySend() {
+		p.put(c, 0)
+		return nil, ErrNotSent{Cause: errTooLate}
+	}
 	c.wait = wait
 	x := &Exchange{pool: p, conn: c}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -83,6 +83,8 @@
 	Staged []string `cbor:"12,keyasint,omitempty"`
 	// Member is nil if the endpoint is in no replica.
 	Member *Membership `cbor:"13,keyasint,omitempty"`
+	// ColdMs is how much longer the endpoint stays cold, as announced, in milliseconds.
+	ColdMs int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Incarnation identifies one run of an endpoint process.
@@ -165,7 +167,7 @@
 	if at, found := slices.BinarySearch(r.ids, e.ID); !found {
 		r.ids = slices.Insert(r.ids, at, e.ID)
 	}
-	unchanged := known && equalContent(old.Endpoint, e)
+	unchanged := known && equalContent(old.Endpoint, e) && !isColder(old, e, seenAt)
 	r.entries[e.ID] = Entry{Endpoint: e, LastSeen: seenAt, Unchanged: unchanged, LastReady: lastReady(old, e)}
 	if unchanged {
 		return ChangeLiveness
@@ -256,6 +258,20 @@
 	return slices.Equal(a.Staged, b.Staged)
 }
 
+// coldTolerance is by how much an endpoint's announced cold time may exceed what is left of the one before without being
+// a new one. Announcements are forwarded with a delay.
+const coldTolerance = 500 * time.Millisecond
+
+// isColder reports whether an announcement that arrived at seenAt says that the endpoint stays cold for longer than the one before it
+// said.
+func isColder(old Entry, e Endpoint, seenAt time.Time) bool {
+	if e.ColdMs == 0 {
+		return false
+	}
+	left := max(0, time.Duration(old.ColdMs)*time.Millisecond-seenAt.Sub(old.LastSeen))
+	return time.Duration(e.ColdMs)*time.Millisecond > left+coldTolerance
+}
+
 // Get returns the entry with an ID.
 func (r *Roster) Get(id string) (Entry, bool) {
 	e, ok := r.entries[id]
--- a/internal/fleet/roster/validate.go
+++ b/internal/fleet/roster/validate.go
@@ -67,6 +67,8 @@
 		return ErrInvalid{"sequence", "is out of range"}
 	case e.Slots < 0 || e.Slots > maxSlots:
 		return ErrInvalid{"slots", "is out of range"}
+	case e.ColdMs < 0 || e.ColdMs > MaxNumber:
+		return ErrInvalid{"cold time", "is out of range"}
 	}
 	return nil
 }
--- a/internal/fleet/routes/check.go
+++ b/internal/fleet/routes/check.go
@@ -28,6 +28,9 @@
 	services := map[string]bool{}
 	for _, s := range t.Services {
 		services[s.Name] = true
+		if s.WarmUp.Time < 0 || s.WarmUp.PerSecond < 0 || (s.WarmUp.Time > 0) != (s.WarmUp.PerSecond > 0) {
+			return ErrInvalid{"service " + s.Name, "its warm-up needs a time and a rate above 0"}
+		}
 	}
 	taken := map[hostPrefix]string{}
 	for _, r := range t.Routes {
--- a/internal/fleet/routes/routes.go
+++ b/internal/fleet/routes/routes.go
@@ -137,8 +137,20 @@
 	MaxConnections int
 	// Engine is nil for services that run no model.
 	Engine *Engine
+	// WarmUp limits the requests to the service's endpoints after their start.
+	WarmUp WarmUp
 }
 
+// WarmUp is the warm-up limit of a service: for Time after its start an endpoint is cold, and all gateways together send it
+// about PerSecond requests a second. The zero value is no limit.
+type WarmUp struct {
+	Time      time.Duration
+	PerSecond float64
+}
+
+// IsSet reports whether there is a limit.
+func (w WarmUp) IsSet() bool { return w.Time > 0 && w.PerSecond > 0 }
+
 // Team is a group of callers.
 type Team struct {
 	Name string
--- a/internal/link/message/limit.go
+++ b/internal/link/message/limit.go
@@ -13,6 +13,41 @@
 	Limits []EndpointLimit `cbor:"1,keyasint,omitempty"`
 	// Arrivals are the requests since the last report, while any endpoint has a limit.
 	Arrivals []Arrivals `cbor:"2,keyasint,omitempty"`
+	// Number is the number of the report while a service has a warm-up limit. The numbers of a gateway rise.
+	Number uint64 `cbor:"3,keyasint,omitempty"`
+	// Cold are the endpoints that the gateway itself has found to be cold.
+	Cold []ColdEndpoint `cbor:"4,keyasint,omitempty"`
+	// Unused are the permits for cold endpoints that have expired unused.
+	Unused []ColdEndpoint `cbor:"5,keyasint,omitempty"`
+}
+
+// ColdEndpoint is an incarnation of an endpoint that is cold, of a service with a warm-up limit.
+type ColdEndpoint struct {
+	Endpoint  string `cbor:"1,keyasint"`
+	StartedMs int64  `cbor:"2,keyasint"`
+	// Remaining is how much longer it is cold.
+	Remaining time.Duration `cbor:"3,keyasint,omitempty"`
+	// Permits is how many requests the gateway may send. In a report it counts those of the grant Serial that have expired unused.
+	Permits int    `cbor:"4,keyasint,omitempty"`
+	Serial  uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Incarnation returns the incarnation of the endpoint.
+func (c ColdEndpoint) Incarnation() roster.Incarnation {
+	return roster.Incarnation{ID: c.Endpoint, StartedMs: c.StartedMs}
+}
+
+// WarmUp tells a gateway of the endpoints that are cold, with permits.
+type WarmUp struct {
+	// Judged reports that the control host knows which endpoints are cold. It has just started if it doesn't.
+	Judged bool `cbor:"1,keyasint,omitempty"`
+	// Cold are the endpoints that have become cold, all if the update is complete, and those with permits.
+	Cold []ColdEndpoint `cbor:"2,keyasint,omitempty"`
+	// Report is the number of the latest report of the gateway that had arrived when the permits were granted. They expire by the
+	// time of that report, so that those that arrive late are not used.
+	Report uint64 `cbor:"3,keyasint,omitempty"`
+	// Serial is the number of the grant. The serials of a control host for a gateway rise.
+	Serial uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Arrivals counts the requests of callers for a service and model.
--- a/internal/link/message/portal.go
+++ b/internal/link/message/portal.go
@@ -12,6 +12,8 @@
 	Endpoint roster.Endpoint `cbor:"1,keyasint"`
 	// Age is the time since the announcement was received from the endpoint.
 	Age time.Duration `cbor:"2,keyasint"`
+	// Cold is how much longer the endpoint is cold, as far as the sender knows.
+	Cold time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // RosterUpdate passes announcements of endpoints between control hosts. It is not
@@ -62,13 +64,15 @@
 	Limits []EndpointLimit `cbor:"11,keyasint,omitempty"`
 	// Granting reports that the control host leads and grants permits.
 	Granting bool `cbor:"12,keyasint,omitempty"`
-	// Partial reports that only Leader, Limits and Granting are set.
+	// Partial reports that only Leader, Limits, Granting and WarmUp are set.
 	Partial bool `cbor:"13,keyasint,omitempty"`
 	// Lost are the IDs of the endpoints that control considers dead.
 	Lost []string `cbor:"6,keyasint,omitempty"`
 	// Confirmed is the number of the latest question to which this is the answer: a majority of the control hosts has
 	// confirmed after the question arrived that Version is in force. It is 0 if none was answered on this stream.
 	Confirmed uint64 `cbor:"14,keyasint,omitempty"`
+	// WarmUp is nil if no service has a warm-up limit.
+	WarmUp *WarmUp `cbor:"17,keyasint,omitempty"`
 	// Gateways is the number of gateways that report to the control host.
 	Gateways int `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -50,4 +50,5 @@
 	SeatLost            = register(157, "seat_lost", log.WarnLevel)
 	DeparturesKept      = register(158, "departures_kept", log.InfoLevel)
 	DeparturesUnsure    = register(159, "departures_unsure", log.WarnLevel)
+	EndpointCold        = register(168, "endpoint_cold", log.InfoLevel)
 )
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -22,4 +22,5 @@
 	LimitHeard       = register(314, "limit_heard", log.InfoLevel)
 	SuspectCompleted = register(315, "suspect_completed", log.InfoLevel)
 	UpdateSkipped    = register(316, "update_skipped", log.WarnLevel)
+	ColdHeard        = register(318, "cold_heard", log.InfoLevel)
 )
