--- a/internal/control/portal/evacuation.go
+++ b/internal/control/portal/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 	"unicode/utf8"
 
 	"github.com/pkg/errors"
@@ -80,15 +81,21 @@
 	return p.machine.Evacuations(), nil
 }
 
-// applyEvacuations wakes the subscribers and the planner if the evacuations have changed since a revision. It returns the present one.
-func (p *Portal) applyEvacuations(since uint64) uint64 {
+// applyEvacuations wakes the subscribers and the planner if the evacuations have changed since an earlier set, and returns the present one. The
+// endpoints of a failure domain whose evacuation was withdrawn count as cold.
+func (p *Portal) applyEvacuations(earlier portalstate.Evacuations) portalstate.Evacuations {
 	evacuations := p.machine.Evacuations()
-	if evacuations.Revision == since {
-		return since
+	if evacuations.Revision == earlier.Revision {
+		return earlier
 	}
 	event.EvacuationsInForce.On(p.opts.Logger).Uint64("revision", evacuations.Revision).Strs("evacuated", evacuations.Domains).Msg("")
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, domain := range earlier.Domains {
+		if !evacuations.Has(domain) {
+			p.markDomainCold(domain, time.Now())
+		}
+	}
 	p.notifyLocked()
-	return evacuations.Revision
+	return evacuations
 }
--- a/internal/control/portal/metrics.go
+++ b/internal/control/portal/metrics.go
@@ -19,6 +19,7 @@
 	released      metrics.Counter
 	limits        metrics.Counter
 	evacuations   metrics.Counter
+	cold          metrics.Counter
 }
 
 func newPortalMetrics(r *metric.Registry) portalMetrics {
@@ -34,5 +35,6 @@
 		released:      r.Counter("portal_releases_total", "Keys of requests that are not held back any more."),
 		limits:        r.Counter("portal_limits_total", "Rate limits of endpoints that were named, changed or ended."),
 		evacuations:   r.Counter("portal_evacuations_total", "Evacuations that were begun or withdrawn, acknowledged by this host."),
+		cold:          r.Counter("portal_cold_total", "Endpoints that became cold, by this host's judgement."),
 	}
 }
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -23,6 +23,7 @@
 	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/control/replication"
+	"github.com/egretreach/egretreach/internal/control/warmup"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
@@ -135,6 +136,9 @@
 	permits      permit.Allocator
 	grantedAt    time.Time
 	permitsReady chan struct{}
+	// tracker knows the cold endpoints, and warmUps holds the warm-up limits of the services that have one.
+	tracker warmup.Tracker
+	warmUps map[string]routes.WarmUp
 	// questions are those of the gateways on the configuration. They have a mutex of their own.
 	questions questions
 	// departures wait to be kept in the log. They have a mutex of their own.
@@ -163,6 +167,7 @@
 		reports:        map[host.ID]receivedReport{},
 		health:         map[string]endpointHealth{},
 		voterMovedAt:   map[host.ID]time.Time{},
+		tracker:        warmup.Tracker{FirstStart: opts.FirstStart, MaxSilence: opts.Heartbeat*5/3 + unprobedTimeout},
 	}
 }
 
@@ -299,12 +304,13 @@
 // watchDocument follows the replicated state: it decodes each document that comes into force, and
 // applies the moves of voters, the departures of endpoints and the evacuations.
 func (p *Portal) watchDocument(ctx context.Context) error {
-	var decodedVersion, appliedDepartures, evacuationRevision uint64
+	var decodedVersion, appliedDepartures uint64
+	var evacuations portalstate.Evacuations
 	for {
 		changed := p.machine.Changed()
 		p.updateVoterAddresses()
 		appliedDepartures = p.applyDepartures(appliedDepartures)
-		evacuationRevision = p.applyEvacuations(evacuationRevision)
+		evacuations = p.applyEvacuations(evacuations)
 		document := p.machine.Current()
 		if document.Version > decodedVersion {
 			decodedVersion = document.Version
@@ -314,7 +320,7 @@
 			} else {
 				event.ConfigInForce.On(p.opts.Logger).Uint64("revision", document.Version).Msg("")
 				p.mu.Lock()
-				p.table = table
+				p.setTable(table)
 				p.notifyLocked()
 				p.mu.Unlock()
 			}
--- a/internal/entry/balance/evacuation.go
+++ b/internal/entry/balance/evacuation.go
@@ -8,9 +8,6 @@
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 )
 
-// withdrawalRetention is how long the withdrawal of an evacuation is remembered.
-const withdrawalRetention = time.Hour
-
 // The reasons of refusals for requests that no endpoint may get.
 const (
 	reasonEvacuated = "all endpoints are evacuated"
@@ -20,9 +17,8 @@
 
 // evacuations are the failure domains to whose endpoints no request is sent. The zero value has none.
 type evacuations struct {
-	// since is when this gateway learned that a domain is evacuated, and withdrawnAt when it last learned that one is not any more.
-	since       map[string]time.Time
-	withdrawnAt map[string]time.Time
+	// since is when this gateway learned that a domain is evacuated.
+	since map[string]time.Time
 }
 
 // EvacuationChange is a failure domain whose evacuation began, or was withdrawn, as of an update.
@@ -33,13 +29,13 @@
 	Lasted time.Duration
 }
 
-// SetEvacuated replaces the evacuated failure domains and returns the changes, ordered by domain.
+// SetEvacuated replaces the evacuated failure domains and returns the changes, ordered by domain. Endpoints in a domain whose evacuation
+// was withdrawn count as cold, as they got no requests.
 func (b *Balancer) SetEvacuated(domains []string, now time.Time) []EvacuationChange {
 	e := &b.evacuations
 	if e.since == nil {
-		e.since, e.withdrawnAt = map[string]time.Time{}, map[string]time.Time{}
+		e.since = map[string]time.Time{}
 	}
-	maps.DeleteFunc(e.withdrawnAt, func(_ string, at time.Time) bool { return now.Sub(at) > withdrawalRetention })
 	var changes []EvacuationChange
 	for _, domain := range slices.Sorted(maps.Keys(e.since)) {
 		if slices.Contains(domains, domain) {
@@ -47,7 +43,7 @@
 		}
 		changes = append(changes, EvacuationChange{Domain: domain, Lasted: now.Sub(e.since[domain])})
 		delete(e.since, domain)
-		e.withdrawnAt[domain] = now
+		b.markDomainCold(domain, now)
 	}
 	for _, domain := range domains {
 		if _, known := e.since[domain]; !known {
@@ -58,16 +54,6 @@
 	return changes
 }
 
-// EvacuationWithdrawnAt returns when this gateway last learned that the evacuation of a failure domain was withdrawn. It returns false if
-// it never was, is evacuated now, or was withdrawn more than an hour ago.
-func (b *Balancer) EvacuationWithdrawnAt(domain string) (time.Time, bool) {
-	if _, evacuated := b.evacuations.since[domain]; evacuated {
-		return time.Time{}, false
-	}
-	at, known := b.evacuations.withdrawnAt[domain]
-	return at, known
-}
-
 // Bars returns ExclusionEvacuated or ExclusionRegion if an endpoint must not get a request, whatever its state, and ExclusionNone if it
 // may. Time alone ends neither.
 func (b *Balancer) Bars(e roster.Endpoint, req Request) Exclusion {
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -41,6 +41,8 @@
 	startedAt      time.Time
 	// decision is why the balancer chose the endpoint.
 	decision balance.Decision
+	// sendBy is until when the request may be sent by clock.Now, zero for no bound.
+	sendBy   time.Time
 	exchange *upstream.Exchange
 	// streamed says that the first event has arrived, at firstEventAt.
 	streamed     bool
@@ -109,6 +111,7 @@
 	g := c.g
 	startedAt := time.Now()
 	g.mu.Lock()
+	g.dropOldPermits()
 	d, waiter := g.balancer.Submit(req, startedAt)
 	g.mu.Unlock()
 	if waiter != nil {
@@ -121,7 +124,12 @@
 	if d.Avoided > 0 {
 		g.metrics.avoided.Inc(1)
 	}
-	return &attempt{call: c, balanceRequest: req, endpoint: d.Endpoint, startedAt: time.Now(), decision: d}, d
+	if d.Cold > 0 {
+		g.metrics.coldAvoided.Inc(1)
+	}
+	a := &attempt{call: c, balanceRequest: req, endpoint: d.Endpoint, startedAt: time.Now(), decision: d}
+	a.setSendBy(a.startedAt)
+	return a, d
 }
 
 // awaitDecision waits for the decision on a queued request. If ctx ends first, because the caller
@@ -137,6 +145,7 @@
 			return d
 		case <-timer.C:
 			g.mu.Lock()
+			g.dropOldPermits()
 			now := time.Now()
 			g.balancer.ProcessQueue(now)
 			timer.Reset(time.Until(g.balancer.NextReturn(w, now)))
@@ -337,6 +346,7 @@
 	g := a.call.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.dropOldPermits()
 	if r == balance.ResultSuccess && a.provesHarmless() {
 		a.recordHarmless(now)
 	}
--- a/internal/entry/gateway/evacuation.go
+++ b/internal/entry/gateway/evacuation.go
@@ -9,8 +9,11 @@
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
-// reasonMovedAway is the reason why a placed request is not sent.
-const reasonMovedAway = "the endpoint's failure domain was evacuated meanwhile"
+// The reasons why a placed request is not sent, besides reasonUnconfirmed.
+const (
+	reasonMovedAway     = "the endpoint's failure domain was evacuated meanwhile"
+	reasonPermitExpired = "the permit for the cold endpoint has expired"
+)
 
 // errWithheld is the failure of an attempt that was placed and is not sent.
 type errWithheld struct{ reason string }
@@ -46,16 +49,8 @@
 // the process was paused, and the endpoint's failure domain is evacuated, or may be as far as the gateway knows.
 func (a *attempt) checkSend(ctx context.Context) error {
 	c := a.call
-	if c.g.confirmedToSend(ctx) {
-		c.g.mu.Lock()
-		barred := c.g.balancer.Bars(a.endpoint, a.balanceRequest)
-		c.g.mu.Unlock()
-		if barred == balance.ExclusionNone {
-			return nil
-		}
-		a.withheld = reasonMovedAway
-	} else {
-		a.withheld = reasonUnconfirmed
+	if a.withheld = a.withholdReason(ctx); a.withheld == "" {
+		return nil
 	}
 	c.g.metrics.withheld.Inc(1)
 	c.g.evidence().log(event.AttemptWithheld.On(c.g.opts.Logger)).Str("request", c.id).Str("endpoint", a.endpoint.ID).
@@ -63,6 +58,24 @@
 	return errWithheld{a.withheld}
 }
 
+// withholdReason returns why the request must not be sent, or an empty string.
+func (a *attempt) withholdReason(ctx context.Context) string {
+	g := a.call.g
+	if !g.confirmedToSend(ctx) {
+		return reasonUnconfirmed
+	}
+	g.mu.Lock()
+	barred := g.balancer.Bars(a.endpoint, a.balanceRequest)
+	g.mu.Unlock()
+	switch {
+	case barred != balance.ExclusionNone:
+		return reasonMovedAway
+	case a.permitExpired():
+		return reasonPermitExpired
+	}
+	return ""
+}
+
 // confirmedToSend reports whether requests may be sent by what the gateway knows of control. If that may be outdated control is asked
 // first.
 func (g *Gateway) confirmedToSend(ctx context.Context) bool {
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -137,6 +137,9 @@
 			Int("leaving", s.availability.Leaving).Int("busy", s.availability.Busy).Int("limited", s.availability.Limited).
 			Int("evacuated", s.availability.Evacuated).Int("region", s.availability.Region).Float64("occupied", s.availability.Occupied).Dur("soonest", s.availability.EarliestForecast)
 	}
+	if s.availability.Cold > 0 {
+		entry = entry.Int("cold", s.availability.Cold)
+	}
 	if s.heldKey != "" {
 		entry = entry.Str("key", s.heldKey)
 	}
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -55,4 +55,5 @@
 	EvacuationWithdrawn = register(171, "evacuation_withdrawn", log.WarnLevel)
 	// EvacuationsInForce says that the set of evacuated failure domains changed at a control host.
 	EvacuationsInForce = register(172, "evacuations_in_force", log.InfoLevel)
+	EndpointCold       = register(168, "endpoint_cold", log.InfoLevel)
 )
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -27,4 +27,5 @@
 	DomainResumed = register(331, "domain_resumed", log.WarnLevel)
 	// AttemptWithheld says that a placed request was not sent.
 	AttemptWithheld = register(332, "attempt_withheld", log.InfoLevel)
+	ColdHeard       = register(318, "cold_heard", log.InfoLevel)
 )
