portal, gateway, platform: warm-up limit: returns that probes find, cold times in responses to control, tests

Cause: an endpoint that control had taken for dead and that answers a probe again was not cold, and the header X-Cold-Ms in responses to control was not read. Announced cold times were news also where no service has a warm-up limit. Change: both count now; cold times are ignored where they limit nothing.

--- a/cmd/portal.go
+++ b/cmd/portal.go
@@ -50,15 +50,17 @@
 	if err != nil {
 		return daemon.Daemon{}, err
 	}
+	engines := &platform.EngineClient{}
 	p := portal.New(portal.Options{
 		Rename: func(id host.ID) error {
 			return deps.Credentials.SetIdentity(identity.Identity{Role: host.RoleControl, Host: id}, time.Now())
 		},
 		Self: s.Host.ID, Address: s.API.String(), Link: deps.Socket, LinkAddress: s.Link.Address.String(),
 		Pool: pool.New(deps.Socket), Seeds: s.Link.LinkAddresses(s.Seeds), FirstStart: s.FirstStart,
-		Files: journal.OSFileSystem{}, Folder: s.DataFolder, Decode: platform.DecodeTable, Engines: &platform.EngineClient{},
+		Files: journal.OSFileSystem{}, Folder: s.DataFolder, Decode: platform.DecodeTable, Engines: engines,
 		Heartbeat: s.Heartbeat, Metrics: deps.Metrics, Logger: deps.Logger,
 	})
+	engines.OnCold = p.HearCold
 	api := platform.API{Portal: p, Logger: deps.Logger}
 	return portalDaemon(p.Run, p.Stop, api.Handler(), listener), nil
 }
--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -69,6 +69,9 @@
 		p.skipAnnouncement(e, direct, err)
 		return
 	}
+	if !p.warmUpOf(e.Service).IsSet() {
+		e.ColdMs = 0 // It limits nothing, so a change of it is no news.
+	}
 	old, known := p.roster.Get(e.ID)
 	change := p.roster.Announce(e, seenAt)
 	if change == roster.ChangeNone {
--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -145,6 +145,7 @@
 	p.health[e.ID] = h
 	switch {
 	case wasDead && !h.dead:
+		p.judgeReturn(current.Endpoint, now)
 		event.EndpointFound.On(p.opts.Logger).Str("endpoint", e.ID).Msg("")
 	case !wasDead && h.dead:
 		p.metrics.lost.Inc(1)
--- a/internal/control/portal/warm_up.go
+++ b/internal/control/portal/warm_up.go
@@ -39,7 +39,7 @@
 	h := p.health[current.ID]
 	colder := p.tracker.Announce(warmup.Announcement{
 		Endpoint: current.Endpoint, WarmUp: p.warmUpOf(current.Service), Traffic: p.hasTraffic(), Direct: direct,
-		LastSeen: h.lastSeen(old), WasDead: h.dead,
+		LastSeen: h.lastSeen(old), WasDead: h.dead && !seenAt.Before(h.lastProbe),
 	}, seenAt, time.Now())
 	if colder {
 		p.logCold(current.Endpoint, "announcement", "", time.Now())
@@ -47,6 +47,16 @@
 	}
 }
 
+// judgeReturn makes an endpoint cold that answers probes again after control had taken it for dead. mu is held.
+func (p *Portal) judgeReturn(e roster.Endpoint, now time.Time) {
+	w := p.warmUpOf(e.Service)
+	if !w.IsSet() || !p.hasTraffic() || !p.tracker.MarkCold(e.Incarnation(), w.Time, now) {
+		return
+	}
+	p.logCold(e, "probe", "", now)
+	p.notifyLocked()
+}
+
 // takeOverCold records how much longer an endpoint is cold by the control host that forwards its announcement. mu is held.
 func (p *Portal) takeOverCold(h message.Heard, now time.Time) {
 	if h.Cold > 0 && p.warmUpOf(h.Endpoint.Service).IsSet() && p.tracker.MarkCold(h.Endpoint.Incarnation(), min(h.Cold, maxColdTime), now) {
--- a/internal/entry/gateway/fixture_test.go
+++ b/internal/entry/gateway/fixture_test.go
@@ -239,7 +239,7 @@
 			RequestID: "X-Request-Id", Deadline: "X-Deadline", APIKey: "X-Caller-Key", Team: "X-Team", ExpectedEndpoint: "X-Expect",
 			NotRun: "X-Not-Run", Signature: "X-Signed", Load: "X-Load", Model: "X-Model", Usage: "X-Usage",
 			Priority: "X-Priority", LastEventID: "Last-Event-Id",
-			Leaving: "X-Leaving", RetryAfter: "Retry-After", PromptParts: "X-Parts", Limit: "X-Limit",
+			Leaving: "X-Leaving", RetryAfter: "Retry-After", PromptParts: "X-Parts", Limit: "X-Limit", Cold: "X-Cold",
 		},
 		ParseTable: func(document []byte) (*routes.Table, error) {
 			table := testTable()
@@ -262,6 +262,10 @@
 			perSecond, err := strconv.ParseFloat(text, 64)
 			return perSecond, err == nil
 		},
+		ParseCold: func(text string) (time.Duration, bool) {
+			d, err := time.ParseDuration(text)
+			return d, err == nil && d >= 0
+		},
 		ParsePromptParts: func(text string) []string {
 			parts := strings.Split(text, ",")
 			return parts[:len(parts)-1]
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -124,3 +124,20 @@
 	require.Equal(t, ChangeNone, r.Announce(Endpoint{ID: "g", Service: "s", Address: "10.0.0.3:80", StartedMs: 1, Sequence: 1}, now), "all of them serve")
 	require.Equal(t, ChangeLiveness, r.Announce(Endpoint{ID: "sound", Service: "s", Address: "10.0.0.1:80", StartedMs: 1, Sequence: 2}, now))
 }
+
+// TestColderEndpointIsNews guards against an endpoint that becomes cold again without anyone hearing of it, and against a change with each
+// announcement of one whose remaining time counts down, also if announcements are late.
+func TestColderEndpointIsNews(t *testing.T) {
+	var r Roster
+	announce := func(sequence uint64, coldMs int64, after time.Duration) Change {
+		e := endpoint("a", 1, sequence)
+		e.ColdMs = coldMs
+		return r.Announce(e, noon.Add(after))
+	}
+	require.Equal(t, ChangeContent, announce(1, 3000, 0))
+	require.Equal(t, ChangeLiveness, announce(2, 2000, time.Second))
+	require.Equal(t, ChangeLiveness, announce(3, 1000, 2400*time.Millisecond))
+	require.Equal(t, ChangeLiveness, announce(4, 0, 4*time.Second))
+	require.Equal(t, ChangeContent, announce(5, 3000, 5*time.Second))
+	require.Equal(t, ChangeContent, announce(6, 3000, 6*time.Second), "cold again")
+}
