--- a/internal/control/permit/warm_up_test.go
+++ b/internal/control/permit/warm_up_test.go
@@ -21,10 +21,15 @@
 	perSecond           float64
 	// arrivals are requests a second in all. skew is how uneven they are: gateway i gets 1/(i+1)^skew of them.
 	arrivals, skew float64
+	// bursts says that the requests come in each fourth second only, four times as many.
+	bursts bool
 	// lost, late and twice are the shares of permit messages that are lost, arrive up to half a second late, and arrive twice.
 	lost, late, twice float64
 	// leaderEvery is how often the leader changes and pauseEvery how often a gateway stands still for up to 2 s; 0 is never.
 	leaderEvery, pauseEvery time.Duration
+	// handOver says that a new leader is elected at once, while the one before still grants for coldOverlap to the gateways that have not
+	// moved yet.
+	handOver bool
 	// leaderless says that no control host grants permits, and cutOff is the share of the gateways that don't hear the leader.
 	leaderless bool
 	cutOff     float64
@@ -38,6 +43,7 @@
 	coldStart         = 2 * time.Second
 	coldWarmUp        = 3 * time.Second
 	coldLeaderSettles = 1300 * time.Millisecond
+	coldOverlap       = 300 * time.Millisecond
 	coldDelivery      = 15 * time.Millisecond
 )
 
@@ -62,21 +68,27 @@
 	report   uint64
 	serial   uint64
 	term     int
+	moveAt   time.Time
 	inflight []requestEnd
 	inbox    []grantMessage
 	// placed are decisions that were made before a pause and are sent after it.
 	placed []balance.Decision
 }
 
+// coldLeader is a leader that grants permits for some time.
+type coldLeader struct {
+	Allocator
+	term              int
+	elected, grantsTo time.Time
+}
+
 type coldSimulation struct {
 	coldLoad
 	rng       *rand.Rand
-	control   Allocator
+	leaders   []*coldLeader
 	gateway   []*coldGateway
 	mail      []grantMessage
 	sent      [][]time.Time
-	term      int
-	grantFrom time.Time
 	coldSince time.Time
 	started   int64
 }
@@ -91,6 +103,7 @@
 
 func newColdSimulation(load coldLoad, seed uint64) *coldSimulation {
 	s := &coldSimulation{coldLoad: load, rng: rand.New(rand.NewPCG(seed, 17)), sent: make([][]time.Time, load.endpoints), coldSince: start, started: 1}
+	s.leaders = []*coldLeader{{elected: start.Add(-time.Minute), grantsTo: start.Add(coldTime)}}
 	for i := range load.gateways {
 		b := &balance.Balancer{FailureDomain: "a", Phase: s.rng.Float64()}
 		b.SetServices([]routes.Service{{Name: "plain", WarmUp: routes.WarmUp{Time: load.warmUpTime(), PerSecond: load.perSecond}}})
@@ -158,38 +171,66 @@
 		if every(elapsed, s.pauseEvery) {
 			s.gateway[s.rng.IntN(s.gateways)].pauseTo = now.Add(time.Duration(s.rng.Float64() * float64(2*time.Second)))
 		}
-		if every(elapsed, grantInterval) && !s.leaderless && !now.Before(s.grantFrom) {
-			s.grant(now)
+		if every(elapsed, grantInterval) && !s.leaderless {
+			for _, l := range s.leaders {
+				s.grant(l, now)
+			}
 		}
 		s.deliverMail(now)
 		for i, g := range s.gateway {
 			if now.Before(g.pauseTo) {
 				continue
 			}
-			s.stepGateway(i, g, s.arrivals*weights[i]/sum, now)
+			rate := s.arrivals * weights[i] / sum
+			if s.bursts {
+				rate *= []float64{4, 0, 0, 0}[int(elapsed.Seconds())%4]
+			}
+			s.stepGateway(i, g, rate, now)
 		}
 	}
 }
 
-// changeLeader begins a term of a leader that knows nothing of the permits of the one before. It is elected after a random time.
+// changeLeader begins a term of a leader that knows nothing of the permits of the one before. Unless it is handed over it is elected after
+// a random time.
 func (s *coldSimulation) changeLeader(now time.Time) {
-	elected := now.Add(time.Duration(s.rng.Float64() * float64(electionTime)))
-	s.control, s.grantFrom = Allocator{}, elected.Add(coldLeaderSettles)
-	s.term++
+	last := s.leaders[len(s.leaders)-1]
+	next := &coldLeader{term: last.term + 1, elected: now, grantsTo: start.Add(coldTime)}
+	last.grantsTo = now
+	if s.handOver {
+		last.grantsTo = now.Add(coldOverlap)
+	} else {
+		next.elected = now.Add(time.Duration(s.rng.Float64() * float64(electionTime)))
+	}
+	s.leaders = append(s.leaders, next)
 	for _, g := range s.gateway {
-		g.term, g.serial = s.term, 0
-		g.ForgetGrants()
+		g.moveAt = next.elected
+		if s.handOver {
+			g.moveAt = now.Add(time.Duration(s.rng.Float64() * float64(coldOverlap)))
+		}
+	}
+}
+
+// move lets a gateway subscribe to the latest leader.
+func (s *coldSimulation) move(g *coldGateway, now time.Time) {
+	last := s.leaders[len(s.leaders)-1]
+	if g.term == last.term || now.Before(g.moveAt) {
+		return
 	}
+	g.term, g.serial = last.term, 0
+	g.ForgetGrants()
 }
 
-func (s *coldSimulation) grant(now time.Time) {
-	s.control.GrantCold(s.cold(now), now)
+func (s *coldSimulation) grant(l *coldLeader, now time.Time) {
+	if now.Sub(l.elected) < coldLeaderSettles || !now.Before(l.grantsTo) {
+		return
+	}
+	l.GrantCold(s.cold(now), now)
 	for i, g := range s.gateway {
-		if g.cutOff {
+		if g.cutOff || g.term != l.term {
 			continue
 		}
-		permits, report, serial := s.control.TakeCold(gatewayID(i))
-		m := grantMessage{at: now.Add(coldDelivery), gateway: i, term: s.term, serial: serial, report: report, cold: permits}
+		permits, report, serial := l.TakeCold(gatewayID(i))
+		m := grantMessage{at: now.Add(coldDelivery), gateway: i, term: l.term, serial: serial, report: report, cold: permits}
 		if s.rng.Float64() < s.lost {
 			continue
 		}
@@ -218,20 +259,15 @@
 }
 
 func (s *coldSimulation) stepGateway(i int, g *coldGateway, rate float64, now time.Time) {
+	s.move(g, now)
 	s.sendPlaced(g, now)
 	for _, m := range g.inbox {
 		s.receive(g, m, now)
 	}
 	g.inbox = nil
-	if !g.cutOff && !s.leaderless && every(now.Sub(start)+time.Duration(i%20)*coldStep, reportInterval) && !now.Before(s.grantFrom.Add(-coldLeaderSettles)) {
-		g.report++
-		g.sentAt[g.report] = now
-		r := message.LimitReport{Number: g.report, Arrivals: []message.Arrivals{{Scope: "plain/", Count: g.arrived}}}
-		for _, u := range g.TakeUnused(now) {
-			r.Unused = append(r.Unused, message.ColdEndpoint{Endpoint: u.Endpoint.ID, StartedMs: u.Endpoint.StartedMs, Permits: u.Permits, Serial: u.Serial})
-		}
-		s.control.Report(gatewayID(i), r, scopeOfAll, now)
-		g.arrived = 0
+	if leader := s.leaders[g.term]; !g.cutOff && !s.leaderless && !now.Before(leader.elected) &&
+		every(now.Sub(start)+time.Duration(i%20)*coldStep, reportInterval) {
+		s.report(i, g, leader, now)
 	}
 	for n := rate * coldStep.Seconds(); n > 0; n-- {
 		if s.rng.Float64() < n {
@@ -250,6 +286,17 @@
 	}
 }
 
+func (s *coldSimulation) report(i int, g *coldGateway, leader *coldLeader, now time.Time) {
+	g.report++
+	g.sentAt[g.report] = now
+	r := message.LimitReport{Number: g.report, Arrivals: []message.Arrivals{{Scope: "plain/", Count: g.arrived}}}
+	for _, u := range g.TakeUnused(now) {
+		r.Unused = append(r.Unused, message.ColdEndpoint{Endpoint: u.Endpoint.ID, StartedMs: u.Endpoint.StartedMs, Permits: u.Permits, Serial: u.Serial})
+	}
+	leader.Report(gatewayID(i), r, scopeOfAll, now)
+	g.arrived = 0
+}
+
 // receive applies a message as gateway.applyCold does.
 func (s *coldSimulation) receive(g *coldGateway, m grantMessage, now time.Time) {
 	if m.term != g.term {
@@ -366,16 +413,20 @@
 		load coldLoad
 		used float64
 	}{
-		"even":                 {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4}, 0.9},
-		"uneven":               {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4, skew: 2}, 0.85},
-		"low limit":            {coldLoad{perSecond: 2, arrivals: 40, endpoints: 4}, 0.65},
-		"demand at the limit":  {coldLoad{perSecond: 32, arrivals: 128, endpoints: 4}, 0.6},
-		"lost, late, twice":    {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4, lost: 0.1, late: 0.2, twice: 0.3}, 0.5},
-		"leaders change":       {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4, leaderEvery: 5 * time.Second, late: 0.1}, 0.25},
-		"gateways stand still": {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4, pauseEvery: 250 * time.Millisecond}, 0.5},
-		"no leader":            {coldLoad{perSecond: 32, arrivals: 800, endpoints: 4, leaderless: true}, 0.15},
-		"no leader, low limit": {coldLoad{perSecond: 4, arrivals: 800, endpoints: 4, leaderless: true}, 0.1},
-		"half are cut off":     {coldLoad{perSecond: 32, arrivals: 800, endpoints: 4, cutOff: 0.5}, 0.8},
+		"even":                              {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4}, 0.9},
+		"uneven":                            {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4, skew: 2}, 0.85},
+		"low limit":                         {coldLoad{perSecond: 2, arrivals: 40, endpoints: 4}, 0.65},
+		"demand at the limit":               {coldLoad{perSecond: 32, arrivals: 128, endpoints: 4}, 0.6},
+		"lost, late, twice":                 {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4, lost: 0.1, late: 0.2, twice: 0.3}, 0.5},
+		"bursts":                            {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4, bursts: true}, 0.2},
+		"all come twice":                    {coldLoad{perSecond: 32, arrivals: 800, endpoints: 4, twice: 1}, 0.9},
+		"leaders hand over":                 {coldLoad{perSecond: 32, arrivals: 800, endpoints: 4, handOver: true, leaderEvery: 3 * time.Second}, 0.4},
+		"leaders hand over again and again": {coldLoad{perSecond: 32, arrivals: 800, endpoints: 4, handOver: true, leaderEvery: 200 * time.Millisecond}, 0},
+		"leaders change":                    {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4, leaderEvery: 5 * time.Second, late: 0.1}, 0.25},
+		"gateways stand still":              {coldLoad{perSecond: 32, arrivals: 400, endpoints: 4, pauseEvery: 250 * time.Millisecond}, 0.5},
+		"no leader":                         {coldLoad{perSecond: 32, arrivals: 800, endpoints: 4, leaderless: true}, 0.15},
+		"no leader, low limit":              {coldLoad{perSecond: 4, arrivals: 800, endpoints: 4, leaderless: true}, 0.1},
+		"half are cut off":                  {coldLoad{perSecond: 32, arrivals: 800, endpoints: 4, cutOff: 0.5}, 0.8},
 		"all come back at once": {coldLoad{
 			perSecond: 32, arrivals: 800, endpoints: 20, returnEvery: 4 * time.Second, late: 0.1, leaderEvery: 7 * time.Second, pauseEvery: time.Second,
 		}, 0},
