--- a/cmd/ctl.go
+++ b/cmd/ctl.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/control/client"
+	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/fleet/view"
@@ -35,6 +36,7 @@
 	Status     ctlStatusCommand     `cmd:"" help:"Show the state of the fleet."`
 	Drain      ctlDrainCommand      `cmd:"" help:"Start the planned stop of a host, which drains it."`
 	Undrain    ctlUndrainCommand    `cmd:"" help:"Cancel the planned stop of a host."`
+	Evacuate   ctlEvacuateCommand   `cmd:"" help:"Send no new requests to a failure domain."`
 	Request    ctlRequestCommand    `cmd:"" help:"Show the outcome of a request that may run at most once."`
 	Quarantine ctlQuarantineCommand `cmd:"" help:"List and release request bodies that crash engines."`
 }
@@ -203,6 +205,28 @@
 	})
 }
 
+type ctlEvacuateCommand struct {
+	Domain domain.Failure `arg:"" help:"Name of the failure domain."`
+	Cancel bool           `help:"Withdraw the evacuation, so that the domain is used again."`
+}
+
+// Help describes the effect and gives examples.
+func (ctlEvacuateCommand) Help() string {
+	return `The endpoints of the domain get no new requests, at the latest one lease (4 s) after the command has returned. Requests that run there
+finish. The command may be repeated. ctl status lists the evacuated domains.
+
+Examples:
+  egretreach ctl evacuate hall-2
+  egretreach ctl evacuate hall-2 --cancel`
+}
+
+// Run begins or withdraws the evacuation.
+func (c ctlEvacuateCommand) Run(ctl *ctlCommand) error {
+	return ctl.withClient(false, func(ctx context.Context, cl client.Client) error {
+		return cl.Evacuate(ctx, c.Domain, c.Cancel)
+	})
+}
+
 type ctlRequestCommand struct {
 	ID string `arg:"" help:"ID of the request, as in the header Egretreach-Request-Id of the response."`
 }
--- a/internal/agent/server/dispatch.go
+++ b/internal/agent/server/dispatch.go
@@ -144,6 +144,10 @@
 
 // checkAcceptLocked returns a gate.ErrClosed if an attempt must not be accepted now.
 func (s *Server) checkAcceptLocked(at gate.LeaseStatus, d *message.Dispatch) error {
+	// The lease was valid at that time, so a set that is read now is at least as new as the lease.
+	if s.session.Evacuated().Contains(s.opts.Info.FailureDomain) {
+		return gate.ErrClosed{Code: codeEvacuated, Reason: "the failure domain of this endpoint is evacuated"}
+	}
 	if d.Generate != nil {
 		return s.gate.CheckAccept(at, d.Generate.Replica, d.Generate.Fence)
 	}
--- a/internal/agent/server/errors.go
+++ b/internal/agent/server/errors.go
@@ -44,6 +44,7 @@
 	codeAnswerCut           = "answer_cut"
 	codeEngineCrashed       = "engine_crashed"
 	codeSuperseded          = "superseded"
+	codeEvacuated           = "evacuated"
 
 	// retryAfterBusyMs is the retry delay that is sent with codeOverloaded.
 	retryAfterBusyMs = 200
--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/fleet/config"
+	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/fleet/view"
@@ -187,6 +188,18 @@
 	return err
 }
 
+// Evacuate asks that the endpoints of a failure domain get no new requests, or with cancel that they may get them
+// again. It returns once the change is committed. The call is idempotent: if the answer is lost, it is made again
+// until ctx ends.
+func (c Client) Evacuate(ctx context.Context, d domain.Failure, cancel bool) error {
+	for {
+		_, err := call[*message.Ack](ctx, c, &message.Evacuate{Domain: d, Undo: cancel})
+		if !session.IsErrUncertain(err) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
 // Quarantine returns the suspect and quarantined request bodies.
 func (c Client) Quarantine(ctx context.Context) ([]view.Quarantine, error) {
 	result, err := call[*message.QuarantineResult](ctx, c, &message.QuarantineQuery{})
--- a/internal/control/client/print.go
+++ b/internal/control/client/print.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/fleet/config"
-	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/view"
 	"github.com/egretreach/egretreach/internal/link/message"
 )
@@ -96,7 +95,11 @@
 // Status prints the state of the fleet.
 func (p Printer) Status(s *message.StatusResult) error {
 	return p.print(s, func(w io.Writer) {
-		fmt.Fprintf(w, "leader %s\tterm %d\trevision %d\n\n", s.Leader, s.Term, s.Revision)
+		fmt.Fprintf(w, "leader %s\tterm %d\trevision %d\n", s.Leader, s.Term, s.Revision)
+		if len(s.Evacuated) > 0 {
+			fmt.Fprintf(w, "evacuated %s\n", joinNames(s.Evacuated))
+		}
+		fmt.Fprintln(w)
 		fmt.Fprintln(w, "CONTROL HOST\tADDRESS\tSTATE\tMATCH")
 		for _, c := range s.Control {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", c.Host, c.Address, c.State, c.MatchIndex)
@@ -107,7 +110,7 @@
 		}
 		fmt.Fprintln(w, "\nREPLICA\tSTATE\tFENCE\tVERSION\tHOSTS")
 		for _, r := range s.Replicas {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%s/%s\t%s\n", r.ID, r.State, r.Fence, r.Spec.Model, r.Spec.Version, joinHosts(r.Hosts))
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s/%s\t%s\n", r.ID, r.State, r.Fence, r.Spec.Model, r.Spec.Version, joinNames(r.Hosts))
 		}
 		fmt.Fprintln(w, "\nHOST\tROLE\tFAILURE DOMAIN\tFABRIC DOMAIN\tSTATE\tREVISION\tREPLICA")
 		for _, h := range s.Hosts {
@@ -154,10 +157,10 @@
 
 func formatTime(unixMs int64) string { return time.UnixMilli(unixMs).UTC().Format(time.RFC3339) }
 
-func joinHosts(ids []host.ID) string {
-	texts := make([]string, len(ids))
-	for i, id := range ids {
-		texts[i] = string(id)
+func joinNames[T ~string](names []T) string {
+	texts := make([]string, len(names))
+	for i, name := range names {
+		texts[i] = string(name)
 	}
 	return strings.Join(texts, ",")
 }
--- a/internal/control/placement/compaction.go
+++ b/internal/control/placement/compaction.go
@@ -26,7 +26,7 @@
 // freesSlot reports whether moving g frees a slot for a replica of the largest size,
 // and whether there is another fabric domain that g can move to.
 func (p *planner) freesSlot(g *group) bool {
-	if g.dep < 0 || g.fabric == noFabric || !g.serving() || !p.settled(g) {
+	if g.dep < 0 || g.fabric == noFabric || !g.serving() || p.evacuated(g) || !p.settled(g) {
 		return false
 	}
 	if len(p.fabrics[g.fabric].free)+len(g.members) < p.largestReplica || len(g.members) == p.largestReplica {
--- a/internal/control/placement/decide.go
+++ b/internal/control/placement/decide.go
@@ -23,6 +23,7 @@
 	for _, dep := range order {
 		p.retire(dep)
 		p.replaceServing(dep)
+		p.endEvacuated(dep)
 	}
 	p.preload(order)
 	p.useIdleHosts(order)
@@ -79,7 +80,7 @@
 func (p *planner) endGroup(g *group, reason Reason) {
 	serves := g.serving()
 	g.ended = true
-	if g.dep >= 0 {
+	if g.dep >= 0 && !p.evacuated(g) {
 		p.extras[g.dep]--
 	}
 	if serves && !g.Idle {
@@ -88,7 +89,7 @@
 		p.emit(Dissolve{Replica: g.ID, Reason: reason})
 	}
 	for _, i := range g.survivors {
-		if !p.fleet.Hosts[i].Stop.Requested {
+		if !p.fleet.Hosts[i].leaving() {
 			p.fabrics[p.fabricOf[i]].beingFreed++
 		}
 	}
@@ -108,13 +109,14 @@
 }
 
 // countReplicas counts the replicas of deployment dep. Those that drain or end in this
-// round are left out.
+// round, and evacuated ones that are not degraded, are left out.
 func (p *planner) countReplicas(dep int) replicaCounts {
 	t := replicaCounts{loading: p.formed[dep]}
 	for _, g := range p.groupsOf[dep] {
 		switch {
 		case g.degraded():
 			t.degraded++
+		case p.evacuated(g):
 		case g.loading():
 			t.loading++
 		case !g.serving():
--- a/internal/control/placement/decision.go
+++ b/internal/control/placement/decision.go
@@ -37,6 +37,7 @@
 	ReasonNoSpare            Reason = "no_spare"            // there are not enough free hosts
 	ReasonHostsBeingFreed    Reason = "hosts_being_freed"   // hosts for the replica are being freed
 	ReasonReplacementLoading Reason = "replacement_loading" // the replacement does not serve yet
+	ReasonEvacuated          Reason = "evacuated"           // the head's failure domain is evacuated
 	ReasonInFlight           Reason = "in_flight"           // requests are in flight on a draining replica
 )
 
--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -41,6 +41,8 @@
 	// Losses counts how often the host was lost in the last hour.
 	Losses int
 	Stop   PlannedStop
+	// Evacuated is true if no requests are sent to the host's failure domain. The host is used again afterwards.
+	Evacuated bool
 	// ClaimableAt is the time from which a new claim may use the host: when its
 	// agent released it, or when its lease and the clock drift margin have expired.
 	// It is zero for a live member whose agent can accept a successor claim's
--- a/internal/control/placement/golden_test.go
+++ b/internal/control/placement/golden_test.go
@@ -63,6 +63,8 @@
 		{"extra_replicas_preempted", 6, []Deployment{deployment("drafts", 3, 4, 2), extra}, "30m fail b0", true},
 		{"compaction", 10, []Deployment{deployment("drafts", 5, 4, 2), small}, "40m fail c0; 50m stop b1", true},
 		{"version_rollout", 8, one, "10m version 2", false},
+		{"evacuation", 8, one, "10m evacuate a0 a1 a2 a3 a4 a5 a6 a7; 30m withdraw a0 a1 a2 a3 a4 a5 a6 a7", false},
+		{"evacuation_without_spares", 4, one, "10m evacuate a0 a1 a2 a3; 30m withdraw a0 a1 a2 a3", false},
 		{"adapter_rollout", 4, one, "10m adapters badges", false},
 	}
 	for _, test := range tests {
--- a/internal/control/placement/invariant_test.go
+++ b/internal/control/placement/invariant_test.go
@@ -39,6 +39,7 @@
 			require.False(t, used[id], "host %s is used by two decisions", id)
 			used[id] = true
 			require.True(t, h.Alive, "host %s is lost", id)
+			require.False(t, h.Evacuated, "host %s is evacuated", id)
 			require.False(t, f.Now.Before(h.ClaimableAt), "host %s is claimed before ClaimableAt", id)
 			if claim[id] != "" {
 				require.Contains(t, old, claim[id], "host %s is in another replica", id)
@@ -157,6 +158,7 @@
 			ClaimableAt:    epoch.Add(time.Duration(rapid.IntRange(-20, 5).Draw(t, "claimable")) * time.Second),
 		}
 		h.LastLost = h.AliveChangedAt
+		h.Evacuated = rapid.IntRange(0, 3).Draw(t, "evacuated") == 0
 		h.Stop.Requested = rapid.IntRange(0, 5).Draw(t, "stop") == 0
 		if rapid.Bool().Draw(t, "holds") {
 			h.Weights = []Weights{{Model: "m", Version: "1"}}
--- a/internal/control/placement/planner.go
+++ b/internal/control/placement/planner.go
@@ -210,7 +210,7 @@
 		return
 	}
 	g.survivors = append(g.survivors, i)
-	if g.State == replica.StateDraining && !p.fleet.Hosts[i].Stop.Requested {
+	if g.State == replica.StateDraining && !p.fleet.Hosts[i].leaving() {
 		p.fabrics[fabric].beingFreed++
 	}
 }
@@ -238,7 +238,7 @@
 
 // usable reports whether a host is fit for a new claim.
 func (p *planner) usable(h *Host) bool {
-	if !h.Alive || h.Stop.Requested {
+	if !h.Alive || h.leaving() {
 		return false
 	}
 	if p.isStraggler(h) {
--- a/internal/control/placement/preempt.go
+++ b/internal/control/placement/preempt.go
@@ -158,7 +158,7 @@
 
 // mayPreempt reports whether dep may take the hosts of v.
 func (p *planner) mayPreempt(dep int, v *group, scope preemptScope) bool {
-	if v.dep < 0 || v.dep == dep {
+	if v.dep < 0 || v.dep == dep || p.evacuated(v) {
 		return false
 	}
 	if !v.serving() && !v.loading() {
--- a/internal/control/placement/preload.go
+++ b/internal/control/placement/preload.go
@@ -50,7 +50,7 @@
 		if copies <= 0 {
 			return copies
 		}
-		if p.preloading[i] || h.Preloading || h.Stop.Requested || h.holds(w) || p.atWeightsLimit(h) {
+		if p.preloading[i] || h.Preloading || h.leaving() || h.holds(w) || p.atWeightsLimit(h) {
 			continue
 		}
 		p.preloading[i] = true
--- a/internal/control/placement/repair.go
+++ b/internal/control/placement/repair.go
@@ -36,6 +36,8 @@
 	for _, g := range degraded {
 		switch {
 		case g.ended:
+		case p.evacuated(g):
+			p.repair(dep, g)
 		case !p.groupOutageSince(g).IsZero():
 			p.repairInOutage(dep, g, replacements > 0)
 			replacements--
@@ -137,7 +139,7 @@
 func (p *planner) willNotReturn(g *group) bool {
 	for _, i := range g.missing {
 		h := &p.fleet.Hosts[i]
-		if h.Stop.Requested || p.isFlapping(h) {
+		if h.leaving() || p.isFlapping(h) {
 			return true
 		}
 	}
@@ -163,10 +165,10 @@
 	var kept []int
 	for _, i := range g.survivors {
 		h := &p.fleet.Hosts[i]
-		if p.now.Before(h.ClaimableAt) || !d.allows(h.Fabric) {
+		if p.now.Before(h.ClaimableAt) || !d.allows(h.Fabric) || h.Evacuated {
 			continue
 		}
-		if strict && (h.Stop.Requested || p.isStraggler(h)) {
+		if strict && (h.leaving() || p.isStraggler(h)) {
 			continue
 		}
 		kept = append(kept, i)
--- a/internal/control/placement/replace_reason.go
+++ b/internal/control/placement/replace_reason.go
@@ -5,7 +5,7 @@
 // replaceReason returns why a replica that serves or loads is to be replaced, or "".
 func (p *planner) replaceReason(g *group) Reason {
 	for _, i := range g.members {
-		if p.fleet.Hosts[i].Stop.Requested {
+		if p.fleet.Hosts[i].leaving() {
 			return ReasonPlannedStop
 		}
 	}
@@ -50,9 +50,10 @@
 	return false
 }
 
-// servingReplaceReason returns why a serving replica is to be replaced, or "".
+// servingReplaceReason returns why a serving replica is to be replaced, or "". Evacuated replicas are left to
+// formMissing and endEvacuated.
 func (p *planner) servingReplaceReason(g *group) Reason {
-	if !g.serving() {
+	if !g.serving() || p.evacuated(g) {
 		return ""
 	}
 	return p.replaceReason(g)
--- a/internal/control/placement/scale.go
+++ b/internal/control/placement/scale.go
@@ -146,7 +146,7 @@
 		)
 	})
 	for _, g := range groups {
-		if excess > 0 && (g.serving() || g.loading()) {
+		if excess > 0 && !p.evacuated(g) && (g.serving() || g.loading()) {
 			p.endGroup(g, ReasonSurplus)
 			excess--
 		}
--- a/internal/control/placement/simulation_test.go
+++ b/internal/control/placement/simulation_test.go
@@ -31,7 +31,7 @@
 // event is one event of a script. Its verb is "lose" (a restart, which keeps only the
 // weights on disk), "fail" (the host returns without its weights), "cut" (the host is
 // unreachable and returns unchanged), "back", "slow", "normal", "stop" (a planned stop),
-// "roll" (planned stops one after the other), "version", "adapters" or "want".
+// "roll" (planned stops one after the other), "evacuate", "withdraw" (its end), "version", "adapters" or "want".
 type event struct {
 	at   time.Duration
 	verb string
@@ -154,6 +154,10 @@
 				sim.addEvent(event{sim.elapsed() + time.Second, "roll", actual.nextToStop})
 				actual.nextToStop = nil
 			}
+		case "evacuate":
+			h.Evacuated = true
+		case "withdraw":
+			h.Evacuated = false
 		case "slow":
 			h.Slowness, h.SlowSince = 1.6, now
 		case "normal":
@@ -428,6 +432,9 @@
 			if r.State != replica.StateServing || r.Spec.Deployment != d.Spec.Deployment {
 				continue
 			}
+			if head, _ := sim.host(string(r.Head())); head.Evacuated {
+				continue
+			}
 			serving[r.ID] = true
 			count++
 			sim.slow += seconds * (1 - 1/sim.slowness(&r))
@@ -436,7 +443,7 @@
 	}
 	for i := range sim.fleet.Hosts {
 		h := &sim.fleet.Hosts[i]
-		if sim.simulatedHosts[i].up && !h.Stop.Requested && !serving[h.Replica] {
+		if sim.simulatedHosts[i].up && !h.leaving() && !serving[h.Replica] {
 			sim.stranded += seconds * float64(h.Accelerators)
 		}
 	}
--- a/internal/control/server/fleet_snapshot.go
+++ b/internal/control/server/fleet_snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/control/state"
 	"github.com/egretreach/egretreach/internal/fleet/config"
+	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/view"
@@ -26,6 +27,9 @@
 	replicaIndex map[replica.ID]int
 	quarantine   []view.Quarantine
 	holds        []quarantine.Hold
+	evacuated    view.Evacuated
+	// failureDomains holds the failure domain of each host.
+	failureDomains map[host.ID]domain.Failure
 	// daemons holds copies of the entries of the membership table.
 	daemons map[host.ID]membership.Daemon
 	// reclaimableAt is the time from which no lease of the host's admitted incarnation can be
@@ -47,6 +51,7 @@
 		fleet.replicas = m.Replicas()
 		fleet.quarantine = m.Quarantine(now)
 		fleet.holds = m.Holds()
+		fleet.evacuated = m.Evacuated()
 		revision, yaml, _ := m.Config(0)
 		fleet.revision = revision
 		fleet.config = l.configCache.get(revision, yaml)
@@ -55,6 +60,10 @@
 	for i, r := range fleet.replicas {
 		fleet.replicaIndex[r.ID] = i
 	}
+	fleet.failureDomains = make(map[host.ID]domain.Failure, len(fleet.hosts))
+	for _, h := range fleet.hosts {
+		fleet.failureDomains[h.Info.ID] = h.Info.FailureDomain
+	}
 	for _, d := range l.table.Daemons() {
 		fleet.daemons[d.Info.ID] = *d
 		fleet.reclaimableAt[d.Info.ID] = l.table.ReclaimableAt(d.Info.ID)
@@ -93,6 +102,11 @@
 	return known && head.Stopping
 }
 
+// isHeadEvacuated reports whether the replica's head is in an evacuated failure domain.
+func (fleet *fleetSnapshot) isHeadEvacuated(r state.Replica) bool {
+	return fleet.evacuated.Contains(fleet.failureDomains[r.Head()])
+}
+
 // currentState returns the replica's state from the replicated state and the reports of its head.
 func (fleet *fleetSnapshot) currentState(r state.Replica) replica.State {
 	switch {
@@ -121,13 +135,13 @@
 // forgetAfter is the time after which a lost host is dropped from the replicated state.
 const forgetAfter = 7 * 24 * time.Hour
 
-// hostsToForget returns the hosts that have been lost for forgetAfter. Hosts with a requested drain
-// and hosts with a claim are kept.
+// hostsToForget returns the hosts that have been lost for forgetAfter. Hosts with a requested drain,
+// hosts of an evacuated failure domain and hosts with a claim are kept.
 func (fleet *fleetSnapshot) hostsToForget() []host.ID {
 	var expired []host.ID
 	for _, h := range fleet.hosts {
 		d := fleet.daemons[h.Info.ID]
-		if !d.Alive && h.Claim == nil && !h.DrainRequested && fleet.now.Sub(d.AliveChangedAt) >= forgetAfter {
+		if !d.Alive && h.Claim == nil && !h.DrainRequested && !fleet.evacuated.Contains(h.Info.FailureDomain) && fleet.now.Sub(d.AliveChangedAt) >= forgetAfter {
 			expired = append(expired, h.Info.ID)
 		}
 	}
@@ -176,7 +190,7 @@
 	for _, d := range fleet.config.Deployments {
 		s := message.DeploymentStatus{Name: d.Name, Wanted: d.Replicas, WaitReasons: waits[d.Name]}
 		for _, r := range fleet.replicas {
-			if r.Spec.Deployment != d.Name {
+			if r.Spec.Deployment != d.Name || fleet.isHeadEvacuated(r) {
 				continue
 			}
 			switch fleet.currentState(r) {
--- a/internal/control/server/grants.go
+++ b/internal/control/server/grants.go
@@ -81,5 +81,6 @@
 	}
 	grant := g.grant
 	grant.Host, grant.Sequence, grant.Revision = g.renewal.Host, g.renewal.Sequence, revision
+	grant.Evacuated = s.leader.evacuated().OrNil()
 	return s.stream.Send(&message.Grant{Grants: []message.LeaseGrant{grant}})
 }
--- a/internal/control/server/leader.go
+++ b/internal/control/server/leader.go
@@ -217,6 +217,13 @@
 	return revision, yaml
 }
 
+// evacuated returns the evacuated failure domains.
+func (l *leader) evacuated() view.Evacuated {
+	var set view.Evacuated
+	l.server.store.read(func(m *state.Machine) { set = m.Evacuated() })
+	return set
+}
+
 // endSessions ends all sessions and notifies the daemons that this host is no longer the leader.
 func (l *leader) endSessions() {
 	l.mu.Lock()
--- a/internal/control/server/leader_call.go
+++ b/internal/control/server/leader_call.go
@@ -8,6 +8,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/config"
 	"github.com/egretreach/egretreach/internal/link/identity"
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
 // answer executes one call. The caller has checked the role of peer.
@@ -25,6 +26,8 @@
 		return l.applyConfig(ctx, m)
 	case *message.Drain:
 		return l.proposeAndAck(ctx, state.Drain{Host: m.Host, Undo: m.Undo, Reason: m.Reason})
+	case *message.Evacuate:
+		return l.evacuate(ctx, peer, m)
 	case *message.CrashReport:
 		return l.proposeAndAck(ctx, state.Crash{Report: *m})
 	case *message.SuspectsCleared:
@@ -44,6 +47,20 @@
 	return &message.Ack{}, nil
 }
 
+// evacuate commits the begin or the end of an evacuation. The log also orders a repeated call, so that no stale
+// state acknowledges it.
+func (l *leader) evacuate(ctx context.Context, peer identity.Identity, m *message.Evacuate) (message.Message, error) {
+	started := time.Now()
+	ack, err := l.proposeAndAck(ctx, state.Evacuate{Domain: m.Domain, Undo: m.Undo})
+	line := event.EvacuationAnswered.On(l.server.opts.Logger).Str("domain", string(m.Domain)).Bool("cancel", m.Undo).
+		Str("operator", string(peer.Host)).Uint64("revision", l.evacuated().Revision).Dur("after", time.Since(started))
+	if err != nil {
+		line = line.Err(err)
+	}
+	line.Msg("")
+	return ack, err
+}
+
 // query answers a call that changes nothing. It first confirms the leadership, so that it does
 // not read a stale state.
 func (l *leader) query(ctx context.Context, m message.Message) (message.Message, error) {
@@ -122,6 +139,7 @@
 	result := &message.StatusResult{Leader: s.opts.Hosts[logStatus.Leader], Term: logStatus.Term}
 	result.Revision, _ = l.latestConfig()
 	result.Control = l.controlStatus(logStatus)
+	result.Evacuated = l.evacuated().Domains
 	fleet, waits := l.fleetSnapshot()
 	result.Hosts = fleet.hostStatus()
 	for _, r := range fleet.replicas {
--- a/internal/control/server/placement.go
+++ b/internal/control/server/placement.go
@@ -101,8 +101,9 @@
 	out := placement.Host{
 		ID: h.Info.ID, Failure: h.Info.FailureDomain, Fabric: h.Info.FabricDomain, Accelerators: engine.Accelerators,
 		Alive: d.Alive && (d.EngineHealthy || !d.Renewed), AliveChangedAt: d.AliveChangedAt, LastLost: d.LastLost, Losses: d.Losses(fleet.now),
-		Stop:    placement.PlannedStop{Requested: h.DrainRequested || d.Stopping || !allowed},
-		Weights: history.hostWeights[h.Info.ID],
+		Stop:      placement.PlannedStop{Requested: h.DrainRequested || d.Stopping || !allowed},
+		Evacuated: fleet.evacuated.Contains(h.Info.FailureDomain),
+		Weights:   history.hostWeights[h.Info.ID],
 	}
 	if d.EngineHealthChangedAt.After(out.AliveChangedAt) {
 		out.AliveChangedAt = d.EngineHealthChangedAt
--- a/internal/control/server/placement_history.go
+++ b/internal/control/server/placement_history.go
@@ -76,7 +76,7 @@
 	loading := map[replica.ID]bool{}
 	counts := map[string]int{}
 	for _, r := range fleet.replicas {
-		if r.State != replica.StateDraining {
+		if r.State != replica.StateDraining && !fleet.isHeadEvacuated(r) {
 			counts[r.Spec.Deployment]++
 		}
 		for _, id := range r.Hosts {
@@ -93,7 +93,7 @@
 }
 
 // updateUnderReplicated updates underReplicatedSince from counts, the number of replicas of each
-// deployment that are not draining.
+// deployment that are neither draining nor evacuated.
 func (s *placementHistory) updateUnderReplicated(fleet *fleetSnapshot, counts map[string]int) {
 	since := map[string]time.Time{}
 	for _, d := range fleet.config.Deployments {
--- a/internal/control/server/versioned_view.go
+++ b/internal/control/server/versioned_view.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/view"
@@ -28,7 +29,8 @@
 	// that version carries the whole view, since ViewPush.Removed does not list bodies.
 	quarantineRemovalVersion uint64
 	// removed holds the version at which each former route or service was removed.
-	removed map[string]uint64
+	removed   map[string]uint64
+	evacuated view.Evacuated
 	// ready is set by the first update. Until then nothing is pushed.
 	ready bool
 }
@@ -62,6 +64,8 @@
 	if len(removedBodies) > 0 {
 		v.quarantineRemovalVersion = next
 	}
+	changed = v.evacuated.Revision != fleet.evacuated.Revision || changed
+	v.evacuated = fleet.evacuated
 	if changed || !v.ready {
 		v.version, v.structureVersion = next, next
 	}
@@ -104,6 +108,7 @@
 	push.View.Epoch = v.term
 	push.View.Sequence = v.version
 	push.View.Revision = v.revision
+	push.View.Evacuated = v.evacuated.OrNil()
 	for _, id := range slices.Sorted(keysOf(v.routes)) {
 		route, load := v.routes[id], v.loads[id]
 		switch {
@@ -159,12 +164,24 @@
 		held, _ := heldReplica(head, r.ID, r.Fence)
 		routes[string(r.ID)] = view.Route{
 			Replica: r.WithState(current), Address: head.Info.Address, Incarnation: head.Info.Incarnation,
+			Domains: fleet.domainsOf(r.Hosts),
 		}
 		loads[string(r.ID)] = view.ReplicaLoad{Replica: r.ID, Load: held.Load}
 	}
 	return routes, loads
 }
 
+// domainsOf returns the failure domains of a replica's hosts, that of the head first and each other one once.
+func (fleet *fleetSnapshot) domainsOf(hosts []host.ID) []domain.Failure {
+	var domains []domain.Failure
+	for _, id := range hosts {
+		if d := fleet.failureDomains[id]; !slices.Contains(domains, d) {
+			domains = append(domains, d)
+		}
+	}
+	return domains
+}
+
 // quarantinedBodies returns the suspect and quarantined bodies by their hashes in hexadecimal.
 func (fleet *fleetSnapshot) quarantinedBodies() map[string]view.Quarantine {
 	bodies := make(map[string]view.Quarantine, len(fleet.quarantine))
@@ -189,6 +206,7 @@
 			}
 			service := view.Service{
 				Name: e.Name, Host: h.Info.ID, Address: d.Info.Address, Incarnation: d.Info.Incarnation,
+				Domain: h.Info.FailureDomain,
 			}
 			services[service.Key()] = service
 		}
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -8,6 +8,7 @@
 
 	"github.com/egretreach/egretreach/internal/control/ledger"
 	"github.com/egretreach/egretreach/internal/control/quarantine"
+	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/view"
@@ -103,6 +104,15 @@
 	Reason string  `cbor:"3,keyasint"`
 }
 
+// Evacuate records that the endpoints of a failure domain are to get no new requests, or
+// with Undo that they may get them again. No host of the domain needs to be known. Its
+// result is Done, or Refused for a name that is empty, too long or not UTF-8, and for too
+// many domains at once.
+type Evacuate struct {
+	Domain domain.Failure `cbor:"1,keyasint"`
+	Undo   bool           `cbor:"2,keyasint"`
+}
+
 // Claim is a batch of claims of idempotency keys. Its result is Claimed.
 type Claim struct {
 	Items []message.ClaimItem `cbor:"1,keyasint"`
@@ -159,6 +169,7 @@
 	commandLead
 	commandForget
 	commandHold
+	commandEvacuate
 )
 
 func (ApplyConfig) number() commandNumber     { return commandApplyConfig }
@@ -171,6 +182,7 @@
 func (Release) number() commandNumber         { return commandRelease }
 func (Drain) number() commandNumber           { return commandDrain }
 func (Claim) number() commandNumber           { return commandClaim }
+func (Evacuate) number() commandNumber        { return commandEvacuate }
 func (Forget) number() commandNumber          { return commandForget }
 func (Hold) number() commandNumber            { return commandHold }
 func (Lead) number() commandNumber            { return commandLead }
@@ -230,6 +242,8 @@
 		return decodeAs[Release](e.Body)
 	case commandDrain:
 		return decodeAs[Drain](e.Body)
+	case commandEvacuate:
+		return decodeAs[Evacuate](e.Body)
 	case commandClaim:
 		return decodeAs[Claim](e.Body)
 	case commandSettle:
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -35,6 +35,8 @@
 	quarantine quarantine.State
 	// holds are the keys of requests that are held back.
 	holds quarantine.HoldSet
+	// evacuated is the set of evacuated failure domains.
+	evacuated view.Evacuated
 	// unknownCommand is the ErrUnknownCommand that stopped the machine, or nil.
 	unknownCommand error
 }
@@ -120,10 +122,10 @@
 		return Refused{Reason: fmt.Sprintf("decided by the leader of term %d, in term %d", e.Term, m.term)}
 	}
 	m.nowMs = max(m.nowMs, e.UnixMs)
-	return m.apply(command)
+	return m.apply(index, command)
 }
 
-func (m *Machine) apply(command Command) Result {
+func (m *Machine) apply(index uint64, command Command) Result {
 	switch c := command.(type) {
 	case Lead:
 		m.term = max(m.term, c.Term)
@@ -148,6 +150,8 @@
 		return m.release(c)
 	case Drain:
 		return m.drain(c)
+	case Evacuate:
+		return m.evacuate(index, c)
 	case Claim:
 		return m.claim(c)
 	case Settle:
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -8,6 +8,7 @@
 	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
+	"github.com/egretreach/egretreach/internal/fleet/view"
 )
 
 // snapshot is the encoded form of the whole state, with lists in a fixed order.
@@ -25,6 +26,9 @@
 	Term             uint64            `cbor:"10,keyasint"`
 
 	Holds quarantine.HoldSnapshot `cbor:"11,keyasint"`
+
+	// Evacuated is nil if no failure domain was ever evacuated.
+	Evacuated *view.Evacuated `cbor:"12,keyasint,omitempty"`
 }
 
 // maxSnapshotItems is the largest number of items of one list in a snapshot.
@@ -65,7 +69,7 @@
 		NowMs: m.nowMs, Fence: m.fence, Config: m.config,
 		Hosts: m.Hosts(), Replicas: m.Replicas(), Ledger: m.ledger.Snapshot(),
 		Quarantine: m.quarantine, LedgerPolicy: m.ledger.Policy, QuarantinePolicy: m.quarantine.Policy,
-		Term: m.term, Holds: m.holds.Snapshot(),
+		Term: m.term, Holds: m.holds.Snapshot(), Evacuated: m.evacuated.OrNil(),
 	})
 	return data, errors.Wrap(err, "encode snapshot")
 }
@@ -95,5 +99,9 @@
 	m.quarantine.Policy = s.QuarantinePolicy
 	m.holds = quarantine.HoldSet{}
 	m.holds.Restore(s.Holds)
+	m.evacuated = view.Evacuated{}
+	if s.Evacuated != nil {
+		m.evacuated = *s.Evacuated
+	}
 	return nil
 }
--- a/internal/entry/dispatch/dispatcher.go
+++ b/internal/entry/dispatch/dispatcher.go
@@ -140,7 +140,7 @@
 	case errors.As(err, &unroutable):
 		return execution.Unroutable{
 			Code: unroutable.Code, Reason: unroutable.Reason,
-			RetryAfter: unroutable.RetryAfter, Final: unroutable.Final,
+			RetryAfter: unroutable.RetryAfter, Final: unroutable.Final, Restricted: unroutable.Restricted,
 		}
 	default:
 		return execution.Unroutable{Code: execution.CodeNoReplica, Reason: err.Error()}
--- a/internal/entry/dispatch/work.go
+++ b/internal/entry/dispatch/work.go
@@ -133,6 +133,8 @@
 	RetryAfter time.Duration
 	// Final is set if waiting does not help.
 	Final bool
+	// Restricted is set if all endpoints that serve the request now are ruled out for it.
+	Restricted bool
 }
 
 func (e ErrUnroutable) Error() string { return e.Code + ": " + e.Reason }
--- a/internal/entry/execution/event.go
+++ b/internal/entry/execution/event.go
@@ -13,12 +13,14 @@
 type Routed struct{ Target Target }
 
 // Unroutable is the event of a Route that found no target. Final is set if waiting does
-// not help.
+// not help. Restricted is set if all endpoints that serve the request now are ruled out for it: the request is then
+// refused at once, unless an earlier attempt may have run, whose own endpoint may serve again.
 type Unroutable struct {
 	Code       string
 	Reason     string
 	RetryAfter time.Duration
 	Final      bool
+	Restricted bool
 }
 
 // Claimed is the event of a Claim that control answered.
--- a/internal/entry/execution/execution.go
+++ b/internal/entry/execution/execution.go
@@ -149,10 +149,10 @@
 	case Routed:
 		return m.handleRouted(e)
 	case Unroutable:
-		m.recordRefusal()
+		mayHaveRun := m.recordRefusal()
 		return m.retryOrFinish(now, Result{
 			Outcome: request.OutcomeNotRun, Code: e.Code, Reason: e.Reason, RetryAfter: e.RetryAfter,
-		}, e.Final)
+		}, e.Final || e.Restricted && !mayHaveRun)
 	case Claimed:
 		return m.handleClaimed(e.Result)
 	case ClaimFailed:
--- a/internal/entry/routing/pick.go
+++ b/internal/entry/routing/pick.go
@@ -46,13 +46,21 @@
 // collectCandidates sets r.candidates to the replicas that may take the request.
 func (r *Router) collectCandidates(g *group, req Request) error {
 	r.candidates = r.candidates[:0]
-	matching, serving, anyAtLimit := false, false, false
+	matching, usable, serving, anyAtLimit := false, false, false, false
+	restricted := ErrRestricted{Name: req.Deployment}
 	for _, s := range g.replicas {
 		if !s.matches(req) {
 			continue
 		}
 		matching = true
-		if s.route.Replica.State != replica.StateServing || req.Exclude[s.route.Replica.ID] {
+		if s.route.Replica.State != replica.StateServing {
+			continue
+		}
+		if !req.Restriction.CheckRoute(&s.route, &restricted) {
+			continue
+		}
+		usable = true
+		if req.Exclude[s.route.Replica.ID] {
 			continue
 		}
 		serving = true
@@ -62,6 +70,8 @@
 	switch {
 	case !matching:
 		return ErrNoModel{Deployment: req.Deployment}
+	case !usable && !restricted.IsEmpty():
+		return restricted
 	case !serving:
 		return ErrNoReplica{Deployment: req.Deployment}
 	case req.Suspect:
--- a/internal/entry/routing/routing.go
+++ b/internal/entry/routing/routing.go
@@ -96,6 +96,8 @@
 	// Suspect restricts the request to the replica that ranks first for BodyHash, and
 	// to times when no other suspect request runs there.
 	Suspect bool
+	// Restriction holds also where Exclude is dropped.
+	Restriction Restriction
 }
 
 // Choice is the replica picked for a request.
--- a/internal/entry/routing/routing_test.go
+++ b/internal/entry/routing/routing_test.go
@@ -133,12 +133,12 @@
 func TestServicesPickAvoidsBusyAndExcludedEndpoints(t *testing.T) {
 	s := NewServices(rand.New(rand.NewPCG(1, 2)))
 	s.SetView(view.View{Services: []view.Service{{Name: "records", Host: "a"}, {Name: "records", Host: "b"}}})
-	first, err := s.Pick("records", nil)
+	first, err := s.Pick("records", nil, Restriction{})
 	require.NoError(t, err)
 	s.Dispatched(first)
-	second, err := s.Pick("records", nil)
+	second, err := s.Pick("records", nil, Restriction{})
 	require.NoError(t, err)
 	require.NotEqual(t, first, second, "the endpoint with fewer calls in flight")
-	_, err = s.Pick("records", map[host.ID]bool{"a": true, "b": true})
+	_, err = s.Pick("records", map[host.ID]bool{"a": true, "b": true}, Restriction{})
 	require.True(t, IsErrNoEndpoint(err))
 }
--- a/internal/entry/routing/services.go
+++ b/internal/entry/routing/services.go
@@ -34,15 +34,26 @@
 	}
 }
 
-// Pick chooses an endpoint of a service on a host that is not excluded. It returns
-// ErrNoEndpoint if there is none.
-func (s *Services) Pick(name string, exclude map[host.ID]bool) (view.Service, error) {
+// Pick chooses an endpoint of a service that the restriction allows, on a host that is not
+// excluded. It returns ErrRestricted if the restriction allows none, and ErrNoEndpoint if
+// there is none for another reason.
+func (s *Services) Pick(name string, exclude map[host.ID]bool, restriction Restriction) (view.Service, error) {
 	s.candidates = s.candidates[:0]
-	for _, e := range s.endpoints[name] {
+	usable, restricted := false, ErrRestricted{Name: name}
+	for i := range s.endpoints[name] {
+		e := &s.endpoints[name][i]
+		if x := restriction.excludeService(e); x != "" {
+			restricted.count(x)
+			continue
+		}
+		usable = true
 		if !exclude[e.Host] {
-			s.candidates = append(s.candidates, e)
+			s.candidates = append(s.candidates, *e)
 		}
 	}
+	if !usable && !restricted.IsEmpty() {
+		return view.Service{}, restricted
+	}
 	if len(s.candidates) == 0 {
 		return view.Service{}, ErrNoEndpoint{Name: name}
 	}
--- a/internal/entry/server/model_queue.go
+++ b/internal/entry/server/model_queue.go
@@ -6,7 +6,6 @@
 
 	"github.com/egretreach/egretreach/internal/entry/admission"
 	"github.com/egretreach/egretreach/internal/entry/execution"
-	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/request"
 )
 
@@ -22,19 +21,29 @@
 // mutex.
 type modelQueue struct {
 	queue   *admission.Queue
-	waiters map[request.ID]chan admissionResult
+	waiters map[request.ID]waiter
 	timer   *time.Timer
 }
 
-// admissionResult ends the wait of a request; refused is nil if the request may start.
-type admissionResult struct{ refused *admission.Refused }
+// waiter is a request that waits in a queue.
+type waiter struct {
+	request admission.Request
+	result  chan admissionResult
+}
+
+// admissionResult ends the wait of a request, which may start if both fields are nil.
+type admissionResult struct {
+	refused *admission.Refused
+	// restricted is set in place of refused if no endpoint that may get the request is left.
+	restricted *execution.Result
+}
 
 func (sched *scheduler) modelQueue(model string) *modelQueue {
 	q := sched.queues[model]
 	if q != nil {
 		return q
 	}
-	q = &modelQueue{queue: admission.NewQueue(weights(sched.fleet), 0), waiters: map[request.ID]chan admissionResult{}}
+	q = &modelQueue{queue: admission.NewQueue(weights(sched.fleet), 0), waiters: map[request.ID]waiter{}}
 	sched.queues[model] = q
 	sched.setSlots(time.Now())
 	return q
@@ -52,40 +61,28 @@
 }
 
 func (q *modelQueue) notify(id request.ID, result admissionResult) {
-	if waiter, ok := q.waiters[id]; ok {
+	if w, ok := q.waiters[id]; ok {
 		delete(q.waiters, id)
-		waiter <- result
+		w.result <- result
 	}
 }
 
-func (sched *scheduler) serves(model string) bool {
-	for _, route := range sched.view.Routes {
-		if route.Replica.Spec.Model == model && route.Replica.State == replica.StateServing {
-			return true
-		}
-	}
-	return false
-}
-
 // admit waits for a slot of the model. It returns nil if the request got one, and
 // otherwise its refusal.
 func (sched *scheduler) admit(ctx context.Context, model string, r admission.Request) *execution.Result {
 	sched.mu.Lock()
-	if !sched.serves(model) {
+	if refusal := sched.refusalUnserved(model, r.Team); refusal != nil {
 		sched.mu.Unlock()
-		return &execution.Result{
-			Outcome: request.OutcomeNotRun, Code: execution.CodeNoReplica,
-			Reason: "no replica of the model serves now", RetryAfter: retryAfterNoReplica,
-		}
+		return refusal
 	}
 	q := sched.modelQueue(model)
-	waiter := make(chan admissionResult, 1)
+	waiting := waiter{request: r, result: make(chan admissionResult, 1)}
 	switch d := q.queue.Offer(time.Now(), r).(type) {
 	case admission.Refused:
 		sched.mu.Unlock()
 		return refusalResult(d)
 	case admission.Queued:
-		q.waiters[r.ID] = waiter
+		q.waiters[r.ID] = waiting
 		if d.Displaced != nil {
 			q.notify(d.Displaced.Request.ID, admissionResult{refused: &d.Displaced.Refused})
 		}
@@ -96,26 +93,33 @@
 	}
 	sched.mu.Unlock()
 	select {
-	case result := <-waiter:
+	case result := <-waiting.result:
 		return result.result()
 	case <-ctx.Done():
-		return sched.cancelWait(q, r, waiter)
+		return sched.cancelWait(q, r, waiting.result)
 	}
 }
 
+func (result admissionResult) isAdmitted() bool {
+	return result.refused == nil && result.restricted == nil
+}
+
 func (result admissionResult) result() *execution.Result {
-	if result.refused == nil {
+	if result.restricted != nil {
+		return result.restricted
+	}
+	if result.isAdmitted() {
 		return nil
 	}
 	return refusalResult(*result.refused)
 }
 
 // cancelWait removes a request from the queue after its caller has gone.
-func (sched *scheduler) cancelWait(q *modelQueue, r admission.Request, waiter chan admissionResult) *execution.Result {
+func (sched *scheduler) cancelWait(q *modelQueue, r admission.Request, decided chan admissionResult) *execution.Result {
 	sched.mu.Lock()
 	defer sched.mu.Unlock()
 	if !q.queue.Cancel(r) {
-		if result := <-waiter; result.refused == nil {
+		if result := <-decided; result.isAdmitted() {
 			q.queue.Release(r, 0)
 			q.processQueue(time.Now())
 		}
--- a/internal/entry/server/router.go
+++ b/internal/entry/server/router.go
@@ -22,6 +22,7 @@
 	minFirstTokenTimeout    = 5 * time.Second
 	firstTokenTimeoutFactor = 4
 
+	codeRestricted    = "no_allowed_endpoint"
 	codeQuarantined   = "quarantined"
 	reasonQuarantined = "this request has crashed endpoints and is held back"
 	reasonPartHeld    = "requests that share a part of the prompt have crashed endpoints and are held back"
@@ -35,7 +36,7 @@
 	case dispatch.Generation:
 		return s.routeGeneration(now, work, body, exclude)
 	case dispatch.ServiceCall:
-		return s.routeService(body, exclude)
+		return s.routeService(work, body, exclude)
 	}
 	return dispatch.Route{}, dispatch.ErrUnroutable{Code: execution.CodeEndpointFailed, Final: true}
 }
@@ -58,7 +59,7 @@
 	req := routing.Request{
 		Deployment: body.Model, Version: body.Version, Adapter: body.Adapter,
 		PromptTokens: body.PromptTokens, PrefixHashes: body.PrefixHashes, BodyHash: work.BodyHash,
-		Exclude: sched.excludedReplicas(exclude), Suspect: work.Suspect,
+		Exclude: sched.excludedReplicas(exclude), Suspect: work.Suspect, Restriction: sched.restriction(work.Team),
 	}
 	choice, err := sched.router.Pick(now, req)
 	if routing.IsErrNoReplica(err) && len(req.Exclude) > 0 {
@@ -91,6 +92,10 @@
 		u.Code = "suspect_waits"
 		u.RetryAfter = retryAfterSuspect
 	}
+	if routing.IsErrRestricted(err) {
+		u.Code = codeRestricted
+		u.Restricted = true
+	}
 	return u
 }
 
@@ -219,11 +224,15 @@
 	}
 }
 
-func (s *Server) routeService(body dispatch.ServiceCall, exclude map[host.ID]bool) (dispatch.Route, error) {
+func (s *Server) routeService(work dispatch.Work, body dispatch.ServiceCall, exclude map[host.ID]bool) (dispatch.Route, error) {
 	sched := s.scheduler
-	endpoint, err := sched.services.Pick(body.Call.Service, exclude)
-	if err != nil && len(exclude) > 0 {
-		endpoint, err = sched.services.Pick(body.Call.Service, nil)
+	restriction := sched.restriction(work.Team)
+	endpoint, err := sched.services.Pick(body.Call.Service, exclude, restriction)
+	if routing.IsErrNoEndpoint(err) && len(exclude) > 0 {
+		endpoint, err = sched.services.Pick(body.Call.Service, nil, restriction)
+	}
+	if routing.IsErrRestricted(err) {
+		return dispatch.Route{}, newErrUnroutable(err)
 	}
 	if err != nil {
 		return dispatch.Route{}, dispatch.ErrUnroutable{
--- a/internal/entry/server/scheduler.go
+++ b/internal/entry/server/scheduler.go
@@ -33,6 +33,10 @@
 	quota    *admission.Quota
 	queues   map[string]*modelQueue
 	limiters map[replica.ID]*admission.Limiter
+	// evacuated returns the evacuated failure domains that this entry knows of. Nil is none.
+	evacuated func() view.Evacuated
+	// loggedEvacuation is the revision of the set that was logged last.
+	loggedEvacuation uint64
 	// revocableAttempts are the attempts in flight that may be revoked.
 	revocableAttempts map[routing.AttemptID]revocableAttempt
 	attemptsInFlight  int
@@ -153,18 +157,23 @@
 	sched.suspects.SetView(now, sched.view.Quarantine)
 	sched.revokeSuspects(now)
 	sched.setSlots(now)
+	sched.refuseRestricted()
 }
 
 // setSlots sets the slots of each queue to the sum of the concurrency limits of the
 // replicas that serve its model.
 func (sched *scheduler) setSlots(now time.Time) {
 	slots := map[string]int{}
+	restriction := routing.Restriction{Evacuated: sched.evacuatedDomains()}
 	live := map[replica.ID]bool{}
 	for _, route := range sched.view.Routes {
 		if route.Replica.State != replica.StateServing {
 			continue
 		}
 		live[route.Replica.ID] = true
+		if !restriction.AllowsRoute(&route) {
+			continue
+		}
 		limit := sched.limiter(route).Limit()
 		sched.router.SetLimit(route.Replica.ID, limit)
 		slots[route.Replica.Spec.Model] += limit
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -108,6 +108,7 @@
 	s.metrics = newRequestMetrics(opts.Metrics, s.scheduler)
 	links := pool.New(opts.Link)
 	s.session = session.New(session.Options{Pool: links, ControlAddresses: opts.ControlAddresses, Daemon: s, Logger: opts.Logger})
+	s.scheduler.evacuated = s.session.Evacuated
 	s.dispatcher = dispatch.New(dispatch.Options{
 		BaseContext: s.baseContext, Pool: links, Control: s.session, Router: s, Retrier: s.scheduler, Logger: opts.Logger,
 	})
--- a/internal/entry/server/session.go
+++ b/internal/entry/server/session.go
@@ -38,6 +38,7 @@
 
 // OnGrant implements session.Daemon.
 func (s *Server) OnGrant(grant message.LeaseGrant) {
+	s.evacuationLearned()
 	if grant.Shares != nil {
 		s.scheduler.setShares(time.Now(), grant.Shares)
 	}
@@ -52,6 +53,8 @@
 // OnMessage implements session.Daemon.
 func (s *Server) OnMessage(_ context.Context, m message.Message) {
 	if push, ok := m.(*message.ViewPush); ok {
+		s.session.LearnEvacuated(push.View.Evacuated)
+		s.evacuationLearned()
 		s.scheduler.applyView(time.Now(), push)
 	}
 }
--- a/internal/fleet/view/merge.go
+++ b/internal/fleet/view/merge.go
@@ -19,6 +19,9 @@
 	merged.Services = mergeBy(v.Services, delta.Services, Service.Key, removedKeys)
 	merged.Quarantine = mergeBy(v.Quarantine, delta.Quarantine, Quarantine.key, nil)
 	merged.Loads = nil
+	if v.Evacuated != nil {
+		merged.Evacuated = v.Evacuated.Newest(delta.Evacuated).OrNil()
+	}
 	applyLoads(merged.Routes, delta.Loads)
 	return merged
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 )
@@ -37,6 +38,16 @@
 	Address     string           `cbor:"2,keyasint" json:"address"`
 	Incarnation host.Incarnation `cbor:"3,keyasint" json:"incarnation"`
 	Load        Load             `cbor:"4,keyasint" json:"load"`
+	// Domains are the failure domains of the replica's hosts, that of the head first and each other one once.
+	Domains []domain.Failure `cbor:"5,keyasint,omitempty" json:"domains,omitempty"`
+}
+
+// HeadDomain returns the failure domain of the replica's head, or "" if it is not known.
+func (r Route) HeadDomain() domain.Failure {
+	if len(r.Domains) == 0 {
+		return ""
+	}
+	return r.Domains[0]
 }
 
 // Service is an endpoint of a plain service that requests may be sent to.
@@ -45,6 +56,8 @@
 	Host        host.ID          `cbor:"2,keyasint" json:"host"`
 	Address     string           `cbor:"3,keyasint" json:"address"`
 	Incarnation host.Incarnation `cbor:"4,keyasint" json:"incarnation"`
+	// Domain is the failure domain of the host.
+	Domain domain.Failure `cbor:"5,keyasint,omitempty" json:"domain,omitempty"`
 }
 
 // Quarantine is a request body that may not run before ExpiresUnixMs, or that may run only as
@@ -74,6 +87,8 @@
 	// Loads are set only in a delta. They are the new reports of replicas whose routes
 	// have not changed otherwise.
 	Loads []ReplicaLoad `cbor:"7,keyasint,omitempty" json:"loads,omitempty"`
+	// Evacuated is the whole set also in a delta. It is nil if no failure domain was ever evacuated.
+	Evacuated *Evacuated `cbor:"8,keyasint,omitempty" json:"evacuated,omitempty"`
 }
 
 // ReplicaLoad is a report of one replica's load.
--- a/internal/link/message/kind.go
+++ b/internal/link/message/kind.go
@@ -54,6 +54,7 @@
 	kindQuarantineClear
 	kindRequestQuery
 	kindRequestResult
+	kindEvacuate
 )
 
 const kindQuorum Kind = 80
@@ -122,6 +123,7 @@
 	kindQuarantineClear:  func() Message { return &QuarantineClear{} },
 	kindRequestQuery:     func() Message { return &RequestQuery{} },
 	kindRequestResult:    func() Message { return &RequestResult{} },
+	kindEvacuate:         func() Message { return &Evacuate{} },
 	kindQuorum:           func() Message { return &Quorum{} },
 	kindRosterUpdate:     func() Message { return &RosterUpdate{} },
 	kindSubscribe:        func() Message { return &Subscribe{} },
--- a/internal/link/message/operator.go
+++ b/internal/link/message/operator.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/request"
@@ -72,6 +73,8 @@
 	Hosts       []HostStatus       `cbor:"5,keyasint" json:"hosts"`
 	Replicas    []replica.Replica  `cbor:"6,keyasint" json:"replicas"`
 	Deployments []DeploymentStatus `cbor:"7,keyasint" json:"deployments"`
+	// Evacuated are the evacuated failure domains, sorted.
+	Evacuated []domain.Failure `cbor:"8,keyasint,omitempty" json:"evacuated,omitempty"`
 }
 
 // ControlStatus is the status of one control host, as the leader knows it.
@@ -114,6 +117,14 @@
 	Reason string `cbor:"3,keyasint"`
 }
 
+// Evacuate asks that the endpoints of a failure domain get no new requests, or that they may get them again.
+// It may be sent again: a change that is in force already is acknowledged like the first time.
+type Evacuate struct {
+	Domain domain.Failure `cbor:"1,keyasint"`
+	// Undo withdraws an earlier evacuation.
+	Undo bool `cbor:"2,keyasint"`
+}
+
 // QuarantineQuery asks for the quarantined and suspect request bodies.
 type QuarantineQuery struct{}
 
@@ -165,6 +176,8 @@
 
 func (*Drain) kind() Kind { return kindDrain }
 
+func (*Evacuate) kind() Kind { return kindEvacuate }
+
 func (*QuarantineQuery) kind() Kind { return kindQuarantineQuery }
 
 func (*QuarantineResult) kind() Kind { return kindQuarantineResult }
--- a/internal/link/message/session.go
+++ b/internal/link/message/session.go
@@ -100,6 +100,9 @@
 	Shares map[string]float64 `cbor:"4,keyasint,omitempty"`
 	// Holds are the requests that an entry must hold back.
 	Holds *Holds `cbor:"5,keyasint,omitempty"`
+	// Evacuated are the evacuated failure domains, confirmed by the quorum after the renewal was sent. It is nil if
+	// no domain was ever evacuated.
+	Evacuated *view.Evacuated `cbor:"6,keyasint,omitempty"`
 }
 
 // ConfigPush sends an accepted configuration to a daemon.
--- a/internal/link/session/renewal.go
+++ b/internal/link/session/renewal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/egretreach/egretreach/internal/fleet/host"
+	"github.com/egretreach/egretreach/internal/fleet/view"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/process/clock"
@@ -51,6 +52,22 @@
 	return renewal
 }
 
+// Evacuated returns the evacuated failure domains. While the lease is valid, they are at least those of the time at
+// which the renewal of the lease was sent: a grant and the set in it take effect together.
+func (s *Session) Evacuated() view.Evacuated {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuated
+}
+
+// LearnEvacuated takes over a set that control has pushed, unless the one in force is at least as new. The set may
+// be nil.
+func (s *Session) LearnEvacuated(pushed *view.Evacuated) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated = s.evacuated.Newest(pushed)
+}
+
 func (s *Session) applyGrants(m *message.Grant, ttl time.Duration) {
 	self := s.opts.Daemon.Announce().Info.ID
 	for _, g := range m.Grants {
@@ -61,6 +78,7 @@
 		known := s.lease.ApplyGrant(g.Sequence, ttl, g.Revision)
 		if known {
 			s.granted = max(s.granted, g.Sequence)
+			s.evacuated = s.evacuated.Newest(g.Evacuated)
 			s.notifyGrantsLocked()
 		}
 		s.mu.Unlock()
--- a/internal/link/session/session.go
+++ b/internal/link/session/session.go
@@ -83,6 +83,8 @@
 	// or end of a session, or nil.
 	granted       uint64
 	grantsChanged chan struct{}
+	// evacuated is the newest set of evacuated failure domains.
+	evacuated view.Evacuated
 }
 
 // New returns a session. Run starts it.
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -46,6 +46,12 @@
 
 // runFleetWithReplicas runs a test on a fixture once all replicas serve.
 func runFleetWithReplicas(t *testing.T, hosts, replicas int, test func(s *fixture)) {
+	t.Helper()
+	runChangedFleet(t, hosts, replicas, func(*Options) {}, test)
+}
+
+// runChangedFleet runs a test on a fixture whose options are changed before its start.
+func runChangedFleet(t *testing.T, hosts, replicas int, change func(*Options), test func(s *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -62,6 +68,7 @@
 				Options: engine.Options{LoadTime: 2 * time.Second, CrashMarker: "CRASH", LateCrashMarker: "LATE-END", RestartAfter: 5 * time.Second},
 			})
 		}
+		change(&opts)
 		f, err := Start(ctx, opts)
 		require.NoError(t, err)
 		defer f.Close()
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -14,6 +14,8 @@
 	PlacementDecided = register(127, "placement_decided", log.InfoLevel)
 	// GrantUnsure is logged by a leader that can't confirm the lease of a daemon.
 	GrantUnsure = register(128, "grant_unsure", log.WarnLevel)
+	// EvacuationAnswered is logged by the leader for each call that begins or withdraws an evacuation.
+	EvacuationAnswered = register(129, "evacuation_answered", log.InfoLevel)
 )
 
 // Events of the portal, which is the control daemon on platforms whose endpoints announce themselves.
