check: processes under hostile callers, before the limits

Cause: a few hundred connections with legal headers of short lines, or with headers that never end, take several times the memory of a gateway's host, and any caller can take all descriptors.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,10 @@
 race-part:
 	@go test -timeout $(BUBBLE_TIMEOUT) -json -race -cpu 1 -run '$(TESTS)' .$(PACKAGE) | go run ./internal/check/redlist
 
+.PHONY: callers
+callers: ## Run the tests of processes under hostile callers, one at a time. They have a build tag, which keeps them out of test and race.
+	go test -tags callers -count 1 -p 1 -parallel 1 -json ./internal/check/callers | go run ./internal/check/redlist
+
 .PHONY: soak
 soak: build ## Run the daemons under random faults with 50 seeds and all that have failed before.
 	go run ./internal/check/soak --kept internal/check/soak/testdata/seeds.txt --from $(SOAK_FROM) --seeds 50 --at-once 5
@@ -103,6 +107,7 @@
 .PHONY: lint
 lint: tools ## Run go vet and the linter.
 	go vet ./...
+	go vet -tags callers ./internal/check/callers
 	$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION) run --allow-parallel-runners ./...
 
 .PHONY: local-up
