httpserver: one budget for what callers make a process hold

Each limit of net/http holds for one connection; nothing bounded all of them together.

Change: a connection wrapper counts the bytes and lines of a header before net/http parses them. All listeners of a process share a Budget; beyond it the largest and newest connections get 503 with Retry-After while their header is read, and are closed otherwise. Responses that are not read count after a second, and a transfer without progress ends after 30 s. Bodies that a handler doesn't bound by itself count as they are read. Connections are limited to half of the descriptors less 64, and the health pages have 32 of their own. The Go runtime gets three quarters of memory.process, by default the machine's memory or the limit of the control group. New settings: memory.process, memory.callers, caller_connections; event 415 and five gauges tell of refusals.

An entry refuses connections beyond api.max_connections instead of leaving them in the backlog, where they kept others away.

--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -24,7 +24,7 @@
 	return runDaemon(c.Config, settings.LoadAgent, func(_ context.Context, s settings.Agent) daemon.Options {
 		return daemon.Options{
 			Name: "agent", Role: host.RoleAgent, Host: s.Host, Link: s.Link, Health: s.Health, Keys: s.Keys,
-			Log: s.Log, Stop: s.Stop,
+			Log: s.Log, Stop: s.Stop, Memory: s.Memory,
 			Build: func(deps daemon.Dependencies) (daemon.Daemon, error) { return buildAgent(s, deps) },
 		}
 	})
--- a/cmd/control.go
+++ b/cmd/control.go
@@ -22,7 +22,7 @@
 	return runDaemon(c.Config, settings.LoadControl, func(_ context.Context, s settings.Control) daemon.Options {
 		return daemon.Options{
 			Name: "control", Role: host.RoleControl, Host: s.Host, Link: s.Link, Health: s.Health, Keys: s.Keys,
-			Log: s.Log, Stop: s.Stop,
+			Log: s.Log, Stop: s.Stop, Memory: s.Memory,
 			Build: func(deps daemon.Dependencies) (daemon.Daemon, error) { return buildControl(s, deps) },
 		}
 	})
--- a/cmd/dev.go
+++ b/cmd/dev.go
@@ -13,6 +13,7 @@
 
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/process/logging"
 	"github.com/egretreach/egretreach/internal/process/settings"
 	"github.com/egretreach/egretreach/internal/standin/engine"
@@ -25,8 +26,11 @@
 )
 
 type devCommand struct {
-	Listen  string `help:"IP address and TCP port that callers use." default:"127.0.0.1:8080"`
-	Verbose bool   `help:"Log events to the standard error stream as text."`
+	Listen string `help:"IP address and TCP port that callers use." default:"127.0.0.1:8080"`
+	// CallerMemory and CallerConnections are 0 for the defaults.
+	CallerMemory      int64 `help:"Bytes that connections and headers of callers may take."`
+	CallerConnections int   `help:"Connections that callers may have open."`
+	Verbose           bool  `help:"Log events to the standard error stream as text."`
 }
 
 // Run runs a whole fleet with stand-in engines in one process until a signal ends it.
@@ -51,7 +55,10 @@
 }
 
 func (c devCommand) options() fleet.Options {
+	budget := httpserver.NewBudget(httpserver.BudgetOptions{Memory: c.CallerMemory})
 	opts := fleet.Options{
+		Callers: httpserver.CallerLimits{Budget: budget, Connections: c.CallerConnections},
+
 		Sockets: fleet.Loopback{CallerAddress: c.Listen}, ControlCount: 1, EntryCount: 1, Logger: c.logger(),
 		Services: []fleet.HostSpec{{ID: "records-1", FailureDomain: "a"}},
 	}
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -18,7 +18,7 @@
 	return runDaemon(c.Config, settings.LoadEntry, func(ctx context.Context, s settings.Entry) daemon.Options {
 		return daemon.Options{
 			Name: "entry", Role: host.RoleEntry, Host: s.Host, Link: s.Link, Health: s.Health, Keys: s.Keys,
-			Log: s.Log, Stop: s.Stop,
+			Log: s.Log, Stop: s.Stop, Memory: s.Memory,
 			Build: func(deps daemon.Dependencies) (daemon.Daemon, error) { return buildEntry(ctx, s, deps) },
 		}
 	})
@@ -33,7 +33,7 @@
 		Host: s.Host.ID, FailureDomain: s.Host.FailureDomain, ControlAddresses: addresses(s.Control),
 		Link: deps.Socket, Metrics: deps.Metrics, Logger: deps.Logger,
 		HeaderTimeout: s.API.HeaderTimeout, BodyTimeout: s.API.BodyTimeout, IdleTimeout: s.API.IdleTimeout,
-		MaxHeader: int(s.API.MaxHeader), MaxConnections: s.API.MaxConnections,
+		MaxHeader: int(s.API.MaxHeader), MaxConnections: s.API.MaxConnections, Callers: deps.Callers,
 		ShutdownDelay: s.Stop.ShutdownDelay, DrainTimeout: s.Stop.DrainTimeout,
 	})
 	if err != nil {
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -22,7 +22,7 @@
 	return runDaemon(c.Config, settings.LoadGateway, func(ctx context.Context, s settings.Gateway) daemon.Options {
 		return daemon.Options{
 			Name: "gateway", Role: host.RoleEntry, Host: s.Host, Link: s.Link.Link(), Health: s.Health, Metrics: s.Metrics, Keys: settings.Keys(s.Keys),
-			PrivateNetwork: s.Link.PrivateNetwork, Log: s.Log, Stop: s.Stop,
+			PrivateNetwork: s.Link.PrivateNetwork, Log: s.Log, Stop: s.Stop, Memory: s.Memory, BodyMemory: int64(s.BodyMemory),
 			Build: func(deps daemon.Dependencies) (daemon.Daemon, error) {
 				return buildGateway(ctx, c.Config, s, deps)
 			},
@@ -51,7 +51,7 @@
 		Self: s.Host.ID, FailureDomain: s.Host.FailureDomain, Pool: pool.New(deps.Socket),
 		Seeds: s.Link.LinkAddresses(s.Seeds), Dialect: platform.Dialect(), ShutdownDelay: s.Stop.ShutdownDelay,
 		Retries:    gateway.RetryLimits{Ratio: s.Retries.Ratio, Burst: s.Retries.Burst, Window: s.Retries.Window},
-		BodyMemory: int64(s.BodyMemory), RefuseAfter: refuseAfter(s), ConfigAge: configAge(s), Metrics: deps.Metrics, Logger: deps.Logger,
+		BodyMemory: int64(s.BodyMemory), Callers: deps.Callers, CallerConnections: s.CallerConnections, RefuseAfter: refuseAfter(s), ConfigAge: configAge(s), Metrics: deps.Metrics, Logger: deps.Logger,
 	})
 	reload := func() {
 		changed, err := settings.LoadGateway(path)
--- a/cmd/portal.go
+++ b/cmd/portal.go
@@ -23,6 +23,10 @@
 const (
 	// portalHeaderTimeout bounds how long the header of a request may take to arrive.
 	portalHeaderTimeout = 5 * time.Second
+	// portalReadTimeout bounds how long a whole request may take to arrive.
+	portalReadTimeout = 30 * time.Second
+	// portalIdleTimeout is how long a connection without a request stays open.
+	portalIdleTimeout = 2 * time.Minute
 	// portalHeaderBytes bounds the header of a request.
 	portalHeaderBytes = 16 << 10
 	// portalTransferTimeout bounds how long a planned stop looks for another leader. Without a
@@ -39,7 +43,7 @@
 	return runDaemon(c.Config, settings.LoadPortal, func(ctx context.Context, s settings.Portal) daemon.Options {
 		return daemon.Options{
 			Name: "portal", Role: host.RoleControl, Host: s.Host, Link: s.Link.Link(), Health: s.Health, Keys: settings.Keys(s.Keys),
-			PrivateNetwork: s.Link.PrivateNetwork, Log: s.Log, Stop: s.Stop,
+			PrivateNetwork: s.Link.PrivateNetwork, Log: s.Log, Stop: s.Stop, Memory: s.Memory,
 			Build: func(deps daemon.Dependencies) (daemon.Daemon, error) { return buildPortal(ctx, s, deps) },
 		}
 	})
@@ -60,13 +64,16 @@
 		Heartbeat: s.Heartbeat, Metrics: deps.Metrics, Logger: deps.Logger,
 	})
 	api := platform.API{Portal: p, Logger: deps.Logger}
-	return portalDaemon(p.Run, p.Stop, api.Handler(), listener), nil
+	return portalDaemon(p.Run, p.Stop, api.Handler(), listener, httpserver.CallerLimits{Budget: deps.Callers, Connections: s.CallerConnections}), nil
 }
 
-// portalDaemon returns the daemon of a portal that serves api on listener. run runs the portal, and
+// portalDaemon returns the daemon of a portal that serves api on listener within limits. run runs the portal, and
 // stop transfers the leadership.
-func portalDaemon(run func(context.Context) error, stop func(context.Context), api http.Handler, listener net.Listener) daemon.Daemon {
-	server := httpserver.New(&http.Server{Handler: api, ReadHeaderTimeout: portalHeaderTimeout, MaxHeaderBytes: portalHeaderBytes}, http.HandlerFunc(refuseStopping))
+func portalDaemon(run func(context.Context) error, stop func(context.Context), api http.Handler, listener net.Listener, limits httpserver.CallerLimits) daemon.Daemon {
+	server := httpserver.New(&http.Server{
+		Handler: api, ReadHeaderTimeout: portalHeaderTimeout, ReadTimeout: portalReadTimeout, IdleTimeout: portalIdleTimeout,
+		MaxHeaderBytes: portalHeaderBytes,
+	}, http.HandlerFunc(refuseStopping), limits)
 	return daemon.Daemon{
 		Run: func(ctx context.Context) error {
 			group, ctx := errgroup.WithContext(ctx)
--- a/cmd/portal_test.go
+++ b/cmd/portal_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/standin/memnet"
 )
 
@@ -29,7 +30,7 @@
 			<-ctx.Done()
 			return nil
 		}
-		d := portalDaemon(run, func(context.Context) {}, api, listener)
+		d := portalDaemon(run, func(context.Context) {}, api, listener, httpserver.CallerLimits{})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- d.Run(ctx) }()
@@ -68,7 +69,7 @@
 			return nil
 		}
 		transfer := func(ctx context.Context) { <-ctx.Done() }
-		d := portalDaemon(run, transfer, http.NotFoundHandler(), listener)
+		d := portalDaemon(run, transfer, http.NotFoundHandler(), listener, httpserver.CallerLimits{})
 		runCtx, cancelRun := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- d.Run(runCtx) }()
--- a/internal/check/callers/callers_test.go
+++ b/internal/check/callers/callers_test.go
@@ -57,8 +57,23 @@
 	portalAPI, gatewayAPI, health string
 }
 
-// callerSettings are the settings that bound what callers may take.
-const callerSettings = ""
+// The settings that bound what callers may take: half of the default memory, and a part of the crowd, since the connections to endpoints
+// count towards the bound of descriptors too.
+const (
+	callerMemory      = 10 << 20
+	callerConnections = 64
+	// processMemory is below the bounds by the pages of the binary, which the Go runtime doesn't count.
+	processMemory = 44 << 20
+)
+
+// callerSettings returns these settings, with a body_memory beside the rest if role is that of a gateway.
+func callerSettings(role string) string {
+	common := fmt.Sprintf("caller_connections: %d\nmemory: {process: %dMiB, callers: ", callerConnections, processMemory>>20)
+	if role != "gateway" {
+		return common + fmt.Sprintf("%dMiB}\n", 2*callerMemory>>20)
+	}
+	return common + fmt.Sprintf("%dMiB}\nbody_memory: 4MiB\n", callerMemory>>20+4)
+}
 
 // startSystem starts a system that has served one request.
 func startSystem(t *testing.T) *system {
@@ -74,7 +89,7 @@
 	folder := t.TempDir()
 	start := func(role, name, ip, more string) *process {
 		settings := fmt.Sprintf("host: {id: %s, failure_domain: a}\nlink: {address: \"%s:%d\", private_network: true}\napi: \"%s:%d\"\n"+
-			"health: {address: \"%s:%d\"}\nseeds: [\"%s\"]\n%s%s", name, ip, link, ip, api, ip, health, strings.Join(seeds, `", "`), more, callerSettings)
+			"health: {address: \"%s:%d\"}\nseeds: [\"%s\"]\n%s%s", name, ip, link, ip, api, ip, health, strings.Join(seeds, `", "`), more, callerSettings(role))
 		path := filepath.Join(folder, name+".yaml")
 		require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 		return startProcess(t, role, "--config", path)
@@ -197,7 +212,7 @@
 
 // startNative starts a fleet with stand-in engines in one process.
 func startNative(t *testing.T) (*process, target) {
-	p := startProcess(t, "dev", "--listen", loopback+":0")
+	p := startProcess(t, "dev", "--listen", loopback+":0", fmt.Sprint("--caller-memory=", callerMemory), fmt.Sprint("--caller-connections=", callerConnections))
 	var to target
 	waitFor(t, "the fleet serves", func() bool {
 		match := servesAt.FindStringSubmatch(p.out.String())
--- a/internal/entry/api/read.go
+++ b/internal/entry/api/read.go
@@ -14,9 +14,13 @@
 
 	"github.com/egretreach/egretreach/internal/entry/dispatch"
 	"github.com/egretreach/egretreach/internal/fleet/team"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 )
 
-const retryAfterNotReady = time.Second
+const (
+	retryAfterNotReady     = time.Second
+	retryAfterCallerMemory = time.Second
+)
 
 // authorize sets the caller's team and its limits. If it fails, it writes an error
 // response and returns false.
@@ -67,6 +71,10 @@
 			status: http.StatusRequestEntityTooLarge, code: "body_too_large",
 			message: fmt.Sprintf("the body is over %d bytes", c.limits.MaxBodyBytes),
 		})
+	case errors.Is(err, httpserver.ErrCallerMemory):
+		a.writeError(c, errorResponse{
+			status: http.StatusServiceUnavailable, code: "caller_memory", message: err.Error(), retryAfter: retryAfterCallerMemory,
+		})
 	default:
 		a.writeError(c, errorResponse{status: http.StatusBadRequest, code: "body_unreadable", message: "the body did not arrive whole"})
 	}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -74,6 +74,10 @@
 	ConfigAge time.Duration
 	// BodyMemory bounds the bodies of requests that the gateway holds at once, in bytes. 0 is DefaultBodyMemory.
 	BodyMemory int64
+	// Callers bounds the memory that callers take otherwise. nil is a budget with the defaults.
+	Callers *httpserver.Budget
+	// CallerConnections bounds the open connections of callers. 0 is the default of httpserver.
+	CallerConnections int
 	// Dial opens connections to endpoints; nil uses TCP.
 	Dial    upstream.Dialer
 	Metrics *metric.Registry
@@ -172,7 +176,7 @@
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		ErrorLog:          errorLog,
-	}, http.HandlerFunc(g.refuseStopping))
+	}, http.HandlerFunc(g.refuseStopping), httpserver.CallerLimits{Budget: g.opts.Callers, Connections: g.opts.CallerConnections, OwnBodies: true})
 }
 
 // Run serves callers on listener until ctx ends.
--- a/internal/entry/gateway/request.go
+++ b/internal/entry/gateway/request.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/entry/upstream"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 )
 
 // readBody reads the whole body, so that the request can be retried, and sets request. If the
@@ -25,7 +26,7 @@
 			err = deadlineErr
 		}
 	}
-	if errors.Is(err, errBodyMemory) {
+	if errors.Is(err, errBodyMemory) || errors.Is(err, httpserver.ErrCallerMemory) {
 		c.refuse(bodyMemoryRetryAfter, err.Error())
 		return false
 	}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -12,7 +12,6 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/egretreach/egretreach/internal/entry/api"
@@ -43,8 +42,10 @@
 	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
 	MaxHeader     int
-	// MaxConnections bounds the callers' open connections; 0 means unlimited.
+	// MaxConnections bounds the callers' open connections. 0, and what is higher, is the default of httpserver.
 	MaxConnections int
+	// Callers bounds the memory that callers take. nil is a budget with the defaults.
+	Callers *httpserver.Budget
 	// ShutdownDelay is how long a planned stop still accepts requests after readiness
 	// fails.
 	ShutdownDelay time.Duration
@@ -116,10 +117,14 @@
 		return nil, errors.Wrap(err, "caller API")
 	}
 	s.handler = handler
+	limits := httpserver.CallerLimits{Budget: opts.Callers, Connections: httpserver.DefaultCallerConnections()}
+	if opts.MaxConnections > 0 {
+		limits.Connections = min(opts.MaxConnections, limits.Connections)
+	}
 	s.callers = httpserver.New(&http.Server{
 		Handler: handler, ReadHeaderTimeout: opts.HeaderTimeout, ReadTimeout: opts.BodyTimeout, IdleTimeout: opts.IdleTimeout,
 		MaxHeaderBytes: opts.MaxHeader,
-	}, handler) // The handler refuses requests by itself, since only it knows whether an earlier submission has run.
+	}, handler, limits) // The handler refuses requests by itself, since only it knows whether an earlier submission has run.
 	return s, nil
 }
 
@@ -146,9 +151,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer s.cancelBase()
-	if s.opts.MaxConnections > 0 {
-		listener = netutil.LimitListener(listener, s.opts.MaxConnections)
-	}
 	event.ProcessStarted.On(s.opts.Logger).Str("role", "entry").Str("host", string(s.opts.Host)).
 		Str("address", listener.Addr().String()).Msg("")
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/egretreach/egretreach/internal/link/identity"
 	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/process/health"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/process/logging"
 	"github.com/egretreach/egretreach/internal/process/settings"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
@@ -48,6 +49,8 @@
 	Credentials *identity.Credentials
 	Metrics     *metric.Registry
 	Logger      *log.Logger
+	// Callers bounds the memory that callers of all listeners of the process take.
+	Callers *httpserver.Budget
 }
 
 // Options are the settings that all daemons share and the function that creates the daemon.
@@ -67,6 +70,10 @@
 
 	Log  settings.Log
 	Stop settings.Stop
+	// Memory bounds the memory of the process and what its callers may take of it.
+	Memory settings.Memory
+	// BodyMemory is the part of the callers' memory for bodies that the daemon bounds by itself, or 0.
+	BodyMemory int64
 	// Reload receives the signals to read the settings again on a private network, and the keys
 	// otherwise. NotifyReload returns such a channel.
 	Reload <-chan os.Signal
@@ -109,12 +116,21 @@
 	if err != nil {
 		return err
 	}
+	memory := int64(opts.Memory.Process)
+	if memory == 0 {
+		memory = availableMemory(os.DirFS("/"))
+	}
+	setMemoryLimit(memory)
+	metrics := metric.New()
+	budget := budgetOptions(memory, int64(opts.Memory.Callers), opts.BodyMemory)
+	budget.Metrics, budget.Logger = metrics, logger
 	deps := Dependencies{
+		Callers: httpserver.NewBudget(budget),
 		Socket: transport.New(socket, credentials, transport.Options{
 			Offload: opts.Link.Offload, NewDialSocket: dialFrom(opts.Link.Address),
 		}),
 		Credentials: credentials,
-		Metrics:     metric.New(),
+		Metrics:     metrics,
 		Logger:      logger,
 	}
 	defer func() { _ = deps.Socket.Close() }()
@@ -126,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	healthServer := health.Server{Metrics: deps.Metrics, Ready: d.Ready}
+	healthServer := health.Server{Metrics: deps.Metrics, Ready: d.Ready, Callers: deps.Callers}
 	watch := func(ctx context.Context) error {
 		if opts.PrivateNetwork {
 			watchSettings(ctx, d, opts.Reload)
--- a/internal/process/health/health.go
+++ b/internal/process/health/health.go
@@ -3,14 +3,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"time"
 
-	pkgerrors "github.com/pkg/errors"
+	"github.com/pkg/errors"
 
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
 
@@ -20,6 +20,9 @@
 	writeTimeout   = 10 * time.Second
 	idleTimeout    = time.Minute
 	maxHeaderBytes = 8 << 10
+	// maxConnections bounds the open connections. They don't count towards those of the daemon's other callers, which therefore can't keep
+	// a probe away.
+	maxConnections = 32
 	// closeTimeout bounds the wait for responses at the end. It is shorter than the time that a planned
 	// stop leaves between its end and SIGKILL.
 	closeTimeout = 200 * time.Millisecond
@@ -31,6 +34,8 @@
 	// Ready returns the reason why the daemon accepts no new work, or nil. A nil Ready means that
 	// the daemon is always ready.
 	Ready func() error
+	// Callers bounds the memory that callers of all listeners take. nil is a budget with the defaults.
+	Callers *httpserver.Budget
 }
 
 // Handler returns the handler of the three pages. /healthz always succeeds: a daemon that answers
@@ -60,28 +65,29 @@
 
 // Serve serves on listener until ctx ends, and closes it.
 func (s Server) Serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{
-		Handler:           s.Handler(),
+	handler := s.Handler()
+	server := httpserver.New(&http.Server{
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	}, handler, httpserver.CallerLimits{Budget: s.Callers, Connections: maxConnections})
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
 		closeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 		defer cancel()
-		if server.Shutdown(closeCtx) != nil {
+		if server.Stop(closeCtx) != nil {
 			_ = server.Close()
 		}
 	})
 	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if err == nil {
 		<-stopped
 		return nil
 	}
 	stop()
-	return pkgerrors.Wrap(err, "health server")
+	return errors.Wrap(err, "health server")
 }
--- /dev/null
+++ b/internal/process/httpserver/budget.go
@@ -0,0 +1,220 @@
+package httpserver
+
+import (
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/telemetry/event"
+	"github.com/egretreach/egretreach/internal/telemetry/metric"
+)
+
+const (
+	// DefaultCallerMemory is the default of BudgetOptions.Memory, and MinCallerMemory its least value: the costliest header of 64 KiB and
+	// those of a hundred ordinary callers beside it.
+	DefaultCallerMemory = 20 << 20
+	MinCallerMemory     = 6 << 20
+	// DefaultBodyMemory is the default of BudgetOptions.BodyMemory.
+	DefaultBodyMemory = 32 << 20
+	// connCost is what an open connection costs: the buffers of net/http, the stacks of its goroutines and its records.
+	connCost = 16 << 10
+	// ordinaryCost is the cost up to which a connection counts as ordinary: a header of a kilobyte or two in the lines of a common client.
+	ordinaryCost = connCost + 16<<10
+	// overshootShare is the share of the memory, as its divisor, by which connections that are being closed may exceed it.
+	overshootShare = 4
+	// logInterval is the least time between two log lines about callers that were refused or closed.
+	logInterval = 10 * time.Second
+)
+
+// ErrCallerMemory is returned by reads of callers that are refused or closed because of the memory that all callers hold.
+var ErrCallerMemory = errors.New("callers hold all memory that they may")
+
+// BudgetOptions configure a Budget.
+type BudgetOptions struct {
+	// Memory bounds connections, headers and responses that are not read, in bytes. 0 is DefaultCallerMemory.
+	Memory int64
+	// BodyMemory bounds the bodies of requests to servers that don't bound them by themselves, in bytes. 0 is DefaultBodyMemory.
+	BodyMemory int64
+	// Metrics and Logger may be nil.
+	Metrics *metric.Registry
+	Logger  *log.Logger
+}
+
+// Budget bounds the memory that callers make a process hold. All servers of a process share one. Create it with NewBudget.
+type Budget struct {
+	opts BudgetOptions
+
+	mu sync.Mutex
+	// held is the cost of all accounts; leaving is the part of it that belongs to evicted ones.
+	held, leaving int64
+	bodies        int64
+	opened        uint64
+	accounts      map[*account]struct{}
+	refused       uint64
+	closed        uint64
+	logged        time.Time
+	// loggedRefused and loggedClosed are the counts in the last log line.
+	loggedRefused, loggedClosed uint64
+}
+
+// account is the share of a connection in a Budget.
+type account struct {
+	cost int64
+	// number is higher for newer connections.
+	number  uint64
+	evicted bool
+	// evict closes the connection soon. It must not block.
+	evict func()
+}
+
+// NewBudget returns a budget of which nothing is in use.
+func NewBudget(opts BudgetOptions) *Budget {
+	if opts.Memory == 0 {
+		opts.Memory = DefaultCallerMemory
+	}
+	if opts.BodyMemory == 0 {
+		opts.BodyMemory = DefaultBodyMemory
+	}
+	b := &Budget{opts: opts, accounts: map[*account]struct{}{}}
+	b.register(opts.Metrics)
+	return b
+}
+
+// register registers the metrics of the budget.
+func (b *Budget) register(metrics *metric.Registry) {
+	gauge := func(name, help string, value func() float64) {
+		metrics.GaugeFunc(name, help, func() float64 {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return value()
+		})
+	}
+	gauge("caller_memory_bytes", "Memory that connections, headers and unread responses of callers take.", func() float64 { return float64(b.held) })
+	gauge("caller_memory_limit_bytes", "Limit of caller_memory_bytes.", func() float64 { return float64(b.opts.Memory) })
+	gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(len(b.accounts)) })
+	gauge("callers_refused", "Connections and requests of callers refused for their number or memory since the start.", func() float64 { return float64(b.refused) })
+	gauge("callers_closed", "Connections of callers closed for the memory that they held since the start.", func() float64 { return float64(b.closed) })
+}
+
+// open adds a connection with the cost of one that sends nothing. It returns false, and adds nothing, if there is no room for it.
+func (b *Budget) open(a *account) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opened++
+	a.number = b.opened
+	if !b.makeRoom(a, connCost) {
+		return false
+	}
+	a.cost = connCost
+	b.held += connCost
+	b.accounts[a] = struct{}{}
+	return true
+}
+
+// set changes the cost of a connection. It returns false, and changes nothing, if there is no room for it.
+func (b *Budget) set(a *account, cost int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if cost == a.cost {
+		return true
+	}
+	if cost > a.cost && !b.makeRoom(a, cost) {
+		return false
+	}
+	b.held += cost - a.cost
+	if a.evicted {
+		b.leaving += cost - a.cost
+	}
+	a.cost = cost
+	return true
+}
+
+// close removes a connection.
+func (b *Budget) close(a *account) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.accounts[a]; !ok {
+		return
+	}
+	delete(b.accounts, a)
+	b.held -= a.cost
+	if a.evicted {
+		b.leaving -= a.cost
+	}
+}
+
+// makeRoom reports whether a may cost cost. It evicts the largest others, the newest of equal ones first, as long as they are larger than
+// that. mu is held.
+func (b *Budget) makeRoom(a *account, cost int64) bool {
+	grows := cost - a.cost
+	if cost > ordinaryCost && b.held+grows > b.opts.Memory+b.opts.Memory/overshootShare {
+		return false // Those that are being closed have not released their memory yet.
+	}
+	for b.held-b.leaving+grows > b.opts.Memory {
+		largest := b.largest()
+		if largest == nil || largest == a || largest.cost <= cost {
+			return false
+		}
+		largest.evicted = true
+		b.leaving += largest.cost
+		b.closed++
+		largest.evict()
+	}
+	return true
+}
+
+// largest returns the largest connection that is not evicted, the newest of equal ones, or nil. mu is held.
+func (b *Budget) largest() *account {
+	var found *account
+	for a := range b.accounts {
+		if a.evicted {
+			continue
+		}
+		if found == nil || a.cost > found.cost || a.cost == found.cost && a.number > found.number {
+			found = a
+		}
+	}
+	return found
+}
+
+// reserveBody counts n more bytes of bodies. It returns false and counts nothing if that is too much. Small bodies may exceed the limit by a
+// part, so that a few large ones don't refuse them.
+func (b *Budget) reserveBody(n int64, small bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := b.opts.BodyMemory
+	if small {
+		limit += limit / overshootShare
+	}
+	if b.bodies+n > limit {
+		return false
+	}
+	b.bodies += n
+	return true
+}
+
+func (b *Budget) releaseBody(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bodies -= n
+}
+
+// countRefusal counts a refusal, and logs the counts unless there was a line within logInterval.
+func (b *Budget) countRefusal() {
+	b.mu.Lock()
+	b.refused++
+	now := time.Now()
+	if b.opts.Logger == nil || now.Sub(b.logged) < logInterval {
+		b.mu.Unlock()
+		return
+	}
+	b.logged = now
+	refused, closed := b.refused-b.loggedRefused, b.closed-b.loggedClosed
+	b.loggedRefused, b.loggedClosed = b.refused, b.closed
+	held, connections := b.held, len(b.accounts)
+	b.mu.Unlock()
+	event.CallersLimited.On(b.opts.Logger).Uint64("refused", refused).Uint64("closed", closed).Int64("held", held).
+		Int64("limit", b.opts.Memory).Int("connections", connections).Msg("")
+}
--- a/internal/process/httpserver/caller.go
+++ b/internal/process/httpserver/caller.go
@@ -25,9 +25,12 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Conn returns the connection of a request from its context, or nil if the request is not from a Server.
+// Conn returns the connection of a request from its context as the listener has accepted it, or nil if the request is not from a Server.
 func Conn(ctx context.Context) net.Conn {
 	c, _ := ctx.Value(connKey{}).(net.Conn)
+	if limited, ok := c.(*limitedConn); ok {
+		return limited.Conn
+	}
 	return c
 }
 
--- a/internal/process/httpserver/connections.go
+++ b/internal/process/httpserver/connections.go
@@ -24,6 +24,9 @@
 
 // changed records a connection's new state. It is the ConnState of an http.Server.
 func (b *connections) changed(c net.Conn, state http.ConnState) {
+	if limited, ok := c.(*limitedConn); ok && state == http.StateIdle {
+		limited.requestEnded()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch state {
--- /dev/null
+++ b/internal/process/httpserver/limited.go
@@ -0,0 +1,280 @@
+package httpserver
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxEmptyLines is how many empty lines may come before a request.
+	maxEmptyLines = 64
+	// writeCheckInterval is how long a write may block before the rest of it counts as a response that is not read.
+	writeCheckInterval = time.Second
+	// transferTimeout bounds the time without progress of a body that is read and of a response that is written.
+	transferTimeout = 30 * time.Second
+	// refusalTimeout bounds the time to write a refusal, which an empty send buffer takes at once.
+	refusalTimeout = 50 * time.Millisecond
+	// refusal is the response to a request that has not run, and to a connection too many.
+	refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+// limitedConn is a caller's connection that accounts for what the caller makes the process hold.
+type limitedConn struct {
+	net.Conn
+	budget  *Budget
+	account account
+	// evicted says that the connection is being closed for the memory that it holds.
+	evicted atomic.Bool
+
+	// mu guards the other fields. It is not held while the budget is called.
+	mu    sync.Mutex
+	meter meter
+	// unread is the size of the part of a response that the caller doesn't read.
+	unread int64
+	// hasTrailer says that a trailer may follow the body.
+	hasTrailer bool
+	// readDeadline and writeDeadline are those that net/http or a handler has set.
+	readDeadline, writeDeadline time.Time
+	// refused says that a read has failed because of the memory.
+	refused bool
+}
+
+// evict ends the reads of the connection, which ends its request.
+func (c *limitedConn) evict() {
+	c.evicted.Store(true)
+	_ = c.Conn.SetReadDeadline(longAgo) // A connection that has just ended needs none.
+}
+
+// longAgo is a deadline that ends a read at once.
+var longAgo = time.Unix(1, 0)
+
+// Read implements net.Conn. It doesn't copy what is read.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	if c.evicted.Load() {
+		return 0, c.refuse(len(p))
+	}
+	limited := c.limitBodyRead(len(p))
+	n, err := c.Conn.Read(p)
+	if limited {
+		c.endBodyRead()
+	}
+	if n > 0 && !c.count(p[:n], len(p) <= readBufferSize) || c.evicted.Load() {
+		return 0, c.refuse(len(p))
+	}
+	return n, err
+}
+
+// count accounts for data that has been read. It returns false if there is no room for it, or if the caller sends too many empty lines.
+func (c *limitedConn) count(data []byte, buffered bool) bool {
+	c.mu.Lock()
+	c.meter.read(data, buffered)
+	cost, tooEmpty := c.cost(), c.meter.emptyLines > maxEmptyLines
+	c.mu.Unlock()
+	return !tooEmpty && c.budget.set(&c.account, cost)
+}
+
+// cost returns the cost of the connection; mu must be held.
+func (c *limitedConn) cost() int64 {
+	cost := connCost + c.meter.cost() + c.unread
+	if c.hasTrailer {
+		cost += c.meter.trailerCost()
+	}
+	return cost
+}
+
+// refuse ends the connection for the memory of callers. A caller whose header is being read, and whose earlier requests have thus been
+// answered, gets a refusal. A read of one byte never writes one: net/http reads single bytes while a handler runs.
+func (c *limitedConn) refuse(size int) error {
+	c.mu.Lock()
+	first := !c.refused
+	c.refused = true
+	mayAnswer := first && size > 1 && c.meter.isReading()
+	c.mu.Unlock()
+	if mayAnswer {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_, _ = io.WriteString(c.Conn, refusal) // The connection is closed in any case.
+	}
+	if first {
+		c.budget.countRefusal()
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Err: ErrCallerMemory} // net/http answers other errors with 400.
+}
+
+// limitBodyRead sets a deadline for a read of a body for which there is none, and reports whether it has.
+func (c *limitedConn) limitBodyRead(size int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.meter.known || size == 1 || !c.readDeadline.IsZero() {
+		return false
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(transferTimeout))
+	return true
+}
+
+// endBodyRead removes the deadline of limitBodyRead.
+func (c *limitedConn) endBodyRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readDeadline.IsZero() && !c.evicted.Load() {
+		_ = c.setReadDeadline(time.Time{})
+	}
+}
+
+// SetReadDeadline implements net.Conn. The reads of an evicted connection stay ended.
+func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	return c.setReadDeadline(t)
+}
+
+// setReadDeadline sets a deadline unless the connection is evicted; mu must be held.
+func (c *limitedConn) setReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.evicted.Load() {
+		return c.Conn.SetReadDeadline(longAgo)
+	}
+	return err
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *limitedConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return nil // Write sets it.
+}
+
+// SetDeadline implements net.Conn.
+func (c *limitedConn) SetDeadline(t time.Time) error {
+	_ = c.SetWriteDeadline(t)
+	return c.SetReadDeadline(t)
+}
+
+// Write implements net.Conn. What the caller doesn't read counts from writeCheckInterval on. The write fails after transferTimeout without
+// progress, and if there is no room for what is left.
+func (c *limitedConn) Write(p []byte) (int, error) {
+	written := 0
+	progressAt := time.Now()
+	for {
+		until, last := c.nextWriteDeadline(time.Now())
+		_ = c.Conn.SetWriteDeadline(until)
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) || last {
+			c.setUnread(0)
+			return written, err
+		}
+		if n > 0 {
+			progressAt = time.Now()
+		}
+		if time.Since(progressAt) >= transferTimeout || c.evicted.Load() || !c.setUnread(int64(len(p)-written)) {
+			return written, err
+		}
+	}
+}
+
+// nextWriteDeadline returns when a write is checked for the next time, and whether it ends then.
+func (c *limitedConn) nextWriteDeadline(now time.Time) (until time.Time, last bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until = now.Add(writeCheckInterval)
+	if c.writeDeadline.IsZero() || until.Before(c.writeDeadline) {
+		return until, false
+	}
+	return c.writeDeadline, true
+}
+
+// setUnread accounts for size bytes of a response that the caller doesn't read. It returns false if there is no room for them.
+func (c *limitedConn) setUnread(size int64) bool {
+	c.mu.Lock()
+	if c.unread == size {
+		c.mu.Unlock()
+		return true
+	}
+	c.unread = size
+	cost := c.cost()
+	c.mu.Unlock()
+	if c.budget.set(&c.account, cost) {
+		return true
+	}
+	c.budget.countRefusal()
+	return false
+}
+
+// headerRead records that net/http has parsed the header of a request. hasTrailer says that a trailer may follow its body.
+func (c *limitedConn) headerRead(hasTrailer bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.meter.headerRead()
+	c.hasTrailer = hasTrailer
+}
+
+// requestEnded releases what a request has held.
+func (c *limitedConn) requestEnded() {
+	c.mu.Lock()
+	c.meter.next()
+	c.hasTrailer, c.unread = false, 0
+	cost := c.cost()
+	c.mu.Unlock()
+	if !c.budget.set(&c.account, cost) {
+		c.evict()
+	}
+}
+
+// CloseWrite ends the sending direction of a connection that supports it. net/http calls it before it closes a connection of which it has
+// not read everything.
+func (c *limitedConn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.budget.close(&c.account)
+	return c.Conn.Close()
+}
+
+// limitedListener accepts connections as limitedConns, and refuses those beyond the limits.
+type limitedListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l limitedListener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.server.admit(inner); c != nil {
+			return c, nil
+		}
+		_ = inner.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_, _ = io.WriteString(inner, refusal) // The connection is closed in any case.
+		_ = inner.Close()
+		l.server.limits.Budget.countRefusal()
+	}
+}
+
+// admit returns a connection with its account, or nil if there is no room for it.
+func (s *Server) admit(inner net.Conn) *limitedConn {
+	if s.conns.openCount() >= s.limits.Connections {
+		return nil
+	}
+	c := &limitedConn{Conn: inner, budget: s.limits.Budget}
+	c.account.evict = c.evict
+	if !c.budget.open(&c.account) {
+		return nil
+	}
+	return c
+}
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -24,18 +24,56 @@
 	conns    connections
 	// maxKept is the number of open connections above which none is kept after a response.
 	maxKept  int
+	limits   CallerLimits
 	stopping atomic.Bool
 	// listener is nil before Serve.
 	listener atomic.Pointer[net.Listener]
 }
 
+// CallerLimits bound what the callers of a server may take. The zero value has the defaults.
+type CallerLimits struct {
+	// Budget is shared by the servers of a process. nil is a budget with the defaults.
+	Budget *Budget
+	// Connections bounds the open connections. 0 is DefaultCallerConnections.
+	Connections int
+	// OwnBodies says that the handler bounds the bodies of requests by itself.
+	OwnBodies bool
+}
+
+// withDefaults returns the limits with the defaults in place of zero values.
+func (l CallerLimits) withDefaults() CallerLimits {
+	if l.Budget == nil {
+		l.Budget = NewBudget(BudgetOptions{})
+	}
+	if l.Connections == 0 {
+		l.Connections = DefaultCallerConnections()
+	}
+	return l
+}
+
+// reservedDescriptors are for the links, the log and the listeners of the process.
+const reservedDescriptors = 64
+
+// DefaultCallerConnections returns how many connections callers may have by default: for each of them the process can open one to an
+// endpoint, and the reserved descriptors are left.
+func DefaultCallerConnections() int {
+	return max(maxKeptConnections()-reservedDescriptors, reservedDescriptors)
+}
+
 // New returns a server with the settings of server, which serves requests by the handler of server
 // and, once Stop has been called, by refuse. It changes server, which must not be used otherwise, and sets
-// its ConnState and ConnContext.
-func New(server *http.Server, refuse http.Handler) *Server {
+// its ConnState and ConnContext. limits may be omitted.
+func New(server *http.Server, refuse http.Handler, limits ...CallerLimits) *Server {
 	s := &Server{server: server, maxKept: maxKeptConnections()}
+	for _, l := range limits {
+		s.limits = l
+	}
+	s.limits = s.limits.withDefaults()
 	serve := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*limitedConn); ok {
+			c.headerRead(len(r.TransferEncoding) > 0)
+		}
 		accepted := s.requests.Begin()
 		defer s.requests.End()
 		if !accepted {
@@ -45,6 +83,11 @@
 		if s.conns.openCount() > s.maxKept {
 			w.Header().Set("Connection", "close")
 		}
+		if !s.limits.OwnBodies && r.ContentLength != 0 {
+			body := &countedBody{ReadCloser: r.Body, budget: s.limits.Budget}
+			defer body.release()
+			r.Body = body
+		}
 		withCaller(serve, w, r)
 	})
 	server.ConnState = s.conns.changed
@@ -68,7 +111,7 @@
 // Serve serves the connections of listener until Stop or Close is called, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	s.listener.Store(&listener)
-	err := s.server.Serve(listener)
+	err := s.server.Serve(limitedListener{listener, s})
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/process/settings/agent.go
+++ b/internal/process/settings/agent.go
@@ -18,6 +18,7 @@
 	// Endpoints lists the endpoints that the agent announces: at most one engine and any number
 	// of plain services.
 	Endpoints []Endpoint `yaml:"endpoints" validate:"min=1,max=100,dive"`
+	Memory    Memory     `yaml:"memory"`
 	Log       Log        `yaml:"log"`
 	Stop      Stop       `yaml:"stop"`
 }
--- a/internal/process/settings/control.go
+++ b/internal/process/settings/control.go
@@ -17,6 +17,7 @@
 	DataFolder string `yaml:"data_folder" validate:"required"`
 	// Members lists all control hosts, including this one. Their number must be odd.
 	Members []Member `yaml:"members" validate:"min=1,max=7,dive"`
+	Memory  Memory   `yaml:"memory"`
 	Log     Log      `yaml:"log"`
 	Stop    Stop     `yaml:"stop"`
 }
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -15,6 +15,7 @@
 	Keys   Keys   `yaml:"keys"`
 	// Control lists the link addresses of the control hosts.
 	Control []Address `yaml:"control" validate:"min=1,max=7"`
+	Memory  Memory    `yaml:"memory"`
 	Log     Log       `yaml:"log"`
 	Stop    Stop      `yaml:"stop"`
 }
--- a/internal/process/settings/portal_gateway.go
+++ b/internal/process/settings/portal_gateway.go
@@ -23,8 +23,11 @@
 	DataFolder string `yaml:"data_folder" validate:"required"`
 	// Heartbeat is the interval at which endpoints announce themselves.
 	Heartbeat time.Duration `yaml:"heartbeat" validate:"min=50ms,max=1m"`
-	Log       Log           `yaml:"log"`
-	Stop      Stop          `yaml:"stop"`
+	// CallerConnections bounds the open connections of all callers. 0 is the default, which depends on the descriptors of the process.
+	CallerConnections int    `yaml:"caller_connections" validate:"min=0,max=1000000"`
+	Memory            Memory `yaml:"memory"`
+	Log               Log    `yaml:"log"`
+	Stop              Stop   `yaml:"stop"`
 }
 
 // Gateway holds the settings of a gateway daemon.
@@ -50,8 +53,11 @@
 	InForceWithin time.Duration `yaml:"in_force_within" validate:"min=10ms,max=1h"`
 	// BodyMemory bounds the bodies of requests that the gateway holds at once.
 	BodyMemory document.Size `yaml:"body_memory" validate:"min=1048576,max=1099511627776"`
-	Log        Log           `yaml:"log"`
-	Stop       Stop          `yaml:"stop"`
+	// CallerConnections bounds the open connections of all callers. 0 is the default, which depends on the descriptors of the process.
+	CallerConnections int    `yaml:"caller_connections" validate:"min=0,max=1000000"`
+	Memory            Memory `yaml:"memory"`
+	Log               Log    `yaml:"log"`
+	Stop              Stop   `yaml:"stop"`
 }
 
 // PlatformLink is the Link of a portal or gateway, whose network may be private.
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -56,6 +56,15 @@
 	Format string `yaml:"format" validate:"oneof=json console"`
 }
 
+// Memory bounds the memory of the process.
+type Memory struct {
+	// Process is the memory that the process may use. 0 is the lower of the machine's memory and the limit of the process's control group.
+	Process document.Size `yaml:"process" validate:"min=0,max=1099511627776"`
+	// Callers is the part of it for what callers make the process hold: connections, headers, bodies and responses that they don't read.
+	// 0 is the default, which depends on Process.
+	Callers document.Size `yaml:"callers" validate:"min=0,max=1099511627776"`
+}
+
 // Stop configures a planned stop, which SIGINT or SIGTERM starts.
 type Stop struct {
 	// ShutdownDelay is how long an entry or gateway still accepts new work after its readiness
--- a/internal/standin/fleet/daemon.go
+++ b/internal/standin/fleet/daemon.go
@@ -177,6 +177,7 @@
 	}
 	server, err := entry.New(entry.Options{
 		Host: id, ControlAddresses: f.controlAddresses, Link: link, Metrics: f.opts.Metrics, Logger: f.opts.Logger,
+		Callers: f.opts.Callers.Budget, MaxConnections: f.opts.Callers.Connections,
 	})
 	if err != nil {
 		return err
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/session"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/standin/engine"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
@@ -53,6 +54,8 @@
 	Logger *log.Logger
 	// Metrics is the registry of the entries' metrics.
 	Metrics *metric.Registry
+	// Callers bounds what callers of each entry may take.
+	Callers httpserver.CallerLimits
 }
 
 // HostSpec describes a host and its location.
--- a/internal/telemetry/event/process.go
+++ b/internal/telemetry/event/process.go
@@ -21,4 +21,5 @@
 
 	StopSignalRepeated = register(413, "stop_signal_repeated", log.WarnLevel)
 	ProcessFailed      = register(414, "process_failed", log.ErrorLevel)
+	CallersLimited     = register(415, "callers_limited", log.WarnLevel)
 )
