portal, portalstate: tests of woken subscriptions fail at once

Cause: without the notification the tests waited for the timeout of go test.

Change: they check the channel without waiting.

Tested: they pass.

--- a/internal/control/portal/evacuation_test.go
+++ b/internal/control/portal/evacuation_test.go
@@ -213,7 +213,11 @@
 	p.machine.Apply(4, command)
 	changed := p.changeNotify()
 	require.Equal(t, uint64(4), p.applyEvacuations(0))
-	<-changed
+	select {
+	case <-changed:
+	default:
+		require.Fail(t, "the subscriptions are not woken")
+	}
 	changed = p.changeNotify()
 	require.Equal(t, uint64(4), p.applyEvacuations(4))
 	select {
--- a/internal/control/portalstate/evacuation_test.go
+++ b/internal/control/portalstate/evacuation_test.go
@@ -23,7 +23,11 @@
 	changed := m.Changed()
 	require.False(t, evacuate(t, &m, 1, "b", false).Applied)
 	require.True(t, evacuate(t, &m, 2, "b", true).Applied)
-	<-changed
+	select {
+	case <-changed:
+	default:
+		require.Fail(t, "the change wakes nobody")
+	}
 	require.False(t, evacuate(t, &m, 3, "b", true).Applied)
 	require.Equal(t, Evacuations{2, []string{"b"}}, m.Evacuations())
 	evacuate(t, &m, 4, "a", true)
