--- a/internal/control/portal/evacuation_test.go
+++ b/internal/control/portal/evacuation_test.go
@@ -215,7 +215,11 @@
 	changed := p.changeNotify()
 	applied := p.applyEvacuations(portalstate.Evacuations{})
 	require.Equal(t, portalstate.Evacuations{Revision: 4, Domains: []string{"a"}}, applied)
-	<-changed
+	select {
+	case <-changed:
+	default:
+		require.Fail(t, "the subscriptions are not woken")
+	}
 	changed = p.changeNotify()
 	require.Equal(t, applied, p.applyEvacuations(applied))
 	select {
