gateway, portal: warm-up limit over changes of the leader, and after a crash that a gateway sees

Cause: a control host to which no gateway reports didn't know at the first start that there is traffic, so a new leader took nothing for cold and ended the cold times at gateways. An endpoint that a gateway found to have ended under a request was not cold. Change: control hosts tell each other that there is traffic; gateways report what they take for cold to a new leader and keep it for a second. Retry-After follows the end of the cold time. Tested: unit tests of the portal, gateway and balancer.

--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -108,6 +108,7 @@
 	for update := first; ; {
 		now := time.Now()
 		p.mu.Lock()
+		p.peerTraffic = p.peerTraffic || update.Traffic
 		for _, h := range update.Heard {
 			p.applyAnnouncement(h.Endpoint, now.Add(-h.Age), false)
 			p.takeOverCold(h, now)
@@ -162,7 +163,7 @@
 		_, _ = s.Receive() // The peer sends nothing, so this returns when the stream ends.
 	}()
 	all := p.allAnnouncements()
-	if s.Send(&message.RosterUpdate{Heard: all, Hosts: p.currentControlHosts()}) != nil {
+	if s.Send(&message.RosterUpdate{Heard: all, Hosts: p.currentControlHosts(), Traffic: p.tellsTraffic()}) != nil {
 		return
 	}
 	sent := map[string]sentState{}
@@ -171,7 +172,7 @@
 	}
 	for pause.For(ctx, gossipInterval) {
 		changes := p.changesSince(sent)
-		if len(changes) > 0 && s.Send(&message.RosterUpdate{Heard: changes}) != nil {
+		if len(changes) > 0 && s.Send(&message.RosterUpdate{Heard: changes, Traffic: p.tellsTraffic()}) != nil {
 			return
 		}
 	}
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -136,6 +136,8 @@
 	// tracker knows the cold endpoints, and warmUps holds the warm-up limits of the services that have one.
 	tracker warmup.Tracker
 	warmUps map[string]routes.WarmUp
+	// peerTraffic says that another control host has seen callers' requests.
+	peerTraffic bool
 	// questions are those of the gateways on the configuration. They have a mutex of their own.
 	questions questions
 	// departures wait to be kept in the log. They have a mutex of their own.
--- a/internal/control/portal/warm_up.go
+++ b/internal/control/portal/warm_up.go
@@ -104,8 +104,16 @@
 	p.notifyLocked()
 }
 
-// hasTraffic reports whether callers' requests have begun. mu is held.
-func (p *Portal) hasTraffic() bool { return p.trafficStarted || !p.opts.FirstStart }
+// hasTraffic reports whether callers' requests have begun. Gateways report them to the leader, and control hosts tell each other. mu is
+// held.
+func (p *Portal) hasTraffic() bool { return p.trafficStarted || p.peerTraffic || !p.opts.FirstStart }
+
+// tellsTraffic reports whether other control hosts must hear that callers' requests have begun.
+func (p *Portal) tellsTraffic() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.warmUps) > 0 && p.hasTraffic()
+}
 
 // MarkDomainCold makes all endpoints of a failure domain cold whose service has a warm-up limit, for its time from now.
 // It is called when an evacuation of the domain has been withdrawn.
--- a/internal/control/portal/warm_up_test.go
+++ b/internal/control/portal/warm_up_test.go
@@ -168,3 +168,17 @@
 		})
 	}
 }
+
+// TestFollowersKnowThatThereIsTraffic guards against control hosts to which no gateway reports, which would take nothing for cold when they
+// become the leader.
+func TestFollowersKnowThatThereIsTraffic(t *testing.T) {
+	leader, follower, without := newWarming(testWarmUp), newWarming(testWarmUp), newWarming(routes.WarmUp{})
+	follower.trafficStarted = false
+	require.False(t, follower.tellsTraffic())
+	require.True(t, leader.tellsTraffic())
+	require.False(t, without.tellsTraffic(), "no warm-up limit")
+	follower.peerTraffic = true
+	require.True(t, follower.tellsTraffic())
+	follower.announceNow(plainEndpoint("1", 1))
+	require.Len(t, follower.coldEndpoints(time.Now()), 1)
+}
--- a/internal/entry/balance/limit.go
+++ b/internal/entry/balance/limit.go
@@ -299,5 +299,5 @@
 	}
 	at = earlier(at, now.Add(maxLimitRetryAfter))
 	b.promised[scope] = at
-	return at.Sub(now), true
+	return b.beforeWarmUpEnds(req, at, now).Sub(now), true
 }
--- a/internal/entry/balance/warm_up.go
+++ b/internal/entry/balance/warm_up.go
@@ -168,6 +168,13 @@
 	}
 }
 
+// MarkEnded records that nothing listens at the address of an incarnation any more. It is cold if it comes back.
+func (b *Balancer) MarkEnded(id roster.Incarnation, now time.Time) {
+	if t, ok := b.endpoints[id.ID]; ok && t.StartedMs == id.StartedMs {
+		b.connectFailed(t, now)
+	}
+}
+
 // connected records that the endpoint has responded.
 func (b *Balancer) connected(t *endpointState, now time.Time) {
 	if t.warm.failing {
@@ -248,14 +255,18 @@
 	}
 }
 
-// TakeCold returns the endpoints that the gateway has found to be cold since the last call or, with all set, all of them.
+// TakeCold returns the endpoints that the gateway has found to be cold since the last call or, with all set, all that it takes for cold.
 func (b *Balancer) TakeCold(all bool, now time.Time) []ColdEndpoint {
 	if len(b.warmUps) == 0 {
 		return nil
 	}
 	var out []ColdEndpoint
 	for _, t := range b.endpoints {
-		if remaining := t.warm.ownUntil.Sub(now); remaining > 0 && (all || t.warm.unreported) {
+		until := t.warm.ownUntil
+		if all {
+			until = t.warm.until()
+		}
+		if remaining := until.Sub(now); remaining > 0 && (all || t.warm.unreported) {
 			out = append(out, ColdEndpoint{t.Incarnation(), remaining})
 		}
 		t.warm.unreported = false
@@ -351,6 +362,24 @@
 	return until
 }
 
+// warmRateFactor is by how much faster refused requests may come back once the first cold endpoint is warm.
+const warmRateFactor = 8
+
+// beforeWarmUpEnds returns when a request may come back that would be due at a time under the limits. Once the first endpoint without
+// another limit is warm the returns may follow each other faster.
+func (b *Balancer) beforeWarmUpEnds(req Request, at, now time.Time) time.Time {
+	if len(b.warmUps) == 0 {
+		return at
+	}
+	end := at
+	for _, t := range b.serving(req) {
+		if b.isCold(t, now) && t.limit.perSecond == 0 {
+			end = earlier(end, t.warm.until())
+		}
+	}
+	return end.Add(at.Sub(end) / warmRateFactor)
+}
+
 // countCold returns the number of endpoints that serve a request and whose warm-up limit is used up.
 func (b *Balancer) countCold(req Request, now time.Time) int {
 	if len(b.warmUps) == 0 {
--- a/internal/entry/balance/warm_up_test.go
+++ b/internal/entry/balance/warm_up_test.go
@@ -63,11 +63,17 @@
 // TestFailedConnectionsMakeAnEndpointCold guards against an endpoint that restarts unnoticed by control and gets the load of a warm one,
 // and against a gateway that tells nobody.
 func TestFailedConnectionsMakeAnEndpointCold(t *testing.T) {
-	for _, r := range []Result{ResultConnectionRefused, ResultUnreachable} {
+	failed := func(r Result) func(b *Balancer) {
+		return func(b *Balancer) {
+			b.RequestSent("p0", plainRequest(noon), noon)
+			b.RequestEnded("p0", plainRequest(noon), false, r, noon)
+		}
+	}
+	for _, fail := range []func(b *Balancer){
+		failed(ResultConnectionRefused), failed(ResultUnreachable), func(b *Balancer) { b.MarkEnded(limited("p0"), noon) },
+	} {
 		b := warming(1)
-		req := plainRequest(noon)
-		b.RequestSent("p0", req, noon)
-		b.RequestEnded("p0", req, false, r, noon)
+		fail(b)
 		require.Len(t, b.TakeCold(false, noon), 1)
 		require.Empty(t, b.TakeCold(false, noon))
 		back := noon.Add(5 * time.Second)
@@ -143,3 +149,19 @@
 	warm.FirstEventReceived("p0", plainRequest(noon), 100*time.Millisecond, 300*time.Millisecond, noon)
 	require.InDelta(t, 1.4, warm.endpoints["p0"].currentSlowdown(noon), 0.01)
 }
+
+// TestRefusedRequestsReturnWhenTheEndpointIsWarm guards against callers that are sent away for many seconds by a limit that ends sooner, and
+// against all of them coming back at its end.
+func TestRefusedRequestsReturnWhenTheEndpointIsWarm(t *testing.T) {
+	b := warming(1)
+	b.SetCold(ColdEndpoint{limited("p0"), 2 * time.Second}, ColdGrant{}, noon)
+	last := time.Duration(0)
+	for range 20 {
+		d := place(b, noon)
+		require.True(t, d.Refused)
+		require.Greater(t, d.RetryAfter, last, "one after the other")
+		last = d.RetryAfter
+	}
+	require.Greater(t, last, 2*time.Second)
+	require.Less(t, last, 3*time.Second, "20 requests at half of a quarter of 32 a second take 5 s")
+}
--- a/internal/entry/gateway/crash.go
+++ b/internal/entry/gateway/crash.go
@@ -113,6 +113,7 @@
 		a.crashChecked = true
 		a.crashed = c.g.knowsCrash(a.endpoint) || c.g.upstream.Probe(ctx, a.endpoint.Address) == upstream.ReactionRefuses
 		c.recordBroken(a)
+		c.g.markEnded(a)
 	}
 	return a.crashed
 }
--- a/internal/entry/gateway/subscription.go
+++ b/internal/entry/gateway/subscription.go
@@ -70,7 +70,7 @@
 	g.mu.Lock()
 	g.observer.Resubscribed()
 	g.resubscribed = true
-	g.warmUps.serial = 0
+	g.warmUps.serial, g.warmUps.subscribedAt = 0, time.Now()
 	g.balancer.ForgetGrants()
 	g.mu.Unlock()
 	event.ControlFollowed.On(g.opts.Logger).Str("address", address).Msg("")
--- a/internal/entry/gateway/warm_up.go
+++ b/internal/entry/gateway/warm_up.go
@@ -14,6 +14,9 @@
 // minSuspension is the shortest suspension of the host after which permits of cold endpoints are dropped.
 const minSuspension = 40 * time.Millisecond
 
+// coldHandoverTime is the time after a subscription in which the control host hears from its gateways which endpoints are cold.
+const coldHandoverTime = time.Second
+
 // warmUps is what a gateway knows of the permits for cold endpoints. The zero value is that of a gateway without a subscription.
 type warmUps struct {
 	// report is the number of the latest report, and sentAt are the times of the latest reports by clock.Now, the oldest first.
@@ -21,6 +24,8 @@
 	sentAt []sentReport
 	// serial is the number of the latest grant of the control host.
 	serial uint64
+	// subscribedAt is when the gateway subscribed to the control host.
+	subscribedAt time.Time
 	// suspended is how long the host has been suspended.
 	suspended time.Duration
 }
@@ -74,7 +79,7 @@
 		}
 		g.logCold(c.Incarnation(), c.Remaining, "control", "")
 	}
-	if !update.Partial && m.Judged && update.Granting {
+	if !update.Partial && m.Judged && update.Granting && now.Sub(g.warmUps.subscribedAt) > coldHandoverTime {
 		g.balancer.KeepCold(named)
 	}
 }
@@ -159,3 +164,13 @@
 		r.Unused = append(r.Unused, message.ColdEndpoint{Endpoint: u.Endpoint.ID, StartedMs: u.Endpoint.StartedMs, Permits: u.Permits, Serial: u.Serial})
 	}
 }
+
+// markEnded makes the endpoint of an attempt cold if it was found to have ended: another process may soon serve under its ID.
+func (g *Gateway) markEnded(a *attempt) {
+	if !a.crashed {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.MarkEnded(a.endpoint.Incarnation(), time.Now())
+}
--- a/internal/entry/gateway/warm_up_test.go
+++ b/internal/entry/gateway/warm_up_test.go
@@ -186,3 +186,21 @@
 		require.Equal(t, message.LimitReport{}, f.g.composeReport(time.Now()).Limits)
 	})
 }
+
+// TestNewLeaderHearsWhatIsCold guards against endpoints that get the load of warm ones since the leader has changed and the new one
+// doesn't know yet that they are cold.
+func TestNewLeaderHearsWhatIsCold(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		withWarmUp(f)
+		f.g.applyUpdate(coldUpdate(0, 0, 0))
+		require.Empty(t, f.g.composeReport(time.Now()).Limits.Cold, "control has said so")
+		f.g.resubscribed, f.g.warmUps.subscribedAt = true, time.Now()
+		whole := &message.Picture{Version: 4, Granting: true, WarmUp: &message.WarmUp{Judged: true}}
+		f.g.applyUpdate(whole)
+		require.Len(t, f.g.composeReport(time.Now()).Limits.Cold, 2)
+		require.Equal(t, http.StatusServiceUnavailable, f.send("POST", "/unsafe/", "x").status)
+		time.Sleep(coldHandoverTime)
+		f.g.applyUpdate(whole)
+		require.Equal(t, http.StatusOK, f.send("POST", "/unsafe/", "x").status, "it has had the time to hear of them")
+	})
+}
