config, entry, control: allowed regions of deployments, services and teams

Cause: nothing kept requests inside regions.

Change: regions maps failure domains to regions; allowed_regions of a deployment or plain service and of the team both bind. Entries leave out replicas of which a host is outside, also on retry, and refuse at once with the reason if none is left. Placement forms no replica outside. The check reports regions without a failure domain.

--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/egretreach/egretreach/internal/fleet/domain"
@@ -140,6 +141,8 @@
 	HostsPerReplica int
 	// Priority allows the deployment to take hosts from those of lower priority.
 	Priority int
+	// Outside are the failure domains that are in none of the regions allowed.
+	Outside []domain.Failure
 	// Fabrics are the fabric domains allowed; empty allows all.
 	Fabrics []domain.Fabric
 	// CrossFabric allows a replica to span several fabric domains as a last resort.
@@ -177,6 +180,9 @@
 	return len(d.Fabrics) == 0
 }
 
+// allowsHost reports whether the deployment may use a host of a failure domain.
+func (d *Deployment) allowsHost(h *Host) bool { return !slices.Contains(d.Outside, h.Failure) }
+
 // WeightStore is the rate-limited store that weights are copied from.
 type WeightStore struct {
 	// Rate is the total rate of all loads in bytes per second; 0 is unlimited.
--- a/internal/control/placement/invariant_test.go
+++ b/internal/control/placement/invariant_test.go
@@ -51,6 +51,9 @@
 				continue
 			}
 			require.Len(t, ids, d.HostsPerReplica)
+			for _, id := range ids {
+				require.True(t, d.allowsHost(hosts[id]), "host %s is outside the allowed regions", id)
+			}
 			for fabric := range fabrics {
 				require.True(t, d.allows(fabric), "fabric domain %s is not allowed", fabric)
 			}
@@ -150,6 +153,7 @@
 		h := Host{
 			ID:             host.ID(fmt.Sprintf("h%02d", i)),
 			Fabric:         domain.Fabric(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "fabric")),
+			Failure:        domain.Failure(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "failure domain")),
 			Accelerators:   4,
 			Alive:          rapid.IntRange(0, 3).Draw(t, "alive") > 0,
 			AliveChangedAt: ago("since"),
@@ -179,6 +183,7 @@
 			LoadCost:             LoadCost{BytesPerHost: 1e11, LocalLoadTime: 30 * time.Second},
 		})
 	}
+	f.Deployments[1].Outside = []domain.Failure{"x"}
 	f.Deployments[0].Fabrics = []domain.Fabric{"a", "b"}
 	drawReplicas(t, &f)
 	return f
--- a/internal/control/placement/pick.go
+++ b/internal/control/placement/pick.go
@@ -27,11 +27,10 @@
 	if count == 0 {
 		return []int{}
 	}
-	free := p.fabrics[fabric].free
-	if count > len(free) || !d.allows(p.fabrics[fabric].name) {
+	best := p.allowedFree(d, fabric)
+	if count > len(best) || !d.allows(p.fabrics[fabric].name) {
 		return nil
 	}
-	best := slices.Clone(free)
 	w := d.weights()
 	slices.SortStableFunc(best, func(a, b int) int {
 		return p.compareSpares(w, a, b)
@@ -39,6 +38,18 @@
 	return best[:count]
 }
 
+// allowedFree returns the free hosts of a fabric domain that d may use.
+func (p *planner) allowedFree(d *Deployment, fabric int) []int {
+	free := slices.Clone(p.fabrics[fabric].free)
+	return slices.DeleteFunc(free, func(i int) bool { return !d.allowsHost(&p.fleet.Hosts[i]) })
+}
+
+// allowsFabric reports whether d may use any host of a fabric domain.
+func (p *planner) allowsFabric(d *Deployment, fabric int) bool {
+	allowed := func(i int) bool { return d.allowsHost(&p.fleet.Hosts[i]) }
+	return d.allows(p.fabrics[fabric].name) && slices.ContainsFunc(p.fabrics[fabric].hosts, allowed)
+}
+
 // compareSpares orders free hosts by their fitness for a claim that loads w.
 func (p *planner) compareSpares(w Weights, a, b int) int {
 	x, y := &p.fleet.Hosts[a], &p.fleet.Hosts[b]
--- a/internal/control/placement/preempt.go
+++ b/internal/control/placement/preempt.go
@@ -45,7 +45,7 @@
 func (p *planner) fabricOrder(dep int, g *group) []int {
 	var order []int
 	for fabric := range p.fabrics {
-		if p.fleet.Deployments[dep].allows(p.fabrics[fabric].name) {
+		if p.allowsFabric(&p.fleet.Deployments[dep], fabric) {
 			order = append(order, fabric)
 		}
 	}
--- a/internal/control/placement/repair.go
+++ b/internal/control/placement/repair.go
@@ -165,7 +165,7 @@
 	var kept []int
 	for _, i := range g.survivors {
 		h := &p.fleet.Hosts[i]
-		if p.now.Before(h.ClaimableAt) || !d.allows(h.Fabric) || h.Evacuated {
+		if p.now.Before(h.ClaimableAt) || !d.allows(h.Fabric) || !d.allowsHost(h) || h.Evacuated {
 			continue
 		}
 		if strict && (h.leaving() || p.isStraggler(h)) {
@@ -218,7 +218,7 @@
 		return repairOption{}, false
 	}
 	hosts := p.reusableSurvivors(g, true)
-	hosts = append(hosts, p.fabrics[g.fabric].free...)
+	hosts = append(hosts, p.allowedFree(d, g.fabric)...)
 	old := []*group{g}
 	for i := range p.groups {
 		donor := &p.groups[i]
--- a/internal/control/placement/replace_reason.go
+++ b/internal/control/placement/replace_reason.go
@@ -13,6 +13,11 @@
 	if !sameWeights(g.Spec, d.Spec) || len(g.Hosts) != d.HostsPerReplica {
 		return ReasonRollout
 	}
+	for _, i := range g.members {
+		if !d.allowsHost(&p.fleet.Hosts[i]) {
+			return ReasonRollout
+		}
+	}
 	if g.fabric != noFabric && !d.allows(p.fabrics[g.fabric].name) {
 		return ReasonRollout
 	}
--- a/internal/control/placement/scale.go
+++ b/internal/control/placement/scale.go
@@ -83,7 +83,7 @@
 	})
 	hosts := slices.Clone(kept)
 	for _, fabric := range order {
-		need := min(d.HostsPerReplica-len(hosts), len(p.fabrics[fabric].free))
+		need := min(d.HostsPerReplica-len(hosts), len(p.allowedFree(d, fabric)))
 		if need > 0 {
 			hosts = append(hosts, p.pick(d, fabric, need)...)
 		}
--- a/internal/control/server/placement.go
+++ b/internal/control/server/placement.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -8,6 +9,7 @@
 	"github.com/egretreach/egretreach/internal/control/placement"
 	"github.com/egretreach/egretreach/internal/control/state"
 	"github.com/egretreach/egretreach/internal/fleet/config"
+	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -147,6 +149,18 @@
 	return !holds || orders.succeeded(head.Info.ID, orderID(message.OrderDrain, r.Fence, 0))
 }
 
+// domainsOutside returns the failure domains of the fleet's hosts whose region a deployment does not allow.
+func (fleet *fleetSnapshot) domainsOutside(deployment string) []domain.Failure {
+	var outside []domain.Failure
+	for _, h := range fleet.hosts {
+		d := h.Info.FailureDomain
+		if !fleet.config.DeploymentAllows(deployment, d) && !slices.Contains(outside, d) {
+			outside = append(outside, d)
+		}
+	}
+	return outside
+}
+
 func (fleet *fleetSnapshot) placementDeployment(d config.Deployment, history *placementHistory) placement.Deployment {
 	v := fleet.config.ForDeployment(d.Name).Objectives
 	out := placement.Deployment{
@@ -157,6 +171,9 @@
 		LoadCost:             placement.LoadCost{LocalLoadTime: history.loadTime(d.Name)},
 		UnderReplicatedSince: history.underReplicatedSince[d.Name],
 	}
+	if len(d.AllowedRegions) > 0 {
+		out.Outside = fleet.domainsOutside(d.Name)
+	}
 	if d.Rollout.Extra == 0 {
 		out.Rollout.MaxUnavailable = 1
 	}
--- a/internal/entry/server/restriction.go
+++ b/internal/entry/server/restriction.go
@@ -6,6 +6,7 @@
 
 	"github.com/egretreach/egretreach/internal/entry/execution"
 	"github.com/egretreach/egretreach/internal/entry/routing"
+	"github.com/egretreach/egretreach/internal/fleet/domain"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/fleet/team"
@@ -21,9 +22,24 @@
 	return sched.evacuated()
 }
 
-// restriction returns which endpoints may get the requests of a team. mu is held.
+// restriction returns which replicas may get the requests of a team. mu is held.
 func (sched *scheduler) restriction(id team.ID) routing.Restriction {
-	return routing.Restriction{Evacuated: sched.evacuatedDomains()}
+	r := routing.Restriction{Evacuated: sched.evacuatedDomains()}
+	if fleet := sched.fleet; fleet != nil && len(fleet.Regions) > 0 {
+		t, _ := fleet.Team(id)
+		r.InRegion = func(name string, d domain.Failure) bool { return t.Allows(fleet, d) && fleet.DeploymentAllows(name, d) }
+	}
+	return r
+}
+
+// serviceRestriction returns which endpoints of plain services may get the requests of a team. mu is held.
+func (sched *scheduler) serviceRestriction(id team.ID) routing.Restriction {
+	r := routing.Restriction{Evacuated: sched.evacuatedDomains()}
+	if fleet := sched.fleet; fleet != nil && len(fleet.Regions) > 0 {
+		t, _ := fleet.Team(id)
+		r.InRegion = func(name string, d domain.Failure) bool { return t.Allows(fleet, d) && fleet.ServiceAllows(name, d) }
+	}
+	return r
 }
 
 // refusalUnserved returns the refusal of a team's requests for a model of which no replica serves now, or none that
--- a/internal/entry/server/router.go
+++ b/internal/entry/server/router.go
@@ -226,7 +226,7 @@
 
 func (s *Server) routeService(work dispatch.Work, body dispatch.ServiceCall, exclude map[host.ID]bool) (dispatch.Route, error) {
 	sched := s.scheduler
-	restriction := sched.restriction(work.Team)
+	restriction := sched.serviceRestriction(work.Team)
 	endpoint, err := sched.services.Pick(body.Call.Service, exclude, restriction)
 	if routing.IsErrNoEndpoint(err) && len(exclude) > 0 {
 		endpoint, err = sched.services.Pick(body.Call.Service, nil, restriction)
--- a/internal/entry/server/scheduler.go
+++ b/internal/entry/server/scheduler.go
@@ -89,6 +89,7 @@
 	for _, q := range sched.queues {
 		q.queue.SetWeights(weights(fleet))
 	}
+	sched.refuseRestricted()
 }
 
 func retryPolicy(r config.Retry) retry.Policy {
--- a/internal/fleet/config/check.go
+++ b/internal/fleet/config/check.go
@@ -27,6 +27,7 @@
 	c.checkDeployments()
 	c.checkTeams()
 	c.checkTokens()
+	c.checkRegions()
 	c.checkExceptions()
 }
 
--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -22,6 +22,8 @@
 	Classes       []Class        `yaml:"classes" validate:"max=20,dive"`
 	Teams         []Team         `yaml:"teams" validate:"max=1000,dive"`
 	Services      []Service      `yaml:"services" validate:"max=1000,dive"`
+	// Regions are the regions of failure domains. A failure domain that is not listed has no known region.
+	Regions map[domain.Failure]Region `yaml:"regions" validate:"max=1000,dive,keys,required,endkeys,required"`
 
 	tokens tokenIndex
 }
@@ -69,6 +71,8 @@
 	Rollout  Rollout `yaml:"rollout"`
 	// AcceptCrossFabric allows replicas that span fabric domains, as a last resort.
 	AcceptCrossFabric bool `yaml:"accept_cross_fabric"`
+	// AllowedRegions are the regions whose hosts may serve the deployment. An empty list allows all.
+	AllowedRegions []Region `yaml:"allowed_regions" validate:"max=100,dive,required"`
 }
 
 // Rollout configures how replicas are replaced for another version or other adapters.
@@ -115,6 +119,8 @@
 	// Classes are the classes that the team may use. The first is its default. An empty
 	// list allows all classes.
 	Classes []team.Class `yaml:"classes" validate:"max=20"`
+	// AllowedRegions are the regions to which the team's requests may be sent. An empty list allows all.
+	AllowedRegions []Region `yaml:"allowed_regions" validate:"max=100,dive,required"`
 }
 
 // Service is a plain service.
@@ -123,6 +129,8 @@
 	// Idempotency overrides the idempotency of methods in the HTTP standard. The first
 	// rule that matches applies.
 	Idempotency []Rule `yaml:"idempotency" validate:"max=100,dive"`
+	// AllowedRegions are the regions whose hosts may serve the service. An empty list allows all.
+	AllowedRegions []Region `yaml:"allowed_regions" validate:"max=100,dive,required"`
 }
 
 // Rule states whether calls with a method and a path prefix are idempotent, so that they
