--- a/internal/agent/server/dispatch.go
+++ b/internal/agent/server/dispatch.go
@@ -126,13 +126,18 @@
 	at := s.leaseStatus()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
+	s.checkWithdrawalLocked(now)
 	if err := s.checkAcceptLocked(at, d); err != nil {
 		return err
 	}
 	if d.Suspect && s.suspectRunsLocked() {
 		return gate.ErrClosed{Code: codeSuspectBusy, Reason: "another suspect request runs here"}
 	}
-	if err := s.limitOf(d).admit(time.Now()); err != nil {
+	if err := s.admitColdLocked(d, now); err != nil {
+		return err
+	}
+	if err := s.limitOf(d).admit(now); err != nil {
 		return err
 	}
 	if err := s.attempts.Accept(d.Ref, d.AtMostOnce); err != nil {
--- a/internal/agent/server/engine_poll.go
+++ b/internal/agent/server/engine_poll.go
@@ -95,6 +95,9 @@
 	changed := wasHealthy != s.gate.EngineHealthy() || wasLoaded != s.gate.ModelLoaded()
 	reload := s.reloadOrderLocked(at, replica.ID(r.Replica))
 	s.mu.Unlock()
+	if !wasHealthy || restarted {
+		s.engineWarmUp.begin(time.Now(), warmUpStart)
+	}
 	if !wasHealthy {
 		event.EngineHealthy.On(s.opts.Logger).Str("start", r.Start).Msg("")
 	}
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/egretreach/egretreach/internal/agent/engine"
 	"github.com/egretreach/egretreach/internal/agent/gate"
 	"github.com/egretreach/egretreach/internal/agent/plainservice"
+	"github.com/egretreach/egretreach/internal/fleet/config"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/fleet/request"
@@ -35,13 +36,20 @@
 	// engineLimit and serviceLimits are the limits that the endpoints name.
 	engineLimit   *endpointLimit
 	serviceLimits map[string]*endpointLimit
-	orders        chan *message.Order
+	// engineWarmUp and serviceWarmUps are the warm-up limits of the endpoints.
+	engineWarmUp   *warmUp
+	serviceWarmUps map[string]*warmUp
+	orders         chan *message.Order
 	// pollRequested requests an engine poll at once, gateChanged a check of the gate.
 	pollRequested chan struct{}
 	gateChanged   chan struct{}
 	rejected      atomic.Uint64
 
 	mu sync.Mutex
+	// fleet is the configuration in force, or nil.
+	fleet *config.Fleet
+	// wasEvacuated is true if this host's failure domain was evacuated at the last grant or attempt.
+	wasEvacuated bool
 	// stoppingRenewed says that a renewal has told control of a planned stop. stoppingGrants counts the grants of
 	// this session since then, the last of which came at stopKnownAt. The first may answer an earlier renewal.
 	stoppingRenewed bool
@@ -93,13 +101,15 @@
 		opts:          opts,
 		services:      map[string]*plainservice.Client{},
 		serviceLimits: map[string]*endpointLimit{},
-		orders:        make(chan *message.Order, orderQueueSize),
-		pollRequested: make(chan struct{}, 1),
-		gateChanged:   make(chan struct{}, 1),
-		gate:          gate.New(opts.Info.ID),
-		attempts:      attempt.New(opts.Info.Incarnation, opts.AttemptLimits),
-		running:       map[message.Ref]*runningAttempt{},
-		waiters:       map[attempt.WaiterID]chan message.AskResult{},
+
+		serviceWarmUps: map[string]*warmUp{},
+		orders:         make(chan *message.Order, orderQueueSize),
+		pollRequested:  make(chan struct{}, 1),
+		gateChanged:    make(chan struct{}, 1),
+		gate:           gate.New(opts.Info.ID),
+		attempts:       attempt.New(opts.Info.Incarnation, opts.AttemptLimits),
+		running:        map[message.Ref]*runningAttempt{},
+		waiters:        map[attempt.WaiterID]chan message.AskResult{},
 	}
 	if opts.EngineURL != "" {
 		transport := opts.EngineTransport
@@ -107,6 +117,7 @@
 			transport = engine.NewTransport()
 		}
 		s.engineLimit = &endpointLimit{name: "engine", logger: opts.Logger}
+		s.engineWarmUp = &warmUp{name: "engine", logger: opts.Logger}
 		transport = limitTransport{transport, s.engineLimit, isGeneration}
 		s.engine = engine.New(engine.Options{URL: opts.EngineURL, OrdererToken: opts.OrdererToken, Transport: transport})
 	}
@@ -116,7 +127,9 @@
 			transport = plainservice.NewTransport()
 		}
 		s.serviceLimits[name] = &endpointLimit{name: name, logger: opts.Logger}
-		transport = limitTransport{transport, s.serviceLimits[name], isServiceCall}
+		s.serviceWarmUps[name] = &warmUp{name: name, logger: opts.Logger}
+		s.serviceWarmUps[name].begin(time.Now(), warmUpStart)
+		transport = warmUpTransport{limitTransport{transport, s.serviceLimits[name], isServiceCall}, s.serviceWarmUps[name]}
 		s.services[name] = plainservice.New(plainservice.Options{URL: url, Transport: transport})
 	}
 	s.registerMetrics()
--- a/internal/agent/server/session.go
+++ b/internal/agent/server/session.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/egretreach/egretreach/internal/agent/gate"
+	"github.com/egretreach/egretreach/internal/fleet/config"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/view"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -37,10 +38,19 @@
 
 // ApplyConfig implements session.Daemon.
 func (s *Server) ApplyConfig(_ view.Revision, yaml []byte) error {
-	if s.opts.CheckConfig == nil {
-		return nil
+	if s.opts.CheckConfig != nil {
+		if err := s.opts.CheckConfig(yaml); err != nil {
+			return err
+		}
+	}
+	fleet, err := config.Parse("accepted configuration", yaml)
+	if err != nil {
+		return nil //nolint:nilerr // CheckConfig decides which configurations are accepted.
 	}
-	return s.opts.CheckConfig(yaml)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet = fleet
+	return nil
 }
 
 // OnGrant implements session.Daemon.
@@ -48,6 +58,7 @@
 	signal(s.gateChanged)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.checkWithdrawalLocked(time.Now())
 	if s.stoppingRenewed {
 		s.stoppingGrants++
 		s.stopKnownAt = time.Now()
--- a/internal/fleet/config/check.go
+++ b/internal/fleet/config/check.go
@@ -28,6 +28,7 @@
 	c.checkTeams()
 	c.checkTokens()
 	c.checkRegions()
+	c.checkWarmUps()
 	c.checkExceptions()
 }
 
@@ -106,6 +107,22 @@
 	}
 }
 
+func (c checker) checkWarmUps() {
+	for i, d := range c.fleet.Deployments {
+		c.checkWarmUp(fmt.Sprintf("deployments[%d]", i), d.WarmUp)
+	}
+	for i, s := range c.fleet.Services {
+		c.checkWarmUp(fmt.Sprintf("services[%d]", i), s.WarmUp)
+	}
+}
+
+// checkWarmUp reports a warm-up with only one of its fields.
+func (c checker) checkWarmUp(key string, w WarmUp) {
+	if (w.Time > 0) != (w.RequestsPerSecond > 0) {
+		c.doc.Report(key+".warm_up", "needs both time and requests_per_second")
+	}
+}
+
 func (c checker) checkTokens() {
 	owner := map[string]string{}
 	for i, t := range c.fleet.Teams {
--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -73,6 +73,15 @@
 	AcceptCrossFabric bool `yaml:"accept_cross_fabric"`
 	// AllowedRegions are the regions whose hosts may serve the deployment. An empty list allows all.
 	AllowedRegions []Region `yaml:"allowed_regions" validate:"max=100,dive,required"`
+	WarmUp         WarmUp   `yaml:"warm_up"`
+}
+
+// WarmUp bounds the requests of an endpoint that has just started or returned. The zero value is no bound.
+type WarmUp struct {
+	// Time is how long the endpoint is cold after its start or return.
+	Time time.Duration `yaml:"time" validate:"min=0s,max=1h"`
+	// RequestsPerSecond is what a cold endpoint takes from all entries together.
+	RequestsPerSecond float64 `yaml:"requests_per_second" validate:"min=0,max=1000000"`
 }
 
 // Rollout configures how replicas are replaced for another version or other adapters.
@@ -131,6 +140,7 @@
 	Idempotency []Rule `yaml:"idempotency" validate:"max=100,dive"`
 	// AllowedRegions are the regions whose hosts may serve the service. An empty list allows all.
 	AllowedRegions []Region `yaml:"allowed_regions" validate:"max=100,dive,required"`
+	WarmUp         WarmUp   `yaml:"warm_up"`
 }
 
 // Rule states whether calls with a method and a path prefix are idempotent, so that they
--- a/internal/fleet/config/region_test.go
+++ b/internal/fleet/config/region_test.go
@@ -47,10 +47,13 @@
 	require.True(t, anyone.Allows(f, "hall-3"))
 }
 
-// TestUnknownRegionsAreRefused guards against a misspelt region, which would leave no endpoint.
-func TestUnknownRegionsAreRefused(t *testing.T) {
+// TestUnknownRegionsAndHalfWarmUpsAreRefused guards against a misspelt region, which would leave no endpoint, and against a
+// warm-up that would limit nothing or everything.
+func TestUnknownRegionsAndHalfWarmUpsAreRefused(t *testing.T) {
 	_, err := Parse("fleet.yaml", []byte("regions:\n  hall-1: north\nservices:\n  - name: records\n    allowed_regions: [nroth]\n"))
 	require.ErrorContains(t, err, `no failure domain is in region "nroth"`)
+	_, err = Parse("fleet.yaml", []byte("services:\n  - name: records\n    warm_up: {time: 3s}\n"))
+	require.ErrorContains(t, err, "services[0].warm_up: needs both time and requests_per_second")
 	_, err = Parse("fleet.yaml", []byte("teams:\n  - name: troops\n    allowed_regions: [north]\n"))
 	require.ErrorContains(t, err, `teams[0].allowed_regions[0]`)
 }
