--- a/internal/entry/api/service.go
+++ b/internal/entry/api/service.go
@@ -8,6 +8,7 @@
 	"github.com/egretreach/egretreach/internal/entry/dispatch"
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 )
 
 // droppedHeaders are the hop-by-hop headers (RFC 9110, section 7.6.1), Authorization,
@@ -68,6 +69,7 @@
 		status = http.StatusOK
 	}
 	c.w.WriteHeader(status)
+	httpserver.HoldResponse(c.r.Context(), len(answer.Body))
 	_, _ = c.w.Write(answer.Body)
 }
 
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/egretreach/egretreach/internal/entry/balance"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
@@ -182,6 +183,7 @@
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	c.w.WriteHeader(response.StatusCode)
+	httpserver.HoldResponse(c.r.Context(), len(body))
 	_, err := c.w.Write(body)
 	if err == nil && !whole {
 		_, err = io.Copy(c.w, a.exchange)
--- a/internal/process/httpserver/budget.go
+++ b/internal/process/httpserver/budget.go
@@ -6,16 +6,17 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
 
 const (
-	// DefaultCallerMemory is the default of BudgetOptions.Memory, and MinCallerMemory its least value: the costliest header of 64 KiB and
-	// those of a hundred ordinary callers beside it.
+	// DefaultCallerMemory is the default of BudgetOptions.Memory.
 	DefaultCallerMemory = 20 << 20
-	MinCallerMemory     = 6 << 20
+	// MinCallerMemory is the least BudgetOptions.Memory for which settings may ask: it has room for the costliest header of 64 KiB.
+	MinCallerMemory = 6 << 20
 	// DefaultBodyMemory is the default of BudgetOptions.BodyMemory.
 	DefaultBodyMemory = 32 << 20
 	// connCost is what an open connection costs: the buffers of net/http, the stacks of its goroutines and its records.
@@ -57,6 +58,7 @@
 	logged        time.Time
 	// loggedRefused and loggedClosed are the counts in the last log line.
 	loggedRefused, loggedClosed uint64
+	refusedTotal, closedTotal   metrics.Counter
 }
 
 // account is the share of a connection in a Budget.
@@ -83,9 +85,9 @@
 }
 
 // register registers the metrics of the budget.
-func (b *Budget) register(metrics *metric.Registry) {
+func (b *Budget) register(registry *metric.Registry) {
 	gauge := func(name, help string, value func() float64) {
-		metrics.GaugeFunc(name, help, func() float64 {
+		registry.GaugeFunc(name, help, func() float64 {
 			b.mu.Lock()
 			defer b.mu.Unlock()
 			return value()
@@ -94,8 +96,8 @@
 	gauge("caller_memory_bytes", "Memory that connections, headers and unread responses of callers take.", func() float64 { return float64(b.held) })
 	gauge("caller_memory_limit_bytes", "Limit of caller_memory_bytes.", func() float64 { return float64(b.opts.Memory) })
 	gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(len(b.accounts)) })
-	gauge("callers_refused", "Connections and requests of callers refused for their number or memory since the start.", func() float64 { return float64(b.refused) })
-	gauge("callers_closed", "Connections of callers closed for the memory that they held since the start.", func() float64 { return float64(b.closed) })
+	b.refusedTotal = registry.Counter("callers_refused_total", "Connections and requests of callers refused for their number or memory, or for what they send.")
+	b.closedTotal = registry.Counter("callers_closed_total", "Connections of callers closed because they held the most memory.")
 }
 
 // open adds a connection with the cost of one that sends nothing. It returns false, and adds nothing, if there is no room for it.
@@ -113,11 +115,11 @@
 	return true
 }
 
-// set changes the cost of a connection. It returns false, and changes nothing, if there is no room for it.
+// set changes the cost of a connection, unless it has been removed. It returns false, and changes nothing, if there is no room for it.
 func (b *Budget) set(a *account, cost int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if cost == a.cost {
+	if _, ok := b.accounts[a]; !ok || cost == a.cost {
 		return true
 	}
 	if cost > a.cost && !b.makeRoom(a, cost) {
@@ -160,6 +162,7 @@
 		largest.evicted = true
 		b.leaving += largest.cost
 		b.closed++
+		b.closedTotal.Inc(1)
 		largest.evict()
 	}
 	return true
@@ -205,6 +208,7 @@
 func (b *Budget) countRefusal() {
 	b.mu.Lock()
 	b.refused++
+	b.refusedTotal.Inc(1)
 	now := time.Now()
 	if b.opts.Logger == nil || now.Sub(b.logged) < logInterval {
 		b.mu.Unlock()
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"context"
 	"io"
 	"net"
 	"os"
@@ -35,14 +36,16 @@
 	// mu guards the other fields. It is not held while the budget is called.
 	mu    sync.Mutex
 	meter meter
-	// unread is the size of the part of a response that the caller doesn't read.
-	unread int64
+	// response is the size of the response that the handler holds whole, and unread that of the part of a response that the caller
+	// doesn't read.
+	response, unread int64
 	// hasTrailer says that a trailer may follow the body.
 	hasTrailer bool
 	// readDeadline and writeDeadline are those that net/http or a handler has set.
 	readDeadline, writeDeadline time.Time
-	// refused says that a read has failed because of the memory.
-	refused bool
+	// refused says that a read has failed because of the memory, cut that this was while a handler ran, so that nothing may be written
+	// any more.
+	refused, cut bool
 }
 
 // evict ends the reads of the connection, which ends its request.
@@ -89,11 +92,13 @@
 }
 
 // refuse ends the connection for the memory of callers. A caller whose header is being read, and whose earlier requests have thus been
-// answered, gets a refusal. A read of one byte never writes one: net/http reads single bytes while a handler runs.
+// answered, gets a refusal. net/http reads single bytes while a handler runs: such a read ends the request's context and its writes, since
+// net/http sends 200 for a handler that returns without a response.
 func (c *limitedConn) refuse(size int) error {
 	c.mu.Lock()
 	first := !c.refused
 	c.refused = true
+	c.cut = c.cut || size == 1
 	mayAnswer := first && size > 1 && c.meter.isReading()
 	c.mu.Unlock()
 	if mayAnswer {
@@ -160,6 +165,9 @@
 // Write implements net.Conn. What the caller doesn't read counts from writeCheckInterval on. The write fails after transferTimeout without
 // progress, and if there is no room for what is left.
 func (c *limitedConn) Write(p []byte) (int, error) {
+	if c.isCut() {
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: ErrCallerMemory}
+	}
 	written := 0
 	progressAt := time.Now()
 	for {
@@ -174,12 +182,38 @@
 		if n > 0 {
 			progressAt = time.Now()
 		}
-		if time.Since(progressAt) >= transferTimeout || c.evicted.Load() || !c.setUnread(int64(len(p)-written)) {
+		if time.Since(progressAt) >= transferTimeout || c.evicted.Load() || !c.setUnread(max(int64(len(p)-written), c.heldResponse())) {
 			return written, err
 		}
 	}
 }
 
+// isCut reports whether nothing may be written any more.
+func (c *limitedConn) isCut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut
+}
+
+// heldResponse returns the size of the response that the handler holds.
+func (c *limitedConn) heldResponse() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.response
+}
+
+// HoldResponse tells the server of a request, by the context of which it is found, that its handler holds size bytes of the response until
+// they are written. They count as long as the caller doesn't read.
+func HoldResponse(ctx context.Context, size int) {
+	c, ok := ctx.Value(connKey{}).(*limitedConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.response = int64(size)
+}
+
 // nextWriteDeadline returns when a write is checked for the next time, and whether it ends then.
 func (c *limitedConn) nextWriteDeadline(now time.Time) (until time.Time, last bool) {
 	c.mu.Lock()
@@ -220,7 +254,7 @@
 func (c *limitedConn) requestEnded() {
 	c.mu.Lock()
 	c.meter.next()
-	c.hasTrailer, c.unread = false, 0
+	c.hasTrailer, c.response, c.unread = false, 0, 0
 	cost := c.cost()
 	c.mu.Unlock()
 	if !c.budget.set(&c.account, cost) {
--- a/internal/process/httpserver/meter.go
+++ b/internal/process/httpserver/meter.go
@@ -6,8 +6,8 @@
 	// byteCost is what a byte of a header makes the process hold: the read buffer, the parsed strings and their copy for the endpoint.
 	byteCost = 3
 	// lineCost is what a line of a header makes the process hold besides its bytes: entries in the header's map and in its clone for
-	// the endpoint, with the garbage that the collector allows.
-	lineCost = 192
+	// the endpoint, with the garbage of the map's growth that the collector allows.
+	lineCost = 256
 	// readBufferSize is the size of the read buffer of net/http, which may hold the beginning of the next request.
 	readBufferSize = 4 << 10
 )
