gateway: a header counts as it was sent

Cause: the limit header_bytes counted each line with a space and a carriage return that a caller need not send, so that a legal header of short lines was denied with 431. Besides, a process that stood still for 30 s would have cut responses that callers read, and evicted callers were counted both as refused and as closed.

Change: the size of the header is that of the connection's accounting where it is lower. A write stalls by the number of its checks, not by the clock. Refusals and evictions are counted apart.

--- a/internal/entry/gateway/request.go
+++ b/internal/entry/gateway/request.go
@@ -52,8 +52,18 @@
 	return true
 }
 
-// headerBytes returns the size of a request's header, its request line included.
+// headerBytes returns the size of a request's header, its request line included. It is that of the header with a space before each value
+// and both characters at each line's end, unless less was sent.
 func headerBytes(r *http.Request) int {
+	n := usualHeaderBytes(r)
+	if sent, ok := httpserver.HeaderSize(r.Context()); ok {
+		return min(n, sent)
+	}
+	return n
+}
+
+// usualHeaderBytes returns the size of a request's header as most callers write it.
+func usualHeaderBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\nHost: \r\n ") + len(r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
--- a/internal/process/httpserver/budget.go
+++ b/internal/process/httpserver/budget.go
@@ -204,11 +204,18 @@
 	b.bodies -= n
 }
 
-// countRefusal counts a refusal, and logs the counts unless there was a line within logInterval.
+// countRefusal counts a refusal.
 func (b *Budget) countRefusal() {
 	b.mu.Lock()
 	b.refused++
+	b.mu.Unlock()
 	b.refusedTotal.Inc(1)
+	b.logCounts()
+}
+
+// logCounts logs how many callers were refused and closed, unless there was a line within logInterval.
+func (b *Budget) logCounts() {
+	b.mu.Lock()
 	now := time.Now()
 	if b.opts.Logger == nil || now.Sub(b.logged) < logInterval {
 		b.mu.Unlock()
--- a/internal/process/httpserver/budget_test.go
+++ b/internal/process/httpserver/budget_test.go
@@ -1,9 +1,16 @@
 package httpserver
 
 import (
+	"bytes"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/process/logging"
+	"github.com/egretreach/egretreach/internal/process/settings"
 )
 
 // newTestAccount returns an open account that records its eviction.
@@ -105,3 +112,20 @@
 		require.Empty(t, b.accounts)
 	})
 }
+
+// TestRefusalsAreLoggedRarely guards against hostile callers that fill the log, and against refusals that no line tells of.
+func TestRefusalsAreLoggedRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		b := NewBudget(BudgetOptions{Logger: logging.New(settings.Log{Format: "json"}, &out)})
+		b.countRefusal()
+		for range 1000 {
+			b.countRefusal()
+		}
+		require.Equal(t, 1, strings.Count(out.String(), "\n"))
+		time.Sleep(logInterval)
+		b.countRefusal()
+		require.Equal(t, 2, strings.Count(out.String(), "\n"))
+		require.Contains(t, out.String(), `"refused":1001`)
+	})
+}
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -105,7 +105,10 @@
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
 		_, _ = io.WriteString(c.Conn, refusal) // The connection is closed in any case.
 	}
-	if first {
+	switch {
+	case first && c.evicted.Load():
+		c.budget.logCounts() // Its eviction counts already.
+	case first:
 		c.budget.countRefusal()
 	}
 	return &net.OpError{Op: "read", Net: "tcp", Err: ErrCallerMemory} // net/http answers other errors with 400.
@@ -169,7 +172,8 @@
 		return 0, &net.OpError{Op: "write", Net: "tcp", Err: ErrCallerMemory}
 	}
 	written := 0
-	progressAt := time.Now()
+	// stalled is the time without progress by the checks of the write, which doesn't count the time that the process stood still.
+	stalled := time.Duration(0)
 	for {
 		until, last := c.nextWriteDeadline(time.Now())
 		_ = c.Conn.SetWriteDeadline(until)
@@ -179,10 +183,11 @@
 			c.setUnread(0)
 			return written, err
 		}
+		stalled += writeCheckInterval
 		if n > 0 {
-			progressAt = time.Now()
+			stalled = 0
 		}
-		if time.Since(progressAt) >= transferTimeout || c.evicted.Load() || !c.setUnread(max(int64(len(p)-written), c.heldResponse())) {
+		if stalled >= transferTimeout || c.evicted.Load() || !c.setUnread(max(int64(len(p)-written), c.heldResponse())) {
 			return written, err
 		}
 	}
@@ -202,6 +207,18 @@
 	return c.response
 }
 
+// HeaderSize returns the size of a request's header as it was sent, in bytes, or a higher number if the request followed another one without
+// a pause. The request is found by its context. It returns false if the size isn't known.
+func HeaderSize(ctx context.Context) (int, bool) {
+	c, ok := ctx.Value(connKey{}).(*limitedConn)
+	if !ok {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.meter.headerSize, c.meter.headerSize > 0
+}
+
 // HoldResponse tells the server of a request, by the context of which it is found, that its handler holds size bytes of the response until
 // they are written. They count as long as the caller doesn't read.
 func HoldResponse(ctx context.Context, size int) {
--- a/internal/process/httpserver/meter.go
+++ b/internal/process/httpserver/meter.go
@@ -18,6 +18,8 @@
 type meter struct {
 	// size and lines are the bytes and line ends that may belong to the header.
 	size, lines int
+	// headerSize is the size of the header once it is complete.
+	headerSize int
 	// emptyLines counts the empty lines before the request line.
 	emptyLines int
 	// begun says that a line that is not empty has begun.
@@ -47,6 +49,7 @@
 	}
 	m.size += len(data)
 	rest := data
+	wasComplete := m.complete
 	for !m.complete && len(rest) > 0 {
 		rest = m.readLine(rest)
 	}
@@ -56,6 +59,9 @@
 	}
 	m.restSize, m.restLines = len(rest), bytes.Count(rest, []byte{'\n'})
 	m.lines += m.restLines
+	if !wasComplete {
+		m.headerSize = m.size - m.restSize
+	}
 }
 
 // readLine counts a line or its part, and returns the data behind it.
