--- a/internal/agent/server/warm_up.go
+++ b/internal/agent/server/warm_up.go
@@ -40,7 +40,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.coldSince = now
-	event.EndpointCold.On(w.logger).Str("endpoint", w.name).Str("cause", cause).Msg("")
+	event.WarmUpStarted.On(w.logger).Str("endpoint", w.name).Str("cause", cause).Msg("")
 }
 
 // observe records whether the endpoint has answered. One that answers after it had not is cold from then on.
--- a/internal/telemetry/event/agent.go
+++ b/internal/telemetry/event/agent.go
@@ -15,5 +15,5 @@
 	AgentSuperseded   = register(208, "agent_superseded", log.ErrorLevel)
 	CrashUnreported   = register(209, "crash_unreported", log.ErrorLevel)
 	EndpointLimited   = register(210, "endpoint_limited", log.InfoLevel)
-	EndpointCold      = register(211, "endpoint_cold", log.InfoLevel)
+	WarmUpStarted     = register(211, "warm_up_started", log.InfoLevel)
 )
