balance: late waiting and Retry-After from forecast room where routes of an engine service differ in priority

Change: package overload (pure) orders the waiting requests of a service and model, bounds the wait by the patience of callers and the recent throughput, holds less urgent ranks and leading teams back while a rank is short, and books returns in forecast room. The balancer asks it only for engine services whose routes differ in priority (rankedServices); others keep their queue.

Tested: go test ./internal/entry/balance ./internal/entry/gateway; a service without ranks gets the same decisions as before.

--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -104,6 +104,9 @@
 	// promised is the latest time that a Retry-After has named, by service and model, while the limits of
 	// endpoints were the cause.
 	promised map[string]time.Time
+	// rankedServices are the services whose routes differ in priority, and ranked their queues.
+	rankedServices map[string]bool
+	ranked         map[scope]*rankedScope
 }
 
 // SetServices replaces the services that operators have configured.
--- a/internal/entry/balance/limit.go
+++ b/internal/entry/balance/limit.go
@@ -260,6 +260,9 @@
 // waitingFor returns the number of requests that wait for the same service and model.
 func (b *Balancer) waitingFor(req Request) int {
 	waiting := 0
+	if r := b.ranked[req.scope()]; r != nil {
+		waiting = len(r.waiting)
+	}
 	for _, w := range b.queue {
 		if w.scope() == req.scope() {
 			waiting++
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -42,6 +42,9 @@
 	if occupied >= float64(t.Slots)*maxEngineFill {
 		return false
 	}
+	if req.spareFor > 0 && !b.hasSpareCapacity(t, req.withObjective(req.spareFor), now) {
+		return false
+	}
 	if req.Resumed {
 		return b.forecastFirstEvent(t, req, now) < maxResumeWait
 	}
@@ -61,6 +64,12 @@
 	return req
 }
 
+// withObjective returns the request with another objective.
+func (req Request) withObjective(objective time.Duration) Request {
+	req.Objective = objective
+	return req
+}
+
 // isLate reports whether the first event can no longer arrive in time.
 func (req Request) isLate(now time.Time) bool {
 	return !now.Add(baseLatency).Before(req.ObjectiveDeadline)
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/egretreach/egretreach/internal/entry/overload"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 )
 
@@ -36,6 +37,21 @@
 	// ArrivedAt is when the request arrived, and WaitUntil the end of its wait in the queue.
 	ArrivedAt time.Time
 	WaitUntil time.Time
+
+	// The fields up to spareFor count only for services whose routes differ in priority.
+
+	// Team is whose request it is; teams of one priority get equal shares of scarce capacity.
+	Team string
+	// Waited is how long the caller has waited in earlier attempts, 0 if it was not refused before.
+	Waited time.Duration
+	// LateUntil is until when a request may wait though its objective can't be met any more. Zero doesn't extend WaitUntil.
+	LateUntil time.Time
+	// Deadline is when the caller gives up for good.
+	Deadline time.Time
+	// Spread is uniform in [0, 1).
+	Spread float64
+	// spareFor is the objective of a further request for which the endpoint must have room besides this one, or 0.
+	spareFor time.Duration
 }
 
 // Decision is the outcome of a request at the balancer: the endpoint to send it to, or a
@@ -59,6 +75,11 @@
 	Reason     string
 	// Availability is set for a refusal.
 	Availability Availability
+	// Overload are the inputs of a refusal by package overload.
+	Overload overload.Inputs
+	// Late says that the request was placed though its objective could not be met any more, and Returned that its caller had
+	// been refused before. They are set for services whose routes differ in priority.
+	Late, Returned bool
 }
 
 // Availability describes the capacity of the endpoints at the time of a refusal.
@@ -106,10 +127,15 @@
 	Request
 	// Decided receives the decision. It has a buffer of one.
 	Decided chan Decision
+	// turn is its place in a ranked queue.
+	turn overload.Turn
 }
 
 // Submit places a request, refuses it or, if it may wait, queues it and returns its waiter.
 func (b *Balancer) Submit(req Request, now time.Time) (Decision, *Waiter) {
+	if r := b.rankedScope(req); r != nil {
+		return b.submitRanked(r, req, now)
+	}
 	if d, ok := b.place(req, now); ok {
 		return d, nil
 	}
@@ -160,6 +186,9 @@
 // ProcessQueue places the waiting requests for which there is capacity now, and refuses those
 // whose wait has ended.
 func (b *Balancer) ProcessQueue(now time.Time) {
+	for _, r := range b.ranked {
+		b.processRanked(r, now)
+	}
 	kept := b.queue[:0]
 	for _, w := range b.queue {
 		if d, ok := b.place(w.Request, now); ok {
@@ -183,6 +212,9 @@
 		b.queue = slices.Delete(b.queue, i, i+1)
 		return Decision{}, false
 	}
+	if b.cancelRanked(w) {
+		return Decision{}, false
+	}
 	select {
 	case d := <-w.Decided:
 		return d, d.Endpoint.ID != ""
@@ -192,7 +224,7 @@
 }
 
 // Waiting returns the number of waiting requests.
-func (b *Balancer) Waiting() int { return len(b.queue) }
+func (b *Balancer) Waiting() int { return len(b.queue) + b.rankedWaiting() }
 
 // place picks an endpoint with capacity and records the request as sent to it.
 func (b *Balancer) place(req Request, now time.Time) (Decision, bool) {
--- /dev/null
+++ b/internal/entry/balance/ranked.go
@@ -0,0 +1,363 @@
+package balance
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/egretreach/egretreach/internal/entry/overload"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
+)
+
+// rankedScope is the queue of one service and model for which package overload decides.
+type rankedScope struct {
+	overload.Scope
+	// waiting are the requests in the queue, in their order as of the last event.
+	waiting []*Waiter
+}
+
+// SetRoutes replaces the routes that operators have configured. It follows SetServices.
+func (b *Balancer) SetRoutes(all []routes.Route) {
+	b.rankedServices = rankedServices(all, b.engines)
+	maps.DeleteFunc(b.ranked, func(s scope, r *rankedScope) bool { return !b.rankedServices[s.service] && len(r.waiting) == 0 })
+}
+
+// rankedServices returns the services for which package overload decides: those with a model engine whose routes differ in
+// priority. All others keep the order by priority and arrival, and refuse as before.
+func rankedServices(all []routes.Route, engines map[string]*routes.Engine) map[string]bool {
+	priorities, ranked := map[string]int{}, map[string]bool{}
+	for _, r := range all {
+		for _, target := range r.Targets {
+			service := target.Service
+			if engines[service] == nil {
+				continue
+			}
+			priority, known := priorities[service]
+			if known && priority != r.Priority {
+				ranked[service] = true
+			}
+			priorities[service] = r.Priority
+		}
+	}
+	return ranked
+}
+
+// rankedScope returns the ranked queue for a request, or nil if its service has none.
+func (b *Balancer) rankedScope(req Request) *rankedScope {
+	if req.Model == "" || !b.rankedServices[req.Service] {
+		return nil
+	}
+	r := b.ranked[req.scope()]
+	if r == nil {
+		if _, ok := b.engines[req.Service].Model(req.Model); !ok {
+			return nil // Callers choose the name, so an unknown one gets no state.
+		}
+		if b.ranked == nil {
+			b.ranked = map[scope]*rankedScope{}
+		}
+		r = &rankedScope{}
+		b.ranked[req.scope()] = r
+	}
+	return r
+}
+
+// caller returns who has sent a request.
+func (req Request) caller() overload.Caller {
+	return overload.Caller{
+		Team: req.Team, Priority: req.Priority, Objective: req.Objective, Returned: req.Waited > 0, Repeated: len(req.Exclude) > 0 || req.Resumed,
+	}
+}
+
+// turn returns the place of a request in the order.
+func (req Request) turn(tag float64, now time.Time) overload.Turn {
+	return overload.Turn{
+		Resumed: req.Resumed, Late: req.isLate(now), Returned: req.Waited > 0, Priority: req.Priority, Tag: tag, Since: req.ArrivedAt.Add(-req.Waited),
+	}
+}
+
+// submitRanked places a request of a ranked scope, refuses it or queues it.
+func (b *Balancer) submitRanked(r *rankedScope, req Request, now time.Time) (Decision, *Waiter) {
+	r.ObserveHeads(b.usableHeads(req, now), now)
+	r.Arrived(req.caller(), now)
+	if req.LateUntil.After(req.WaitUntil) && !req.Resumed {
+		req.WaitUntil = req.LateUntil
+	}
+	w := &Waiter{Request: req, turn: req.turn(r.Tag(req.caller()), now)}
+	w.turn.Late = w.turn.Late && !b.goesAsNew(r, req, now)
+	pass := rankedPass{}
+	for _, other := range r.waiting {
+		if overload.Compare(other.turn, w.turn) < 0 {
+			pass.failed(other)
+		}
+	}
+	if d, ok := b.placeRanked(r, w, &pass, now); ok {
+		r.TakeTag(req.caller())
+		return d, nil
+	}
+	return b.queueRanked(r, w, now)
+}
+
+// queueRanked queues a request of a ranked scope for which there is no place now, or refuses it.
+func (b *Balancer) queueRanked(r *rankedScope, w *Waiter, now time.Time) (Decision, *Waiter) {
+	req := w.Request
+	switch {
+	case !b.anyServesBy(req, req.WaitUntil, now):
+		reason := "no endpoint serves it"
+		if _, busy := b.allBusyUntil(req, now); busy {
+			reason = "all endpoints have asked for no requests"
+		}
+		return b.refusal(req, reason, now), nil
+	case !now.Before(req.WaitUntil):
+		return b.refuseRanked(r, w, overload.ReasonNoWait, now), nil
+	case b.waitsInVain(req, now):
+		return b.refusal(req, reasonLimited, now), nil
+	case !req.Resumed && !r.MayWait(req.caller(), r.ahead(w), req.WaitUntil, now):
+		if !b.displace(r, w, now) {
+			reason := overload.ReasonQueue
+			if w.turn.Returned && r.CapacityLost() {
+				reason = overload.ReasonLost
+			}
+			return b.refuseRanked(r, w, reason, now), nil
+		}
+	}
+	w.turn.Tag, w.Decided = r.TakeTag(req.caller()), make(chan Decision, 1)
+	r.insert(w)
+	return Decision{}, w
+}
+
+// ahead returns the number of requests that are tried before one.
+func (r *rankedScope) ahead(w *Waiter) int {
+	count := 0
+	for _, other := range r.waiting {
+		if overload.Compare(other.turn, w.turn) <= 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// insert adds a request to the queue.
+func (r *rankedScope) insert(w *Waiter) {
+	at, _ := slices.BinarySearchFunc(r.waiting, w, func(other, w *Waiter) int {
+		if overload.Compare(other.turn, w.turn) <= 0 {
+			return -1
+		}
+		return 1
+	})
+	r.waiting = slices.Insert(r.waiting, at, w)
+}
+
+// displace refuses the last waiting new request of the same rank if its team has had more service than that of w. It reports
+// whether there was one.
+func (b *Balancer) displace(r *rankedScope, w *Waiter, now time.Time) bool {
+	if w.turn.Late {
+		return false
+	}
+	for i, other := range slices.Backward(r.waiting) {
+		t := other.turn
+		if t.Late || t.Resumed || t.Returned || t.Priority != w.turn.Priority || other.Team == w.Team {
+			continue
+		}
+		if t.Tag < w.turn.Tag+1 {
+			return false
+		}
+		r.waiting = slices.Delete(r.waiting, i, i+1)
+		r.Unserved(other.caller())
+		other.Decided <- b.refuseRanked(r, other, overload.ReasonDisplaced, now)
+		return true
+	}
+	return false
+}
+
+// rankedPass is what is known of the requests that were tried before one in the same event.
+type rankedPass struct {
+	// above is the shortest objective of the more urgent requests that can meet theirs and found no place, and same that of
+	// those with the given priority.
+	above, same time.Duration
+	priority    int
+	// lateTokens is the smallest prompt of a late request that found no place, if lateFailed is set.
+	lateFailed bool
+	lateTokens int
+}
+
+// failed records a request that found no place.
+func (p *rankedPass) failed(w *Waiter) {
+	switch {
+	case w.turn.Resumed:
+	case w.turn.Late:
+		if len(w.Exclude) == 0 && (!p.lateFailed || w.PromptTokens < p.lateTokens) {
+			p.lateFailed, p.lateTokens = true, w.PromptTokens
+		}
+	default:
+		p.enter(w.turn.Priority)
+		p.same = shorter(p.same, w.Objective)
+	}
+}
+
+// enter begins the requests of a priority.
+func (p *rankedPass) enter(priority int) {
+	if priority > p.priority {
+		p.above, p.same = shorter(p.above, p.same), 0
+	}
+	p.priority = priority
+}
+
+// shorter returns the shorter of two durations, of which 0 is none.
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// placeRanked places a request of a ranked scope if there is capacity that more urgent requests don't need.
+func (b *Balancer) placeRanked(r *rankedScope, w *Waiter, pass *rankedPass, now time.Time) (Decision, bool) {
+	req := w.Request
+	switch {
+	case w.turn.Resumed:
+	case w.turn.Late:
+		if pass.lateFailed && req.PromptTokens >= pass.lateTokens {
+			return Decision{}, false
+		}
+		req.spareFor = shorter(req.Objective, r.ShortestObjective(now))
+	default:
+		if b.goesAsNew(r, req, now) {
+			req.ObjectiveDeadline = now.Add(req.Objective)
+		}
+		pass.enter(req.Priority)
+		req.spareFor = r.Reserve(req.caller(), now)
+		if owed, ok := r.Owed(); !ok || owed != req.Priority {
+			req.spareFor = shorter(req.spareFor, pass.above)
+		}
+	}
+	d, ok := b.place(req, now)
+	if !ok {
+		pass.failed(w)
+		return d, false
+	}
+	r.Placed(req.caller(), w.turn.Tag, w.turn.Late, now)
+	d.Late, d.Returned = w.isLate(now), w.turn.Returned
+	return d, true
+}
+
+// goesAsNew reports whether a returned request takes places like a new one.
+func (b *Balancer) goesAsNew(r *rankedScope, req Request, now time.Time) bool {
+	return req.Waited > 0 && !req.Resumed && r.ReturnsFirst(now)
+}
+
+// processRanked places the waiting requests of a ranked scope for which there is capacity now, and refuses those whose wait has
+// ended.
+func (b *Balancer) processRanked(r *rankedScope, now time.Time) {
+	if len(r.waiting) == 0 {
+		return
+	}
+	r.ObserveHeads(b.usableHeads(r.waiting[0].Request, now), now)
+	b.orderRanked(r, now)
+	b.placeOwed(r, now)
+	pass := rankedPass{}
+	var kept, expired []*Waiter
+	for _, w := range r.waiting {
+		d, ok := b.placeRanked(r, w, &pass, now)
+		switch {
+		case ok:
+			w.Decided <- d
+		case !now.Before(w.WaitUntil):
+			expired = append(expired, w)
+		default:
+			kept = append(kept, w)
+		}
+	}
+	r.waiting = kept
+	for _, w := range expired {
+		r.Unserved(w.caller())
+		w.Decided <- b.refuseRanked(r, w, overload.ReasonWaited, now)
+	}
+}
+
+// orderRanked moves the requests whose objective can't be met any more behind the others.
+func (b *Balancer) orderRanked(r *rankedScope, now time.Time) {
+	moved := false
+	for _, w := range r.waiting {
+		late := w.isLate(now) && !b.goesAsNew(r, w.Request, now)
+		moved = moved || late != w.turn.Late
+		w.turn.Late = late
+	}
+	if moved {
+		slices.SortStableFunc(r.waiting, func(a, b *Waiter) int { return overload.Compare(a.turn, b.turn) })
+	}
+}
+
+// placeOwed tries the first request of the rank that is owed a place before all others.
+func (b *Balancer) placeOwed(r *rankedScope, now time.Time) {
+	priority, ok := r.Owed()
+	if !ok {
+		return
+	}
+	i := slices.IndexFunc(r.waiting, func(w *Waiter) bool { return w.turn.Priority == priority && !w.turn.Late && !w.turn.Resumed })
+	if i < 0 {
+		return
+	}
+	w := r.waiting[i]
+	if d, ok := b.placeRanked(r, w, &rankedPass{}, now); ok {
+		r.waiting = slices.Delete(r.waiting, i, i+1)
+		w.Decided <- d
+	}
+}
+
+// refuseRanked returns a refusal whose Retry-After is a time with room, unless the endpoints have named one.
+func (b *Balancer) refuseRanked(r *rankedScope, w *Waiter, reason overload.Reason, now time.Time) Decision {
+	d := b.refusal(w.Request, reason.String(), now)
+	usable := overload.Usable(w.Deadline, now)
+	d.Overload = overload.Inputs{
+		Reason: reason, PerSecond: r.PerSecond(now), Ahead: r.ahead(w), Waiting: len(r.waiting), Usable: usable, Returned: w.turn.Returned,
+		Late: w.isLate(now),
+	}
+	if _, busy := b.allBusyUntil(w.Request, now); busy {
+		return d
+	}
+	if _, limited := b.limitedShare(w.Request, now); limited {
+		return d
+	}
+	if w.turn.Returned {
+		usable = 0 // It doesn't return once more, so no room is reserved for it.
+	}
+	d.RetryAfter, d.Overload.Promised = r.Return(w.caller(), len(r.waiting), usable, w.Spread, now)
+	return d
+}
+
+// usableHeads returns the number of endpoints that may get a request now.
+func (b *Balancer) usableHeads(req Request, now time.Time) int {
+	count := 0
+	for _, t := range b.serving(req) {
+		switch b.exclusion(t, now) {
+		case ExclusionNone, ExclusionLimited:
+			count++
+		case ExclusionLeaving, ExclusionBusy, ExclusionBanned, ExclusionSilent:
+		}
+	}
+	return count
+}
+
+// rankedWaiting returns the number of requests that wait in ranked scopes.
+func (b *Balancer) rankedWaiting() int {
+	count := 0
+	for _, r := range b.ranked {
+		count += len(r.waiting)
+	}
+	return count
+}
+
+// cancelRanked removes a request from its ranked queue, if it waits there.
+func (b *Balancer) cancelRanked(w *Waiter) bool {
+	r := b.ranked[w.scope()]
+	if r == nil {
+		return false
+	}
+	i := slices.Index(r.waiting, w)
+	if i < 0 {
+		return false
+	}
+	r.waiting = slices.Delete(r.waiting, i, i+1)
+	r.Unserved(w.caller())
+	return true
+}
--- /dev/null
+++ b/internal/entry/balance/ranked_test.go
@@ -0,0 +1,109 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/entry/dialect"
+	"github.com/egretreach/egretreach/internal/entry/overload"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
+)
+
+// llmRoutes returns routes to the model service with these priorities.
+func llmRoutes(priorities ...int) []routes.Route {
+	var all []routes.Route
+	for _, p := range priorities {
+		all = append(all, routes.Route{Priority: p, Targets: []routes.Target{{Service: "llm", Weight: 1}}})
+	}
+	return all
+}
+
+// decisions submits the same random requests to a balancer and returns its decisions in the order in which they are made.
+func decisions(b *Balancer) []Decision {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var all []Decision
+	var waiting []*Waiter
+	for tick := range 2000 {
+		now := noon.Add(time.Duration(tick) * 5 * time.Millisecond)
+		req := newRequest(rng.IntN(2000), now)
+		req.Priority, req.Team, req.Spread = rng.IntN(3), string(rune('a'+rng.IntN(3))), rng.Float64()
+		req.Resumed = rng.IntN(20) == 0
+		if rng.IntN(3) == 0 {
+			req.Waited = time.Second
+			req.ObjectiveDeadline = req.ObjectiveDeadline.Add(-time.Second)
+		}
+		req.Deadline = now.Add(10 * time.Second)
+		req.LateUntil = overload.LateUntil(now, req.Deadline, req.Objective, 0)
+		b.SetLoad("h0", dialect.Load{Running: 30 + rng.IntN(30), Slots: 48}, now)
+		d, w := b.Submit(req, now)
+		if w != nil {
+			waiting = append(waiting, w)
+		} else {
+			all = append(all, d)
+		}
+		b.ProcessQueue(now)
+		var kept []*Waiter
+		for _, w := range waiting {
+			select {
+			case d := <-w.Decided:
+				all = append(all, d)
+			default:
+				kept = append(kept, w)
+			}
+		}
+		waiting = kept
+		if tick%7 == 0 {
+			b.RequestEnded("h0", req, false, ResultSuccess, now)
+		}
+	}
+	return all
+}
+
+// TestServiceWithoutRanksIsServedAsBefore guards against a change of the queue, the refusals or the order where no route asks for it:
+// with routes of one priority, and with routes of other services that differ, the decisions are those of a balancer without routes.
+func TestServiceWithoutRanksIsServedAsBefore(t *testing.T) {
+	before := decisions(heads(1))
+	same := heads(1)
+	same.SetRoutes(append(llmRoutes(1, 1), routes.Route{Priority: 5, Targets: []routes.Target{{Service: "plain", Weight: 1}}}))
+	require.Equal(t, before, decisions(same))
+	differ := heads(1)
+	differ.SetRoutes(llmRoutes(0, 2))
+	require.NotEqual(t, before, decisions(differ))
+}
+
+// TestLateRequestWaitsForAPlace guards against the refusal of a request that is served before its caller gives up: the one head is full
+// when it arrives, and has room again long after its objective.
+func TestLateRequestWaitsForAPlace(t *testing.T) {
+	b := heads(1)
+	b.SetRoutes(llmRoutes(0, 2))
+	b.SetLoad("h0", dialect.Load{Running: 60, Slots: 48}, noon)
+	req := newRequest(300, noon)
+	req.Deadline = noon.Add(10 * time.Second)
+	req.LateUntil = overload.LateUntil(noon, req.Deadline, req.Objective, 0)
+	_, w := b.Submit(req, noon)
+	require.NotNil(t, w)
+	for at := time.Duration(0); at < 1200*time.Millisecond; at += 100 * time.Millisecond {
+		b.SetLoad("h0", dialect.Load{Running: 60, Slots: 48}, noon.Add(at))
+		b.ProcessQueue(noon.Add(at))
+	}
+	require.Equal(t, 1, b.Waiting())
+	b.SetLoad("h0", dialect.Load{Running: 4, Slots: 48}, noon.Add(1200*time.Millisecond))
+	b.ProcessQueue(noon.Add(1200 * time.Millisecond))
+	d := <-w.Decided
+	require.False(t, d.Refused)
+	require.True(t, d.Late)
+}
+
+// TestUnknownModelsGetNoQueue guards against memory that callers fill by names of models.
+func TestUnknownModelsGetNoQueue(t *testing.T) {
+	b := heads(1)
+	b.SetRoutes(llmRoutes(0, 2))
+	req := newRequest(300, noon)
+	req.Model = "unknown"
+	d, _ := b.Submit(req, noon)
+	require.True(t, d.Refused)
+	require.Empty(t, b.ranked)
+}
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -116,6 +116,7 @@
 	if d.Endpoint.ID == "" {
 		return nil, d
 	}
+	g.metrics.overload.countPlaced(d)
 	if d.Avoided > 0 {
 		g.metrics.avoided.Inc(1)
 	}
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/egretreach/egretreach/internal/entry/balance"
 	"github.com/egretreach/egretreach/internal/entry/dialect"
+	"github.com/egretreach/egretreach/internal/entry/overload"
 	"github.com/egretreach/egretreach/internal/entry/suspicion"
 	"github.com/egretreach/egretreach/internal/entry/upstream"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
@@ -46,7 +47,9 @@
 	deadline time.Time
 	// objectiveDeadline is the time by which the response should begin.
 	objectiveDeadline time.Time
-	stats             requestStats
+	// waited is how long the caller is taken to have waited in earlier attempts.
+	waited time.Duration
+	stats  requestStats
 	// excluded lists the IDs of endpoints that have failed the request.
 	excluded []string
 	// lostAttempts counts attempts that did not run or whose endpoint is gone. They do not
@@ -94,6 +97,8 @@
 	heldKey string
 	// availability is set for a refusal.
 	availability balance.Availability
+	// overload are the inputs of a refusal by package overload.
+	overload overload.Inputs
 }
 
 // refuseStopping is the handler of all requests that arrive after ShutdownDelay.
@@ -162,8 +167,15 @@
 	if until.After(c.deadline) {
 		until = c.deadline
 	}
-	return balance.Request{
+	req := balance.Request{
 		Service: c.service, Model: c.model, Priority: c.priority, PromptTokens: c.usage.PromptTokens, ObjectiveDeadline: c.objectiveDeadline,
-		Objective: c.route.Objective, ArrivedAt: c.arrivedAt, WaitUntil: until,
+		Objective: c.route.Objective, ArrivedAt: c.arrivedAt, WaitUntil: until, Waited: c.waited, Deadline: c.deadline, Spread: c.g.randomFraction(),
 	}
+	if c.team != nil {
+		req.Team = c.team.Name
+	}
+	if c.route.Kind == routes.KindStream {
+		req.LateUntil = overload.LateUntil(c.arrivedAt, c.deadline, c.route.Objective, c.route.MaxEventGap)
+	}
+	return req
 }
--- a/internal/entry/gateway/metrics.go
+++ b/internal/entry/gateway/metrics.go
@@ -26,6 +26,7 @@
 	avoided  metrics.Counter
 	heldBack metrics.Counter
 	limits   metrics.Counter
+	overload overloadMetrics
 }
 
 func newGatewayMetrics(r *metric.Registry) gatewayMetrics {
@@ -44,6 +45,7 @@
 		avoided:  r.Counter("gateway_avoided_total", "Requests sent elsewhere because an endpoint leaves, is busy or has a limit."),
 		limits:   r.Counter("gateway_limits_total", "Rate limits of endpoints that were named, changed or ended."),
 		heldBack: r.Counter("gateway_held_back_total", "Requests refused because requests like them crash endpoints."),
+		overload: newOverloadMetrics(r),
 	}
 }
 
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -111,7 +111,8 @@
 		c.failUnanswered(ctx, "no endpoint for another attempt")
 		return
 	}
-	c.stats.availability = d.Availability
+	c.stats.availability, c.stats.overload = d.Availability, d.Overload
+	c.g.metrics.overload.countRefusal(d.Overload)
 	c.refuse(d.RetryAfter, d.Reason)
 }
 
--- a/internal/entry/gateway/resolve.go
+++ b/internal/entry/gateway/resolve.go
@@ -88,5 +88,6 @@
 	if end := c.arrivedAt.Add(timeout); end.Before(c.deadline) {
 		c.deadline = end
 	}
-	c.objectiveDeadline = c.objectiveDeadline.Add(-c.g.callerTimeouts.alreadyWaited(c.route.Name, timeout))
+	c.waited = c.g.callerTimeouts.alreadyWaited(c.route.Name, timeout)
+	c.objectiveDeadline = c.objectiveDeadline.Add(-c.waited)
 }
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -136,6 +136,7 @@
 		entry = entry.Int("serving", s.availability.Serving).Int("banned", s.availability.Banned).
 			Int("leaving", s.availability.Leaving).Int("busy", s.availability.Busy).Int("limited", s.availability.Limited).Float64("occupied", s.availability.Occupied).Dur("soonest", s.availability.EarliestForecast)
 	}
+	entry = logOverload(entry, s.overload)
 	if s.heldKey != "" {
 		entry = entry.Str("key", s.heldKey)
 	}
--- a/internal/entry/gateway/retry_policy.go
+++ b/internal/entry/gateway/retry_policy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/egretreach/egretreach/internal/entry/balance"
 )
@@ -44,5 +45,6 @@
 // without returns the plan for an attempt at another endpoint than the one with this ID.
 func (p attemptPlan) without(endpoint string) attemptPlan {
 	p.request.Exclude = append(slices.Clone(p.request.Exclude), endpoint)
+	p.request.LateUntil = time.Time{} // The present attempt may go on, so this one is not worth a late place.
 	return p
 }
--- a/internal/entry/gateway/update.go
+++ b/internal/entry/gateway/update.go
@@ -22,6 +22,7 @@
 	defer g.mu.Unlock()
 	if table := g.table.Load(); table != nil {
 		g.balancer.SetServices(table.Services)
+		g.balancer.SetRoutes(table.Routes)
 	}
 	var changed []roster.Endpoint
 	for _, e := range update.Endpoints {
--- /dev/null
+++ b/internal/entry/overload/teams.go
@@ -0,0 +1,72 @@
+package overload
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// teamsInterval is how often the active teams of a rank are counted.
+	teamsInterval = 200 * time.Millisecond
+	// leadShare is how many times its equal share a team gets of the throughput of a rank that is short of capacity, before its
+	// requests have to leave room for those of other teams.
+	leadShare = 1.2
+)
+
+// teamShares compares what the teams of one rank were served lately. The zero value is ready to use.
+type teamShares struct {
+	teams map[string]*teamShare
+	// all are the placed requests of all teams, and active the number of teams with requests lately, as of countedAt.
+	all       rate
+	active    int
+	countedAt time.Time
+}
+
+// teamShare counts the requests of one team.
+type teamShare struct{ offered, placed rate }
+
+// team returns the counts of a team.
+func (t *teamShares) team(name string) *teamShare {
+	if t.teams == nil {
+		t.teams = map[string]*teamShare{}
+	}
+	s := t.teams[name]
+	if s == nil {
+		s = &teamShare{}
+		t.teams[name] = s
+	}
+	return s
+}
+
+// offer counts a request of a team.
+func (t *teamShares) offer(name string, now time.Time) {
+	t.team(name).offered.add(now, servedTime)
+	t.count(now)
+}
+
+// place counts a request of a team that found an endpoint.
+func (t *teamShares) place(name string, now time.Time) {
+	t.team(name).placed.add(now, servedTime)
+	t.all.add(now, servedTime)
+}
+
+// count counts the active teams and forgets the others, once in each teamsInterval.
+func (t *teamShares) count(now time.Time) {
+	if since := now.Sub(t.countedAt); since >= 0 && since < teamsInterval {
+		return
+	}
+	maps.DeleteFunc(t.teams, func(_ string, s *teamShare) bool {
+		return s.offered.current(now, servedTime) < minOffered && s.placed.current(now, servedTime) < minOffered/2
+	})
+	t.active, t.countedAt = len(t.teams), now
+}
+
+// leads reports whether a team was placed more often than its equal share while other teams had requests.
+func (t *teamShares) leads(name string, now time.Time) bool {
+	s := t.teams[name]
+	if s == nil || t.active < 2 {
+		return false
+	}
+	equal := t.all.current(now, servedTime) / float64(t.active)
+	return s.placed.current(now, servedTime) > leadShare*equal
+}
