--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -42,6 +42,8 @@
 
 	// Team is whose request it is; teams of one priority get equal shares of scarce capacity.
 	Team string
+	// Session is what the request has in common with others of its session, or empty.
+	Session string
 	// Waited is how long the caller has waited in earlier attempts, 0 if it was not refused before.
 	Waited time.Duration
 	// LateUntil is until when a request may wait though its objective can't be met any more. Zero doesn't extend WaitUntil.
--- a/internal/entry/balance/ranked.go
+++ b/internal/entry/balance/ranked.go
@@ -64,7 +64,7 @@
 // caller returns who has sent a request.
 func (req Request) caller() overload.Caller {
 	return overload.Caller{
-		Team: req.Team, Priority: req.Priority, Objective: req.Objective, Returned: req.Waited > 0, Repeated: len(req.Exclude) > 0 || req.Resumed,
+		Team: req.Team, Session: req.Session, Priority: req.Priority, Objective: req.Objective, Returned: req.Waited > 0, Repeated: len(req.Exclude) > 0 || req.Resumed,
 	}
 }
 
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -174,6 +174,9 @@
 	if c.team != nil {
 		req.Team = c.team.Name
 	}
+	if len(c.parts) > 0 {
+		req.Session = c.parts[len(c.parts)-1] // The last part is the one that the fewest share.
+	}
 	if c.route.Kind == routes.KindStream {
 		req.LateUntil = overload.LateUntil(c.arrivedAt, c.deadline, c.route.Objective, c.route.MaxEventGap)
 	}
--- a/internal/entry/overload/book.go
+++ b/internal/entry/overload/book.go
@@ -9,13 +9,12 @@
 	// slotTime and bookSlots give the resolution and the horizon of a book.
 	slotTime  = 50 * time.Millisecond
 	bookSlots = 400
-	// returnShare is the part of the forecast throughput that is promised to returning callers. The rest is for new ones, whose
-	// responses are worth more.
-	returnShare = 0.5
-	// patientShare is the part of this that is promised to other ranks than the most urgent.
+	// patientShare is the part of the room for returns that is promised to other ranks than the most urgent.
 	patientShare = 0.6
 	// minReturn is the shortest Retry-After.
 	minReturn = 250 * time.Millisecond
+	// unreservedSpread is the time over which the returns are spread for which no room was reserved.
+	unreservedSpread = time.Second
 	// usableShare is the part of its remaining time for which a caller waits at most before it returns.
 	usableShare = 1.0 / 3
 	// minRate is the forecast throughput, in requests a second, below which there is no forecast of room.
@@ -37,8 +36,9 @@
 
 // Ask describes a refused caller.
 type Ask struct {
-	// PerSecond is the forecast throughput.
+	// PerSecond is the forecast throughput, and Share the part of it that is for returning callers.
 	PerSecond float64
+	Share     float64
 	// Waiting is the number of requests that wait already.
 	Waiting int
 	// MostUrgent says that the caller's rank is the most urgent.
@@ -50,23 +50,25 @@
 }
 
 // Promise returns the time until which a refused caller should wait, and whether room was reserved for it there. It reserves the
-// first room that isn't promised yet. If the caller can't use that time it reserves none and still returns it.
+// first room that isn't promised yet. If the caller can't use that time it reserves none and
+// returns that time or a later one, so that such callers don't return in step.
 func (b *Book) Promise(ask Ask, now time.Time) (after time.Duration, reserved bool) {
 	if !(ask.PerSecond >= minRate) || math.IsInf(ask.PerSecond, 0) {
 		return max(minReturn, time.Duration((1+ask.Spread)/2*float64(ask.Usable))), false
 	}
-	room := ask.PerSecond * returnShare * slotTime.Seconds()
+	room := ask.PerSecond * ask.Share * slotTime.Seconds()
 	if !ask.MostUrgent {
 		room *= patientShare
 	}
 	drain := time.Duration(min(bookHorizon.Seconds(), float64(ask.Waiting)/ask.PerSecond) * float64(time.Second))
 	spread := min(time.Duration(ask.Spread/ask.PerSecond*float64(time.Second)), minReturn)
-	at, left := b.find(now.Add(max(minReturn, drain)+spread), room, now)
+	from := now.Add(max(minReturn, drain) + spread)
+	at, left := b.find(from, room, now)
 	after = at.Sub(now)
 	if left > 0 || after > ask.Usable {
-		return after, false
+		return after + time.Duration(ask.Spread*float64(unreservedSpread)), false
 	}
-	b.reserve(now.Add(max(minReturn, drain)+spread), room)
+	b.reserve(from, room)
 	return after, true
 }
 
--- a/internal/entry/overload/overload.go
+++ b/internal/entry/overload/overload.go
@@ -17,7 +17,7 @@
 	objectivePatience = 4
 	gapPatience       = 8
 	// patienceShare is the part of a caller's patience for which its request may wait. The rest is for the first event.
-	patienceShare = 0.8
+	patienceShare = 0.7
 	// remainingShare is the part of the time until its deadline for which a request may wait. The rest is for the response or,
 	// after a refusal, for a return.
 	remainingShare = 0.5
--- a/internal/entry/overload/scope.go
+++ b/internal/entry/overload/scope.go
@@ -19,6 +19,12 @@
 	queueMargin = 0.8
 	// returnMargin is the same for returned requests.
 	returnMargin = 3.0
+	// minPlaced is the throughput, in requests a second, that is assumed at least for the part of returning callers.
+	minPlaced = 2.0
+	// minReturnShare and maxReturnShare bound the part of the throughput that is promised to returning callers. The rest is for
+	// new ones, whose responses are worth more.
+	minReturnShare = 0.25
+	maxReturnShare = 0.5
 	// minQueue is how many requests of a service and model may be queued at least. They take the first places at a head that
 	// comes back.
 	minQueue = 4
@@ -28,7 +34,9 @@
 
 // Caller describes who has sent a request.
 type Caller struct {
-	Team      string
+	Team string
+	// Session is what the request has in common with others of the same session, or empty.
+	Session   string
 	Priority  int
 	Objective time.Duration
 	// Returned says that the caller was refused before, and Repeated that this gateway has sent the request before.
@@ -45,6 +53,8 @@
 	credit float64
 	fair   fairShare
 	teams  teamShares
+	// sessions counts the requests that name one.
+	sessions teamShares
 }
 
 // share returns the share of the rank's new requests that is served in time.
@@ -115,6 +125,9 @@
 	}
 	r.offered.add(now, servedTime)
 	r.teams.offer(c.Team, now)
+	if c.Session != "" {
+		r.sessions.offer(c.Session, now)
+	}
 }
 
 // Tag returns the tag that a request would get among those of its rank.
@@ -132,6 +145,9 @@
 	r := s.rank(c.Priority)
 	r.fair.served(tag)
 	r.teams.place(c.Team, now)
+	if c.Session != "" {
+		r.sessions.place(c.Session, now)
+	}
 	r.credit = max(0, r.credit-1)
 	switch {
 	case c.Returned:
@@ -178,11 +194,11 @@
 }
 
 // Reserve returns the shortest objective of those ranks that are short of capacity and go before a caller: the more urgent ones,
-// and its own if its team was placed more often than others. It is 0 if there are none. The caller's request leaves room at a head
+// and its own if its team was placed more often than others or its session is hot. It is 0 if there are none. The caller's request leaves room at a head
 // for a further one with this objective.
 func (s *Scope) Reserve(c Caller, now time.Time) time.Duration {
 	own := s.rank(c.Priority)
-	leads := own.teams.leads(c.Team, now)
+	leads := own.teams.leads(c.Team, now) || c.Session != "" && own.sessions.isHot(c.Session, now)
 	if own.credit >= 1 && !leads {
 		return 0
 	}
@@ -211,8 +227,20 @@
 // ReturnsFirst reports whether returned requests may take places like new ones: while they take less than the part of the
 // throughput that is promised to them.
 func (s *Scope) ReturnsFirst(now time.Time) bool {
-	returned := s.returned.current(now, placedTime)
-	return returned <= returnShare*max(s.placed.current(now, placedTime), 2)
+	return s.returned.current(now, placedTime) <= s.returnShare(now)*max(s.placed.current(now, placedTime), minPlaced)
+}
+
+// returnShare returns the part of the throughput that is for returning callers: what new requests of late leave, within bounds.
+func (s *Scope) returnShare(now time.Time) float64 {
+	offered := 0.0
+	for _, r := range s.ranks {
+		offered += r.offered.current(now, servedTime)
+	}
+	placed := s.placed.current(now, placedTime)
+	if placed <= 0 {
+		return minReturnShare
+	}
+	return min(maxReturnShare, max(minReturnShare, 1-offered/placed))
 }
 
 // MayWait reports whether the forecast throughput leaves a request a place before its wait ends, behind those that wait before it.
@@ -236,6 +264,6 @@
 		mostUrgent = mostUrgent && (p >= c.Priority || !r.isActive(now))
 	}
 	return s.book.Promise(Ask{
-		PerSecond: s.PerSecond(now), Waiting: waiting, MostUrgent: mostUrgent, Usable: usable, Spread: spread,
+		PerSecond: s.PerSecond(now), Share: s.returnShare(now), Waiting: waiting, MostUrgent: mostUrgent, Usable: usable, Spread: spread,
 	}, now)
 }
--- a/internal/entry/overload/teams.go
+++ b/internal/entry/overload/teams.go
@@ -11,9 +11,13 @@
 	// leadShare is how many times its equal share a team gets of the throughput of a rank that is short of capacity, before its
 	// requests have to leave room for those of other teams.
 	leadShare = 1.2
+	// hotShare and soleShare bound the part of a rank's throughput that a session gets before its requests have to leave room.
+	// Beyond soleShare there are no others to leave room for.
+	hotShare  = 0.2
+	soleShare = 0.95
 )
 
-// teamShares compares what the teams of one rank were served lately. The zero value is ready to use.
+// teamShares compares what the teams, or the sessions, of one rank were served lately. The zero value is ready to use.
 type teamShares struct {
 	teams map[string]*teamShare
 	// all are the placed requests of all teams, and active the number of teams with requests lately, as of countedAt.
@@ -25,7 +29,7 @@
 // teamShare counts the requests of one team.
 type teamShare struct{ offered, placed rate }
 
-// team returns the counts of a team.
+// team returns the counts of a team. Callers choose the names of sessions, so no more than maxTeams are kept.
 func (t *teamShares) team(name string) *teamShare {
 	if t.teams == nil {
 		t.teams = map[string]*teamShare{}
@@ -33,7 +37,9 @@
 	s := t.teams[name]
 	if s == nil {
 		s = &teamShare{}
-		t.teams[name] = s
+		if len(t.teams) < maxTeams {
+			t.teams[name] = s
+		}
 	}
 	return s
 }
@@ -70,3 +76,13 @@
 	equal := t.all.current(now, servedTime) / float64(t.active)
 	return s.placed.current(now, servedTime) > leadShare*equal
 }
+
+// isHot reports whether a session takes a great part of the throughput of its rank.
+func (t *teamShares) isHot(name string, now time.Time) bool {
+	s := t.teams[name]
+	if s == nil {
+		return false
+	}
+	share := s.placed.current(now, servedTime) / max(t.all.current(now, servedTime), minOffered)
+	return share > hotShare && share < soleShare
+}
