gateway: a stream without an event counts as silent although it is the gateway's only one at its endpoint

Cause: only open streams whose first event has come show the balancer that an endpoint is silent, so a stream that was alone at its endpoint and got no event waited until its deadline (504), although its route allows another attempt.

Tested: TestStreamWithoutAnEventIsTriedElsewhere failed before (504 after 3 s); go test -race ./internal/entry/gateway passes.

--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -224,7 +224,7 @@
 	c.g.mu.Lock()
 	_, stalled := c.g.balancer.Stalled(a.endpoint.ID, now)
 	c.g.mu.Unlock()
-	if stalled && c.route.Retryable() {
+	if (stalled || a.sendsNoEvent(now)) && c.route.Retryable() {
 		return balance.ResultStalled, true
 	}
 	late := a.responseTimeout > 0 && !a.begun && now.Sub(a.startedAt) > a.responseTimeout
