--- a/internal/entry/balance/ranked_test.go
+++ b/internal/entry/balance/ranked_test.go
@@ -142,3 +142,23 @@
 	require.Greater(t, hopeless, 500)
 	require.Greater(t, placeable, 500)
 }
+
+// BenchmarkProcessRankedQueue measures an event while 200 requests wait for six full heads.
+func BenchmarkProcessRankedQueue(bench *testing.B) {
+	b := heads(6)
+	b.SetRoutes(llmRoutes(0, 2))
+	for i := range 200 {
+		req := newRequest(300, noon)
+		req.Priority, req.Team, req.Deadline = 2*(i%2), fmt.Sprint("t", i%5), noon.Add(time.Minute)
+		req.LateUntil = noon.Add(time.Minute)
+		b.rankedScope(req).Placed(req.caller(), 0, false, noon)
+		for j := range 6 {
+			b.SetLoad(fmt.Sprint("h", j), dialect.Load{Running: 60, Slots: 48}, noon)
+		}
+		b.Submit(req, noon)
+	}
+	require.Equal(bench, 200, b.Waiting())
+	for bench.Loop() {
+		b.ProcessQueue(noon.Add(time.Millisecond))
+	}
+}
