--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -89,6 +89,9 @@
 	Gateways int
 	// Regions are the regions of failure domains. Endpoints in other domains get no request that names regions.
 	Regions map[string]string
+	// ServeLate says that requests that can't meet their objective any more wait for capacity, and that returned ones go before new ones,
+	// at services whose routes differ in priority. Otherwise such requests get spare capacity only.
+	ServeLate bool
 	// Phase is a number from 0 up to, but not including, 1 that differs between gateways.
 	Phase float64
 
@@ -117,6 +120,9 @@
 	// mostGateways is the greatest value of Gateways within gatewayMemory, and mostGatewaysAt when it was last set.
 	mostGateways   int
 	mostGatewaysAt time.Time
+	// rankedServices are the services whose routes differ in priority, and ranked their queues.
+	rankedServices map[string]bool
+	ranked         map[scope]*rankedScope
 }
 
 // SetServices replaces the services that operators have configured.
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -80,6 +80,8 @@
 	Callers *httpserver.Budget
 	// CallerConnections bounds the open connections of callers. 0 is the default of httpserver.
 	CallerConnections int
+	// ServeLate says that late responses are worth as much to callers as those in time, see balance.Balancer.
+	ServeLate bool
 	// Dial opens connections to endpoints; nil uses TCP.
 	Dial    upstream.Dialer
 	Metrics *metric.Registry
@@ -153,7 +155,7 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{
 		opts:           opts,
-		balancer:       balance.Balancer{FailureDomain: string(opts.FailureDomain), Regions: opts.Regions},
+		balancer:       balance.Balancer{FailureDomain: string(opts.FailureDomain), Regions: opts.Regions, ServeLate: opts.ServeLate},
 		retryBudgets:   map[string]*balance.RetryBudget{},
 		demand:         map[string]*demand{},
 		arrivals:       map[string]int{},
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -140,6 +140,7 @@
 	if s.availability.Cold > 0 {
 		entry = entry.Int("cold", s.availability.Cold)
 	}
+	entry = logOverload(entry, s.overload)
 	if s.heldKey != "" {
 		entry = entry.Str("key", s.heldKey)
 	}
--- a/internal/process/settings/portal_gateway.go
+++ b/internal/process/settings/portal_gateway.go
@@ -56,6 +56,8 @@
 	// Regions maps failure domains to the regions that they are in. Endpoints in other domains get no request whose route or team names
 	// regions.
 	Regions map[string]string `yaml:"regions"`
+	// ServeLate says that late responses are worth as much to callers as those in time. It concerns services whose routes differ in priority.
+	ServeLate bool `yaml:"serve_late"`
 	// CallerConnections bounds the open connections of all callers. 0 is the default, which depends on the descriptors of the process.
 	CallerConnections int    `yaml:"caller_connections" validate:"min=0,max=1000000"`
 	Memory            Memory `yaml:"memory"`
