--- a/internal/entry/balance/heads_model_test.go
+++ b/internal/entry/balance/heads_model_test.go
@@ -43,6 +43,12 @@
 	first, promised bool
 }
 
+// modelWaiter is a call that waits at its gateway.
+type modelWaiter struct {
+	*Waiter
+	call *modelCall
+}
+
 // modelHead prefills in order, one chunk in each round of decode steps, as forecast assumes.
 type modelHead struct {
 	calls []*modelCall
@@ -121,7 +127,7 @@
 	heads    []*modelHead
 	kinds    []*modelKind
 	counts   map[string]*modelCount
-	waiting  map[*Waiter]*modelCall
+	waiting  []modelWaiter
 	returns  []*modelCall
 	// told are the Retry-After of the refusals, and onTick is called at each tick.
 	told      []time.Duration
@@ -132,7 +138,7 @@
 }
 
 func newModel(gateways, headCount int, ranked bool, kinds ...*modelKind) *model {
-	m := &model{rng: rand.New(rand.NewPCG(1, uint64(gateways))), kinds: kinds, counts: map[string]*modelCount{}, waiting: map[*Waiter]*modelCall{}}
+	m := &model{rng: rand.New(rand.NewPCG(1, uint64(gateways))), kinds: kinds, counts: map[string]*modelCount{}}
 	var all []routes.Route
 	for _, k := range kinds {
 		all = append(all, routes.Route{Name: k.name, Priority: k.priority, Targets: []routes.Target{{Service: "llm", Weight: 1}}})
@@ -230,7 +236,7 @@
 	b := m.gateways[c.gateway]
 	d, w := b.Submit(c.req, now)
 	if w != nil {
-		m.waiting[w] = c
+		m.waiting = append(m.waiting, modelWaiter{w, c})
 		m.longest = max(m.longest, b.Waiting())
 		return
 	}
@@ -266,12 +272,14 @@
 			b.ProcessQueue(now)
 		}
 	}
-	for w, c := range m.waiting {
+	waiting := m.waiting
+	m.waiting = nil
+	for _, w := range waiting {
 		select {
 		case d := <-w.Decided:
-			delete(m.waiting, w)
-			m.decide(c, d, now)
+			m.decide(w.call, d, now)
 		default:
+			m.waiting = append(m.waiting, w)
 		}
 	}
 }
--- a/internal/entry/balance/ranked.go
+++ b/internal/entry/balance/ranked.go
@@ -280,7 +280,7 @@
 		if pass.isHopeless(req, true, now) {
 			return req, false
 		}
-		req.spareFor = shorter(req.Objective, r.ShortestObjective(now))
+		req.spareFor = shorter(req.Objective, r.LateReserve(now))
 		return req, !pass.isHopeless(req, true, now)
 	}
 	if b.goesAsNew(r, req, now) {
--- a/internal/entry/balance/ranked_load_test.go
+++ b/internal/entry/balance/ranked_load_test.go
@@ -188,7 +188,7 @@
 				for _, b := range m.gateways {
 					b.ranked = nil
 				}
-				m.waiting = map[*Waiter]*modelCall{}
+				m.waiting = nil
 			}
 		}
 		m.run(11 * time.Second)
--- a/internal/entry/overload/scope.go
+++ b/internal/entry/overload/scope.go
@@ -9,6 +9,9 @@
 	servedTime = 4 * time.Second
 	// shortShare is the share of its new requests below which a rank counts as short of capacity.
 	shortShare = 0.95
+	// shortLateShare is the part of the shortest objective within which a head that takes a late request must still give the first
+	// event of another one, while a rank is short of capacity.
+	shortLateShare = 0.7
 	// minOffered is the number of requests a second from which a rank counts.
 	minOffered = 0.2
 	// floorShare is the part of the throughput that a less urgent rank gets while it is served less than the more urgent ones.
@@ -207,10 +210,15 @@
 	})
 }
 
-// ShortestObjective returns the shortest objective of the ranks with requests lately, or 0. A late request leaves room at a head
-// for a further one with this objective.
-func (s *Scope) ShortestObjective(now time.Time) time.Duration {
-	return s.shortest(now, func(int, *rank) bool { return true })
+// LateReserve returns the objective for which a late request leaves room at a head, or 0: the shortest of the ranks with requests
+// lately. While one of them is short of capacity it is less by shortLateShare, so that late requests don't take the places of those
+// that are yet to arrive.
+func (s *Scope) LateReserve(now time.Time) time.Duration {
+	reserve := s.shortest(now, func(int, *rank) bool { return true })
+	if s.shortest(now, func(_ int, r *rank) bool { return r.share(now) < shortShare }) > 0 {
+		return time.Duration(shortLateShare * float64(reserve))
+	}
+	return reserve
 }
 
 // shortest returns the shortest objective of the active ranks for which a condition holds, or 0.
