--- a/internal/entry/gateway/overload_test.go
+++ b/internal/entry/gateway/overload_test.go
@@ -59,6 +59,7 @@
 func TestRefusalExplainsItself(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		f.addPatientRoute()
+		f.g.balancer.ServeLate = true
 		var logged lockedBuffer
 		f.g.opts.Logger = &log.Logger{Writer: &log.IOWriter{Writer: &logged}}
 		f.reportLoad(100, "h0", "h1")
