--- a/internal/control/portal/evacuation_test.go
+++ b/internal/control/portal/evacuation_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -154,7 +155,7 @@
 			require.True(t, IsErrRefused(leader.Evacuate(c.t.Context(), domain, false)), "%q", domain)
 		}
 		for i := range portalstate.MaxEvacuated {
-			require.NoError(t, leader.Evacuate(c.t.Context(), fmt.Sprint(i), true))
+			require.NoError(t, leader.Evacuate(c.t.Context(), strconv.Itoa(i), true))
 		}
 		require.True(t, IsErrRefused(leader.Evacuate(c.t.Context(), "more", true)))
 		require.NoError(t, leader.Evacuate(c.t.Context(), "7", true), "it has begun already")
--- a/internal/control/portalstate/evacuation_test.go
+++ b/internal/control/portalstate/evacuation_test.go
@@ -1,7 +1,7 @@
 package portalstate
 
 import (
-	"fmt"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -66,7 +66,7 @@
 func TestEvacuatedDomainsAreBounded(t *testing.T) {
 	var m Machine
 	for i := range MaxEvacuated {
-		require.True(t, evacuate(t, &m, uint64(i+1), fmt.Sprint(i), true).Applied)
+		require.True(t, evacuate(t, &m, uint64(i+1), strconv.Itoa(i), true).Applied)
 	}
 	require.True(t, evacuate(t, &m, 100, "more", true).Full)
 	require.False(t, evacuate(t, &m, 101, "7", true).Full, "it has begun already")
--- a/internal/entry/balance/evacuation_test.go
+++ b/internal/entry/balance/evacuation_test.go
@@ -1,7 +1,7 @@
 package balance
 
 import (
-	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -83,7 +83,7 @@
 	require.False(t, known, "it is evacuated again")
 	for i := range 100 {
 		later = later.Add(withdrawalRetention)
-		b.SetEvacuated([]string{fmt.Sprint(i)}, later)
+		b.SetEvacuated([]string{strconv.Itoa(i)}, later)
 	}
 	require.LessOrEqual(t, len(b.evacuations.withdrawnAt), 2)
 }
