--- a/internal/control/portal/evacuation_test.go
+++ b/internal/control/portal/evacuation_test.go
@@ -93,7 +93,7 @@
 }
 
 // TestEvacuationOutlastsProcessesAndDisks kills the host that has acknowledged an evacuation, or all, at the moment of the acknowledgement,
-// and wipes two disks. It guards against a change that is lost with a leader, a snapshot or a disk.
+// and wipes two disks. It guards against a change that is lost with a leader or a disk.
 func TestEvacuationOutlastsProcessesAndDisks(t *testing.T) {
 	for _, all := range []bool{false, true} {
 		t.Run(fmt.Sprint("all=", all), func(t *testing.T) {
