portal: the list of cold endpoints is made once in 40 ms

Cause: each update of each gateway copied the whole roster while a service has a warm-up limit. Change: the list is kept for 40 ms unless something changes, and not made while nothing can be cold. Tested: tests of portal, warmup and standin.

--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -136,6 +136,9 @@
 	// tracker knows the cold endpoints, and warmUps holds the warm-up limits of the services that have one.
 	tracker warmup.Tracker
 	warmUps map[string]routes.WarmUp
+	// cold are the endpoints that were cold and got requests at coldAt, which is zero after a change.
+	cold   []permit.Cold
+	coldAt time.Time
 	// peerTraffic says that another control host has seen callers' requests.
 	peerTraffic bool
 	// questions are those of the gateways on the configuration. They have a mutex of their own.
@@ -290,6 +293,7 @@
 
 // notifyLocked wakes all goroutines that wait for a change. mu is held.
 func (p *Portal) notifyLocked() {
+	p.coldAt = time.Time{}
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
--- a/internal/control/portal/warm_up.go
+++ b/internal/control/portal/warm_up.go
@@ -21,7 +21,7 @@
 
 // setTable puts a decoded configuration in force. mu is held.
 func (p *Portal) setTable(table *routes.Table) {
-	p.table, p.warmUps = table, nil
+	p.table, p.warmUps, p.coldAt = table, nil, time.Time{}
 	for _, s := range table.Services {
 		if !s.WarmUp.IsSet() {
 			continue
@@ -68,6 +68,7 @@
 // logCold logs that an endpoint has become cold. mu is held.
 func (p *Portal) logCold(e roster.Endpoint, from string, gateway host.ID, now time.Time) {
 	p.metrics.cold.Inc(1)
+	p.coldAt = time.Time{}
 	line := event.EndpointCold.On(p.opts.Logger).Str("endpoint", e.ID).Int64("started", e.StartedMs).Str("service", e.Service).Str("from", from).
 		Dur("remaining", p.tracker.Remaining(e.Incarnation(), now)).Int64("announced_ms", e.ColdMs)
 	if gateway != "" {
@@ -146,17 +147,24 @@
 	return p.tracker.Remaining(e.Incarnation(), now)
 }
 
+// coldListTime is how long the list of cold endpoints is used while nothing changes. It is made for each update of each gateway otherwise.
+const coldListTime = 40 * time.Millisecond
+
 // coldEndpoints returns the endpoints that are cold and get requests. mu is held.
 func (p *Portal) coldEndpoints(now time.Time) []permit.Cold {
-	if len(p.warmUps) == 0 {
+	if len(p.warmUps) == 0 || !p.tracker.AnyCold(now) {
 		return nil
 	}
+	if now.Sub(p.coldAt) < coldListTime {
+		return p.cold
+	}
 	var cold []permit.Cold
 	for _, e := range p.roster.All() {
 		if e.State == roster.StateReady && takesRequests(e.Endpoint) && p.coldRemaining(e.Endpoint, now) > 0 {
 			cold = append(cold, permit.Cold{Endpoint: e.Incarnation(), Scope: p.scopeOf(e.Incarnation()), PerSecond: p.warmUpOf(e.Service).PerSecond})
 		}
 	}
+	p.cold, p.coldAt = cold, now
 	return cold
 }
 
--- a/internal/control/warmup/tracker.go
+++ b/internal/control/warmup/tracker.go
@@ -42,6 +42,8 @@
 	startedAt  time.Time
 	steppedAt  time.Time
 	stoodStill time.Time
+	// latestEnd is the latest end of a cold time so far.
+	latestEnd time.Time
 }
 
 // state is what is known of the current incarnation of an endpoint.
@@ -107,7 +109,7 @@
 	if started || a.WasDead || a.Direct && t.wasSilent(a.LastSeen, seenAt) {
 		s.assume(now.Add(a.WarmUp.Time))
 	}
-	return isLater(before, s.end(), now)
+	return t.isLater(before, s.end(), now)
 }
 
 // add begins a new incarnation.
@@ -132,8 +134,14 @@
 	}
 }
 
-// isLater reports whether the end of a cold time has moved by so much that gateways must hear of it.
-func isLater(before, after, now time.Time) bool {
+// AnyCold reports whether any endpoint may be cold.
+func (t *Tracker) AnyCold(now time.Time) bool { return now.Before(t.latestEnd) }
+
+// isLater reports whether the end of a cold time has moved by so much that gateways must hear of it, and notes the end.
+func (t *Tracker) isLater(before, after, now time.Time) bool {
+	if after.After(t.latestEnd) {
+		t.latestEnd = after
+	}
 	if before.Before(now) {
 		before = now
 	}
@@ -148,7 +156,7 @@
 	}
 	before := s.end()
 	s.assume(now.Add(remaining))
-	return isLater(before, s.end(), now)
+	return t.isLater(before, s.end(), now)
 }
 
 // Report records that a gateway has found an incarnation to be cold, for some time from now, and reports whether that is news.
--- a/internal/control/warmup/tracker_test.go
+++ b/internal/control/warmup/tracker_test.go
@@ -49,6 +49,8 @@
 		require.True(t, tr.Announce(a, noon, noon))
 		require.Equal(t, c.want, remaining(tr, 1, noon))
 		require.Zero(t, remaining(tr, 1, noon.Add(c.want)))
+		require.True(t, tr.AnyCold(noon))
+		require.False(t, tr.AnyCold(noon.Add(c.want)))
 		require.Zero(t, remaining(tr, 2, noon), "another incarnation")
 		later := announcement(1)
 		later.LastSeen = noon
