--- a/internal/control/state/evacuation_test.go
+++ b/internal/control/state/evacuation_test.go
@@ -31,7 +31,7 @@
 		want := map[domain.Failure]bool{}
 		var last view.Evacuated
 		for index := uint64(1); index <= uint64(rapid.IntRange(1, 60).Draw(t, "commands")); index++ {
-			c := drawEvacuationCommand(t, m)
+			c := drawEvacuationCommand(t)
 			if rapid.Bool().Draw(t, "snapshot") {
 				m = restored(t, m)
 			}
@@ -60,7 +60,7 @@
 
 var failureDomains = []domain.Failure{"hall-1", "hall-2", "hall-3"}
 
-func drawEvacuationCommand(t *rapid.T, m *Machine) Command {
+func drawEvacuationCommand(t *rapid.T) Command {
 	h := rapid.SampledFrom(hostIDs).Draw(t, "host")
 	switch rapid.IntRange(0, 6).Draw(t, "command") {
 	case 0, 1, 2:
