explain: say where a request would go without sending it

The balancer decides on a copy by Submit itself; pick and Explain share one assessment of each endpoint. A gateway with a token in its settings has the page /explain on its health listeners, which the command 'egretreach routes explain' reads.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -52,7 +52,7 @@
 		Seeds: s.Link.LinkAddresses(s.Seeds), Dialect: platform.Dialect(), ShutdownDelay: s.Stop.ShutdownDelay,
 		Retries:    gateway.RetryLimits{Ratio: s.Retries.Ratio, Burst: s.Retries.Burst, Window: s.Retries.Window},
 		BodyMemory: int64(s.BodyMemory), Callers: deps.Callers, CallerConnections: s.CallerConnections, RefuseAfter: refuseAfter(s),
-		ConfigAge: configAge(s), Regions: s.Regions, Metrics: deps.Metrics, Logger: deps.Logger,
+		ConfigAge: configAge(s), Regions: s.Regions, ExplainToken: s.Explain.Token, Metrics: deps.Metrics, Logger: deps.Logger,
 	})
 	reload := func() {
 		changed, err := settings.LoadGateway(path)
@@ -68,5 +68,6 @@
 		InFlight: g.InFlight,
 		Shutdown: g.Shutdown,
 		Reload:   reload,
+		Pages:    g.Pages(),
 	}, nil
 }
--- a/cmd/routes.go
+++ b/cmd/routes.go
@@ -17,6 +17,8 @@
 	Put   routesPutCommand   `cmd:"" help:"Put a configuration in force. Sending the same configuration again is safe."`
 	Check routesCheckCommand `cmd:"" help:"Check a configuration without sending it."`
 
+	Explain routesExplainCommand `cmd:"" help:"Print where a request would go now and why, without sending it."`
+
 	Evacuate    routesEvacuateCommand    `cmd:"" help:"Send no more requests to the endpoints of a failure domain. Repeating it is safe."`
 	Evacuations routesEvacuationsCommand `cmd:"" help:"Print the failure domains that are evacuated."`
 }
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -5,26 +5,67 @@
 	"time"
 )
 
+// PassedOver says why an endpoint that serves a request doesn't get it.
+type PassedOver uint8
+
+// The reasons for passing over an endpoint.
+const (
+	// PassedOverNot is an endpoint that may get the request.
+	PassedOverNot PassedOver = iota
+	// PassedOverTried is an endpoint at which the request has failed.
+	PassedOverTried
+	// PassedOverExcluded is an endpoint with an Exclusion.
+	PassedOverExcluded
+	// PassedOverReturning is an endpoint that was busy and gets few requests yet.
+	PassedOverReturning
+	// PassedOverFull is an endpoint without capacity for the request.
+	PassedOverFull
+	// PassedOverCostlier is an endpoint that may get the request, while another one has a lower cost.
+	PassedOverCostlier
+)
+
+func (p PassedOver) String() string {
+	return [...]string{"none", "tried", "excluded", "returning", "no_capacity", "costlier"}[p]
+}
+
+// assessment is what the choice between endpoints rests on.
+type assessment struct {
+	passed PassedOver
+	// exclusion is set with PassedOverExcluded.
+	exclusion Exclusion
+	// cost is set with PassedOverNot.
+	cost float64
+}
+
+// assess assesses an endpoint that serves a request.
+func (b *Balancer) assess(t *endpointState, req Request, now time.Time) assessment {
+	if slices.Contains(req.Exclude, t.ID) {
+		return assessment{passed: PassedOverTried}
+	}
+	if excluded := b.exclusion(t, req, now); excluded != ExclusionNone {
+		return assessment{passed: PassedOverExcluded, exclusion: excluded}
+	}
+	if b.returning(t, now) {
+		return assessment{passed: PassedOverReturning}
+	}
+	if !b.hasCapacity(t, req, now) {
+		return assessment{passed: PassedOverFull}
+	}
+	return assessment{cost: b.cost(t, req, now)}
+}
+
 // pick returns the endpoint of the lowest cost that has capacity for a request, if any. avoided is
 // the number of endpoints that serve the request and have asked for none, or for no more.
 func (b *Balancer) pick(req Request, now time.Time) (best *endpointState, avoided int) {
 	var lowest float64
 	for _, t := range b.serving(req) {
-		if slices.Contains(req.Exclude, t.ID) {
-			continue
-		}
-		if excluded := b.exclusion(t, req, now); excluded != ExclusionNone {
-			if excluded == ExclusionLeaving || excluded == ExclusionBusy || excluded == ExclusionLimited || excluded == ExclusionCold {
-				avoided++
-			}
-			continue
-		}
-		if b.returning(t, now) || !b.hasCapacity(t, req, now) {
-			continue
+		a := b.assess(t, req, now)
+		switch a.exclusion { //nolint:exhaustive // The others are no wish of the endpoint.
+		case ExclusionLeaving, ExclusionBusy, ExclusionLimited, ExclusionCold:
+			avoided++
 		}
-		cost := b.cost(t, req, now)
-		if best == nil || cost < lowest {
-			best, lowest = t, cost
+		if a.passed == PassedOverNot && (best == nil || a.cost < lowest) {
+			best, lowest = t, a.cost
 		}
 	}
 	return best, avoided
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -80,6 +80,8 @@
 	Callers *httpserver.Budget
 	// CallerConnections bounds the open connections of callers. 0 is the default of httpserver.
 	CallerConnections int
+	// ExplainToken is the token of the operators who may ask where requests would go. Without it nobody may.
+	ExplainToken string
 	// Dial opens connections to endpoints; nil uses TCP.
 	Dial    upstream.Dialer
 	Metrics *metric.Registry
--- a/internal/entry/gateway/resolve.go
+++ b/internal/entry/gateway/resolve.go
@@ -7,9 +7,20 @@
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 )
 
-// resolve sets the request's route, team, service, usage and deadlines. It returns the denial of a request that may not
-// pass, else nil.
+// resolve sets the request's route, team, service, usage and deadlines, and adds the usage to the demand. It returns the denial of a
+// request that may not pass, else nil.
 func (c *call) resolve(table *routes.Table) *denial {
+	if d := c.resolveRoute(table); d != nil {
+		return d
+	}
+	c.addDemand(table)
+	c.setDeadline()
+	return nil
+}
+
+// resolveRoute sets the request's route, team, service and usage, and records nothing. It returns the denial of a request that may not
+// pass, else nil.
+func (c *call) resolveRoute(table *routes.Table) *denial {
 	if limit := table.Limits.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
 		return &denialHeaderTooLarge
 	}
@@ -39,12 +50,10 @@
 	c.service = route.Pick(c.g.randomFraction())
 	c.parts = c.g.opts.Dialect.ParsePromptParts(strings.Join(c.r.Header.Values(h.PromptParts), ","))
 	c.readUsage(table)
-	c.setDeadline()
 	return nil
 }
 
-// readUsage sets the request's usage and model from its headers, and adds the usage to the
-// model's demand.
+// readUsage sets the request's usage and model from its headers.
 func (c *call) readUsage(table *routes.Table) {
 	h := c.g.opts.Dialect.Headers
 	if text := c.r.Header.Get(h.Usage); text != "" {
@@ -53,11 +62,17 @@
 	if length, err := strconv.Atoi(c.r.Header.Get(h.LengthHint)); err == nil && length > 0 {
 		c.usage.MaxOutputTokens = min(c.usage.MaxOutputTokens, length)
 	}
+	if service, ok := table.Service(c.service); ok && service.Engine != nil {
+		c.model = c.r.Header.Get(h.Model)
+	}
+}
+
+// addDemand adds the request's usage to the demand for its model.
+func (c *call) addDemand(table *routes.Table) {
 	service, ok := table.Service(c.service)
 	if !ok || service.Engine == nil {
 		return
 	}
-	c.model = c.r.Header.Get(h.Model)
 	c.g.mu.Lock()
 	d := c.g.demandFor(c.model)
 	d.engine = service.Engine
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -22,11 +22,13 @@
 	c.g.metrics.refused.Inc(1)
 	entry := c.logEntry(event.RequestRefused).Int("status", http.StatusServiceUnavailable).Str("reason", reason).Dur("after", after)
 	c.g.evidence().log(entry).Msg("")
-	seconds := math.Ceil(after.Seconds()*100) / 100
-	c.w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+	c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfterSeconds(after), 'f', -1, 64))
 	c.writeText(http.StatusServiceUnavailable, "not run: "+reason)
 }
 
+// retryAfterSeconds returns the value of a Retry-After.
+func retryAfterSeconds(after time.Duration) float64 { return math.Ceil(after.Seconds()*100) / 100 }
+
 // stoppingRetryAfter is the Retry-After of a request that a stopping gateway refuses. Other gateways
 // may serve it at once.
 const stoppingRetryAfter = 10 * time.Millisecond
--- a/internal/entry/gateway/warm_up.go
+++ b/internal/entry/gateway/warm_up.go
@@ -125,12 +125,17 @@
 		return
 	}
 	suspended := time.Until(clock.Now())
-	if suspended-g.warmUps.suspended > minSuspension {
+	if g.warmUps.suspendedSince(suspended) {
 		g.balancer.DropColdPermits()
 	}
 	g.warmUps.suspended = suspended
 }
 
+// suspendedSince reports whether the host, which has been suspended for a time, was suspended since that was last recorded.
+func (w *warmUps) suspendedSince(suspended time.Duration) bool {
+	return suspended-w.suspended > minSuspension
+}
+
 // setSendBy records until when the attempt may be sent by its decision.
 func (a *attempt) setSendBy(now time.Time) {
 	if by := a.decision.SendBy; !by.IsZero() {
--- a/internal/entry/suspicion/observer.go
+++ b/internal/entry/suspicion/observer.go
@@ -99,28 +99,42 @@
 // Refuse reports whether a new request must be refused, and the held key for which. It lets one request through for each
 // trial.
 func (o *Observer) Refuse(keys []Key) (message.HeldKey, bool) {
+	held, trials, refused := o.judge(keys)
+	if refused {
+		o.recordRefusal(held.Key)
+		return held, true
+	}
+	for _, h := range trials {
+		if o.tried == nil {
+			o.tried = map[uint64]uint64{}
+		}
+		o.tried[h.Key] = h.Trial
+	}
+	return message.HeldKey{}, false
+}
+
+// WouldRefuse returns what Refuse would, and records nothing.
+func (o *Observer) WouldRefuse(keys []Key) (message.HeldKey, bool) {
+	held, _, refused := o.judge(keys)
+	return held, refused
+}
+
+// judge returns the held key for which a new request must be refused and true, or the held keys for whose trial it is let through.
+func (o *Observer) judge(keys []Key) (held message.HeldKey, trials []message.HeldKey, refused bool) {
 	if len(o.held) == 0 {
-		return message.HeldKey{}, false
+		return message.HeldKey{}, nil, false
 	}
-	var trials []message.HeldKey
 	for _, key := range keys {
 		h, ok := o.held[key.Hash]
 		if !ok {
 			continue
 		}
 		if h.Trial == 0 || o.tried[h.Key] == h.Trial {
-			o.recordRefusal(h.Key)
-			return h, true
+			return h, nil, true
 		}
 		trials = append(trials, h)
 	}
-	for _, h := range trials {
-		if o.tried == nil {
-			o.tried = map[uint64]uint64{}
-		}
-		o.tried[h.Key] = h.Trial
-	}
-	return message.HeldKey{}, false
+	return message.HeldKey{}, trials, false
 }
 
 // recordRefusal records a refused request for the next report.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -39,6 +40,8 @@
 	// Reload reads the settings file again. It is called on a private network only, at SIGHUP and
 	// every settingsCheckInterval. It may be nil.
 	Reload func()
+	// Pages are further pages of the health listeners, by the patterns of http.ServeMux.
+	Pages map[string]http.Handler
 }
 
 // Dependencies are passed to Options.Build to create a daemon.
@@ -142,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	healthServer := health.Server{Metrics: deps.Metrics, Ready: d.Ready, Callers: deps.Callers}
+	healthServer := health.Server{Metrics: deps.Metrics, Ready: d.Ready, Callers: deps.Callers, Pages: d.Pages}
 	watch := func(ctx context.Context) error {
 		if opts.PrivateNetwork {
 			watchSettings(ctx, d, opts.Reload)
--- a/internal/process/health/health.go
+++ b/internal/process/health/health.go
@@ -36,15 +36,20 @@
 	Ready func() error
 	// Callers bounds the memory that callers of all listeners take. nil is a budget with the defaults.
 	Callers *httpserver.Budget
+	// Pages are the daemon's further pages, by the patterns of http.ServeMux.
+	Pages map[string]http.Handler
 }
 
-// Handler returns the handler of the three pages. /healthz always succeeds: a daemon that answers
+// Handler returns the handler of all pages. /healthz always succeeds: a daemon that answers
 // is healthy.
 func (s Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "healthy") })
 	mux.HandleFunc("GET /readyz", s.ready)
+	for pattern, page := range s.Pages {
+		mux.Handle(pattern, page)
+	}
 	return mux
 }
 
--- a/internal/process/settings/portal_gateway.go
+++ b/internal/process/settings/portal_gateway.go
@@ -56,6 +56,7 @@
 	// Regions maps failure domains to the regions that they are in. Endpoints in other domains get no request whose route or team names
 	// regions.
 	Regions map[string]string `yaml:"regions"`
+	Explain Explain           `yaml:"explain"`
 	// CallerConnections bounds the open connections of all callers. 0 is the default, which depends on the descriptors of the process.
 	CallerConnections int    `yaml:"caller_connections" validate:"min=0,max=1000000"`
 	Memory            Memory `yaml:"memory"`
@@ -63,6 +64,15 @@
 	Stop              Stop   `yaml:"stop"`
 }
 
+// Explain holds the settings of the page that tells operators where a request would go.
+type Explain struct {
+	// Token is what operators must send to get the page. An empty token disables it.
+	Token string `yaml:"token" validate:"max=256"`
+}
+
+// minExplainToken is the least length of Explain.Token, which is all that keeps others from the page.
+const minExplainToken = 16
+
 // PlatformLink is the Link of a portal or gateway, whose network may be private.
 type PlatformLink struct {
 	// Address is the IP address and UDP port at which other processes reach this one.
@@ -167,6 +177,9 @@
 	err := parse(file, data, &s, func(doc *document.Document) {
 		checkLink(doc, s.Link.Link())
 		checkKeys(doc, s.Link, s.Keys)
+		if length := len(s.Explain.Token); length > 0 && length < minExplainToken {
+			doc.Report("explain.token", "is shorter than 16 characters")
+		}
 	})
 	if err != nil {
 		return Gateway{}, err
