--- a/internal/entry/balance/explain.go
+++ b/internal/entry/balance/explain.go
@@ -40,6 +40,9 @@
 	Cost      float64
 }
 
+// MayGet reports whether the endpoint may get the request.
+func (c Candidate) MayGet() bool { return c.Passed == PassedOverNot || c.Passed == PassedOverCostlier }
+
 // Reason returns why the candidate doesn't get the request, or an empty string.
 func (c Candidate) Reason() string {
 	switch c.Passed { //nolint:exhaustive // The others name themselves.
--- a/internal/entry/explanation/explanation.go
+++ b/internal/entry/explanation/explanation.go
@@ -126,8 +126,8 @@
 	// requests of this gateway.
 	OccupiedFrom  string  `json:"occupied_from"`
 	OccupiedAgeMs float64 `json:"occupied_age_ms"`
-	// Cost ranks the endpoints that may get the request, the lowest first.
-	Cost float64 `json:"cost,omitempty"`
+	// Cost ranks the endpoints that may get the request, the lowest first. It is nil for the others.
+	Cost *float64 `json:"cost"`
 	// PassedOver is why the endpoint doesn't get the request. It is empty for the one that does.
 	PassedOver string `json:"passed_over"`
 }
--- a/internal/entry/explanation/text.go
+++ b/internal/entry/explanation/text.go
@@ -36,11 +36,11 @@
 		return errors.Wrap(err, "print")
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprint(w, "\nENDPOINT\tDOMAIN\tREGION\tFORECAST\tOCCUPIED\tFROM\tCOST\tPASSED OVER\n")
+	fmt.Fprint(w, "\nENDPOINT\tDOMAIN\tREGION\tFORECAST\tOCCUPIED\tFROM\tCOST\tRESULT\n")
 	for _, c := range d.Candidates {
 		cost := "-"
-		if c.Cost > 0 {
-			cost = fmt.Sprintf("%.3f", c.Cost)
+		if c.Cost != nil {
+			cost = fmt.Sprintf("%.3f", *c.Cost)
 		}
 		from := c.OccupiedFrom
 		if from == occupiedFromEndpoint {
@@ -48,7 +48,7 @@
 		}
 		reason := c.PassedOver
 		if reason == "" {
-			reason = "no: picked"
+			reason = "picked"
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%.0f ms\t%.1f of %d\t%s\t%s\t%s\n", c.Endpoint, orNone(c.FailureDomain), orNone(c.Region), c.ForecastMs,
 			c.Occupied, c.Slots, from, cost, reason)
--- a/internal/entry/gateway/explain.go
+++ b/internal/entry/gateway/explain.go
@@ -108,6 +108,8 @@
 func (c *call) earlierVerdict() (explanation.Verdict, bool) {
 	g := c.g
 	switch {
+	case g.server.Stopping():
+		return refused(stoppingRetryAfter, "stopping"), true
 	case g.isCutOff():
 		return refused(time.Second, "cut off from control"), true
 	case !g.evidence().allowsService(g.configAge()):
@@ -116,8 +118,6 @@
 		return v, true
 	case c.route == nil:
 		return explanation.Verdict{}, false
-	case g.server.Stopping():
-		return refused(stoppingRetryAfter, "stopping"), true
 	}
 	g.mu.Lock()
 	held, ok := g.observer.WouldRefuse(c.keys.All())
@@ -167,11 +167,15 @@
 }
 
 func explainCandidate(c balance.Candidate) explanation.Candidate {
-	return explanation.Candidate{
+	out := explanation.Candidate{
 		Endpoint: c.Endpoint.ID, Address: c.Endpoint.Address, FailureDomain: c.Endpoint.FailureDomain, Region: c.Region,
 		ForecastMs: milliseconds(c.Forecast), Occupied: c.Occupied, Slots: c.Endpoint.Slots, InFlight: c.InFlight,
-		OccupiedFrom: c.LoadFrom.String(), OccupiedAgeMs: milliseconds(c.LoadAge), Cost: c.Cost, PassedOver: c.Reason(),
+		OccupiedFrom: c.LoadFrom.String(), OccupiedAgeMs: milliseconds(c.LoadAge), PassedOver: c.Reason(),
+	}
+	if c.MayGet() {
+		out.Cost = &c.Cost
 	}
+	return out
 }
 
 // explainConfiguration returns the version of a configuration, which may be nil, and the evidence for its age.
--- a/internal/process/health/health_test.go
+++ b/internal/process/health/health_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,3 +70,14 @@
 		_ = c.Close()
 	})
 }
+
+// TestFurtherPagesAreServedBesideTheOthers guards against a daemon's page that hides the three of all daemons or isn't served.
+func TestFurtherPagesAreServedBesideTheOthers(t *testing.T) {
+	page := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusAccepted) })
+	handler := Server{Pages: map[string]http.Handler{"GET /further": page}}.Handler()
+	for path, status := range map[string]int{"/further": http.StatusAccepted, "/healthz": http.StatusOK, "/none": http.StatusNotFound} {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		require.Equal(t, status, w.Code, path)
+	}
+}
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,3 +105,17 @@
 		require.Equal(t, grace, got.Grace)
 	}
 }
+
+// TestShortExplainTokenIsRefused guards against a token that can be guessed, and against a page that is on by default.
+func TestShortExplainTokenIsRefused(t *testing.T) {
+	data, err := os.ReadFile("../../../examples/gateway.yaml")
+	require.NoError(t, err)
+	require.Empty(t, DefaultGateway().Explain.Token)
+	with := func(token string) error {
+		_, err := ParseGateway("gateway.yaml", []byte(strings.Replace(string(data), `token: ""`, "token: "+token, 1)))
+		return err
+	}
+	require.NoError(t, with("0123456789abcdef-"))
+	require.ErrorContains(t, with("short"), "explain.token")
+	require.ErrorContains(t, with(strings.Repeat("x", 257)), "explain.token")
+}
