--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -82,6 +82,8 @@
 	CallerConnections int
 	// ServeLate says that late responses are worth as much to callers as those in time, see balance.Balancer.
 	ServeLate bool
+	// ExplainToken is the token of the operators who may ask where requests would go. Without it nobody may.
+	ExplainToken string
 	// Dial opens connections to endpoints; nil uses TCP.
 	Dial    upstream.Dialer
 	Metrics *metric.Registry
--- a/internal/entry/gateway/metrics.go
+++ b/internal/entry/gateway/metrics.go
@@ -32,7 +32,7 @@
 	cold        metrics.Counter
 	// coldAvoided and coldRefused count the requests that a warm-up limit has moved or refused.
 	coldAvoided, coldRefused metrics.Counter
-	overload overloadMetrics
+	overload                 overloadMetrics
 }
 
 func newGatewayMetrics(r *metric.Registry) gatewayMetrics {
@@ -59,7 +59,7 @@
 
 		evacuations: r.Counter("gateway_evacuations_total", "Failure domains to which the gateway stopped or resumed sending."),
 		withheld:    r.Counter("gateway_withheld_total", "Requests not sent to their endpoint since its failure domain was evacuated meanwhile or may be."),
-		overload: newOverloadMetrics(r),
+		overload:    newOverloadMetrics(r),
 	}
 }
 
