gateway: hedge slow requests that may be repeated

Cause: a request waits for a slow endpoint until that counts as silent, also while another endpoint would answer at once.

Change: an attempt that is slower than a quantile of the response times at its endpoint gets a standby, placed by the balancer on spare capacity only, in another failure domain if one has room. It is charged to the retry budget and to a hedge budget, which earns a share of the gateway's own requests and starts empty. Off by default (hedging.share 0).

--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -102,6 +102,8 @@
 	queue []*Waiter
 	// placed is the recent throughput of this gateway's requests.
 	placed map[scope]throughput
+	// refusedAt is when a request was last refused.
+	refusedAt map[scope]time.Time
 	// engines holds the model engine of each service; it is nil for plain services.
 	engines map[string]*routes.Engine
 	// endedNotices are those that TakeEndedNotices has yet to return, at most one for each
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -22,7 +22,7 @@
 		if b.returning(t, now) || !b.hasCapacity(t, req, now) {
 			continue
 		}
-		cost := b.cost(t, req, now)
+		cost := b.cost(t, req, now) + hedgeCost(t, req)
 		if best == nil || cost < lowest {
 			best, lowest = t, cost
 		}
@@ -35,6 +35,9 @@
 // time, or the next event of a resumed stream within maxResumeWait. A request that is late
 // already is accepted only where it is not likely to make others late.
 func (b *Balancer) hasCapacity(t *endpointState, req Request, now time.Time) bool {
+	if req.Hedge {
+		return b.hasRoomForHedge(t, req, now)
+	}
 	occupied := b.occupied(t, now)
 	if req.Model == "" {
 		return occupied < float64(t.Slots)*(1+plainQueuePerSlot)
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -38,6 +38,10 @@
 	// ArrivedAt is when the request arrived, and WaitUntil the end of its wait in the queue.
 	ArrivedAt time.Time
 	WaitUntil time.Time
+	// Hedge says that another attempt of the request is under way in the failure domain AvoidDomain. It gets only spare capacity, and an
+	// endpoint in another domain where there is one.
+	Hedge       bool
+	AvoidDomain string
 }
 
 // Decision is the outcome of a request at the balancer: the endpoint to send it to, or a
@@ -250,6 +254,7 @@
 // replicaRecoveryTime. While all endpoints are busy it follows the earliest that wants requests again,
 // and while all have limits it follows these.
 func (b *Balancer) refusal(req Request, reason string, now time.Time) Decision {
+	b.recordRefusal(req, now)
 	after := min(maxRetryAfter, minRetryAfter+time.Duration(b.waitingFor(req))*20*time.Millisecond)
 	if req.Model != "" {
 		after = max(after, replicaRecoveryTime)
--- a/internal/entry/balance/retry_budget.go
+++ b/internal/entry/balance/retry_budget.go
@@ -24,10 +24,15 @@
 	b.tokens = min(b.tokens+b.Ratio, b.Burst)
 }
 
+// Allows reports whether TryRetry would return true.
+func (b *RetryBudget) Allows(now time.Time) bool {
+	b.refill(now)
+	return b.tokens >= 1
+}
+
 // TryRetry reports whether a request may be retried, and takes a token if so.
 func (b *RetryBudget) TryRetry(now time.Time) bool {
-	b.refill(now)
-	if b.tokens < 1 {
+	if !b.Allows(now) {
 		return false
 	}
 	b.tokens--
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -64,6 +64,10 @@
 	// onSilence reports whether the attempt can be given up although its endpoint may go on. It is
 	// called repeatedly while the endpoint is silent. Without it the attempt is not given up.
 	onSilence func() bool
+	// hedge says when the attempt is slow, or is nil.
+	hedge *hedgePlan
+	// overtaken says that the response of a hedge has begun before the attempt's own.
+	overtaken bool
 	cancel    context.CancelFunc
 	// begun says that the header of the response has arrived.
 	begun bool
@@ -180,10 +184,14 @@
 	}
 	request := *c.request
 	request.Header = a.requestHeader(lastEventID)
-	x, err := c.g.upstream.Do(ctx, a.endpoint.Address, &request, upstream.WaitPolicy{
+	policy := upstream.WaitPolicy{
 		CheckInterval: waitCheckInterval, KeepWaiting: a.keepWaiting, Unwanted: func() bool { return a.unwanted(ctx) },
 		BeforeSend: func() error { return a.checkSend(ctx) },
-	})
+	}
+	if a.hedge != nil {
+		policy.NextCheck = a.nextHedgeCheck
+	}
+	x, err := c.g.upstream.Do(ctx, a.endpoint.Address, &request, policy)
 	if err != nil {
 		return a.classifyError(err), err
 	}
@@ -220,7 +228,15 @@
 // keepWaiting reports whether to wait longer for an endpoint that sends nothing. If not, it
 // sets the result.
 func (a *attempt) keepWaiting() bool {
-	result, silent := a.silence(time.Now())
+	now := time.Now()
+	result, silent := a.silence(now)
+	if a.hedge != nil && a.checkHedge(now) {
+		a.overtaken = true
+		if a.result = balance.ResultCanceled; silent {
+			a.result = result
+		}
+		return false
+	}
 	if !silent || a.onSilence == nil || !a.onSilence() {
 		return true
 	}
@@ -347,6 +363,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dropOldPermits()
+	a.observeEnd(r, now)
 	if r == balance.ResultSuccess && a.provesHarmless() {
 		a.recordHarmless(now)
 	}
@@ -360,7 +377,11 @@
 	if a.result == 0 {
 		a.result = balance.ResultInvalidResponse
 	}
-	a.endFailed(r.err)
+	if a.overtaken {
+		a.end(a.result) // The end of the hedge is logged.
+	} else {
+		a.endFailed(r.err)
+	}
 	c.excluded = append(c.excluded, a.endpoint.ID)
 	c.mayHaveRun = c.mayHaveRun || r.outcome == outcomeUnknown
 	c.withheld = a.withheld
@@ -431,4 +452,5 @@
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
 	c.g.retryBudget(c.service).AddRequest(time.Now())
+	c.g.earnHedges(c.service)
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/egretreach/egretreach/internal/entry/balance"
 	"github.com/egretreach/egretreach/internal/entry/dialect"
 	"github.com/egretreach/egretreach/internal/entry/freshness"
+	"github.com/egretreach/egretreach/internal/entry/hedge"
 	"github.com/egretreach/egretreach/internal/entry/suspicion"
 	"github.com/egretreach/egretreach/internal/entry/upstream"
 	"github.com/egretreach/egretreach/internal/fleet/domain"
@@ -65,6 +66,8 @@
 	Seeds   []string
 	Dialect dialect.Dialect
 	Retries RetryLimits
+	// Hedging says when a slow request is sent to a second endpoint. The zero value is never.
+	Hedging hedge.Settings
 	// ShutdownDelay is how long a stopping gateway still accepts requests.
 	ShutdownDelay time.Duration
 	// RefuseAfter is how long the gateway serves without an update from control; 0 is no limit.
@@ -112,6 +115,7 @@
 	evacuationRevision uint64
 	roster             roster.Roster
 	retryBudgets       map[string]*balance.RetryBudget
+	hedging            hedging
 	demand             map[string]*demand
 
 	seeds []string
@@ -157,6 +161,7 @@
 		retryBudgets:   map[string]*balance.RetryBudget{},
 		demand:         map[string]*demand{},
 		arrivals:       map[string]int{},
+		hedging:        hedging{settings: opts.Hedging},
 		metrics:        newGatewayMetrics(opts.Metrics),
 		randomFraction: newRandomFraction(),
 		seeds:          opts.Seeds,
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -66,6 +66,8 @@
 	crashCount int
 	// nextStandbyAt is the earliest time of the next standby.
 	nextStandbyAt time.Time
+	// hedgeDecided says that the request was hedged, or was slow and was not to be hedged.
+	hedgeDecided bool
 	// noStandbyLogged says that the log shows why no standby was started.
 	noStandbyLogged bool
 	// closeAfter says that the connection is closed after the response.
--- /dev/null
+++ b/internal/entry/gateway/hedging_test.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/entry/dialect"
+	"github.com/egretreach/egretreach/internal/entry/hedge"
+	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/link/message"
+)
+
+// hedgeAll lets the gateway hedge every slow request, and teaches it response times of the plain endpoints and the heads of 20 ms.
+func (f *fixture) hedgeAll() {
+	f.g.hedging.settings = hedge.Settings{Share: 1, Quantile: 0.95}
+	f.learn(20*time.Millisecond, 20*time.Millisecond)
+	f.g.hedging.budget("plain").AddRequest(1, 1)
+	f.g.hedging.budget("llm").AddRequest(1, 1)
+}
+
+// learn adds response times of all endpoints.
+func (f *fixture) learn(plain, head time.Duration) {
+	for range 50 {
+		for _, id := range []string{"0", "1"} {
+			f.g.hedging.times.Observe(hedge.Key{Endpoint: "p" + id, Service: "plain"}, 0, plain, time.Now())
+			f.g.hedging.times.Observe(hedge.Key{Endpoint: "h" + id, Service: "llm", Model: "m"}, 100*time.Millisecond, head, time.Now())
+		}
+	}
+}
+
+// slowPlain lets the endpoint respond with text after a time. It returns whether the connection was closed before.
+func (e *fakeEndpoint) slowPlain(after time.Duration, text string) *atomic.Bool {
+	var closed atomic.Bool
+	e.script = func(c net.Conn, r *http.Request, _ string) {
+		e.recordRun(r)
+		time.Sleep(after)
+		if _, err := io.WriteString(c, responseHeader(r, 200, "Content-Length: 5\r\n")+text); err != nil {
+			closed.Store(true)
+		}
+	}
+	return &closed
+}
+
+// slowStream lets the endpoint send the header at once and, after a time, the events up to last with text in them.
+func (e *fakeEndpoint) slowStream(after time.Duration, last int, text string) {
+	e.script = func(c net.Conn, r *http.Request, _ string) {
+		e.recordRun(r)
+		beginStream(c, r)
+		time.Sleep(after)
+		for id := 1; id <= last; id++ {
+			if _, err := io.WriteString(c, chunk("id: "+string(rune('0'+id))+"\ndata: "+text+"\n\n")); err != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		endStream(c)
+	}
+}
+
+// TestSlowEndpointIsHedged guards against callers that wait for a slow endpoint while another one would answer at once, against a first
+// attempt that goes on afterwards, and against an endpoint that is banned for being slow once.
+func TestSlowEndpointIsHedged(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		f.hedgeAll()
+		closed := f.plains[0].slowPlain(300*time.Millisecond, "first")
+		f.plains[1].slowPlain(10*time.Millisecond, "other")
+		got := f.send(http.MethodGet, "/safe/", "")
+		require.Equal(t, "other", got.body)
+		require.Less(t, got.took, 60*time.Millisecond)
+		f.letEndpointsEnd()
+		require.True(t, closed.Load(), "the first attempt was not cancelled")
+		require.Equal(t, 2, f.runCount())
+		require.EqualValues(t, 1, f.g.metrics.hedgesWon.Count())
+		require.Equal(t, 1, f.plains[0].runCount())
+	})
+}
+
+// TestFailedHedgeLeavesTheFirstAttempt guards against a request that fails since its hedge failed, and against one that fails since its
+// first attempt failed after the hedge had started.
+func TestFailedHedgeLeavesTheFirstAttempt(t *testing.T) {
+	ends := map[string]func(f *fixture){
+		"the hedge breaks off": func(f *fixture) {
+			f.plains[0].slowPlain(200*time.Millisecond, "right")
+			f.plains[1].script = func(c net.Conn, _ *http.Request, _ string) { closeConnection(c) }
+		},
+		"the hedge is declined": func(f *fixture) {
+			f.plains[0].slowPlain(200*time.Millisecond, "right")
+			f.plains[1].decline()
+		},
+		"the hedge gets no connection": func(f *fixture) {
+			f.plains[0].slowPlain(200*time.Millisecond, "right")
+			f.plains[1].refuses.Store(true)
+		},
+		"the first breaks off": func(f *fixture) {
+			f.plains[0].script = func(c net.Conn, _ *http.Request, _ string) {
+				time.Sleep(50 * time.Millisecond)
+				closeConnection(c)
+			}
+			f.plains[1].slowPlain(200*time.Millisecond, "right")
+		},
+		"the first ignores the cancellation": func(f *fixture) {
+			f.plains[0].script = func(_ net.Conn, r *http.Request, _ string) {
+				f.plains[0].recordRun(r)
+				time.Sleep(2500 * time.Millisecond)
+			}
+			f.plains[1].slowPlain(10*time.Millisecond, "right")
+		},
+	}
+	for name, prepare := range ends {
+		t.Run(name, func(t *testing.T) {
+			withFixture(t, func(f *fixture) {
+				f.hedgeAll()
+				prepare(f)
+				got := f.send(http.MethodGet, "/safe/", "")
+				require.NoError(t, got.err)
+				require.Equal(t, "right", got.body)
+				require.Less(t, got.took, 300*time.Millisecond)
+				require.EqualValues(t, 1, f.g.metrics.hedges.Count())
+				f.letEndpointsEnd()
+			})
+		})
+	}
+}
+
+// TestBothBeginAtTheSameMoment guards against a response that is sent twice or mixed if the hedge and the first attempt answer within
+// the same milliseconds.
+func TestBothBeginAtTheSameMoment(t *testing.T) {
+	for first := 40 * time.Millisecond; first < 60*time.Millisecond; first += time.Millisecond {
+		withFixture(t, func(f *fixture) {
+			f.hedgeAll()
+			f.plains[0].slowPlain(first, "first")
+			f.plains[1].slowPlain(25*time.Millisecond, "other")
+			f.heads[0].slowStream(first+70*time.Millisecond, 5, "first")
+			f.heads[1].slowStream(20*time.Millisecond, 5, "other")
+			got := f.send(http.MethodGet, "/safe/", "")
+			require.Contains(t, []string{"first", "other"}, got.body)
+			got = f.send(http.MethodPost, "/stream/", "x")
+			require.NoError(t, got.err)
+			require.Contains(t, []string{streamOf("first", 5), streamOf("other", 5)}, got.body)
+			f.letEndpointsEnd()
+			ended := f.g.metrics.hedgesWon.Count() + f.g.metrics.hedgesLost.Count()
+			require.Equal(t, f.g.metrics.hedges.Count(), ended)
+		})
+	}
+}
+
+// streamOf returns the events that slowStream sends.
+func streamOf(text string, last int) string {
+	var all string
+	for id := 1; id <= last; id++ {
+		all += fmt.Sprintf("id: %d\ndata: %s\n\n", id, text)
+	}
+	return all
+}
+
+// TestHedgedStreamIsOneRun guards against a stream that has events of two runs, and against a hedge of a stream that has begun.
+func TestHedgedStreamIsOneRun(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		f.hedgeAll()
+		f.heads[0].slowStream(300*time.Millisecond, 5, "first")
+		f.heads[1].slowStream(20*time.Millisecond, 5, "other")
+		got := f.send(http.MethodPost, "/stream/", "x")
+		require.NoError(t, got.err)
+		require.Equal(t, streamOf("other", 5), got.body)
+		require.EqualValues(t, 1, f.g.metrics.hedgesWon.Count())
+		f.letEndpointsEnd()
+	})
+	withFixture(t, func(f *fixture) {
+		f.hedgeAll()
+		forEach(f.heads, func(e *fakeEndpoint) { e.streamEvents(8, 90*time.Millisecond, endStream) })
+		require.Equal(t, eventTexts(8), f.send(http.MethodPost, "/stream/", "x").body)
+		require.Zero(t, f.g.metrics.hedges.Count())
+	})
+}
+
+// TestOnlyRequestsThatMayBeRepeatedAreHedged guards against a second run of an unsafe request or of one at its last attempt, and against
+// a hedge while the gateway stops, while callers are refused, without a budget or where no other endpoint has room.
+func TestOnlyRequestsThatMayBeRepeatedAreHedged(t *testing.T) {
+	cases := map[string]struct {
+		path    string
+		prepare func(f *fixture)
+		reason  hedge.Reason
+	}{
+		"unsafe":       {"/unsafe/", func(*fixture) {}, hedge.ReasonNone},
+		"last attempt": {"/safe/", func(f *fixture) { f.limitAttempts(1) }, hedge.ReasonNotAllowed},
+		"stopping":     {"/safe/", func(f *fixture) { f.g.stopping.Store(true) }, hedge.ReasonNotAllowed},
+		"hedge budget": {"/safe/", func(f *fixture) {
+			f.g.hedging.settings.Share = 0.01
+			for f.g.hedging.budget("plain").Take() {
+			}
+		}, hedge.ReasonBudget},
+		"retry budget": {"/safe/", func(f *fixture) { f.g.opts.Retries = RetryLimits{} }, hedge.ReasonBudget},
+		"no room":      {"/safe/", func(f *fixture) { f.reportPlainLoad(5, "p1") }, hedge.ReasonNoRoom},
+		"evacuated": {"/safe/", func(f *fixture) {
+			f.moveEndpoint("p1", "b")
+			f.evacuate(3, "b")
+		}, hedge.ReasonNoRoom},
+		"refused": {"/safe/", func(f *fixture) {
+			f.reportPlainLoad(12, "p0", "p1")
+			require.Equal(t, http.StatusServiceUnavailable, f.send(http.MethodGet, "/safe/", "").status)
+			f.reportPlainLoad(0, "p0", "p1")
+		}, hedge.ReasonShort},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withFixture(t, func(f *fixture) {
+				f.hedgeAll()
+				c.prepare(f)
+				f.plains[0].slowPlain(200*time.Millisecond, "first")
+				f.plains[1].slowPlain(5*time.Millisecond, "other")
+				require.Equal(t, "first", f.send(http.MethodPost, c.path, "").body)
+				require.Equal(t, 1, f.runCount())
+				if c.reason != hedge.ReasonNone {
+					require.EqualValues(t, 1, f.g.metrics.hedgesRefused[c.reason].Count())
+				}
+			})
+		})
+	}
+}
+
+// limitAttempts brings a configuration into force in which requests have a number of attempts.
+func (f *fixture) limitAttempts(count int) {
+	table := testTable()
+	table.Version = f.g.table.Load().Version + 1
+	for i := range table.Routes {
+		table.Routes[i].MaxAttempts = count
+	}
+	f.g.table.Store(table.WithIndex())
+}
+
+// reportPlainLoad lets plain endpoints report how many requests they run.
+func (f *fixture) reportPlainLoad(running int, ids ...string) {
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	for _, id := range ids {
+		f.g.balancer.SetLoad(id, dialect.Load{Running: running, Slots: 6}, time.Now())
+	}
+}
+
+// TestHedgeGoesToAnotherFailureDomain guards against a hedge at an endpoint that the same fault may slow down.
+func TestHedgeGoesToAnotherFailureDomain(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		f.hedgeAll()
+		third := &fakeEndpoint{}
+		f.net.mu.Lock()
+		f.net.endpoints["p2"] = third
+		f.net.mu.Unlock()
+		f.g.applyUpdate(&message.Picture{Endpoints: []roster.Endpoint{
+			{ID: "p2", Service: "plain", Address: "p2", FailureDomain: "b", Slots: 6, StartedMs: 1, Sequence: 1},
+		}})
+		f.plains[0].slowPlain(200*time.Millisecond, "first")
+		f.plains[1].slowPlain(5*time.Millisecond, "other")
+		third.slowPlain(5*time.Millisecond, "third")
+		require.Equal(t, "third", f.send(http.MethodGet, "/safe/", "").body)
+		f.letEndpointsEnd()
+	})
+}
+
+// TestHedgingIsOffByDefault guards against extra requests and response times that are kept although no operator asks for it.
+func TestHedgingIsOffByDefault(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		f.learn(20*time.Millisecond, 20*time.Millisecond)
+		f.plains[0].slowPlain(200*time.Millisecond, "first")
+		f.plains[1].slowPlain(5*time.Millisecond, "other")
+		require.Equal(t, "first", f.send(http.MethodGet, "/safe/", "").body)
+		require.Equal(t, 1, f.runCount())
+		require.Nil(t, f.g.hedging.budgets)
+		require.Zero(t, f.g.metrics.hedges.Count())
+	})
+}
--- a/internal/entry/gateway/metrics.go
+++ b/internal/entry/gateway/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/egretreach/egretreach/internal/entry/hedge"
 	"github.com/egretreach/egretreach/internal/fleet/team"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
@@ -32,9 +33,16 @@
 	cold        metrics.Counter
 	// coldAvoided and coldRefused count the requests that a warm-up limit has moved or refused.
 	coldAvoided, coldRefused metrics.Counter
+	// hedges counts hedges, of which hedgesWon gave the caller's response, and hedgesRefused slow requests without one.
+	hedges, hedgesWon, hedgesLost metrics.Counter
+	hedgesRefused                 map[hedge.Reason]metrics.Counter
 }
 
 func newGatewayMetrics(r *metric.Registry) gatewayMetrics {
+	hedgesRefused := map[hedge.Reason]metrics.Counter{}
+	for _, reason := range hedge.Reasons() {
+		hedgesRefused[reason] = r.Counter("gateway_hedges_refused_"+reason.String()+"_total", "Slow requests that were not hedged, by reason.")
+	}
 	return gatewayMetrics{
 		requests: r.Counter("gateway_requests_total", "Requests of callers."),
 		answered: r.Counter("gateway_answered_total", "Requests answered with an endpoint's whole answer."),
@@ -54,6 +62,11 @@
 		coldAvoided: r.Counter("gateway_cold_avoided_total", "Requests sent elsewhere or later because the warm-up limit of an endpoint was used up."),
 		coldRefused: r.Counter("gateway_cold_refused_total", "Requests refused while the warm-up limit of an endpoint was used up."),
 
+		hedges:        r.Counter("gateway_hedges_total", "Slow requests that were sent to a second endpoint."),
+		hedgesWon:     r.Counter("gateway_hedges_won_total", "Hedges whose response the caller got."),
+		hedgesLost:    r.Counter("gateway_hedges_lost_total", "Hedges that were cancelled or failed."),
+		hedgesRefused: hedgesRefused,
+
 		heldBack: r.Counter("gateway_held_back_total", "Requests refused because requests like them crash endpoints."),
 
 		evacuations: r.Counter("gateway_evacuations_total", "Failure domains to which the gateway stopped or resumed sending."),
--- a/internal/entry/gateway/plain.go
+++ b/internal/entry/gateway/plain.go
@@ -141,6 +141,7 @@
 		return outcomeUnknown, err
 	}
 	c.endStandby()
+	a.answered(time.Now())
 	if a.result == balance.ResultServerError && c.route.Retryable() && c.stats.sends < c.route.MaxAttempts && ctx.Err() == nil && c.tryRetry() {
 		if other, otherBody := c.retryElsewhere(ctx, a); other != nil {
 			a.end(a.result)
--- a/internal/entry/gateway/standby.go
+++ b/internal/entry/gateway/standby.go
@@ -20,12 +20,14 @@
 const standbyInterval = 250 * time.Millisecond
 
 // standby is an attempt at another endpoint, made while the endpoint of the present attempt is
-// silent. A silent endpoint may go on, so the present attempt is given up only once the response of
+// silent or, as a hedge, slow. Such an endpoint may go on, so the present attempt is given up only once the response of
 // the standby has begun: with its first event, or for a plain response with the whole of it.
 type standby struct {
 	// call is a copy of the request, with statistics of its own.
 	call   *call
 	cancel context.CancelFunc
+	// hedge is the attempt of a hedge, which has been placed and charged before. It is nil for a silent endpoint.
+	hedge *attempt
 	// acquired is the attempt, once an endpoint has been acquired for it.
 	acquired atomic.Pointer[attempt]
 	// done is closed once result is set.
@@ -45,7 +47,7 @@
 			return attemptResult{decision: balance.Decision{Refused: true, Reason: reasonBudget}}
 		}
 	}
-	return c.try(ctx, p.plan(), prepare)
+	return c.try(ctx, p, prepare)
 }
 
 // awaitStandby waits for the standby after the present attempt has failed. A standby that is silent
@@ -61,6 +63,7 @@
 		case <-present.done:
 			c.pending = nil
 			r := c.settle(present)
+			c.countHedge(present, r.outcome == outcomeAnswered)
 			if r.outcome == outcomeAnswered {
 				c.endStandby()
 			}
@@ -74,6 +77,7 @@
 		if _, silent := a.silence(time.Now()); silent && c.replace(ctx, a, p) {
 			c.pending = nil
 			present.cancel()
+			c.countHedge(present, false)
 			if r := c.settle(present); r.attempt != nil {
 				r.attempt.result = balance.ResultStalled
 				c.recordFailure(r)
@@ -84,7 +88,8 @@
 }
 
 // try makes an attempt and waits until its response has begun or it has failed.
-func (c *call) try(ctx context.Context, plan attemptPlan, prepare func(*attempt)) attemptResult {
+func (c *call) try(ctx context.Context, p retryPolicy, prepare func(*attempt)) attemptResult {
+	plan := p.plan()
 	a, d := c.acquire(ctx, plan.request)
 	if a == nil {
 		return attemptResult{decision: d}
@@ -93,6 +98,7 @@
 		return attemptResult{decision: d}
 	}
 	prepare(a)
+	c.planHedge(ctx, a, p)
 	o, err := a.run(ctx, plan.lastEventID)
 	return attemptResult{attempt: a, decision: d, outcome: o, err: err}
 }
@@ -114,7 +120,7 @@
 	}
 	event.StandbyStarted.On(c.g.opts.Logger).Str("request", c.id).Str("silent_endpoint", a.endpoint.ID).
 		Dur("silent", a.silentFor(now)).Msg("")
-	c.startStandby(ctx, p.plan().without(a.endpoint.ID))
+	c.startStandby(ctx, p.plan().without(a.endpoint.ID), nil)
 	return false
 }
 
@@ -128,12 +134,15 @@
 		Str("state", "not started").Str("reason", reason).Msg("")
 }
 
-// startStandby starts a standby by plan.
-func (c *call) startStandby(ctx context.Context, plan attemptPlan) {
+// startStandby starts a standby by plan. hedge is its attempt if it has been placed already, or nil.
+func (c *call) startStandby(ctx context.Context, plan attemptPlan, hedge *attempt) {
 	ctx, cancel := context.WithCancel(ctx)
 	own := *c
 	own.stats, own.standby, own.pending, own.withheld = requestStats{}, nil, nil, ""
-	s := &standby{call: &own, cancel: cancel, done: make(chan struct{})}
+	s := &standby{call: &own, cancel: cancel, hedge: hedge, done: make(chan struct{})}
+	if hedge != nil {
+		hedge.call = &own
+	}
 	c.standby = s
 	go s.run(ctx, plan)
 }
@@ -143,7 +152,10 @@
 func (s *standby) run(ctx context.Context, plan attemptPlan) {
 	defer close(s.done)
 	defer s.recoverFailure()
-	a, d := s.call.acquire(ctx, plan.request)
+	a, d := s.hedge, balance.Decision{}
+	if a == nil {
+		a, d = s.call.acquire(ctx, plan.request)
+	}
 	if a == nil {
 		s.result.decision = d
 		return
@@ -152,7 +164,7 @@
 		s.result.decision = d
 		return
 	}
-	if !s.call.tryRetry() {
+	if s.hedge == nil && !s.call.tryRetry() {
 		a.end(balance.ResultCanceled)
 		s.result.decision = balance.Decision{Refused: true, Reason: reasonBudget}
 		return
@@ -223,6 +235,7 @@
 func (c *call) takeStandby() attemptResult {
 	s := c.standby
 	c.standby = nil
+	c.countHedge(s, false)
 	return c.settle(s)
 }
 
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -55,7 +55,7 @@
 			return
 		}
 		if r.outcome == outcomeAnswered {
-			s.endStandby()
+			s.endSilenceStandby()
 			r.outcome, r.err = outcomeUnknown, s.forwardEvents(r.attempt)
 			if r.err == nil {
 				return
@@ -213,6 +213,7 @@
 		return
 	}
 	a.streamed, a.firstEventAt = true, now
+	a.observeAnswer(now)
 	s.g.balancer.FirstEventReceived(a.endpoint.ID, a.balanceRequest, a.decision.Forecast, now.Sub(a.startedAt), now)
 }
 
@@ -290,6 +291,8 @@
 	if s.headerSent || retry {
 		return errUnusableResponse{"the endpoint answered " + strconv.Itoa(response.StatusCode)}
 	}
+	s.endStandby()
+	a.hedge = nil
 	s.sendResponse(a, body)
 	return nil
 }
--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -110,7 +110,7 @@
 		return 0, errTooMuch
 	}
 	for {
-		deadline := time.Now().Add(c.wait.CheckInterval)
+		deadline := time.Now().Add(c.wait.interval())
 		if err := c.SetReadDeadline(deadline); err != nil {
 			return 0, err
 		}
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -63,6 +63,8 @@
 type WaitPolicy struct {
 	// CheckInterval is the time between two calls of KeepWaiting while no data arrives.
 	CheckInterval time.Duration
+	// NextCheck returns a shorter time until the next call of KeepWaiting. It may be nil.
+	NextCheck func() time.Duration
 	// KeepWaiting reports whether to wait longer.
 	KeepWaiting func() bool
 	// BeforeSend is called when there is a connection, immediately before the request is written. With an error the request isn't sent. It
@@ -72,6 +74,14 @@
 	Unwanted func() bool
 }
 
+// interval returns the time until the next call of KeepWaiting.
+func (w WaitPolicy) interval() time.Duration {
+	if w.NextCheck == nil {
+		return w.CheckInterval
+	}
+	return min(w.CheckInterval, w.NextCheck())
+}
+
 // Exchange is a request to an endpoint and its response. It must be closed.
 type Exchange struct {
 	pool *Pool
--- a/internal/process/settings/portal_gateway.go
+++ b/internal/process/settings/portal_gateway.go
@@ -44,6 +44,8 @@
 	// have the same IP addresses and the port of this host's link.
 	Seeds   []Address   `yaml:"seeds" validate:"min=1,max=9"`
 	Retries RetryLimits `yaml:"repeats"`
+	// Hedging says when a slow request is sent to a second endpoint.
+	Hedging Hedging `yaml:"hedging"`
 	// WhenCutOff selects what the gateway does with requests after it has received no update
 	// from a control host for CutOffAfter: serve them by the last configuration, or refuse them.
 	WhenCutOff  string        `yaml:"when_cut_off" validate:"oneof=serve refuse"`
@@ -92,6 +94,14 @@
 	Window time.Duration `yaml:"window" validate:"min=100ms,max=1h"`
 }
 
+// Hedging bounds the second attempts for slow requests.
+type Hedging struct {
+	// Share is the number of extra requests for each request, summed over all gateways. 0 is off.
+	Share float64 `yaml:"share" validate:"min=0,max=1"`
+	// Quantile is the part of the response times at an endpoint after which a request there is slow.
+	Quantile float64 `yaml:"quantile" validate:"min=0.5,max=0.999"`
+}
+
 // Values of Gateway.WhenCutOff.
 const (
 	WhenCutOffRefuse = "refuse"
@@ -106,6 +116,8 @@
 	defaultRetryBurst  = 20
 	defaultRetryWindow = 10 * time.Second
 	defaultBodyMemory  = 32 << 20
+
+	defaultHedgeQuantile = 0.95
 )
 
 // DefaultPortal returns the settings that apply to keys that a file leaves out.
@@ -120,6 +132,7 @@
 	return Gateway{
 		Keys: OptionalKeys(defaultKeys()), Log: defaultLog(), Stop: defaultStop(),
 		Retries:    RetryLimits{Ratio: defaultRetryRatio, Burst: defaultRetryBurst, Window: defaultRetryWindow},
+		Hedging:    Hedging{Quantile: defaultHedgeQuantile},
 		WhenCutOff: WhenCutOffServe, CutOffAfter: defaultCutOffAfter,
 		InForceWithin: defaultInForce, BodyMemory: defaultBodyMemory,
 	}
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -27,5 +27,7 @@
 	DomainResumed = register(331, "domain_resumed", log.WarnLevel)
 	// AttemptWithheld says that a placed request was not sent.
 	AttemptWithheld = register(332, "attempt_withheld", log.InfoLevel)
-	ColdHeard       = register(318, "cold_heard", log.InfoLevel)
+	// HedgeRefused says that a request was slow and was not sent to a second endpoint.
+	HedgeRefused = register(333, "hedge_refused", log.InfoLevel)
+	ColdHeard    = register(318, "cold_heard", log.InfoLevel)
 )
