--- a/internal/entry/gateway/hedging_test.go
+++ b/internal/entry/gateway/hedging_test.go
@@ -66,7 +66,7 @@
 }
 
 // TestSlowEndpointIsHedged guards against callers that wait for a slow endpoint while another one would answer at once, against a first
-// attempt that goes on afterwards, and against an endpoint that is banned for being slow once.
+// attempt that goes on afterwards, and against an endpoint that counts as faulty for being slow once.
 func TestSlowEndpointIsHedged(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		f.hedgeAll()
@@ -80,6 +80,9 @@
 		require.Equal(t, 2, f.runCount())
 		require.EqualValues(t, 1, f.g.metrics.hedgesWon.Count())
 		require.Equal(t, 1, f.plains[0].runCount())
+
+		f.plains[0].slowPlain(10*time.Millisecond, "first")
+		require.Equal(t, "first", f.send(http.MethodGet, "/safe/", "").body, "the endpoint counts as faulty")
 	})
 }
 
@@ -189,7 +192,7 @@
 		prepare func(f *fixture)
 		reason  hedge.Reason
 	}{
-		"unsafe":       {"/unsafe/", func(*fixture) {}, hedge.ReasonNone},
+		"unsafe":       {"/unsafe/", func(f *fixture) { f.limitAttempts(3) }, hedge.ReasonNone},
 		"last attempt": {"/safe/", func(f *fixture) { f.limitAttempts(1) }, hedge.ReasonNotAllowed},
 		"stopping":     {"/safe/", func(f *fixture) { f.g.stopping.Store(true) }, hedge.ReasonNotAllowed},
 		"hedge budget": {"/safe/", func(f *fixture) {
