--- a/internal/entry/gateway/hedging.go
+++ b/internal/entry/gateway/hedging.go
@@ -24,7 +24,7 @@
 	loggedAt time.Time
 }
 
-// hedgePlan says when an attempt is slow and how it is hedged.
+// hedgePlan says when an attempt is slow and how it is hedged. An attempt has none from its first event, or whole plain response, on.
 type hedgePlan struct {
 	ctx    context.Context //nolint:containedctx // That of the request, which the wait for a response has no parameter for.
 	policy retryPolicy
@@ -97,9 +97,6 @@
 // standby it starts a hedge, if that is allowed.
 func (a *attempt) checkHedge(now time.Time) bool {
 	c := a.call
-	if a.streamed {
-		return false
-	}
 	if c.standby != nil {
 		return c.standbyBegun(a.hedge.ctx)
 	}
--- a/internal/entry/gateway/hedging_test.go
+++ b/internal/entry/gateway/hedging_test.go
@@ -184,6 +184,19 @@
 	})
 }
 
+// TestBegunStreamIsCheckedAsBefore guards against a stream whose connection is looked at every millisecond since its first event came
+// before it counted as slow.
+func TestBegunStreamIsCheckedAsBefore(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		c := &call{g: f.g, service: "llm", model: "m"}
+		a := &attempt{call: c, endpoint: roster.Endpoint{ID: "h0"}, startedAt: time.Now(), hedge: &hedgePlan{delay: time.Millisecond}}
+		require.Equal(t, time.Millisecond, a.nextHedgeCheck())
+		(&streamCall{call: c}).eventReceived(a)
+		time.Sleep(time.Second)
+		require.Equal(t, waitCheckInterval, a.nextHedgeCheck())
+	})
+}
+
 // TestOnlyRequestsThatMayBeRepeatedAreHedged guards against a second run of an unsafe request or of one at its last attempt, and against
 // a hedge while the gateway stops, while callers are refused, without a budget or where no other endpoint has room.
 func TestOnlyRequestsThatMayBeRepeatedAreHedged(t *testing.T) {
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -212,7 +212,7 @@
 		a.recordLasting(now)
 		return
 	}
-	a.streamed, a.firstEventAt = true, now
+	a.streamed, a.firstEventAt, a.hedge = true, now, nil
 	a.observeAnswer(now)
 	s.g.balancer.FirstEventReceived(a.endpoint.ID, a.balanceRequest, a.decision.Forecast, now.Sub(a.startedAt), now)
 }
