--- a/internal/entry/balance/explain.go
+++ b/internal/entry/balance/explain.go
@@ -57,7 +57,7 @@
 // Explain returns what Submit would do with a request, and why. It changes nothing.
 func (b *Balancer) Explain(req Request, now time.Time) Explanation {
 	c := b.CopyFor(req)
-	e := Explanation{QueuedBefore: c.queuedBefore(req), Queued: c.waitingFor(req)}
+	e := Explanation{QueuedBefore: c.waitingBefore(req, now), Queued: c.waitingFor(req)}
 	for _, t := range c.serving(req) {
 		e.Candidates = append(e.Candidates, c.candidate(t, req, now))
 	}
@@ -89,8 +89,12 @@
 	c := *b
 	c.index, c.endpoints, c.endedNotices = nil, map[string]*endpointState{}, nil
 	c.evacuations.since = maps.Clone(b.evacuations.since)
-	c.placed, c.promised = maps.Clone(b.placed), maps.Clone(b.promised)
+	c.placed, c.promised, c.refusedAt = maps.Clone(b.placed), maps.Clone(b.promised), maps.Clone(b.refusedAt)
 	c.queue = slices.Clone(b.queue)
+	c.ranked = nil
+	if r := b.ranked[req.scope()]; r != nil {
+		c.ranked = map[scope]*rankedScope{req.scope(): r.clone()}
+	}
 	index := b.index
 	if index == nil {
 		index = b.buildIndex()
@@ -101,6 +105,26 @@
 	return &c
 }
 
+// waitingBefore returns the number of waiting requests that are tried before one.
+func (b *Balancer) waitingBefore(req Request, now time.Time) int {
+	r := b.rankedScope(req)
+	if r == nil {
+		return b.queuedBefore(req)
+	}
+	return r.ahead(&Waiter{Request: req, turn: req.turn(r.Tag(b.caller(req)), now)})
+}
+
+// clone returns a copy whose waiting requests get no decisions.
+func (r *rankedScope) clone() *rankedScope {
+	c := &rankedScope{Scope: r.Scope.Clone()}
+	for _, w := range r.waiting {
+		own := *w
+		own.Decided = make(chan Decision, 1)
+		c.waiting = append(c.waiting, &own)
+	}
+	return c
+}
+
 // clone returns a copy that shares no permits.
 func (t *endpointState) clone() *endpointState {
 	c := *t
--- a/internal/entry/balance/explain_test.go
+++ b/internal/entry/balance/explain_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/entry/dialect"
+	"github.com/egretreach/egretreach/internal/entry/overload"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 )
@@ -30,9 +31,24 @@
 			fmt.Fprintf(&out, "%p %+v %d\n", w, w.Request, len(w.Decided))
 		}
 	}
+	for s, r := range b.ranked {
+		fmt.Fprintf(&out, "%v\n", s)
+		for _, w := range r.waiting {
+			fmt.Fprintf(&out, "%p %+v %+v %d\n", w, w.Request, w.turn, len(w.Decided))
+		}
+	}
 	return out.String()
 }
 
+// rankedScopes returns copies of the state of the ranked scopes.
+func rankedScopes(b *Balancer) map[scope]overload.Scope {
+	all := map[scope]overload.Scope{}
+	for s, r := range b.ranked {
+		all[s] = r.Scope.Clone()
+	}
+	return all
+}
+
 // explainModel changes a balancer at random.
 type explainModel struct {
 	b   *Balancer
@@ -150,9 +166,10 @@
 // explainAndSubmit checks the explanation of a request against what Submit does.
 func (m *explainModel) explainAndSubmit(t *testing.T, seed uint64) {
 	req := m.request()
-	before := dump(m.b)
+	before, scopes := dump(m.b), rankedScopes(m.b)
 	e := m.b.Explain(req, m.now)
 	require.Equal(t, before, dump(m.b), "seed %d: the explanation changed the balancer", seed)
+	require.Equal(t, scopes, rankedScopes(m.b), "seed %d: the explanation changed a ranked scope", seed)
 	d, w := m.b.Submit(req, m.now)
 	require.Equal(t, w != nil, e.Waits, "seed %d", seed)
 	require.Equal(t, d, e.Decision, "seed %d", seed)
@@ -184,6 +201,10 @@
 	for seed := range uint64(12) {
 		m := newExplainModel(seed)
 		m.reasons, m.actions = reasons, actions
+		if seed%2 == 1 {
+			m.b.ServeLate = seed%4 == 1
+			m.b.SetRoutes(llmRoutes(0, 2))
+		}
 		for range 300 {
 			m.now = m.now.Add(time.Duration(m.rng.IntN(60)) * time.Millisecond)
 			for range 1 + m.rng.IntN(3) {
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -51,7 +51,7 @@
 	if !b.hasCapacity(t, req, now) {
 		return assessment{passed: PassedOverFull}
 	}
-	return assessment{cost: b.cost(t, req, now)}
+	return assessment{cost: b.cost(t, req, now) + hedgeCost(t, req)}
 }
 
 // pick returns the endpoint of the lowest cost that has capacity for a request, if any. avoided is
@@ -76,6 +76,9 @@
 // time, or the next event of a resumed stream within maxResumeWait. A request that is late
 // already is accepted only where it is not likely to make others late.
 func (b *Balancer) hasCapacity(t *endpointState, req Request, now time.Time) bool {
+	if req.Hedge {
+		return b.hasRoomForHedge(t, req, now)
+	}
 	occupied := b.occupied(t, now)
 	if req.Model == "" {
 		return occupied < float64(t.Slots)*(1+plainQueuePerSlot)
