--- a/internal/entry/balance/explain.go
+++ b/internal/entry/balance/explain.go
@@ -116,7 +116,7 @@
 
 // clone returns a copy whose waiting requests get no decisions.
 func (r *rankedScope) clone() *rankedScope {
-	c := &rankedScope{Scope: r.Scope.Clone()}
+	c := &rankedScope{Scope: r.Clone()}
 	for _, w := range r.waiting {
 		own := *w
 		own.Decided = make(chan Decision, 1)
--- a/internal/entry/balance/explain_test.go
+++ b/internal/entry/balance/explain_test.go
@@ -44,7 +44,7 @@
 func rankedScopes(b *Balancer) map[scope]overload.Scope {
 	all := map[scope]overload.Scope{}
 	for s, r := range b.ranked {
-		all[s] = r.Scope.Clone()
+		all[s] = r.Clone()
 	}
 	return all
 }
