formation, balance: test of regrouping after a withdrawal

Cause: without recentlyWithdrawn no test failed, and a test of the queue waited for the timeout of go test.

Change: a test for it; the test of the queue fails at once.

Tested: the first fails without recentlyWithdrawn; both pass.

--- a/internal/control/formation/evacuate_test.go
+++ b/internal/control/formation/evacuate_test.go
@@ -144,3 +144,18 @@
 	}
 	require.Zero(t, s.tracked())
 }
+
+// TestNothingIsRegroupedSoonAfterAWithdrawal guards against replicas that are closed for the engines that have just come back.
+func TestNothingIsRegroupedSoonAfterAWithdrawal(t *testing.T) {
+	s := newSettledSimulation(t, 1)
+	s.evacuate(false)
+	s.run(10 * time.Second)
+	s.evacuated = nil
+	s.step()
+	worthless := composition{value: -100}
+	s.now = s.now.Add(regroupInterval - time.Second)
+	s.planner.now = s.now
+	require.False(t, s.planner.regroup(evacuatedDomain, nil, s.planner.replicaCounts(), worthless))
+	s.planner.now = s.now.Add(2 * time.Second)
+	require.True(t, s.planner.regroup(evacuatedDomain, nil, s.planner.replicaCounts(), worthless))
+}
--- a/internal/entry/balance/evacuation_test.go
+++ b/internal/entry/balance/evacuation_test.go
@@ -61,6 +61,7 @@
 	require.NotNil(t, w)
 	b.SetEvacuated([]string{"a"}, noon)
 	b.ProcessQueue(noon)
+	require.Len(t, w.Decided, 1)
 	require.Equal(t, reasonEvacuated, (<-w.Decided).Reason)
 	require.Zero(t, b.Waiting())
 }
