--- a/internal/entry/gateway/hedging_test.go
+++ b/internal/entry/gateway/hedging_test.go
@@ -164,6 +164,27 @@
 	return all.String()
 }
 
+// TestHeaderOfAStreamDoesNotEndItsHedge guards against a stream that waits for its first event at an endpoint that has sent only the header,
+// while the hedge would answer.
+func TestHeaderOfAStreamDoesNotEndItsHedge(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		f.hedgeAll()
+		f.heads[0].script = func(c net.Conn, r *http.Request, _ string) {
+			time.Sleep(150 * time.Millisecond)
+			beginStream(c, r)
+			time.Sleep(500 * time.Millisecond)
+			_ = c.Close()
+		}
+		f.heads[1].slowStream(100*time.Millisecond, 5, "other")
+		got := f.send(http.MethodPost, "/stream/", "x")
+		f.letEndpointsEnd()
+		require.NoError(t, got.err)
+		require.Equal(t, streamOf("other", 5), got.body)
+		require.Less(t, got.took, 350*time.Millisecond)
+		require.EqualValues(t, 1, f.g.metrics.hedgesWon.Count())
+	})
+}
+
 // TestHedgedStreamIsOneRun guards against a stream that has events of two runs, and against a hedge of a stream that has begun.
 func TestHedgedStreamIsOneRun(t *testing.T) {
 	withFixture(t, func(f *fixture) {
