--- a/internal/entry/hedge/hedge_test.go
+++ b/internal/entry/hedge/hedge_test.go
@@ -92,7 +92,7 @@
 func TestCancelledAttemptsCount(t *testing.T) {
 	times := observed(time.Millisecond, 1)
 	before, _ := Settings{Share: 1}.Delay(times, Attempt{Key: key(1), Remaining: time.Minute})
-	for range 100 {
+	for range 400 {
 		times.ObserveAtLeast(key(1), 0, time.Millisecond, base)
 	}
 	after, _ := Settings{Share: 1}.Delay(times, Attempt{Key: key(1), Remaining: time.Minute})
