httpserver: the benchmark's header has names of this project

Cause: the quick look for rules found a header of the platform outside platform/. Change: other header lines of about the same size. Tested: go vet.

--- a/internal/process/httpserver/bench_test.go
+++ b/internal/process/httpserver/bench_test.go
@@ -13,7 +13,7 @@
 
 // ordinaryRequest is a request with the header of a common client.
 const ordinaryRequest = "POST /v1/chat/completions HTTP/1.1\r\nHost: gateway.example:8227\r\nUser-Agent: client/1.0\r\nAccept: */*\r\n" +
-	"Content-Type: application/json\r\nAuthorization: Bearer 0123456789abcdef\r\nX-Request-Id: 0123456789\r\nX-Deadline-Ms: 4000\r\n" +
+	"Content-Type: application/json\r\nAuthorization: Bearer 0123456789abcdef\r\nTraceparent: 00-0123456789\r\nEgretreach-Timeout: 4s\r\n" +
 	"Content-Length: 64\r\n\r\n{\"model\":\"drafter\",\"messages\":[{\"role\":\"user\",\"content\":\"text\"}]"
 
 // instantConn reads and writes at once.
