explain: tests of trials and of explanations beside requests

An explanation of a held request must leave the trial to a caller, and the copy of the balancer is used without the gateway's lock.

--- a/internal/entry/gateway/explain_test.go
+++ b/internal/entry/gateway/explain_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -187,3 +188,56 @@
 	require.NoError(t, err)
 	require.Equal(t, string(expected), text)
 }
+
+// TestExplanationTakesNoTrial guards against an explanation of a held request that uses up the one request that a trial lets through, and
+// against one that doesn't see that the request is held back.
+func TestExplanationTakesNoTrial(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		forEach(f.plains, func(e *fakeEndpoint) { e.respondWith(http.StatusOK, "whole") })
+		q := explanation.Request{Method: http.MethodGet, Path: "/safe/x", Host: "h", Key: "secret", Parts: "bad,own"}
+		c := f.g.explainedCall(q)
+		require.Nil(t, c.resolveExplained(f.g.table.Load(), q))
+		key := c.keys.All()[0].Hash
+		f.g.observer.SetHolds(message.Holds{Held: []message.HeldKey{{Key: key, For: 3 * time.Second}}})
+		require.Equal(t, explanation.Verdict{Action: "refused", Status: 503, Reason: reasonHeld, RetryAfter: 3}, f.g.Explain(q).Verdict)
+		f.g.observer.SetHolds(message.Holds{Held: []message.HeldKey{{Key: key, Trial: 1}}})
+		for range 3 {
+			require.Equal(t, explanation.ActionSent, f.g.Explain(q).Verdict.Action)
+		}
+		_, refused := f.g.observer.Refuse(c.keys.All())
+		require.False(t, refused, "the trial is left")
+		require.Equal(t, explanation.ActionRefused, f.g.Explain(q).Verdict.Action, "the trial is taken")
+	})
+}
+
+// TestExplanationsRunBesideRequests guards against a copy of the balancer that shares memory with the requests that are served meanwhile,
+// which the race detector finds.
+func TestExplanationsRunBesideRequests(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		explainedFixture(f)
+		for _, e := range f.net.endpoints {
+			e.respondWith(http.StatusOK, "whole")
+		}
+		report := f.g.composeReport(time.Now()).Limits.Number
+		f.g.applyUpdate(coldUpdate(2, report, 2))
+		var group sync.WaitGroup
+		for range 4 {
+			group.Go(func() {
+				for range 50 {
+					f.explain("/safe/x", "secret")
+				}
+			})
+			group.Go(func() {
+				for range 20 {
+					f.send(http.MethodGet, "/safe/x", "")
+				}
+			})
+		}
+		for serial := range uint64(20) {
+			f.g.applyUpdate(coldUpdate(2, report, serial+3))
+			f.evacuate(8+serial, []string{"b", "c"}[serial%2])
+		}
+		group.Wait()
+		require.Positive(t, f.plains[0].runCount())
+	})
+}
