explain: the text doesn't deny endpoints that were not looked for

A trial with a real gateway without control printed 'no endpoint is ready' below 'no configuration yet'. TestTextTellsEachVerdict covers the text of each verdict.

--- a/internal/entry/explanation/text.go
+++ b/internal/entry/explanation/text.go
@@ -31,6 +31,9 @@
 
 // writeCandidates writes a table of the candidates.
 func (d Document) writeCandidates(out io.Writer) error {
+	if d.Service == "" { // The verdict came before the endpoints were looked at.
+		return nil
+	}
 	if len(d.Candidates) == 0 {
 		_, err := fmt.Fprint(out, "\nno endpoint is ready and serves the request\n")
 		return errors.Wrap(err, "print")
