gateway: tests of hedges under holds and random silences

Cause: no test had a request on trial, one that is held back meanwhile, or hedges that meet standbys and resumed streams.

The cases of held requests fail with mustNotRepeat switched off.

--- a/internal/entry/gateway/hedging_test.go
+++ b/internal/entry/gateway/hedging_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 
 	"github.com/egretreach/egretreach/internal/entry/dialect"
 	"github.com/egretreach/egretreach/internal/entry/hedge"
+	"github.com/egretreach/egretreach/internal/entry/suspicion"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/link/message"
 )
@@ -218,8 +221,8 @@
 	})
 }
 
-// TestOnlyRequestsThatMayBeRepeatedAreHedged guards against a second run of an unsafe request or of one at its last attempt, and against
-// a hedge while the gateway stops, while callers are refused, without a budget or where no other endpoint has room.
+// TestOnlyRequestsThatMayBeRepeatedAreHedged guards against a second run of an unsafe request, of one at its last attempt or of one that
+// control holds back or lets through on trial, and against a hedge while the gateway stops, while callers are refused, without a budget or where no other endpoint has room.
 func TestOnlyRequestsThatMayBeRepeatedAreHedged(t *testing.T) {
 	cases := map[string]struct {
 		path    string
@@ -234,8 +237,10 @@
 			for f.g.hedging.budget("plain").Take() {
 			}
 		}, hedge.ReasonBudget},
-		"retry budget": {"/safe/", func(f *fixture) { f.g.opts.Retries = RetryLimits{} }, hedge.ReasonBudget},
-		"no room":      {"/safe/", func(f *fixture) { f.reportPlainLoad(5, "p1") }, hedge.ReasonNoRoom},
+		"retry budget":   {"/safe/", func(f *fixture) { f.g.opts.Retries = RetryLimits{} }, hedge.ReasonBudget},
+		"no room":        {"/safe/", func(f *fixture) { f.reportPlainLoad(5, "p1") }, hedge.ReasonNoRoom},
+		"on trial":       {"/safe/", func(f *fixture) { f.holdBad(1) }, hedge.ReasonNotAllowed},
+		"held meanwhile": {"/safe/", func(f *fixture) { time.AfterFunc(10*time.Millisecond, func() { f.holdBad(0) }) }, hedge.ReasonNotAllowed},
 		"evacuated": {"/safe/", func(f *fixture) {
 			f.moveEndpoint("p1", "b")
 			f.evacuate(3, "b")
@@ -253,7 +258,7 @@
 				c.prepare(f)
 				f.plains[0].slowPlain(200*time.Millisecond, "first")
 				f.plains[1].slowPlain(5*time.Millisecond, "other")
-				require.Equal(t, "first", f.send(http.MethodPost, c.path, "").body)
+				require.Equal(t, "first", f.send(http.MethodPost, c.path, "", "X-Parts", "bad,x").body)
 				require.Equal(t, 1, f.runCount())
 				if c.reason != hedge.ReasonNone {
 					require.EqualValues(t, 1, f.g.metrics.hedgesRefused[c.reason].Count())
@@ -263,6 +268,12 @@
 	}
 }
 
+// holdBad lets control hold back the requests with the part "bad", but one with a trial of that number.
+func (f *fixture) holdBad(trial uint64) {
+	key := suspicion.Identity{Scopes: []string{"plain/"}, Parts: []string{"bad"}}.PartKeys().All()[0].Hash
+	f.g.applyUpdate(&message.Picture{Version: 1, Holds: message.Holds{Held: []message.HeldKey{{Key: key, Trial: trial, For: time.Minute}}}})
+}
+
 // limitAttempts brings a configuration into force in which requests have a number of attempts.
 func (f *fixture) limitAttempts(count int) {
 	table := testTable()
@@ -313,3 +324,40 @@
 		require.Zero(t, f.g.metrics.hedges.Count())
 	})
 }
+
+// TestRandomSilencesWithHedging guards against streams that are cut, doubled or run too often when hedges, standbys and resumed streams
+// meet.
+func TestRandomSilencesWithHedging(t *testing.T) {
+	const seeds, callers, events = 30, 12, 10
+	hedges := int64(0)
+	for seed := range uint64(seeds) {
+		var got [callers]callerResponse
+		withFixture(t, func(f *fixture) {
+			f.hedgeAll()
+			rng := rand.New(rand.NewPCG(seed, 1))
+			forEach(f.heads, func(e *fakeEndpoint) { e.randomSilences(rng.Uint64(), events) })
+			var running sync.WaitGroup
+			for i := range callers {
+				start := time.Duration(rng.Int64N(int64(time.Second)))
+				running.Go(func() {
+					time.Sleep(start)
+					got[i] = f.send(http.MethodPost, "/stream/", "x")
+				})
+			}
+			running.Wait()
+			f.letEndpointsEnd()
+			hedges += f.g.metrics.hedges.Count()
+			require.LessOrEqual(t, f.runCount(), 2*callers, "seed %d: a route allows two attempts", seed)
+			require.Equal(t, f.g.metrics.hedges.Count(), f.g.metrics.hedgesWon.Count()+f.g.metrics.hedgesLost.Count(), "seed %d", seed)
+			require.Empty(t, f.g.balancer.HeadReports(time.Now()), "seed %d: attempts that have not ended", seed)
+		})
+		for i, r := range got {
+			if r.status == http.StatusServiceUnavailable {
+				continue // Refused, which is truthful: the endpoints have declined it.
+			}
+			require.NoError(t, r.err, "seed %d, caller %d", seed, i)
+			require.Equal(t, eventTexts(events), r.body, "seed %d, caller %d", seed, i)
+		}
+	}
+	require.Positive(t, hedges)
+}
