Mends what a reader of the whole diff found

Cause: a read-through by someone new to the code. Waiting requests of a ranked queue were held when their domain was evacuated, and processing the queue crashed if an operator removed the engine of a service meanwhile; the head count depended on one request's regions; refused retries and hedges reserved room for returns; permits of an earlier incarnation went to its successor; an explanation called endpoints costlier whose room is reserved; its client obeyed a proxy of the environment; two errors had no log line; the quarantine's terms were half renamed. Change: each of these. An unused condition on reports of gateways is gone. Tested: TestRankedWaitersAreRefusedAtOnce (fails without either protection); balance, gateway, explanation, event, warmup, quarantine, agent/server, cmd.

--- a/internal/agent/server/session.go
+++ b/internal/agent/server/session.go
@@ -45,7 +45,8 @@
 	}
 	fleet, err := config.Parse("accepted configuration", yaml)
 	if err != nil {
-		return nil //nolint:nilerr // CheckConfig decides which configurations are accepted.
+		event.ConfigUnreadable.On(s.opts.Logger).Err(err).Msg("")
+		return nil // CheckConfig decides which configurations are accepted.
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/control/portal/warm_up.go
+++ b/internal/control/portal/warm_up.go
@@ -166,16 +166,16 @@
 		return nil
 	}
 	m := &message.WarmUp{Judged: p.tracker.Judges(now)}
-	permits := map[string]int{}
+	permits := map[roster.Incarnation]int{}
 	if p.isGranting(now) {
 		var granted []message.ColdEndpoint
 		granted, m.Report, m.Serial = p.permits.TakeCold(peer)
 		for _, g := range granted {
-			permits[g.Endpoint] = g.Permits
+			permits[g.Incarnation()] = g.Permits
 		}
 	}
 	for _, c := range p.coldEndpoints(now) {
-		if count := permits[c.Endpoint.ID]; all || count > 0 {
+		if count := permits[c.Endpoint]; all || count > 0 {
 			m.Cold = append(m.Cold, message.ColdEndpoint{
 				Endpoint: c.Endpoint.ID, StartedMs: c.Endpoint.StartedMs, Remaining: p.tracker.Remaining(c.Endpoint, now), Permits: count,
 			})
--- a/internal/control/quarantine/breaker.go
+++ b/internal/control/quarantine/breaker.go
@@ -56,7 +56,7 @@
 	// refusals are the last reports of gateways that refuse requests with a key.
 	refusals map[uint64]refusal
 	probes   map[uint64]*probe
-	// suspected is the last key that Evaluate returned as Suspected.
+	// suspected is the last key that Evaluate returned as Candidate.
 	suspected Finding
 }
 
@@ -214,11 +214,11 @@
 	Cause Cause
 }
 
-// Cause is the cause of a HoldChange: one of Suspected, Opened, ProbeStarted, ProbeFailed and Released.
+// Cause is the cause of a HoldChange: one of Candidate, Opened, ProbeStarted, ProbeFailed and Released.
 type Cause interface{ cause() }
 
-// Suspected is the key that is closest to being confirmed since another crash was counted. It is not held.
-type Suspected struct{ Finding }
+// Candidate is the key that is closest to being confirmed since another crash was counted. It is not held.
+type Candidate struct{ Finding }
 
 // Opened is a key that is held from now on.
 type Opened struct {
@@ -242,7 +242,7 @@
 // Released is a key that is not held any more.
 type Released struct{ Reason string }
 
-func (Suspected) cause()    {}
+func (Candidate) cause()    {}
 func (Opened) cause()       {}
 func (ProbeStarted) cause() {}
 func (ProbeFailed) cause()  {}
@@ -261,7 +261,7 @@
 	}
 	if f := b.evidence.strongest; f.Crashes > 0 && (f.Key != b.suspected.Key || f.Crashes > b.suspected.Crashes) {
 		b.suspected = f
-		changes = append(changes, HoldChange{f.Key, Suspected{f}})
+		changes = append(changes, HoldChange{f.Key, Candidate{f}})
 	}
 	for _, key := range slices.Sorted(maps.Keys(b.keys)) {
 		if b.proposals[key] != nil {
--- a/internal/control/quarantine/hold.go
+++ b/internal/control/quarantine/hold.go
@@ -12,7 +12,7 @@
 // Hold says that requests with a key are held back because they crash endpoints.
 type Hold struct {
 	Key uint64 `cbor:"1,keyasint"`
-	// Failures counts the times that the key was confirmed. It is 0 for a key that is released.
+	// Failures is 1 for a suspected key and 2 for a confirmed one; each failed probe adds one. It is 0 for a key that is released.
 	Failures int `cbor:"2,keyasint"`
 	// Number orders the holds by the time of their last change.
 	Number uint64 `cbor:"3,keyasint,omitempty"`
--- a/internal/control/quarantine/log.go
+++ b/internal/control/quarantine/log.go
@@ -18,7 +18,7 @@
 func (c HoldChange) Log(logger *log.Logger) {
 	key := FormatKey(c.Key)
 	switch cause := c.Cause.(type) {
-	case Suspected:
+	case Candidate:
 		cause.log(event.BlameWeighed.On(logger)).Msg("")
 	case Opened:
 		cause.log(event.RequestHeldBack.On(logger)).Int("strikes", cause.Failures).Dur("for", cause.For).Msg("")
--- a/internal/control/server/holds.go
+++ b/internal/control/server/holds.go
@@ -11,12 +11,12 @@
 
 // holdCommands decides which requests are held back and returns the commands that record it. mu is held.
 func (l *leader) holdCommands(now time.Time, committed []quarantine.Hold) []state.Command {
-	l.keeper.Sync(committed, now)
-	for _, c := range l.keeper.Evaluate(now) {
+	l.breaker.Sync(committed, now)
+	for _, c := range l.breaker.Evaluate(now) {
 		c.Log(l.server.opts.Logger)
 	}
 	var commands []state.Command
-	for _, h := range l.keeper.Due(now) {
+	for _, h := range l.breaker.Due(now) {
 		commands = append(commands, state.Hold{Hold: h})
 	}
 	return commands
@@ -26,8 +26,8 @@
 // hold back. mu is held.
 func (l *leader) recordEvidence(entry host.ID, evidence *message.CrashEvidence, now time.Time) *message.Holds {
 	if evidence != nil {
-		l.keeper.Add(entry, *evidence, now).Log(l.server.opts.Logger, entry, now)
+		l.breaker.Add(entry, *evidence, now).Log(l.server.opts.Logger, entry, now)
 		l.requestReconcile()
 	}
-	return &message.Holds{Held: l.keeper.View(entry, now), Watching: &message.Watching{Keys: l.keeper.Watched()}}
+	return &message.Holds{Held: l.breaker.View(entry, now), Watching: &message.Watching{Keys: l.breaker.Watched()}}
 }
--- a/internal/control/server/leader.go
+++ b/internal/control/server/leader.go
@@ -40,7 +40,7 @@
 	quota       *quota.Allocator
 	history     *placementHistory
 	// keeper decides which requests are held back since they crash engines.
-	keeper quarantine.Breaker
+	breaker quarantine.Breaker
 }
 
 func newLeader(s *Server, term uint64) *leader {
--- a/internal/control/warmup/tracker.go
+++ b/internal/control/warmup/tracker.go
@@ -27,8 +27,6 @@
 	// reportInterval is how long the word of the same gateway alone makes an endpoint cold only once: a gateway that is cut off from
 	// endpoints that are sound would limit them again and again.
 	reportInterval = 30 * time.Second
-	// agreementTime is the time within which a second gateway confirms the first one's word.
-	agreementTime = 2 * time.Second
 )
 
 // Tracker knows the cold endpoints. The zero value knows none.
@@ -109,7 +107,7 @@
 	if started || a.WasDead || a.Direct && t.wasSilent(a.LastSeen, seenAt) {
 		s.assume(now.Add(a.WarmUp.Time))
 	}
-	return t.isLater(before, s.end(), now)
+	return t.recordEnd(before, s.end(), now)
 }
 
 // add begins a new incarnation.
@@ -137,8 +135,8 @@
 // AnyCold reports whether any endpoint may be cold.
 func (t *Tracker) AnyCold(now time.Time) bool { return now.Before(t.latestEnd) }
 
-// isLater reports whether the end of a cold time has moved by so much that gateways must hear of it, and notes the end.
-func (t *Tracker) isLater(before, after, now time.Time) bool {
+// recordEnd records the end of a cold time, and reports whether it has moved by so much that gateways must hear of it.
+func (t *Tracker) recordEnd(before, after, now time.Time) bool {
 	if after.After(t.latestEnd) {
 		t.latestEnd = after
 	}
@@ -156,7 +154,7 @@
 	}
 	before := s.end()
 	s.assume(now.Add(remaining))
-	return t.isLater(before, s.end(), now)
+	return t.recordEnd(before, s.end(), now)
 }
 
 // Report records that a gateway has found an incarnation to be cold, for some time from now, and reports whether that is news.
@@ -165,10 +163,7 @@
 	if !known || s.startedMs != id.StartedMs {
 		return false
 	}
-	since := now.Sub(s.reportedAt)
-	again := !s.reportedAt.IsZero() && s.reporter == from && since < reportInterval
-	agreed := !s.reportedAt.IsZero() && s.reporter != from && since < agreementTime
-	if again && !agreed {
+	if !s.reportedAt.IsZero() && s.reporter == from && now.Sub(s.reportedAt) < reportInterval {
 		return false
 	}
 	s.reporter, s.reportedAt = from, now
--- a/internal/entry/balance/explain.go
+++ b/internal/entry/balance/explain.go
@@ -66,6 +66,9 @@
 	for i := range e.Candidates {
 		if t := &e.Candidates[i]; t.Passed == PassedOverNot && t.Endpoint.ID != decision.Endpoint.ID {
 			t.Passed = PassedOverCostlier
+			if decision.Endpoint.ID == "" {
+				t.Passed = PassedOverReserved
+			}
 		}
 	}
 	return e
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -22,10 +22,12 @@
 	PassedOverFull
 	// PassedOverCostlier is an endpoint that may get the request, while another one has a lower cost.
 	PassedOverCostlier
+	// PassedOverReserved is an endpoint whose room is kept for other requests, which none gets now.
+	PassedOverReserved
 )
 
 func (p PassedOver) String() string {
-	return [...]string{"none", "tried", "excluded", "returning", "no_capacity", "costlier"}[p]
+	return [...]string{"none", "tried", "excluded", "returning", "no_capacity", "costlier", "reserved"}[p]
 }
 
 // assessment is what the choice between endpoints rests on.
--- a/internal/entry/balance/ranked.go
+++ b/internal/entry/balance/ranked.go
@@ -202,7 +202,9 @@
 	req.PromptTokens = 0
 	req.Regions = Regions{} // The waiting requests may allow different regions.
 	mean := req
-	mean.PromptTokens = b.engines[req.Service].MeanPromptTokens
+	if engine := b.engines[req.Service]; engine != nil { // An operator may have removed it while requests wait.
+		mean.PromptTokens = engine.MeanPromptTokens
+	}
 	for _, t := range b.serving(req) {
 		occupied := b.occupied(t, now)
 		if b.exclusion(t, req, now) != ExclusionNone || occupied >= float64(t.Slots)*maxEngineFill {
@@ -323,6 +325,9 @@
 		switch {
 		case ok:
 			w.Decided <- d
+		case b.barredReason(w.Request) != "":
+			r.Unserved(b.caller(w.Request))
+			w.Decided <- b.refusal(w.Request, b.barredReason(w.Request), now)
 		case !now.Before(w.WaitUntil):
 			expired = append(expired, w)
 		default:
@@ -380,8 +385,8 @@
 	if _, limited := b.limitedShare(w.Request, now); limited {
 		return d
 	}
-	if w.turn.Returned {
-		usable = 0 // It doesn't return once more, so no room is reserved for it.
+	if w.turn.Returned || w.Hedge || len(w.Exclude) > 0 {
+		usable = 0 // Its caller doesn't return once more, or isn't told, so no room is reserved for it.
 	}
 	d.RetryAfter, d.Overload.Promised = r.Return(b.caller(w.Request), len(r.waiting), usable, w.Spread, now)
 	return d
@@ -389,6 +394,7 @@
 
 // usableHeads returns the number of endpoints that may get a request now.
 func (b *Balancer) usableHeads(req Request, now time.Time) int {
+	req.Regions = Regions{} // The number must not differ between requests.
 	count := 0
 	for _, t := range b.serving(req) {
 		switch b.exclusion(t, req, now) {
--- a/internal/entry/balance/ranked_test.go
+++ b/internal/entry/balance/ranked_test.go
@@ -163,3 +163,32 @@
 		b.ProcessQueue(noon.Add(time.Millisecond))
 	}
 }
+
+// TestRankedWaitersAreRefusedAtOnce guards against waiting requests that are held although no endpoint may get them any more since its
+// failure domain is evacuated, and against a crash if an operator removes the service's engine meanwhile.
+func TestRankedWaitersAreRefusedAtOnce(t *testing.T) {
+	waiting := func() (*Balancer, *Waiter) {
+		b := heads(1)
+		b.ServeLate = true
+		b.SetRoutes(llmRoutes(0, 2))
+		b.SetLoad("h0", dialect.Load{Running: 60, Slots: 48}, noon)
+		req := newRequest(300, noon)
+		req.Deadline = noon.Add(10 * time.Second)
+		req.LateUntil = overload.LateUntil(noon, req.Deadline, req.Objective, 0)
+		_, w := b.Submit(req, noon)
+		require.NotNil(t, w)
+		return b, w
+	}
+	b, w := waiting()
+	b.SetEvacuated([]string{b.endpoints["h0"].FailureDomain}, noon)
+	b.ProcessQueue(noon)
+	require.Equal(t, reasonEvacuated, (<-w.Decided).Reason)
+	require.Zero(t, b.Waiting())
+
+	b, w = waiting()
+	b.SetServices(nil)
+	b.SetRoutes(nil)
+	require.NotPanics(t, func() { b.ProcessQueue(noon.Add(time.Millisecond)) })
+	b.ProcessQueue(w.WaitUntil)
+	require.Zero(t, b.Waiting())
+}
--- a/internal/entry/explanation/client.go
+++ b/internal/entry/explanation/client.go
@@ -25,6 +25,12 @@
 	maxTokens = 1 << 30
 )
 
+// client uses no proxy of the environment and follows no redirect: the request has the operator's token and a caller's key.
+var client = http.Client{
+	Transport:     &http.Transport{},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
 // Client asks one gateway. It is ready for use once its fields are set.
 type Client struct {
 	// Address is the IP address and port of a health listener of the gateway.
@@ -46,7 +52,7 @@
 	if q.Key != "" {
 		r.Header.Set(KeyHeader, q.Key)
 	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := client.Do(r)
 	if err != nil {
 		return Document{}, errors.Wrap(err, "call gateway")
 	}
--- a/internal/entry/gateway/explain.go
+++ b/internal/entry/gateway/explain.go
@@ -15,6 +15,7 @@
 	"github.com/egretreach/egretreach/internal/entry/upstream"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 	"github.com/egretreach/egretreach/internal/process/clock"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
 // Pages returns the gateway's pages for the health listeners, by the patterns of http.ServeMux.
@@ -39,6 +40,7 @@
 	}
 	document, err := json.Marshal(g.Explain(q))
 	if err != nil {
+		event.ExplanationFailed.On(g.opts.Logger).Err(err).Msg("")
 		http.Error(w, "the explanation can't be written", http.StatusInternalServerError)
 		return
 	}
--- a/internal/entry/gateway/hedging.go
+++ b/internal/entry/gateway/hedging.go
@@ -126,7 +126,9 @@
 		c.startStandby(a.hedge.ctx, plan, placed)
 		return
 	}
-	g.metrics.hedgesRefused[decision.Reason].Inc(1)
+	if counter := g.metrics.hedgesRefused[decision.Reason]; counter != nil {
+		counter.Inc(1)
+	}
 	if logs {
 		event.HedgeRefused.On(g.opts.Logger).Str("request", c.id).Str("slow_endpoint", a.endpoint.ID).
 			Dur("after", now.Sub(a.startedAt)).Str("reason", decision.Reason.String()).Str("no_retry", reason).Msg("")
--- a/internal/telemetry/event/agent.go
+++ b/internal/telemetry/event/agent.go
@@ -16,4 +16,5 @@
 	CrashUnreported   = register(209, "crash_unreported", log.ErrorLevel)
 	EndpointLimited   = register(210, "endpoint_limited", log.InfoLevel)
 	WarmUpStarted     = register(211, "warm_up_started", log.InfoLevel)
+	ConfigUnreadable  = register(212, "config_unreadable", log.WarnLevel)
 )
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -28,6 +28,7 @@
 	// AttemptWithheld says that a placed request was not sent.
 	AttemptWithheld = register(332, "attempt_withheld", log.InfoLevel)
 	// HedgeRefused says that a request was slow and was not sent to a second endpoint.
-	HedgeRefused = register(333, "hedge_refused", log.InfoLevel)
-	ColdHeard    = register(318, "cold_heard", log.InfoLevel)
+	HedgeRefused      = register(333, "hedge_refused", log.InfoLevel)
+	ExplanationFailed = register(334, "explanation_failed", log.ErrorLevel)
+	ColdHeard         = register(318, "cold_heard", log.InfoLevel)
 )
