gateway: an endpoint that is slow under load is not silent; measurements and capacity

Cause: a stream without an event counted as silent after its objective and twice the forecast. Under load that held for slow heads: their requests were tried elsewhere as well, and the heads got no requests for a while. Change: half of the time after which callers give up, and four times the forecast.

--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/entry/balance"
+	"github.com/egretreach/egretreach/internal/entry/overload"
 	"github.com/egretreach/egretreach/internal/entry/upstream"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
@@ -218,17 +219,24 @@
 	s.g.balancer.FirstEventReceived(a.endpoint.ID, a.balanceRequest, a.decision.Forecast, now.Sub(a.startedAt), now)
 }
 
-// noEventForecasts is how many times the forecast of the first event an endpoint may send nothing before a stream without an event
-// counts as silent. A forecast may be too short by the load that other gateways have sent meanwhile.
-const noEventForecasts = 2
+const (
+	// noEventForecasts is how many times the forecast of the first event an endpoint may send nothing before a stream without an event counts
+	// as silent. A forecast may be too short by the load that other gateways have sent meanwhile.
+	noEventForecasts = 4
+	// noEventPatience is the part of the time after which callers give up a stream for which that holds too. An endpoint that is slow under
+	// load is not silent: to try its requests elsewhere adds to the load, and it gets no requests for a while.
+	noEventPatience = 0.5
+)
 
 // sendsNoEvent reports whether the endpoint of a stream has sent this gateway nothing since the attempt began, or since its response
-// did, for longer than the objective and the forecast allow. The balancer knows an endpoint as stalled only by other streams there.
+// did, for longer than the forecast and the patience of callers allow. The balancer knows an endpoint as stalled only by other streams there.
 func (a *attempt) sendsNoEvent(now time.Time) bool {
-	if a.streamed || a.call.route.Kind != routes.KindStream {
+	route := a.call.route
+	if a.streamed || route.Kind != routes.KindStream {
 		return false
 	}
-	return a.silentFor(now) > max(a.call.route.Objective, noEventForecasts*a.decision.Forecast)
+	patience := time.Duration(noEventPatience * float64(overload.Patience(route.Objective, route.MaxEventGap)))
+	return a.silentFor(now) > max(patience, noEventForecasts*a.decision.Forecast)
 }
 
 // mediaType returns the media type of a response in lower case, without parameters, or "no type".
