--- a/internal/check/callers/process_test.go
+++ b/internal/check/callers/process_test.go
@@ -136,7 +136,9 @@
 
 // waitFor calls done until it returns true, and fails the test after a time that is far longer than any process needs.
 func waitFor(t *testing.T, what string, done func() bool) {
-	for start := time.Now(); !done(); time.Sleep(pollInterval) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for start := time.Now(); !done(); <-ticker.C {
 		require.Less(t, time.Since(start), time.Minute, what)
 	}
 }
