gateway: the ranked queue is a setting, off by default

Cause: on the deployment whose routes differ in priority urgent callers were served no better by rank, and the processor time of the queue made gateways late. Change: ranked_queue switches it on, and serve_late counts with it only; the tests of ranks set it. Tested: overload, balance, gateway, settings, cmd.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -54,7 +54,7 @@
 		Retries:    gateway.RetryLimits{Ratio: s.Retries.Ratio, Burst: s.Retries.Burst, Window: s.Retries.Window},
 		Hedging:    hedge.Settings{Share: s.Hedging.Share, Quantile: s.Hedging.Quantile},
 		BodyMemory: int64(s.BodyMemory), Callers: deps.Callers, CallerConnections: s.CallerConnections, RefuseAfter: refuseAfter(s),
-		ConfigAge: configAge(s), Regions: s.Regions, ServeLate: s.ServeLate, ExplainToken: s.Explain.Token, Metrics: deps.Metrics,
+		ConfigAge: configAge(s), Regions: s.Regions, RankedQueue: s.RankedQueue, ServeLate: s.ServeLate, ExplainToken: s.Explain.Token, Metrics: deps.Metrics,
 		Logger: deps.Logger,
 	})
 	reload := func() {
--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -89,8 +89,10 @@
 	Gateways int
 	// Regions are the regions of failure domains. Endpoints in other domains get no request that names regions.
 	Regions map[string]string
+	// Ranked says that package overload decides for services whose routes differ in priority.
+	Ranked bool
 	// ServeLate says that requests that can't meet their objective any more wait for capacity, and that returned ones go before new ones,
-	// at services whose routes differ in priority. Otherwise such requests get spare capacity only.
+	// where Ranked applies. Otherwise such requests get spare capacity only.
 	ServeLate bool
 	// Phase is a number from 0 up to, but not including, 1 that differs between gateways.
 	Phase float64
--- a/internal/entry/balance/explain_test.go
+++ b/internal/entry/balance/explain_test.go
@@ -203,6 +203,7 @@
 		m.reasons, m.actions = reasons, actions
 		if seed%2 == 1 {
 			m.b.ServeLate = seed%4 == 1
+			m.b.Ranked = true
 			m.b.SetRoutes(llmRoutes(0, 2))
 		}
 		for range 300 {
--- a/internal/entry/balance/heads_model_test.go
+++ b/internal/entry/balance/heads_model_test.go
@@ -145,7 +145,7 @@
 	}
 	for range gateways {
 		b := heads(headCount)
-		b.Gateways, b.ServeLate = gateways, ranked
+		b.Gateways, b.Ranked, b.ServeLate = gateways, ranked, ranked
 		if ranked {
 			b.SetRoutes(append(all, routes.Route{Priority: 99, Targets: all[0].Targets}))
 		}
--- a/internal/entry/balance/ranked.go
+++ b/internal/entry/balance/ranked.go
@@ -19,7 +19,10 @@
 
 // SetRoutes replaces the routes that operators have configured. It follows SetServices.
 func (b *Balancer) SetRoutes(all []routes.Route) {
-	b.rankedServices = rankedServices(all, b.engines)
+	b.rankedServices = nil
+	if b.Ranked {
+		b.rankedServices = rankedServices(all, b.engines)
+	}
 	maps.DeleteFunc(b.ranked, func(s scope, r *rankedScope) bool { return !b.rankedServices[s.service] && len(r.waiting) == 0 })
 }
 
--- a/internal/entry/balance/ranked_test.go
+++ b/internal/entry/balance/ranked_test.go
@@ -68,9 +68,11 @@
 func TestServiceWithoutRanksIsServedAsBefore(t *testing.T) {
 	before := decisions(heads(1))
 	same := heads(1)
+	same.Ranked = true
 	same.SetRoutes(append(llmRoutes(1, 1), routes.Route{Priority: 5, Targets: []routes.Target{{Service: "plain", Weight: 1}}}))
 	require.Equal(t, before, decisions(same))
 	differ := heads(1)
+	differ.Ranked = true
 	differ.SetRoutes(llmRoutes(0, 2))
 	require.NotEqual(t, before, decisions(differ))
 }
@@ -80,6 +82,7 @@
 func TestLateRequestWaitsForAPlace(t *testing.T) {
 	b := heads(1)
 	b.ServeLate = true
+	b.Ranked = true
 	b.SetRoutes(llmRoutes(0, 2))
 	b.SetLoad("h0", dialect.Load{Running: 60, Slots: 48}, noon)
 	req := newRequest(300, noon)
@@ -102,6 +105,7 @@
 // TestUnknownModelsGetNoQueue guards against memory that callers fill by names of models.
 func TestUnknownModelsGetNoQueue(t *testing.T) {
 	b := heads(1)
+	b.Ranked = true
 	b.SetRoutes(llmRoutes(0, 2))
 	req := newRequest(300, noon)
 	req.Model = "unknown"
@@ -147,6 +151,7 @@
 // BenchmarkProcessRankedQueue measures an event while 200 requests wait for six full heads.
 func BenchmarkProcessRankedQueue(bench *testing.B) {
 	b := heads(6)
+	b.Ranked = true
 	b.SetRoutes(llmRoutes(0, 2))
 	for i := range 200 {
 		req := newRequest(300, noon)
@@ -170,6 +175,7 @@
 	waiting := func() (*Balancer, *Waiter) {
 		b := heads(1)
 		b.ServeLate = true
+		b.Ranked = true
 		b.SetRoutes(llmRoutes(0, 2))
 		b.SetLoad("h0", dialect.Load{Running: 60, Slots: 48}, noon)
 		req := newRequest(300, noon)
@@ -187,6 +193,7 @@
 
 	b, w = waiting()
 	b.SetServices(nil)
+	b.Ranked = true
 	b.SetRoutes(nil)
 	require.NotPanics(t, func() { b.ProcessQueue(noon.Add(time.Millisecond)) })
 	b.ProcessQueue(w.WaitUntil)
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -83,6 +83,8 @@
 	Callers *httpserver.Budget
 	// CallerConnections bounds the open connections of callers. 0 is the default of httpserver.
 	CallerConnections int
+	// RankedQueue says that requests for services whose routes differ in priority wait by rank, see balance.Balancer.
+	RankedQueue bool
 	// ServeLate says that late responses are worth as much to callers as those in time, see balance.Balancer.
 	ServeLate bool
 	// ExplainToken is the token of the operators who may ask where requests would go. Without it nobody may.
@@ -161,7 +163,7 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{
 		opts:           opts,
-		balancer:       balance.Balancer{FailureDomain: string(opts.FailureDomain), Regions: opts.Regions, ServeLate: opts.ServeLate},
+		balancer:       balance.Balancer{FailureDomain: string(opts.FailureDomain), Regions: opts.Regions, Ranked: opts.RankedQueue, ServeLate: opts.ServeLate},
 		retryBudgets:   map[string]*balance.RetryBudget{},
 		demand:         map[string]*demand{},
 		arrivals:       map[string]int{},
--- a/internal/entry/gateway/overload_test.go
+++ b/internal/entry/gateway/overload_test.go
@@ -16,6 +16,7 @@
 
 // addPatientRoute puts a configuration in force with a second route to the models, which is less urgent.
 func (f *fixture) addPatientRoute() {
+	f.g.balancer.Ranked = true
 	f.g.opts.Dialect.ParseTable = func(document []byte) (*routes.Table, error) {
 		table := testTable()
 		table.Version = uint64(len(document))
--- a/internal/process/settings/portal_gateway.go
+++ b/internal/process/settings/portal_gateway.go
@@ -58,7 +58,9 @@
 	// Regions maps failure domains to the regions that they are in. Endpoints in other domains get no request whose route or team names
 	// regions.
 	Regions map[string]string `yaml:"regions"`
-	// ServeLate says that late responses are worth as much to callers as those in time. It concerns services whose routes differ in priority.
+	// RankedQueue lets requests for services whose routes differ in priority wait by rank and team, and spreads the returns of refused callers.
+	RankedQueue bool `yaml:"ranked_queue"`
+	// ServeLate says that late responses are worth as much to callers as those in time. It counts with RankedQueue only.
 	ServeLate bool    `yaml:"serve_late"`
 	Explain   Explain `yaml:"explain"`
 	// CallerConnections bounds the open connections of all callers. 0 is the default, which depends on the descriptors of the process.
