--- a/internal/control/permit/warm_up_test.go
+++ b/internal/control/permit/warm_up_test.go
@@ -433,6 +433,7 @@
 	} {
 		for _, gateways := range []int{5, 12, 20, 47} {
 			t.Run(fmt.Sprint(name, "/", gateways), func(t *testing.T) {
+				t.Parallel()
 				for seed := range uint64(3) {
 					load := c.load
 					load.gateways = gateways
