permit: the numbers of grants rise also for a gateway that was forgotten

Cause: found by the read-through. A gateway without reports for three seconds was forgotten with its number of grants; it then ignored the new ones, which began at 1 again. Change: one counter for all gateways. Two comments of the callers' budget say that others may have been evicted.

--- a/internal/control/permit/allocator.go
+++ b/internal/control/permit/allocator.go
@@ -42,6 +42,9 @@
 	changed uint64
 	// warm holds the warm-up limits of the endpoints that are cold.
 	warm map[roster.Incarnation]*limit
+	// serial is the number of the latest grant for cold endpoints. It rises for all gateways together: one that was silent for a while
+	// is forgotten here, and ignores numbers below those that it has seen.
+	serial uint64
 }
 
 // limit is what an incarnation of an endpoint has said last.
--- a/internal/control/permit/warm_up.go
+++ b/internal/control/permit/warm_up.go
@@ -103,7 +103,8 @@
 	if len(g.warm) == 0 {
 		g.warm = map[roster.Incarnation]int{}
 		g.warmReport = g.report // The permits are at least as old as the oldest among them.
-		g.serial++
+		a.serial++
+		g.serial = a.serial
 	}
 	g.warm[id]++
 	l.issued = append(l.issued, issue{l.filledAt, to.id, g.serial, 1})
--- a/internal/process/httpserver/budget.go
+++ b/internal/process/httpserver/budget.go
@@ -100,7 +100,8 @@
 	b.closedTotal = registry.Counter("callers_closed_total", "Connections of callers closed because they held the most memory.")
 }
 
-// open adds a connection with the cost of one that sends nothing. It returns false, and adds nothing, if there is no room for it.
+// open adds a connection with the cost of one that sends nothing. It returns false if there is no room for it; others may
+// have been evicted by then.
 func (b *Budget) open(a *account) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -115,7 +116,8 @@
 	return true
 }
 
-// set changes the cost of a connection, unless it has been removed. It returns false, and changes nothing, if there is no room for it.
+// set changes the cost of a connection, unless it has been removed. It returns false if there
+// is no room for it; others may have been evicted by then.
 func (b *Budget) set(a *account, cost int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
