httpserver: responses that a close cuts are counted and logged with their request

Change: where a connection is closed while the caller has not acknowledged all of a response and bytes of the caller lie unread, so that the kernel resets it, the line response_unsent names the request with both sizes, at most 20 lines a second; responses_unsent_total counts all. Handlers of gateways and entries name their requests. No change to when a connection is closed.

--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -15,6 +15,7 @@
 	"github.com/egretreach/egretreach/internal/entry/dispatch"
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/fleet/team"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 )
 
 // Headers of requests and responses, besides the standard ones.
@@ -131,6 +132,7 @@
 			status: ctx.GetStatusCode(), id: request.NewID(),
 		}
 		c.w.Header().Set(HeaderRequestID, c.id.String())
+		httpserver.NameRequest(c.r.Context(), c.id.String())
 		handle(c)
 	}
 }
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -11,6 +11,7 @@
 	"github.com/egretreach/egretreach/internal/entry/suspicion"
 	"github.com/egretreach/egretreach/internal/entry/upstream"
 	"github.com/egretreach/egretreach/internal/fleet/routes"
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 )
 
 // call is a request of a caller while it is served.
@@ -110,6 +111,7 @@
 	g.metrics.requests.Inc(1)
 	w.Header().Set("Connection", "close")
 	c := &call{g: g, w: w, r: r, arrivedAt: time.Now(), id: r.Header.Get(g.opts.Dialect.Headers.RequestID)}
+	httpserver.NameRequest(r.Context(), c.id)
 	c.refuse(stoppingRetryAfter, "stopping")
 }
 
@@ -119,6 +121,7 @@
 		g: g, w: w, r: r, arrivedAt: time.Now(), id: r.Header.Get(g.opts.Dialect.Headers.RequestID),
 		firstQuestion: g.freshness.Next(),
 	}
+	httpserver.NameRequest(r.Context(), c.id)
 	g.requestCount.Add(1)
 	g.metrics.requests.Inc(1)
 	c.closeAfter = mustCloseAfter(r) || g.stopping.Load()
--- a/internal/process/httpserver/budget.go
+++ b/internal/process/httpserver/budget.go
@@ -59,6 +59,7 @@
 	// loggedRefused and loggedClosed are the counts in the last log line.
 	loggedRefused, loggedClosed uint64
 	refusedTotal, closedTotal   metrics.Counter
+	unsent                      unsentRecord
 }
 
 // account is the share of a connection in a Budget.
@@ -80,7 +81,9 @@
 		opts.BodyMemory = DefaultBodyMemory
 	}
 	b := &Budget{opts: opts, accounts: map[*account]struct{}{}}
+	b.unsent.logger = opts.Logger
 	b.register(opts.Metrics)
+	b.unsent.register(opts.Metrics)
 	return b
 }
 
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -36,6 +36,8 @@
 	// mu guards the other fields. It is not held while the budget is called.
 	mu    sync.Mutex
 	meter meter
+	// request is the ID of the last request, or empty.
+	request string
 	// response is the size of the response that the handler holds whole, and unread that of the part of a response that the caller
 	// doesn't read.
 	response, unread int64
@@ -290,10 +292,23 @@
 
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
+	c.recordUnsent(unsentClosed)
 	c.budget.close(&c.account)
 	return c.Conn.Close()
 }
 
+// recordUnsent records a response that is cut if the connection is closed now.
+func (c *limitedConn) recordUnsent(reason unsentReason) {
+	q, ok := queuesOf(c.Conn)
+	if !ok || q.unsent == 0 || q.unread == 0 {
+		return
+	}
+	c.mu.Lock()
+	request := c.request
+	c.mu.Unlock()
+	c.budget.unsent.add(request, reason, q)
+}
+
 // limitedListener accepts connections as limitedConns, and refuses those beyond the limits.
 type limitedListener struct {
 	net.Listener
--- a/internal/telemetry/event/process.go
+++ b/internal/telemetry/event/process.go
@@ -22,4 +22,6 @@
 	StopSignalRepeated = register(413, "stop_signal_repeated", log.WarnLevel)
 	ProcessFailed      = register(414, "process_failed", log.ErrorLevel)
 	CallersLimited     = register(415, "callers_limited", log.WarnLevel)
+	// ResponseUnsent says that a connection was closed before its caller had received all of a response.
+	ResponseUnsent = register(416, "response_unsent", log.WarnLevel)
 )
