httpserver: a connection is closed once its caller has received the response

What callers saw: a response that was complete for the gateway ended midway, with a reset, around a planned stop; no log line told of it. Cause: net/http closes a connection right after the last response on it. If bytes of the caller lie unread then (its next request, the rest of a body), or arrive later, the kernel resets the connection and drops what the caller has not received. A stopping gateway ends each connection after its response, so callers that read slowly and send ahead lose theirs; a stop neither waited for them nor counted them. Change: the close of a caller's connection ends the sending direction, then reads and drops until the caller has closed or has acknowledged everything (RFC 9112, section 9.6). It ends after 30 s without progress, as writes do, and at the end of the stop. Such connections count towards the limits, the planned stop waits for them, and process_stopping and cut count them. All HTTP listeners share the code: callers of gateways and entries, the portal's API, health and metrics pages. Why it works: no connection with unsent data is closed while bytes of its caller can reset it.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -175,7 +175,7 @@
 	defer cancel()
 	cut := 0
 	if s.drain(ctx) != nil {
-		cut = s.inFlight.Count()
+		cut = max(s.inFlight.Count(), s.callers.InFlight())
 		s.cutRequests(ctx)
 	}
 	_ = s.session.Goodbye()
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -30,6 +30,9 @@
 	net.Conn
 	budget  *Budget
 	account account
+	// lingering is what takes the connection over when it is closed.
+	lingering *lingering
+	closed    atomic.Bool
 	// evicted says that the connection is being closed for the memory that it holds.
 	evicted atomic.Bool
 
@@ -290,9 +293,20 @@
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It returns at once, and the connection is closed when the caller has received everything.
 func (c *limitedConn) Close() error {
-	c.recordUnsent(unsentClosed)
+	if c.closed.Swap(true) {
+		return nil
+	}
+	if c.lingering.ctx.Err() != nil {
+		c.recordUnsent(unsentStopped)
+		return c.release()
+	}
+	return c.lingering.close(c)
+}
+
+// release closes the connection and gives back what it costs.
+func (c *limitedConn) release() error {
 	c.budget.close(&c.account)
 	return c.Conn.Close()
 }
@@ -300,7 +314,7 @@
 // recordUnsent records a response that is cut if the connection is closed now.
 func (c *limitedConn) recordUnsent(reason unsentReason) {
 	q, ok := queuesOf(c.Conn)
-	if !ok || q.unsent == 0 || q.unread == 0 {
+	if !ok || q.unsent == 0 {
 		return
 	}
 	c.mu.Lock()
@@ -334,10 +348,10 @@
 
 // admit returns a connection with its account, or nil if there is no room for it.
 func (s *Server) admit(inner net.Conn) *limitedConn {
-	if s.conns.openCount() >= s.limits.Connections {
+	if s.openCount() >= s.limits.Connections {
 		return nil
 	}
-	c := &limitedConn{Conn: inner, budget: s.limits.Budget}
+	c := &limitedConn{Conn: inner, budget: s.limits.Budget, lingering: s.lingering}
 	c.account.evict = c.evict
 	if !c.budget.open(&c.account) {
 		return nil
--- /dev/null
+++ b/internal/process/httpserver/linger.go
@@ -0,0 +1,129 @@
+package httpserver
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/process/inflight"
+)
+
+const (
+	// lingerCheckInterval is the time between two looks at what a caller has acknowledged.
+	lingerCheckInterval = 50 * time.Millisecond
+	// lingerAfterReceipt is how long a connection stays open once its caller has acknowledged everything, so that what the caller is
+	// just sending does not reset it.
+	lingerAfterReceipt = 500 * time.Millisecond
+	// discardSize is the size of the buffer for what a caller sends after the last response, in bytes.
+	discardSize = 4 << 10
+)
+
+// lingering is the connections whose last response has been written, but not received by their callers (RFC 9112, section 9.6). Create it
+// with newLingering.
+type lingering struct {
+	// ctx ends when they are closed at once.
+	ctx    context.Context
+	cancel context.CancelFunc
+	conns  inflight.Requests
+}
+
+func newLingering() *lingering {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &lingering{ctx: ctx, cancel: cancel}
+}
+
+// close ends the sending direction of a connection, and closes it once the caller has received everything or has left. It returns at once.
+func (l *lingering) close(c *limitedConn) error {
+	q, ok := queuesOf(c.Conn)
+	if !ok || q == (socketQueues{}) {
+		return c.release()
+	}
+	c.budget.set(&c.account, connCost) // net/http releases the header.
+	l.conns.Begin()
+	go func() {
+		defer l.conns.End()
+		defer func() { _ = c.release() }() // Everything was received, or the loss is recorded.
+		if reason := c.linger(l.ctx); reason != unsentNothing {
+			c.recordUnsent(reason)
+		}
+	}()
+	return nil
+}
+
+// linger ends the sending direction, and reads and drops what the caller still sends until it has received everything or has left. It
+// returns unsentNothing in these cases, else why it has given up.
+func (c *limitedConn) linger(ctx context.Context) unsentReason {
+	_ = c.CloseWrite() // The next read shows that the connection has ended.
+	stop := context.AfterFunc(ctx, func() { _ = c.Conn.SetReadDeadline(longAgo) })
+	defer stop()
+	evicted := c.evicted.Load()
+	var p receiptProgress
+	for {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerCheckInterval))
+		switch {
+		case ctx.Err() != nil:
+			return unsentStopped
+		case !evicted && c.evicted.Load():
+			return unsentEvicted
+		}
+		if err := discard(c.Conn); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return unsentNothing
+		}
+		q, ok := queuesOf(c.Conn)
+		if !ok {
+			return unsentNothing
+		}
+		switch p.next(q.unsent) {
+		case receiptDone:
+			return unsentNothing
+		case receiptStalled:
+			return unsentStalled
+		case receiptPending:
+		}
+	}
+}
+
+// discard reads from a connection until a read fails.
+func discard(c net.Conn) error {
+	var buffer [discardSize]byte
+	for {
+		if _, err := c.Read(buffer[:]); err != nil {
+			return err
+		}
+	}
+}
+
+// receiptState says how far a caller has received the last response.
+type receiptState int
+
+const (
+	receiptPending receiptState = iota
+	receiptDone
+	receiptStalled
+)
+
+// receiptProgress follows how much a caller has not acknowledged. It counts its looks in place of the time, which goes on while the process
+// stands still. The zero value has seen nothing.
+type receiptProgress struct {
+	// unsent is what the last look found, and unchanged how many looks in a row have found it.
+	unsent, unchanged int
+}
+
+// next returns the state after a look that has found unsent bytes.
+func (p *receiptProgress) next(unsent int) receiptState {
+	if unsent != p.unsent {
+		p.unsent, p.unchanged = unsent, 0
+	}
+	p.unchanged++
+	switch {
+	case unsent == 0 && p.unchanged > int(lingerAfterReceipt/lingerCheckInterval):
+		return receiptDone
+	case p.unchanged > int(transferTimeout/lingerCheckInterval):
+		return receiptStalled
+	default:
+		return receiptPending
+	}
+}
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -22,6 +22,8 @@
 	server   *http.Server
 	requests inflight.Requests
 	conns    connections
+	// lingering has the connections that callers still read from after the last response.
+	lingering *lingering
 	// maxKept is the number of open connections above which none is kept after a response.
 	maxKept  int
 	limits   CallerLimits
@@ -64,7 +66,7 @@
 // and, once Stop has been called, by refuse. It changes server, which must not be used otherwise, and sets
 // its ConnState and ConnContext. limits may be omitted.
 func New(server *http.Server, refuse http.Handler, limits ...CallerLimits) *Server {
-	s := &Server{server: server, maxKept: maxKeptConnections()}
+	s := &Server{server: server, maxKept: maxKeptConnections(), lingering: newLingering()}
 	for _, l := range limits {
 		s.limits = l
 	}
@@ -80,7 +82,7 @@
 			refuse.ServeHTTP(w, r)
 			return
 		}
-		if s.conns.openCount() > s.maxKept {
+		if s.openCount() > s.maxKept {
 			w.Header().Set("Connection", "close")
 		}
 		if !s.limits.OwnBodies && r.ContentLength != 0 {
@@ -127,8 +129,8 @@
 	maxIdleWait       = 2 * time.Second
 )
 
-// Stop accepts no more connections, closes idle ones and refuses requests. It returns nil once all
-// responses have been sent and all connections are closed, or the error of ctx if it ends first. It
+// Stop accepts no more connections, closes idle ones and refuses requests. It returns nil once callers
+// have received all responses and all connections are closed, or the error of ctx if it ends first. It
 // doesn't use the Shutdown of net/http, which drops the requests that it reads from then on.
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
@@ -138,17 +140,24 @@
 	}
 	s.awaitIdleEnds(ctx)
 	s.server.SetKeepAlivesEnabled(false)
-	idle := s.conns.whenIdle()
+	if !awaitIdle(ctx, s.conns.whenIdle()) || !awaitIdle(ctx, s.lingering.conns.WhenIdle()) {
+		return ctx.Err()
+	}
+	return s.Close()
+}
+
+// awaitIdle waits until idle is closed or ctx ends. It reports whether idle is closed, also if ctx has ended before.
+func awaitIdle(ctx context.Context, idle <-chan struct{}) bool {
 	select {
 	case <-idle:
-		return s.Close()
+		return true
 	case <-ctx.Done():
 	}
 	select {
 	case <-idle:
-		return s.Close()
+		return true
 	default:
-		return ctx.Err()
+		return false
 	}
 }
 
@@ -165,10 +174,18 @@
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
 // Close closes all connections at once.
-func (s *Server) Close() error { return s.server.Close() }
+func (s *Server) Close() error {
+	s.lingering.cancel()
+	err := s.server.Close()
+	<-s.lingering.conns.WhenIdle()
+	return err
+}
+
+// openCount returns the number of open connections.
+func (s *Server) openCount() int { return s.conns.openCount() + s.lingering.conns.Count() }
 
-// InFlight returns the number of requests being served.
-func (s *Server) InFlight() int { return s.requests.Count() }
+// InFlight returns the number of requests being served, and of responses that callers have not received.
+func (s *Server) InFlight() int { return s.requests.Count() + s.lingering.conns.Count() }
 
 // WhenIdle returns a channel that is closed once no request is being served.
 func (s *Server) WhenIdle() <-chan struct{} { return s.requests.WhenIdle() }
--- a/internal/process/httpserver/tcp_test.go
+++ b/internal/process/httpserver/tcp_test.go
@@ -11,9 +11,9 @@
 
 const (
 	// callerBuffer is the receive buffer of a caller that reads slowly, in bytes.
-	callerBuffer = 4 << 10
+	callerBuffer = 64 << 10
 	// responseSize is more than a caller's receive buffer and less than a send buffer holds, in bytes.
-	responseSize = 1 << 20
+	responseSize = 512 << 10
 	// sendBuffer is the send buffer of a server's connections, in bytes.
 	sendBuffer = 4 << 20
 )
--- a/internal/process/httpserver/unsent.go
+++ b/internal/process/httpserver/unsent.go
@@ -18,10 +18,19 @@
 	unsentLogInterval = time.Second
 )
 
-// unsentReason says why a connection was closed before the caller had received all of a response.
+// unsentReason says why a connection was closed before the caller had received all of a response. It is empty if the caller has received it
+// or has left.
 type unsentReason string
 
-const unsentClosed unsentReason = "closed"
+const (
+	unsentNothing unsentReason = ""
+	// unsentStopped is the end of a planned stop, or of the server.
+	unsentStopped unsentReason = "stop"
+	// unsentEvicted is that of a connection that held the most memory.
+	unsentEvicted unsentReason = "caller memory"
+	// unsentStalled is that of a caller that has received nothing for transferTimeout.
+	unsentStalled unsentReason = "no progress"
+)
 
 // unsentRecord counts and logs the responses that were cut by closing their connections. Its zero value logs nothing.
 type unsentRecord struct {
