gateway: connections of callers can end their sending direction

What callers saw: the end of the last response on a connection came only with the close of the connection, also where net/http ends the sending direction first (a header that is too large, a body that was not read). Cause: framingConn, which looks for two framings of a request, wraps the connection and had no CloseWrite; the server's own wrapper found none and did nothing without a word. Change: framingConn passes CloseWrite on. No other wrapper of a caller's connection hides it (httpserver has two: limitedConn and this one).

--- a/internal/entry/gateway/framing.go
+++ b/internal/entry/gateway/framing.go
@@ -88,6 +88,14 @@
 	return socket.SyscallConn()
 }
 
+// CloseWrite ends the sending direction of a connection that supports it.
+func (c *framingConn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
 // takeAmbiguous reports whether both headers have been read, and resets the record.
 func (c *framingConn) takeAmbiguous() bool {
 	sawLength, sawTransferEncoding := c.sawLength.Swap(false), c.sawTransferEncoding.Swap(false)
--- a/internal/entry/gateway/framing_test.go
+++ b/internal/entry/gateway/framing_test.go
@@ -46,3 +46,32 @@
 	c := &framingConn{}
 	require.Zero(t, testing.AllocsPerRun(100, func() { c.lookAt(body) }))
 }
+
+// TestFramingConnEndsItsSendingDirection guards against a connection whose caller doesn't see the end of the response before the connection
+// is closed, which resets it if the caller sends more.
+func TestFramingConnEndsItsSendingDirection(t *testing.T) {
+	var config net.ListenConfig
+	inner, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = inner.Close() }()
+	caller, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	served, err := framingListener{inner}.Accept()
+	require.NoError(t, err)
+	defer func() { _ = served.Close() }()
+
+	_, err = io.WriteString(served, "response")
+	require.NoError(t, err)
+	closer, ok := served.(interface{ CloseWrite() error })
+	require.True(t, ok)
+	require.NoError(t, closer.CloseWrite())
+	received, err := io.ReadAll(caller)
+	require.NoError(t, err)
+	require.Equal(t, "response", string(received))
+	_, err = io.WriteString(caller, "request")
+	require.NoError(t, err)
+	var sent [len("request")]byte
+	_, err = io.ReadFull(served, sent[:])
+	require.NoError(t, err, "the other direction stays open")
+}
