httpserver: nothing is read from a connection once it is closed

A planned stop lets net/http close idle connections from outside while their goroutines wait in a read. Since the close only ends the sending direction at first, such a goroutine could read a request that crosses the close and serve it, though its response can't be sent. Cause: the wrapper's Close no longer ended pending and later reads. Change: reads and read deadlines of a closed connection fail, and the sending direction ends before Close returns.

--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -64,11 +64,17 @@
 
 // Read implements net.Conn. It doesn't copy what is read.
 func (c *limitedConn) Read(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	if c.evicted.Load() {
 		return 0, c.refuse(len(p))
 	}
 	limited := c.limitBodyRead(len(p))
 	n, err := c.Conn.Read(p)
+	if c.closed.Load() {
+		return 0, net.ErrClosed // No response to what has been read could be sent.
+	}
 	if limited {
 		c.endBodyRead()
 	}
@@ -147,8 +153,11 @@
 	return c.setReadDeadline(t)
 }
 
-// setReadDeadline sets a deadline unless the connection is evicted; mu must be held.
+// setReadDeadline sets a deadline unless the connection is evicted or closed; mu must be held.
 func (c *limitedConn) setReadDeadline(t time.Time) error {
+	if c.closed.Load() {
+		return net.ErrClosed
+	}
 	err := c.Conn.SetReadDeadline(t)
 	if c.evicted.Load() {
 		return c.Conn.SetReadDeadline(longAgo)
--- a/internal/process/httpserver/linger.go
+++ b/internal/process/httpserver/linger.go
@@ -42,6 +42,7 @@
 		return c.release()
 	}
 	c.budget.set(&c.account, connCost) // net/http releases the header.
+	_ = c.CloseWrite() // The reads show whether the connection has ended.
 	l.conns.Begin()
 	go func() {
 		defer l.conns.End()
@@ -53,10 +54,9 @@
 	return nil
 }
 
-// linger ends the sending direction, and reads and drops what the caller still sends until it has received everything or has left. It
-// returns unsentNothing in these cases, else why it has given up.
+// linger reads and drops what the caller still sends until it has received everything or has left. It returns unsentNothing in these cases,
+// else why it has given up.
 func (c *limitedConn) linger(ctx context.Context) unsentReason {
-	_ = c.CloseWrite() // The next read shows that the connection has ended.
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.SetReadDeadline(longAgo) })
 	defer stop()
 	evicted := c.evicted.Load()
--- a/internal/process/httpserver/linger_test.go
+++ b/internal/process/httpserver/linger_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
@@ -80,6 +81,30 @@
 	require.Zero(t, s.openCount())
 }
 
+// TestNothingIsReadFromAClosedConnection guards against a request that crosses the close of an idle connection, is read and runs although its
+// response can't be sent.
+func TestNothingIsReadFromAClosedConnection(t *testing.T) {
+	l := listenTCP(t)
+	s := New(&http.Server{}, handle(503, "refused", 0))
+	t.Cleanup(func() { _ = s.Close() })
+	caller := dialSlow(t, l)
+	inner, err := l.Accept()
+	require.NoError(t, err)
+	served := s.admit(inner)
+	send(t, served, strings.Repeat("x", responseSize))
+	reads := make(chan error, 1)
+	go func() {
+		var b [1]byte
+		_, err := served.Read(b[:])
+		reads <- err
+	}()
+	require.NoError(t, served.Close())
+	<-l.ended
+	send(t, caller, simpleRequest)
+	require.ErrorIs(t, <-reads, net.ErrClosed)
+	require.ErrorIs(t, served.SetReadDeadline(time.Time{}), net.ErrClosed)
+}
+
 // TestEndOfAStopRecordsWhatCallersMiss guards against a response that the end of a planned stop cuts, and of which no log line tells.
 func TestEndOfAStopRecordsWhatCallersMiss(t *testing.T) {
 	var lines bytes.Buffer
--- a/internal/process/httpserver/tcp_test.go
+++ b/internal/process/httpserver/tcp_test.go
@@ -54,12 +54,18 @@
 	return c.TCPConn.Close()
 }
 
-// serveTCP serves handler on a loopback address until the test ends.
-func serveTCP(t *testing.T, handler http.HandlerFunc, limits ...CallerLimits) (*Server, *observedListener) {
+// listenTCP listens on a loopback address.
+func listenTCP(t *testing.T) *observedListener {
 	var config net.ListenConfig
 	inner, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l := &observedListener{Listener: inner, ended: make(chan struct{})}
+	t.Cleanup(func() { _ = inner.Close() })
+	return &observedListener{Listener: inner, ended: make(chan struct{})}
+}
+
+// serveTCP serves handler on a loopback address until the test ends.
+func serveTCP(t *testing.T, handler http.HandlerFunc, limits ...CallerLimits) (*Server, *observedListener) {
+	l := listenTCP(t)
 	s := New(&http.Server{Handler: handler}, handle(503, "refused", 0), limits...)
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
