httpserver: a response that its caller has received isn't in flight

What operators saw: a planned stop counted responses as cut whose callers had received them and kept their connections. Cause: a connection stays open for 0.5 s after its caller has acknowledged everything, and counted as in flight all the time. Change: it counts until the caller has acknowledged everything. Measured: TestReceivedResponseIsNotInFlight passes in 5 of 5 runs; what it waits for does not exist on the code before.

--- a/internal/process/httpserver/linger.go
+++ b/internal/process/httpserver/linger.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,7 +28,8 @@
 	// ctx ends when they are closed at once.
 	ctx    context.Context
 	cancel context.CancelFunc
-	conns  inflight.Requests
+	// conns counts the connections, and unreceived those whose callers have not acknowledged everything.
+	conns, unreceived inflight.Requests
 }
 
 func newLingering() *lingering {
@@ -42,21 +44,27 @@
 		return c.release()
 	}
 	c.budget.set(&c.account, connCost) // net/http releases the header.
-	_ = c.CloseWrite() // The reads show whether the connection has ended.
+	_ = c.CloseWrite()                 // The reads show whether the connection has ended.
 	l.conns.Begin()
-	go func() {
-		defer l.conns.End()
-		defer func() { _ = c.release() }() // Everything was received, or the loss is recorded.
-		if reason := c.linger(l.ctx); reason != unsentNothing {
-			c.recordUnsent(reason)
-		}
-	}()
+	l.unreceived.Begin()
+	go l.await(c)
 	return nil
 }
 
+// await closes a connection once its caller has received everything or has left, or when ctx ends.
+func (l *lingering) await(c *limitedConn) {
+	defer l.conns.End()
+	defer func() { _ = c.release() }() // Everything was received, or the loss is recorded.
+	received := sync.OnceFunc(l.unreceived.End)
+	defer received()
+	if reason := c.linger(l.ctx, received); reason != unsentNothing {
+		c.recordUnsent(reason)
+	}
+}
+
 // linger reads and drops what the caller still sends until it has received everything or has left. It returns unsentNothing in these cases,
-// else why it has given up.
-func (c *limitedConn) linger(ctx context.Context) unsentReason {
+// else why it has given up. It calls received as soon as the caller has received everything.
+func (c *limitedConn) linger(ctx context.Context, received func()) unsentReason {
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.SetReadDeadline(longAgo) })
 	defer stop()
 	evicted := c.evicted.Load()
@@ -76,6 +84,9 @@
 		if !ok {
 			return unsentNothing
 		}
+		if q.unsent == 0 {
+			received()
+		}
 		switch p.next(q.unsent) {
 		case receiptDone:
 			return unsentNothing
--- a/internal/process/httpserver/linger_test.go
+++ b/internal/process/httpserver/linger_test.go
@@ -105,6 +105,19 @@
 	require.ErrorIs(t, served.SetReadDeadline(time.Time{}), net.ErrClosed)
 }
 
+// TestReceivedResponseIsNotInFlight guards against a planned stop that counts a response as cut although its caller, which keeps its
+// connection, has received it.
+func TestReceivedResponseIsNotInFlight(t *testing.T) {
+	s, l := serveTCP(t, respondAndClose)
+	c := dialSlow(t, l)
+	send(t, c, simpleRequest)
+	<-l.ended
+	require.Equal(t, 1, s.InFlight())
+	readWhole(t, c)
+	<-s.lingering.unreceived.WhenIdle()
+	require.Zero(t, s.InFlight())
+}
+
 // TestEndOfAStopRecordsWhatCallersMiss guards against a response that the end of a planned stop cuts, and of which no log line tells.
 func TestEndOfAStopRecordsWhatCallersMiss(t *testing.T) {
 	var lines bytes.Buffer
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -185,7 +185,7 @@
 func (s *Server) openCount() int { return s.conns.openCount() + s.lingering.conns.Count() }
 
 // InFlight returns the number of requests being served, and of responses that callers have not received.
-func (s *Server) InFlight() int { return s.requests.Count() + s.lingering.conns.Count() }
+func (s *Server) InFlight() int { return s.requests.Count() + s.lingering.unreceived.Count() }
 
 // WhenIdle returns a channel that is closed once no request is being served.
 func (s *Server) WhenIdle() <-chan struct{} { return s.requests.WhenIdle() }
