gateway: the fields of an attempt are grouped by its phases

Change: a struct and a file for each phase, embedded in attempt, so that uses stay as they are; what concerns the retry budget moved to retry_policy.go. No function body has changed but for two literals of attempt.

--- a/internal/entry/gateway/hedging.go
+++ b/internal/entry/gateway/hedging.go
@@ -154,7 +154,7 @@
 	retries.TryRetry(now)
 	g.metrics.retries.Inc(1)
 	g.metrics.hedges.Inc(1)
-	placed := &attempt{call: c, balanceRequest: req, endpoint: d.Endpoint, startedAt: now, decision: d}
+	placed := &attempt{call: c, attemptPlacement: attemptPlacement{balanceRequest: req, endpoint: d.Endpoint, startedAt: now, decision: d}}
 	placed.setSendBy(now)
 	return placed, decision
 }
--- a/internal/entry/gateway/hedging_test.go
+++ b/internal/entry/gateway/hedging_test.go
@@ -213,7 +213,10 @@
 func TestBegunStreamIsCheckedAsBefore(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		c := &call{g: f.g, service: "llm", model: "m"}
-		a := &attempt{call: c, endpoint: roster.Endpoint{ID: "h0"}, startedAt: time.Now(), hedge: &hedgePlan{delay: time.Millisecond}}
+		a := &attempt{
+			call: c, attemptPlacement: attemptPlacement{endpoint: roster.Endpoint{ID: "h0"}, startedAt: time.Now()},
+			attemptWait: attemptWait{hedge: &hedgePlan{delay: time.Millisecond}},
+		}
 		require.Equal(t, time.Millisecond, a.nextHedgeCheck())
 		(&streamCall{call: c}).eventReceived(a)
 		time.Sleep(time.Second)
--- a/internal/entry/gateway/retry_policy.go
+++ b/internal/entry/gateway/retry_policy.go
@@ -48,3 +48,35 @@
 	p.request.LateUntil = time.Time{} // The present attempt may go on, so this one is not worth a late place.
 	return p
 }
+
+// sends returns how often the request was sent, a pending standby included.
+func (c *call) sends() int {
+	if c.pending != nil && c.pending.acquired.Load() != nil {
+		return c.stats.sends + 1
+	}
+	return c.stats.sends
+}
+
+// tryRetry reports whether the service's retry budget allows a retry, and takes it if so. The next attempt after one that was withheld
+// is no further request to an endpoint.
+func (c *call) tryRetry() bool {
+	if c.withheld != "" {
+		c.withheld = ""
+		return true
+	}
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	if !c.g.retryBudget(c.service).TryRetry(time.Now()) {
+		return false
+	}
+	c.g.metrics.retries.Inc(1)
+	return true
+}
+
+// countRequest adds the request to the service's retry budget.
+func (c *call) countRequest() {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	c.g.retryBudget(c.service).AddRequest(time.Now())
+	c.g.earnHedges(c.service)
+}
