control: a replaced process receives the refusal of its announcement

What callers saw: not observed in a fleet. By the code, an agent that was cut off while a later process took over its host does not learn of it: in place of ending with agent_superseded it announces itself again every 0.2 s. Cause: openSession's refusal was sent on a stream whose deferred Cancel followed at once. CancelWrite discards what the peer has not received. Change: Cancel is deferred once the session is open; a refused stream is closed after what was sent.

--- a/internal/control/server/session.go
+++ b/internal/control/server/session.go
@@ -59,15 +59,15 @@
 		_ = stream.Send(s.failureMessage(err))
 		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer stream.Cancel()
 	session, refusal := l.openSession(stream, m)
 	if refusal != nil {
 		_ = stream.Send(refusal)
 		return
 	}
 	defer l.sessionEnded(session)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer stream.Cancel() // It discards what was sent, as for a session that is over.
 	if m.Renewal != nil && session.renewFirst(*m.Renewal) != nil {
 		return
 	}
