transport: Drain waits until peers have received the answers to their calls

Cause: a link that is closed drops the stream data that its peer's application has not read, also data that QUIC has acknowledged: quic-go ends its reads at once. An acknowledgement, or the return of Send, does not show that an answer was received, and a loss had no log line. Change: Stream.Answer sends the last frame of a call and counts it until the peer closes its side of the stream, which it does once it has read the answer or given it up; then the stream is closed. Socket.Drain waits until none is left or its context ends. A link that ends with answers left, by a timeout or by this process, logs answers_unreceived with their number and the cause. Alternatives: a confirmation frame needs a change of the protocol, and the end of the peer's side says the same.

--- a/internal/link/transport/conn.go
+++ b/internal/link/transport/conn.go
@@ -39,6 +39,8 @@
 	// self is the identity in the certificate that this process has shown to the peer.
 	self identity.Identity
 	peer identity.Identity
+	// receipts counts the answers to the peer's calls. It is nil on a link that this process has dialed.
+	receipts *receipts
 }
 
 func newConn(c *quic.Conn, self identity.Identity) (*Conn, error) {
@@ -72,6 +74,7 @@
 
 // serve handles the calls that the peer starts on the link until ctx or the link ends. The link ends with it.
 func (c *Conn) serve(ctx context.Context, handle Handler) {
+	defer c.logUnreceived()
 	defer c.Close() // The function below doesn't run if AcceptStream notices the end of ctx first.
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
@@ -82,8 +85,10 @@
 		}
 		go func() {
 			stream := newStream(s, c.peer)
+			stream.receipts = c.receipts
 			defer stream.Close()
 			handle(s.Context(), stream)
+			stream.awaitReceipt()
 		}()
 	}
 }
--- a/internal/link/transport/stream.go
+++ b/internal/link/transport/stream.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"net"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 
 	"github.com/egretreach/egretreach/internal/link/identity"
@@ -22,6 +25,10 @@
 	stream *quic.Stream
 	reader *bufio.Reader
 	peer   identity.Identity
+	// receipts counts the answer until the peer has received it. It is nil if this process has started the call.
+	receipts *receipts
+	// answered is set by Answer.
+	answered bool
 
 	sendMu sync.Mutex
 	buf    []byte
@@ -47,6 +54,35 @@
 	return err
 }
 
+// Answer sends the last frame of a call that the peer has started, and closes this side for sending. The peer closes its side once it has
+// received the frame; until then Socket.Drain waits. The handler must return after it, and no other goroutine may receive then.
+func (s *Stream) Answer(m message.Message) error {
+	s.receipts.begin()
+	err := s.Send(m)
+	if err == nil {
+		err = s.CloseSend()
+	}
+	if err != nil {
+		s.receipts.end(!isLinkLost(err))
+		return err
+	}
+	s.answered = true
+	return nil
+}
+
+// awaitReceipt waits until the peer has closed its side of the stream, or the link has ended. It drops what the peer still sends.
+func (s *Stream) awaitReceipt() {
+	if !s.answered {
+		return
+	}
+	_ = s.stream.SetReadDeadline(time.Time{})
+	_, err := io.Copy(io.Discard, s.reader)
+	s.receipts.end(!isLinkLost(err))
+}
+
+// isLinkLost reports whether a read or write of a stream has failed because its link has ended.
+func isLinkLost(err error) bool { return errors.Is(err, net.ErrClosed) }
+
 // Receive reads one frame. It returns io.EOF after the peer has closed its side.
 func (s *Stream) Receive() (message.Message, error) { return message.Read(s.reader) }
 
--- a/internal/link/transport/transport.go
+++ b/internal/link/transport/transport.go
@@ -8,10 +8,12 @@
 	"net"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 
 	"github.com/egretreach/egretreach/internal/link/identity"
+	"github.com/egretreach/egretreach/internal/process/inflight"
 )
 
 // Timeouts and limits of a link. A link on which nothing arrives for idleTimeout is
@@ -49,6 +51,8 @@
 	credentials *identity.Credentials
 	opts        Options
 	dialSockets socketSet
+	// unreceived counts the answers that peers have not received.
+	unreceived inflight.Requests
 }
 
 // basicPacketConn hides the system-call interface of a socket, so that quic-go uses
@@ -81,6 +85,8 @@
 	// has lost the state of the first one does not drop its packets as well. If it is
 	// nil, all links are dialed from the socket that was passed to New.
 	NewDialSocket func() (net.PacketConn, error)
+	// Logger may be nil.
+	Logger *log.Logger
 }
 
 func (o Options) wrapConn(pc net.PacketConn) net.PacketConn {
@@ -147,7 +153,7 @@
 	return conn, nil
 }
 
-// Handler serves one call. The stream is closed when the handler returns.
+// Handler serves one call. The stream is closed when the handler returns, or, after Stream.Answer, once the peer has received the answer.
 type Handler func(ctx context.Context, s *Stream)
 
 // Serve accepts links until ctx ends and calls handle in a goroutine of its own for
@@ -171,6 +177,7 @@
 			_ = accepted.CloseWithError(codeIdentity, err.Error())
 			continue
 		}
+		conn.receipts = &receipts{all: &s.unreceived, logger: s.opts.Logger}
 		go conn.serve(ctx, handle)
 	}
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -130,7 +130,7 @@
 	deps := Dependencies{
 		Callers: httpserver.NewBudget(budget),
 		Socket: transport.New(socket, credentials, transport.Options{
-			Offload: opts.Link.Offload, NewDialSocket: dialFrom(opts.Link.Address),
+			Offload: opts.Link.Offload, NewDialSocket: dialFrom(opts.Link.Address), Logger: logger,
 		}),
 		Credentials: credentials,
 		Metrics:     metrics,
