agent: a planned stop waits until entries have received their answers

What callers saw: by the tests, a response that was complete at the agent ended midway around the agent's planned stop, where the caller read slowly. The entry takes an attempt as lost then; an at-most-once one stays unknown although it has run, or was refused. Cause: the stop waited for at most 1 s until an entry had closed its side after the End, and not at all after a refusal or the answer to an Ask. Then it closed the links, which drops what the entries have not read. Change: all last frames are sent by Answer, and the stop drains the socket before it closes the links, bounded by its context alone; so does the second that a superseded agent leaves to calls. The replica is released and control told as before, without a wait for slow readers. in_flight of process_stopping and cut of process_stopped count such answers. Why it works: no link is closed while an entry may still read an answer from it, unless the time of the stop is up. Cost: an entry whose caller reads slowly holds the stop of the agent, as it holds that of a gateway; the dispatch stays in memory until then. Measured: the three tests (generation, Ask, refusal, each unread for 10 s) fail in 5 of 5 runs without the change and pass in 5 of 5 with it.

--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -11,6 +11,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/config"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/process/daemon"
 	"github.com/egretreach/egretreach/internal/process/settings"
 )
@@ -44,10 +45,10 @@
 			}
 			return nil
 		},
-		InFlight: agent.InProgress,
+		InFlight: func() int { return agent.InProgress() + deps.Socket.Unreceived() },
 		Shutdown: func(ctx context.Context) int {
-			_ = agent.Shutdown(ctx)
-			return agent.InProgress()
+			err := agent.Shutdown(ctx)
+			return agent.InProgress() + transport.UnreceivedAnswers(err)
 		},
 	}, nil
 }
--- a/internal/agent/server/dispatch.go
+++ b/internal/agent/server/dispatch.go
@@ -25,6 +25,14 @@
 // serveDispatch serves one attempt that an entry dispatched: it runs the attempt
 // and sends the response and its End.
 func (s *Server) serveDispatch(ctx context.Context, stream *transport.Stream, d *message.Dispatch) {
+	if peerClosed := s.answerDispatch(ctx, stream, d); peerClosed != nil {
+		<-peerClosed
+	}
+}
+
+// answerDispatch runs the attempt of a dispatch and sends the answer. If it has accepted the attempt and sent its End, it returns a channel
+// that is closed when the entry has closed its side of the stream.
+func (s *Server) answerDispatch(ctx context.Context, stream *transport.Stream, d *message.Dispatch) <-chan struct{} {
 	s.dispatchStarted()
 	defer s.dispatchEnded()
 	r := &runningAttempt{dispatch: d}
@@ -33,7 +41,7 @@
 	s.awaitLease(ctx, d)
 	if err := s.admit(r); err != nil {
 		s.refuse(stream, d.Ref, err)
-		return
+		return nil
 	}
 	peerClosed := make(chan struct{})
 	go func() {
@@ -44,9 +52,10 @@
 	end := s.runAttempt(runCtx, stream, r, answer)
 	end.Ref = d.Ref
 	s.finishAttempt(r, end, answer)
-	if stream.Send(end) == nil {
-		waitPeerClosed(peerClosed)
+	if stream.Answer(end) != nil {
+		return nil
 	}
+	return peerClosed
 }
 
 // leaseWait bounds how long an at-most-once attempt waits for this agent's lease.
@@ -63,18 +72,6 @@
 	s.await(ctx, func() bool { return s.session.Valid() || s.gate.Stopping() })
 }
 
-// waitPeerClosed waits up to peerCloseTimeout until the entry has closed its side
-// of the stream, which shows that it has received the End. Without the wait, an
-// agent that shuts down could close the link before the End arrives.
-func waitPeerClosed(peerClosed <-chan struct{}) {
-	timer := time.NewTimer(peerCloseTimeout)
-	defer timer.Stop()
-	select {
-	case <-peerClosed:
-	case <-timer.C:
-	}
-}
-
 func (s *Server) dispatchStarted() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -196,7 +193,7 @@
 		refused.RetryAfterMs = limited.RetryAfter.Milliseconds() + 1
 	case attempt.IsErrDuplicate(err):
 		s.countRejected(stream.Peer().String(), err.Error(), 1)
-		_ = stream.Send(&message.End{Ref: ref, Outcome: request.OutcomeUnknown, Code: codeDuplicate, Reason: err.Error()})
+		_ = stream.Answer(&message.End{Ref: ref, Outcome: request.OutcomeUnknown, Code: codeDuplicate, Reason: err.Error()})
 		return
 	case attempt.IsErrTombstone(err):
 		refused.Code = codeGivenUp
@@ -207,7 +204,7 @@
 		refused.Code = closed.Code
 		refused.Reason = closed.Reason
 	}
-	_ = stream.Send(refused)
+	_ = stream.Answer(refused)
 }
 
 // runAttempt passes an accepted attempt to its endpoint. It checks the attempt again
--- a/internal/agent/server/handler.go
+++ b/internal/agent/server/handler.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		if message.IsErrMalformed(err) || message.IsErrUnknownKind(err) || message.IsErrFrameTooLarge(err) {
 			s.countRejected(stream.Peer().String(), err.Error(), 1)
-			_ = stream.Send(&message.Failure{Code: codeMalformed, Reason: err.Error()})
+			_ = stream.Answer(&message.Failure{Code: codeMalformed, Reason: err.Error()})
 		}
 		return
 	}
@@ -43,7 +43,7 @@
 		s.serveDispatch(ctx, stream, m)
 	case *message.Cancel:
 		s.cancelAttempt(m.Ref, errStopped{Code: codeCancelled, Reason: "the entry gave the attempt up"})
-		_ = stream.Send(&message.Ack{})
+		_ = stream.Answer(&message.Ack{})
 	case *message.Ask:
 		s.handleAsk(ctx, stream, m)
 	default:
@@ -62,7 +62,7 @@
 func (s *Server) rejectFrame(stream *transport.Stream, m message.Message) {
 	reason := fmt.Sprintf("%T is not taken from a %s", m, stream.Peer().Role)
 	s.countRejected(stream.Peer().String(), reason, 1)
-	_ = stream.Send(&message.Failure{Code: codeNotAllowed, Reason: reason})
+	_ = stream.Answer(&message.Failure{Code: codeNotAllowed, Reason: reason})
 }
 
 // handleAsk responds with the state of an attempt. If the entry asked to wait, it
@@ -85,7 +85,7 @@
 			return
 		}
 	}
-	_ = stream.Send(&result)
+	_ = stream.Answer(&result)
 }
 
 func (s *Server) removeWaiter(ref message.Ref, waiter attempt.WaiterID) {
--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -27,8 +27,6 @@
 	firstLeaseTimeout  = 2 * time.Second
 	cancelTimeout      = 2 * time.Second
 	crashReportTimeout = 30 * time.Second
-	// peerCloseTimeout limits the wait for an entry to close its side of the stream.
-	peerCloseTimeout = time.Second
 	// supersededTimeout limits the time that calls in progress get after another
 	// agent has taken over the host.
 	supersededTimeout = time.Second
--- a/internal/agent/server/session.go
+++ b/internal/agent/server/session.go
@@ -115,6 +115,7 @@
 		ctx, cancel := context.WithTimeout(s.runContext(), supersededTimeout)
 		defer cancel()
 		s.await(ctx, func() bool { return s.dispatchCount == 0 })
+		_ = s.opts.Socket.Drain(ctx)
 		stop(ErrSuperseded{Reason: reason})
 	}()
 }
--- a/internal/agent/server/shutdown.go
+++ b/internal/agent/server/shutdown.go
@@ -14,8 +14,8 @@
 // Shutdown stops the agent gracefully. It refuses new work, waits until the work in
 // progress has ended and, on a member, until the head is idle. Then it releases the
 // replica at the engine and says goodbye to control. It continues to refuse work until
-// lateDispatchTime has passed. If ctx is done first, it waits no longer, so the attempts
-// still in progress are cut off, and returns the error of ctx. InProgress returns their
+// lateDispatchTime has passed, and until entries have received all answers. If ctx is done first, it waits no longer, so the
+// attempts still in progress are cut off, and returns the error of ctx. InProgress returns their
 // number.
 func (s *Server) Shutdown(ctx context.Context) error {
 	refusesUntil := time.Now().Add(lateDispatchTime)
@@ -31,12 +31,16 @@
 	s.releaseReplica(ctx)
 	_ = s.session.Goodbye()
 	pause.For(ctx, time.Until(refusesUntil))
+	err := s.opts.Socket.Drain(ctx)
 	s.mu.Lock()
 	stop := s.stop
 	s.mu.Unlock()
 	if stop != nil {
 		stop(nil)
 	}
+	if err != nil {
+		return err
+	}
 	return ctx.Err()
 }
 
--- a/internal/link/transport/receipt.go
+++ b/internal/link/transport/receipt.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// Unreceived returns the number of answers that peers have not received.
+func (s *Socket) Unreceived() int { return s.unreceived.Count() }
+
 // receipts counts the answers on one link that its peer has not received.
 type receipts struct {
 	// all counts those of all links of the socket, own those of this one.
