control: a planned stop waits until refusals are received

What callers saw: not observed in a fleet. By the tests, a call that the caller's role may not make, or an announcement that is refused, gets no answer if control stops before the caller has read it; the caller takes it for a lost link. Cause: only calls that were answered by the leader counted as in progress until their callers had closed the stream. Change: all last frames are sent by Answer. After the calls in progress have been answered the stop waits up to 2 s until the answers are received, as the timeout of each answer was before. It is bounded by less than the context of the stop, since a host that stops may win an election and redirects every call then. in_flight and cut count such answers.

--- a/cmd/control.go
+++ b/cmd/control.go
@@ -9,6 +9,7 @@
 	"github.com/egretreach/egretreach/internal/control/server"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/process/daemon"
 	"github.com/egretreach/egretreach/internal/process/settings"
 )
@@ -53,8 +54,8 @@
 		},
 		InFlight: control.CallsInProgress,
 		Shutdown: func(ctx context.Context) int {
-			_ = control.Shutdown(ctx)
-			return control.CallsInProgress()
+			err := control.Shutdown(ctx)
+			return control.CallsInProgress() + transport.UnreceivedAnswers(err)
 		},
 	}, nil
 }
--- a/internal/control/server/call.go
+++ b/internal/control/server/call.go
@@ -25,12 +25,8 @@
 	codeNotFound    = "not_found"
 )
 
-const (
-	// firstFrameTimeout limits the wait for the first frame of a stream.
-	firstFrameTimeout = 5 * time.Second
-	// answerReadTimeout limits the wait for the caller to read its answer.
-	answerReadTimeout = 2 * time.Second
-)
+// firstFrameTimeout limits the wait for the first frame of a stream.
+const firstFrameTimeout = 5 * time.Second
 
 // ErrFailure is the error of a call that is answered by a message.Failure with its code and reason.
 type ErrFailure struct {
@@ -65,7 +61,7 @@
 	}
 	_ = stream.SetReadDeadline(time.Time{})
 	if role := callerRole(first); stream.Peer().Role != role && !isDaemonAnnounce(first, stream) {
-		_ = stream.Send(&message.Failure{Code: codeForbidden, Reason: "the certificate's role may not make this call"})
+		_ = stream.Answer(&message.Failure{Code: codeForbidden, Reason: "the certificate's role may not make this call"})
 		return
 	}
 	switch m := first.(type) {
@@ -100,19 +96,12 @@
 	return ok && (role == host.RoleAgent || role == host.RoleEntry)
 }
 
-// serveCall answers one call and closes the stream.
+// serveCall answers one call.
 func (s *Server) serveCall(ctx context.Context, stream *transport.Stream, m message.Message) {
 	s.callCount.Add(1)
 	s.callsInProgress.Add(1)
 	defer s.callsInProgress.Add(-1)
-	if err := stream.Send(s.answer(ctx, stream.Peer(), m)); err != nil {
-		return
-	}
-	// The caller closes the stream when it has read the answer. Until then the call counts as in
-	// progress, so that Shutdown does not close the link before.
-	_ = stream.CloseSend()
-	_ = stream.SetReadDeadline(time.Now().Add(answerReadTimeout))
-	_, _ = stream.Receive()
+	_ = stream.Answer(s.answer(ctx, stream.Peer(), m))
 }
 
 func (s *Server) answer(ctx context.Context, peer identity.Identity, m message.Message) message.Message {
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -109,8 +109,7 @@
 	stopping atomic.Bool
 	// redirecting is set during a planned stop, when calls are redirected to the next leader.
 	redirecting atomic.Bool
-	// callCount counts the calls since the start, callsInProgress those whose callers have not yet
-	// read the answer.
+	// callCount counts the calls since the start, callsInProgress those whose answer has not been sent yet.
 	callCount       atomic.Int64
 	callsInProgress atomic.Int64
 	// cancelRun ends Run; runDone is closed when Run has returned.
@@ -163,8 +162,8 @@
 	return !s.stopping.Load() && s.log.Status().Leader != ""
 }
 
-// Shutdown transfers the leadership, waits for the calls in progress and ends Run. If it is called
-// again, it returns nil at once.
+// Shutdown transfers the leadership, waits for the calls in progress and until their callers have received the answers, and ends Run. If it
+// is called again, it returns nil at once.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if s.stopping.Swap(true) {
 		return nil
@@ -172,13 +171,19 @@
 	err := s.transferLeadership(ctx)
 	s.redirecting.Store(true)
 	s.drainCalls(ctx)
+	unreceived := s.drainAnswers(ctx)
 	s.cancelRun()
 	<-s.runDone
+	if unreceived != nil {
+		return unreceived
+	}
 	return err
 }
 
 // CallsInProgress returns the number of calls whose callers have not yet read the answer.
-func (s *Server) CallsInProgress() int { return int(s.callsInProgress.Load()) }
+func (s *Server) CallsInProgress() int {
+	return int(s.callsInProgress.Load()) + s.opts.Socket.Unreceived()
+}
 
 // transferLeadership transfers the leadership to another control host, within transferTimeout. If
 // all control hosts stop together there is no successor, which is not an error.
@@ -188,8 +193,15 @@
 	return s.log.TransferLeadership(ctx)
 }
 
-// drainCalls returns when no call has arrived for idleBeforeStop and all callers have read their
-// answers, or after drainCallsTimeout. New calls are redirected to the next leader meanwhile.
+// drainAnswers waits up to receiptTimeout until callers have received their answers. It returns transport.ErrUnreceived if some have not.
+func (s *Server) drainAnswers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, receiptTimeout)
+	defer cancel()
+	return s.opts.Socket.Drain(ctx)
+}
+
+// drainCalls returns when no call has arrived for idleBeforeStop and all calls have been
+// answered, or after drainCallsTimeout. New calls are redirected to the next leader meanwhile.
 func (s *Server) drainCalls(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, drainCallsTimeout)
 	defer cancel()
@@ -222,6 +234,9 @@
 	idleChecks = 10
 	// drainCallsTimeout limits how long a planned stop waits for calls.
 	drainCallsTimeout = 3 * time.Second
+	// receiptTimeout limits how long a planned stop waits until callers have received their answers. It is longer than a link lives
+	// without a sign of its peer. A host that stops may win an election meanwhile and redirects all calls then, so it isn't longer.
+	receiptTimeout = 2 * time.Second
 	// transferTimeout limits how long a planned stop looks for another leader.
 	transferTimeout = 5 * time.Second
 )
--- a/internal/control/server/session.go
+++ b/internal/control/server/session.go
@@ -47,21 +47,21 @@
 // serveSession serves a daemon until its stream ends or the session is ended.
 func (s *Server) serveSession(ctx context.Context, stream *transport.Stream, m *message.Announce) {
 	if refusal := s.refuseAnnounce(stream, m); refusal != nil {
-		_ = stream.Send(refusal)
+		_ = stream.Answer(refusal)
 		return
 	}
 	l := s.leader.Load()
 	if l == nil || s.stopping.Load() {
-		_ = stream.Send(s.notLeader())
+		_ = stream.Answer(s.notLeader())
 		return
 	}
 	if err := l.confirmLeadership(ctx); err != nil {
-		_ = stream.Send(s.failureMessage(err))
+		_ = stream.Answer(s.failureMessage(err))
 		return
 	}
 	session, refusal := l.openSession(stream, m)
 	if refusal != nil {
-		_ = stream.Send(refusal)
+		_ = stream.Answer(refusal)
 		return
 	}
 	defer l.sessionEnded(session)
