portal: a planned stop waits until control hosts have received their answers

What callers saw: not observed in a fleet. By the tests, the answer of a stopping leader that the departure of an endpoint is kept, or which version is in force, is lost if the other host has not read it when the API has stopped. Cause: a portal's stop waited for its callers over HTTP only, and ended its links with the answers of running calls on the way. The handlers waited for the peer to close its stream, but nothing waited for the handlers. Change: these answers are sent by Stream.Answer, and the stop drains the socket last, up to 2 s, which is longer than a link lives without a sign of its peer. cut counts answers that were not received. portalDaemon takes the portal in place of two of its functions. TestStopCountsUnreceivedAnswers checks that the daemon drains.

--- a/cmd/portal.go
+++ b/cmd/portal.go
@@ -14,6 +14,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/identity"
 	"github.com/egretreach/egretreach/internal/link/pool"
+	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/process/daemon"
 	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/process/settings"
@@ -66,12 +67,18 @@
 	})
 	engines.OnCold = p.HearCold
 	api := platform.API{Portal: p, Logger: deps.Logger}
-	return portalDaemon(p.Run, p.Stop, api.Handler(), listener, httpserver.CallerLimits{Budget: deps.Callers, Connections: s.CallerConnections}), nil
+	return portalDaemon(p, api.Handler(), listener, httpserver.CallerLimits{Budget: deps.Callers, Connections: s.CallerConnections}), nil
 }
 
-// portalDaemon returns the daemon of a portal that serves api on listener within limits. run runs the portal, and
-// stop transfers the leadership.
-func portalDaemon(run func(context.Context) error, stop func(context.Context), api http.Handler, listener net.Listener, limits httpserver.CallerLimits) daemon.Daemon {
+// stoppablePortal is a portal.Portal.
+type stoppablePortal interface {
+	Run(ctx context.Context) error
+	Stop(ctx context.Context)
+	Drain(ctx context.Context) error
+}
+
+// portalDaemon returns the daemon of a portal that serves api on listener within limits.
+func portalDaemon(p stoppablePortal, api http.Handler, listener net.Listener, limits httpserver.CallerLimits) daemon.Daemon {
 	server := httpserver.New(&http.Server{
 		Handler: api, ReadHeaderTimeout: portalHeaderTimeout, ReadTimeout: portalReadTimeout, IdleTimeout: portalIdleTimeout,
 		MaxHeaderBytes: portalHeaderBytes,
@@ -79,7 +86,7 @@
 	return daemon.Daemon{
 		Run: func(ctx context.Context) error {
 			group, ctx := errgroup.WithContext(ctx)
-			group.Go(func() error { return run(ctx) })
+			group.Go(func() error { return p.Run(ctx) })
 			group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve the portal's API") })
 			group.Go(func() error {
 				<-ctx.Done()
@@ -92,11 +99,12 @@
 		Shutdown: func(ctx context.Context) int {
 			transfer, cancel := context.WithTimeout(ctx, portalTransferTimeout)
 			defer cancel()
-			stop(transfer)
-			if server.Stop(ctx) == nil {
-				return 0
+			p.Stop(transfer)
+			cut := 0
+			if server.Stop(ctx) != nil {
+				cut = server.InFlight()
 			}
-			return server.InFlight()
+			return cut + transport.UnreceivedAnswers(p.Drain(ctx))
 		},
 	}
 }
--- a/cmd/portal_test.go
+++ b/cmd/portal_test.go
@@ -10,10 +10,44 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/standin/memnet"
 )
 
+// fakePortal is a portal that does nothing by itself.
+type fakePortal struct {
+	// transfer transfers the leadership. nil is a portal that does not lead.
+	transfer func(ctx context.Context)
+	// unreceived is the number of answers that control hosts do not receive.
+	unreceived int
+}
+
+func (*fakePortal) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (p *fakePortal) Stop(ctx context.Context) {
+	if p.transfer != nil {
+		p.transfer(ctx)
+	}
+}
+
+func (p *fakePortal) Drain(context.Context) error {
+	if p.unreceived == 0 {
+		return nil
+	}
+	return transport.ErrUnreceived{Answers: p.unreceived, Cause: context.DeadlineExceeded}
+}
+
+// TestStopCountsUnreceivedAnswers guards against a planned stop of a portal that does not wait until control hosts have received its answers,
+// or does not count those that it cuts.
+func TestStopCountsUnreceivedAnswers(t *testing.T) {
+	d := portalDaemon(&fakePortal{unreceived: 2}, http.NotFoundHandler(), memnet.NewListener("portal"), httpserver.CallerLimits{})
+	require.Equal(t, 2, d.Shutdown(t.Context()))
+}
+
 // TestStoppingPortalAnswersWhatItHasAccepted guards against a planned stop of a portal that closes the
 // connection of an operator whose configuration it is committing.
 func TestStoppingPortalAnswersWhatItHasAccepted(t *testing.T) {
@@ -26,19 +60,15 @@
 			_, _ = io.WriteString(w, "acknowledged")
 		})
 		listener := memnet.NewListener("portal")
-		run := func(ctx context.Context) error {
-			<-ctx.Done()
-			return nil
-		}
-		d := portalDaemon(run, func(context.Context) {}, api, listener, httpserver.CallerLimits{})
+		d := portalDaemon(&fakePortal{}, api, listener, httpserver.CallerLimits{})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- d.Run(ctx) }()
 		answered := make(chan struct{})
-		transport := &http.Transport{DialContext: listener.Dial}
+		client := &http.Transport{DialContext: listener.Dial}
 		go func() {
 			defer close(answered)
-			response, err := (&http.Client{Transport: transport}).Get("http://portal/config")
+			response, err := (&http.Client{Transport: client}).Get("http://portal/config")
 			if err != nil {
 				responseErr = err
 				return
@@ -64,12 +94,8 @@
 	var took time.Duration
 	synctest.Test(t, func(t *testing.T) {
 		listener := memnet.NewListener("portal")
-		run := func(ctx context.Context) error {
-			<-ctx.Done()
-			return nil
-		}
-		transfer := func(ctx context.Context) { <-ctx.Done() }
-		d := portalDaemon(run, transfer, http.NotFoundHandler(), listener, httpserver.CallerLimits{})
+		p := &fakePortal{transfer: func(ctx context.Context) { <-ctx.Done() }}
+		d := portalDaemon(p, http.NotFoundHandler(), listener, httpserver.CallerLimits{})
 		runCtx, cancelRun := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- d.Run(runCtx) }()
--- a/internal/control/portal/confirmation.go
+++ b/internal/control/portal/confirmation.go
@@ -127,8 +127,7 @@
 		answer.Confirmed, answer.Version = true, p.machine.Current().Version
 		answer.EvacuationRevision = p.machine.Evacuations().Revision
 	}
-	_ = s.Send(answer) // The host asks again.
-	_, _ = s.Receive() // It closes the stream once it has the answer.
+	_ = s.Answer(answer) // The host asks again.
 }
 
 // awaitVersion waits until this host holds what the leader has confirmed, or later states of it.
--- a/internal/control/portal/departure.go
+++ b/internal/control/portal/departure.go
@@ -136,8 +136,7 @@
 		err := p.proposeDepartures(ctx, l, m.Endpoints)
 		answer.Kept = err == nil
 	}
-	_ = s.Send(answer) // The host asks again.
-	_, _ = s.Receive() // It closes the stream once it has the answer.
+	_ = s.Answer(answer) // The host asks again.
 }
 
 // applyDepartures records the departures of the log after the entry at index applied. It returns the index of the last one.
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -195,6 +195,18 @@
 	return err
 }
 
+// receiptTimeout limits how long a planned stop waits until control hosts have received the answers to their calls. It is longer than a link
+// lives without a sign of its peer.
+const receiptTimeout = 2 * time.Second
+
+// Drain waits up to receiptTimeout until the other control hosts have received the answers to their calls. It returns
+// transport.ErrUnreceived if some have not. It is called at the end of a planned stop.
+func (p *Portal) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, receiptTimeout)
+	defer cancel()
+	return p.opts.Link.Drain(ctx)
+}
+
 // Stop transfers the leadership to another host if this host is the leader.
 func (p *Portal) Stop(ctx context.Context) {
 	p.mu.Lock()
@@ -266,7 +278,7 @@
 			l.Serve(ctx, s, m)
 		}
 	case *message.FounderQuery:
-		_ = s.Send(p.answerQuery(ctx, m))
+		_ = s.Answer(p.answerQuery(ctx, m))
 	case *message.RosterUpdate:
 		p.receiveAnnouncements(s, m)
 	case *message.Depart:
