upstream: heads that are incomplete count towards what responses may hold

What callers saw: nothing yet; found by a test. Many faulty endpoints that each send a head slowly or not to its end could take all memory of a gateway, by which the requests of all other callers end.

Cause: a head was bounded by itself (32 KiB), but counted only once it was complete. 36 KiB of short fields are ten thousand entries of a map, about half a MiB an exchange, however many exchanges wait for the rest.

Change: headMeter reserves what has been read of a head before more of it is read, and gives it back at the end of the head.

Measured: TestManyFaultyEndpointsFillNoMemory, 60 endpoints with 16 exchanges each, bound 38 MiB (what a host of 136 MB has left).

--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -44,10 +44,8 @@
 	// served says that it has carried a request before.
 	served bool
 	closed atomic.Bool
-	// headLeft is how many more bytes may be read for the head of a response, while inHead is set. What is read
-	// ahead of the body counts as well.
-	headLeft int
-	inHead   bool
+	// head counts what is read while the head of a response is read, and is nil otherwise.
+	head *headMeter
 }
 
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
@@ -106,8 +104,8 @@
 // than it should: then this process itself stood still, and data may have arrived meanwhile. Whether the response is still wanted
 // it asks all the same.
 func (c *conn) Read(b []byte) (int, error) {
-	if c.inHead && c.headLeft <= 0 {
-		return 0, errTooMuch
+	if err := c.head.beforeRead(); err != nil {
+		return 0, err
 	}
 	for {
 		deadline := time.Now().Add(c.wait.interval())
@@ -115,7 +113,7 @@
 			return 0, err
 		}
 		n, err := c.Conn.Read(b)
-		c.headLeft -= n
+		c.head.read(b[:n])
 		var timeout net.Error
 		if n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
 			return n, err
@@ -131,10 +129,10 @@
 }
 
 // readResponse reads the status and headers of the final response. It skips informational (1xx)
-// responses. All of that may not be larger than maxHead.
-func (c *conn) readResponse(method string) (*http.Response, error) {
-	c.inHead, c.headLeft = true, maxHead+readBufferSize
-	defer func() { c.inHead = false }()
+// responses. All of that may not be larger than maxHead, and what is incomplete is reserved with reserve.
+func (c *conn) readResponse(method string, reserve func(n int) bool) (*http.Response, error) {
+	c.head = &headMeter{reserve: reserve}
+	defer c.endHead()
 	for range maxInformational + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -150,6 +148,12 @@
 	return nil, errTooMuch
 }
 
+// endHead ends the reading of a head.
+func (c *conn) endHead() {
+	c.head.release()
+	c.head = nil
+}
+
 // keepAliveTimeout returns the timeout of a Keep-Alive header, 0 if there is none.
 func keepAliveTimeout(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -135,7 +135,7 @@
 	if err := x.send(r); err != nil {
 		return x.interrupted(err)
 	}
-	response, err := x.conn.readResponse(r.Method) //nolint:bodyclose // The connection is closed or kept in place of the body.
+	response, err := x.conn.readResponse(r.Method, x.Reserve) //nolint:bodyclose // The connection is closed or kept in place of the body.
 	if err != nil {
 		return x.waitFailed(err)
 	}
--- /dev/null
+++ b/internal/entry/upstream/many_servers_test.go
@@ -0,0 +1,132 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stalled returns a script that sends a beginning of a response and then nothing until the caller closes. It counts in
+// sent.
+func stalled(beginning string, sent *atomic.Int64) script {
+	return func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		if read(t, r) != nil {
+			_, _ = io.WriteString(c, beginning) // An error means that the caller has closed.
+		}
+		sent.Add(1)
+		_, _ = r.ReadByte()
+	}
+}
+
+// fields returns header fields of different names and the given size of a value, of about size bytes in all.
+func fields(size, valueSize int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "%x:%s\n", i, strings.Repeat("v", valueSize))
+	}
+	return b.String()
+}
+
+// exchangeCrowd runs exchanges with many endpoints at once.
+type exchangeCrowd struct {
+	pool Pool
+	// sent counts the endpoints that have sent all that they send, and settled the exchanges that have failed or wait
+	// for more after that.
+	sent    atomic.Int64
+	settled sync.WaitGroup
+	ended   sync.WaitGroup
+}
+
+// dialPatiently is a Dialer whose only limit is ctx, so that no exchange of a crowd ends before it began.
+func dialPatiently(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+}
+
+// add starts an exchange with the endpoint at address. There must be total exchanges.
+func (c *exchangeCrowd) add(ctx context.Context, address string, total int64) {
+	var once sync.Once
+	c.settled.Add(1)
+	settle := func() { once.Do(c.settled.Done) }
+	wait := WaitPolicy{CheckInterval: 100 * time.Millisecond, KeepWaiting: func() bool {
+		if c.sent.Load() == total {
+			settle()
+		}
+		return true
+	}}
+	c.ended.Go(func() {
+		defer settle()
+		x, err := c.pool.Do(ctx, address, getRequest(), wait)
+		if err != nil {
+			return
+		}
+		defer x.Close()
+		settle()
+		<-ctx.Done()
+	})
+}
+
+// heapInUse returns the size of what is in use on the heap. What a sync.Pool keeps is freed by the second collection.
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	return int64(memoryStats().HeapAlloc) //nolint:gosec // Far below the limit.
+}
+
+// TestManyFaultyEndpointsFillNoMemory guards against many endpoints at once that each send less than one may, and
+// together more than a host of 136 MB has left: three quarters of it are the Go runtime's, of which an eighth each are
+// for the connections and the bodies of callers and 30 MB for the process without load.
+func TestManyFaultyEndpointsFillNoMemory(t *testing.T) {
+	const (
+		hostMemory  = 136 << 20
+		idleProcess = 30 << 20
+		heldAtOnce  = hostMemory*3/4 - 2*(hostMemory/8) - idleProcess
+		endpoints   = 60
+		perEndpoint = 16
+		total       = endpoints * perEndpoint
+		ok          = "HTTP/1.1 200 OK\r\n"
+	)
+	for name, beginning := range map[string]string{
+		"short fields": ok + fields(36<<10, 0),
+		"long fields":  ok + fields(36<<10, 200),
+		"header line":  ok + "X-Long: " + strings.Repeat("x", 36<<10),
+		"1xx":          strings.Repeat("HTTP/1.1 103 Early Hints\r\n"+fields(2<<10, 0)+"\r\n", 15),
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var crowd exchangeCrowd
+			crowd.pool.Dial = dialPatiently
+			var addresses []string
+			for range endpoints {
+				var scripts []script
+				for range perEndpoint {
+					scripts = append(scripts, stalled(beginning, &crowd.sent))
+				}
+				addresses = append(addresses, serveAtOnce(t, scripts))
+			}
+			before := heapInUse()
+			for _, address := range addresses {
+				for range perEndpoint {
+					crowd.add(ctx, address, total)
+				}
+			}
+			crowd.settled.Wait()
+			held := heapInUse() - before
+			t.Logf("%d exchanges held %d KiB", total, held>>10)
+			require.LessOrEqual(t, held, int64(heldAtOnce))
+			cancel()
+			crowd.ended.Wait()
+			require.Zero(t, crowd.pool.held.total, "released at the end")
+		})
+	}
+}
--- a/internal/entry/upstream/memory.go
+++ b/internal/entry/upstream/memory.go
@@ -9,14 +9,6 @@
 )
 
 const (
-	// maxHead bounds the head of a response in bytes, informational responses included, and maxHeadFields the
-	// number of its fields.
-	maxHead       = 32 << 10
-	maxHeadFields = 256
-	// maxInformational bounds the informational responses before the final one.
-	maxInformational = 16
-	// fieldOverhead is about what a field of a head takes in memory besides its text, in bytes.
-	fieldOverhead = 128
 	// maxHeldByEndpoint bounds what the responses of one endpoint make the process hold, and maxHeldInAll those of
 	// all endpoints, in bytes: heads, events, and bodies that are read whole.
 	maxHeldByEndpoint = 2 << 20
