upstream: long responses leave room for ordinary ones

What callers saw: 502 "the endpoint sends more than may be held" for requests to sound endpoints, while other callers read long responses slowly, of the same endpoint or of others.

Cause: what responses hold is bounded for each endpoint (2 MiB) and in all (48 MiB), and the first come used it up: a whole body may take 1 MiB until its caller has read it. Two such responses of an endpoint, or 48 in all, left nothing for the heads of others. A head that may not be held breaks its response off, a body is passed on all the same.

Change: a quarter of both bounds is for responses that hold 16 KiB at most. The buffer of an event grows to 1 MiB, no longer to one and a half, so that one of that size still fits.

--- a/internal/entry/upstream/event_reader.go
+++ b/internal/entry/upstream/event_reader.go
@@ -69,7 +69,8 @@
 		e.err = ErrInterrupted{Cause: errors.New("an event is too large")}
 		return
 	}
-	if cap(e.buf)-len(e.buf) < minReadSize/2 && !e.grow(len(e.buf)+max(minReadSize, len(e.buf)/2)) {
+	size := min(len(e.buf)+max(minReadSize, len(e.buf)/2), maxEventSize+minReadSize)
+	if cap(e.buf)-len(e.buf) < minReadSize/2 && !e.grow(size) {
 		e.err = ErrInterrupted{Cause: errTooMuch}
 		return
 	}
--- a/internal/entry/upstream/many_servers_test.go
+++ b/internal/entry/upstream/many_servers_test.go
@@ -130,3 +130,56 @@
 		})
 	}
 }
+
+// TestLongResponsesLeaveRoomForOrdinaryOnes guards against long responses, of faulty endpoints or to callers that read
+// slowly, that use up what responses may hold, so that the responses to all other callers are broken off.
+func TestLongResponsesLeaveRoomForOrdinaryOnes(t *testing.T) {
+	const (
+		endpoints   = 60
+		perEndpoint = 16
+		ordinary    = 32
+		wholeEvent  = "data: x\n\n"
+		heads       = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n"
+	)
+	long := endless("HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 16<<10))
+	sound := respond(heads + fields(1<<10, 60) + "\r\n" + wholeEvent)
+	for name, others := range map[string]int{"same endpoint": 1, "other endpoints": endpoints} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			p := Pool{Dial: dialPatiently}
+			var address string
+			for range others {
+				address = serveAtOnce(t, append(scripts(long, perEndpoint), scripts(sound, ordinary)...))
+				for range perEndpoint {
+					x, err := p.Do(ctx, address, getRequest(), waitForever)
+					require.NoError(t, err)
+					defer x.Close()
+					_, whole, err := x.ReadUpTo(1 << 20)
+					require.NoError(t, err)
+					require.False(t, whole)
+				}
+			}
+			if others > 1 {
+				address = serveAtOnce(t, scripts(sound, ordinary))
+			}
+			for range ordinary {
+				x, err := p.Do(ctx, address, getRequest(), waitForever)
+				require.NoError(t, err)
+				defer x.Close()
+				e, err := NewEventReader(x).Next()
+				require.NoError(t, err)
+				require.Equal(t, wholeEvent, string(e.Bytes))
+			}
+		})
+	}
+}
+
+// scripts returns a script n times.
+func scripts(s script, n int) []script {
+	all := make([]script, n)
+	for i := range all {
+		all[i] = s
+	}
+	return all
+}
--- a/internal/entry/upstream/memory.go
+++ b/internal/entry/upstream/memory.go
@@ -13,6 +13,11 @@
 	// all endpoints, in bytes: heads, events, and bodies that are read whole.
 	maxHeldByEndpoint = 2 << 20
 	maxHeldInAll      = 48 << 20
+	// ordinaryHeld is what an ordinary response makes the process hold at most, in bytes: a head and an event of a few
+	// kilobytes.
+	ordinaryHeld = 16 << 10
+	// ordinaryShare is the share of the bounds, as their divisor, that only ordinary responses may use.
+	ordinaryShare = 4
 	// minReadSize is the least space for a read, in bytes.
 	minReadSize = 4 << 10
 )
@@ -24,11 +29,17 @@
 	byAddress map[string]int
 }
 
-// reserve counts n more bytes, or fewer if n is negative. It returns false and counts nothing if that is too much.
-func (m *heldMemory) reserve(address string, n int) bool {
+// reserve counts n more bytes, or fewer if n is negative. It returns false and counts nothing if that is too much. A
+// part of the bounds is for ordinary responses, so that long ones don't break them off.
+func (m *heldMemory) reserve(address string, n int, ordinary bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if n > 0 && (m.byAddress[address]+n > maxHeldByEndpoint || m.total+n > maxHeldInAll) {
+	byEndpoint, inAll := maxHeldByEndpoint, maxHeldInAll
+	if !ordinary {
+		byEndpoint -= byEndpoint / ordinaryShare
+		inAll -= inAll / ordinaryShare
+	}
+	if n > 0 && (m.byAddress[address]+n > byEndpoint || m.total+n > inAll) {
 		return false
 	}
 	if m.byAddress == nil {
@@ -48,7 +59,7 @@
 // Reserve counts n more bytes that the exchange makes the process hold, or fewer if n is negative. It returns false if
 // that is too much. Close releases all.
 func (x *Exchange) Reserve(n int) bool {
-	if !x.pool.held.reserve(x.conn.address, n) {
+	if !x.pool.held.reserve(x.conn.address, n, x.held+n <= ordinaryHeld) {
 		return false
 	}
 	x.held += n
@@ -58,7 +69,7 @@
 // release releases what the exchange has reserved.
 func (x *Exchange) release() {
 	if x.held != 0 {
-		x.pool.held.reserve(x.conn.address, -x.held)
+		x.pool.held.reserve(x.conn.address, -x.held, true)
 		x.held = 0
 	}
 }
