gateway: what responses may hold depends on the memory of the host

What callers saw: nothing yet; found by a test. On a host of 136 MB the bound for the responses of all endpoints (48 MiB) was above what is left beside callers, bodies and the process itself (38 MiB), of which the connections take a part as well.

Change: a sixth of the process's memory, from 8 to 48 MiB: as before from 288 MB on, 23 MiB on a host of 136 MB. Bodies whose length isn't known to be short leave the part for ordinary responses alone, since they can be passed on without being held; with the lower bound hundreds of them would have taken it.

TestLongResponsesLeaveRoomForOrdinaryOnes failed with the lower bound as long as bodies of unknown length counted as ordinary.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -6,6 +6,7 @@
 
 	"github.com/egretreach/egretreach/internal/entry/gateway"
 	"github.com/egretreach/egretreach/internal/entry/hedge"
+	"github.com/egretreach/egretreach/internal/entry/upstream"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/process/daemon"
@@ -53,7 +54,7 @@
 		Seeds: s.Link.LinkAddresses(s.Seeds), Dialect: platform.Dialect(), ShutdownDelay: s.Stop.ShutdownDelay,
 		Retries:    gateway.RetryLimits{Ratio: s.Retries.Ratio, Burst: s.Retries.Burst, Window: s.Retries.Window},
 		Hedging:    hedge.Settings{Share: s.Hedging.Share, Quantile: s.Hedging.Quantile},
-		BodyMemory: int64(s.BodyMemory), Callers: deps.Callers, CallerConnections: s.CallerConnections, RefuseAfter: refuseAfter(s),
+		BodyMemory: int64(s.BodyMemory), ResponseMemory: upstream.MaxHeldOf(deps.Memory), Callers: deps.Callers, CallerConnections: s.CallerConnections, RefuseAfter: refuseAfter(s),
 		ConfigAge: configAge(s), Regions: s.Regions, RankedQueue: s.RankedQueue, ServeLate: s.ServeLate, ExplainToken: s.Explain.Token, Metrics: deps.Metrics,
 		Logger: deps.Logger,
 	})
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -79,6 +79,8 @@
 	Regions map[string]string
 	// BodyMemory bounds the bodies of requests that the gateway holds at once, in bytes. 0 is DefaultBodyMemory.
 	BodyMemory int64
+	// ResponseMemory bounds what the responses of endpoints make the gateway hold, in bytes. 0 is upstream.DefaultMaxHeld.
+	ResponseMemory int
 	// Callers bounds the memory that callers take otherwise. nil is a budget with the defaults.
 	Callers *httpserver.Budget
 	// CallerConnections bounds the open connections of callers. 0 is the default of httpserver.
@@ -173,7 +175,7 @@
 		seeds:          opts.Seeds,
 		urgent:         make(chan struct{}, 1),
 
-		upstream: upstream.Pool{Dial: opts.Dial},
+		upstream: upstream.Pool{Dial: opts.Dial, MaxHeld: opts.ResponseMemory},
 	}
 	if g.bodies.limit = opts.BodyMemory; g.bodies.limit == 0 {
 		g.bodies.limit = DefaultBodyMemory
--- a/internal/entry/upstream/many_servers_test.go
+++ b/internal/entry/upstream/many_servers_test.go
@@ -70,8 +70,14 @@
 			return
 		}
 		defer x.Close()
+		if strings.HasPrefix(x.Response.Header.Get("Content-Type"), "text/event-stream") {
+			_, _ = NewEventReader(x).Next()
+			return
+		}
+		body, _, _ := x.ReadUpTo(1 << 20)
 		settle()
-		<-ctx.Done()
+		<-ctx.Done() // Its caller reads nothing.
+		runtime.KeepAlive(body)
 	})
 }
 
@@ -100,12 +106,14 @@
 		"long fields":  ok + fields(36<<10, 200),
 		"header line":  ok + "X-Long: " + strings.Repeat("x", 36<<10),
 		"1xx":          strings.Repeat("HTTP/1.1 103 Early Hints\r\n"+fields(2<<10, 0)+"\r\n", 15),
+		"body":         ok + "Content-Length: 1000000000000\r\n\r\n" + strings.Repeat("x", 1<<20),
+		"event":        ok + "Content-Type: text/event-stream\r\n\r\ndata: " + strings.Repeat("x", 1<<20-100),
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			var crowd exchangeCrowd
-			crowd.pool.Dial = dialPatiently
+			crowd.pool.Dial, crowd.pool.MaxHeld = dialPatiently, MaxHeldOf(hostMemory)
 			var addresses []string
 			for range endpoints {
 				var scripts []script
@@ -147,7 +155,7 @@
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			p := Pool{Dial: dialPatiently}
+			p := Pool{Dial: dialPatiently, MaxHeld: MaxHeldOf(136 << 20)}
 			var address string
 			for range others {
 				address = serveAtOnce(t, append(scripts(long, perEndpoint), scripts(sound, ordinary)...))
@@ -183,3 +191,13 @@
 	}
 	return all
 }
+
+// TestResponsesGetAShareOfTheMemory guards against a bound on responses that a small host can't hold, and against one
+// that hundreds of ordinary responses reach.
+func TestResponsesGetAShareOfTheMemory(t *testing.T) {
+	const ordinary = 500 * (4 << 10)
+	for memory, want := range map[int64]int{0: DefaultMaxHeld, 32 << 30: DefaultMaxHeld, 288 << 20: 48 << 20, 136 << 20: 136 << 20 / 6, 1 << 20: 8 << 20} {
+		require.Equal(t, want, MaxHeldOf(memory), memory)
+		require.GreaterOrEqual(t, MaxHeldOf(memory)/ordinaryShare, ordinary, memory)
+	}
+}
--- a/internal/entry/upstream/memory.go
+++ b/internal/entry/upstream/memory.go
@@ -9,19 +9,31 @@
 )
 
 const (
-	// maxHeldByEndpoint bounds what the responses of one endpoint make the process hold, and maxHeldInAll those of
-	// all endpoints, in bytes: heads, events, and bodies that are read whole.
+	// DefaultMaxHeld is the default of Pool.MaxHeld.
+	DefaultMaxHeld = 48 << 20
+	// maxHeldByEndpoint bounds what the responses of one endpoint make the process hold, in bytes.
 	maxHeldByEndpoint = 2 << 20
-	maxHeldInAll      = 48 << 20
 	// ordinaryHeld is what an ordinary response makes the process hold at most, in bytes: a head and an event of a few
 	// kilobytes.
 	ordinaryHeld = 16 << 10
 	// ordinaryShare is the share of the bounds, as their divisor, that only ordinary responses may use.
 	ordinaryShare = 4
+	// heldShare is the share of the memory of a process, as its divisor, that its responses may take, from minMaxHeld to
+	// DefaultMaxHeld.
+	heldShare  = 6
+	minMaxHeld = 8 << 20
 	// minReadSize is the least space for a read, in bytes.
 	minReadSize = 4 << 10
 )
 
+// MaxHeldOf returns the Pool.MaxHeld for a process with a memory, in bytes. A memory of 0 isn't known.
+func MaxHeldOf(memory int64) int {
+	if memory <= 0 {
+		return DefaultMaxHeld
+	}
+	return int(min(max(memory/heldShare, minMaxHeld), DefaultMaxHeld))
+}
+
 // heldMemory counts the bytes that the responses of endpoints make the process hold. The zero value is ready to use.
 type heldMemory struct {
 	mu        sync.Mutex
@@ -29,17 +41,28 @@
 	byAddress map[string]int
 }
 
-// reserve counts n more bytes, or fewer if n is negative. It returns false and counts nothing if that is too much. A
-// part of the bounds is for ordinary responses, so that long ones don't break them off.
-func (m *heldMemory) reserve(address string, n int, ordinary bool) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	byEndpoint, inAll := maxHeldByEndpoint, maxHeldInAll
+// heldLimits bound what responses make the process hold, in bytes.
+type heldLimits struct{ byEndpoint, inAll int }
+
+// heldLimits returns the limits for an ordinary response or another. A part is for ordinary ones, so that long ones
+// don't break them off.
+func (p *Pool) heldLimits(ordinary bool) heldLimits {
+	limits := heldLimits{byEndpoint: maxHeldByEndpoint, inAll: p.MaxHeld}
+	if limits.inAll == 0 {
+		limits.inAll = DefaultMaxHeld
+	}
 	if !ordinary {
-		byEndpoint -= byEndpoint / ordinaryShare
-		inAll -= inAll / ordinaryShare
+		limits.byEndpoint -= limits.byEndpoint / ordinaryShare
+		limits.inAll -= limits.inAll / ordinaryShare
 	}
-	if n > 0 && (m.byAddress[address]+n > byEndpoint || m.total+n > inAll) {
+	return limits
+}
+
+// reserve counts n more bytes, or fewer if n is negative. It returns false and counts nothing if that is too much.
+func (m *heldMemory) reserve(address string, n int, limits heldLimits) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n > 0 && (m.byAddress[address]+n > limits.byEndpoint || m.total+n > limits.inAll) {
 		return false
 	}
 	if m.byAddress == nil {
@@ -58,8 +81,12 @@
 
 // Reserve counts n more bytes that the exchange makes the process hold, or fewer if n is negative. It returns false if
 // that is too much. Close releases all.
-func (x *Exchange) Reserve(n int) bool {
-	if !x.pool.held.reserve(x.conn.address, n, x.held+n <= ordinaryHeld) {
+func (x *Exchange) Reserve(n int) bool { return x.reserve(n, true) }
+
+// reserve is Reserve. mayBeOrdinary says that the exchange counts as ordinary as long as it holds no more than one.
+func (x *Exchange) reserve(n int, mayBeOrdinary bool) bool {
+	ordinary := mayBeOrdinary && x.held+n <= ordinaryHeld
+	if !x.pool.held.reserve(x.conn.address, n, x.pool.heldLimits(ordinary)) {
 		return false
 	}
 	x.held += n
@@ -69,7 +96,7 @@
 // release releases what the exchange has reserved.
 func (x *Exchange) release() {
 	if x.held != 0 {
-		x.pool.held.reserve(x.conn.address, -x.held, true)
+		x.pool.held.reserve(x.conn.address, -x.held, heldLimits{})
 		x.held = 0
 	}
 }
@@ -92,13 +119,15 @@
 // ReadUpTo reads the response's body, but not more than limit bytes and not more than may be held. whole reports that
 // it was read to its end; else the rest can be read from the Exchange.
 func (x *Exchange) ReadUpTo(limit int) (body []byte, whole bool, err error) {
+	length := x.Response.ContentLength
+	short := length >= 0 && length <= ordinaryHeld // Any other may be long, and can be passed on without being held.
 	for {
 		if len(body) >= limit {
 			return body, false, nil
 		}
 		if cap(body)-len(body) < minReadSize/2 {
 			size := min(len(body)+max(minReadSize, len(body)/2), limit+minReadSize)
-			if !x.Reserve(size - cap(body)) {
+			if !x.reserve(size-cap(body), short) {
 				return body, false, nil
 			}
 			body = append(make([]byte, 0, size), body...)
--- a/internal/entry/upstream/pool.go
+++ b/internal/entry/upstream/pool.go
@@ -31,6 +31,9 @@
 type Pool struct {
 	// Dial opens connections; nil uses TCP.
 	Dial Dialer
+	// MaxHeld bounds what the responses of all endpoints make the process hold, in bytes: heads, events, and bodies that
+	// are read whole. 0 is DefaultMaxHeld.
+	MaxHeld int
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -54,6 +54,8 @@
 	Logger      *log.Logger
 	// Callers bounds the memory that callers of all listeners of the process take.
 	Callers *httpserver.Budget
+	// Memory is what the process may take, in bytes, or 0 if it isn't known.
+	Memory int64
 }
 
 // Options are the settings that all daemons share and the function that creates the daemon.
@@ -129,6 +131,7 @@
 	budget.Metrics, budget.Logger = metrics, logger
 	deps := Dependencies{
 		Callers: httpserver.NewBudget(budget),
+		Memory:  memory,
 		Socket: transport.New(socket, credentials, transport.Options{
 			Offload: opts.Link.Offload, NewDialSocket: dialFrom(opts.Link.Address),
 		}),
