upstream: idle connections end by themselves, and at once if bytes arrive on them

What callers saw: nothing yet; found by a test. A control host kept a connection for each probe of an endpoint, up to 64 an address, for good: also of endpoints that had left. On each, an endpoint could fill the buffer of the socket after a whole answer.

Cause: a Pool closed idle connections only when CloseExpired was called, which gateways do and platform.EngineClient did not. Where it was called, a connection with unexpected bytes stayed until the timeout that the endpoint had announced, however long.

Change: a Pool checks its idle connections every 500 ms while there are any, as the gateway did. It closes those whose timeout is up, and those that are closed by the endpoint or have bytes to read. A test that kept a connection without a socket has one now.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -44,7 +44,7 @@
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 2 * time.Minute
 	defaultBodyBytes     = 4 << 20
-	// sweepInterval is the time between two removals of expired connections and endpoints.
+	// sweepInterval is the time between two removals of old endpoints.
 	sweepInterval = 500 * time.Millisecond
 )
 
@@ -317,11 +317,10 @@
 	g.balancer.RemoveEndpoints(g.roster.Forget(now, endpointRetention))
 }
 
-// sweep removes expired connections and old endpoints until ctx ends.
+// sweep removes old endpoints until ctx ends.
 func (g *Gateway) sweep(ctx context.Context) error {
 	for pause.For(ctx, sweepInterval) {
 		now := time.Now()
-		g.upstream.CloseExpired(now)
 		g.removeOldEndpoints(now)
 		g.logEndedNotices(now)
 	}
--- a/internal/entry/upstream/pool.go
+++ b/internal/entry/upstream/pool.go
@@ -21,6 +21,8 @@
 	idleMargin = 700 * time.Millisecond
 	// maxIdlePerAddress bounds the idle connections to one address.
 	maxIdlePerAddress = 64
+	// idleCheckInterval is the time between two checks of the idle connections while there are any.
+	idleCheckInterval = 500 * time.Millisecond
 )
 
 // Dialer opens a connection to an IP address and TCP port.
@@ -35,9 +37,11 @@
 	// are read whole. 0 is DefaultMaxHeld.
 	MaxHeld int
 
-	mu    sync.Mutex
-	idle  map[string][]*conn
-	stats Stats
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// checking says that a check of the idle connections is due.
+	checking bool
+	stats    Stats
 	// held counts what responses make the process hold.
 	held heldMemory
 }
@@ -152,6 +156,22 @@
 		p.idle = map[string][]*conn{}
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
+	p.scheduleCheck()
+}
+
+// scheduleCheck lets the idle connections be checked after idleCheckInterval. mu is held.
+func (p *Pool) scheduleCheck() {
+	if p.checking || len(p.idle) == 0 {
+		return
+	}
+	p.checking = true
+	time.AfterFunc(idleCheckInterval, func() {
+		p.CloseExpired(time.Now())
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.checking = false
+		p.scheduleCheck()
+	})
 }
 
 // CloseIdle closes the idle connections to an address.
@@ -165,14 +185,16 @@
 	}
 }
 
-// CloseExpired closes the connections that have been idle for longer than their timeout.
+// CloseExpired closes the connections that have been idle for longer than their timeout, and those that the endpoint
+// has closed or on which it has sent something since: that can't be a response, and fills the buffer of the socket. It
+// is called every idleCheckInterval.
 func (p *Pool) CloseExpired(now time.Time) {
 	var expired []*conn
 	p.mu.Lock()
 	for address, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if now.Sub(c.idleSince) < c.idleTimeout {
+			if now.Sub(c.idleSince) < c.idleTimeout && c.isUsable() {
 				kept = append(kept, c)
 			} else {
 				expired = append(expired, c)
--- a/internal/entry/upstream/upstream_test.go
+++ b/internal/entry/upstream/upstream_test.go
@@ -296,7 +296,8 @@
 	for header, want := range map[string]time.Duration{
 		"timeout=5": 4300 * time.Millisecond, "timeout=1": 500 * time.Millisecond, "": defaultIdleTimeout, "timeout=x": defaultIdleTimeout,
 	} {
-		c := &conn{address: "a"}
+		ours, _ := net.Pipe()
+		c := newConn(ours, "a")
 		var p Pool
 		p.put(c, keepAliveTimeout(http.Header{"Keep-Alive": {header}}))
 		require.Equal(t, want, c.idleTimeout, header)
