gateway: a request whose connection the gateway closes for its memory is not logged as left

Cause: the end of a request's context was taken for the caller's, whoever had ended the connection. Change: httpserver.IsClosedForMemory tells them apart; the line is request_failed with that reason, and the metric of failures counts it. Measured: TestRequestClosedForMemoryIsLoggedAsFailed fails without the change (request_left), passes in 5 of 5 runs with it.

--- a/internal/entry/gateway/caller_memory_test.go
+++ b/internal/entry/gateway/caller_memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/process/httpserver"
+	"github.com/egretreach/egretreach/internal/standin/memnet"
 )
 
 // oddRequest returns a request whose header has size bytes, in as many lines as possible.
@@ -92,3 +96,30 @@
 	require.Positive(t, refused)
 	require.Less(t, refused, callers)
 }
+
+// TestRequestClosedForMemoryIsLoggedAsFailed guards against a log by which callers have left, although the gateway has closed their
+// connections for the memory that they hold.
+func TestRequestClosedForMemoryIsLoggedAsFailed(t *testing.T) {
+	var lines *bytes.Buffer
+	withFixture(t, func(f *fixture) {
+		lines = f.captureLog()
+		forEach(f.heads, func(e *fakeEndpoint) { e.streamEvents(20, 100*time.Millisecond, endStream) })
+		f.g.opts.Callers = httpserver.NewBudget(httpserver.BudgetOptions{Memory: 560 << 10})
+		server, listener := f.g.newServer(nil), memnet.NewListener("limited")
+		go func() { _ = server.Serve(framingListener{listener}) }()
+		for _, size := range []int{4 << 10, 3 << 10} {
+			c, err := listener.Dial(f.t.Context(), "", "")
+			require.NoError(t, err)
+			request := strings.Replace(oddRequest(size, "Content-Length: 0\r\n"), "/unsafe/", "/stream/", 1)
+			go func() { _, _ = io.WriteString(c, request) }()
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+			synctest.Wait()
+		}
+		time.Sleep(3 * time.Second)
+		_ = server.Close()
+		f.letEndpointsEnd()
+	})
+	require.Contains(t, lines.String(), `"name":"request_failed","request":"odd"`)
+	require.Contains(t, lines.String(), `"reason":"closed for the memory that callers hold"`)
+	require.NotContains(t, lines.String(), "request_left")
+}
--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/egretreach/egretreach/internal/process/httpserver"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
@@ -68,20 +69,31 @@
 // reasonCut is the reason of a request that was in flight when the time of a planned stop was up.
 const reasonCut = "cut by the end of the planned stop"
 
-// callerLeft ends a request whose connection has ended before the end of the response: the caller has left, or the time of a
-// planned stop is up. It breaks the connection off, since a caller that has closed only its sending side would take a normal end
+// reasonCallerMemory is the reason of a request whose connection was closed because it held the most of the callers' memory.
+const reasonCallerMemory = "closed for the memory that callers hold"
+
+// callerLeft ends a request whose connection has ended before the end of the response: the caller has left, the time of a
+// planned stop is up, or the connection held too much memory. It breaks the connection off, since a caller that has closed only its sending side would take a normal end
 // for a success.
 func (c *call) callerLeft() {
-	if c.g.isCutting() {
-		c.g.metrics.failed.Inc(1)
-		c.logEntry(event.RequestFailed).Str("reason", reasonCut).Bool("begun", c.stats.timeToFirst > 0).Msg("")
-	} else {
+	switch {
+	case c.g.isCutting():
+		c.recordCut(reasonCut)
+	case httpserver.IsClosedForMemory(c.r.Context()):
+		c.recordCut(reasonCallerMemory)
+	default:
 		c.g.metrics.left.Inc(1)
 		c.logEntry(event.RequestLeft).Msg("")
 	}
 	panic(http.ErrAbortHandler)
 }
 
+// recordCut records a request that ends without a whole response because this process closes its connection.
+func (c *call) recordCut(reason string) {
+	c.g.metrics.failed.Inc(1)
+	c.logEntry(event.RequestFailed).Str("reason", reason).Bool("begun", c.stats.timeToFirst > 0).Msg("")
+}
+
 // abort breaks off a response that has begun and cannot be completed, so that the caller does
 // not take it for complete.
 func (c *call) abort(reason string) {
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -233,6 +233,17 @@
 	return c.meter.headerSize, c.meter.headerSize > 0
 }
 
+// IsClosedForMemory reports whether the connection of a request, which is found by its context, is closed for the memory that it held.
+func IsClosedForMemory(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*limitedConn)
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
 // HoldResponse tells the server of a request, by the context of which it is found, that its handler holds size bytes of the response until
 // they are written. They count as long as the caller doesn't read.
 func HoldResponse(ctx context.Context, size int) {
