--- a/internal/check/callers/callers_test.go
+++ b/internal/check/callers/callers_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,18 +42,21 @@
 	portalCount = 3
 )
 
-// silentObserver observes nothing.
-type silentObserver struct{}
+// observer counts the requests that an endpoint has begun to run.
+type observer struct{ started atomic.Int64 }
 
-func (silentObserver) RequestArrived(string, string)            {}
-func (silentObserver) RequestRefused(string, string, time.Time) {}
-func (silentObserver) RequestStarted(string, string)            {}
-func (silentObserver) RequestFinished(string)                   {}
+func (*observer) RequestArrived(string, string)            {}
+func (*observer) RequestRefused(string, string, time.Time) {}
+func (o *observer) RequestStarted(string, string)          { o.started.Add(1) }
+func (*observer) RequestFinished(string)                   {}
 
 // system is a gateway with portals and one endpoint.
 type system struct {
 	portals []*process
 	gateway *process
+	// endpoint serves the requests of all routes.
+	endpoint *standin.Endpoint
+	observed observer
 	// addresses are those of the first portal, the gateway and the gateway's health pages.
 	portalAPI, gatewayAPI, health string
 }
@@ -76,7 +80,10 @@
 }
 
 // startSystem starts a system that has served one request.
-func startSystem(t *testing.T) *system {
+func startSystem(t *testing.T) *system { return startSystemWith(t, callerSettings("gateway")) }
+
+// startSystemWith starts a system whose gateway has the given settings beside those that it needs, and which has served one request.
+func startSystemWith(t *testing.T, gatewaySettings string) *system {
 	ips := []string{loopback}
 	for i := range portalCount {
 		ips = append(ips, fmt.Sprintf("127.0.0.%d", 2+i))
@@ -89,7 +96,7 @@
 	folder := t.TempDir()
 	start := func(role, name, ip, more string) *process {
 		settings := fmt.Sprintf("host: {id: %s, failure_domain: a}\nlink: {address: \"%s:%d\", private_network: true}\napi: \"%s:%d\"\n"+
-			"health: {address: \"%s:%d\"}\nseeds: [\"%s\"]\n%s%s", name, ip, link, ip, api, ip, health, strings.Join(seeds, `", "`), more, callerSettings(role))
+			"health: {address: \"%s:%d\"}\nseeds: [\"%s\"]\n%s", name, ip, link, ip, api, ip, health, strings.Join(seeds, `", "`), more)
 		path := filepath.Join(folder, name+".yaml")
 		require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 		return startProcess(t, role, "--config", path)
@@ -97,14 +104,14 @@
 	s := &system{portalAPI: seeds[0], gatewayAPI: fmt.Sprintf("%s:%d", loopback, api), health: fmt.Sprintf("%s:%d", loopback, health)}
 	for i, ip := range ips[1:] {
 		name := fmt.Sprint("portal-", i+1)
-		s.portals = append(s.portals, start("portal", name, ip, fmt.Sprintf("first_start: true\ndata_folder: %s\n", filepath.Join(folder, name+"-data"))))
+		s.portals = append(s.portals, start("portal", name, ip, fmt.Sprintf("first_start: true\ndata_folder: %s\n%s", filepath.Join(folder, name+"-data"), callerSettings("portal"))))
 	}
-	s.gateway = start("gateway", "gateway-1", loopback, "")
+	s.gateway = start("gateway", "gateway-1", loopback, gatewaySettings)
 	listener, err := net.Listen("tcp", loopback+":0")
 	require.NoError(t, err)
-	endpoint := standin.NewEndpoint("e1", standin.ServiceName, listener, silentObserver{})
-	t.Cleanup(endpoint.Crash)
-	go endpoint.Announce(t.Context(), listener.Addr().String(), "a", seeds)
+	s.endpoint = standin.NewEndpoint("e1", standin.ServiceName, listener, &s.observed)
+	t.Cleanup(s.endpoint.Crash)
+	go s.endpoint.Announce(t.Context(), listener.Addr().String(), "a", seeds)
 	waitFor(t, "a configuration is acknowledged", func() bool { return standin.PutVersion(t.Context(), seeds[0], 1) == nil })
 	waitFor(t, "the gateway serves", func() bool { return isAnswered(t, s.gatewayTarget()) })
 	return s
