httpserver: a burst of ordinary callers ends no request that runs

Each newcomer beyond the memory for callers evicted the largest connection. A newcomer costs less than a connection with a request on it, so ordinary callers ended each other's requests. Change: connections of at most 32 KiB are ordinary and never closed for others; once all ordinary ones fill the memory, new ones get 503 and have not run. What a request needs once its header has been read (an unread response, a trailer, a next request behind its body) may exceed the memory by a quarter, up to now the part for connections that are being closed, so that newcomers don't take it. No connection is closed unless that makes room. Health pages may use the quarter, since nothing is closed for their probes any more. Why it works: only connections above 32 KiB are evicted, and all that are not being closed stay within the memory and a quarter. Above 32 KiB the largest still go first, also with a request that runs: hostile callers may not keep others away.

--- a/internal/process/health/health.go
+++ b/internal/process/health/health.go
@@ -78,7 +78,7 @@
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}, handler, httpserver.CallerLimits{Budget: s.Callers, Connections: maxConnections})
+	}, handler, httpserver.CallerLimits{Budget: s.Callers, Connections: maxConnections, Reserved: true})
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
--- a/internal/process/httpserver/budget.go
+++ b/internal/process/httpserver/budget.go
@@ -1,6 +1,8 @@
 package httpserver
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +24,10 @@
 	// connCost is what an open connection costs: the buffers of net/http, the stacks of its goroutines and its records.
 	connCost = 16 << 10
 	// ordinaryCost is the cost up to which a connection counts as ordinary: a header of a kilobyte or two in the lines of a common client.
+	// Ordinary connections are not closed to make room for others, since their requests may run.
 	ordinaryCost = connCost + 16<<10
-	// overshootShare is the share of the memory, as its divisor, by which connections that are being closed may exceed it.
+	// overshootShare is the share of the memory, as its divisor, by which requests that have begun, reserved connections, small bodies and
+	// connections that are being closed may exceed it.
 	overshootShare = 4
 	// logInterval is the least time between two log lines about callers that were refused or closed.
 	logInterval = 10 * time.Second
@@ -34,7 +38,8 @@
 
 // BudgetOptions configure a Budget.
 type BudgetOptions struct {
-	// Memory bounds connections, headers and responses that are not read, in bytes. 0 is DefaultCallerMemory.
+	// Memory bounds connections, headers and responses that are not read, in bytes. Once the header of a request has been read, a quarter
+	// more is available to it. 0 is DefaultCallerMemory.
 	Memory int64
 	// BodyMemory bounds the bodies of requests to servers that don't bound them by themselves, in bytes. 0 is DefaultBodyMemory.
 	BodyMemory int64
@@ -48,14 +53,14 @@
 	opts BudgetOptions
 
 	mu sync.Mutex
-	// held is the cost of all accounts; leaving is the part of it that belongs to evicted ones.
-	held, leaving int64
-	bodies        int64
-	opened        uint64
-	accounts      map[*account]struct{}
-	refused       uint64
-	closed        uint64
-	logged        time.Time
+	// held is the cost of all accounts. leaving is the part of it that belongs to evicted ones, and ordinary that of other ordinary ones.
+	held, leaving, ordinary int64
+	bodies                  int64
+	opened                  uint64
+	accounts                map[*account]struct{}
+	refused                 uint64
+	closed                  uint64
+	logged                  time.Time
 	// loggedRefused and loggedClosed are the counts in the last log line.
 	loggedRefused, loggedClosed uint64
 	refusedTotal, closedTotal   metrics.Counter
@@ -68,10 +73,15 @@
 	// number is higher for newer connections.
 	number  uint64
 	evicted bool
+	// reserved says that ordinary callers don't keep the connection away, as long as it is ordinary itself.
+	reserved bool
 	// evict closes the connection soon. It must not block.
 	evict func()
 }
 
+// isOrdinary reports whether the connection takes no more than an ordinary one.
+func (a *account) isOrdinary() bool { return a.cost <= ordinaryCost }
+
 // NewBudget returns a budget of which nothing is in use.
 func NewBudget(opts BudgetOptions) *Budget {
 	if opts.Memory == 0 {
@@ -110,31 +120,32 @@
 	defer b.mu.Unlock()
 	b.opened++
 	a.number = b.opened
-	if !b.makeRoom(a, connCost) {
+	if !b.makeRoom(a, connCost, false) {
 		return false
 	}
-	a.cost = connCost
-	b.held += connCost
 	b.accounts[a] = struct{}{}
+	b.setCost(a, connCost)
 	return true
 }
 
 // set changes the cost of a connection, unless it has been removed. It returns false if there
 // is no room for it; others may have been evicted by then.
-func (b *Budget) set(a *account, cost int64) bool {
+func (b *Budget) set(a *account, cost int64) bool { return b.change(a, cost, false) }
+
+// setBegun is set for a connection on which the header of a request has been read, so that the request may run.
+func (b *Budget) setBegun(a *account, cost int64) bool { return b.change(a, cost, true) }
+
+// change is set, or setBegun if a request has begun.
+func (b *Budget) change(a *account, cost int64, begun bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, ok := b.accounts[a]; !ok || cost == a.cost {
 		return true
 	}
-	if cost > a.cost && !b.makeRoom(a, cost) {
+	if cost > a.cost && !b.makeRoom(a, cost, begun) {
 		return false
 	}
-	b.held += cost - a.cost
-	if a.evicted {
-		b.leaving += cost - a.cost
-	}
-	a.cost = cost
+	b.setCost(a, cost)
 	return true
 }
 
@@ -145,46 +156,90 @@
 	if _, ok := b.accounts[a]; !ok {
 		return
 	}
+	b.setCost(a, 0)
 	delete(b.accounts, a)
-	b.held -= a.cost
-	if a.evicted {
-		b.leaving -= a.cost
+}
+
+// setCost changes the cost of a in all sums. mu is held.
+func (b *Budget) setCost(a *account, cost int64) {
+	b.count(a, -a.cost)
+	a.cost = cost
+	b.count(a, cost)
+}
+
+// count adds cost to the sums to which a belongs. mu is held.
+func (b *Budget) count(a *account, cost int64) {
+	b.held += cost
+	switch {
+	case a.evicted:
+		b.leaving += cost
+	case a.isOrdinary():
+		b.ordinary += cost
 	}
 }
 
-// makeRoom reports whether a may cost cost. It evicts the largest others, the newest of equal ones first, as long as they are larger than
-// that. mu is held.
-func (b *Budget) makeRoom(a *account, cost int64) bool {
-	grows := cost - a.cost
-	if cost > ordinaryCost && b.held+grows > b.opts.Memory+b.opts.Memory/overshootShare {
+// makeRoom reports whether a may cost cost, and evicts larger connections for it if need be. Ordinary connections may fill the memory; beyond
+// that new ones are refused, and so are large headers. Requests that have begun and reserved connections may exceed it. mu is held.
+func (b *Budget) makeRoom(a *account, cost int64, begun bool) bool {
+	grows, limit := cost-a.cost, withOvershoot(b.opts.Memory)
+	isLarge := cost > ordinaryCost
+	switch {
+	case isLarge && b.held+grows > limit:
 		return false // Those that are being closed have not released their memory yet.
+	case begun:
+	case isLarge:
+		limit = b.opts.Memory
+	case a.reserved:
+	case b.ordinary+grows > b.opts.Memory:
+		return false
 	}
-	for b.held-b.leaving+grows > b.opts.Memory {
-		largest := b.largest()
-		if largest == nil || largest == a || largest.cost <= cost {
-			return false
+	return b.release(b.held-b.leaving+grows-limit, cost)
+}
+
+// withOvershoot returns a limit with the part by which it may be exceeded.
+func withOvershoot(limit int64) int64 { return limit + limit/overshootShare }
+
+// release evicts the largest connections, the newest of equal ones first, until they hold missing bytes. It evicts only those that are
+// larger than cost and not ordinary; if they hold less than missing, it evicts none and returns false. mu is held.
+func (b *Budget) release(missing, cost int64) bool {
+	if missing <= 0 {
+		return true
+	}
+	larger, sum := b.largerThan(max(cost, ordinaryCost))
+	if sum < missing {
+		return false
+	}
+	slices.SortFunc(larger, func(x, y *account) int {
+		return cmp.Or(cmp.Compare(y.cost, x.cost), cmp.Compare(y.number, x.number))
+	})
+	for _, a := range larger {
+		if missing <= 0 {
+			break
 		}
-		largest.evicted = true
-		b.leaving += largest.cost
-		b.closed++
-		b.closedTotal.Inc(1)
-		largest.evict()
+		missing -= a.cost
+		b.evict(a)
 	}
 	return true
 }
 
-// largest returns the largest connection that is not evicted, the newest of equal ones, or nil. mu is held.
-func (b *Budget) largest() *account {
-	var found *account
+// largerThan returns the connections that are larger than cost and not evicted, and the sum of their costs. mu is held.
+func (b *Budget) largerThan(cost int64) (larger []*account, sum int64) {
 	for a := range b.accounts {
-		if a.evicted {
-			continue
-		}
-		if found == nil || a.cost > found.cost || a.cost == found.cost && a.number > found.number {
-			found = a
+		if !a.evicted && a.cost > cost {
+			larger = append(larger, a)
+			sum += a.cost
 		}
 	}
-	return found
+	return larger, sum
+}
+
+// evict has a connection closed that is not ordinary. mu is held.
+func (b *Budget) evict(a *account) {
+	a.evicted = true
+	b.leaving += a.cost
+	b.closed++
+	b.closedTotal.Inc(1)
+	a.evict()
 }
 
 // reserveBody counts n more bytes of bodies. It returns false and counts nothing if that is too much. Small bodies may exceed the limit by a
@@ -194,7 +249,7 @@
 	defer b.mu.Unlock()
 	limit := b.opts.BodyMemory
 	if small {
-		limit += limit / overshootShare
+		limit = withOvershoot(limit)
 	}
 	if b.bodies+n > limit {
 		return false
--- a/internal/process/httpserver/crowd_test.go
+++ b/internal/process/httpserver/crowd_test.go
@@ -159,3 +159,57 @@
 		require.GreaterOrEqual(t, total.statuses["200"], crowdMemory/ordinaryCost, "the memory has room for that many")
 	})
 }
+
+// TestProbesAreAnsweredBesideACrowd guards against probes that are refused because callers of another server have filled the memory that
+// both share.
+func TestProbesAreAnsweredBesideACrowd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(t, 1)
+		c.send(t, crowdSize, crowdPath)
+		probed, l := limitedServer(handle(200, "healthy", 0).ServeHTTP, CallerLimits{Budget: c.server.limits.Budget, Reserved: true})
+		t.Cleanup(func() { closeServer(t, probed) })
+		for range crowdMemory / overshootShare / ordinaryCost {
+			answer, err := get(dial(t, l))
+			require.NoError(t, err)
+			require.Equal(t, "200 healthy", answer)
+		}
+	})
+}
+
+// useUp lets a connection take what ordinary callers have left of the memory.
+func useUp(t *testing.T, s *Server) {
+	b := s.limits.Budget
+	left := b.opts.Memory - b.ordinary
+	for _, a := range used(s).accounts {
+		if a.cost+left <= ordinaryCost {
+			require.True(t, b.set(a, a.cost+left))
+			return
+		}
+	}
+	require.Zero(t, left)
+}
+
+// TestNextRequestSurvivesACrowd guards against a request that was sent behind the body of another one, runs, and ends without a response
+// because ordinary callers have filled the memory.
+func TestNextRequestSurvivesACrowd(t *testing.T) {
+	const body = "0123456789"
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(t, 1)
+		conn := dial(t, c.listener)
+		_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", runningPath, len(body))
+		require.NoError(t, err)
+		synctest.Wait()
+		c.send(t, crowdSize, crowdPath)
+		useUp(t, c.server)
+		go func() { _, _ = io.WriteString(conn, body+crowdRequest(crowdPath)) }()
+		close(c.release[runningPath])
+		answer, err := read(conn)
+		require.NoError(t, err)
+		require.Equal(t, "200 \x00", answer)
+		synctest.Wait()
+		close(c.release[crowdPath])
+		answer, err = read(conn)
+		require.NoError(t, err, "the next request")
+		require.Equal(t, "200 \x00", answer)
+	})
+}
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -82,9 +82,13 @@
 func (c *limitedConn) count(data []byte, buffered bool) bool {
 	c.mu.Lock()
 	c.meter.read(data, buffered)
-	cost, tooEmpty := c.cost(), c.meter.emptyLines > maxEmptyLines
+	cost, tooEmpty, begun := c.cost(), c.meter.emptyLines > maxEmptyLines, c.meter.known
 	c.mu.Unlock()
-	return !tooEmpty && c.budget.set(&c.account, cost)
+	set := c.budget.set
+	if begun {
+		set = c.budget.setBegun
+	}
+	return !tooEmpty && set(&c.account, cost)
 }
 
 // cost returns the cost of the connection; mu must be held.
@@ -257,7 +261,7 @@
 	c.unread = size
 	cost := c.cost()
 	c.mu.Unlock()
-	if c.budget.set(&c.account, cost) {
+	if c.budget.setBegun(&c.account, cost) {
 		return true
 	}
 	c.budget.countRefusal()
@@ -279,7 +283,7 @@
 	c.hasTrailer, c.response, c.unread = false, 0, 0
 	cost := c.cost()
 	c.mu.Unlock()
-	if !c.budget.set(&c.account, cost) {
+	if !c.budget.setBegun(&c.account, cost) { // The header of the next request may have been read, too.
 		c.evict()
 	}
 }
@@ -353,6 +357,7 @@
 	}
 	c := &limitedConn{Conn: inner, budget: s.limits.Budget, lingering: s.lingering}
 	c.account.evict = c.evict
+	c.account.reserved = s.limits.Reserved
 	if !c.budget.open(&c.account) {
 		return nil
 	}
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -38,6 +38,9 @@
 	Budget *Budget
 	// Connections bounds the open connections. 0 is DefaultCallerConnections.
 	Connections int
+	// Reserved says that the callers of other servers don't keep ordinary connections away by the memory that they hold, as for probes. It
+	// needs a low limit on connections.
+	Reserved bool
 	// OwnBodies says that the handler bounds the bodies of requests by itself.
 	OwnBodies bool
 }
