httpserver: connections with a header of up to 8 KiB are ordinary

Cause: connections above 32 KiB counted as large, and large ones are closed largest first although their requests run. Change: the bound is 64 KiB, a header of 8 KiB as most servers take. A hostile caller may hold twice as much without being closed; the total bound is the same.

--- a/internal/process/httpserver/budget.go
+++ b/internal/process/httpserver/budget.go
@@ -23,9 +23,9 @@
 	DefaultBodyMemory = 32 << 20
 	// connCost is what an open connection costs: the buffers of net/http, the stacks of its goroutines and its records.
 	connCost = 16 << 10
-	// ordinaryCost is the cost up to which a connection counts as ordinary: a header of a kilobyte or two in the lines of a common client.
-	// Ordinary connections are not closed to make room for others, since their requests may run.
-	ordinaryCost = connCost + 16<<10
+	// ordinaryCost is the cost up to which a connection counts as ordinary: a header of 8 KiB, which most servers take, in the lines of a
+	// common client. Ordinary connections are not closed to make room for others, since their requests may run.
+	ordinaryCost = connCost + 48<<10
 	// overshootShare is the share of the memory, as its divisor, by which requests that have begun, reserved connections, small bodies and
 	// connections that are being closed may exceed it.
 	overshootShare = 4
