upstream: the test of endless bytes bounds bytes in place of wall-clock time

Cause: TestEndlessBytesFillNoMemory gave each of its cases 5 s of wall clock for 64 exchanges to end by themselves.

Change: an endpoint that could send 16 MiB on a connection counts as one whose exchange didn't end by itself, and ends it; the test requires that there is none. That is as strict: an exchange that goes on fails however fast the machine is. The bounds on memory stay, the dial timeout no longer plays a part, and chunk extensions are an eleventh case.

--- a/internal/entry/upstream/memory_test.go
+++ b/internal/entry/upstream/memory_test.go
@@ -2,20 +2,25 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+// maxSent is what an endpoint sends in vain at most, in bytes: more than the sockets take once a caller reads no further.
+const maxSent = 16 << 20
+
 // endless returns a script that sends a beginning and then a text again and again until the caller closes.
-func endless(beginning, text string) script {
+func endless(beginning, text string) script { return endlessTo(beginning, text, new(atomic.Int64)) }
+
+// endlessTo is endless. It counts in unbounded the connections on which the caller has taken maxSent bytes, and ends them.
+func endlessTo(beginning, text string, unbounded *atomic.Int64) script {
 	data := []byte(text) // Not copied for each write: what the endpoint allocates must not be measured.
 	return func(t *testing.T, c net.Conn, r *bufio.Reader) {
 		if read(t, r) == nil {
@@ -24,11 +29,12 @@
 		if _, err := io.WriteString(c, beginning); err != nil {
 			return
 		}
-		for {
+		for sent := 0; sent < maxSent; sent += len(data) {
 			if _, err := c.Write(data); err != nil {
 				return
 			}
 		}
+		unbounded.Add(1)
 	}
 }
 
@@ -56,17 +62,14 @@
 		"long body":    {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", text, false},
 		"chunk line":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", text, false},
 		"trailer":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Long: " + text + "\r\n", false},
+		"extensions":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("e", 1000) + "\r\nx\r\n", false},
 		"event":        {streamHeader, "4000\r\n" + text + "\r\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var scripts []script
-			for range exchanges {
-				scripts = append(scripts, endless(c.beginning, c.text))
-			}
-			address := serveAtOnce(t, scripts)
-			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-			defer cancel()
-			var p Pool
+			var unbounded atomic.Int64
+			address := serveAtOnce(t, scripts(endlessTo(c.beginning, c.text, &unbounded), exchanges))
+			ctx := t.Context()
+			p := Pool{Dial: dialPatiently}
 			before := memoryStats()
 			var running sync.WaitGroup
 			var mu sync.Mutex
@@ -89,7 +92,7 @@
 			}
 			running.Wait()
 			after := memoryStats()
-			require.NoError(t, ctx.Err(), "the exchanges ended by themselves")
+			require.Zero(t, unbounded.Load(), "the exchanges ended by themselves")
 			require.LessOrEqual(t, after.TotalAlloc-before.TotalAlloc, uint64(exchanges*perExchange))
 			runtime.GC()
 			held := memoryStats()
