message: a frame takes memory as it arrives

What peers saw: nothing yet; found by a test. A faulty peer that announces large frames on many streams of a link and sends little of them could take all memory of a process: a link has 65,536 streams.

Cause: the body of a frame was allocated by its announced length, up to 8 MiB, before any of it had arrived.

Change: 16 KiB at first, then twice what has arrived, up to the announced length.

Measured: TestFramesTakeTheMemoryOfWhatHasArrived, 256 frames of 8 MiB of which 16 KiB have arrived: 2,048 MiB before (allowed 16, failed), passes now. TestLargeFrameIsReadWhole: frames up to 7 MiB arrive unchanged.

--- a/internal/link/message/frame.go
+++ b/internal/link/message/frame.go
@@ -21,6 +21,9 @@
 // MaxFrameBytes is the maximum length of a frame: its kind and its body.
 const MaxFrameBytes = 8 << 20
 
+// firstPartBytes is the length up to which memory is taken for a body before it arrives.
+const firstPartBytes = 16 << 10
+
 // headerBytes is the length field and the kind.
 const headerBytes = 5
 
@@ -133,11 +136,8 @@
 	if m == nil {
 		return nil, ErrUnknownKind{Kind: kind}
 	}
-	body := make([]byte, size-1)
-	if _, err := io.ReadFull(r, body); err != nil {
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF // The stream ended after the header.
-		}
+	body, err := readBody(r, int(size-1))
+	if err != nil {
 		return nil, errors.Wrap(err, "frame body")
 	}
 	if err := decMode.Unmarshal(body, m); err != nil {
@@ -145,3 +145,21 @@
 	}
 	return m, nil
 }
+
+// readBody reads a body of size bytes. It takes memory as the body arrives, since a peer may announce more than it sends.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	body := make([]byte, min(size, firstPartBytes))
+	for filled := 0; ; {
+		n, err := io.ReadFull(r, body[filled:])
+		filled += n
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF // The stream ended after the header.
+		case err != nil:
+			return nil, err
+		case filled == size:
+			return body, nil
+		}
+		body = append(body, make([]byte, min(filled, size-filled))...)
+	}
+}
