attempt: kept headers count with what a field takes besides its text

What callers saw: nothing yet; found by a test. A service whose answers have thousands of short header fields could make its agent hold many times what kept answers of requests that run at most once may take (16 MiB).

Cause: only the text of a header counted. A field takes about 120 bytes more in a map of slices.

Change: 128 bytes a field count as well. Answers that no longer fit are dropped as before, the oldest first.

Measured: TestKeptHeadersStayWithinTheLimit, 64 answers with 8,000 fields each, limit 16 MiB, bound 32: 58 MiB before (failed), passes now.

--- a/internal/agent/attempt/expiry.go
+++ b/internal/agent/attempt/expiry.go
@@ -52,13 +52,16 @@
 	t.keptBytes += answerBytes(r.answer)
 }
 
-// answerBytes returns the bytes of an answer's body and header.
+// fieldOverhead is about what a field of a header takes in memory besides its text, in bytes.
+const fieldOverhead = 128
+
+// answerBytes returns about what an answer's body and header take in memory, in bytes.
 func answerBytes(a *message.Answer) int {
 	n := len(a.Body)
 	for name, values := range a.Header {
 		n += len(name)
 		for _, v := range values {
-			n += len(v)
+			n += len(v) + fieldOverhead
 		}
 	}
 	return n
