plainservice: answers have at most 256 header fields

What callers saw: nothing yet; found by a test. A service could pass an answer with thousands of short header fields on to entries and, for requests that run at most once, into the ledger of the control hosts, which count the text of a header alone.

Cause: the head of an answer was bounded in bytes (64 KiB), in which there is room for 16,000 fields.

Change: an answer with more than 256 fields, which is also what gateways take of endpoints, counts as broken off: it may have run.

Measured: TestAnswerWithTooManyFieldsIsNotPassedOn: 8,000 fields were passed on before (failed); 200 fields still are.

--- a/internal/agent/plainservice/client.go
+++ b/internal/agent/plainservice/client.go
@@ -58,8 +58,11 @@
 	return &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 }
 
-// maxHeaderBytes bounds the header of a response.
-const maxHeaderBytes = 64 << 10
+// maxHeaderBytes bounds the header of a response in bytes, and maxHeaderFields the number of its fields.
+const (
+	maxHeaderBytes  = 64 << 10
+	maxHeaderFields = 256
+)
 
 // ResponseSink receives the response of a service as it arrives. The data passed to
 // WriteData is only valid until WriteData returns.
@@ -90,6 +93,9 @@
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
 		return ErrResponseCut{Cause: errors.New("the answer has neither a length nor chunks, so its end can't be told")}
 	}
+	if countFields(resp.Header) > maxHeaderFields {
+		return ErrResponseCut{Cause: errors.New("the answer has too many header fields")}
+	}
 	removeHopByHopHeaders(resp.Header)
 	if err := sink.WriteHeader(resp.StatusCode, resp.Header); err != nil {
 		return err
@@ -97,6 +103,14 @@
 	return copyBody(resp.Body, sink)
 }
 
+func countFields(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 func copyBody(body io.Reader, sink ResponseSink) error {
 	buf := make([]byte, bufferBytes)
 	for {
--- a/internal/agent/plainservice/client_test.go
+++ b/internal/agent/plainservice/client_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -64,3 +65,21 @@
 		}
 	}
 }
+
+// TestAnswerWithTooManyFieldsIsNotPassedOn guards against a service whose answers have thousands of short header fields,
+// each of which takes many times its text at the agent, the entry and the control hosts.
+func TestAnswerWithTooManyFieldsIsNotPassedOn(t *testing.T) {
+	for fields, passedOn := range map[int]bool{200: true, 8000: false} {
+		var got recorder
+		response := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + strings.Repeat("a: b\r\n", fields) + "\r\nwhole"
+		client := New(Options{URL: serveOnce(t, response)})
+		err := client.Call(t.Context(), &message.Dispatch{Call: &message.Call{Method: http.MethodGet, Path: "/a"}}, &got)
+		if passedOn {
+			require.NoError(t, err)
+			require.Equal(t, recorder{http.StatusOK, []byte("whole")}, got)
+			continue
+		}
+		require.True(t, IsErrResponseCut(err), err)
+		require.Equal(t, recorder{}, got)
+	}
+}
