--- a/internal/entry/explanation/client.go
+++ b/internal/entry/explanation/client.go
@@ -19,6 +19,8 @@
 	callTimeout = 5 * time.Second
 	// maxDocument bounds a document that a Client reads.
 	maxDocument = 16 << 20
+	// maxHeader bounds the header of an answer, in bytes.
+	maxHeader = 64 << 10
 	// maxQuery bounds the query of a call, in bytes. The page's server bounds the headers.
 	maxQuery = 4 << 10
 	// maxTokens bounds each part of a request's size.
@@ -27,7 +29,7 @@
 
 // client uses no proxy of the environment and follows no redirect: the request has the operator's token and a caller's key.
 var client = http.Client{
-	Transport:     &http.Transport{},
+	Transport:     &http.Transport{MaxResponseHeaderBytes: maxHeader},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
