caller: the load generator bounds what it reads of a response

What operators saw: nothing yet; found by a test. `egretreach load` read a response without end until it had no memory left.

Cause: io.ReadAll without a bound, and the text of a stream as well.

Change: 4 MiB; a longer response counts as an error.

--- a/internal/standin/caller/run.go
+++ b/internal/standin/caller/run.go
@@ -37,6 +37,8 @@
 	outcomeHeader = "Egretreach-Outcome"
 	resendDelay   = 500 * time.Millisecond
 	maxLineBytes  = 1 << 20
+	// maxResponseBytes bounds a response that is read whole, and the text of a stream, in bytes.
+	maxResponseBytes = 4 << 20
 )
 
 // Run sends each of the plan's arrivals at its intended time, without waiting for earlier
@@ -159,15 +161,21 @@
 	return readResponse(resp, a.Kind)
 }
 
+// errTooLong is returned for a response that is longer than maxResponseBytes.
+var errTooLong = errors.New("the response is too long")
+
 func readResponse(resp *http.Response, kind Kind) (result, error) {
 	res := result{outcome: resp.Header.Get(outcomeHeader), status: resp.StatusCode}
 	if resp.StatusCode < http.StatusBadRequest && kind == KindStream {
 		return readStream(resp, res)
 	}
-	raw, err := io.ReadAll(resp.Body)
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return res, err
 	}
+	if len(raw) > maxResponseBytes {
+		return res, errTooLong
+	}
 	res.finished = true
 	var body struct {
 		Choices []struct{ Message struct{ Content string } }
@@ -198,6 +206,9 @@
 		if err := res.addEvent(data, &text); err != nil {
 			return res, err
 		}
+		if text.Len() > maxResponseBytes {
+			return res, errTooLong
+		}
 	}
 	res.text = text.String()
 	res.outcome = resp.Trailer.Get(outcomeHeader)
@@ -249,7 +260,7 @@
 	var counts struct {
 		ByBody map[string]int `json:"by_body"`
 	}
-	if json.NewDecoder(resp.Body).Decode(&counts) == nil && resp.StatusCode == http.StatusOK {
+	if json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&counts) == nil && resp.StatusCode == http.StatusOK {
 		r.report.countRuns(counts.ByBody)
 	}
 }
