entry: answers that are being received have a bound in sum

What callers saw: nothing yet; found by a test. An entry held each answer up to max_answer (4 MiB by default, 64 at most), however many requests were under way: 64 endpoints that send without end took 256 MiB of it.

Cause: a bound for each answer and none for all.

Change: a sixth of the process's memory (8 to 48 MiB) for all, of which a quarter is for answers of up to 16 KiB, as at gateways. An answer without room ends as unknown with the code answer_memory. It counts until it is handed to the API, whose writes count towards the memory of callers already.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/egretreach/egretreach/internal/entry/server"
+	"github.com/egretreach/egretreach/internal/entry/upstream"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/process/daemon"
 	"github.com/egretreach/egretreach/internal/process/settings"
@@ -35,6 +36,7 @@
 		HeaderTimeout: s.API.HeaderTimeout, BodyTimeout: s.API.BodyTimeout, IdleTimeout: s.API.IdleTimeout,
 		MaxHeader: int(s.API.MaxHeader), MaxConnections: s.API.MaxConnections, Callers: deps.Callers,
 		ShutdownDelay: s.Stop.ShutdownDelay, DrainTimeout: s.Stop.DrainTimeout,
+		AnswerMemory: int64(upstream.MaxHeldOf(deps.Memory)),
 	})
 	if err != nil {
 		return daemon.Daemon{}, err
--- a/internal/entry/api/error_response.go
+++ b/internal/entry/api/error_response.go
@@ -81,6 +81,7 @@
 	"quarantined":                       http.StatusUnprocessableEntity,
 	"request_too_large":                 http.StatusRequestEntityTooLarge,
 	"answer_too_large":                  http.StatusBadGateway,
+	"answer_memory":                     http.StatusBadGateway,
 	"invalid_request":                   http.StatusBadRequest,
 	"not_ready":                         http.StatusServiceUnavailable,
 }
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -131,6 +131,8 @@
 		return execution.Ended{Kind: execution.EndLost, Code: execution.CodeEndpointFailed, Reason: err.Error()}, true
 	case isErrAnswerTooLarge(err):
 		return execution.Ended{Kind: execution.EndLost, Code: "answer_too_large", Reason: err.Error(), Final: true}, true
+	case errors.Is(err, errAnswerMemory):
+		return execution.Ended{Kind: execution.EndLost, Code: "answer_memory", Reason: err.Error(), Final: true}, true
 	default:
 		return execution.Ended{Kind: execution.EndLost, Code: "caller_gone", Reason: err.Error(), Final: true}, true
 	}
--- a/internal/entry/dispatch/dispatcher.go
+++ b/internal/entry/dispatch/dispatcher.go
@@ -24,6 +24,8 @@
 	Router      Router
 	Retrier     execution.Retrier
 	Logger      *log.Logger
+	// AnswerMemory bounds what the answers that are being received take, in bytes. 0 is DefaultAnswerMemory.
+	AnswerMemory int64
 }
 
 // Dispatcher executes requests. Create it with New.
@@ -31,11 +33,18 @@
 	opts    Options
 	claims  *batcher[message.ClaimItem, message.ClaimItemResult]
 	settles *batcher[message.SettleItem, bool]
+	answers *answerMemory
 }
 
 // New returns a Dispatcher.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{opts: opts, claims: newClaimBatcher(opts.BaseContext, opts.Control), settles: newSettleBatcher(opts.BaseContext, opts.Control)}
+	if opts.AnswerMemory == 0 {
+		opts.AnswerMemory = DefaultAnswerMemory
+	}
+	return &Dispatcher{
+		opts: opts, claims: newClaimBatcher(opts.BaseContext, opts.Control), settles: newSettleBatcher(opts.BaseContext, opts.Control),
+		answers: &answerMemory{limit: opts.AnswerMemory},
+	}
 }
 
 // Do executes a request and returns its result. If ctx ends, an idempotent request is
@@ -63,8 +72,10 @@
 	return d.execute(ctx, work, sink, execution.NewRefusal(newSpec(work), d.opts.Retrier, refusal))
 }
 
+// execute executes a request. Its answer counts until it is returned; the server of callers counts what is written.
 func (d *Dispatcher) execute(ctx context.Context, work Work, sink Sink, machine *execution.Machine) Result {
-	e := &executor{dispatcher: d, work: work, progress: answerProgress{work: work, sink: sink}}
+	e := &executor{dispatcher: d, work: work, progress: answerProgress{work: work, sink: sink, memory: d.answers}}
+	defer func() { d.answers.release(e.progress.reserved) }()
 	return e.run(ctx, machine)
 }
 
--- a/internal/entry/dispatch/progress.go
+++ b/internal/entry/dispatch/progress.go
@@ -46,6 +46,9 @@
 	offset uint64
 	body   []byte
 	end    message.End
+	// memory bounds the bodies of all requests, and reserved is the part of it for this one, in bytes.
+	memory   *answerMemory
+	reserved int64
 	// heardAt is when the last frame of the current attempt arrived, or when it started.
 	heardAt time.Time
 
@@ -67,7 +70,7 @@
 	if _, ok := p.work.Body.(ServiceCall); ok {
 		p.head = nil
 		p.offset = 0
-		p.body = nil
+		p.release()
 	}
 }
 
@@ -85,6 +88,9 @@
 	if int64(len(p.body)+len(c.Data)) > p.work.MaxAnswer {
 		return errAnswerTooLarge{limit: p.work.MaxAnswer}
 	}
+	if !p.reserve(int64(len(c.Data))) {
+		return errAnswerMemory
+	}
 	p.body = append(p.body, c.Data...)
 	p.offset += uint64(c.Count)
 	if !p.firstTokenSeen {
@@ -99,6 +105,21 @@
 	return nil
 }
 
+// reserve reserves n more bytes for the body. It returns false if there is no room for them.
+func (p *answerProgress) reserve(n int64) bool {
+	if !p.memory.reserve(n, p.reserved+n) {
+		return false
+	}
+	p.reserved += n
+	return true
+}
+
+// release drops the body and gives back what is reserved for it.
+func (p *answerProgress) release() {
+	p.memory.release(p.reserved)
+	p.body, p.reserved = nil, 0
+}
+
 // meanTokenGap returns the mean time between tokens since the last value it returned.
 // It returns false until there are enough tokens.
 func (p *answerProgress) meanTokenGap() (time.Duration, bool) {
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -46,6 +46,8 @@
 	MaxConnections int
 	// Callers bounds the memory that callers take. nil is a budget with the defaults.
 	Callers *httpserver.Budget
+	// AnswerMemory bounds what the answers that are being received take, in bytes. 0 is the default of dispatch.
+	AnswerMemory int64
 	// ShutdownDelay is how long a planned stop still accepts requests after readiness
 	// fails.
 	ShutdownDelay time.Duration
@@ -112,6 +114,7 @@
 	s.scheduler.evacuated = s.session.Evacuated
 	s.dispatcher = dispatch.New(dispatch.Options{
 		BaseContext: s.baseContext, Pool: links, Control: s.session, Router: s, Retrier: s.scheduler, Logger: opts.Logger,
+		AnswerMemory: opts.AnswerMemory,
 	})
 	handler, err := api.New(s, opts.Logger)
 	if err != nil {
