engine: a refusal has at most 64 KiB

What callers saw: nothing yet; found by a test. An agent read up to 1 MiB of a refusal, for each of up to 1,024 attempts, and passed its reason on to the entry and to the log.

Change: 64 KiB. What is longer counts as an answer that broke off, which proves no refusal.

Measured: TestLongRefusalIsNotPassedOn: a reason of 512 KiB was passed on before (failed); one of 8 KiB still is.

--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -24,6 +24,7 @@
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConns        = 64
 	maxResponseBytes    = 1 << 20
+	maxRefusalBytes     = 64 << 10
 	maxHeaderBytes      = 64 << 10
 	jsonContentType     = "application/json"
 )
@@ -187,7 +188,7 @@
 func decodeRefusal(resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
 	var r Refusal
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&r); err != nil || r.Code == "" {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRefusalBytes)).Decode(&r); err != nil || r.Code == "" {
 		return ErrResponseCut{Cause: errors.Errorf("status %d without a reason", resp.StatusCode)}
 	}
 	return ErrRefused{Status: resp.StatusCode, Code: r.Code, Reason: r.Reason}
--- a/internal/agent/engine/endless_test.go
+++ b/internal/agent/engine/endless_test.go
@@ -93,3 +93,17 @@
 		}
 	}
 }
+
+// TestLongRefusalIsNotPassedOn guards against refusals of up to a megabyte that an agent holds, for each of a thousand
+// attempts, and passes on to entries. Such an answer proves no refusal.
+func TestLongRefusalIsNotPassedOn(t *testing.T) {
+	for size, refused := range map[int]bool{8 << 10: true, 512 << 10: false} {
+		url := serveEngine(t, func(c net.Conn, _ *http.Request, _ int) {
+			write(c, http.StatusServiceUnavailable, `{"code":"overloaded","reason":"`+strings.Repeat("x", size)+`"}`)
+		})
+		err := New(Options{URL: url}).Cancel(t.Context(), message.Ref{})
+		require.Equal(t, refused, IsErrRefused(err), "%d bytes", size)
+		require.Equal(t, !refused, IsErrResponseCut(err), "%d bytes", size)
+		require.Less(t, len(err.Error()), 16<<10)
+	}
+}
