portal: the first frame of a stream has to arrive within 5 s

What peers saw: nothing yet; found by a test. A portal waited without a limit for the first frame of a stream and held what had arrived of it, for as long as the link lasted.

Change: a limit of 5 s, as control and agents have.

Measured: TestStreamWithoutAWholeFrameEnds failed before (open after 1 min of virtual time), passes now, also with -race and -cpu 1.

--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -254,12 +254,17 @@
 	return p.log
 }
 
+// firstFrameTimeout bounds the wait for the first frame of a stream.
+const firstFrameTimeout = 5 * time.Second
+
 // handleStream serves one stream that another process opened.
 func (p *Portal) handleStream(ctx context.Context, s *transport.Stream) {
+	_ = s.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 	first, err := s.Receive()
 	if err != nil {
 		return
 	}
+	_ = s.SetReadDeadline(time.Time{})
 	switch m := first.(type) {
 	case *message.Quorum:
 		if l := p.currentLog(); l != nil {
