soak: callers that send ahead, in parts and until a connection ends, and series of signals

The soak had no such callers: each waited for its response, read it at once, sent its body at once and left a connection whose end was announced. Change: kind ahead: callers with a small receive buffer send the next request while a stream comes, read it slowly, and go on using the connection until it ends, also behind "Connection: close". Kind body: callers send bodies in parts, some with a line break behind them, some with "Connection: close", some to a path without a route whose early response comes before the body, and read slowly afterwards. Kind series: SIGTERMs to two gateways at a time, five at once and then one in 400 ms until the process is gone. The rule LOST applies to them; a request behind the end of its connection counts only if it ran at an endpoint, one that was sent ahead is read in its turn, and a response that has begun before its request was sent whole must be whole too. The soak now reports a response behind the end of a connection. Each new test fails with its protection switched off.

--- a/internal/check/soak/caller.go
+++ b/internal/check/soak/caller.go
@@ -45,10 +45,15 @@
 	checkStreamEvents = 8
 )
 
-const kindStream = "stream"
+// Kinds of requests with checks of their own. The path of a request with kindUnknown has no route.
+const (
+	kindUnsafe  = "unsafe"
+	kindStream  = "stream"
+	kindUnknown = "unknown"
+)
 
-// callKinds lists the kinds of requests. Each is the first part of the path, which selects the route.
-var callKinds = []string{"safe", "unsafe", kindStream}
+// callKinds lists the kinds of valid requests. Each is the first part of the path, which selects the route.
+var callKinds = []string{"safe", kindUnsafe, kindStream}
 
 // caller sends requests to a gateway, one after the other, over a kept-alive connection.
 type caller struct {
@@ -58,6 +63,8 @@
 	rng     *rand.Rand
 	client  http.Client
 	sent    int
+	// idEnd is the end of the request IDs.
+	idEnd string
 	// early is a connection that was opened ahead of its first request, at earlyOpened.
 	early       net.Conn
 	earlyOpened time.Time
@@ -137,35 +144,44 @@
 type call struct {
 	exchange
 	events int
+	// deadline is sent with the request.
+	deadline time.Duration
 	// connectedAt and sentAt are set by the transport, in nanoseconds since 1970.
 	connectedAt, sentAt atomic.Int64
 }
 
-// sendOnce sends one request and checks its response.
-func (c *caller) sendOnce(ctx context.Context, kind string, events int) exchange {
+// newCall returns the next request, which begins now.
+func (c *caller) newCall(kind string, events int) *call {
 	c.sent++
-	r := &call{exchange: exchange{id: fmt.Sprintf("%s-%s-%d", c.name, kind, c.sent), kind: kind}, events: events}
-	deadline := plainDeadline
+	r := &call{exchange: exchange{id: fmt.Sprintf("%s-%s-%d%s", c.name, kind, c.sent, c.idEnd), kind: kind}, events: events, deadline: plainDeadline}
 	r.timeout = min(plainDeadline, standin.PlainTimeout)
 	if kind == kindStream {
-		deadline = streamDeadline
+		r.deadline = streamDeadline
 		r.timeout = min(streamDeadline, standin.StreamTimeout)
-		c.gateway.streams.Add(1)
-		defer c.gateway.streams.Add(-1)
 	}
 	c.testbed.recorder.count("requests")
-	if kind == "unsafe" {
+	if kind == kindUnsafe {
 		c.testbed.recorder.recordUnsafe(r.id)
 	}
 	r.began = time.Now()
-	c.testbed.recorder.notices.recordSent(r.id, c.gateway, r.began)
 	r.opened = r.began
+	c.testbed.recorder.notices.recordSent(r.id, c.gateway, r.began)
+	return r
+}
+
+// sendOnce sends one request and checks its response.
+func (c *caller) sendOnce(ctx context.Context, kind string, events int) exchange {
+	r := c.newCall(kind, events)
+	if kind == kindStream {
+		c.gateway.streams.Add(1)
+		defer c.gateway.streams.Add(-1)
+	}
 	if c.early != nil {
 		r.opened = c.earlyOpened
 	}
-	ctx, cancel := context.WithTimeout(ctx, deadline+responseSlack)
+	ctx, cancel := context.WithTimeout(ctx, r.deadline+responseSlack)
 	defer cancel()
-	resp, err := c.send(ctx, r, deadline)
+	resp, err := c.send(ctx, r)
 	r.ended = time.Now()
 	if err != nil {
 		r.noteTransport()
@@ -218,11 +234,7 @@
 	}
 }
 
-func (c *caller) send(ctx context.Context, call *call, deadline time.Duration) (*http.Response, error) {
-	path := "/" + call.kind + "/x"
-	if call.kind == kindStream {
-		path = standin.StreamPath(call.events)
-	}
+func (c *caller) send(ctx context.Context, call *call) (*http.Response, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { call.connectedAt.Store(time.Now().UnixNano()) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
@@ -231,15 +243,28 @@
 			}
 		},
 	})
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.gateway.apiAddress()+path, strings.NewReader("body of "+call.id))
+	r, err := c.compose(ctx, call, "body of "+call.id)
 	if err != nil {
-		return nil, errors.Wrap(err, "compose request")
+		return nil, err
 	}
-	setCallerHeaders(r, call.id, deadline)
 	r.Header.Set(platform.Dialect().Headers.PromptParts, fmt.Sprintf("%s:40,%s:300", commonPart, call.id))
 	return c.client.Do(r)
 }
 
+// compose returns a request with a body.
+func (c *caller) compose(ctx context.Context, call *call, body string) (*http.Request, error) {
+	path := "/" + call.kind + "/x"
+	if call.kind == kindStream {
+		path = standin.StreamPath(call.events)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.gateway.apiAddress()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "compose request")
+	}
+	setCallerHeaders(r, call.id, call.deadline)
+	return r, nil
+}
+
 // setCallerHeaders sets what each request to a gateway has.
 func setCallerHeaders(r *http.Request, id string, deadline time.Duration) {
 	names := platform.Dialect().Headers
@@ -271,6 +296,8 @@
 		c.testbed.checkIncomplete(c.gateway, call.exchange, err)
 	}
 	switch {
+	case resp.StatusCode == http.StatusNotFound && call.kind == kindUnknown:
+		r.count("denied")
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 		r.count("refused")
 		r.recordRefusal(call.id, strings.TrimSpace(body))
--- a/internal/check/soak/faultkind.go
+++ b/internal/check/soak/faultkind.go
@@ -21,6 +21,8 @@
 	faultStop       faultKind = "stop"
 	faultInterrupt  faultKind = "interrupt"
 	faultRepeatStop faultKind = "repeat-stop"
+	// faultSeries stops two gateways by signals that come in series, and overlap, until they are gone.
+	faultSeries faultKind = "series"
 	// faultReload is a SIGHUP, faultReloadStop a SIGTERM between several SIGHUPs.
 	faultReload     faultKind = "reload"
 	faultReloadStop faultKind = "reload-stop"
@@ -43,6 +45,10 @@
 	faultChange faultKind = "change"
 	// faultLate lets some callers send the first request on a connection late.
 	faultLate faultKind = "late"
+	// faultAhead lets some callers send the next request while the response still comes, read slowly, and use a connection until it
+	// ends. faultBody lets some callers send bodies in parts, also to paths without a route, and bytes after the request.
+	faultAhead faultKind = "ahead"
+	faultBody  faultKind = "body"
 	// faultPoison sends requests that share a part that crashes endpoints. faultLimit lets endpoints name limits
 	// of requests a second.
 	faultPoison faultKind = "poison"
@@ -58,7 +64,7 @@
 
 // injectedKinds lists the kinds that the injector starts, as often as their relative frequency.
 var injectedKinds = []faultKind{
-	faultKill, faultKill, faultPause, faultStop, faultStop, faultInterrupt, faultRepeatStop, faultRepeatStop, faultReload,
+	faultKill, faultKill, faultPause, faultStop, faultStop, faultInterrupt, faultRepeatStop, faultRepeatStop, faultSeries, faultReload,
 	faultReloadStop, faultCrash, faultDrain, faultSilence, faultSilence, faultLink, faultLink, faultWipe,
 	faultLeaving, faultLeaving, faultBusy, faultBusy, faultAllBusy,
 }
@@ -68,7 +74,7 @@
 
 // allKinds lists each kind once.
 func allKinds() faultKinds {
-	return append(slices.Compact(slices.Clone(injectedKinds)), faultChange, faultLate, faultPoison, faultLimit, faultDepart, faultSlow, faultUnframed)
+	return append(slices.Compact(slices.Clone(injectedKinds)), faultChange, faultLate, faultAhead, faultBody, faultPoison, faultLimit, faultDepart, faultSlow, faultUnframed)
 }
 
 // String returns the names of the kinds.
--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -33,6 +33,9 @@
 	maxRepeatDelay = 2 * time.Second
 	// interruptRatio is the number of repeated signals of which one is a SIGINT.
 	interruptRatio = 4
+	// A series begins with seriesBurst signals at once, and goes on with one after each seriesInterval.
+	seriesBurst    = 5
+	seriesInterval = 400 * time.Millisecond
 	// maxReloadDelay bounds the time between a SIGHUP and a SIGTERM.
 	maxReloadDelay = 500 * time.Millisecond
 )
@@ -80,6 +83,9 @@
 		f.stopOnce(daemon, syscall.SIGINT, duration)
 	case faultRepeatStop:
 		f.stopRepeatedly(daemon, duration)
+	case faultSeries:
+		f.stopInSeries(gateway, duration)
+		f.stopInSeries(t.gateways[f.rng.IntN(gatewayCount)], duration)
 	case faultReload:
 		f.signal(daemon, syscall.SIGHUP)
 	case faultReloadStop:
@@ -169,6 +175,23 @@
 	}
 }
 
+// stopInSeries stops a process by signals that come until it is gone, unless it stops already.
+func (f *faultInjector) stopInSeries(p *process, duration time.Duration) {
+	started, running := p.running()
+	if !running {
+		return
+	}
+	f.restart(p, syscall.SIGTERM, duration)
+	for range seriesBurst - 1 {
+		p.signalRun(started, syscall.SIGTERM)
+	}
+	f.after(seriesInterval, func() {
+		for p.signalRun(started, syscall.SIGTERM) {
+			time.Sleep(seriesInterval)
+		}
+	})
+}
+
 // stopAmidReloads sends a process SIGHUPs shortly before and after a SIGTERM.
 func (f *faultInjector) stopAmidReloads(p *process, duration time.Duration) {
 	started, running := p.running()
--- a/internal/check/soak/loss.go
+++ b/internal/check/soak/loss.go
@@ -39,6 +39,10 @@
 	opened, began time.Time
 	// sent is when the whole request was written. It is zero if it wasn't.
 	sent time.Time
+	// turn is when the response before it on the connection had ended, if that was later. A gateway reads the request then at the earliest.
+	turn time.Time
+	// afterEnd reports that the response before it on the connection ended the connection, so that no gateway reads the request.
+	afterEnd bool
 	// lastData is when the last part of the response was read.
 	lastData time.Time
 	// ended is when the connection ended.
@@ -50,6 +54,14 @@
 	complete bool
 }
 
+// readable returns the earliest time at which a gateway could have read the whole request.
+func (e exchange) readable() time.Time {
+	if e.turn.After(e.sent) {
+		return e.turn
+	}
+	return e.sent
+}
+
 // class says how far an exchange without a complete response got.
 func (e exchange) class() string {
 	switch {
@@ -107,7 +119,9 @@
 	switch {
 	case e.sent.IsZero():
 		return excuse("not sent whole")
-	case !c.ran && !e.answered && e.ended.Sub(e.sent) <= readTime:
+	case !c.ran && !e.answered && e.afterEnd:
+		return excuse("sent to a connection that ended")
+	case !c.ran && !e.answered && e.ended.Sub(e.readable()) <= readTime:
 		return excuse("crossed a close")
 	case e.ended.Sub(e.began) >= e.timeout:
 		return excuse("deadline reached")
--- a/internal/check/soak/loss_test.go
+++ b/internal/check/soak/loss_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,6 +58,30 @@
 	require.Equal(t, "excused: not sent whole", circumstances{ran: true}.judge(exchange{}).String())
 }
 
+// TestRequestSentAheadIsReadInItsTurn guards against a rule that counts a request as read while the response before it still comes, or
+// excuses one behind the end of its connection that ran all the same.
+func TestRequestSentAheadIsReadInItsTurn(t *testing.T) {
+	start := time.Now()
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	stops := []plannedStop{{at(1), at(1)}}
+	for name, c := range map[string]struct {
+		turn, ended float64
+		afterEnd    bool
+		ran         bool
+		want        string
+	}{
+		"closed at its turn":          {2, 2.1, false, false, "excused: crossed a close"},
+		"closed long after its turn":  {2, 2.3, false, false, "LOST beside a stop"},
+		"closed at its turn, but ran": {2, 2.1, false, true, "LOST beside a stop"},
+		"behind the end":              {2, 3, true, false, "excused: sent to a connection that ended"},
+		"behind the end, but ran":     {2, 3, true, true, "LOST beside a stop"},
+		"sent after its turn":         {-1, 0.3, false, false, "LOST without any cause"},
+	} {
+		e := exchange{kind: kindStream, timeout: streamDeadline, opened: start, began: start, sent: start, turn: at(c.turn), ended: at(c.ended), afterEnd: c.afterEnd}
+		require.Equal(t, c.want, circumstances{ran: c.ran, stops: stops}.judge(e).String(), name)
+	}
+}
+
 // TestCallerTellsRefusedConnectsFromLostRequests guards against a caller that counts a request which
 // was sent whole on an open connection as one that could not connect.
 func TestCallerTellsRefusedConnectsFromLostRequests(t *testing.T) {
@@ -110,6 +135,17 @@
 	require.Len(t, p.stops, 2)
 }
 
+// TestSeriesOfSignalsEndsWithItsRun guards against a series of signals that goes on into the next run of a process, which would never start.
+func TestSeriesOfSignalsEndsWithItsRun(t *testing.T) {
+	started := time.Now()
+	p := &process{started: started}
+	require.False(t, p.signalRun(started, syscall.SIGTERM), "it has ended")
+	p = newRunning(started)
+	p.started = started.Add(time.Second)
+	require.False(t, p.signalRun(started, syscall.SIGTERM), "it was started again")
+	require.Empty(t, p.stops)
+}
+
 // TestFaultKindsSelect guards against an option that selects other faults than it names.
 func TestFaultKindsSelect(t *testing.T) {
 	rng := newRand(1, 1)
--- a/internal/check/soak/main.go
+++ b/internal/check/soak/main.go
@@ -11,6 +11,8 @@
 //   - A request that a gateway has read gets a complete response beside a stop, a SIGHUP or a change
 //     of the configuration, unless an endpoint or a connection broke, and also if an endpoint sends
 //     nothing for a while.
+//   - Responses on a connection come in the order of their requests, and each is complete before the connection ends, whatever its
+//     caller sends meanwhile and however slowly it reads.
 //   - A gateway sends nothing to an endpoint that has said in a response that it leaves, and hardly
 //     anything to one that has asked for no requests for a while.
 //   - Requests that share a part that crashes endpoints soon reach no endpoint.
@@ -131,7 +133,8 @@
 	}
 	defer func() { _ = faultLog.Close() }()
 	log := func(format string, args ...any) {
-		fmt.Fprintln(faultLog, time.Now().UTC().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+		text := strings.ReplaceAll(fmt.Sprintf(format, args...), idUnit, "")
+		fmt.Fprintln(faultLog, time.Now().UTC().Format("15:04:05.000"), text)
 	}
 	recorder, err := o.runFaults(folder, seed, log)
 	if err != nil {
@@ -164,6 +167,7 @@
 	limitPart      = 1001
 	addedRoutePart = 1002
 	slowdownPart   = 1003
+	connCallerPart = 2000
 )
 
 // runFaults boots a testbed, injects faults, waits for its recovery and stops it.
@@ -213,6 +217,7 @@
 			running.Go(func() { t.runLeaver(faultCtx, g) })
 		}
 	}
+	t.runConnCallers(faultCtx, o.Only, seed, &running)
 	injector := &faultInjector{testbed: t, rng: rngs[1], kinds: o.Only, interval: o.Every}
 	running.Go(func() { injector.run(faultCtx) })
 	for i, rng := range rngs[parts:] {
--- a/internal/check/soak/process.go
+++ b/internal/check/soak/process.go
@@ -156,14 +156,15 @@
 	return p.started, p.command != nil && !p.stopRequested
 }
 
-// signalRun sends a signal if the process still runs since a start.
-func (p *process) signalRun(started time.Time, s syscall.Signal) {
+// signalRun sends a signal if the process still runs since a start, and reports whether it does.
+func (p *process) signalRun(started time.Time, s syscall.Signal) bool {
 	p.mu.Lock()
-	same := p.started.Equal(started)
+	same := p.command != nil && p.started.Equal(started)
 	p.mu.Unlock()
 	if same {
 		p.signal(s)
 	}
+	return same
 }
 
 // wait waits up to stopTime until the process has exited, and reports whether it has.
--- a/internal/check/soak/recorder.go
+++ b/internal/check/soak/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -119,5 +120,5 @@
 
 func (r *recorder) violationLocked(format string, args ...any) {
 	at := time.Now().UTC().Format("15:04:05.000")
-	r.violations = append(r.violations, at+" "+fmt.Sprintf(format, args...))
+	r.violations = append(r.violations, at+" "+strings.ReplaceAll(fmt.Sprintf(format, args...), idUnit, ""))
 }
