httpserver: a connection counts as closing before its sending direction ends

What callers saw: nothing; two tests of the stop failed beside load under the race detector (in 2 of 4 processes of 8 runs each). Cause: the count began after the end of the sending direction, so that a caller who had seen that end, or a stop that ended then, could find the connection in neither count. Change: the count begins first.

--- a/internal/process/httpserver/linger.go
+++ b/internal/process/httpserver/linger.go
@@ -43,10 +43,10 @@
 	if !ok || q == (socketQueues{}) {
 		return c.release()
 	}
-	c.budget.set(&c.account, connCost) // net/http releases the header.
-	_ = c.CloseWrite()                 // The reads show whether the connection has ended.
 	l.conns.Begin()
 	l.unreceived.Begin()
+	c.budget.set(&c.account, connCost) // net/http releases the header.
+	_ = c.CloseWrite()                 // The reads show whether the connection has ended.
 	go l.await(c)
 	return nil
 }
