httpserver: what the kernel still sends is not logged as cut

What operators saw: cut of process_stopped and response_unsent counted responses that arrive. Cause: at the end of a stop everything that a caller had not acknowledged was taken for lost. Change: such a response has a reason of its own and isn't counted by responses_unsent_total. cut counts requests that were being served.

--- a/cmd/portal.go
+++ b/cmd/portal.go
@@ -102,7 +102,7 @@
 			p.Stop(transfer)
 			cut := 0
 			if server.Stop(ctx) != nil {
-				cut = server.InFlight()
+				cut = server.Unanswered()
 			}
 			return cut + transport.UnreceivedAnswers(p.Drain(ctx))
 		},
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -282,7 +282,7 @@
 // cutRequests fails the requests in flight, closes the connections of callers, and returns how many
 // requests there were. Callers to which nothing has been sent get a response.
 func (g *Gateway) cutRequests(ctx context.Context) int {
-	count := g.server.InFlight()
+	count := g.server.Unanswered()
 	g.cut()
 	ctx = context.WithoutCancel(ctx)
 	answering, cancel := context.WithTimeout(ctx, cutTimeout)
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -178,7 +178,7 @@
 	defer cancel()
 	cut := 0
 	if s.drain(ctx) != nil {
-		cut = max(s.inFlight.Count(), s.callers.InFlight())
+		cut = s.inFlight.Count()
 		s.cutRequests(ctx)
 	}
 	_ = s.session.Goodbye()
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -187,6 +187,9 @@
 // openCount returns the number of open connections.
 func (s *Server) openCount() int { return s.conns.openCount() + s.lingering.conns.Count() }
 
+// Unanswered returns the number of requests being served.
+func (s *Server) Unanswered() int { return s.requests.Count() }
+
 // InFlight returns the number of requests being served, and of responses that callers have not received.
 func (s *Server) InFlight() int { return s.requests.Count() + s.lingering.unreceived.Count() }
 
--- a/internal/process/httpserver/unsent.go
+++ b/internal/process/httpserver/unsent.go
@@ -24,8 +24,10 @@
 
 const (
 	unsentNothing unsentReason = ""
-	// unsentStopped is the end of a planned stop, or of the server.
-	unsentStopped unsentReason = "stop"
+	// unsentStopped is the end of a planned stop, or of the server. If no bytes of the caller lie unread then, it is unsentByKernel: the
+	// operating system goes on sending, and the response arrives unless the caller sends more before it has received it.
+	unsentStopped  unsentReason = "stop"
+	unsentByKernel unsentReason = "stop, the kernel sends the rest"
 	// unsentEvicted is that of a connection that held the most memory.
 	unsentEvicted unsentReason = "caller memory"
 	// unsentStalled is that of a caller that has received nothing for transferTimeout.
@@ -49,9 +51,12 @@
 	r.total = registry.Counter("responses_unsent_total", "Responses cut because their connections were closed before the callers had received them.")
 }
 
-// add counts a response, of which the caller has not acknowledged q.unsent bytes, and logs it.
+// add logs a response, of which the caller has not acknowledged q.unsent bytes, and counts it unless the kernel sends them.
 func (r *unsentRecord) add(request string, reason unsentReason, q socketQueues) {
-	if r.total != nil {
+	if reason == unsentStopped && q.unread == 0 {
+		reason = unsentByKernel
+	}
+	if r.total != nil && reason != unsentByKernel {
 		r.total.Inc(1)
 	}
 	omitted, ok := r.takeLine(time.Now())
