httpserver: the last response of a planned stop is waited for

Cause: net/http calls a connection idle before it closes it. The stop took that for the end of the response, found no connection that was closing, and closed all. Change: once no connection is kept any more, one that is busy stays so until it is closed.

--- a/internal/process/httpserver/connections.go
+++ b/internal/process/httpserver/connections.go
@@ -20,6 +20,8 @@
 	idle map[net.Conn]bool
 	// count counts the connections in busy.
 	count inflight.Requests
+	// ending says that no connection is kept any more, so that a busy one stays busy until it is closed.
+	ending bool
 }
 
 // changed records a connection's new state. It is the ConnState of an http.Server.
@@ -43,7 +45,7 @@
 		}
 		b.idle[c] = false
 	}
-	active := state == http.StateActive
+	active := state == http.StateActive || state == http.StateIdle && b.ending
 	if active == b.busy[c] {
 		return
 	}
@@ -66,6 +68,13 @@
 	return b.open
 }
 
+// end lets the connections that are busy count as busy until they are closed. net/http calls a connection idle before it closes it.
+func (b *connections) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ending = true
+}
+
 // whenIdle returns a channel that is closed once all responses have been sent.
 func (b *connections) whenIdle() <-chan struct{} { return b.count.WhenIdle() }
 
--- a/internal/process/httpserver/connections_test.go
+++ b/internal/process/httpserver/connections_test.go
@@ -45,3 +45,18 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestConnectionIsBusyUntilItIsClosedAtTheEnd guards against a planned stop that takes the last response for received, since net/http calls
+// its connection idle before it closes it.
+func TestConnectionIsBusyUntilItIsClosedAtTheEnd(t *testing.T) {
+	var b connections
+	c := &net.TCPConn{}
+	b.changed(c, http.StateNew)
+	b.changed(c, http.StateActive)
+	b.end()
+	b.changed(c, http.StateIdle)
+	require.Equal(t, 1, b.count.Count())
+	b.changed(c, http.StateClosed)
+	<-b.whenIdle()
+	require.Zero(t, b.openCount())
+}
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -142,6 +142,7 @@
 		_ = (*listener).Close()
 	}
 	s.awaitIdleEnds(ctx)
+	s.conns.end()
 	s.server.SetKeepAlivesEnabled(false)
 	if !awaitIdle(ctx, s.conns.whenIdle()) || !awaitIdle(ctx, s.lingering.conns.WhenIdle()) {
 		return ctx.Err()
