httpserver: a planned stop answers what it has read while it waits for slow callers

What callers saw: a request on a connection that had been opened before the stop was read, and its connection closed without the refusal. Cause: the stop waited for the requests first and then for the connections that were closing, which may take seconds, and looked only once. Change: it waits until there are neither.

--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -144,10 +144,14 @@
 	s.awaitIdleEnds(ctx)
 	s.conns.end()
 	s.server.SetKeepAlivesEnabled(false)
-	if !awaitIdle(ctx, s.conns.whenIdle()) || !awaitIdle(ctx, s.lingering.conns.WhenIdle()) {
-		return ctx.Err()
+	for {
+		if !awaitIdle(ctx, s.conns.whenIdle()) || !awaitIdle(ctx, s.lingering.conns.WhenIdle()) {
+			return ctx.Err()
+		}
+		if s.conns.count.Count() == 0 { // A request may have been read while a slow caller was waited for.
+			return s.Close()
+		}
 	}
-	return s.Close()
 }
 
 // awaitIdle waits until idle is closed or ctx ends. It reports whether idle is closed, also if ctx has ended before.
--- a/internal/process/httpserver/server_test.go
+++ b/internal/process/httpserver/server_test.go
@@ -168,3 +168,33 @@
 	require.NoError(t, stopErr)
 	require.LessOrEqual(t, took, 2*idleExpiry, "an idle connection doesn't delay the stop")
 }
+
+// TestStopAnswersRequestsWhileItWaitsForCallers guards against a planned stop that waits for a slow caller and closes the connection of
+// another one, whose request it has read meanwhile, without a response.
+func TestStopAnswersRequestsWhileItWaitsForCallers(t *testing.T) {
+	var late string
+	var lateErr, stopErr error
+	synctest.Test(t, func(t *testing.T) {
+		s := New(&http.Server{Handler: handle(200, "served", 0)}, handle(503, "refused", time.Second))
+		listener := memnet.NewListener("h")
+		go func() { _ = s.Serve(listener) }()
+		c, err := listener.Dial(t.Context(), "", "")
+		require.NoError(t, err)
+		s.lingering.conns.Begin() // The connection of the slow caller.
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Stop(t.Context()) }()
+		synctest.Wait()
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			late, lateErr = get(c)
+		}()
+		synctest.Wait()
+		s.lingering.conns.End()
+		<-answered
+		stopErr = <-stopped
+	})
+	require.NoError(t, lateErr)
+	require.Equal(t, "503 refused", late)
+	require.NoError(t, stopErr)
+}
