gateway, httpserver: closing an idle connection is no data race

What callers saw: nothing; found by a review, with the race detector. Cause: a planned stop lets net/http close idle connections whose goroutines wait in a read, and what drops the caller's further data reads too: both wrote framingConn's record of the last bytes. A deadline that net/http set at that moment could follow the one by which that reading ends. Change: the record is guarded, and Close takes the lock of the deadlines. The buffer for dropped data is one a connection, not one each 50 ms. Measured: TestFramingConnMayHaveTwoReaders reports a race without the lock, none with it. The deadline was not provoked.

--- a/internal/entry/gateway/framing.go
+++ b/internal/entry/gateway/framing.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -19,6 +20,8 @@
 // the length. A body that contains such text costs at most a new connection.
 type framingConn struct {
 	net.Conn
+	// mu guards tail and tailSize: while an idle connection is closed, net/http and the server of callers both read.
+	mu sync.Mutex
 	// tail is the end of the data read so far, in which a header name may have begun.
 	tail                [maxFramingLine]byte
 	tailSize            int
@@ -39,6 +42,8 @@
 	if n == 0 || c.sawLength.Load() && c.sawTransferEncoding.Load() {
 		return n, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.lookAt(b[:n])
 	return n, err
 }
--- a/internal/entry/gateway/framing_test.go
+++ b/internal/entry/gateway/framing_test.go
@@ -75,3 +75,28 @@
 	_, err = io.ReadFull(served, sent[:])
 	require.NoError(t, err, "the other direction stays open")
 }
+
+// TestFramingConnMayHaveTwoReaders guards against a data race while an idle connection is closed: both net/http and what drops the caller's
+// further data read it then. The race detector finds it.
+func TestFramingConnMayHaveTwoReaders(t *testing.T) {
+	const size = 1 << 10
+	served, caller := net.Pipe()
+	c := &framingConn{Conn: served}
+	reads := make(chan error, 2)
+	for range cap(reads) {
+		go func() {
+			var b [1]byte
+			var err error
+			for err == nil {
+				_, err = c.Read(b[:])
+			}
+			reads <- err
+		}()
+	}
+	_, err := io.WriteString(caller, strings.Repeat("x", size))
+	require.NoError(t, err)
+	require.NoError(t, caller.Close())
+	for range cap(reads) {
+		require.ErrorIs(t, <-reads, io.EOF)
+	}
+}
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -319,7 +319,10 @@
 
 // Close implements net.Conn. It returns at once, and the connection is closed when the caller has received everything.
 func (c *limitedConn) Close() error {
-	if c.closed.Swap(true) {
+	c.mu.Lock() // A deadline of net/http must not follow that of linger.
+	wasClosed := c.closed.Swap(true)
+	c.mu.Unlock()
+	if wasClosed {
 		return nil
 	}
 	if c.lingering.ctx.Err() != nil {
--- a/internal/process/httpserver/linger.go
+++ b/internal/process/httpserver/linger.go
@@ -69,6 +69,7 @@
 	defer stop()
 	evicted := c.evicted.Load()
 	var p receiptProgress
+	buffer := make([]byte, discardSize)
 	for {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerCheckInterval))
 		switch {
@@ -77,7 +78,7 @@
 		case !evicted && c.evicted.Load():
 			return unsentEvicted
 		}
-		if err := discard(c.Conn); !errors.Is(err, os.ErrDeadlineExceeded) {
+		if err := discard(c.Conn, buffer); !errors.Is(err, os.ErrDeadlineExceeded) {
 			return unsentNothing
 		}
 		q, ok := queuesOf(c.Conn)
@@ -97,11 +98,10 @@
 	}
 }
 
-// discard reads from a connection until a read fails.
-func discard(c net.Conn) error {
-	var buffer [discardSize]byte
+// discard reads from a connection into buffer until a read fails.
+func discard(c net.Conn, buffer []byte) error {
 	for {
-		if _, err := c.Read(buffer[:]); err != nil {
+		if _, err := c.Read(buffer); err != nil {
 			return err
 		}
 	}
