httpserver: a response to HTTP/1.0 that is broken off does not look whole

What callers saw: a response without length and chunks that was broken off ended like a whole one. Cause: callers of HTTP/1.0 know no chunks, so that the end of the connection is the end of the response, whether or not it is whole. Change: if the handler of such a request is aborted, the connection is reset in place of being closed. Not tried through a gateway.

--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -35,6 +35,8 @@
 	closed    atomic.Bool
 	// evicted says that the connection is being closed for the memory that it holds.
 	evicted atomic.Bool
+	// brokenOff says that the end of the connection would look like that of a whole response, so that it is reset in place of it.
+	brokenOff atomic.Bool
 
 	// mu guards the other fields. It is not held while the budget is called.
 	mu    sync.Mutex
@@ -325,6 +327,10 @@
 	if wasClosed {
 		return nil
 	}
+	if c.brokenOff.Load() {
+		resetAtClose(c.Conn)
+		return c.release()
+	}
 	if c.lingering.ctx.Err() != nil {
 		c.recordUnsent(unsentStopped)
 		return c.release()
@@ -332,6 +338,14 @@
 	return c.lingering.close(c)
 }
 
+// breakOff lets the connection of a request, which is found by its context, be reset when it is closed. The handler has panicked in the
+// middle of a response that may have neither a length nor chunks.
+func breakOff(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*limitedConn); ok {
+		c.brokenOff.Store(true)
+	}
+}
+
 // release closes the connection and gives back what it costs.
 func (c *limitedConn) release() error {
 	c.budget.close(&c.account)
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -79,10 +79,17 @@
 		if c, ok := r.Context().Value(connKey{}).(*limitedConn); ok {
 			c.headerRead(len(r.TransferEncoding) > 0)
 		}
+		whole := false
+		defer func() {
+			if !whole && !r.ProtoAtLeast(1, 1) {
+				breakOff(r.Context())
+			}
+		}()
 		accepted := s.requests.Begin()
 		defer s.requests.End()
 		if !accepted {
 			refuse.ServeHTTP(w, r)
+			whole = true
 			return
 		}
 		if s.openCount() > s.maxKept {
@@ -94,6 +101,7 @@
 			r.Body = body
 		}
 		withCaller(serve, w, r)
+		whole = true
 	})
 	server.ConnState = s.conns.changed
 	server.ConnContext = withConn
--- a/internal/process/httpserver/socketqueues.go
+++ b/internal/process/httpserver/socketqueues.go
@@ -33,3 +33,18 @@
 	})
 	return q, err == nil && unsentErr == nil && unreadErr == nil
 }
+
+// resetAtClose lets the close of a connection reset it, if it is a socket.
+func resetAtClose(c net.Conn) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { // A connection that has ended needs none.
+		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+}
