soak: a request on the connection of a killed gateway is owed no response

Trace: the gateway was killed at 10:20:24.448; the caller, with a small receive buffer, read the responses of its connection until 10:20:29.28, sent its next request on it, and got the end of the connection 90 ms later. The new process, started at 10:20:25.643, has no line of it. Change: a gateway must have been undisturbed since the connection was opened, where that is earlier. Only this check has changed; the rule LOST, which found that the request had crossed a close, judges as before. Measured: TestRequestOnTheConnectionOfAnEarlierProcessIsOwedNoResponse.

--- a/internal/check/soak/caller.go
+++ b/internal/check/soak/caller.go
@@ -279,7 +279,7 @@
 // disturbed since settleTime before the request, and wherever the rule on lost requests says so.
 func (c *caller) checkNoResponse(e exchange, err error) {
 	c.testbed.checkIncomplete(c.gateway, e, err)
-	if c.gateway.undisturbed(e.opened.Add(-settleTime)) {
+	if c.gateway.undisturbed(e.undisturbedFrom()) {
 		c.testbed.recorder.reportViolation("%s got no response from %s, which was not disturbed, after %v: %v",
 			e.id, c.gateway.name, e.ended.Sub(e.began), err)
 	}
--- a/internal/check/soak/conncaller.go
+++ b/internal/check/soak/conncaller.go
@@ -85,10 +85,12 @@
 // connCaller is a caller that writes and reads its connections itself, for what net/http does not do.
 type connCaller struct {
 	*caller
-	conn     net.Conn
-	slow     *slowReader
-	buffered *bufio.Reader
-	state    connState
+	conn net.Conn
+	// connOpenedAt is when conn was opened.
+	connOpenedAt time.Time
+	slow         *slowReader
+	buffered     *bufio.Reader
+	state        connState
 	// turn is when the last response on the connection had ended.
 	turn time.Time
 }
@@ -154,7 +156,7 @@
 
 // use makes conn the connection of the next requests.
 func (c *connCaller) use(conn net.Conn) {
-	c.conn, c.slow = conn, &slowReader{from: conn}
+	c.conn, c.connOpenedAt, c.slow = conn, time.Now(), &slowReader{from: conn}
 	c.buffered = bufio.NewReader(c.slow)
 	c.state, c.turn = connOpen, time.Time{}
 }
@@ -262,7 +264,7 @@
 		c.testbed.recorder.count("given up behind another request")
 		return
 	}
-	r.connected, r.turn, r.afterEnd = true, c.turn, c.state != connOpen
+	r.connected, r.connOpenedAt, r.turn, r.afterEnd = true, c.connOpenedAt, c.turn, c.state != connOpen
 	c.slow.pause = pause
 	_ = c.conn.SetReadDeadline(time.Now().Add(r.deadline + responseSlack)) // A failure shows in the read.
 	resp, err := http.ReadResponse(c.buffered, nil)
--- a/internal/check/soak/loss.go
+++ b/internal/check/soak/loss.go
@@ -37,6 +37,8 @@
 	// opened is when the connection was opened, if it was opened ahead of the request, and began
 	// otherwise.
 	opened, began time.Time
+	// connOpenedAt is when the connection was opened, if it may have carried earlier requests, and zero otherwise.
+	connOpenedAt time.Time
 	// sent is when the whole request was written. It is zero if it wasn't.
 	sent time.Time
 	// turn is when the response before it on the connection had ended, if that was later. A gateway reads the request then at the earliest.
@@ -220,6 +222,16 @@
 	return e.ended.Sub(e.lastData).Round(time.Microsecond)
 }
 
+// undisturbedFrom returns the time from which on a gateway must not have been disturbed to owe the exchange a response. A connection that was
+// opened before may belong to a process that is gone, and of whose responses the kernel still delivers the rest.
+func (e exchange) undisturbedFrom() time.Time {
+	from := e.opened.Add(-settleTime)
+	if !e.connOpenedAt.IsZero() && e.connOpenedAt.Before(from) {
+		return e.connOpenedAt
+	}
+	return from
+}
+
 // circumstancesOf collects what happened around an exchange.
 func (t *testbed) circumstancesOf(g *process, e exchange) circumstances {
 	since := e.opened.Add(-settleTime)
--- a/internal/check/soak/loss_test.go
+++ b/internal/check/soak/loss_test.go
@@ -195,3 +195,15 @@
 	write(admitted + admitted)
 	require.True(t, f.othersAdmitted(second))
 }
+
+// TestRequestOnTheConnectionOfAnEarlierProcessIsOwedNoResponse guards against a report of a request that was sent on a kept connection whose
+// gateway had been killed since, and against a shorter time without disturbances for other requests.
+func TestRequestOnTheConnectionOfAnEarlierProcessIsOwedNoResponse(t *testing.T) {
+	began := time.Now()
+	e := exchange{opened: began}
+	require.Equal(t, began.Add(-settleTime), e.undisturbedFrom())
+	e.connOpenedAt = began.Add(-settleTime / 2)
+	require.Equal(t, began.Add(-settleTime), e.undisturbedFrom())
+	e.connOpenedAt = began.Add(-2 * settleTime)
+	require.Equal(t, e.connOpenedAt, e.undisturbedFrom())
+}
