--- a/internal/process/httpserver/limited_test.go
+++ b/internal/process/httpserver/limited_test.go
@@ -104,7 +104,7 @@
 			answer, err := get(dial(t, l))
 			require.NoError(t, err)
 			require.Equal(t, "200 false", answer)
-			require.LessOrEqual(t, used(s).held, int64(MinCallerMemory+MinCallerMemory/overshootShare+40*ordinaryCost))
+			require.LessOrEqual(t, used(s).held, int64(MinCallerMemory+MinCallerMemory/overshootShare+40*2*connCost))
 		}
 		require.Positive(t, used(s).refused+used(s).closed)
 		for _, c := range withheld {
