gateway: tests that capture the log let several requests write at once

Cause: the log of a test with two requests at once went to a buffer without a lock. The product isn't concerned: its logs go through a writer with a lock. Change: captureLog returns the buffer with a lock that log_test.go has already. No check is changed.

--- a/internal/entry/gateway/caller_memory_test.go
+++ b/internal/entry/gateway/caller_memory_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -100,7 +99,7 @@
 // TestRequestClosedForMemoryIsLoggedAsFailed guards against a log by which callers have left, although the gateway has closed their
 // connections for the memory that they hold.
 func TestRequestClosedForMemoryIsLoggedAsFailed(t *testing.T) {
-	var lines *bytes.Buffer
+	var lines *lockedBuffer
 	withFixture(t, func(f *fixture) {
 		lines = f.captureLog()
 		forEach(f.heads, func(e *fakeEndpoint) { e.streamEvents(20, 100*time.Millisecond, endStream) })
--- a/internal/entry/gateway/log_test.go
+++ b/internal/entry/gateway/log_test.go
@@ -15,7 +15,7 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
-// lockedBuffer is a log destination that may be read while the gateway writes.
+// lockedBuffer is a log destination for several requests at once, which may be read while the gateway writes.
 type lockedBuffer struct {
 	mu  sync.Mutex
 	buf bytes.Buffer
@@ -27,6 +27,13 @@
 	return b.buf.Write(p)
 }
 
+// String returns what was written since the last take.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
 // take returns what was written since the last call.
 func (b *lockedBuffer) take() string {
 	b.mu.Lock()
--- a/internal/entry/gateway/stop_test.go
+++ b/internal/entry/gateway/stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -20,8 +19,8 @@
 )
 
 // captureLog lets the gateway log to the buffer that it returns.
-func (f *fixture) captureLog() *bytes.Buffer {
-	var lines bytes.Buffer
+func (f *fixture) captureLog() *lockedBuffer {
+	var lines lockedBuffer
 	f.g.opts.Logger = &log.Logger{Writer: &log.IOWriter{Writer: &lines}}
 	return &lines
 }
@@ -43,7 +42,7 @@
 func TestCutRequestIsLoggedAsFailed(t *testing.T) {
 	var got callerResponse
 	var cut int
-	var lines *bytes.Buffer
+	var lines *lockedBuffer
 	withFixture(t, func(f *fixture) {
 		lines = f.captureLog()
 		forEach(f.heads, func(e *fakeEndpoint) { e.streamEvents(20, 100*time.Millisecond, endStream) })
@@ -192,7 +191,7 @@
 func TestCutRequestIsAnswered(t *testing.T) {
 	var got callerResponse
 	var cut int
-	var lines *bytes.Buffer
+	var lines *lockedBuffer
 	withFixture(t, func(f *fixture) {
 		lines = f.captureLog()
 		forEach(f.plains, func(e *fakeEndpoint) {
