httpserver: a planned stop answers requests that were sent ahead

What callers saw: the response to a stream that had begun before a planned stop arrived whole and without Connection: close; the next request, sent meanwhile on the same connection, got no response, and the caller couldn't know whether it had run. Cause: the stop disabled the keep-alives of net/http, which then closes a connection right after its response, whatever has arrived. What is read after the close is dropped. Two more ways to the same end: the deadline of an idle connection was overwritten by net/http, and then closed by force; and a busy process that came late saw the deadline before the data. Change: idle connections end by themselves after 100 ms, also those that become idle in the stop; limitedConn keeps this deadline whatever net/http sets, and reads data that has arrived. Responses whose header is sent in the stop announce the end of the connection. A connection that is idle for 2 s is closed by force, as before.

--- a/internal/process/httpserver/connections.go
+++ b/internal/process/httpserver/connections.go
@@ -16,12 +16,18 @@
 	// open is the number of open connections.
 	open int
 	busy map[net.Conn]bool
-	// idle says of each idle connection whether expireIdle has set its end.
-	idle map[net.Conn]bool
+	// idle has the timer that closes an idle connection in a planned stop, or nil before the stop.
+	idle map[net.Conn]*time.Timer
 	// count counts the connections in busy.
 	count inflight.Requests
-	// ending says that no connection is kept any more, so that a busy one stays busy until it is closed.
-	ending bool
+	// expiry is how long an idle connection is kept in a planned stop, in which it counts as busy. It is 0 before the stop.
+	expiry time.Duration
+}
+
+// expiringConn is a connection that ends by itself at a time unless a request has arrived.
+type expiringConn interface {
+	// expireAt sets the time. A zero time means that the connection stays open.
+	expireAt(t time.Time)
 }
 
 // changed records a connection's new state. It is the ConnState of an http.Server.
@@ -38,27 +44,67 @@
 		b.open--
 	case http.StateActive, http.StateIdle:
 	}
-	delete(b.idle, c)
-	if state == http.StateIdle {
-		if b.idle == nil {
-			b.idle = map[net.Conn]bool{}
+	b.setIdle(c, state == http.StateIdle)
+	b.setBusy(c, state == http.StateActive || state == http.StateIdle && b.expiry > 0)
+}
+
+// setIdle records whether a connection is idle, and lets an idle one expire in a planned stop; mu must be held.
+func (b *connections) setIdle(c net.Conn, idle bool) {
+	if !idle {
+		if timer := b.idle[c]; timer != nil {
+			timer.Stop()
 		}
-		b.idle[c] = false
+		delete(b.idle, c)
+		expire(c, time.Time{})
+		return
+	}
+	if b.idle == nil {
+		b.idle = map[net.Conn]*time.Timer{}
 	}
-	active := state == http.StateActive || state == http.StateIdle && b.ending
-	if active == b.busy[c] {
+	b.idle[c] = nil
+	if b.expiry > 0 {
+		b.startExpiry(c)
+	}
+}
+
+// startExpiry lets an idle connection end by itself, and closes it if it has not; mu must be held.
+func (b *connections) startExpiry(c net.Conn) {
+	expire(c, time.Now().Add(b.expiry))
+	b.idle[c] = time.AfterFunc(maxIdleWait, func() { b.closeIdle(c) })
+}
+
+// closeIdle closes a connection if it is idle.
+func (b *connections) closeIdle(c net.Conn) {
+	b.mu.Lock()
+	_, idle := b.idle[c]
+	b.mu.Unlock()
+	if idle {
+		_ = c.Close() // One that has just ended needs none.
+	}
+}
+
+// setBusy records whether a connection counts as busy; mu must be held.
+func (b *connections) setBusy(c net.Conn, busy bool) {
+	if busy == b.busy[c] {
 		return
 	}
-	if active {
-		if b.busy == nil {
-			b.busy = map[net.Conn]bool{}
-		}
-		b.busy[c] = true
-		b.count.Begin()
+	if !busy {
+		delete(b.busy, c)
+		b.count.End()
 		return
 	}
-	delete(b.busy, c)
-	b.count.End()
+	if b.busy == nil {
+		b.busy = map[net.Conn]bool{}
+	}
+	b.busy[c] = true
+	b.count.Begin()
+}
+
+// expire sets when a connection ends by itself, if it can.
+func expire(c net.Conn, at time.Time) {
+	if expiring, ok := c.(expiringConn); ok {
+		expiring.expireAt(at)
+	}
 }
 
 // openCount returns the number of open connections.
@@ -68,28 +114,20 @@
 	return b.open
 }
 
-// end lets the connections that are busy count as busy until they are closed. net/http calls a connection idle before it closes it.
-func (b *connections) end() {
+// end lets idle connections, also those that become idle later, end by themselves after expiry unless a request arrives on them. They count
+// as busy until they are closed.
+func (b *connections) end(expiry time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ending = true
+	if b.expiry > 0 {
+		return
+	}
+	b.expiry = expiry
+	for c := range b.idle {
+		b.startExpiry(c)
+		b.setBusy(c, true)
+	}
 }
 
 // whenIdle returns a channel that is closed once all responses have been sent.
 func (b *connections) whenIdle() <-chan struct{} { return b.count.WhenIdle() }
-
-// expireIdle lets idle connections end after a time unless a request arrives on them. Their own
-// goroutines end them, so that no request is read on a connection that is being closed. It reports
-// whether there are any.
-func (b *connections) expireIdle(after time.Duration) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for c, expiring := range b.idle {
-		if expiring {
-			continue
-		}
-		b.idle[c] = true
-		_ = c.SetReadDeadline(time.Now().Add(after)) // A connection that has just ended needs none.
-	}
-	return len(b.idle) > 0
-}
--- a/internal/process/httpserver/connections_test.go
+++ b/internal/process/httpserver/connections_test.go
@@ -53,7 +53,7 @@
 	c := &net.TCPConn{}
 	b.changed(c, http.StateNew)
 	b.changed(c, http.StateActive)
-	b.end()
+	b.end(idleExpiry)
 	b.changed(c, http.StateIdle)
 	require.Equal(t, 1, b.count.Count())
 	b.changed(c, http.StateClosed)
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -50,6 +50,8 @@
 	hasTrailer bool
 	// readDeadline and writeDeadline are those that net/http or a handler has set.
 	readDeadline, writeDeadline time.Time
+	// expiry is when the connection ends unless a request has arrived. It is zero if it doesn't.
+	expiry time.Time
 	// refused says that a read has failed because of the memory, cut that this was while a handler ran, so that nothing may be written
 	// any more.
 	refused, cut bool
@@ -73,7 +75,7 @@
 		return 0, c.refuse(len(p))
 	}
 	limited := c.limitBodyRead(len(p))
-	n, err := c.Conn.Read(p)
+	n, err := c.readUnlessExpired(p)
 	if c.closed.Load() {
 		return 0, net.ErrClosed // No response to what has been read could be sent.
 	}
@@ -159,11 +161,14 @@
 	return c.setReadDeadline(t)
 }
 
-// setReadDeadline sets a deadline unless the connection is evicted or closed; mu must be held.
+// setReadDeadline sets a deadline unless the connection is evicted or closed or expires before; mu must be held.
 func (c *limitedConn) setReadDeadline(t time.Time) error {
 	if c.closed.Load() {
 		return net.ErrClosed
 	}
+	if !c.expiry.IsZero() && (t.IsZero() || c.expiry.Before(t)) {
+		t = c.expiry
+	}
 	err := c.Conn.SetReadDeadline(t)
 	if c.evicted.Load() {
 		return c.Conn.SetReadDeadline(longAgo)
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -14,7 +14,6 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/egretreach/egretreach/internal/process/inflight"
-	"github.com/egretreach/egretreach/internal/process/pause"
 )
 
 // Server is an http.Server with a planned stop. Create it with New.
@@ -75,39 +74,48 @@
 	}
 	s.limits = s.limits.withDefaults()
 	serve := server.Handler
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*limitedConn); ok {
-			c.headerRead(len(r.TransferEncoding) > 0)
-		}
-		whole := false
-		defer func() {
-			if !whole && !r.ProtoAtLeast(1, 1) {
-				breakOff(r.Context())
-			}
-		}()
-		accepted := s.requests.Begin()
-		defer s.requests.End()
-		if !accepted {
-			refuse.ServeHTTP(w, r)
-			whole = true
-			return
-		}
-		if s.openCount() > s.maxKept {
-			w.Header().Set("Connection", "close")
-		}
-		if !s.limits.OwnBodies && r.ContentLength != 0 {
-			body := &countedBody{ReadCloser: r.Body, budget: s.limits.Budget}
-			defer body.release()
-			r.Body = body
-		}
-		withCaller(serve, w, r)
-		whole = true
-	})
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.handle(serve, refuse, w, r) })
 	server.ConnState = s.conns.changed
 	server.ConnContext = withConn
 	return s
 }
 
+// handle serves a request by serve, or by refuse once Stop has been called.
+func (s *Server) handle(serve, refuse http.Handler, w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*limitedConn); ok {
+		c.headerRead(len(r.TransferEncoding) > 0)
+	}
+	whole := false
+	defer func() {
+		if !whole && !r.ProtoAtLeast(1, 1) {
+			breakOff(r.Context())
+		}
+	}()
+	accepted := s.requests.Begin()
+	defer s.requests.End()
+	closing := &closingWriter{ResponseWriter: w, server: s}
+	if accepted {
+		s.serveAccepted(serve, closing, r)
+	} else {
+		refuse.ServeHTTP(closing, r)
+	}
+	closing.begin() // net/http sends the header now if the handler has not.
+	whole = true
+}
+
+// serveAccepted serves a request, and bounds what its caller takes.
+func (s *Server) serveAccepted(serve http.Handler, w http.ResponseWriter, r *http.Request) {
+	if s.openCount() > s.maxKept {
+		w.Header().Set("Connection", "close")
+	}
+	if !s.limits.OwnBodies && r.ContentLength != 0 {
+		body := &countedBody{ReadCloser: r.Body, budget: s.limits.Budget}
+		defer body.release()
+		r.Body = body
+	}
+	withCaller(serve, w, r)
+}
+
 // keptShare is the share, one in so many, of the process's descriptors that the kept connections of callers may take. The rest is for
 // connections that are in use, and for those to others.
 const keptShare = 2
@@ -132,26 +140,22 @@
 }
 
 const (
-	// idleExpiry is how long an idle connection stays open in a planned stop.
+	// idleExpiry is how long an idle connection stays open in a planned stop unless a request arrives.
 	idleExpiry = 100 * time.Millisecond
-	// idleCheckInterval is the time between two checks for idle connections, which last for at most
-	// maxIdleWait: a busy process may take long to read a request that has arrived.
-	idleCheckInterval = 20 * time.Millisecond
-	maxIdleWait       = 2 * time.Second
+	// maxIdleWait is when it is closed at the latest: a busy process may take long to read a request that has arrived.
+	maxIdleWait = 2 * time.Second
 )
 
 // Stop accepts no more connections, closes idle ones and refuses requests. It returns nil once callers
 // have received all responses and all connections are closed, or the error of ctx if it ends first. It
-// doesn't use the Shutdown of net/http, which drops the requests that it reads from then on.
+// uses neither the Shutdown nor the SetKeepAlivesEnabled of net/http, which drop requests that have arrived.
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.requests.Refuse()
 	if listener := s.listener.Load(); listener != nil {
 		_ = (*listener).Close()
 	}
-	s.awaitIdleEnds(ctx)
-	s.conns.end()
-	s.server.SetKeepAlivesEnabled(false)
+	s.conns.end(idleExpiry)
 	for {
 		if !awaitIdle(ctx, s.conns.whenIdle()) || !awaitIdle(ctx, s.lingering.conns.WhenIdle()) {
 			return ctx.Err()
@@ -177,14 +181,6 @@
 	}
 }
 
-// awaitIdleEnds lets idle connections end by themselves, and waits until they have.
-func (s *Server) awaitIdleEnds(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, maxIdleWait)
-	defer cancel()
-	for s.conns.expireIdle(idleExpiry) && pause.For(ctx, idleCheckInterval) {
-	}
-}
-
 // Stopping reports whether Stop has been called. A handler that reads a long body asks it afterwards,
 // since Stop refuses only requests whose header arrives later.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
