formation: members leave a head that refuses control's connections before they join another replica

Cause: a connection that is refused counted as proof that the head's process has ended, so its members were used again at once. A partition can refuse connections too; control's belief was taken for the state of the engine. Change: a head that can't be reached keeps its members until they have left the replica, whatever its connections do. ConnRefused is gone from the planner's input.

--- a/internal/control/formation/replica.go
+++ b/internal/control/formation/replica.go
@@ -156,12 +156,11 @@
 }
 
 // advanceLeaving keeps a replica's members from other use until its head has left, or, if the
-// head can't be reached, until all other members have left.
+// head can't be reached, until all other members have left. That connections to the head are refused
+// doesn't show that it has ended: what cuts control off may refuse them, and callers still reach it.
 func (p *Planner) advanceLeaving(r *replica) {
 	h, known := p.hosts[r.head()]
 	switch {
-	case r.head() != "" && (!known || h.ConnRefused):
-		p.dropReplica(r, true)
 	case known && h.Alive && !h.memberOf(r.ReplicaRef) && h.State != roster.StateLeft:
 		p.dropReplica(r, true)
 	case known && h.Alive:
--- a/internal/control/formation/view.go
+++ b/internal/control/formation/view.go
@@ -15,8 +15,6 @@
 	// LastReport is when the engine's last announcement was received. Its last sign of life may be
 	// later than that.
 	LastReport time.Time
-	// ConnRefused is true if connections to the engine's address are refused.
-	ConnRefused bool
 	// Cold is how much longer the engine is cold, 0 if it isn't.
 	Cold time.Duration
 }
--- a/internal/control/portal/health.go
+++ b/internal/control/portal/health.go
@@ -91,7 +91,7 @@
 			p.probeIfDue(ctx, e, h, now, now.Sub(lastSeen) > p.probeAfter() || suspects[e.ID])
 		}
 		hosts = append(hosts, formation.Host{
-			Endpoint: e.Endpoint, LastReport: e.LastSeen, ConnRefused: h.connRefused,
+			Endpoint: e.Endpoint, LastReport: e.LastSeen,
 			Cold:  p.coldRemaining(e.Endpoint, now),
 			Alive: !h.dead && e.State != roster.StateLeft && now.Sub(lastSeen) < p.probeAfter()+unprobedTimeout,
 		})
