httpserver: a response that its caller has not received leaves a line also if the caller has ended the connection

What operators saw: request_answered for a response that had been handed to the kernel, and nothing about the part that its caller never acknowledged, if the caller had reset the connection or ended its sending direction. Cause: the wait for the receipt of a response logged only what this process cut.

--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -363,10 +363,19 @@
 	if !ok || q.unsent == 0 {
 		return
 	}
+	c.budget.unsent.add(c.lastRequest(), reason, q)
+}
+
+// recordLeft records a response whose caller has ended the connection, and had not acknowledged unsent bytes.
+func (c *limitedConn) recordLeft(reason unsentReason, unsent int) {
+	c.budget.unsent.addLeft(c.lastRequest(), reason, unsent)
+}
+
+// lastRequest returns the ID of the last request, or an empty one.
+func (c *limitedConn) lastRequest() string {
 	c.mu.Lock()
-	request := c.request
-	c.mu.Unlock()
-	c.budget.unsent.add(request, reason, q)
+	defer c.mu.Unlock()
+	return c.request
 }
 
 // limitedListener accepts connections as limitedConns, and refuses those beyond the limits.
--- a/internal/process/httpserver/linger.go
+++ b/internal/process/httpserver/linger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -18,6 +19,8 @@
 	// lingerAfterReceipt is how long a connection stays open once its caller has acknowledged everything, so that what the caller is
 	// just sending does not reset it.
 	lingerAfterReceipt = 500 * time.Millisecond
+	// finLength is what the end of the sending direction adds to the bytes that are not acknowledged.
+	finLength = 1
 	// discardSize is the size of the buffer for what a caller sends after the last response, in bytes.
 	discardSize = 4 << 10
 )
@@ -47,24 +50,30 @@
 	l.unreceived.Begin()
 	c.budget.set(&c.account, connCost) // net/http releases the header.
 	_ = c.CloseWrite()                 // The reads show whether the connection has ended.
-	go l.await(c)
+	go l.await(c, q.unsent)
 	return nil
 }
 
-// await closes a connection once its caller has received everything or has left, or when ctx ends.
-func (l *lingering) await(c *limitedConn) {
+// await closes a connection, of which the caller has not acknowledged unsent bytes, once its caller has received everything or has left, or
+// when ctx ends.
+func (l *lingering) await(c *limitedConn, unsent int) {
 	defer l.conns.End()
 	defer func() { _ = c.release() }() // Everything was received, or the loss is recorded.
 	received := sync.OnceFunc(l.unreceived.End)
 	defer received()
-	if reason := c.linger(l.ctx, received); reason != unsentNothing {
+	switch reason, unsent := c.linger(l.ctx, unsent, received); {
+	case reason == unsentNothing:
+	case reason.isByCaller():
+		c.recordLeft(reason, unsent)
+	default:
 		c.recordUnsent(reason)
 	}
 }
 
-// linger reads and drops what the caller still sends until it has received everything or has left. It returns unsentNothing in these cases,
-// else why it has given up. It calls received as soon as the caller has received everything.
-func (c *limitedConn) linger(ctx context.Context, received func()) unsentReason {
+// linger reads and drops what the caller still sends until it has received everything or has left. It returns unsentNothing in the first case,
+// else the reason and how many bytes the caller had not acknowledged at the last look. It calls received as soon as the caller has
+// received everything. unsent is the result of the look before.
+func (c *limitedConn) linger(ctx context.Context, unsent int, received func()) (unsentReason, int) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.SetReadDeadline(longAgo) })
 	defer stop()
 	evicted := c.evicted.Load()
@@ -74,30 +83,44 @@
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerCheckInterval))
 		switch {
 		case ctx.Err() != nil:
-			return unsentStopped
+			return unsentStopped, unsent
 		case !evicted && c.evicted.Load():
-			return unsentEvicted
+			return unsentEvicted, unsent
 		}
 		if err := discard(c.Conn, buffer); !errors.Is(err, os.ErrDeadlineExceeded) {
-			return unsentNothing
+			return c.reasonAtEnd(err, unsent)
 		}
 		q, ok := queuesOf(c.Conn)
 		if !ok {
-			return unsentNothing
+			return unsentNothing, 0
 		}
-		if q.unsent == 0 {
+		if unsent = q.unsent; unsent == 0 {
 			received()
 		}
 		switch p.next(q.unsent) {
 		case receiptDone:
-			return unsentNothing
+			return unsentNothing, 0
 		case receiptStalled:
-			return unsentStalled
+			return unsentStalled, unsent
 		case receiptPending:
 		}
 	}
 }
 
+// reasonAtEnd returns the result of linger for a connection that the caller has ended, of which it had not acknowledged unsent bytes before.
+func (c *limitedConn) reasonAtEnd(err error, unsent int) (unsentReason, int) {
+	if unsent == 0 {
+		return unsentNothing, 0
+	}
+	if !errors.Is(err, io.EOF) {
+		return unsentCallerLeft, unsent
+	}
+	if q, ok := queuesOf(c.Conn); ok && q.unsent <= finLength {
+		return unsentNothing, 0
+	}
+	return unsentCallerEnded, unsent
+}
+
 // discard reads from a connection into buffer until a read fails.
 func discard(c net.Conn, buffer []byte) error {
 	for {
--- a/internal/process/httpserver/unsent.go
+++ b/internal/process/httpserver/unsent.go
@@ -18,8 +18,7 @@
 	unsentLogInterval = time.Second
 )
 
-// unsentReason says why a connection was closed before the caller had received all of a response. It is empty if the caller has received it
-// or has left.
+// unsentReason says why a connection was closed before the caller had received all of a response. It is empty if the caller has received it.
 type unsentReason string
 
 const (
@@ -32,18 +31,22 @@
 	unsentEvicted unsentReason = "caller memory"
 	// unsentStalled is that of a caller that has received nothing for transferTimeout.
 	unsentStalled unsentReason = "no progress"
+	// unsentCallerLeft is that of a caller that has reset its connection.
+	unsentCallerLeft unsentReason = "caller left"
+	// unsentCallerEnded is that of a caller that has ended its sending direction, or closed the connection. The operating system goes on
+	// sending, and the response arrives if the caller still reads.
+	unsentCallerEnded unsentReason = "caller ended, the kernel sends the rest"
 )
 
-// unsentRecord counts and logs the responses that were cut by closing their connections. Its zero value logs nothing.
+// isByCaller reports whether the caller, and not this process, has ended the connection.
+func (r unsentReason) isByCaller() bool { return r == unsentCallerLeft || r == unsentCallerEnded }
+
+// unsentRecord counts and logs the responses of which the callers have not received everything. Its zero value logs nothing.
 type unsentRecord struct {
 	logger *log.Logger
 	total  metrics.Counter
-
-	mu sync.Mutex
-	// lines counts the log lines since since, and omitted the responses without one since the last line.
-	since   time.Time
-	lines   int
-	omitted int
+	// cutLines bounds the lines of responses that this process has cut, leftLines those of callers that have left.
+	cutLines, leftLines lineLimit
 }
 
 // register adds the metric of the record.
@@ -59,7 +62,7 @@
 	if r.total != nil && reason != unsentByKernel {
 		r.total.Inc(1)
 	}
-	omitted, ok := r.takeLine(time.Now())
+	omitted, ok := r.cutLines.take(time.Now())
 	if !ok {
 		return
 	}
@@ -67,19 +70,38 @@
 		Int("unsent", q.unsent).Int("unread", q.unread).Int("omitted", omitted).Msg("")
 }
 
-// takeLine reports whether there may be a log line now, and how many there were not since the last one.
-func (r *unsentRecord) takeLine(now time.Time) (omitted int, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now.Sub(r.since) >= unsentLogInterval {
-		r.since, r.lines = now, 0
+// addLeft logs a response whose caller has ended the connection, and had not acknowledged unsent bytes.
+func (r *unsentRecord) addLeft(request string, reason unsentReason, unsent int) {
+	omitted, ok := r.leftLines.take(time.Now())
+	if !ok {
+		return
+	}
+	event.ResponseLeft.On(r.logger).Str("request", request).Str("reason", string(reason)).
+		Int("unsent", unsent).Int("omitted", omitted).Msg("")
+}
+
+// lineLimit bounds log lines to maxUnsentLines in unsentLogInterval. The zero value has written none.
+type lineLimit struct {
+	mu sync.Mutex
+	// lines counts the log lines since since, and omitted the responses without one since the last line.
+	since   time.Time
+	lines   int
+	omitted int
+}
+
+// take reports whether there may be a log line now, and how many there were not since the last one.
+func (l *lineLimit) take(now time.Time) (omitted int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.since) >= unsentLogInterval {
+		l.since, l.lines = now, 0
 	}
-	if r.lines >= maxUnsentLines {
-		r.omitted++
+	if l.lines >= maxUnsentLines {
+		l.omitted++
 		return 0, false
 	}
-	r.lines++
-	omitted, r.omitted = r.omitted, 0
+	l.lines++
+	omitted, l.omitted = l.omitted, 0
 	return omitted, true
 }
 
--- a/internal/process/httpserver/unsent_test.go
+++ b/internal/process/httpserver/unsent_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -35,18 +37,44 @@
 
 // TestUnsentResponsesAreLoggedWithinABound guards against a crowd whose cut responses fill the log.
 func TestUnsentResponsesAreLoggedWithinABound(t *testing.T) {
-	var r unsentRecord
+	var l lineLimit
 	now := time.Now()
 	for range maxUnsentLines {
-		omitted, ok := r.takeLine(now)
+		omitted, ok := l.take(now)
 		require.True(t, ok)
 		require.Zero(t, omitted)
 	}
 	for range 3 {
-		_, ok := r.takeLine(now)
+		_, ok := l.take(now)
 		require.False(t, ok)
 	}
-	omitted, ok := r.takeLine(now.Add(unsentLogInterval))
+	omitted, ok := l.take(now.Add(unsentLogInterval))
 	require.True(t, ok)
 	require.Equal(t, 3, omitted)
 }
+
+// TestResponseOfACallerThatLeavesIsLogged guards against a response that its caller has not received, and of which no log line tells.
+func TestResponseOfACallerThatLeavesIsLogged(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(*net.TCPConn) error
+		want string
+	}{
+		"reset":              {func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) }, `"reason":"caller left"`},
+		"end of the sending": {(*net.TCPConn).CloseWrite, `"reason":"caller ended, the kernel sends the rest"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var lines bytes.Buffer
+			budget := NewBudget(BudgetOptions{Logger: &log.Logger{Writer: &log.IOWriter{Writer: &lines}}})
+			s, l := serveTCP(t, func(w http.ResponseWriter, r *http.Request) {
+				NameRequest(r.Context(), "request-1")
+				respondAndClose(w, r)
+			}, CallerLimits{Budget: budget})
+			caller := dialSlow(t, l)
+			send(t, caller, simpleRequest)
+			<-l.ended
+			require.NoError(t, c.end(caller))
+			<-s.lingering.conns.WhenIdle()
+			require.Contains(t, lines.String(), `"name":"response_left","request":"request-1",`+c.want)
+		})
+	}
+}
--- a/internal/telemetry/event/process.go
+++ b/internal/telemetry/event/process.go
@@ -24,6 +24,8 @@
 	CallersLimited     = register(415, "callers_limited", log.WarnLevel)
 	// ResponseUnsent says that a connection was closed before its caller had received all of a response.
 	ResponseUnsent = register(416, "response_unsent", log.WarnLevel)
+	// ResponseLeft says that a caller ended its connection before it had received all of a response.
+	ResponseLeft = register(418, "response_left", log.InfoLevel)
 	// AnswersUnreceived says that a link ended before its peer had received all answers.
 	AnswersUnreceived = register(417, "answers_unreceived", log.WarnLevel)
 )
