soak: requests that were sent ahead around a planned stop are owed an answer

Why: the soak excused a request that got no answer within 200 ms of its turn, also if it had arrived seconds before, and its streams of that kind were over before a gateway refused requests. The rule counts 200 ms from the last byte that was sent. Change: a request that had been sent 200 ms before the endpoint of the response before it finished is owed an answer or a refusal, unless that response ended the connection or the last sixth of the stop had begun. One in three streams that are read slowly lasts 3.5 s.

--- a/internal/check/soak/conncaller.go
+++ b/internal/check/soak/conncaller.go
@@ -36,9 +36,12 @@
 	slowReadSize    = 512
 	streamReadPause = 90 * time.Millisecond
 	plainReadPause  = 50 * time.Millisecond
-	// minAheadEvents and maxAheadEvents bound the events of a stream that is read slowly.
-	minAheadEvents = 15
-	maxAheadEvents = 30
+	// minAheadEvents and maxAheadEvents bound the events of a stream that is read slowly. One in longAheadRatio has longAheadEvents, so that it
+	// goes on after the time for which a gateway that stops accepts requests.
+	minAheadEvents  = 15
+	maxAheadEvents  = 30
+	longAheadEvents = 70
+	longAheadRatio  = 3
 	// A body comes in bodyParts parts, with a pause of up to maxPartPause before each.
 	bodyParts    = 3
 	maxPartPause = 500 * time.Millisecond
@@ -182,6 +185,9 @@
 // It reports whether the connection goes on, also if a response has said that it ends.
 func (c *connCaller) sendAhead(ctx context.Context) bool {
 	events := minAheadEvents + c.rng.IntN(maxAheadEvents-minAheadEvents+1)
+	if c.rng.IntN(longAheadRatio) == 0 {
+		events = longAheadEvents
+	}
 	delay := time.Duration(c.rng.Int64N(int64(events) * int64(standin.EventGap)))
 	c.gateway.streams.Add(1)
 	defer c.gateway.streams.Add(-1)
@@ -196,6 +202,7 @@
 	}()
 	c.receive(first, streamReadPause)
 	second := <-next
+	_, second.before = c.testbed.recorder.ranOn(first.id)
 	c.receive(second, 0)
 	return c.state <= connEnding
 }
--- a/internal/check/soak/loss.go
+++ b/internal/check/soak/loss.go
@@ -43,6 +43,9 @@
 	sent time.Time
 	// turn is when the response before it on the connection had ended, if that was later. A gateway reads the request then at the earliest.
 	turn time.Time
+	// before is when the endpoint of the response before it had finished, or zero if it isn't known. If this request had been sent by then, it
+	// lay at the gateway when that response ended.
+	before time.Time
 	// afterEnd reports that the response before it on the connection ended the connection, so that no gateway reads the request.
 	afterEnd bool
 	// lastData is when the last part of the response was read.
@@ -123,7 +126,7 @@
 		return excuse("not sent whole")
 	case !c.ran && !e.answered && e.afterEnd:
 		return excuse("sent to a connection that ended")
-	case !c.ran && !e.answered && e.ended.Sub(e.readable()) <= readTime:
+	case !c.ran && !e.answered && !c.waited(e) && e.ended.Sub(e.readable()) <= readTime:
 		return excuse("crossed a close")
 	case e.ended.Sub(e.began) >= e.timeout:
 		return excuse("deadline reached")
@@ -144,6 +147,16 @@
 	}
 }
 
+// waited reports whether a request had arrived well before the response before it ended, and the time of a stop was not up then.
+func (c circumstances) waited(e exchange) bool {
+	if e.before.Sub(e.sent) <= readTime {
+		return false
+	}
+	return !slices.ContainsFunc(c.stops, func(s plannedStop) bool {
+		return e.before.After(s.first.Add(stopGrace - lastSixth))
+	})
+}
+
 // inLastSixth reports whether an exchange that began early in a stop ended after the last sixth had begun.
 func (c circumstances) inLastSixth(e exchange) bool {
 	return slices.ContainsFunc(c.stops, func(s plannedStop) bool {
--- a/internal/check/soak/loss_test.go
+++ b/internal/check/soak/loss_test.go
@@ -82,6 +82,30 @@
 	}
 }
 
+// TestRequestThatHasWaitedIsOwedAnAnswer guards against a rule that excuses a request which had arrived before the response before it ended,
+// and whose connection was closed behind that response.
+func TestRequestThatHasWaitedIsOwedAnAnswer(t *testing.T) {
+	start := time.Now()
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	for name, c := range map[string]struct {
+		before, stop float64
+		afterEnd     bool
+		want         string
+	}{
+		"arrived long before":            {1.5, 1, false, "LOST beside a stop"},
+		"arrived just before":            {0.1, 1, false, "excused: crossed a close"},
+		"behind the end":                 {1.5, 1, true, "excused: sent to a connection that ended"},
+		"when the time of a stop was up": {1.5, -5.5, false, "excused: crossed a close"},
+	} {
+		stops := []plannedStop{{at(c.stop), at(c.stop)}}
+		e := exchange{
+			kind: kindStream, timeout: streamDeadline, opened: start, began: start, sent: start, turn: at(2), ended: at(2.1),
+			before: at(c.before), afterEnd: c.afterEnd,
+		}
+		require.Equal(t, c.want, circumstances{stops: stops}.judge(e).String(), name)
+	}
+}
+
 // TestCallerTellsRefusedConnectsFromLostRequests guards against a caller that counts a request which
 // was sent whole on an open connection as one that could not connect.
 func TestCallerTellsRefusedConnectsFromLostRequests(t *testing.T) {
