--- a/internal/entry/gateway/attempt_end.go
+++ b/internal/entry/gateway/attempt_end.go
@@ -8,15 +8,15 @@
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
-// attemptEnd is how an attempt has ended, and what that says of its endpoint.
+// attemptEnd is the result of an attempt and what it implies about its endpoint.
 type attemptEnd struct {
 	result balance.Result
 	cancel context.CancelFunc
 	// harmless says that the response shows that the request doesn't crash the endpoint.
 	harmless bool
-	// survived says that the endpoint was found to listen after a response that ended with its connection.
+	// survived says that the endpoint still accepted connections after a response that ended with its connection.
 	survived bool
-	// crashed says that the endpoint has ended since it broke the attempt off, once crashChecked is set.
+	// crashed says that the endpoint's process has ended since the attempt was interrupted. It is valid once crashChecked is set.
 	crashed, crashChecked bool
 }
 
@@ -56,7 +56,7 @@
 	g.balancer.ProcessQueue(now)
 }
 
-// recordFailure ends a failed attempt and records what it means for a retry.
+// recordFailure ends a failed attempt and records what a retry depends on.
 func (c *call) recordFailure(r attemptResult) {
 	a := r.attempt
 	if a.result == 0 {
@@ -75,7 +75,7 @@
 	}
 }
 
-// endpointGone reports whether the endpoint of an attempt is known to be gone.
+// endpointGone reports whether the endpoint of an attempt is known to have left or crashed.
 func (c *call) endpointGone(a *attempt) bool {
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
--- a/internal/entry/gateway/attempt_response.go
+++ b/internal/entry/gateway/attempt_response.go
@@ -16,7 +16,7 @@
 	// streamed says that the first event has arrived, at firstEventAt.
 	streamed     bool
 	firstEventAt time.Time
-	// lastingAt is when the last event was recorded that shows that the response goes on.
+	// lastingAt is when the last event was recorded that shows that the endpoint continues the response.
 	lastingAt time.Time
 	// events reads the events of a stream. readAhead says that firstEvent and firstErr are the
 	// result of its first call, which has yet to be forwarded.
@@ -85,8 +85,8 @@
 	return outcomeAnswered, nil
 }
 
-// belongsToRequest reports whether a response is that to the request. On a kept connection the response to an earlier request may come
-// once more, so a refusal without an ID is taken only from a new one.
+// belongsToRequest reports whether a response belongs to the request. On a reused connection an endpoint may repeat the response to an
+// earlier request, so a refusal without an ID is accepted only on a new connection.
 func (a *attempt) belongsToRequest(response *http.Response) bool {
 	names := a.call.g.opts.Dialect.Headers
 	if echo := response.Header.Get(names.RequestID); echo != "" {
--- a/internal/entry/gateway/attempt_wait.go
+++ b/internal/entry/gateway/attempt_wait.go
@@ -17,8 +17,9 @@
 	// responseTimeout is how long the endpoint may take to begin its response before it counts as
 	// silent; 0 is no limit.
 	responseTimeout time.Duration
-	// onSilence reports whether the attempt can be given up although its endpoint may go on. It is
-	// called repeatedly while the endpoint is silent. Without it the attempt is not given up.
+	// onSilence reports whether the attempt can be cancelled although its endpoint may still
+	// respond. It is called repeatedly while the endpoint is silent. Without it the attempt is not
+	// cancelled.
 	onSilence func() bool
 	// hedge says when the attempt is slow, or is nil.
 	hedge *hedgePlan
@@ -26,8 +27,8 @@
 	overtaken bool
 }
 
-// unwanted reports whether the caller has left, in which case it sets the result. It asks the operating system, since the goroutine
-// that waits for the end of the caller's connection may run late.
+// unwanted reports whether the caller has disconnected, in which case it sets the result. It queries the operating system, since
+// the goroutine that waits for the end of the caller's connection may be delayed.
 func (a *attempt) unwanted(ctx context.Context) bool {
 	if !httpserver.CallerLeft(ctx) {
 		return false
@@ -55,8 +56,8 @@
 	return false
 }
 
-// silence reports whether the endpoint is silent, and the result of the attempt if it is given up
-// for that.
+// silence reports whether the endpoint is silent, and the result of the attempt if it is cancelled
+// for that reason.
 func (a *attempt) silence(now time.Time) (balance.Result, bool) {
 	c := a.call
 	c.g.mu.Lock()
--- a/internal/entry/gateway/body.go
+++ b/internal/entry/gateway/body.go
@@ -66,8 +66,8 @@
 	return nil
 }
 
-// readFrom reads a body, of length bytes or, if length is negative, of a length that is not known. If it can't be held it reads the rest all the
-// same, so that the caller gets the refusal, and returns errBodyMemory. A known length counts as a whole from the beginning.
+// readFrom reads a body, of length bytes or, if length is negative, of a length that is not known. If it can't be held, the rest is still read
+// so that the caller receives the refusal, and returns errBodyMemory. A known length counts as a whole from the beginning.
 func (b *heldBody) readFrom(r io.Reader, length int64) error {
 	if length == 0 {
 		return nil
--- a/internal/entry/gateway/caller_left_test.go
+++ b/internal/entry/gateway/caller_left_test.go
@@ -51,7 +51,7 @@
 }
 
 // TestCallerThatSendsNoMoreGetsNoFalseSuccess guards against an empty 200 for a caller that has closed only its sending side: a request
-// whose caller counts as gone is not run.
+// whose caller counts as disconnected is not run.
 func TestCallerThatSendsNoMoreGetsNoFalseSuccess(t *testing.T) {
 	for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
 		f := newFixture(t)
@@ -76,7 +76,7 @@
 }
 
 // lateListener accepts connections whose closing is not noticed by reading: once a request has been read, further reads wait until
-// late is closed, as the goroutine of net/http does in a process that runs late.
+// late is closed, as the goroutine of net/http does in a process whose scheduling is delayed.
 type lateListener struct {
 	net.Listener
 	late chan struct{}
@@ -103,9 +103,9 @@
 	return c.TCPConn.Read(b)
 }
 
-// TestDepartureIsNoticedByALateProcess guards against endpoints that work on for callers that left after their requests were sent,
-// while the gateway runs late: the attempt ends though net/http has not noticed the end of the connection. Neither request has a standby, whose
-// send would look at the connection as well: an unsafe one never has, and a stream none before its first event.
+// TestDepartureIsNoticedByALateProcess guards against endpoints that keep processing requests of callers that disconnected after the requests
+// were sent, while the gateway's scheduling is delayed: the attempt ends before net/http has noticed the end of the connection. Neither request
+// has a standby, whose send would check the connection as well: an unsafe request never has one, and a stream has none before its first event.
 func TestDepartureIsNoticedByALateProcess(t *testing.T) {
 	for _, path := range []string{"/unsafe/", "/stream/"} {
 		f := newFixture(t)
--- a/internal/entry/gateway/caller_memory_test.go
+++ b/internal/entry/gateway/caller_memory_test.go
@@ -57,8 +57,8 @@
 	require.Equal(t, 200, status)
 }
 
-// TestWithheldBodiesAreRefusedAsNotRun guards against callers that keep others away by many legal headers whose bodies don't come, and against
-// refusals of such callers for requests that run.
+// TestWithheldBodiesAreRefusedAsNotRun guards against callers that block others with many legal headers whose bodies are not sent, and against
+// refusals sent to such callers for requests that run.
 func TestWithheldBodiesAreRefusedAsNotRun(t *testing.T) {
 	const callers = 100
 	refused, runs := 0, 0
@@ -96,8 +96,8 @@
 	require.Less(t, refused, callers)
 }
 
-// TestRequestClosedForMemoryIsLoggedAsFailed guards against a log by which callers have left, although the gateway has closed their
-// connections for the memory that they hold.
+// TestRequestClosedForMemoryIsLoggedAsFailed guards against a log that reports that callers have left, although the gateway has
+// closed their connections for the memory that they hold.
 func TestRequestClosedForMemoryIsLoggedAsFailed(t *testing.T) {
 	var lines *lockedBuffer
 	withFixture(t, func(f *fixture) {
--- a/internal/entry/gateway/config_change_test.go
+++ b/internal/entry/gateway/config_change_test.go
@@ -51,8 +51,8 @@
 
 // TestRequestsAreAnsweredWhileConfigurationsChange applies configurations (routes, services, weights,
 // teams, keys, timeouts and limits) and changes of endpoints while requests and streams run and wait.
-// Each request must end with a whole response, or with a refusal that is true. It guards against a
-// handler that fails, a lock that is kept and a connection that ends without an answer.
+// Each request must end with a whole response, or with a correct refusal. It guards against a handler
+// that fails, a lock that is not released and a connection that ends without an answer.
 func TestRequestsAreAnsweredWhileConfigurationsChange(t *testing.T) {
 	for seed := range uint64(configChangeSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
@@ -229,7 +229,7 @@
 	case 0:
 		t.Routes = slices.Delete(t.Routes, 0, 1+c.random.IntN(len(t.Routes)))
 	case 1:
-		t.Services, t.Routes = t.Services[2:], nil // Both services are gone.
+		t.Services, t.Routes = t.Services[2:], nil // Both services are removed.
 	case 2:
 		t.Services[1].Engine = nil
 	case 3:
@@ -276,7 +276,7 @@
 			c.t.Errorf("%s %s was refused with %d and has run", kind, id, response.status)
 		}
 	case http.StatusBadGateway:
-		// A safe request that took longer than the objective may be given up for another attempt.
+		// A safe request that took longer than the objective may be cancelled in favour of another attempt.
 		if kind != "safe" {
 			c.t.Errorf("%s %s: %s", kind, id, response.body)
 		}
--- a/internal/entry/gateway/confirmation.go
+++ b/internal/entry/gateway/confirmation.go
@@ -33,15 +33,16 @@
 	age time.Duration
 	// following reports that there is a subscription at the control leader.
 	following bool
-	// lateness is how late this process runs.
+	// lateness is the scheduling delay of this process.
 	lateness time.Duration
 }
 
-// outOfReach reports whether control can't be reached. The silence of control shows that only to a process that runs in time.
+// outOfReach reports whether control can't be reached. A process whose scheduling is delayed can't conclude that from a missing
+// message.
 func (e evidence) outOfReach() bool { return !e.following && e.lateness <= maxLateness }
 
-// allowsService reports whether requests are served without a further question. A gateway that can't reach control serves by
-// what it has; Options.RefuseAfter ends that.
+// allowsService reports whether requests are served without a further question. A gateway that can't reach control serves
+// with the configuration it has until Options.RefuseAfter has passed.
 func (e evidence) allowsService(maxAge time.Duration) bool { return e.age <= maxAge || e.outOfReach() }
 
 // log adds the evidence to a log line.
--- a/internal/entry/gateway/confirmation_test.go
+++ b/internal/entry/gateway/confirmation_test.go
@@ -22,8 +22,8 @@
 	})
 }
 
-// TestDenialNeedsAConfirmation guards against a route or key that was added and is denied by a gateway which has not heard
-// of it yet: a denial rests on an answer of control to a question that was asked after the request had arrived.
+// TestDenialNeedsAConfirmation guards against a route or key that was added and is denied by a gateway which has not
+// received it yet: a denial requires an answer of control to a question that was asked after the request had arrived.
 func TestDenialNeedsAConfirmation(t *testing.T) {
 	unknown := map[string][]string{"/none/x": nil, "/safe/x": {"X-Caller-Key", "added"}}
 	for path, header := range unknown {
@@ -60,8 +60,8 @@
 	})
 }
 
-// TestFirstConfigurationNeedsAConfirmation guards against a gateway that starts beside a control host which is behind, and
-// serves by an older configuration than others did before.
+// TestFirstConfigurationNeedsAConfirmation guards against a gateway that subscribes to a lagging control host at its
+// start, and serves with an older configuration than other gateways already used.
 func TestFirstConfigurationNeedsAConfirmation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := New(Options{Dialect: testDialect()})
@@ -77,8 +77,8 @@
 	})
 }
 
-// TestUnreadableConfigurationConfirmsNothing guards against a gateway that takes its table for the newest although it could not read
-// the one that is.
+// TestUnreadableConfigurationConfirmsNothing guards against a gateway that treats its table as the newest although it could not
+// decode the newest one.
 func TestUnreadableConfigurationConfirmsNothing(t *testing.T) {
 	withSilentControl(t, func(f *fixture) {
 		question := f.g.nextQuestion(true)
@@ -88,8 +88,8 @@
 	})
 }
 
-// TestOutdatedConfigurationServesNothing guards against requests that run by a configuration which may have been replaced long
-// ago, at a gateway that can reach control but runs late.
+// TestOutdatedConfigurationServesNothing guards against requests that run with a configuration which may have been replaced
+// long ago, at a gateway that can reach control but whose scheduling is delayed.
 func TestOutdatedConfigurationServesNothing(t *testing.T) {
 	withSilentControl(t, func(f *fixture) {
 		require.Equal(t, http.StatusOK, f.send(http.MethodPost, "/safe/x", "").status)
@@ -103,8 +103,8 @@
 	})
 }
 
-// TestSuspendedGatewayServesNothingByWhatItHeld guards against requests that run by a configuration which was replaced while the host
-// was suspended and its clock stood still.
+// TestSuspendedGatewayServesNothingByWhatItHeld guards against requests that run with a configuration which was replaced while the
+// host was suspended and its clock stopped.
 func TestSuspendedGatewayServesNothingByWhatItHeld(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/unsafe/x", "/none/x"} {
 		withSilentControl(t, func(f *fixture) {
@@ -128,8 +128,8 @@
 	})
 }
 
-// TestOnlyProcessInTimeIsCutOff guards against an overloaded gateway that takes its own delay for the silence of control, and
-// goes on by what it has as if it were cut off.
+// TestOnlyProcessInTimeIsCutOff guards against an overloaded gateway that mistakes its own scheduling delay for a loss of
+// control, and continues with its configuration as if it were disconnected.
 func TestOnlyProcessInTimeIsCutOff(t *testing.T) {
 	const maxAge = time.Second
 	cases := []struct {
--- a/internal/entry/gateway/control_hosts.go
+++ b/internal/entry/gateway/control_hosts.go
@@ -19,8 +19,8 @@
 	avoidUntil map[string]time.Time
 }
 
-// choose returns the leader if it is known and not to be avoided, else the next candidate in
-// turn. If all are to be avoided it returns the one whose time ends first.
+// choose returns the leader if it is known and not to be avoided, else the next candidate in turn.
+// If all are to be avoided it returns the one whose avoidance time ends first.
 func (h *controlHosts) choose(now time.Time) string {
 	if h.leader != "" && now.After(h.avoidUntil[h.leader]) {
 		return h.leader
--- a/internal/entry/gateway/crash.go
+++ b/internal/entry/gateway/crash.go
@@ -15,25 +15,25 @@
 )
 
 const (
-	// minHeldRetryAfter is the least Retry-After of a request that is held back.
+	// minHeldRetryAfter is the least Retry-After of a request that matches a held key.
 	minHeldRetryAfter = 2 * time.Second
-	// crashConfirmTime is how long after a request was broken off control may find that its endpoint has
-	// ended.
+	// crashConfirmTime is how long after an interrupted request control may still report that its
+	// endpoint has ended.
 	crashConfirmTime = 4 * time.Second
-	// maxUnconfirmed bounds the requests that were broken off by endpoints that may not have ended.
+	// maxUnconfirmed bounds the interrupted requests whose endpoints are not known to have ended.
 	maxUnconfirmed = 64
 	// maxLoggedParts and maxLoggedPart bound the parts of a prompt in one log line, and each of them in bytes.
 	maxLoggedParts = 16
 	maxLoggedPart  = 40
 )
 
-// maxCrashCount is the number of endpoints that may crash under a request. The request is not sent to another one
-// then: it is likely the cause.
+// maxCrashCount is the number of endpoints that may crash while they process a request. After that the request is
+// likely the cause and is not sent to another endpoint.
 const maxCrashCount = 2
 
 const reasonHeld = "held back: endpoints have crashed under requests like it"
 
-// brokenRequest is a request that its endpoint has broken off.
+// brokenRequest is a request that was interrupted by its endpoint.
 type brokenRequest struct {
 	suspicion.Broken
 	endpoint roster.Endpoint
@@ -52,7 +52,7 @@
 	return []string{c.scope(), c.service}
 }
 
-// setKeys sets the keys by which the request is held back if it crashes endpoints.
+// setKeys sets the keys by which the request is refused if it crashes endpoints.
 func (c *call) setKeys() {
 	id := suspicion.Identity{Scopes: c.crashScopes(), Method: c.request.Method, Target: c.request.Target, Body: c.request.Body, Parts: c.parts}
 	if c.team != nil {
@@ -61,7 +61,7 @@
 	c.keys = id.Keys()
 }
 
-// refuseHeld refuses the request and returns true if control holds it back.
+// refuseHeld refuses the request and returns true if control holds one of its keys.
 func (c *call) refuseHeld() bool {
 	c.g.mu.Lock()
 	held, ok := c.g.observer.Refuse(c.keys.All())
@@ -76,18 +76,18 @@
 	return true
 }
 
-// isHeldMeanwhile reports whether control holds the request back since the gateway let it through.
+// isHeldMeanwhile reports whether control has held one of the request's keys since the gateway accepted it.
 func (c *call) isHeldMeanwhile() bool {
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
 	return !c.onTrial && c.g.observer.IsHeld(c.keys.All())
 }
 
-// mustNotRepeat reports whether the request must not be sent once more because control holds it back.
+// mustNotRepeat reports whether the request must not be sent again because control holds one of its keys.
 func (c *call) mustNotRepeat() bool { return c.onTrial || c.isHeldMeanwhile() }
 
-// releaseHeld ends an attempt that has not been sent if control holds the request back meanwhile. It returns
-// the refusal and true then.
+// releaseHeld ends an unsent attempt if control has held one of the request's keys in the meantime. It then
+// returns the refusal and true.
 func (c *call) releaseHeld(a *attempt) (balance.Decision, bool) {
 	if !c.isHeldMeanwhile() {
 		return balance.Decision{}, false
@@ -96,15 +96,15 @@
 	return balance.Decision{Refused: true, RetryAfter: minHeldRetryAfter, Reason: reasonHeld}, true
 }
 
-// mayHaveCrashed reports whether the request may have crashed its endpoint: the attempt was broken off before
-// an event had arrived, and the endpoint has ended. Such a request must not be retried, unless a part of the
-// response has been sent to the caller already.
+// mayHaveCrashed reports whether the request may have crashed its endpoint: the attempt was interrupted
+// before an event had arrived, and the endpoint has ended. Such a request must not be retried, unless a part
+// of the response has been sent to the caller already.
 func (c *call) mayHaveCrashed(ctx context.Context, a *attempt) bool {
 	return c.hasCrashed(ctx, a) && !a.streamed
 }
 
-// hasCrashed reports whether the attempt was broken off and nothing listens at its endpoint's address now. It
-// records that for the next report to control.
+// hasCrashed reports whether the attempt was interrupted and its endpoint's address now refuses connections.
+// It records that for the next report to control.
 func (c *call) hasCrashed(ctx context.Context, a *attempt) bool {
 	if a.result != balance.ResultInvalidResponse || ctx.Err() != nil {
 		return false
@@ -125,7 +125,7 @@
 	return g.observer.HasEnded(e.Incarnation())
 }
 
-// recordBroken records an attempt that was broken off, if its endpoint has crashed or may have.
+// recordBroken records an interrupted attempt if its endpoint has crashed or may have crashed.
 func (c *call) recordBroken(a *attempt) {
 	now := time.Now()
 	b := a.broken(now)
@@ -150,7 +150,7 @@
 	}
 }
 
-// broken returns the attempt as a request that its endpoint has broken off.
+// broken returns the attempt as a request that was interrupted by its endpoint.
 func (a *attempt) broken(now time.Time) brokenRequest {
 	b := suspicion.Broken{Keys: a.call.keys, SentAt: a.startedAt}
 	if a.streamed {
@@ -159,7 +159,7 @@
 	return brokenRequest{Broken: b, endpoint: a.endpoint, at: now}
 }
 
-// confirmCrashes records the crashes of endpoints that control has found dead, or that have started again. mu
+// confirmCrashes records the crashes of endpoints that control reports as lost or that have restarted. mu
 // must be held.
 func (g *Gateway) confirmCrashes(lost []string, now time.Time) {
 	g.unconfirmed = slices.DeleteFunc(g.unconfirmed, func(b brokenRequest) bool {
@@ -173,7 +173,7 @@
 	})
 }
 
-// logCrash logs that an attempt was broken off after its response had lasted for a time, and what can show why.
+// logCrash logs that an attempt was interrupted after its response had lasted for a time, with the data needed to find the cause.
 func (c *call) logCrash(a *attempt, lasted time.Duration) {
 	parts := make([]string, 0, maxLoggedParts)
 	for _, part := range c.parts[:min(len(c.parts), maxLoggedParts)] {
@@ -192,7 +192,7 @@
 	return texts
 }
 
-// applyHolds takes over from control which requests are held back and watched. mu must be held.
+// applyHolds applies control's held and watched keys. mu must be held.
 func (g *Gateway) applyHolds(update *message.Picture, now time.Time) {
 	g.observer.SetHolds(update.Holds)
 	g.confirmCrashes(update.Lost, now)
--- a/internal/entry/gateway/crash_test.go
+++ b/internal/entry/gateway/crash_test.go
@@ -31,8 +31,8 @@
 	return total
 }
 
-// TestOnlyASuccessProvesARequestHarmless guards against a failure that an endpoint may have answered before it began to work, and that
-// clears the request's parts of all crashes.
+// TestOnlyASuccessProvesARequestHarmless guards against an error response, which an endpoint may send before it processes the request,
+// that clears the crash records of the request's parts.
 func TestOnlyASuccessProvesARequestHarmless(t *testing.T) {
 	for status, want := range map[int]int{
 		http.StatusOK: 1, http.StatusNoContent: 1, http.StatusFound: 0, http.StatusBadRequest: 0, http.StatusNotFound: 0,
@@ -48,7 +48,8 @@
 	}
 }
 
-// TestAFailedTrialRequestReleasesNothing guards against a part that is released since the request on trial was answered with an error.
+// TestAFailedTrialRequestReleasesNothing guards against a part that is released because the trial request was answered with an
+// error.
 func TestAFailedTrialRequestReleasesNothing(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		forEach(f.plains, func(e *fakeEndpoint) { e.respondWith(http.StatusInternalServerError, "") })
@@ -76,8 +77,8 @@
 	}
 }
 
-// TestResponseThatACrashMayHaveCutIsNotWhole guards against a response without length and chunks that a crash of its endpoint ends,
-// and that its caller takes for whole, also if the endpoint was about to leave, and against one that is broken off although its endpoint goes on.
+// TestResponseThatACrashMayHaveCutIsNotWhole guards against a response without length and chunks that is ended by a crash of its endpoint and
+// treated as complete by its caller, also if the endpoint was leaving, and against one that is cut although its endpoint keeps running.
 func TestResponseThatACrashMayHaveCutIsNotWhole(t *testing.T) {
 	leaves := func(f *fixture) {
 		for id, service := range map[string]string{"p0": "plain", "p1": "plain", "h0": "llm", "h1": "llm"} {
@@ -116,7 +117,7 @@
 	}
 }
 
-// TestCrashIsCountedOnEachPath guards against a crash that nobody learns of since it came in the middle of a long response, or at the second
+// TestCrashIsCountedOnEachPath guards against a crash that is not reported because it happened during a long response, or at the second
 // endpoint after an error of the first.
 func TestCrashIsCountedOnEachPath(t *testing.T) {
 	for name, begin := range map[string]string{
--- a/internal/entry/gateway/endless_test.go
+++ b/internal/entry/gateway/endless_test.go
@@ -43,8 +43,9 @@
 	f.g.applyUpdate(update)
 }
 
-// TestEndlessResponsesToSlowCallersBreakOffNoOthers guards against plain responses without end to callers that read
-// nothing, which fill what the responses of an endpoint may hold, so that the ordinary requests of others fail.
+// TestEndlessResponsesToSlowCallersBreakOffNoOthers guards against endless plain responses to callers that read
+// nothing, which use up the memory budget for the responses of an endpoint, so that the ordinary requests of others
+// fail.
 func TestEndlessResponsesToSlowCallersBreakOffNoOthers(t *testing.T) {
 	const (
 		slots       = 24
--- a/internal/entry/gateway/evacuation_model_test.go
+++ b/internal/entry/gateway/evacuation_model_test.go
@@ -79,8 +79,8 @@
 }
 
 // TestNoAcknowledgedEvacuationIsLost draws evacuations, withdrawals, configurations, snapshots, restarts, lost disks, changes of leader,
-// logs that are opened again, subscriptions and delayed updates. It guards against an acknowledged change that is lost or goes back at a
-// control host, and against a gateway that takes its set for confirmed, or sends to a domain, against what was acknowledged.
+// logs that are opened again, subscriptions and delayed updates. It guards against an acknowledged change that is lost or reverted at a
+// control host, and against a gateway that treats its set as confirmed, or sends to a domain, contrary to what was acknowledged.
 func TestNoAcknowledgedEvacuationIsLost(t *testing.T) {
 	for seed := range uint64(modelSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
@@ -126,7 +126,7 @@
 	}
 }
 
-// propose appends a command at the leader. It is acknowledged if a majority of admitted hosts gets it and the leader lives on.
+// propose appends a command at the leader. It is acknowledged if a majority of admitted hosts gets it and the leader keeps running.
 func (m *evacuationModel) propose(data []byte, err error) {
 	require.NoError(m.t, err)
 	if m.leader < 0 {
@@ -191,7 +191,7 @@
 	}
 }
 
-// extendReference adds committed entries to the reference, which follows the rules in a way of its own.
+// extendReference adds committed entries to the reference, which implements the rules independently.
 func (m *evacuationModel) extendReference(entries []modelEntry) {
 	for _, e := range entries {
 		last := m.sets[len(m.sets)-1]
@@ -272,7 +272,7 @@
 	}
 }
 
-// reopen opens the log of a host again: the state machine of its process gets the snapshot and the entries after it once more.
+// reopen opens the log of a host again: the state machine of its process gets the snapshot and the entries after it again.
 func (m *evacuationModel) reopen(h *modelHost) {
 	h.applied = 0
 	if h.snapshotAt > 0 {
--- a/internal/entry/gateway/evacuation_test.go
+++ b/internal/entry/gateway/evacuation_test.go
@@ -32,7 +32,7 @@
 }
 
 // TestNoRequestGoesToAnEvacuatedDomain guards against requests to endpoints in an evacuated domain, against requests that are held until
-// their wait ends although nothing can serve them, and against a domain that gets nothing after the withdrawal.
+// their wait ends although no endpoint can serve them, and against a domain that gets no requests after the withdrawal.
 func TestNoRequestGoesToAnEvacuatedDomain(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		forEach(append(f.plains, f.heads...), func(e *fakeEndpoint) { e.respondWith(http.StatusOK, "whole") })
@@ -59,7 +59,8 @@
 }
 
 // TestPlacedRequestIsNotSentToADomainEvacuatedMeanwhile guards against a request that got its endpoint before the evacuation and is written
-// after it, since the connection took long to open. It goes elsewhere, or is refused as not run, and its endpoint isn't blamed.
+// after it, since the connection took long to open. It is sent to another domain or refused as not run, and no failure is recorded for its
+// endpoint.
 func TestPlacedRequestIsNotSentToADomainEvacuatedMeanwhile(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/unsafe/x"} {
 		for _, elsewhere := range []bool{true, false} {
@@ -93,8 +94,8 @@
 	}
 }
 
-// TestPausedProcessAsksBeforeItSends guards against a request that got its endpoint before the process was paused and is written after it, by
-// evacuations that may be outdated.
+// TestPausedProcessAsksBeforeItSends guards against a request that got its endpoint before the process was paused and is written after it,
+// with evacuations that may be outdated.
 func TestPausedProcessAsksBeforeItSends(t *testing.T) {
 	withSilentControl(t, func(f *fixture) {
 		var resumed func()
@@ -127,8 +128,8 @@
 	})
 }
 
-// TestInterruptedStreamIsNotResumedInAnEvacuatedDomain guards against a stream that goes on at an evacuated endpoint, and against one that is
-// cut by an evacuation although its endpoint goes on.
+// TestInterruptedStreamIsNotResumedInAnEvacuatedDomain guards against a stream that is resumed at an evacuated endpoint, and against one that
+// is cut by an evacuation although its endpoint keeps running.
 func TestInterruptedStreamIsNotResumedInAnEvacuatedDomain(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		f.moveEndpoint("h1", "b")
@@ -167,8 +168,8 @@
 	})
 }
 
-// TestAnswerConfirmsOnlyWhatTheGatewayHolds guards against a gateway that takes its evacuations for the newest although it has not got those
-// that control has confirmed, and against a new gateway that serves before it has them.
+// TestAnswerConfirmsOnlyWhatTheGatewayHolds guards against a gateway that treats its evacuations as the newest although it has not received
+// those that control has confirmed, and against a new gateway that serves before it has them.
 func TestAnswerConfirmsOnlyWhatTheGatewayHolds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := New(Options{Dialect: testDialect()})
--- a/internal/entry/gateway/explain_test.go
+++ b/internal/entry/gateway/explain_test.go
@@ -189,8 +189,8 @@
 	require.Equal(t, string(expected), text)
 }
 
-// TestExplanationTakesNoTrial guards against an explanation of a held request that uses up the one request that a trial lets through, and
-// against one that doesn't see that the request is held back.
+// TestExplanationTakesNoTrial guards against an explanation of a held request that uses up the one request that a trial allows, and
+// against one that omits that the request is held.
 func TestExplanationTakesNoTrial(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		forEach(f.plains, func(e *fakeEndpoint) { e.respondWith(http.StatusOK, "whole") })
--- a/internal/entry/gateway/extra_response_test.go
+++ b/internal/entry/gateway/extra_response_test.go
@@ -27,8 +27,8 @@
 	return "HTTP/1.1 421 X\r\nX-Request-Id: " + id + "\r\nX-Leaving: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"
 }
 
-// TestRefusalOfAnEarlierRequestRefusesNoOther guards against an endpoint that writes the refusal of an earlier request once more on a kept
-// connection, so that a caller is told that a request did not run that has run, or that it runs at a second endpoint.
+// TestRefusalOfAnEarlierRequestRefusesNoOther guards against an endpoint that repeats the refusal of an earlier request on a reused
+// connection, so that a request that has run is reported as not run, or runs at a second endpoint.
 func TestRefusalOfAnEarlierRequestRefusesNoOther(t *testing.T) {
 	for name, extra := range map[string]string{"its ID": refusal("req-0"), "no ID": refusal(""), "misdirected": misdirected("req-0")} {
 		for _, path := range []string{"/unsafe/x", "/safe/x", "/stream/x"} {
@@ -66,8 +66,8 @@
 	}
 }
 
-// TestRefusalIsTakenFromItsOwnRequest guards against a true refusal that is taken for another's, so that a caller is told that its request may
-// have run.
+// TestRefusalIsTakenFromItsOwnRequest guards against a valid refusal that is attributed to another request, so that its caller gets the
+// outcome unknown.
 func TestRefusalIsTakenFromItsOwnRequest(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		for i, withID := range []bool{false, true, true} {
--- a/internal/entry/gateway/framing.go
+++ b/internal/entry/gateway/framing.go
@@ -48,7 +48,8 @@
 	return n, err
 }
 
-// lookAt looks for the names in data that follows the tail, and across the border. It allocates nothing, since all bodies pass it.
+// lookAt looks for the names in data that follows the tail, and across the border. It allocates nothing, since it processes every
+// body.
 func (c *framingConn) lookAt(data []byte) {
 	var border [2 * maxFramingLine]byte
 	size := copy(border[:], c.tail[:c.tailSize])
@@ -62,7 +63,7 @@
 	c.tailSize = copy(c.tail[:], border[max(0, size-maxFramingLine):size])
 }
 
-// findNames records the names that stand at the beginnings of lines.
+// findNames records the names at the beginnings of lines.
 func (c *framingConn) findNames(data []byte) {
 	for {
 		i := bytes.IndexByte(data, '\n')
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -87,9 +87,9 @@
 	CallerConnections int
 	// RankedQueue says that requests for services whose routes differ in priority wait by rank, see balance.Balancer.
 	RankedQueue bool
-	// ServeLate says that late responses are worth as much to callers as those in time, see balance.Balancer.
+	// ServeLate says that late responses have the same value to callers as those in time, see balance.Balancer.
 	ServeLate bool
-	// ExplainToken is the token of the operators who may ask where requests would go. Without it nobody may.
+	// ExplainToken authorises operators to request explanations. Explanations are disabled if it is empty.
 	ExplainToken string
 	// Dial opens connections to endpoints; nil uses TCP.
 	Dial    upstream.Dialer
@@ -127,8 +127,8 @@
 	demand             map[string]*demand
 
 	seeds []string
-	// observer watches for requests that crash endpoints. unconfirmed are the
-	// requests broken off by endpoints that may not have ended.
+	// observer detects requests that crash endpoints. unconfirmed are the interrupted requests
+	// whose endpoints are not known to have ended.
 	observer    suspicion.Observer
 	unconfirmed []brokenRequest
 	// arrivals counts the requests since the last report, by scope. resubscribed says that the next report goes
@@ -342,9 +342,9 @@
 }
 
 const (
-	// ratioShare and burstShare scale the limits down, so that the retries of all gateways
-	// stay within them while the gateways' view of their own number is out of date. Besides
-	// its ratio a budget allows one and a half times its burst in a window.
+	// ratioShare and burstShare scale the limits down so that the retries of all gateways stay
+	// within them while the known number of gateways is out of date. Besides its ratio a budget
+	// allows one and a half times its burst in a window.
 	ratioShare = 0.85
 	burstShare = 0.55
 )
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -39,7 +39,7 @@
 	parts []string
 	// keys identify what may crash endpoints: the whole request, or a part of the prompt.
 	keys suspicion.KeySet
-	// onTrial says that control lets the request through although a key of it is held back.
+	// onTrial says that control allows the request as a trial although one of its keys is held.
 	onTrial  bool
 	service  string
 	model    string
@@ -48,13 +48,13 @@
 	deadline time.Time
 	// objectiveDeadline is the time by which the response should begin.
 	objectiveDeadline time.Time
-	// waited is how long the caller is taken to have waited in earlier attempts.
+	// waited is the estimated time that the caller has waited in earlier attempts.
 	waited time.Duration
 	stats  requestStats
 	// excluded lists the IDs of endpoints that have failed the request.
 	excluded []string
-	// lostAttempts counts attempts that did not run or whose endpoint is gone. They do not
-	// count towards the attempts of a stream's route.
+	// lostAttempts counts attempts that did not run or whose endpoint has left or crashed. They do
+	// not count towards the attempts of a stream's route.
 	lostAttempts int
 	// mayHaveRun says that an earlier attempt may have run.
 	mayHaveRun bool
@@ -64,15 +64,15 @@
 	standby *standby
 	// pending is a standby that is waited for after the present attempt has failed, or nil.
 	pending *standby
-	// crashed says that a standby's endpoint may have crashed under the request.
+	// crashed says that a standby's endpoint may have crashed while it processed the request.
 	crashed bool
-	// crashCount counts the endpoints that crashed under the request.
+	// crashCount counts the endpoints that crashed while they processed the request.
 	crashCount int
 	// nextStandbyAt is the earliest time of the next standby.
 	nextStandbyAt time.Time
 	// hedgeDecided says that the request was hedged, or was slow and was not to be hedged.
 	hedgeDecided bool
-	// noStandbyLogged says that the log shows why no standby was started.
+	// noStandbyLogged says that the reason for which no standby was started has been logged.
 	noStandbyLogged bool
 	// closeAfter says that the connection is closed after the response.
 	closeAfter bool
@@ -98,7 +98,7 @@
 	resumes int
 	// noRetry says why no other endpoint was tried after the last failure.
 	noRetry string
-	// heldKey is the key by which the request is held back, or empty.
+	// heldKey is the held key for which the request is refused, or empty.
 	heldKey string
 	// availability is set for a refusal.
 	availability balance.Availability
--- a/internal/entry/gateway/hedging.go
+++ b/internal/entry/gateway/hedging.go
@@ -170,7 +170,8 @@
 	}
 }
 
-// endSilenceStandby ends a standby whose reason was that the endpoint was silent. A hedge goes on until the first event of either.
+// endSilenceStandby ends a standby whose reason was that the endpoint was silent. A hedge continues until either attempt has its
+// first event.
 func (c *call) endSilenceStandby() {
 	if c.standby != nil && c.standby.hedge == nil {
 		c.endStandby()
--- a/internal/entry/gateway/hedging_test.go
+++ b/internal/entry/gateway/hedging_test.go
@@ -69,7 +69,7 @@
 }
 
 // TestSlowEndpointIsHedged guards against callers that wait for a slow endpoint while another one would answer at once, against a first
-// attempt that goes on afterwards, and against an endpoint that counts as faulty for being slow once.
+// attempt that continues afterwards, and against an endpoint that counts as faulty after a single slow response.
 func TestSlowEndpointIsHedged(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		f.hedgeAll()
@@ -208,7 +208,7 @@
 	})
 }
 
-// TestBegunStreamIsCheckedAsBefore guards against a stream whose connection is looked at every millisecond since its first event came
+// TestBegunStreamIsCheckedAsBefore guards against a stream whose connection is checked every millisecond because its first event came
 // before it counted as slow.
 func TestBegunStreamIsCheckedAsBefore(t *testing.T) {
 	withFixture(t, func(f *fixture) {
@@ -225,7 +225,8 @@
 }
 
 // TestOnlyRequestsThatMayBeRepeatedAreHedged guards against a second run of an unsafe request, of one at its last attempt or of one that
-// control holds back or lets through on trial, and against a hedge while the gateway stops, while callers are refused, without a budget or where no other endpoint has room.
+// control holds or allows on trial, and against a hedge while the gateway stops, while callers are refused, without a budget or where no
+// other endpoint has room.
 func TestOnlyRequestsThatMayBeRepeatedAreHedged(t *testing.T) {
 	cases := map[string]struct {
 		path    string
@@ -271,7 +272,7 @@
 	}
 }
 
-// holdBad lets control hold back the requests with the part "bad", but one with a trial of that number.
+// holdBad makes control hold the requests with the part "bad", except one with a trial of that number.
 func (f *fixture) holdBad(trial uint64) {
 	key := suspicion.Identity{Scopes: []string{"plain/"}, Parts: []string{"bad"}}.PartKeys().All()[0].Hash
 	f.g.applyUpdate(&message.Picture{Version: 1, Holds: message.Holds{Held: []message.HeldKey{{Key: key, Trial: trial, For: time.Minute}}}})
@@ -315,7 +316,7 @@
 	})
 }
 
-// TestHedgingIsOffByDefault guards against extra requests and response times that are kept although no operator asks for it.
+// TestHedgingIsOffByDefault guards against extra requests and stored response times where no operator has enabled hedging.
 func TestHedgingIsOffByDefault(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		f.learn(20*time.Millisecond, 20*time.Millisecond)
@@ -356,7 +357,7 @@
 		})
 		for i, r := range got {
 			if r.status == http.StatusServiceUnavailable {
-				continue // Refused, which is truthful: the endpoints have declined it.
+				continue // A refusal is correct here: the endpoints have declined the request.
 			}
 			require.NoError(t, r.err, "seed %d, caller %d", seed, i)
 			require.Equal(t, eventTexts(events), r.body, "seed %d, caller %d", seed, i)
--- a/internal/entry/gateway/limit.go
+++ b/internal/entry/gateway/limit.go
@@ -13,7 +13,7 @@
 const maxArrivalScopes = 256
 
 // recordLimit records the limit that an endpoint names in a response, or that it names none. A response of another
-// endpoint at the address tells nothing.
+// endpoint at the address is ignored.
 func (a *attempt) recordLimit(response *http.Response) {
 	g := a.call.g
 	text := response.Header.Get(g.opts.Dialect.Headers.Limit)
@@ -50,7 +50,7 @@
 	}
 }
 
-// applyLimits takes over the limits of endpoints and the permits that control sends. mu must be held.
+// applyLimits applies the limits of endpoints and the permits that control sends. mu must be held.
 func (g *Gateway) applyLimits(update *message.Picture, now time.Time) {
 	g.dropOldPermits()
 	g.applyCold(update, now)
--- a/internal/entry/gateway/log_test.go
+++ b/internal/entry/gateway/log_test.go
@@ -45,7 +45,7 @@
 
 // TestLastLineNamesTheConfiguration changes the configuration before and during a request. The last
 // line must name the version by which the request was served, the version in force at the end and its
-// age. Without them a request that fails beside a change can't be told from others.
+// age. Without them a request that fails during a change can't be distinguished from others.
 func TestLastLineNamesTheConfiguration(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		var logged lockedBuffer
@@ -71,8 +71,8 @@
 	})
 }
 
-// TestLastLineNamesTheLoadThatDecided guards against requests of which nobody can tell why they went to their endpoint: the line has the load
-// that was assumed there, what that rested on, and how old it was.
+// TestLastLineNamesTheLoadThatDecided guards against placements that the log doesn't explain: the line has the load that was assumed at the
+// endpoint, its source and its age.
 func TestLastLineNamesTheLoadThatDecided(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		var logged lockedBuffer
--- a/internal/entry/gateway/notice.go
+++ b/internal/entry/gateway/notice.go
@@ -10,9 +10,8 @@
 // oddNoticeInterval is the least time between two log lines about a notice that can't be read.
 const oddNoticeInterval = 10 * time.Second
 
-// recordNotices records what an endpoint says of itself in the header of a response: that it leaves,
-// that it wants no requests for a time, or how many it takes. It concerns only the incarnation to which the request
-// was sent.
+// recordNotices records the endpoint's state from the header of a response: that it is leaving, that it accepts no
+// requests for a time, or its limit. The state applies only to the incarnation to which the request was sent.
 func (a *attempt) recordNotices(response *http.Response) {
 	a.recordLimit(response)
 	a.recordCold(response)
--- a/internal/entry/gateway/notice_test.go
+++ b/internal/entry/gateway/notice_test.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// TestAllEndpointsBusy guards against requests that wait in vain while all endpoints are busy, and
-// against a Retry-After that has nothing to do with their return.
+// TestAllEndpointsBusy guards against requests that wait although all endpoints are busy, and
+// against a Retry-After that doesn't follow from the end of the busy time.
 func TestAllEndpointsBusy(t *testing.T) {
 	var first, refused, waited callerResponse
 	withFixture(t, func(f *fixture) {
--- a/internal/entry/gateway/overload_test.go
+++ b/internal/entry/gateway/overload_test.go
@@ -28,9 +28,9 @@
 	f.g.applyUpdate(&message.Picture{Version: 4, Document: []byte("rank")})
 }
 
-// TestLateStreamIsServed guards against the refusal of a stream that has a place before its caller gives up, where routes differ in
-// priority and late responses are asked for, and against a change where one of both is missing: both heads are full until long after the
-// objective.
+// TestLateStreamIsServed guards against the refusal of a stream that can be placed before its caller's timeout, where routes differ in
+// priority and ServeLate is set, and against a change of the behaviour where one of both conditions is missing: both heads are full
+// until long after the objective.
 func TestLateStreamIsServed(t *testing.T) {
 	for _, c := range []struct{ ranked, serveLate bool }{{false, false}, {false, true}, {true, false}, {true, true}} {
 		withFixture(t, func(f *fixture) {
@@ -55,8 +55,8 @@
 	}
 }
 
-// TestRefusalExplainsItself guards against refusals that all name the same time, and of which nobody can tell why: twelve callers of full
-// heads get times that differ and that they can use, and the log has the inputs.
+// TestRefusalExplainsItself guards against refusals that all have the same Retry-After or that the log doesn't explain: twelve callers of
+// full heads get different usable times, and the log has the inputs.
 func TestRefusalExplainsItself(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		f.addPatientRoute()
--- a/internal/entry/gateway/proof.go
+++ b/internal/entry/gateway/proof.go
@@ -17,7 +17,8 @@
 var errEndedWithEndpoint = errors.New("the endpoint has ended with the response")
 
 // checkEnd returns an error if the end of a response without length and chunks may be due to the end of the endpoint, which closes its
-// connections as well. Of one that is about to leave the end can't be told, since a successor may listen at once: what may be repeated is.
+// connections as well. The end of a leaving endpoint can't be detected, since a successor may listen at once, so the request is repeated
+// if it may be.
 func (a *attempt) checkEnd() error {
 	c := a.call
 	if c.route.Retryable() && c.g.isLeaving(a.endpoint) {
@@ -49,19 +50,18 @@
 	return announced || g.balancer.IsLeaving(e.ID, e.StartedMs)
 }
 
-// provesHarmless reports whether a response that has ended proves that the endpoint worked on the request and went on.
-// Another status than a success may come before that work, whatever the request, and a crash ends a response without length
-// and chunks as well.
+// provesHarmless reports whether a response that has ended proves that the endpoint processed the request and kept running.
+// A status other than success may precede the processing, and a crash also ends a response without length and chunks.
 func (a *attempt) provesHarmless() bool {
 	status := a.exchange.Response.StatusCode
 	isSuccess := status >= http.StatusOK && status < http.StatusMultipleChoices
 	return isSuccess && (a.exchange.Framing() != upstream.FramingClose || a.survived)
 }
 
-// lastingInterval is the least time between two records of a response that goes on.
+// lastingInterval is the minimum time between two records of a continuing response.
 const lastingInterval = 200 * time.Millisecond
 
-// recordLasting records that the response of a stream goes on. mu must be held.
+// recordLasting records that the endpoint continues the response of a stream. mu must be held.
 func (a *attempt) recordLasting(now time.Time) {
 	lasted := now.Sub(a.firstEventAt)
 	if lasted <= message.SuspectTime || now.Sub(a.lastingAt) < lastingInterval {
@@ -71,7 +71,7 @@
 	a.call.g.observer.Lasts(a.call.keys, lasted, now)
 }
 
-// recordHarmless records that the endpoint has answered the request and goes on.
+// recordHarmless records that the endpoint has answered the request and keeps running.
 func (a *attempt) recordHarmless(now time.Time) {
 	if a.harmless {
 		return
@@ -82,7 +82,7 @@
 	}
 }
 
-// logSuspectCompleted logs that a request with watched keys completed, and what shows that.
+// logSuspectCompleted logs that a request with watched keys completed, with the evidence.
 func (a *attempt) logSuspectCompleted(watched []suspicion.Key, now time.Time) {
 	entry := event.SuspectCompleted.On(a.call.g.opts.Logger).Str("request", a.call.id).Str("endpoint", a.endpoint.ID).
 		Int64("started", a.endpoint.StartedMs).Str("scope", a.call.scope()).Bool("streamed", a.streamed)
--- a/internal/entry/gateway/retry_policy.go
+++ b/internal/entry/gateway/retry_policy.go
@@ -45,7 +45,7 @@
 // without returns the plan for an attempt at another endpoint than the one with this ID.
 func (p attemptPlan) without(endpoint string) attemptPlan {
 	p.request.Exclude = append(slices.Clone(p.request.Exclude), endpoint)
-	p.request.LateUntil = time.Time{} // The present attempt may go on, so this one is not worth a late place.
+	p.request.LateUntil = time.Time{} // The present attempt may still complete, so this one does not wait for a late place.
 	return p
 }
 
--- a/internal/entry/gateway/silence_test.go
+++ b/internal/entry/gateway/silence_test.go
@@ -18,11 +18,11 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
-// silence is how long an endpoint in these tests sends nothing although it is sound.
+// silence is how long an endpoint in these tests sends nothing although it is healthy.
 const silence = 1200 * time.Millisecond
 
 // pauseAfter lets the endpoint respond with the events after Last-Event-Id up to last, and send
-// nothing for a time after the first quiet ones. If inside is set it stops inside an event.
+// nothing for a time after the first quiet events. If inside is set it stops inside an event.
 func (e *fakeEndpoint) pauseAfter(quiet, last int, pause time.Duration, inside bool) {
 	e.script = func(c net.Conn, r *http.Request, _ string) {
 		e.recordRun(r)
@@ -67,7 +67,7 @@
 }
 
 // TestSilentEndpointKeepsItsStreamUntilAnotherTakesOver guards against the loss of a stream whose
-// endpoint is silent for a second and goes on, if no other endpoint takes the stream over.
+// endpoint is silent for a second and then continues, if no other endpoint takes the stream over.
 func TestSilentEndpointKeepsItsStreamUntilAnotherTakesOver(t *testing.T) {
 	others := map[string]func(f *fixture){
 		"the other is full":            func(f *fixture) { f.heads[1].decline() },
@@ -185,7 +185,7 @@
 		})
 		for i, r := range got {
 			if r.status == http.StatusServiceUnavailable {
-				continue // Refused, which is truthful: the endpoints have declined it.
+				continue // A refusal is correct here: the endpoints have declined the request.
 			}
 			require.NoError(t, r.err, "seed %d, caller %d", seed, i)
 			require.Equal(t, eventTexts(events), r.body, "seed %d, caller %d", seed, i)
--- a/internal/entry/gateway/standby.go
+++ b/internal/entry/gateway/standby.go
@@ -19,9 +19,9 @@
 // of the same request.
 const standbyInterval = 250 * time.Millisecond
 
-// standby is an attempt at another endpoint, made while the endpoint of the present attempt is
-// silent or, as a hedge, slow. Such an endpoint may go on, so the present attempt is given up only once the response of
-// the standby has begun: with its first event, or for a plain response with the whole of it.
+// standby is an attempt at another endpoint, made while the endpoint of the present attempt is silent or, as a hedge,
+// slow. Such an endpoint may still respond, so the present attempt is cancelled only once the response of the standby
+// has begun: with its first event, or for a plain response with the whole of it.
 type standby struct {
 	// call is a copy of the request, with statistics of its own.
 	call   *call
@@ -103,7 +103,7 @@
 	return attemptResult{attempt: a, decision: d, outcome: o, err: err}
 }
 
-// replace reports whether the silent attempt a can be given up because the response of a standby
+// replace reports whether the silent attempt a can be cancelled because the response of a standby
 // has begun. If there is no standby it starts one, if the policy allows a retry.
 func (c *call) replace(ctx context.Context, a *attempt, p retryPolicy) bool {
 	if c.standby != nil {
@@ -148,7 +148,7 @@
 }
 
 // run makes the attempt and sets the result. The retry budget is charged only once an endpoint has
-// been acquired, since a refused standby costs no endpoint anything.
+// been acquired, since a refused standby adds no load to an endpoint.
 func (s *standby) run(ctx context.Context, plan attemptPlan) {
 	defer close(s.done)
 	defer s.recoverFailure()
@@ -258,8 +258,8 @@
 	return s.result
 }
 
-// endStandby cancels the standby, if there is one, because the present endpoint has gone on or the
-// request has ended.
+// endStandby cancels the standby, if there is one, because the present endpoint has sent data again
+// or the request has ended.
 func (c *call) endStandby() {
 	if c.standby == nil {
 		return
--- a/internal/entry/gateway/standby_test.go
+++ b/internal/entry/gateway/standby_test.go
@@ -15,7 +15,7 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
-// announceHead announces a head that is sound.
+// announceHead announces a healthy head.
 func (f *fixture) announceHead(id string) *fakeEndpoint {
 	head := &fakeEndpoint{}
 	f.net.mu.Lock()
@@ -54,8 +54,8 @@
 }
 
 // TestStandbyThatFailsAfterItsHeaderKeepsTheStream guards against the loss of a stream whose endpoint
-// is silent for a second and goes on, if another endpoint has sent the header of its response, but no
-// event, and then breaks off or is silent.
+// is silent for a second and then continues, if another endpoint has sent the header of its response,
+// but no event, and then breaks off or is silent.
 func TestStandbyThatFailsAfterItsHeaderKeepsTheStream(t *testing.T) {
 	ends := map[string]func(c net.Conn){"it breaks off": closeConnection, "it is silent": keepConnectionOpen}
 	for name, end := range ends {
--- a/internal/entry/gateway/stream.go
+++ b/internal/entry/gateway/stream.go
@@ -82,7 +82,7 @@
 	case s.headerSent:
 		maxWait = maxResumeQueueWait
 	case s.mayHaveRun:
-		maxWait = s.route.Objective // The request is late already, but failing it would be worse.
+		maxWait = s.route.Objective // The request is late already, but a late response is better than none.
 	}
 	req := s.balanceRequest(maxWait)
 	req.Exclude, req.Resumed = s.excluded, s.headerSent
@@ -123,8 +123,8 @@
 	return false
 }
 
-// endpointCrashed reports whether the endpoint of a stream that has begun is found to be gone, though
-// control has not said so yet.
+// endpointCrashed reports whether the endpoint of a stream that has begun is found to have crashed
+// before control has reported it.
 func (s *streamCall) endpointCrashed(ctx context.Context, a *attempt) bool {
 	return a.streamed && !s.endpointGone(a) && s.hasCrashed(ctx, a)
 }
@@ -220,16 +220,16 @@
 }
 
 const (
-	// noEventForecasts is how many times the forecast of the first event an endpoint may send nothing before a stream without an event counts
-	// as silent. A forecast may be too short by the load that other gateways have sent meanwhile.
+	// noEventForecasts is the multiple of the forecast time to the first event after which the endpoint of a stream without an event counts
+	// as silent. A forecast omits the load that other gateways have sent in the meantime.
 	noEventForecasts = 4
-	// noEventPatience is the part of the time after which callers give up a stream for which that holds too. An endpoint that is slow under
-	// load is not silent: to try its requests elsewhere adds to the load, and it gets no requests for a while.
+	// noEventPatience is the part of the callers' timeout without an event that must also have passed. An endpoint that is slow under load
+	// is not silent: retrying its requests elsewhere adds to the load.
 	noEventPatience = 0.5
 )
 
-// sendsNoEvent reports whether the endpoint of a stream has sent this gateway nothing since the attempt began, or since its response
-// did, for longer than the forecast and the patience of callers allow. The balancer knows an endpoint as stalled only by other streams there.
+// sendsNoEvent reports whether the endpoint of a stream has sent this gateway nothing since the attempt began, or since its response began,
+// for longer than noEventForecasts and noEventPatience allow. The balancer detects a stalled endpoint only by its other streams.
 func (a *attempt) sendsNoEvent(now time.Time) bool {
 	route := a.call.route
 	if a.streamed || route.Kind != routes.KindStream {
--- a/internal/entry/gateway/subscription.go
+++ b/internal/entry/gateway/subscription.go
@@ -29,8 +29,8 @@
 	openTimeout = 600 * time.Millisecond
 	// reportInterval is the time between two reports to control.
 	reportInterval = 100 * time.Millisecond
-	// maxLateness is how late the process may run while it takes the silence of control for a fault of control or of
-	// the link.
+	// maxLateness is the greatest scheduling delay of this process at which missing messages count as a fault of
+	// control or of the link.
 	maxLateness = 250 * time.Millisecond
 	// allowedLateness is how often the lateness of the process is added to a timeout: a handshake has several steps.
 	allowedLateness = 4
@@ -80,8 +80,8 @@
 	return g.receiveUpdates(hosts, address, stream)
 }
 
-// receiveUpdates applies the updates of one control host until the stream fails, or another
-// control host is to be preferred. It returns the reason.
+// receiveUpdates applies the updates of one control host until the stream fails, or another control
+// host is preferable. It returns the reason.
 func (g *Gateway) receiveUpdates(hosts *controlHosts, address string, stream *transport.Stream) string {
 	leaderSeen := time.Now()
 	defer func() {
@@ -119,12 +119,12 @@
 	}
 }
 
-// allowance is the time that is added to the timeouts of control while this process runs late: what it waits for may
-// have arrived, and the peer waits for its answers.
+// allowance is the time that is added to the timeouts of control while this process is delayed: the awaited data may
+// have arrived already, and the peer waits for answers.
 func (g *Gateway) allowance() time.Duration { return allowedLateness * g.lateness.Recent(clock.Now()) }
 
-// receiveFrame waits for the next frame of a control host and returns it. A wait that ends much later than it should
-// tells of a pause of this process, not of a silent control host, and starts again.
+// receiveFrame waits for the next frame of a control host and returns it. A wait that ends much later than its
+// timeout is restarted: it indicates a pause of this process, not a silent control host.
 func (g *Gateway) receiveFrame(stream *transport.Stream) (message.Message, error) {
 	for {
 		deadline := time.Now().Add(updateTimeout + g.allowance())
--- a/internal/entry/gateway/subscription_test.go
+++ b/internal/entry/gateway/subscription_test.go
@@ -28,8 +28,8 @@
 	return transport.New(socket, credentials, transport.Options{})
 }
 
-// TestOwnDelayEndsNoSubscription guards against an overloaded gateway that gives up a sound link to control after a second,
-// since it reads late what has arrived, and can't open another one in time.
+// TestOwnDelayEndsNoSubscription guards against an overloaded gateway that closes a working link to control after a second
+// because it reads the received data late, and can't open another one in time.
 func TestOwnDelayEndsNoSubscription(t *testing.T) {
 	const silence = 2500 * time.Millisecond
 	for name, c := range map[string]struct {
--- a/internal/entry/gateway/update.go
+++ b/internal/entry/gateway/update.go
@@ -61,7 +61,7 @@
 	g.balancer.ProcessQueue(now)
 }
 
-// dropReplaced passes the endpoints that have left on to the balancer, and closes the idle
+// dropReplaced removes the endpoints that have left from the balancer, and closes the idle
 // connections to those of changed that have left. In the roster an endpoint has also left if
 // another endpoint has taken over its address. mu must be held.
 func (g *Gateway) dropReplaced(changed []roster.Endpoint) {
--- a/internal/entry/gateway/update_test.go
+++ b/internal/entry/gateway/update_test.go
@@ -9,7 +9,7 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
-// TestOddEndpointKeepsNoUpdateOut guards against a gateway that stops following control since an update has one endpoint that can't be.
+// TestOddEndpointKeepsNoUpdateOut guards against a gateway that stops applying updates because one contains an invalid endpoint.
 func TestOddEndpointKeepsNoUpdateOut(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		next := roster.Endpoint{ID: "p9", Service: "plain", Address: "p9", FailureDomain: "a", Slots: 6, StartedMs: 1, Sequence: 1}
--- a/internal/entry/gateway/warm_up.go
+++ b/internal/entry/gateway/warm_up.go
@@ -14,7 +14,7 @@
 // minSuspension is the shortest suspension of the host after which permits of cold endpoints are dropped.
 const minSuspension = 40 * time.Millisecond
 
-// coldHandoverTime is the time after a subscription in which the control host hears from its gateways which endpoints are cold.
+// coldHandoverTime is the time after a subscription in which the gateways report to the control host which endpoints are cold.
 const coldHandoverTime = time.Second
 
 // warmUps is what a gateway knows of the permits for cold endpoints. The zero value is that of a gateway without a subscription.
@@ -60,7 +60,7 @@
 	return balance.WarmPermitTime, true
 }
 
-// applyCold takes over what control says of cold endpoints, with permits. mu must be held.
+// applyCold applies control's list of cold endpoints and their permits. mu must be held.
 func (g *Gateway) applyCold(update *message.Picture, now time.Time) {
 	m := update.WarmUp
 	if m == nil {
@@ -84,8 +84,8 @@
 	}
 }
 
-// assumeCold makes the incarnations cold of which an update tells first, unless the control host knows which are. Those of a
-// complete update may have started long ago. mu must be held.
+// assumeCold marks the incarnations as cold that an update contains for the first time, unless the control host knows which
+// are cold. Those of a complete update may have started long ago. mu must be held.
 func (g *Gateway) assumeCold(update *message.Picture, fresh []roster.Incarnation, now time.Time) {
 	if !g.balancer.HasWarmUps() || update.Complete || update.WarmUp != nil && update.WarmUp.Judged || g.requestCount.Load() == 0 {
 		return
@@ -149,11 +149,10 @@
 }
 
 // permitExpired reports whether the attempt must not be sent any more: the permit of a cold endpoint may have expired while the process
-// stood still or a connection was opened.
+// was paused or a connection was opened.
 func (a *attempt) permitExpired() bool { return !a.sendBy.IsZero() && !clock.Now().Before(a.sendBy) }
 
-// coldReport adds to a report what control must know of cold endpoints. all says that the control host knows nothing yet. mu must be
-// held.
+// coldReport adds the state of cold endpoints to a report. all says that the control host has no such state yet. mu must be held.
 func (g *Gateway) coldReport(r *message.LimitReport, all bool, now time.Time) {
 	if !g.balancer.HasWarmUps() {
 		return
--- a/internal/entry/gateway/warm_up_test.go
+++ b/internal/entry/gateway/warm_up_test.go
@@ -42,8 +42,8 @@
 	return &message.Picture{Version: 4, Partial: true, Granting: true, WarmUp: m}
 }
 
-// TestLatePermitsAreReturned guards against permits that are used long after they were granted, since they came late or the process or its
-// host stood still, and against a message that counts twice.
+// TestLatePermitsAreReturned guards against permits that are used long after they were granted, because they arrived late or the process
+// or its host was paused, and against a message that counts twice.
 func TestLatePermitsAreReturned(t *testing.T) {
 	for name, c := range map[string]struct {
 		delay   func()
@@ -84,7 +84,8 @@
 	}
 }
 
-// TestPermitsEndWithASuspension guards against permits that a gateway uses after its host was suspended, when its clock stood still.
+// TestPermitsEndWithASuspension guards against permits that a gateway uses after a suspension of its host, during which its clock
+// stopped.
 func TestPermitsEndWithASuspension(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		withWarmUp(f)
@@ -95,7 +96,7 @@
 }
 
 // TestRequestIsNotSentAfterItsPermit guards against a request that has got its endpoint in time and reaches it later, since its connection
-// took long to open, and against a ban of the endpoint for that.
+// took long to open, and against a ban of the endpoint for this reason.
 func TestRequestIsNotSentAfterItsPermit(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		withWarmUp(f)
@@ -112,8 +113,8 @@
 	})
 }
 
-// TestUnjudgedEndpointsAreCold guards against a gateway that sends the load of a warm endpoint to one of which it has just heard, from a
-// control host that doesn't know how old it is, and against one that takes all endpoints for cold when it subscribes.
+// TestUnjudgedEndpointsAreCold guards against a gateway that sends the load of a warm endpoint to a newly announced one whose age the
+// control host doesn't know, and against one that treats all endpoints as cold when it subscribes.
 func TestUnjudgedEndpointsAreCold(t *testing.T) {
 	for name, c := range map[string]struct {
 		update message.Picture
@@ -145,7 +146,7 @@
 	}
 }
 
-// TestColdTimeIsHeardInEveryKindOfAnswer guards against a cold time that is overlooked because the answer is a failure, and against one
+// TestColdTimeIsHeardInEveryKindOfAnswer guards against a cold time that is ignored because the answer is a failure, and against one
 // that is taken from another endpoint's answer.
 func TestColdTimeIsHeardInEveryKindOfAnswer(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -187,8 +188,8 @@
 	})
 }
 
-// TestNewLeaderHearsWhatIsCold guards against endpoints that get the load of warm ones since the leader has changed and the new one
-// doesn't know yet that they are cold.
+// TestNewLeaderHearsWhatIsCold guards against cold endpoints that get the load of warm ones after a change of leader, because the
+// new leader doesn't know yet that they are cold.
 func TestNewLeaderHearsWhatIsCold(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		withWarmUp(f)
