balance: comments in plain terms

Why: many comments used figurative words (a control host that is heard from, a caller that is told when to come back, a crowd, endpoints that are gone or dead) where the glossary has terms: reported, Retry-After, return, lost, replaced. What: comments only. One comment of exclusion_test.go named a field that doesn't exist (busy, "lists the ends"); it names busyUntil now.

--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -60,8 +60,8 @@
 	waitingSince time.Time
 	// failures counts the failures that led to a ban since the last complete response.
 	failures int
-	// bannedUntil is the time until which the endpoint gets no requests since some have failed, and
-	// lostUntil since control considers it dead.
+	// bannedUntil is the time until which the endpoint gets no requests because some have failed,
+	// and lostUntil because control considers it lost.
 	bannedUntil, lostUntil time.Time
 	// errorRate is the moving average of the share of responses that were failures.
 	errorRate float64
@@ -72,9 +72,9 @@
 	slowdown float64
 	// slowdownAt is when slowdown was last updated.
 	slowdownAt time.Time
-	// notice is what the endpoint has said about itself.
+	// notice is the state that the endpoint has announced in its responses.
 	notice notice
-	// limit is what it has said about the requests that it takes.
+	// limit is the rate limit that it has announced.
 	limit rateLimit
 	// warm is its warm-up.
 	warm warmUp
@@ -87,9 +87,9 @@
 	FailureDomain string
 	// Gateways is how many gateways share the endpoints, 0 if that is not known.
 	Gateways int
-	// Regions are the regions of failure domains. Endpoints in other domains get no request that names regions.
+	// Regions are the regions of failure domains. Endpoints in other domains get no request that is restricted to regions.
 	Regions map[string]string
-	// Ranked says that package overload decides for services whose routes differ in priority.
+	// Ranked says that package overload controls the queues of services whose routes differ in priority.
 	Ranked bool
 	// ServeLate says that requests that can't meet their objective any more wait for capacity, and that returned ones go before new ones,
 	// where Ranked applies. Otherwise such requests get spare capacity only.
@@ -114,10 +114,10 @@
 	// endedNotices are those that TakeEndedNotices has yet to return, at most one for each
 	// incarnation of an endpoint.
 	endedNotices []EndedNotice
-	// grantingAt is when a control host that grants permits was last heard from.
+	// grantingAt is when the last message of a control host that grants permits arrived.
 	grantingAt time.Time
-	// promised is the latest time that a Retry-After has named, by service and model, while the limits of
-	// endpoints were the cause.
+	// promised is the latest return time that a Retry-After has given because of the limits of endpoints,
+	// by service and model.
 	promised map[string]time.Time
 	// warmUps holds the warm-up limits of the services that have one. It is nil if there are none.
 	warmUps map[string]routes.WarmUp
@@ -236,7 +236,7 @@
 	ResultConnectionRefused
 	// ResultWrongEndpoint is an address at which another endpoint responds.
 	ResultWrongEndpoint
-	// ResultCanceled is a request whose caller has left. It tells nothing about the endpoint.
+	// ResultCanceled is a request whose caller has left. It has no effect on the endpoint's health.
 	ResultCanceled
 	// ResultStalled is an endpoint that stopped sending while it had open streams.
 	ResultStalled
@@ -370,12 +370,12 @@
 	return all
 }
 
-// lostBan is how long an endpoint that control considers dead gets no requests.
+// lostBan is how long an endpoint that control considers lost gets no requests.
 const lostBan = time.Second
 
-// MarkLost bans the endpoints that control considers dead, for lostBan from now. It leaves out
-// those that have sent this gateway data within lostBan, since they may be cut off from
-// control only.
+// MarkLost bans the endpoints that control considers lost, for lostBan from now. It leaves out
+// those that have sent this gateway data within lostBan, since they may only be disconnected from
+// control.
 func (b *Balancer) MarkLost(ids []string, now time.Time) {
 	for _, id := range ids {
 		t, ok := b.endpoints[id]
--- a/internal/entry/balance/balancer_test.go
+++ b/internal/entry/balance/balancer_test.go
@@ -345,8 +345,8 @@
 	require.Zero(t, EngineTime(nil, "m", dialect.Usage{PromptTokens: 1, MaxOutputTokens: 1}))
 }
 
-// TestFailuresOfOneMomentCountAsOne guards against a long loss of capacity after a short silence, at
-// which all requests of an endpoint fail together.
+// TestFailuresOfOneMomentCountAsOne guards against a long loss of capacity after a short silence,
+// during which all requests of an endpoint fail together.
 func TestFailuresOfOneMomentCountAsOne(t *testing.T) {
 	b := heads(1)
 	for range 8 {
@@ -360,7 +360,7 @@
 }
 
 // TestFailureOfALostEndpointCounts guards against a failure that is ignored because control considers the
-// endpoint dead at that moment.
+// endpoint lost at that time.
 func TestFailureOfALostEndpointCounts(t *testing.T) {
 	b := heads(1)
 	now := noon
--- a/internal/entry/balance/crowd_test.go
+++ b/internal/entry/balance/crowd_test.go
@@ -9,7 +9,7 @@
 	"github.com/egretreach/egretreach/internal/entry/dialect"
 )
 
-// crowdResult is the outcome of a flash crowd at one gateway.
+// crowdResult is the outcome of a sudden overload at one gateway.
 type crowdResult struct {
 	// placed and refused count the requests by their decision. atOnce counts those refused on arrival.
 	placed, refused, atOnce int
@@ -19,7 +19,7 @@
 	longestQueue int
 }
 
-// simulateCrowd sends requests to a gateway with one full head, on which a slot comes free after each freeEvery.
+// simulateCrowd sends requests to a gateway with one full head, on which a slot is released after each freeEvery.
 func simulateCrowd(total, arrivalEvery, freeEvery time.Duration) crowdResult {
 	var result crowdResult
 	b := heads(1)
@@ -50,7 +50,7 @@
 	return result
 }
 
-// collectDecisions adds the decisions on waiting requests to the result, and returns those that wait on.
+// collectDecisions adds the decisions on waiting requests to the result, and returns those that still wait.
 func collectDecisions(b *Balancer, waiting []*Waiter, now time.Time, result *crowdResult) []*Waiter {
 	var kept []*Waiter
 	for _, w := range waiting {
@@ -70,9 +70,9 @@
 	return kept
 }
 
-// TestFlashCrowdIsRefusedAtOnce guards against a queue that grows with the load: each request of it waits for nothing, and
-// with each event the gateway tries all of them, so that it runs late itself. Fifty times as many requests arrive as can be
-// placed. All but a few are refused on arrival, and each slot that comes free is used.
+// TestFlashCrowdIsRefusedAtOnce guards against a queue that grows with the load: its requests wait without being placed,
+// and the gateway tries all of them at each event, which delays its other work. Fifty times as many requests arrive as can
+// be placed. All but a few are refused on arrival, and each released slot is used.
 func TestFlashCrowdIsRefusedAtOnce(t *testing.T) {
 	const (
 		total     = 10 * time.Second
@@ -84,14 +84,14 @@
 	require.Greater(t, float64(r.atOnce)/float64(r.refused), 0.95, "share of the refusals that is given at once")
 }
 
-// TestQueueHoldsWhatCanBePlaced guards against refusals beside capacity: where slots come free as fast as requests arrive, no request
-// is refused for the length of the queue.
+// TestQueueHoldsWhatCanBePlaced guards against refusals while there is capacity: if slots are released as fast as requests arrive, no
+// request is refused because of the length of the queue.
 func TestQueueHoldsWhatCanBePlaced(t *testing.T) {
 	r := simulateCrowd(10*time.Second, 10*time.Millisecond, 10*time.Millisecond)
 	require.Zero(t, r.refused)
 }
 
-// TestResumedStreamWaitsBesideACrowd guards against a broken stream that is refused for the length of the queue.
+// TestResumedStreamWaitsBesideACrowd guards against an interrupted stream that is refused because of the length of the queue.
 func TestResumedStreamWaitsBesideACrowd(t *testing.T) {
 	b := heads(1)
 	b.SetLoad("h0", dialect.Load{Running: 60, Slots: 48}, noon)
--- a/internal/entry/balance/evacuation.go
+++ b/internal/entry/balance/evacuation.go
@@ -55,7 +55,7 @@
 }
 
 // Bars returns ExclusionEvacuated or ExclusionRegion if an endpoint must not get a request, whatever its state, and ExclusionNone if it
-// may. Time alone ends neither.
+// may. Neither ends with time alone.
 func (b *Balancer) Bars(e roster.Endpoint, req Request) Exclusion {
 	if _, evacuated := b.evacuations.since[e.FailureDomain]; evacuated {
 		return ExclusionEvacuated
--- a/internal/entry/balance/evacuation_test.go
+++ b/internal/entry/balance/evacuation_test.go
@@ -22,7 +22,8 @@
 	return b
 }
 
-// TestEvacuatedEndpointsAreNoCapacity guards against forecasts, waits and times to return that count endpoints which get no request.
+// TestEvacuatedEndpointsAreNoCapacity guards against forecasts, waits and Retry-After values that count endpoints which get no
+// request.
 func TestEvacuatedEndpointsAreNoCapacity(t *testing.T) {
 	b := inDomains("a", "b")
 	req := Request{Service: "plain", ArrivedAt: noon, WaitUntil: noon.Add(time.Second)}
@@ -67,8 +68,8 @@
 	require.Zero(t, b.Waiting())
 }
 
-// TestEndpointsAreColdAfterAWithdrawal guards against endpoints that get their whole load at once although they got no requests for a while,
-// and against a memory that grows with each name that was ever evacuated.
+// TestEndpointsAreColdAfterAWithdrawal guards against endpoints that get their whole load at once although they got no requests for a
+// while, and against memory that grows with each domain that was ever evacuated.
 func TestEndpointsAreColdAfterAWithdrawal(t *testing.T) {
 	b := inDomains("a", "b")
 	b.SetServices([]routes.Service{{Name: "plain", WarmUp: routes.WarmUp{Time: 3 * time.Second, PerSecond: 32}}})
--- a/internal/entry/balance/exclusion.go
+++ b/internal/entry/balance/exclusion.go
@@ -43,11 +43,11 @@
 	StartedMs int64
 	// Why is ExclusionLeaving or ExclusionBusy.
 	Why Exclusion
-	// Gone says that the incarnation is gone.
+	// Gone says that the incarnation has been replaced or removed.
 	Gone bool
 }
 
-// notice is what an incarnation of an endpoint has said about itself in its responses.
+// notice is the state that an incarnation of an endpoint has announced in its responses.
 type notice struct {
 	// leaving is never withdrawn.
 	leaving bool
@@ -57,8 +57,8 @@
 	ended bool
 }
 
-// exclusion returns why the endpoint does not get the request now. Every decision about where to send a
-// request asks it.
+// exclusion returns why the endpoint does not get the request now. Every placement of a request checks
+// it.
 func (b *Balancer) exclusion(t *endpointState, req Request, now time.Time) Exclusion {
 	if barred := b.Bars(t.Endpoint, req); barred != ExclusionNone {
 		return barred
@@ -82,9 +82,9 @@
 	return ExclusionNone
 }
 
-// returning reports whether the endpoint has been busy and has as many requests in flight as it may
-// since then. The limit grows over returnTime and is divided between the gateways, so that the load
-// does not come back at once.
+// returning reports whether the endpoint has been busy and has reached the limit of requests in
+// flight that applies after a busy time. The limit grows over returnTime and is divided between the
+// gateways, so that the load increases gradually.
 func (b *Balancer) returning(t *endpointState, now time.Time) bool {
 	since := now.Sub(t.notice.busyUntil)
 	if t.notice.busyUntil.IsZero() || since >= returnTime {
@@ -188,7 +188,7 @@
 	return b.nextReturn(req, now)
 }
 
-// endNotice reports the notice of an incarnation that is gone.
+// endNotice reports the notice of an incarnation that has been replaced or removed.
 func (b *Balancer) endNotice(t *endpointState) {
 	n := &t.notice
 	if n.ended || !n.leaving && n.busyUntil.IsZero() {
--- a/internal/entry/balance/exclusion_test.go
+++ b/internal/entry/balance/exclusion_test.go
@@ -12,10 +12,10 @@
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 )
 
-// heardNotice is what a model of the rules knows of one incarnation.
+// heardNotice is the reference model's state of one incarnation.
 type heardNotice struct {
 	leaving bool
-	// busy lists the ends of the busy times.
+	// busyUntil is the end of the busy time.
 	busyUntil time.Time
 }
 
@@ -80,8 +80,8 @@
 	}
 }
 
-// TestLoadReturnsGraduallyAfterABusyTime guards against an endpoint that gets all its load at the moment
-// at which its busy time ends.
+// TestLoadReturnsGraduallyAfterABusyTime guards against an endpoint that gets all its load at once when
+// its busy time ends.
 func TestLoadReturnsGraduallyAfterABusyTime(t *testing.T) {
 	b := plain(1)
 	b.MarkBusy("p0", 1, time.Second, noon)
@@ -136,7 +136,7 @@
 // simBusy. A busy endpoint declines what reaches it.
 type busySimulation struct {
 	b *Balancer
-	// obey says that the balancer hears the notices.
+	// obey says that the balancer receives the notices.
 	obey     bool
 	now      time.Time
 	turn     int
--- a/internal/entry/balance/explain.go
+++ b/internal/entry/balance/explain.go
@@ -45,7 +45,7 @@
 
 // Reason returns why the candidate doesn't get the request, or an empty string.
 func (c Candidate) Reason() string {
-	switch c.Passed { //nolint:exhaustive // The others name themselves.
+	switch c.Passed { //nolint:exhaustive // The other values have their own names.
 	case PassedOverNot:
 		return ""
 	case PassedOverExcluded:
@@ -86,7 +86,7 @@
 }
 
 // CopyFor returns a copy of what decides about a request: the endpoints that serve it, the queue and the throughput. Decisions use
-// up permits and record what they promise, so one that must change nothing is made on a copy. Its methods share no memory that is
+// up permits and record promises, so a decision without side effects is made on a copy. Its methods share no memory that is
 // written with those of b.
 func (b *Balancer) CopyFor(req Request) *Balancer {
 	c := *b
--- a/internal/entry/balance/explain_test.go
+++ b/internal/entry/balance/explain_test.go
@@ -194,7 +194,7 @@
 }
 
 // TestExplanationIsWhatSubmitDoes changes balancers at random and compares each explanation with what Submit does with the same request
-// then. It guards against a second, different rule in Explain, and against one that uses up permits, promises times to return, counts
+// then. It guards against a second, different rule in Explain, and against one that uses up permits, reserves return times, counts
 // throughput or queues the request.
 func TestExplanationIsWhatSubmitDoes(t *testing.T) {
 	reasons, actions := map[string]int{}, map[string]int{}
@@ -224,8 +224,8 @@
 	}
 }
 
-// TestExplanationUsesNoPermit guards against an explanation that takes the only permit of a limited or cold endpoint, or promises the
-// place of a caller that is told when to come back.
+// TestExplanationUsesNoPermit guards against an explanation that takes the only permit of a limited or cold endpoint, or reserves the
+// place of a refused caller that gets a Retry-After.
 func TestExplanationUsesNoPermit(t *testing.T) {
 	b := plain(1)
 	b.SetGranting(noon)
--- a/internal/entry/balance/forecast.go
+++ b/internal/entry/balance/forecast.go
@@ -105,7 +105,7 @@
 }
 
 // updateSlowdown updates the endpoint's slowdown by a measured time to the first event. The first measurements of a cold endpoint,
-// which is slower than before, weigh more: their mean counts.
+// which is slower than before, get more weight: their mean is used.
 func (t *endpointState) updateSlowdown(forecast, measured time.Duration, cold bool, now time.Time) {
 	if forecast <= 0 {
 		return
--- a/internal/entry/balance/heads_model_test.go
+++ b/internal/entry/balance/heads_model_test.go
@@ -129,7 +129,7 @@
 	counts   map[string]*modelCount
 	waiting  []modelWaiter
 	returns  []*modelCall
-	// told are the Retry-After of the refusals, and onTick is called at each tick.
+	// told holds the Retry-After of each refusal, and onTick is called at each tick.
 	told      []time.Duration
 	longest   int
 	onTick    func(at time.Duration, now time.Time)
@@ -204,7 +204,7 @@
 	}
 }
 
-// sessionName returns the name of a session that the gateways see. named tells apart those that are counted as one.
+// sessionName returns the name of a session that the gateways see. named distinguishes those that are counted as one.
 func (m *model) sessionName(session string) string {
 	if m.named == nil {
 		return session
@@ -243,7 +243,7 @@
 	m.decide(c, d, now)
 }
 
-// decide follows a decision: the request goes to its head, or its caller returns once.
+// decide carries out a decision: the request goes to its head, or its caller returns once.
 func (m *model) decide(c *modelCall, d Decision, now time.Time) {
 	if !d.Refused {
 		c.sent, c.forecast = now, d.Forecast
@@ -265,7 +265,7 @@
 	}
 }
 
-// collect follows the decisions on waiting requests.
+// collect carries out the decisions on waiting requests.
 func (m *model) collect(now time.Time) {
 	for _, b := range m.gateways {
 		if b.Waiting() > 0 && now.Sub(noon)%(4*modelTick) == 0 {
@@ -284,7 +284,7 @@
 	}
 }
 
-// advance runs a head and tells the gateways of its events.
+// advance runs a head and passes its events to the gateways.
 func (m *model) advance(id int, h *modelHead, now time.Time) {
 	begun, ended := h.advance(now)
 	load := h.load()
--- a/internal/entry/balance/hedge.go
+++ b/internal/entry/balance/hedge.go
@@ -3,13 +3,14 @@
 import "time"
 
 const (
-	// shortTime is how long after a refusal a service and model count as short of capacity. Callers come back about then.
+	// shortTime is how long after a refusal a service and model count as short of capacity. Refused callers return after about that
+	// time.
 	shortTime = time.Second
 	// sameDomainCost is the cost of an endpoint in the failure domain of the first attempt. It is above all other costs.
 	sameDomainCost = 1e6
 )
 
-// Short reports whether requests for the service and model of a request wait now, or were refused lately.
+// Short reports whether requests for the service and model of a request wait now, or were refused within shortTime.
 func (b *Balancer) Short(req Request, now time.Time) bool {
 	at, refused := b.refusedAt[req.scope()]
 	return refused && now.Sub(at) < shortTime || b.waitingFor(req) > 0
--- a/internal/entry/balance/limit.go
+++ b/internal/entry/balance/limit.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// permitTime is how long a permit is valid. Control grants an unused one again, maybe to another gateway.
+	// permitTime is how long a permit is valid. Control grants an unused one again, possibly to another gateway.
 	permitTime = 1500 * time.Millisecond
-	// grantSilence is the time without word from a control host that grants permits after which the gateway
-	// grants itself as many as it got lately.
+	// grantSilence is the time without a message of a control host that grants permits after which the
+	// gateway grants itself permits at the recent rate.
 	grantSilence = 450 * time.Millisecond
 	// grantAverageTime is the time constant of the moving average of the permits that a gateway gets.
 	grantAverageTime = 4 * time.Second
@@ -27,19 +27,19 @@
 const reasonLimited = "the endpoints' limits leave no room"
 
 // rateLimit is the limit of requests a second that an incarnation of an endpoint has named for all gateways
-// together, and this gateway's part of it. The zero value is no limit.
+// together, and this gateway's share of it. The zero value is no limit.
 type rateLimit struct {
 	perSecond float64
-	// told is the limit as of the last change that was worth telling.
+	// told is the limit as of the last change that was reported.
 	told float64
 	// heardAt is when the limit was last named, as far as this gateway knows, or when it ended.
 	heardAt time.Time
-	// unreported says that control has yet to learn what the endpoint has said, in the answer to a request that
-	// was sent at sentAt.
+	// unreported says that the limit, from the answer to a request that was sent at sentAt, has yet to be
+	// reported to control.
 	unreported bool
 	sentAt     time.Time
-	// permits are those that control has granted, the oldest first. unused counts those that have expired and that
-	// control has yet to hear of.
+	// permits are those that control has granted, the oldest first. unused counts the expired ones that have yet
+	// to be reported to control.
 	permits []permits
 	unused  int
 	// granted is the moving average of the permits a second, as of grantedAt.
@@ -83,8 +83,8 @@
 	return l.change(perSecond, now)
 }
 
-// SetLimit takes over from control what another gateway has heard, unless this one knows better, and adds permits.
-// It reports whether that changes the limit.
+// SetLimit applies a limit that another gateway has reported to control, unless this one has a newer limit, and
+// adds permits. It reports whether that changes the limit.
 func (b *Balancer) SetLimit(l EndpointLimit, granted int, now time.Time) bool {
 	t, ok := b.endpoints[l.Endpoint.ID]
 	if !ok || t.StartedMs != l.Endpoint.StartedMs {
@@ -101,11 +101,11 @@
 	return changed
 }
 
-// SetGranting records that a control host that grants permits has been heard from.
+// SetGranting records a message of a control host that grants permits.
 func (b *Balancer) SetGranting(now time.Time) { b.grantingAt = now }
 
-// TakeLimits returns the limits that have been heard, and those of which permits have expired, since the last call
-// or, with all set, all that are known.
+// TakeLimits returns the limits that have been received, and those of which permits have expired, since the last
+// call or, with all set, all that are known.
 func (b *Balancer) TakeLimits(all bool, now time.Time) []EndpointLimit {
 	var out []EndpointLimit
 	for _, t := range b.endpoints {
@@ -142,7 +142,7 @@
 	return false
 }
 
-// change sets the limit and reports whether that is worth telling. A new one begins without permits.
+// change sets the limit and reports whether the change must be reported. A new one begins without permits.
 func (l *rateLimit) change(perSecond float64, now time.Time) bool {
 	if (l.perSecond == 0) != (perSecond == 0) {
 		l.permits, l.granted, l.ownTokens, l.ownAt = nil, 0, 0, now
@@ -187,7 +187,7 @@
 	return b
 }
 
-// grantsItself reports whether control has not been heard from for so long that the gateway grants itself permits.
+// grantsItself reports whether the gateway grants itself permits because no message of control has arrived for grantSilence.
 func (b *Balancer) grantsItself(now time.Time) bool { return now.Sub(b.grantingAt) > grantSilence }
 
 // isLimited reports whether the endpoint's limit leaves no room for a request of this gateway now.
@@ -263,8 +263,8 @@
 	return sum, limited
 }
 
-// waitsInVain reports whether the limits of all endpoints leave a request no room before its wait ends, after
-// those that wait already. A resumed stream comes before these.
+// waitsInVain reports whether the limits of all endpoints leave no capacity for a request before its wait
+// ends, after those that wait already. A resumed stream comes before these.
 func (b *Balancer) waitsInVain(req Request, now time.Time) bool {
 	share, limited := b.limitedShare(req, now)
 	return limited && !req.Resumed && float64(b.waitingFor(req)) > share*req.WaitUntil.Sub(now).Seconds()+1
@@ -284,8 +284,8 @@
 	return waiting
 }
 
-// limitedReturn returns when a refused request may come back, if the limits of the endpoints are the cause. The
-// requests that are refused one after the other get times at the rate of the limits, so that each finds room.
+// limitedReturn returns when a refused request may return, if the limits of the endpoints are the cause.
+// Successive refusals get return times at the rate of the limits, so that there is capacity for each.
 func (b *Balancer) limitedReturn(req Request, now time.Time) (time.Duration, bool) {
 	share, limited := b.limitedShare(req, now)
 	if !limited || share <= 0 {
--- a/internal/entry/balance/limit_test.go
+++ b/internal/entry/balance/limit_test.go
@@ -29,8 +29,8 @@
 	require.False(t, b.HearLimit(roster.Incarnation{ID: "p0", StartedMs: 2}, 5, noon, noon), "another incarnation")
 }
 
-// TestPermitsAreUsedOnce guards against a permit that lets two requests through, or that is valid for ever, and
-// against one that is lost: control must hear of those that expire.
+// TestPermitsAreUsedOnce guards against a permit that admits two requests or never expires, and against one
+// that is lost: expired permits must be reported to control.
 func TestPermitsAreUsedOnce(t *testing.T) {
 	b := plain(1)
 	b.SetGranting(noon)
@@ -57,7 +57,7 @@
 }
 
 // TestGatewayWithoutControlUsesItsShare guards against a gateway that sends nothing to limited endpoints while
-// control is not heard from, and against one that sends more than it got before.
+// no message of control arrives, and against one that sends more than it was granted before.
 func TestGatewayWithoutControlUsesItsShare(t *testing.T) {
 	b := plain(1)
 	b.Gateways = 4
@@ -97,8 +97,8 @@
 	}
 }
 
-// TestRequestsBeyondTheLimitsAreRefusedAtOnce guards against requests that wait in vain for room under a limit,
-// and against refused requests that are all told to come back at the same time.
+// TestRequestsBeyondTheLimitsAreRefusedAtOnce guards against requests that wait although the limits leave no
+// capacity for them, and against refused requests that all get the same return time.
 func TestRequestsBeyondTheLimitsAreRefusedAtOnce(t *testing.T) {
 	b := plain(2)
 	b.SetGranting(noon)
--- a/internal/entry/balance/load_source.go
+++ b/internal/entry/balance/load_source.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// LoadSource is what the estimate of an endpoint's load rests on.
+// LoadSource is the source of the estimate of an endpoint's load.
 type LoadSource uint8
 
 // The sources of estimates.
@@ -21,7 +21,7 @@
 	return "own"
 }
 
-// loadSource returns what the estimate of an endpoint's load rests on, and how old that is.
+// loadSource returns the source and the age of the estimate of an endpoint's load.
 func (t *endpointState) loadSource(now time.Time) (LoadSource, time.Duration) {
 	if age := now.Sub(t.loadAt); age <= loadTTL {
 		return LoadFromEndpoint, age
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -16,7 +16,7 @@
 	PassedOverTried
 	// PassedOverExcluded is an endpoint with an Exclusion.
 	PassedOverExcluded
-	// PassedOverReturning is an endpoint that was busy and gets few requests yet.
+	// PassedOverReturning is an endpoint that was busy and gets only a few requests for now.
 	PassedOverReturning
 	// PassedOverFull is an endpoint without capacity for the request.
 	PassedOverFull
@@ -30,7 +30,7 @@
 	return [...]string{"none", "tried", "excluded", "returning", "no_capacity", "costlier", "reserved"}[p]
 }
 
-// assessment is what the choice between endpoints rests on.
+// assessment holds the inputs of the choice between endpoints.
 type assessment struct {
 	passed PassedOver
 	// exclusion is set with PassedOverExcluded.
@@ -62,7 +62,7 @@
 	var lowest float64
 	for _, t := range b.serving(req) {
 		a := b.assess(t, req, now)
-		switch a.exclusion { //nolint:exhaustive // The others are no wish of the endpoint.
+		switch a.exclusion { //nolint:exhaustive // The other exclusions were not requested by the endpoint.
 		case ExclusionLeaving, ExclusionBusy, ExclusionLimited, ExclusionCold:
 			avoided++
 		}
@@ -73,10 +73,10 @@
 	return best, avoided
 }
 
-// hasCapacity reports whether an endpoint has capacity for a request. A plain endpoint needs a
-// slot or a place in its queue. A model engine must also be likely to give the first event in
-// time, or the next event of a resumed stream within maxResumeWait. A request that is late
-// already is accepted only where it is not likely to make others late.
+// hasCapacity reports whether an endpoint has capacity for a request. A plain endpoint needs a slot
+// or a place in its queue. A model engine must also be likely to give the first event in time, or
+// the next event of a resumed stream within maxResumeWait. A request that is late already is
+// accepted only where it is unlikely to make others late.
 func (b *Balancer) hasCapacity(t *endpointState, req Request, now time.Time) bool {
 	if req.Hedge {
 		return b.hasRoomForHedge(t, req, now)
@@ -101,8 +101,8 @@
 }
 
 // withCappedPrompt returns the request with its prompt capped at the service's mean length.
-// Capacity then depends on what waits at an engine and not on the request's own size, so that
-// large requests are not starved by small ones.
+// Capacity then depends on what waits at an engine and not on the request's own size, so that small
+// requests don't starve large ones.
 func (b *Balancer) withCappedPrompt(req Request) Request {
 	if service := b.engines[req.Service]; service != nil {
 		req.PromptTokens = min(req.PromptTokens, service.MeanPromptTokens)
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// replicaRecoveryTime is about how long a model lacks engines after it has lost a replica.
+	// replicaRecoveryTime is the approximate time that a model needs to replace a lost replica.
 	// Most callers that retry sooner are refused again.
 	replicaRecoveryTime = 1600 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refusal.
@@ -54,7 +54,7 @@
 	Waited time.Duration
 	// LateUntil is until when a request may wait though its objective can't be met any more. Zero doesn't extend WaitUntil.
 	LateUntil time.Time
-	// Deadline is when the caller gives up for good.
+	// Deadline is when the caller stops waiting and doesn't retry.
 	Deadline time.Time
 	// Spread is uniform in [0, 1).
 	Spread float64
@@ -69,7 +69,7 @@
 	Endpoint roster.Endpoint
 	// Forecast is the expected time to the first event at Endpoint.
 	Forecast time.Duration
-	// Occupied is the estimated number of requests at Endpoint. LoadFrom is what that rests on, and LoadAge how old it is.
+	// Occupied is the estimated number of requests at Endpoint. LoadFrom is the source of that estimate, and LoadAge its age.
 	Occupied float64
 	LoadFrom LoadSource
 	LoadAge  time.Duration
@@ -283,10 +283,10 @@
 	b.placed[req.scope()] = b.placed[req.scope()].with(now)
 }
 
-// refusal returns a refusal. Its Retry-After grows by 20 ms with each request that waits for
-// the same service and model, from minRetryAfter to maxRetryAfter. For models it is at least
-// replicaRecoveryTime. While all endpoints are busy it follows the earliest that wants requests again,
-// and while all have limits it follows these.
+// refusal returns a refusal. Its Retry-After grows by 20 ms with each request that waits for the same
+// service and model, from minRetryAfter to maxRetryAfter. For models it is at least
+// replicaRecoveryTime. While all endpoints are busy it is based on the earliest end of a busy time,
+// and while all have limits it is based on these.
 func (b *Balancer) refusal(req Request, reason string, now time.Time) Decision {
 	b.recordRefusal(req, now)
 	after := min(maxRetryAfter, minRetryAfter+time.Duration(b.waitingFor(req))*20*time.Millisecond)
--- a/internal/entry/balance/ranked.go
+++ b/internal/entry/balance/ranked.go
@@ -54,7 +54,7 @@
 	r := b.ranked[req.scope()]
 	if r == nil {
 		if _, ok := b.engines[req.Service].Model(req.Model); !ok {
-			return nil // Callers choose the name, so an unknown one gets no state.
+			return nil // Callers choose the model name, so no state is kept for an unknown one.
 		}
 		if b.ranked == nil {
 			b.ranked = map[scope]*rankedScope{}
@@ -177,7 +177,7 @@
 	return false
 }
 
-// rankedPass is what is known of the requests that were tried before one in the same event.
+// rankedPass summarises the requests that were tried before one in the same event.
 type rankedPass struct {
 	// above is the shortest objective of the more urgent requests that can meet theirs and found no place, and same that of
 	// those with the given priority.
@@ -195,8 +195,8 @@
 // never is a forecast at no endpoint.
 const never = time.Duration(math.MaxInt64)
 
-// survey sets the earliest forecasts. With them a request that no endpoint can take costs a comparison instead of a forecast for
-// each endpoint.
+// survey sets the earliest forecasts. With them a request that no endpoint can take is detected by a comparison instead of a
+// forecast for each endpoint.
 func (p *rankedPass) survey(b *Balancer, req Request, now time.Time) {
 	if p.surveyed {
 		return
@@ -220,7 +220,7 @@
 	}
 }
 
-// isHopeless reports whether the earliest forecasts show that no endpoint can take a request.
+// isHopeless reports whether no endpoint can take a request by the earliest forecasts.
 func (p *rankedPass) isHopeless(req Request, late bool, now time.Time) bool {
 	if req.spareFor > 0 && float64(p.spare) >= float64(req.spareFor)*spareObjectiveShare {
 		return true
@@ -307,7 +307,7 @@
 	return req, !pass.isHopeless(req, false, now)
 }
 
-// goesAsNew reports whether a returned request takes places like a new one, which it does only where late responses are served.
+// goesAsNew reports whether a returned request is placed like a new one, which it does only where late responses are served.
 func (b *Balancer) goesAsNew(r *rankedScope, req Request, now time.Time) bool {
 	return b.ServeLate && req.Waited > 0 && !req.Resumed && r.ReturnsFirst(now)
 }
@@ -389,7 +389,7 @@
 		return d
 	}
 	if w.turn.Returned || w.Hedge || len(w.Exclude) > 0 {
-		usable = 0 // Its caller doesn't return once more, or isn't told, so no room is reserved for it.
+		usable = 0 // Its caller doesn't return again, or doesn't get this refusal, so no room is reserved for it.
 	}
 	d.RetryAfter, d.Overload.Promised = r.Return(b.caller(w.Request), len(r.waiting), usable, w.Spread, now)
 	return d
--- a/internal/entry/balance/ranked_load_test.go
+++ b/internal/entry/balance/ranked_load_test.go
@@ -52,8 +52,8 @@
 	return &modelKind{name: "patient", priority: 2, objective: 1500 * time.Millisecond, prompt: 1042, output: 131, perSecond: perSecond}
 }
 
-// TestBurstOfOneKindReturnsIntoRoom guards against callers that are refused in a burst and told to return into it: nine in ten are
-// served when they return.
+// TestBurstOfOneKindReturnsIntoRoom guards against callers that are refused in a burst and get a return time within it: nine in
+// ten are served when they return.
 func TestBurstOfOneKindReturnsIntoRoom(t *testing.T) {
 	eachSize(t, func(t *testing.T, gateways int) {
 		m := newModel(gateways, modelHeads, true, urgentKind(burst(0.5, 1.8, 4*time.Second)), patientKind(steady(0.1)))
@@ -65,8 +65,8 @@
 	})
 }
 
-// TestRefusedCallersDontReturnInStep guards against callers that are refused together and return together: a crowd that arrives
-// within a tenth of a second returns spread, and nine in ten of those that return are served.
+// TestRefusedCallersDontReturnInStep guards against callers that are refused together and return together: the returns of
+// callers that arrive within a tenth of a second are spread, and nine in ten of those that return are served.
 func TestRefusedCallersDontReturnInStep(t *testing.T) {
 	eachSize(t, func(t *testing.T, gateways int) {
 		crowd := func(at time.Duration) float64 {
@@ -90,8 +90,8 @@
 	})
 }
 
-// TestUrgentCrowdIsServedBesideAPatientOne guards against patient requests that fill the heads and leave the urgent ones, which have a
-// shorter objective, none in time. Neither kind is starved.
+// TestUrgentCrowdIsServedBesideAPatientOne guards against less urgent requests that occupy the heads, so that urgent ones, which have
+// a shorter objective, are not served in time. Neither kind is starved.
 func TestUrgentCrowdIsServedBesideAPatientOne(t *testing.T) {
 	eachSize(t, func(t *testing.T, gateways int) {
 		m := newModel(gateways, modelHeads, true, urgentKind(steady(1)), patientKind(steady(0.5)))
@@ -102,8 +102,8 @@
 	})
 }
 
-// TestHalfOfTheHeadsLost guards against promises and queues that count on heads that are gone: the urgent kind is served at least as
-// well as the patient one, and few callers that wait give up.
+// TestHalfOfTheHeadsLost guards against promises and queues that are based on the capacity of lost heads: the urgent kind is served
+// at least as well as the less urgent one, and few waiting callers time out.
 func TestHalfOfTheHeadsLost(t *testing.T) {
 	eachSize(t, func(t *testing.T, gateways int) {
 		m := newModel(gateways, modelHeads, true, urgentKind(steady(0.45)), patientKind(steady(0.25)))
@@ -167,7 +167,7 @@
 	})
 }
 
-// TestEndpointThatLiesAboutItsLoad guards against a head that reports no load and draws the requests of all: those at the other heads
+// TestEndpointThatLiesAboutItsLoad guards against a head that reports no load and so attracts all requests: those at the other heads
 // are served.
 func TestEndpointThatLiesAboutItsLoad(t *testing.T) {
 	eachSize(t, func(t *testing.T, gateways int) {
@@ -198,7 +198,7 @@
 }
 
 // TestLateResponsesTakeSpareCapacityByDefault guards against late and returned requests that take the places of those that can be served in
-// time, where operators have not asked for late responses: in a burst more urgent callers are served in time than with them.
+// time, where operators have not enabled late responses: in a burst more urgent callers are served in time than with them.
 func TestLateResponsesTakeSpareCapacityByDefault(t *testing.T) {
 	eachSize(t, func(t *testing.T, gateways int) {
 		inTime := map[bool]int{}
--- a/internal/entry/balance/ranked_test.go
+++ b/internal/entry/balance/ranked_test.go
@@ -63,7 +63,7 @@
 	return all
 }
 
-// TestServiceWithoutRanksIsServedAsBefore guards against a change of the queue, the refusals or the order where no route asks for it:
+// TestServiceWithoutRanksIsServedAsBefore guards against a change of the queue, the refusals or the order where no route requires it:
 // with routes of one priority, and with routes of other services that differ, the decisions are those of a balancer without routes.
 func TestServiceWithoutRanksIsServedAsBefore(t *testing.T) {
 	before := decisions(heads(1))
@@ -77,8 +77,8 @@
 	require.NotEqual(t, before, decisions(differ))
 }
 
-// TestLateRequestWaitsForAPlace guards against the refusal of a request that is served before its caller gives up: the one head is full
-// when it arrives, and has room again long after its objective.
+// TestLateRequestWaitsForAPlace guards against the refusal of a request that can be served before its caller's timeout: the only head
+// is full when it arrives, and has room again long after its objective.
 func TestLateRequestWaitsForAPlace(t *testing.T) {
 	b := heads(1)
 	b.ServeLate = true
@@ -102,7 +102,7 @@
 	require.True(t, d.Late)
 }
 
-// TestUnknownModelsGetNoQueue guards against memory that callers fill by names of models.
+// TestUnknownModelsGetNoQueue guards against memory that grows with the model names that callers send.
 func TestUnknownModelsGetNoQueue(t *testing.T) {
 	b := heads(1)
 	b.Ranked = true
@@ -114,8 +114,8 @@
 	require.Empty(t, b.ranked)
 }
 
-// TestSurveySkipsNoPlace guards against a request that is passed over although an endpoint would take it: whenever the earliest forecasts
-// of an event say that none can, none of them has capacity.
+// TestSurveySkipsNoPlace guards against a request that is skipped although an endpoint has capacity for it: whenever the earliest
+// forecasts exclude a request, no endpoint has capacity.
 func TestSurveySkipsNoPlace(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 4))
 	hopeless, placeable := 0, 0
--- a/internal/entry/balance/throughput.go
+++ b/internal/entry/balance/throughput.go
@@ -11,7 +11,7 @@
 	// queueSlack is how many times the requests that are placed on average in the time that a request may wait may be
 	// queued before it. Replicas free their slots unevenly.
 	queueSlack = 2.0
-	// minQueue is how many requests may be queued at least. They take the first slots of an endpoint that comes back.
+	// minQueue is how many requests may be queued at least. They use the first slots of an endpoint that returns.
 	minQueue = 4
 )
 
@@ -31,8 +31,8 @@
 	return t.perSecond * math.Exp(-now.Sub(t.at).Seconds()/throughputTime.Seconds())
 }
 
-// queueFull reports whether so many requests are queued before a request that, by the recent throughput, it is not
-// placed before its wait ends. A caller that is refused at once comes back sooner, and a short queue keeps a gateway in time
+// queueFull reports whether so many requests are queued before a request that, by the recent throughput, it is not placed
+// before its wait ends. A caller that is refused at once can retry sooner, and a short queue bounds the work of a gateway
 // that gets many times its usual traffic. A resumed stream comes before other requests.
 func (b *Balancer) queueFull(req Request, now time.Time) bool {
 	if req.Resumed {
--- a/internal/entry/balance/warm_up.go
+++ b/internal/entry/balance/warm_up.go
@@ -18,9 +18,10 @@
 	warmSelfShare = 0.2
 	// warmAverageTime is the time constant of the moving average of the permits that a gateway gets for a cold endpoint.
 	warmAverageTime = time.Second
-	// gatewayMemory is how long the greatest known number of gateways counts. A new leader hears of them one after the other.
+	// gatewayMemory is how long the greatest known number of gateways counts. The gateways connect to a new leader one after the
+	// other.
 	gatewayMemory = time.Minute
-	// coldChange is by how much an endpoint's own word must move the end of its cold time to be reported.
+	// coldChange is the minimum change of the end of a cold time, by the endpoint's own response, that is reported.
 	coldChange = 500 * time.Millisecond
 )
 
@@ -29,7 +30,7 @@
 	// ownUntil is the end of the cold time by what the gateway itself has found, ownSince its beginning, and controlUntil the end by what
 	// control says.
 	ownUntil, ownSince, controlUntil time.Time
-	// unreported says that control has yet to learn of ownUntil.
+	// unreported says that ownUntil has yet to be reported to control.
 	unreported bool
 	// failing says that the last attempt to connect has failed.
 	failing bool
@@ -37,7 +38,7 @@
 	permits   []warmPermits
 	granted   float64
 	grantedAt time.Time
-	// unused are those that have expired and that control has yet to hear of.
+	// unused are the expired ones that have yet to be reported to control.
 	unused []warmPermits
 	// ownSlot and ownSlotSince identify the last permit that the gateway granted itself, which it used at ownUsedAt.
 	ownSlot                 int64
@@ -131,8 +132,8 @@
 	w.permits, w.granted, w.ownSince, w.measured = nil, 0, now, 0
 }
 
-// AssumeCold makes a new incarnation cold for its service's warm-up time from now. The gateway calls it for one that it hears of first
-// while it is subscribed, unless control says how long it still is cold.
+// AssumeCold makes a new incarnation cold for its service's warm-up time from now. The gateway calls it for an incarnation that first
+// appears while it is subscribed, unless control sends its remaining cold time.
 func (b *Balancer) AssumeCold(id roster.Incarnation, now time.Time) {
 	if t, ok := b.endpoints[id.ID]; ok && t.StartedMs == id.StartedMs {
 		b.assumeCold(t, now.Add(b.warmUps[t.Service].Time), now)
@@ -150,7 +151,7 @@
 	}
 }
 
-// HearCold records that an incarnation has said in a response how much longer it stays cold. It reports whether that is news.
+// HearCold records the remaining cold time in a response of an incarnation. It reports whether that is a change.
 func (b *Balancer) HearCold(id roster.Incarnation, remaining time.Duration, now time.Time) bool {
 	t, ok := b.endpoints[id.ID]
 	if !ok || t.StartedMs != id.StartedMs || !b.warmUps[t.Service].IsSet() || now.Add(remaining).Sub(later(now, t.warm.until())) <= coldChange {
@@ -160,7 +161,7 @@
 	return true
 }
 
-// connectFailed records that no connection to the endpoint could be opened. It may have ended, and is cold if it comes back.
+// connectFailed records that no connection to the endpoint could be opened. It may have ended, and is cold if it returns.
 func (b *Balancer) connectFailed(t *endpointState, now time.Time) {
 	if w := b.warmUps[t.Service]; w.IsSet() {
 		t.warm.failing = true
@@ -168,7 +169,7 @@
 	}
 }
 
-// MarkEnded records that nothing listens at the address of an incarnation any more. It is cold if it comes back.
+// MarkEnded records that nothing listens at the address of an incarnation any more. It is cold if it returns.
 func (b *Balancer) MarkEnded(id roster.Incarnation, now time.Time) {
 	if t, ok := b.endpoints[id.ID]; ok && t.StartedMs == id.StartedMs {
 		b.connectFailed(t, now)
@@ -183,7 +184,7 @@
 	}
 }
 
-// SetCold takes over from control that an endpoint is cold, and permits. It reports whether the endpoint is newly cold.
+// SetCold applies the cold time and the permits that control sends for an endpoint. It reports whether the endpoint is newly cold.
 func (b *Balancer) SetCold(c ColdEndpoint, grant ColdGrant, now time.Time) bool {
 	t, ok := b.endpoints[c.Endpoint.ID]
 	if !ok || t.StartedMs != c.Endpoint.StartedMs || !b.warmUps[t.Service].IsSet() {
@@ -203,8 +204,7 @@
 	return began
 }
 
-// KeepCold ends the cold times that control doesn't know of any more: it has named all cold endpoints. What the gateway has found
-// itself stays.
+// KeepCold ends the cold times that control no longer lists. Those that the gateway has found itself stay.
 func (b *Balancer) KeepCold(named map[string]bool) {
 	for id, t := range b.endpoints {
 		if !named[id] {
@@ -213,15 +213,15 @@
 	}
 }
 
-// DropColdPermits drops the permits for cold endpoints. The gateway calls it when the host was suspended, since time did not pass in
-// the meantime.
+// DropColdPermits drops the permits for cold endpoints. The gateway calls it after a suspension of the host, during which the clock
+// that bounds the permits was stopped.
 func (b *Balancer) DropColdPermits() {
 	for _, t := range b.endpoints {
 		t.warm.permits = nil
 	}
 }
 
-// ForgetGrants drops what another control host must not hear of the grants so far. The permits stay valid.
+// ForgetGrants drops the records of the grants so far, which must not be reported to another control host. The permits stay valid.
 func (b *Balancer) ForgetGrants() {
 	for _, t := range b.endpoints {
 		t.warm.unused = nil
@@ -255,7 +255,8 @@
 	}
 }
 
-// TakeCold returns the endpoints that the gateway has found to be cold since the last call or, with all set, all that it takes for cold.
+// TakeCold returns the endpoints that the gateway has found to be cold since the last call or, with all set, all that it considers
+// cold.
 func (b *Balancer) TakeCold(all bool, now time.Time) []ColdEndpoint {
 	if len(b.warmUps) == 0 {
 		return nil
@@ -288,7 +289,7 @@
 	return min(rate, max(t.warm.average(now), rate*unknownShare/float64(b.sharers())))
 }
 
-// sharers returns the greatest number of gateways that was known lately.
+// sharers returns the greatest number of gateways that was known within gatewayMemory.
 func (b *Balancer) sharers() int { return max(b.Gateways, b.mostGateways, 1) }
 
 // isColdAndUsedUp reports whether the warm-up limit of an endpoint leaves no room for a request of this gateway now.
@@ -362,11 +363,11 @@
 	return until
 }
 
-// warmRateFactor is by how much faster refused requests may come back once the first cold endpoint is warm.
+// warmRateFactor is the factor by which the return rate of refused requests increases once the first cold endpoint is warm.
 const warmRateFactor = 8
 
-// beforeWarmUpEnds returns when a request may come back that would be due at a time under the limits. Once the first endpoint without
-// another limit is warm the returns may follow each other faster.
+// beforeWarmUpEnds returns when a request may return whose return time by the limits is given. The return rate is higher once the
+// first endpoint without another limit is warm.
 func (b *Balancer) beforeWarmUpEnds(req Request, at, now time.Time) time.Time {
 	if len(b.warmUps) == 0 {
 		return at
--- a/internal/entry/balance/warm_up_test.go
+++ b/internal/entry/balance/warm_up_test.go
@@ -10,7 +10,7 @@
 	"github.com/egretreach/egretreach/internal/fleet/routes"
 )
 
-// warming returns a balancer of plain endpoints with a warm-up limit, which hears a leader.
+// warming returns a balancer of plain endpoints with a warm-up limit, which has received a message of the leader.
 func warming(count int) *Balancer {
 	b := plain(count)
 	b.SetServices([]routes.Service{{Name: "plain", WarmUp: routes.WarmUp{Time: 3 * time.Second, PerSecond: 32}}})
@@ -46,8 +46,8 @@
 	require.False(t, place(b, noon.Add(3*time.Second)).Refused)
 }
 
-// TestPermitsOfASuspendedHostAreDropped guards against permits that are used after a suspension in which time stood still, and against
-// permits of an earlier leader that are returned to the next.
+// TestPermitsOfASuspendedHostAreDropped guards against permits that are used after a suspension in which the clock stopped, and
+// against permits of an earlier leader that are returned to the next.
 func TestPermitsOfASuspendedHostAreDropped(t *testing.T) {
 	b := warming(1)
 	cold := ColdEndpoint{limited("p0"), 3 * time.Second}
@@ -60,8 +60,8 @@
 	require.Empty(t, b.TakeUnused(noon.Add(time.Second)))
 }
 
-// TestFailedConnectionsMakeAnEndpointCold guards against an endpoint that restarts unnoticed by control and gets the load of a warm one,
-// and against a gateway that tells nobody.
+// TestFailedConnectionsMakeAnEndpointCold guards against an endpoint whose restart control has not detected and that gets the load of a
+// warm one, and against a gateway that doesn't report it.
 func TestFailedConnectionsMakeAnEndpointCold(t *testing.T) {
 	failed := func(r Result) func(b *Balancer) {
 		return func(b *Balancer) {
@@ -97,7 +97,8 @@
 	require.Empty(t, b.TakeCold(false, noon), "control knows")
 }
 
-// TestServicesWithoutWarmUpHaveNoColdEndpoints guards against a limit for services that have none, whoever says that an endpoint is cold.
+// TestServicesWithoutWarmUpHaveNoColdEndpoints guards against a limit for services that have none, whatever the source of a cold
+// time.
 func TestServicesWithoutWarmUpHaveNoColdEndpoints(t *testing.T) {
 	b := plain(1)
 	b.SetGranting(noon)
@@ -125,7 +126,7 @@
 }
 
 // TestLeaderEndsColdTime guards against an endpoint that stays limited without permits once the leader, which has named all cold
-// endpoints, doesn't take it for cold any more, and against a gateway that forgets what it has found itself.
+// endpoints, no longer considers it cold, and against a gateway that drops what it has found itself.
 func TestLeaderEndsColdTime(t *testing.T) {
 	b := warming(1)
 	b.SetCold(ColdEndpoint{limited("p0"), time.Minute}, ColdGrant{}, noon)
@@ -138,8 +139,8 @@
 	require.True(t, place(b, noon).Refused)
 }
 
-// TestFirstTimesOfAColdEndpointWeighMore guards against forecasts that learn only after many requests that an endpoint which has just
-// started is slow.
+// TestFirstTimesOfAColdEndpointWeighMore guards against forecasts that reflect the slowness of an endpoint which has just started
+// only after many requests.
 func TestFirstTimesOfAColdEndpointWeighMore(t *testing.T) {
 	b := warming(1)
 	b.SetCold(ColdEndpoint{limited("p0"), 3 * time.Second}, ColdGrant{}, noon)
@@ -150,8 +151,8 @@
 	require.InDelta(t, 1.4, warm.endpoints["p0"].currentSlowdown(noon), 0.01)
 }
 
-// TestRefusedRequestsReturnWhenTheEndpointIsWarm guards against callers that are sent away for many seconds by a limit that ends sooner, and
-// against all of them coming back at its end.
+// TestRefusedRequestsReturnWhenTheEndpointIsWarm guards against callers that get a Retry-After of many seconds because of a limit that ends
+// sooner, and against a return of all of them at its end.
 func TestRefusedRequestsReturnWhenTheEndpointIsWarm(t *testing.T) {
 	b := warming(1)
 	b.SetCold(ColdEndpoint{limited("p0"), 2 * time.Second}, ColdGrant{}, noon)
