suspicion, admission: comments in plain terms

Why: comments used figurative words (a part that is blamed, a clock that jumps, a queue that is flooded, responses that have gone on). What: comments only. Interrupted, held key, lasted, step of the clock, overloaded; the lines above tests keep the failure that they name.

--- a/internal/entry/admission/admission_test.go
+++ b/internal/entry/admission/admission_test.go
@@ -113,8 +113,8 @@
 	require.LessOrEqual(t, feed(60, 2*TargetTTFT, 0), 1)
 }
 
-// TestLimiterRestoresLimitOfSlowEngine guards against an engine whose token gap is at
-// the target at any concurrency being throttled to the lowest limit for good.
+// TestLimiterRestoresLimitOfSlowEngine guards against an engine whose token gap is at the target at
+// any concurrency and that is throttled to the lowest limit permanently.
 func TestLimiterRestoresLimitOfSlowEngine(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := NewLimiter(32)
--- a/internal/entry/admission/estimate.go
+++ b/internal/entry/admission/estimate.go
@@ -69,8 +69,8 @@
 	}
 	t := q.teams[r.Team]
 	if t == nil || t.waiting == 0 {
-		// Busy slots are released every service time divided by their number, on average.
-		// The cost of this request stands in for that of the running ones.
+		// Busy slots are released every service time divided by their number, on average. The cost
+		// of this request is used as an estimate of theirs.
 		return seconds(q.estimate.expectedSeconds(r.Cost) / float64(q.slots))
 	}
 	rate := q.predictRate(now, t) * t.classShare(r.Class, q.weights)
--- a/internal/entry/admission/limiter.go
+++ b/internal/entry/admission/limiter.go
@@ -22,9 +22,8 @@
 	// and shrinks if that shortens the token gap. The limit oscillates around that
 	// point.
 	limiterNearTarget = 0.9
-	// Decreases have helped if the token gap has fallen below the part
-	// limiterHelpfulRatio of its value before them. They are given up as futile after
-	// limiterFutileDecreases in a row.
+	// Decreases have helped if the token gap has fallen below the part limiterHelpfulRatio of its
+	// value before them. They are reverted as futile after limiterFutileDecreases in a row.
 	limiterHelpfulRatio    = 0.96
 	limiterFutileDecreases = 3
 	// limiterMinUtilisation is the part of the limit that must have been in use before
@@ -137,9 +136,8 @@
 	l.settling = true
 }
 
-// adaptNearTarget handles a percentile that is close to its target but not over it. If
-// decreases have not helped, the engine itself is that slow, and it gets its former
-// limit back, since fewer requests do not make it faster.
+// adaptNearTarget handles a percentile that is close to its target but not over it. If decreases
+// have not helped, the engine itself is the cause of the latency, so its former limit is restored.
 func (l *Limiter) adaptNearTarget(gap time.Duration) {
 	switch {
 	case l.decreasesFutile:
--- a/internal/entry/admission/queue.go
+++ b/internal/entry/admission/queue.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// Cancel removes a waiting request whose caller has given up. It reports whether the
-// request was waiting.
+// Cancel removes a waiting request whose caller has disconnected or timed out. It reports whether
+// the request was waiting.
 func (q *Queue) Cancel(r Request) bool {
 	t := q.teams[r.Team]
 	if t == nil || !t.remove(r) {
--- a/internal/entry/admission/queue_simulation_test.go
+++ b/internal/entry/admission/queue_simulation_test.go
@@ -18,9 +18,9 @@
 
 var seeds = flag.Uint64("seeds", 2, "number of seeds of the measurement")
 
-// The simulation holds each request in a slot for its true work. The estimated cost
-// that the queue gets differs from the true work by up to 40 %. A request counts as
-// served if it ends by its deadline.
+// The simulation holds each request in a slot for its actual work. The estimated cost that the
+// queue gets differs from the actual work by up to 40 %. A request counts as served if it ends by
+// its deadline.
 const (
 	simulatedSlots  = 64
 	secondsPerToken = 0.02
@@ -185,10 +185,10 @@
 	return q
 }
 
-// TestQueueKeepsGoodputAndSmallTeamsUnderOverload floods the queue with requests of one
-// team next to nine small teams that stay below their share. The queue must keep
-// goodput within 10 % of capacity and the small teams within 10 % of what they offer,
-// and 99 % of the refusals must come within 10 ms.
+// TestQueueKeepsGoodputAndSmallTeamsUnderOverload overloads the queue with requests of one team
+// beside nine small teams that stay below their share. The queue must keep goodput within 10 % of
+// capacity and the small teams within 10 % of what they offer, and 99 % of the refusals must come
+// within 10 ms.
 func TestQueueKeepsGoodputAndSmallTeamsUnderOverload(t *testing.T) {
 	policies := []struct {
 		name string
--- a/internal/entry/admission/quota.go
+++ b/internal/entry/admission/quota.go
@@ -72,7 +72,7 @@
 	return shares
 }
 
-// DropShares gives up all shares; it is called when the entry's lease has expired.
+// DropShares drops all shares; it is called when the entry's lease has expired.
 func (q *Quota) DropShares() {
 	for _, u := range q.teams {
 		u.share = 0
@@ -166,10 +166,10 @@
 	b.refilledAt = now
 }
 
-// wait returns how long a request must wait for the bucket; 0 means that it may go. A
-// limit of 0 means unlimited. A rate of 0 means that the entry holds no share; the wait is
-// then one second. One request may take the bucket below zero, so that a request larger
-// than the burst can pass.
+// wait returns how long a request must wait for the bucket; 0 means that it may start now. A limit
+// of 0 means unlimited. A rate of 0 means that the entry holds no share; the wait is then one
+// second. One request may take the bucket below zero, so that a request larger than the burst can
+// pass.
 func (b *tokenBucket) wait(now time.Time, limit, rate, amount float64) time.Duration {
 	if limit <= 0 {
 		b.level = 0
--- a/internal/entry/admission/team_queue.go
+++ b/internal/entry/admission/team_queue.go
@@ -143,7 +143,7 @@
 	return own / total
 }
 
-// idle reports whether the team has no waiting requests and no state worth keeping.
+// idle reports whether the team has no waiting requests and no state that later requests depend on.
 func (t *teamQueue) idle(now time.Time, virtualTime float64) bool {
 	return t.waiting == 0 && t.startRate.perSecond(now) == 0 && len(t.lateRequests) == 0 && t.finishTag <= virtualTime
 }
--- a/internal/entry/suspicion/crash_simulation_test.go
+++ b/internal/entry/suspicion/crash_simulation_test.go
@@ -21,8 +21,8 @@
 
 var seeds = flag.Uint64("seeds", 2, "number of seeds of the measurement")
 
-// The simulation consists of entries, each with its own Router and Tracker, of replicas that a
-// poisonous body crashes, and of control, whose views arrive with a delay.
+// The simulation consists of entries, each with its own Router and Tracker, of replicas that crash
+// while they run a poisonous body, and of control, whose views arrive with a delay.
 const (
 	tick          = 10 * time.Millisecond
 	simulatedTime = time.Minute
@@ -48,7 +48,7 @@
 	attemptID routing.AttemptID
 	suspect   bool
 	ended     bool
-	// answered is called when the caller gets its response.
+	// answered is called when the caller receives its response.
 	answered func(ok bool)
 }
 
@@ -103,7 +103,7 @@
 	}
 }
 
-// revoke ends the calls of an entry that may no longer run as they do, and sends them again.
+// revoke cancels the calls of an entry that may no longer run in their present way, and sends them again.
 func (s *simulation) revoke(entry int) {
 	if s.trackingOff {
 		return
@@ -214,11 +214,11 @@
 	}
 }
 
-// attack describes how callers send poisonous bodies again and again.
+// attack describes how callers send poisonous bodies repeatedly. A poisonous body crashes every engine that runs it.
 type attack struct {
 	name string
-	// copies is how often each body is sent at once, through the entries in turn. resendAfter
-	// is how long a caller waits for a response before it sends the body again, 0 for ever.
+	// copies is how often each body is sent at once, through the entries in turn. resendAfter is
+	// how long a caller waits for a response before it sends the body again, or 0 for no limit.
 	copies      int
 	resendAfter time.Duration
 	// bodies is the number of different bodies that crash.
--- a/internal/entry/suspicion/keys.go
+++ b/internal/entry/suspicion/keys.go
@@ -2,16 +2,16 @@
 
 import "github.com/zeebo/xxh3"
 
-// Key identifies what requests share and what may crash endpoints: a part of their prompts, or all that
-// the requests consist of.
+// Key identifies what requests have in common and what may crash endpoints: a part of their prompts, or
+// the whole request.
 type Key struct {
 	Hash uint64
-	// Whole says that the key stands for all that the request consists of.
+	// Whole says that the key identifies the whole request.
 	Whole bool
 }
 
-// ScopeKeys are the keys of a request within a scope: requests that may crash the same endpoints by what they share, such
-// as those for a model, or for all models of a service. Keys of different scopes differ.
+// ScopeKeys are the keys of a request within a scope: requests that may crash the same endpoints because of a common
+// part, such as those for a model, or for all models of a service. Keys of different scopes differ.
 type ScopeKeys struct {
 	Scope string
 	Keys  []Key
@@ -49,7 +49,7 @@
 	return set
 }
 
-// PartKeys returns the keys of the parts of a request in each scope. A request without parts belongs to the narrowest alone.
+// PartKeys returns the keys of the parts of a request in each scope. A request without parts belongs to the narrowest scope only.
 func (i Identity) PartKeys() KeySet {
 	scopes := i.Scopes
 	if len(i.Parts) == 0 {
--- a/internal/entry/suspicion/observer.go
+++ b/internal/entry/suspicion/observer.go
@@ -19,67 +19,68 @@
 	maxScopes   = 64
 	// maxRefused bounds the keys in one report of refused requests.
 	maxRefused = 64
-	// mergeTime is the time in which all requests at an endpoint break when it crashes. The crash is reported
-	// after that.
+	// mergeTime is the time within which all requests at an endpoint are interrupted when it crashes. The
+	// crash is reported after that time.
 	mergeTime = 50 * time.Millisecond
-	// namedInterval is the time in which Completed returns a watched key once.
+	// namedInterval is the minimum time between two returns of the same watched key by Completed.
 	namedInterval = time.Second
 )
 
-// Observer watches the requests of one gateway for those that crash endpoints: it records the crashes and
-// the requests that complete, for reports to control, and says which requests control holds back.
+// Observer detects requests of one gateway that crash endpoints: it records crashes and completed
+// requests for reports to control, and decides which requests must be refused because control holds one
+// of their keys.
 //
 // The zero value is ready to use. It reads no clock and is not safe for concurrent use.
 type Observer struct {
 	crashes []*seenCrash
 	history map[string]*history
 	held    map[uint64]message.HeldKey
-	// tried holds the number of the last trial for which a request was let through, by key.
+	// tried holds the number of the last trial for which a request was accepted, by key.
 	tried   map[uint64]uint64
 	watched []uint64
 	// completedAt is when a watched key was last returned by Completed.
 	completedAt map[uint64]time.Time
-	// lasting holds the responses with watched keys that have gone on for longest since the last report, by key.
+	// lasting holds the longest responses with watched keys since the last report, by key.
 	lasting map[uint64]lasting
 	refused map[uint64]bool
 }
 
-// lasting is a response that has gone on for a time.
+// lasting is a response that has lasted for a time.
 type lasting struct {
 	scope  string
 	lasted time.Duration
 	at     time.Time
 }
 
-// seenCrash is the end of an incarnation, seen by the requests of a scope that it broke off.
+// seenCrash is the end of an incarnation, observed from the requests of a scope that it interrupted.
 type seenCrash struct {
 	incarnation roster.Incarnation
 	scope       string
 	at          time.Time
-	// requests counts those that were broken off within message.SuspectTime of the beginning of their response, ongoing
-	// the others.
+	// requests counts those that were interrupted within message.SuspectTime of the beginning of their response,
+	// ongoing the others.
 	requests, ongoing int
 	suspects          map[Key]suspect
 	reported          bool
 }
 
-// suspect sums up the requests with a key that a crash broke off: when the latest was sent, how long the longest response
-// had gone on, and whether all had for more than message.SuspectTime.
+// suspect summarises the requests with a key that a crash interrupted: when the latest was sent, how long the longest
+// response had lasted, and whether all had lasted for more than message.SuspectTime.
 type suspect struct {
 	sentAt time.Time
 	lasted time.Duration
 	late   bool
 }
 
-// Broken is a request that was broken off.
+// Broken is an interrupted request.
 type Broken struct {
 	Keys KeySet
-	// SentAt is when it was sent to the endpoint, and Lasted how long its response had gone on, 0 if it had not begun.
+	// SentAt is when it was sent to the endpoint, and Lasted how long its response had lasted, 0 if it had not begun.
 	SentAt time.Time
 	Lasted time.Duration
 }
 
-// SetHolds replaces what control holds back and watches.
+// SetHolds replaces the keys that control holds and watches.
 func (o *Observer) SetHolds(holds message.Holds) {
 	o.held = make(map[uint64]message.HeldKey, len(holds.Held))
 	for _, h := range holds.Held {
@@ -96,7 +97,7 @@
 	}
 }
 
-// Refuse reports whether a new request must be refused, and the held key for which. It lets one request through for each
+// Refuse reports whether a new request must be refused, and the held key for which. It accepts one request for each
 // trial.
 func (o *Observer) Refuse(keys []Key) (message.HeldKey, bool) {
 	held, trials, refused := o.judge(keys)
@@ -113,13 +114,13 @@
 	return message.HeldKey{}, false
 }
 
-// WouldRefuse returns what Refuse would, and records nothing.
+// WouldRefuse returns the result of Refuse without recording the request.
 func (o *Observer) WouldRefuse(keys []Key) (message.HeldKey, bool) {
 	held, _, refused := o.judge(keys)
 	return held, refused
 }
 
-// judge returns the held key for which a new request must be refused and true, or the held keys for whose trial it is let through.
+// judge returns the held key for which a new request must be refused and true, or the held keys for whose trial it is accepted.
 func (o *Observer) judge(keys []Key) (held message.HeldKey, trials []message.HeldKey, refused bool) {
 	if len(o.held) == 0 {
 		return message.HeldKey{}, nil, false
@@ -147,7 +148,7 @@
 	}
 }
 
-// IsHeld reports whether a request that was let through must not be sent once more.
+// IsHeld reports whether a request that was accepted must not be sent again.
 func (o *Observer) IsHeld(keys []Key) bool {
 	return slices.ContainsFunc(keys, func(key Key) bool {
 		_, held := o.held[key.Hash]
@@ -190,7 +191,8 @@
 	return h
 }
 
-// Lasts records that the response of a request goes on, which clears its watched keys of crashes that came sooner.
+// Lasts records that the response of a request continues. Its watched keys are then no longer suspected of crashes that happened
+// after a shorter time.
 func (o *Observer) Lasts(keys KeySet, lasted time.Duration, now time.Time) {
 	for _, scope := range keys {
 		if o.historyOf(scope.Scope) != nil {
@@ -199,7 +201,7 @@
 	}
 }
 
-// lastIn records that the response of a request goes on in one scope.
+// lastIn records in one scope that the response of a request continues.
 func (o *Observer) lastIn(keys ScopeKeys, lasted time.Duration, now time.Time) {
 	for _, key := range keys.Keys {
 		if !slices.Contains(o.watched, key.Hash) || lasted <= o.lasting[key.Hash].lasted {
@@ -225,14 +227,14 @@
 	return o.crashes[i]
 }
 
-// Crashed records a request that was broken off by the crash of its endpoint.
+// Crashed records a request that was interrupted by the crash of its endpoint.
 func (o *Observer) Crashed(incarnation roster.Incarnation, b Broken, now time.Time) {
 	for _, scope := range b.Keys {
 		o.crashOf(incarnation, scope.Scope, now).add(scope.Keys, b)
 	}
 }
 
-// crashOf returns what was seen of a crash in a scope.
+// crashOf returns the record of a crash in a scope.
 func (o *Observer) crashOf(incarnation roster.Incarnation, scope string, now time.Time) *seenCrash {
 	c := o.find(incarnation, scope)
 	if c == nil {
@@ -246,7 +248,7 @@
 	return c
 }
 
-// add counts a request with some keys that the crash broke off.
+// add counts a request with some keys that the crash interrupted.
 func (c *seenCrash) add(keys []Key, b Broken) {
 	late := b.Lasted > message.SuspectTime
 	if late {
@@ -276,7 +278,7 @@
 	}
 }
 
-// Report returns what control must know.
+// Report returns the next report to control.
 func (o *Observer) Report(now time.Time) message.CrashEvidence {
 	var r message.CrashEvidence
 	for _, c := range o.crashes {
@@ -300,7 +302,7 @@
 	return r
 }
 
-// completions sums up the completed requests of a scope.
+// completions summarises the completed requests of a scope.
 func (o *Observer) completions(scope string, h *history, now time.Time) message.Completions {
 	m := message.Completions{Scope: scope, Total: h.total(now)}
 	for _, key := range o.watched {
--- a/internal/entry/suspicion/observer_test.go
+++ b/internal/entry/suspicion/observer_test.go
@@ -19,7 +19,8 @@
 func inScope(scope string, keys ...Key) KeySet { return KeySet{{scope, keys}} }
 
 // TestTrialLetsOneRequestThrough guards against a trial by which more than one request with a held part
-// reaches an endpoint, and against a request with two held parts that passes by a trial of one of them.
+// reaches an endpoint, and against a request with two held parts that is accepted for a trial of only
+// one of them.
 func TestTrialLetsOneRequestThrough(t *testing.T) {
 	var o Observer
 	a, b := keysOf("a").All(), keysOf("a", "b").All()
@@ -45,8 +46,8 @@
 	require.Len(t, o.Report(observerStart).Refused, 2)
 }
 
-// TestCrashIsReportedOnceToEachControlHost guards against crashes that a new leader doesn't learn of, and
-// against requests at the same endpoint that count as several crashes.
+// TestCrashIsReportedOnceToEachControlHost guards against crashes that are not reported to a new leader,
+// and against requests at the same endpoint that count as several crashes.
 func TestCrashIsReportedOnceToEachControlHost(t *testing.T) {
 	var o Observer
 	now := observerStart
@@ -67,7 +68,7 @@
 	require.Equal(t, 3*time.Second, report(3 * time.Second)[0].Age)
 }
 
-// TestObserverIsBounded guards against crashes, keys and scopes without end that fill a gateway's memory.
+// TestObserverIsBounded guards against memory that grows without bound with the crashes, keys and scopes of a gateway.
 func TestObserverIsBounded(t *testing.T) {
 	var o Observer
 	now := observerStart
@@ -87,8 +88,8 @@
 	}
 }
 
-// TestHistoryForgetsOldRequests guards against a part that once was harmless and is never blamed since, and
-// against a clock that jumps.
+// TestHistoryForgetsOldRequests guards against a part that is never suspected because of requests completed
+// long ago, and against steps of the clock.
 func TestHistoryForgetsOldRequests(t *testing.T) {
 	var h history
 	keys := []Key{{Hash: 1}}
@@ -102,7 +103,7 @@
 	require.Equal(t, 1, h.total(observerStart))
 }
 
-// TestWatchedKeysAreNamedOnceASecond guards against crashes that are cleared by a request which no log line names, and against a
+// TestWatchedKeysAreNamedOnceASecond guards against crashes that are cleared by a request which is not logged, and against a log
 // line for each request.
 func TestWatchedKeysAreNamedOnceASecond(t *testing.T) {
 	var o Observer
@@ -117,8 +118,8 @@
 	require.Equal(t, first, o.Completed(keys, observerStart.Add(namedInterval)))
 }
 
-// TestCrashNamesHowLongResponsesHadGoneOn guards against a request that is no suspect since its response had gone on for a while, and
-// against a longer response that is reported only once it has ended.
+// TestCrashNamesHowLongResponsesHadGoneOn guards against a request that is not suspected because its response had already lasted for
+// a while, and against a longer response that is reported only after its end.
 func TestCrashNamesHowLongResponsesHadGoneOn(t *testing.T) {
 	var o Observer
 	now := observerStart
@@ -144,8 +145,8 @@
 	require.Empty(t, o.Report(now.Add(3 * time.Second)).Completions[0].Watched, "reported once")
 }
 
-// TestCrashCountsForEachModelAndForAll guards against a part that comes with several models and whose crashes are counted apart for each, or
-// for the model of the first request that broke off.
+// TestCrashCountsForEachModelAndForAll guards against a part that is sent to several models and whose crashes are counted separately for
+// each, or only for the model of the first interrupted request.
 func TestCrashCountsForEachModelAndForAll(t *testing.T) {
 	var o Observer
 	now := observerStart
--- a/internal/entry/suspicion/tracker.go
+++ b/internal/entry/suspicion/tracker.go
@@ -1,8 +1,8 @@
 // Package suspicion tracks which request bodies an entry suspects of crashing engines.
 //
-// Control keeps the quarantine of the whole fleet, which reaches the entry with its view. A
-// Tracker adds the crashes that the entry has observed itself, so that a caller that resends at
-// once is already affected. It also reports which attempts in flight must be revoked.
+// Control keeps the quarantine of the whole fleet, which reaches the entry with its view. A Tracker
+// adds the crashes that the entry has observed itself, so that they apply to a caller that resends
+// at once. It also reports which attempts in flight must be revoked.
 //
 // The package reads no clock and is not safe for concurrent use: the caller passes in the time
 // and serialises the calls.
