overload: comments in plain terms

Why: comments used figurative words (what a response is worth, a crowd, a rank that saves up places, heads that are gone). What: comments only. Value, overload, accumulate, lost; recently for lately.

--- a/internal/entry/overload/average.go
+++ b/internal/entry/overload/average.go
@@ -25,7 +25,7 @@
 	return r.perSecond * math.Exp(-max(0, now.Sub(r.at).Seconds())/constant.Seconds())
 }
 
-// level is a moving average of a value that is observed from time to time, as of at.
+// level is a moving average of a value that is observed at irregular intervals, as of at.
 type level struct {
 	value float64
 	at    time.Time
--- a/internal/entry/overload/book.go
+++ b/internal/entry/overload/book.go
@@ -9,10 +9,10 @@
 	// slotTime and bookSlots give the resolution and the horizon of a book.
 	slotTime  = 50 * time.Millisecond
 	bookSlots = 400
-	// patientShare is the part of the room for returns that is promised to other ranks than the most urgent.
+	// patientShare is the part of the capacity for returns that is promised to ranks other than the most urgent.
 	patientShare = 0.6
 	// minReturn is the shortest Retry-After. A caller whose late response has little value returns after minPatientReturn at the earliest:
-	// sooner it would take the place of one that can still be served in time.
+	// an earlier return would take the place of one that can still be served in time.
 	minReturn        = 250 * time.Millisecond
 	minPatientReturn = 1200 * time.Millisecond
 	// unreservedSpread is the time over which the returns are spread for which no room was reserved.
@@ -23,7 +23,7 @@
 	minRate = 0.05
 )
 
-// Usable returns the longest Retry-After that a caller follows.
+// Usable returns the longest Retry-After that a caller is expected to follow.
 func Usable(deadline, now time.Time) time.Duration {
 	return max(0, time.Duration(usableShare*float64(deadline.Sub(now))))
 }
@@ -45,17 +45,17 @@
 	Waiting int
 	// MostUrgent says that the caller's rank is the most urgent.
 	MostUrgent bool
-	// ServeLate says that late responses are worth as much as others.
+	// ServeLate says that late responses have the same value as others.
 	ServeLate bool
 	// Usable is the longest time that the caller can follow.
 	Usable time.Duration
-	// Spread is uniform in [0, 1). It keeps gateways that refuse at the same time from naming the same times.
+	// Spread is uniform in [0, 1). With it gateways that refuse at the same time give different return times.
 	Spread float64
 }
 
 // Promise returns the time until which a refused caller should wait, and whether room was reserved for it there. It reserves the
-// first room that isn't promised yet. If the caller can't use that time it reserves none and
-// returns that time or a later one, so that such callers don't return in step.
+// first room that isn't promised yet. If the caller can't use that time it reserves none and returns that time or a later one,
+// so that such callers don't return at the same time.
 func (b *Book) Promise(ask Ask, now time.Time) (after time.Duration, reserved bool) {
 	least := minPatientReturn
 	if ask.ServeLate {
@@ -80,7 +80,7 @@
 	return after, true
 }
 
-// bookHorizon is how far a book reaches.
+// bookHorizon is the length of the time that a book covers.
 const bookHorizon = bookSlots * slotTime
 
 // find returns the time by which one return finds free room from a time on, and what is left of it at the horizon.
--- a/internal/entry/overload/fair.go
+++ b/internal/entry/overload/fair.go
@@ -3,8 +3,8 @@
 import "maps"
 
 // fairShare orders the requests of one rank so that each team gets an equal share while it has some: a request's tag is that after
-// the team's last one, and the lowest tag goes first. A team that was idle begins where the others are, so that it saves up no
-// share. The zero value is ready to use.
+// the team's last one, and the lowest tag goes first. A team that was idle starts at the tag of the others, so that it accumulates
+// no share. The zero value is ready to use.
 type fairShare struct {
 	// virtual is the highest tag that was placed.
 	virtual float64
@@ -12,7 +12,7 @@
 	next map[string]float64
 }
 
-// maxTeams bounds the teams that are remembered before those without a lead are dropped.
+// maxTeams bounds the teams whose tags are kept before those without a lead are dropped.
 const maxTeams = 1024
 
 // peek returns the tag that a request of a team would get.
--- a/internal/entry/overload/overload.go
+++ b/internal/entry/overload/overload.go
@@ -11,19 +11,19 @@
 )
 
 const (
-	// minPatience, objectivePatience and gapPatience give the time without an event after which callers give up a stream: the
+	// minPatience, objectivePatience and gapPatience give the time without an event after which callers cancel a stream: the
 	// longest of minPatience and these multiples of the route's objective and longest gap.
 	minPatience       = 2 * time.Second
 	objectivePatience = 4
 	gapPatience       = 8
-	// patienceShare is the part of a caller's patience for which its request may wait. The rest is for the first event.
+	// patienceShare is the part of Patience for which a request may wait. The rest is for the first event.
 	patienceShare = 0.7
 	// remainingShare is the part of the time until its deadline for which a request may wait. The rest is for the response or,
 	// after a refusal, for a return.
 	remainingShare = 0.5
 )
 
-// Patience returns how long callers of a stream wait without an event.
+// Patience returns how long callers of a stream wait without an event before they cancel it.
 func Patience(objective, longestGap time.Duration) time.Duration {
 	return max(minPatience, objectivePatience*objective, gapPatience*longestGap)
 }
@@ -88,7 +88,7 @@
 	ReasonDisplaced
 	// ReasonNoWait is a request that may not wait and found no place.
 	ReasonNoWait
-	// ReasonLost is a returned request for which capacity that was lost leaves no place.
+	// ReasonLost is a returned request for which there is no place after a loss of capacity.
 	ReasonLost
 )
 
@@ -104,7 +104,7 @@
 	return names[r]
 }
 
-// Inputs are what a refusal rests on.
+// Inputs are the inputs of the decision to refuse a request.
 type Inputs struct {
 	Reason Reason
 	// PerSecond is the forecast throughput, Ahead the number of requests that wait before the request, and Waiting that of all.
--- a/internal/entry/overload/overload_test.go
+++ b/internal/entry/overload/overload_test.go
@@ -31,7 +31,7 @@
 	require.Equal(t, want, got)
 }
 
-// TestLateUntil guards against a wait beyond the patience of a caller or beyond a part of its remaining time.
+// TestLateUntil guards against a wait that is longer than the caller's timeout or than a part of its remaining time.
 func TestLateUntil(t *testing.T) {
 	for _, c := range []struct {
 		objective, gap, deadline, want time.Duration
@@ -45,8 +45,8 @@
 	}
 }
 
-// TestPromisesFollowTheForecast guards against more promises than room: with 10 places a second for returns, no second gets more than
-// these, all refused at the same instant.
+// TestPromisesFollowTheForecast guards against more promises than capacity: with 10 places a second for returns, no second gets more
+// than these, all refused at the same instant.
 func TestPromisesFollowTheForecast(t *testing.T) {
 	var b Book
 	perSecond := map[time.Duration]int{}
@@ -66,8 +66,8 @@
 	}
 }
 
-// TestLowerForecastMovesPromises guards against promises beside capacity that was lost: after it, the same book names later times, and what
-// was promised before counts against the room that is left.
+// TestLowerForecastMovesPromises guards against promises of capacity that was lost: afterwards the same book gives later times, and earlier
+// promises count against the remaining capacity.
 func TestLowerForecastMovesPromises(t *testing.T) {
 	var b Book
 	ask := Ask{PerSecond: 20, Share: 0.5, MostUrgent: true, ServeLate: true, Usable: 5 * time.Second}
@@ -81,8 +81,8 @@
 	require.Greater(t, half, full)
 }
 
-// TestPatientReturns guards against callers that return at once into the crowd that they were refused for, although a late response has
-// little value: without ServeLate none returns before minPatientReturn.
+// TestPatientReturns guards against callers that return at once into the overload for which they were refused, although a late response
+// has little value: without ServeLate none returns before minPatientReturn.
 func TestPatientReturns(t *testing.T) {
 	var b Book
 	for _, rate := range []float64{0, 2, 20, 1000} {
@@ -91,7 +91,8 @@
 	}
 }
 
-// TestPromiseWithAbsurdForecast guards against a time that is never, negative or far away when a forecast is late or wrong.
+// TestPromiseWithAbsurdForecast guards against a return time that is missing, negative or far in the future when a forecast is late
+// or wrong.
 func TestPromiseWithAbsurdForecast(t *testing.T) {
 	for _, rate := range []float64{0, -1, 1e-300, 1e300, math.Inf(1), math.NaN()} {
 		for _, waiting := range []int{0, 1 << 40} {
@@ -103,7 +104,7 @@
 	}
 }
 
-// TestBookFollowsTheClock guards against a book that is stuck after a pause of the process or a step of the clock.
+// TestBookFollowsTheClock guards against a book that stops advancing after a pause of the process or a step of the clock.
 func TestBookFollowsTheClock(t *testing.T) {
 	var b Book
 	ask := Ask{PerSecond: 20, Share: 0.5, MostUrgent: true, ServeLate: true, Usable: 5 * time.Second}
@@ -117,7 +118,7 @@
 	}
 }
 
-// TestForecastShrinksWithLostHeads guards against a throughput of heads that are gone.
+// TestForecastShrinksWithLostHeads guards against a forecast that includes the throughput of lost heads.
 func TestForecastShrinksWithLostHeads(t *testing.T) {
 	var s Scope
 	now := noon
@@ -151,8 +152,8 @@
 	require.True(t, s.MayWait(Caller{Returned: true}, 60, now.Add(time.Second), now))
 }
 
-// TestShortRankIsLeftRoom guards against a less urgent rank that fills the heads while a more urgent one is short, and against its
-// starvation: it is owed a place after ten of the other.
+// TestShortRankIsLeftRoom guards against a less urgent rank that occupies the heads while a more urgent one is short of capacity,
+// and against its starvation: it is owed a place after ten of the other.
 func TestShortRankIsLeftRoom(t *testing.T) {
 	var s Scope
 	urgent := Caller{Team: "a", Objective: 400 * time.Millisecond}
@@ -179,7 +180,7 @@
 	require.False(t, owed)
 }
 
-// TestIdleTeamSavesNoShare guards against a team that takes all places after a pause because it had none meanwhile.
+// TestIdleTeamSavesNoShare guards against a team that takes all places after an idle time because it had none during that time.
 func TestIdleTeamSavesNoShare(t *testing.T) {
 	var f fairShare
 	for range 1000 {
@@ -190,7 +191,7 @@
 	}
 }
 
-// TestSessionNamesAreBounded guards against memory that callers fill by names of sessions.
+// TestSessionNamesAreBounded guards against memory that grows with the session names that callers send.
 func TestSessionNamesAreBounded(t *testing.T) {
 	var s teamShares
 	for i := range 10 * maxTeams {
--- a/internal/entry/overload/scope.go
+++ b/internal/entry/overload/scope.go
@@ -16,7 +16,7 @@
 	minOffered = 0.2
 	// floorShare is the part of the throughput that a less urgent rank gets while it is served less than the more urgent ones.
 	floorShare = 0.1
-	// maxCredit bounds the places that a rank saves up.
+	// maxCredit bounds the places that a rank accumulates.
 	maxCredit = 2.0
 	// queueMargin is the part of the forecast throughput that is counted on when a request is queued.
 	queueMargin = 0.8
@@ -25,11 +25,11 @@
 	// minPlaced is the throughput, in requests a second, that is assumed at least for the part of returning callers.
 	minPlaced = 2.0
 	// minReturnShare and maxReturnShare bound the part of the throughput that is promised to returning callers. The rest is for
-	// new ones, whose responses are worth more.
+	// new ones, whose responses have a higher value.
 	minReturnShare = 0.25
 	maxReturnShare = 0.5
-	// minQueue is how many requests of a service and model may be queued at least. They take the first places at a head that
-	// comes back.
+	// minQueue is how many requests of a service and model may be queued at least. They use the first places at a head that
+	// returns.
 	minQueue = 4
 	// lossShare is the share of the recent heads below which capacity counts as lost.
 	lossShare = 0.8
@@ -42,13 +42,13 @@
 	Session   string
 	Priority  int
 	Objective time.Duration
-	// ServeLate says that a late response is worth as much to it as one in time.
+	// ServeLate says that a late response has the same value to it as one in time.
 	ServeLate bool
 	// Returned says that the caller was refused before, and Repeated that this gateway has sent the request before.
 	Returned, Repeated bool
 }
 
-// rank is what is known of the requests of one priority.
+// rank is the state of the requests of one priority.
 type rank struct {
 	// offered and inTime are the new requests, and those of them that found an endpoint while they could meet their objective.
 	offered, inTime rate
@@ -71,7 +71,7 @@
 	return min(1, r.inTime.current(now, servedTime)/offered)
 }
 
-// isActive reports whether the rank has had requests lately.
+// isActive reports whether the rank has had requests recently.
 func (r *rank) isActive(now time.Time) bool { return r.offered.current(now, servedTime) >= minOffered }
 
 // Scope is the state of one service and model. The zero value is ready to use.
@@ -103,7 +103,7 @@
 	s.heads.observe(float64(count), now, placedTime)
 }
 
-// PerSecond forecasts the throughput: that of the last time, less what heads that were lost since then contributed.
+// PerSecond forecasts the throughput: the recent throughput, less the contribution of heads that were lost since then.
 func (s *Scope) PerSecond(now time.Time) float64 {
 	return s.placed.current(now, placedTime) * s.remaining()
 }
@@ -116,7 +116,7 @@
 	return min(1, float64(s.current)/s.heads.value)
 }
 
-// CapacityLost reports whether a part of the heads was lost lately.
+// CapacityLost reports whether a part of the heads was lost recently.
 func (s *Scope) CapacityLost() bool { return s.remaining() < lossShare }
 
 // Arrived records a request. Returned and repeated ones don't count as demand.
@@ -240,7 +240,7 @@
 	return s.returned.current(now, placedTime) <= s.returnShare(now)*max(s.placed.current(now, placedTime), minPlaced)
 }
 
-// returnShare returns the part of the throughput that is for returning callers: what new requests of late leave, within bounds.
+// returnShare returns the part of the throughput that is for returning callers: what recent new requests leave, within bounds.
 func (s *Scope) returnShare(now time.Time) float64 {
 	offered := 0.0
 	for _, r := range s.ranks {
--- a/internal/entry/overload/teams.go
+++ b/internal/entry/overload/teams.go
@@ -8,8 +8,8 @@
 const (
 	// teamsInterval is how often the active teams of a rank are counted.
 	teamsInterval = 200 * time.Millisecond
-	// leadShare is how many times its equal share a team gets of the throughput of a rank that is short of capacity, before its
-	// requests have to leave room for those of other teams.
+	// leadShare is the multiple of its equal share of the throughput that a team gets, in a rank that is short of capacity,
+	// before its requests have to leave capacity to other teams.
 	leadShare = 1.2
 	// hotShare and soleShare bound the part of a rank's throughput that a session gets before its requests have to leave room.
 	// Beyond soleShare there are no others to leave room for.
@@ -17,10 +17,10 @@
 	soleShare = 0.95
 )
 
-// teamShares compares what the teams, or the sessions, of one rank were served lately. The zero value is ready to use.
+// teamShares compares what the teams, or the sessions, of one rank were served recently. The zero value is ready to use.
 type teamShares struct {
 	teams map[string]*teamShare
-	// all are the placed requests of all teams, and active the number of teams with requests lately, as of countedAt.
+	// all are the placed requests of all teams, and active the number of teams with recent requests, as of countedAt.
 	all       rate
 	active    int
 	countedAt time.Time
@@ -56,7 +56,7 @@
 	t.all.add(now, servedTime)
 }
 
-// count counts the active teams and forgets the others, once in each teamsInterval.
+// count counts the active teams and drops the others, once in each teamsInterval.
 func (t *teamShares) count(now time.Time) {
 	if since := now.Sub(t.countedAt); since >= 0 && since < teamsInterval {
 		return
@@ -77,7 +77,7 @@
 	return s.placed.current(now, servedTime) > leadShare*equal
 }
 
-// isHot reports whether a session takes a great part of the throughput of its rank.
+// isHot reports whether a session uses a large part of the throughput of its rank.
 func (t *teamShares) isHot(name string, now time.Time) bool {
 	s := t.teams[name]
 	if s == nil {
