upstream: comments in plain terms

Why: comments used figurative words (a process that stood still, a sound endpoint, how the end of a body is told, a crowd of exchanges). Paused, healthy, determined, concurrently; the failures that tests guard against stay.

--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -1,7 +1,7 @@
 // Package upstream sends requests to endpoints over HTTP/1.1 (RFC 9112).
 //
 // A connection carries one request at a time. The package never retries a request by itself. It
-// closes a connection on which unexpected bytes arrive, so that they can't be taken for the
+// closes a connection on which unexpected bytes arrive, so that they can't be mistaken for the
 // response to a later request.
 package upstream
 
@@ -22,7 +22,7 @@
 
 const (
 	readBufferSize = 8 << 10
-	// TCP keep-alive probes detect connections whose peer is gone.
+	// TCP keep-alive probes detect connections whose peer has disappeared without closing them.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
@@ -99,10 +99,9 @@
 	return err == nil && open
 }
 
-// Read implements net.Conn. While no data arrives it consults the wait policy, and returns
-// ErrAbandoned if that ends the wait. It doesn't consult the policy after a wait that took much longer
-// than it should: then this process itself stood still, and data may have arrived meanwhile. Whether the response is still wanted
-// it asks all the same.
+// Read implements net.Conn. While no data arrives it consults the wait policy, and returns ErrAbandoned if that ends the wait. It
+// doesn't consult the policy after a wait that took much longer than its timeout: this process was paused then, and data may have
+// arrived in the meantime. It still calls Unwanted.
 func (c *conn) Read(b []byte) (int, error) {
 	if err := c.head.beforeRead(); err != nil {
 		return 0, err
@@ -129,7 +128,8 @@
 }
 
 // readResponse reads the status and headers of the final response. It skips informational (1xx)
-// responses. All of that may not be larger than maxHead, and what is incomplete is reserved with reserve.
+// responses. The size of all of them is bounded by maxHead, and an incomplete head is reserved with
+// reserve.
 func (c *conn) readResponse(method string, reserve func(n int) bool) (*http.Response, error) {
 	c.head = &headMeter{reserve: reserve}
 	defer c.endHead()
--- a/internal/entry/upstream/cut_head_test.go
+++ b/internal/entry/upstream/cut_head_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestHeadThatIsCutIsNoResponse ends the connection after each byte of a response's head, also behind informational responses. It guards against a
-// success that looks whole, with an empty or short body, of an endpoint that stopped in the middle of its head.
+// TestHeadThatIsCutIsNoResponse ends the connection after each byte of a response's head, also behind informational responses. It guards
+// against a success that seems complete, with an empty or short body, from an endpoint that stopped within its head.
 func TestHeadThatIsCutIsNoResponse(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 200 OK\r\nX-Signed: s\r\nContent-Length: 12\r\n\r\n",
--- a/internal/entry/upstream/event_reader.go
+++ b/internal/entry/upstream/event_reader.go
@@ -29,7 +29,7 @@
 	reserved int
 }
 
-// reserver is a source that bounds what its reader may hold. Exchange is one.
+// reserver is a source that bounds the memory of its reader. Exchange is one.
 type reserver interface{ Reserve(n int) bool }
 
 // NewEventReader returns a reader of the events in a response's body.
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -67,10 +67,10 @@
 	NextCheck func() time.Duration
 	// KeepWaiting reports whether to wait longer.
 	KeepWaiting func() bool
-	// BeforeSend is called when there is a connection, immediately before the request is written. With an error the request isn't sent. It
-	// may be nil.
+	// BeforeSend is called when there is a connection, immediately before the request is written. If it returns an error the request isn't
+	// sent. It may be nil.
 	BeforeSend func() error
-	// Unwanted reports whether nobody waits for the response any more, which ends the wait as well. It may be nil.
+	// Unwanted reports whether the response is no longer needed, which ends the wait as well. It may be nil.
 	Unwanted func() bool
 }
 
@@ -90,8 +90,8 @@
 	// Response holds the status and headers of the response. The body is read from the
 	// Exchange.
 	Response *http.Response
-	// CheckEnd is called when a body with FramingClose has ended with its connection. An error says that it is not
-	// whole. It may be nil.
+	// CheckEnd is called when a body with FramingClose has ended with its connection. An error says that it is
+	// incomplete. It may be nil.
 	CheckEnd func() error
 	// written is closed once a long body has been written, with the error in writeErr. It is
 	// nil for an inline body.
--- a/internal/entry/upstream/framing.go
+++ b/internal/entry/upstream/framing.go
@@ -2,7 +2,7 @@
 
 import "net/http"
 
-// Framing is how the end of a response's body is told (RFC 9112, section 6.3).
+// Framing is how the end of a response's body is determined (RFC 9112, section 6.3).
 type Framing uint8
 
 const (
@@ -10,7 +10,7 @@
 	FramingLength Framing = iota
 	// FramingChunks ends the body with its last chunk.
 	FramingChunks
-	// FramingClose ends the body with the connection. The end of the endpoint's process looks the same.
+	// FramingClose ends the body with the connection. It can't be distinguished from the end of the endpoint's process.
 	FramingClose
 )
 
@@ -26,7 +26,7 @@
 	}
 }
 
-// Framing returns how the end of the response's body is told.
+// Framing returns how the end of the response's body is determined.
 func (x *Exchange) Framing() Framing { return framingOf(x.Response) }
 
 func framingOf(r *http.Response) Framing {
--- a/internal/entry/upstream/head.go
+++ b/internal/entry/upstream/head.go
@@ -11,15 +11,15 @@
 	maxInformational = 16
 	// maxHeadLines is the number of lines of a head, informational responses included, after which no more of it is read.
 	maxHeadLines = 2 * maxHeadFields
-	// fieldOverhead is about what a field of a head takes in memory besides its text, in bytes.
+	// fieldOverhead is the approximate memory of a field of a head besides its text, in bytes.
 	fieldOverhead = 128
-	// headCopies is how often the text of a head is held while it is parsed.
+	// headCopies is the number of copies of a head's text in memory while it is parsed.
 	headCopies = 3
 )
 
 // headMeter counts what is read while a head isn't complete. Before more is read it reserves what has been read, since
-// an endpoint may take its time with the rest. A head that is complete after one read is never reserved by it. What
-// is read ahead of the body counts as well. A nil headMeter counts nothing.
+// an endpoint may send the rest late. A head that is complete after one read is not reserved. Data of the body that is
+// read ahead counts as well. A nil headMeter counts nothing.
 type headMeter struct {
 	reserve func(n int) bool
 	// size and lines are what has been read, and reserved is what has been reserved for it, in bytes.
@@ -51,7 +51,7 @@
 	h.lines += bytes.Count(data, []byte{'\n'})
 }
 
-// release gives back what has been reserved.
+// release ends the reservation.
 func (h *headMeter) release() {
 	if h.reserved > 0 {
 		h.reserve(-h.reserved)
--- a/internal/entry/upstream/idle_test.go
+++ b/internal/entry/upstream/idle_test.go
@@ -12,12 +12,12 @@
 	"github.com/stretchr/testify/require"
 )
 
-// closeTimeout bounds the wait for an end that takes a second or two on an idle machine.
+// closeTimeout bounds the wait for a close that takes a second or two on an idle machine.
 const closeTimeout = 30 * time.Second
 
-// TestIdleConnectionsEndByThemselves guards against connections that stay open for good because no other request
-// follows: after their idle timeout, and at once if an endpoint that announces a long one sends bytes without end
-// after its whole response.
+// TestIdleConnectionsEndByThemselves guards against connections that stay open permanently because no other
+// request follows. They are closed after their idle timeout, and at once if an endpoint that announces a long one
+// sends endless bytes after its complete response.
 func TestIdleConnectionsEndByThemselves(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=%d\r\n\r\nok"
 	for name, c := range map[string]struct {
--- a/internal/entry/upstream/many_servers_test.go
+++ b/internal/entry/upstream/many_servers_test.go
@@ -21,7 +21,7 @@
 func stalled(beginning string, sent *atomic.Int64) script {
 	return func(t *testing.T, c net.Conn, r *bufio.Reader) {
 		if read(t, r) != nil {
-			_, _ = io.WriteString(c, beginning) // An error means that the caller has closed.
+			_, _ = io.WriteString(c, beginning) // An error means that the caller has closed the connection.
 		}
 		sent.Add(1)
 		_, _ = r.ReadByte()
@@ -37,17 +37,17 @@
 	return b.String()
 }
 
-// exchangeCrowd runs exchanges with many endpoints at once.
+// exchangeCrowd runs exchanges with many endpoints concurrently.
 type exchangeCrowd struct {
 	pool Pool
-	// sent counts the endpoints that have sent all that they send, and settled the exchanges that have failed or wait
-	// for more after that.
+	// sent counts the endpoints that have sent all that they send, and settled the exchanges that have since failed
+	// or wait for more data.
 	sent    atomic.Int64
 	settled sync.WaitGroup
 	ended   sync.WaitGroup
 }
 
-// dialPatiently is a Dialer whose only limit is ctx, so that no exchange of a crowd ends before it began.
+// dialPatiently is a Dialer whose only limit is ctx, so that no exchange fails because its connection is opened late.
 func dialPatiently(ctx context.Context, address string) (net.Conn, error) {
 	return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 }
@@ -88,9 +88,9 @@
 	return int64(memoryStats().HeapAlloc) //nolint:gosec // Far below the limit.
 }
 
-// TestManyFaultyEndpointsFillNoMemory guards against many endpoints at once that each send less than one may, and
-// together more than a host of 136 MB has left: three quarters of it are the Go runtime's, of which an eighth each are
-// for the connections and the bodies of callers and 30 MB for the process without load.
+// TestManyFaultyEndpointsFillNoMemory guards against many endpoints that each stay below the bound for one, and
+// together send more than a host of 136 MB has free: three quarters of it are the Go runtime's, of which an eighth
+// each are for the connections and the bodies of callers and 30 MB for the process without load.
 func TestManyFaultyEndpointsFillNoMemory(t *testing.T) {
 	const (
 		hostMemory  = 136 << 20
@@ -139,8 +139,8 @@
 	}
 }
 
-// TestLongResponsesLeaveRoomForOrdinaryOnes guards against long responses, of faulty endpoints or to callers that read
-// slowly, that use up what responses may hold, so that the responses to all other callers are broken off.
+// TestLongResponsesLeaveRoomForOrdinaryOnes guards against long responses, from faulty endpoints or to callers that
+// read slowly, that use up the memory budget of responses, so that the responses to all other callers are interrupted.
 func TestLongResponsesLeaveRoomForOrdinaryOnes(t *testing.T) {
 	const (
 		endpoints   = 60
@@ -192,8 +192,8 @@
 	return all
 }
 
-// TestResponsesGetAShareOfTheMemory guards against a bound on responses that a small host can't hold, and against one
-// that hundreds of ordinary responses reach.
+// TestResponsesGetAShareOfTheMemory guards against a bound on responses that exceeds the memory of a small host, and
+// against one that hundreds of ordinary responses reach.
 func TestResponsesGetAShareOfTheMemory(t *testing.T) {
 	const ordinary = 500 * (4 << 10)
 	for memory, want := range map[int64]int{0: DefaultMaxHeld, 32 << 30: DefaultMaxHeld, 288 << 20: 48 << 20, 136 << 20: 136 << 20 / 6, 1 << 20: 8 << 20} {
--- a/internal/entry/upstream/upstream_test.go
+++ b/internal/entry/upstream/upstream_test.go
@@ -101,7 +101,7 @@
 }
 
 // TestConnectionWithUnexpectedBytesIsNotReused sends bytes after a complete response, at once or
-// while the connection is idle. They must not be taken for the response to the next request.
+// while the connection is idle. They must not be mistaken for the response to the next request.
 func TestConnectionWithUnexpectedBytesIsNotReused(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
 	late := make(chan struct{})
@@ -213,8 +213,8 @@
 	require.Equal(t, 3, calls)
 }
 
-// lateConn is a connection whose first read returns its timeout late, as in a process that stood
-// still for a time in which the response arrived.
+// lateConn is a connection whose first read returns its timeout late, as in a process that was
+// paused while the response arrived.
 type lateConn struct {
 	net.Conn
 	delay    time.Duration
@@ -237,8 +237,8 @@
 	return c.response.Read(b)
 }
 
-// TestOwnPauseIsNotTakenForSilence guards against a gateway that stands still for a moment on a busy
-// machine and then gives up all its streams, although their data has arrived.
+// TestOwnPauseIsNotTakenForSilence guards against a gateway that is paused briefly on a busy machine
+// and then cancels all its streams, although their data has arrived.
 func TestOwnPauseIsNotTakenForSilence(t *testing.T) {
 	for delay, asked := range map[time.Duration]int{time.Millisecond: 1, 300 * time.Millisecond: 0} {
 		synctest.Test(t, func(t *testing.T) {
