hedge, routing, retry: comments in plain terms

Why: comments used figurative words (a quantile that tells something, replicas that are remembered, a flood of retries, saved-up hedges). What: comments only. Stored, accumulated, retry storm; ObserveAtLeast names its condition, the median of the service and model.

--- a/internal/entry/hedge/budget.go
+++ b/internal/entry/hedge/budget.go
@@ -1,6 +1,6 @@
 package hedge
 
-// maxBurst is the greatest number of hedges that all gateways together have saved up, if there are no more gateways than that.
+// maxBurst is the greatest number of hedges that all gateways together accumulate, if there are no more gateways than that.
 const maxBurst = 10
 
 // Budget bounds the hedges of one gateway to a share of its callers' requests. It starts empty, so that the sum over all gateways is
--- a/internal/entry/hedge/fleet_test.go
+++ b/internal/entry/hedge/fleet_test.go
@@ -20,7 +20,7 @@
 	slow     func(endpoint int, now time.Duration) float64
 	busy     [][]time.Duration
 	events   eventQueue
-	// latencies are those that callers saw.
+	// latencies are those that callers observed.
 	latencies        []time.Duration
 	requests, hedges int
 	// lateHedges counts those in the second half of the time.
@@ -42,7 +42,7 @@
 	modelLength    = 30 * time.Second
 )
 
-// modelEvent is something that happens at some time.
+// modelEvent is an event of the model at some time.
 type modelEvent struct {
 	at time.Duration
 	do func()
@@ -60,7 +60,7 @@
 	return last
 }
 
-// at lets something happen at a time.
+// at schedules an event.
 func (m *modelFleet) at(t time.Duration, do func()) { heap.Push(&m.events, modelEvent{t, do}) }
 
 // modelAttempt is a request in a slot of an endpoint.
@@ -209,7 +209,7 @@
 	return m
 }
 
-// percentile returns the latency that a part of the requests keeps.
+// percentile returns the latency that a part of the requests does not exceed.
 func (m *modelFleet) percentile(q float64) time.Duration {
 	return m.latencies[int(q*float64(len(m.latencies)-1))].Round(time.Millisecond / 10)
 }
@@ -253,7 +253,7 @@
 	}
 }
 
-// factor returns by how much a request is longer if the condition holds.
+// factor returns the factor by which a request takes longer if the condition holds.
 func factor(slow bool, by float64) float64 {
 	if slow {
 		return by
--- a/internal/entry/hedge/hedge.go
+++ b/internal/entry/hedge/hedge.go
@@ -8,7 +8,7 @@
 // DefaultQuantile is the default of Settings.Quantile.
 const DefaultQuantile = 0.95
 
-// minDelay is the shortest time after which a request is hedged. An answer can't be told from a slow one before.
+// minDelay is the shortest time after which a request is hedged. Earlier a slow answer can't be distinguished from a normal one.
 const minDelay = 5 * time.Millisecond
 
 // Settings are the operator's settings. The zero value is off.
@@ -36,7 +36,7 @@
 const (
 	// ReasonNone is a request that is hedged, or will be once the time has come.
 	ReasonNone Reason = iota
-	// ReasonOff is hedging that the operator has not switched on.
+	// ReasonOff is hedging that the operator has not enabled.
 	ReasonOff
 	// ReasonUnknown is an endpoint whose response times are not known.
 	ReasonUnknown
@@ -46,7 +46,7 @@
 	ReasonNotAllowed
 	// ReasonShort is a service and model of which requests wait or were refused.
 	ReasonShort
-	// ReasonNoRoom is a service and model without another endpoint that has room to spare.
+	// ReasonNoRoom is a service and model without another endpoint that has spare capacity.
 	ReasonNoRoom
 	// ReasonBudget is a hedge budget or retry budget that is used up.
 	ReasonBudget
@@ -98,7 +98,7 @@
 	Allowed bool
 	// Elapsed is the time since the first attempt was sent, and Delay what Settings.Delay has returned.
 	Elapsed, Delay time.Duration
-	// Short says that requests of the same service and model wait, or were refused lately.
+	// Short says that requests of the same service and model wait, or were refused recently.
 	Short bool
 	// Budget says that the hedge budget and the retry budget allow one more request.
 	Budget bool
@@ -106,7 +106,7 @@
 	Room bool
 }
 
-// Decision is the outcome for a request at some time: hedge it now, look again after Wait, or don't hedge it for Reason.
+// Decision is the outcome for a request at some time: hedge it now, decide again after Wait, or don't hedge it for Reason.
 type Decision struct {
 	Now    bool
 	Wait   time.Duration
--- a/internal/entry/hedge/hedge_test.go
+++ b/internal/entry/hedge/hedge_test.go
@@ -25,7 +25,7 @@
 }
 
 // TestDelayFollowsTheQuantile guards against a constant delay, and against one that is below the quantile, so that more requests are
-// hedged than the operator wants.
+// hedged than the operator has configured.
 func TestDelayFollowsTheQuantile(t *testing.T) {
 	for _, unit := range []time.Duration{time.Millisecond, 10 * time.Millisecond} {
 		for _, q := range []float64{0.5, 0.9, 0.95, 0.99} {
@@ -49,7 +49,7 @@
 	require.Equal(t, time.Second, delay)
 }
 
-// TestReasonsOfNoDelay guards against hedges that are off, rest on no measurement, or come too late for the caller.
+// TestReasonsOfNoDelay guards against hedges that are disabled, have no measurement as a basis, or are too late for the caller.
 func TestReasonsOfNoDelay(t *testing.T) {
 	on := Settings{Share: 0.1}
 	attempt := Attempt{Key: key(1), Remaining: time.Minute}
@@ -87,8 +87,8 @@
 	require.Less(t, delay, 400*time.Millisecond)
 }
 
-// TestCancelledAttemptsCount guards against a quantile that falls since the slowest attempts are cancelled before they end, and against
-// one that falls since hedges are cancelled soon after their start.
+// TestCancelledAttemptsCount guards against a quantile that decreases because the slowest attempts are cancelled before they end, and
+// against one that decreases because hedges are cancelled soon after their start.
 func TestCancelledAttemptsCount(t *testing.T) {
 	times := observed(time.Millisecond, 1)
 	before, _ := Settings{Share: 1}.Delay(times, Attempt{Key: key(1), Remaining: time.Minute})
--- a/internal/entry/hedge/times.go
+++ b/internal/entry/hedge/times.go
@@ -13,12 +13,12 @@
 	decay = 1 - 1.0/500
 	// decayTime is the time in which observations lose most of their weight.
 	decayTime = time.Minute
-	// minWeight is the weight of observations below which a distribution says nothing.
+	// minWeight is the weight of observations below which a distribution is not used.
 	minWeight = 20
 	// maxKeys bounds the distributions of endpoints.
 	maxKeys = 1024
 	// An endpoint is an outlier if its median is above outlierFactor times that of its service and model. A request there counts as
-	// slow after outlierDelay times that median, since its own quantile would only tell that it is always slow.
+	// slow after outlierDelay times that median, since its own quantile would hide that it is always slow.
 	outlierFactor = 2.0
 	outlierDelay  = 4.0
 )
@@ -46,8 +46,8 @@
 	t.at(k.pool(), now).add(value, now)
 }
 
-// ObserveAtLeast records an attempt that was cancelled after some time. It counts with that time, unless it was cancelled so early that
-// it tells nothing.
+// ObserveAtLeast records an attempt that was cancelled after some time. It counts with that time, unless that is below the median of
+// the service and model: the attempt might have been fast.
 func (t *Times) ObserveAtLeast(k Key, forecast, elapsed time.Duration, now time.Time) {
 	_, median, ok := t.expected(k, 0.5, unit(forecast))
 	if ok && elapsed >= median {
--- a/internal/entry/retry/brownout_simulation_test.go
+++ b/internal/entry/retry/brownout_simulation_test.go
@@ -15,8 +15,8 @@
 var seeds = flag.Uint64("seeds", 2, "number of seeds of the measurement")
 
 // The simulation consists of replicas, which serve one attempt after another and refuse attempts
-// while their queue is long, and of entries, which give an attempt up after attemptTimeout while
-// the replica still works on it. A third of the replicas is slowed down during the fault.
+// while their queue is long, and of entries, which cancel an attempt after attemptTimeout while the
+// replica still works on it. A third of the replicas is slowed down during the fault.
 const (
 	networkDelay   = 10 * time.Millisecond
 	replicaCount   = 30
--- a/internal/entry/retry/retry.go
+++ b/internal/entry/retry/retry.go
@@ -1,9 +1,9 @@
 // Package retry decides whether a failed attempt is retried.
 //
-// A request is retried only if it is idempotent or the attempt is proved not to have run, if
-// there is time before its deadline, and if the retry budget has a token. Successes refill the
-// budget, as in Finagle, so that an outage cannot cause a flood of retries. The backoff grows
-// exponentially, with full jitter (Brooker, "Exponential Backoff And Jitter", 2015).
+// A request is retried only if it is idempotent or the attempt is proved not to have run, if there
+// is time before its deadline, and if the retry budget has a token. Successes refill the budget, as
+// in Finagle, so that an outage cannot cause a retry storm. The backoff grows exponentially, with
+// full jitter (Brooker, "Exponential Backoff And Jitter", 2015).
 //
 // A retry that is refused before it runs is repeated until the deadline: it uses neither another
 // token nor an attempt. The request has begun, and its replica may serve again soon.
@@ -23,8 +23,8 @@
 type Policy struct {
 	// TokenRatio is the number of retries earned by each success.
 	TokenRatio float64
-	// MaxTokens is the greatest number of retries that can be saved up. It must cover the
-	// attempts that fail when a few replicas are lost at once.
+	// MaxTokens is the greatest number of retries that can accumulate. It must cover the attempts
+	// that fail when a few replicas are lost at once.
 	MaxTokens float64
 	// BaseBackoff is the greatest wait before the first retry. It doubles with each further
 	// retry, up to MaxBackoff.
--- a/internal/entry/routing/body_affinity.go
+++ b/internal/entry/routing/body_affinity.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// maxCompletedBodies bounds the number of body hashes remembered as completed.
+// maxCompletedBodies bounds the number of body hashes that are stored as completed.
 const maxCompletedBodies = 1 << 16
 
 // bodyAffinity sends concurrent copies of one request body to the same replica until
--- a/internal/entry/routing/feedback.go
+++ b/internal/entry/routing/feedback.go
@@ -146,7 +146,7 @@
 	Adapter  string
 	Stored   []uint64
 	Evicted  []uint64
-	// Cleared is true if the engine emptied its cache.
+	// Cleared is true if the engine cleared its cache.
 	Cleared bool
 }
 
--- a/internal/entry/routing/pick.go
+++ b/internal/entry/routing/pick.go
@@ -179,10 +179,9 @@
 	return best
 }
 
-// prefillWeight returns how much a second of prefill counts compared to a second of
-// waiting. While requests queue, prefill also delays the requests behind it, and a
-// prefix that spills over to another replica has to be computed there again, at the
-// cost of all requests.
+// prefillWeight returns how much a second of prefill counts compared to a second of waiting. While
+// requests queue, prefill also delays the requests behind it, and a prefix that is sent to another
+// replica has to be computed there again, which delays all requests.
 func (r *Router) prefillWeight(meanWait float64) float64 {
 	return min(maxPrefillWeight, 1+meanWait/r.policy.CongestionWait.Seconds())
 }
--- a/internal/entry/routing/prefix_index.go
+++ b/internal/entry/routing/prefix_index.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maxHolders bounds the replicas remembered for one block. A block held by more
-// replicas is likely to be found on almost any of them.
+// maxHolders bounds the replicas stored for one block. A block held by more replicas is likely to
+// be found on almost any of them.
 const maxHolders = 32
 
 // blockHolder is a replica that is expected to hold a block.
@@ -15,9 +15,9 @@
 	seenAt  time.Time
 }
 
-// prefixIndex remembers which replicas hold which prefix blocks. It keeps two
-// generations of blocks and drops the older one when the younger is full. This bounds
-// its size and drops blocks that were not used recently.
+// prefixIndex records which replicas hold which prefix blocks. It keeps two generations of blocks
+// and drops the older one when the younger is full. This bounds its size and drops blocks that were
+// not used recently.
 type prefixIndex struct {
 	maxPerGeneration int
 	young, old       map[uint64][]blockHolder
--- a/internal/entry/routing/replica_state.go
+++ b/internal/entry/routing/replica_state.go
@@ -13,7 +13,7 @@
 	assumedDuration    = 4 * time.Second
 )
 
-// replicaState is what the Router knows about one replica.
+// replicaState is the Router's state of one replica.
 type replicaState struct {
 	route view.Route
 	// lastView is the Router's viewCount at the last view that listed the replica.
@@ -54,8 +54,8 @@
 	meanDuration average
 }
 
-// SetView replaces the replicas. A load report with a new sequence number is taken to
-// describe the time now minus Policy.ReportLag.
+// SetView replaces the replicas. A load report with a new sequence number is assumed to describe
+// the time now minus Policy.ReportLag.
 func (r *Router) SetView(now time.Time, v view.View) {
 	r.viewCount++
 	changed := false
@@ -97,8 +97,8 @@
 	return changed
 }
 
-// drop invalidates what is known of a replica's cache. Its attempts stay registered
-// until they finish.
+// drop invalidates the records of a replica's cache. Its attempts stay registered until they
+// finish.
 func (r *Router) drop(s *replicaState) { s.cacheClearedAt = farFuture }
 
 var farFuture = time.Unix(1<<40, 0)
--- a/internal/entry/routing/routing.go
+++ b/internal/entry/routing/routing.go
@@ -24,8 +24,8 @@
 type Policy struct {
 	// ReportLag is the usual age of a load report when it arrives.
 	ReportLag time.Duration
-	// Slack and SlackRatio bound how far behind the best score the score of the chosen
-	// replica may be: Slack + SlackRatio x best.
+	// Slack and SlackRatio bound the difference between the best score and that of the chosen
+	// replica: Slack + SlackRatio x best.
 	Slack      time.Duration
 	SlackRatio float64
 	// HitHalfLife is the age at which an expected cache hit counts half.
@@ -36,8 +36,7 @@
 	Affinity float64
 	// CongestionWait is the mean queue wait at which a second of prefill counts twice.
 	CongestionWait time.Duration
-	// PrefixBlocks bounds the number of prefix blocks remembered for all replicas
-	// together.
+	// PrefixBlocks bounds the number of prefix blocks stored for all replicas together.
 	PrefixBlocks int
 }
 
