server, dispatch, execution: comments in plain terms

Why: comments used figurative words (what became of an attempt, a caller that is gone, a request that is let through, a lease given up). What: comments only. Outcome, disconnected, held and trial, released.

--- a/internal/entry/dispatch/answer_memory.go
+++ b/internal/entry/dispatch/answer_memory.go
@@ -9,13 +9,13 @@
 const (
 	// DefaultAnswerMemory is the default of Options.AnswerMemory.
 	DefaultAnswerMemory = 48 << 20
-	// ordinaryAnswer is the size in bytes up to which an answer may use all of the memory. Longer ones leave the part
-	// that ordinaryShare divides it by.
+	// ordinaryAnswer is the size in bytes up to which an answer may use all of the memory. Longer ones leave a part
+	// of it free, whose divisor is ordinaryShare.
 	ordinaryAnswer = 16 << 10
 	ordinaryShare  = 4
 )
 
-// errAnswerMemory is returned if the answers of all requests leave no room for more of one.
+// errAnswerMemory is returned if the answers of all requests leave no memory for more of one.
 var errAnswerMemory = errors.New("the answers that are being received take all memory that they may")
 
 // answerMemory bounds what the answers of all requests take, in bytes.
@@ -42,7 +42,7 @@
 	return true
 }
 
-// release gives n bytes back.
+// release subtracts n bytes that are no longer held.
 func (m *answerMemory) release(n int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/entry/dispatch/answer_memory_test.go
+++ b/internal/entry/dispatch/answer_memory_test.go
@@ -22,7 +22,7 @@
 }
 
 // TestEndlessAnswersFillNoMemory guards against many endpoints at once that send answers without end, each of which is
-// below the bound of one answer, until an entry has no memory left or breaks off the ordinary answers of others.
+// below the bound of one answer, until an entry has no memory left or interrupts the ordinary answers of others.
 func TestEndlessAnswersFillNoMemory(t *testing.T) {
 	const (
 		limit     = 16 << 20
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -110,7 +110,7 @@
 		return e.handleChunk(m, start)
 	case *message.End:
 		return e.handleEnd(m), true
-	default: // Accepted carries nothing that the first chunk does not.
+	default: // The first chunk carries everything that Accepted does.
 	}
 	return execution.Ended{}, false
 }
@@ -220,7 +220,7 @@
 	}
 }
 
-// askAgent asks an agent over a new stream what became of an attempt.
+// askAgent asks an agent over a new stream for the outcome of an attempt.
 func (e *executor) askAgent(ctx context.Context, a execution.Ask) execution.Event {
 	stream, err := e.open(ctx, a.Address)
 	if err != nil {
--- a/internal/entry/dispatch/attempt_test.go
+++ b/internal/entry/dispatch/attempt_test.go
@@ -13,8 +13,8 @@
 	"github.com/egretreach/egretreach/internal/process/httpserver"
 )
 
-// TestRequestWhoseCallerLeftIsNotDispatched guards against work for callers that closed the connection before the entry, which was late,
-// accepted it. Without a pool of links, an attempt that is made fails the test.
+// TestRequestWhoseCallerLeftIsNotDispatched guards against work for callers that closed the connection before the entry, whose
+// scheduling was delayed, accepted it. Without a pool of links, an attempt that is made fails the test.
 func TestRequestWhoseCallerLeftIsNotDispatched(t *testing.T) {
 	ended := make(chan execution.Ended, 1)
 	s := httpserver.New(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
--- a/internal/entry/dispatch/decision_log.go
+++ b/internal/entry/dispatch/decision_log.go
@@ -10,8 +10,8 @@
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
-// logDecision logs what follows from an attempt that failed or found no target: another attempt
-// or the end of the request. It logs nothing while an agent is asked what became of the attempt.
+// logDecision logs what follows from an attempt that failed or found no target: another attempt or
+// the end of the request. It logs nothing while an agent is asked for the outcome of the attempt.
 func (e *executor) logDecision(failed execution.Event, next execution.Action) {
 	if !isFailure(failed) {
 		return
--- a/internal/entry/dispatch/dispatcher.go
+++ b/internal/entry/dispatch/dispatcher.go
@@ -16,8 +16,8 @@
 
 // Options are the dependencies of a Dispatcher.
 type Options struct {
-	// BaseContext ends all work, including requests that continue after their caller
-	// has gone.
+	// BaseContext ends all work, including requests that continue after their caller has
+	// disconnected.
 	BaseContext context.Context
 	Pool        *pool.Pool
 	Control     Control
@@ -47,9 +47,9 @@
 	}
 }
 
-// Do executes a request and returns its result. If ctx ends, an idempotent request is
-// canceled. A request that runs at most once continues until its own end or deadline,
-// although nobody waits for the result, so that its claim is settled if it ends in time.
+// Do executes a request and returns its result. If ctx ends, an idempotent request is canceled. A
+// request that runs at most once continues until its own end or deadline, although no caller waits
+// for the result, so that its claim is settled if it ends in time.
 func (d *Dispatcher) Do(ctx context.Context, work Work, sink Sink) Result {
 	if work.AtMostOnce {
 		ctx = d.opts.BaseContext
--- a/internal/entry/dispatch/progress.go
+++ b/internal/entry/dispatch/progress.go
@@ -105,7 +105,7 @@
 	return nil
 }
 
-// reserve reserves n more bytes for the body. It returns false if there is no room for them.
+// reserve reserves n more bytes for the body. It returns false if there is no memory for them.
 func (p *answerProgress) reserve(n int64) bool {
 	if !p.memory.reserve(n, p.reserved+n) {
 		return false
@@ -114,7 +114,7 @@
 	return true
 }
 
-// release drops the body and gives back what is reserved for it.
+// release drops the body and releases its reserved memory.
 func (p *answerProgress) release() {
 	p.memory.release(p.reserved)
 	p.body, p.reserved = nil, 0
--- a/internal/entry/dispatch/stall_timer.go
+++ b/internal/entry/dispatch/stall_timer.go
@@ -10,8 +10,8 @@
 
 const codeStalled = "stalled"
 
-// stallTimer cancels an attempt whose endpoint hangs while the link to it works. It
-// measures only the time in which the entry waits for the endpoint, not for the caller.
+// stallTimer cancels an attempt whose endpoint has stalled while the link to it works. It measures
+// only the time in which the entry waits for the endpoint, not for the caller.
 type stallTimer struct {
 	timer   *time.Timer
 	limit   time.Duration
--- a/internal/entry/dispatch/work.go
+++ b/internal/entry/dispatch/work.go
@@ -32,7 +32,7 @@
 	Suspect  bool
 	// Parts identify the parts of the prompt that other requests may share.
 	Parts []string
-	// OnTrial is set if control lets the request through although a part of it is held back.
+	// OnTrial is set if control allows the request as a trial although a part of it is held.
 	OnTrial     bool
 	TraceParent string
 	// MaxAnswer bounds the answer in bytes.
--- a/internal/entry/execution/action.go
+++ b/internal/entry/execution/action.go
@@ -25,7 +25,7 @@
 	Attempt request.Attempt
 }
 
-// Ask asks an agent what became of an attempt.
+// Ask asks an agent for the outcome of an attempt.
 type Ask struct {
 	Address string
 	Message message.Ask
--- a/internal/entry/execution/event.go
+++ b/internal/entry/execution/event.go
@@ -52,13 +52,13 @@
 	RetryAfter time.Duration
 	// Answer is the whole answer, to be kept in the ledger for resends.
 	Answer *message.Answer
-	// ReportedUnknown is set if the agent itself reported the outcome unknown, so that
-	// asking it again gives nothing new.
+	// ReportedUnknown is set if the agent itself reported the outcome unknown, so that asking it
+	// again is useless.
 	ReportedUnknown bool
 	// Crash is the number of the engine's crash that ended the attempt, 0 if none did.
 	Crash uint64
-	// Final is set if no other attempt may follow: another attempt would fail alike, or
-	// the caller is gone or already has a part of the answer that cannot be continued.
+	// Final is set if no other attempt may follow: another attempt would fail in the same way, or
+	// the caller has disconnected or already has a part of the answer that cannot be continued.
 	Final bool
 }
 
--- a/internal/entry/execution/execution.go
+++ b/internal/entry/execution/execution.go
@@ -34,8 +34,8 @@
 	maxAsks = 3
 	// askDelay is the pause before an agent is asked again.
 	askDelay = 300 * time.Millisecond
-	// defaultRetryAfter is the RetryAfter of results whose cause may pass and gives no
-	// time of its own.
+	// defaultRetryAfter is the RetryAfter of results whose cause may be temporary and specifies no
+	// time.
 	defaultRetryAfter = 2 * time.Second
 )
 
@@ -359,8 +359,8 @@
 	return m.settle(ref, earlierAttemptUnknown(), nil)
 }
 
-// handleUnanswered leaves the claim as it is. The agent may come back with its memory,
-// and a resend can then still find out what became of the attempt.
+// handleUnanswered leaves the claim as it is. The agent may return with its memory, and a resend
+// can then still obtain the outcome of the attempt.
 func (m *Machine) handleUnanswered(now time.Time) Action {
 	if m.askCount < maxAsks && now.Add(askDelay).Before(m.spec.Deadline) {
 		return m.askLater()
--- a/internal/entry/execution/execution_test.go
+++ b/internal/entry/execution/execution_test.go
@@ -197,9 +197,9 @@
 	}
 }
 
-// TestRefusedRetryIsRepeatedUntilTheDeadline refuses each retry of a request that may have run,
-// as the only replica does until all its members are back. The request must not be given up
-// while there is time, although attempts and retry budget are used up.
+// TestRefusedRetryIsRepeatedUntilTheDeadline refuses each retry of a request that may have run, as
+// the only replica does until all its members have returned. The request must not fail before its
+// deadline, although attempts and retry budget are used up.
 func TestRefusedRetryIsRepeatedUntilTheDeadline(t *testing.T) {
 	budget := retry.New(rand.New(rand.NewPCG(1, 1)), retry.Policy{MaxAttempts: 2, MaxTokens: 1})
 	m := New(Spec{Request: ownRequest, Deadline: start.Add(time.Minute)}, budget)
--- a/internal/entry/server/holds.go
+++ b/internal/entry/server/holds.go
@@ -13,10 +13,10 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
-// minHeldRetryAfter is the least retry delay of a request that is held back.
+// minHeldRetryAfter is the least Retry-After of a request that matches a held key.
 const minHeldRetryAfter = 2 * time.Second
 
-// setHolds takes over from control which requests are held back.
+// setHolds applies control's held keys.
 func (sched *scheduler) setHolds(holds message.Holds) {
 	sched.mu.Lock()
 	defer sched.mu.Unlock()
@@ -43,8 +43,8 @@
 	return suspicion.Identity{Scopes: []string{generation.Model, allModels}, Parts: work.Parts}.PartKeys()
 }
 
-// admitHeld returns the refusal of a request that control holds back because of a part of its prompt, or nil.
-// It marks a request that control lets through as a trial.
+// admitHeld returns the refusal of a request because control holds a part of its prompt, or nil. It marks a
+// request that control allows as a trial.
 func (s *Server) admitHeld(work *dispatch.Work) *execution.Result {
 	sched := s.scheduler
 	keys := partKeys(*work)
@@ -60,7 +60,7 @@
 	return nil
 }
 
-// isHeldMeanwhile reports whether control holds the request back since it was admitted. mu is held.
+// isHeldMeanwhile reports whether control has held a part of the request since it was admitted. mu is held.
 func (sched *scheduler) isHeldMeanwhile(work dispatch.Work) bool {
 	return !work.OnTrial && sched.observer.IsHeld(partKeys(work).All())
 }
@@ -68,7 +68,7 @@
 // attemptTimes are the times of an attempt that decide whether its request is a suspect of a crash.
 type attemptTimes struct{ sentAt, firstTokenAt time.Time }
 
-// lasted returns how long the response has gone on, 0 if it has not begun.
+// lasted returns how long the response has lasted, 0 if it has not begun.
 func (t attemptTimes) lasted(now time.Time) time.Duration {
 	if t.firstTokenAt.IsZero() {
 		return 0
@@ -76,7 +76,7 @@
 	return now.Sub(t.firstTokenAt)
 }
 
-// recordHarm records for control what the end of an attempt tells of the parts of its prompt. mu is held.
+// recordHarm records for control whether an attempt, by its end, completed or may have crashed its engine. mu is held.
 func (sched *scheduler) recordHarm(work dispatch.Work, route view.Route, times attemptTimes, end dispatch.AttemptEnd, now time.Time) {
 	keys := partKeys(work)
 	switch {
@@ -89,7 +89,7 @@
 	}
 }
 
-// recordLasting records that the response of a generation goes on. mu is held.
+// recordLasting records that the response of a generation continues. mu is held.
 func (sched *scheduler) recordLasting(work dispatch.Work, times attemptTimes, now time.Time) {
 	if lasted := times.lasted(now); lasted > message.SuspectTime {
 		sched.observer.Lasts(partKeys(work), lasted, now)
--- a/internal/entry/server/model_queue.go
+++ b/internal/entry/server/model_queue.go
@@ -114,7 +114,7 @@
 	return refusalResult(*result.refused)
 }
 
-// cancelWait removes a request from the queue after its caller has gone.
+// cancelWait removes a request from the queue after its caller has disconnected.
 func (sched *scheduler) cancelWait(q *modelQueue, r admission.Request, decided chan admissionResult) *execution.Result {
 	sched.mu.Lock()
 	defer sched.mu.Unlock()
--- a/internal/entry/server/router.go
+++ b/internal/entry/server/router.go
@@ -161,9 +161,8 @@
 	}
 }
 
-// firstTokenTimeout returns the bound of each wait for a frame until the attempt's first
-// token. It returns 0 for a request that must not run twice, which is waited for until
-// its deadline.
+// firstTokenTimeout returns the bound of each wait for a frame until the attempt's first token. It
+// returns 0 for a request that must not run twice, whose response is awaited until its deadline.
 func firstTokenTimeout(work dispatch.Work, choice routing.Choice) time.Duration {
 	if work.AtMostOnce {
 		return 0
@@ -188,7 +187,7 @@
 	cancel context.CancelFunc
 }
 
-// removeRevocable forgets a revocable attempt that has ended, and releases its context.
+// removeRevocable removes a revocable attempt that has ended, and releases its context.
 func (sched *scheduler) removeRevocable(attemptID routing.AttemptID) {
 	if r, ok := sched.revocableAttempts[attemptID]; ok {
 		delete(sched.revocableAttempts, attemptID)
--- a/internal/entry/server/scheduler.go
+++ b/internal/entry/server/scheduler.go
@@ -17,9 +17,9 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
-// scheduler holds the state that admission, routing, retries and quotas are decided on.
-// One mutex guards all of it: decisions take microseconds, so sharing the mutex is
-// cheaper than keeping separately locked parts consistent.
+// scheduler holds the state by which admission, routing, retries and quotas are decided. One mutex
+// guards all of it: decisions take microseconds, so one mutex is cheaper than keeping separately
+// locked parts consistent.
 type scheduler struct {
 	mu       sync.Mutex
 	fleet    *config.Fleet
@@ -46,7 +46,7 @@
 }
 
 // minDemandInterval is the shortest time over which demand is measured. Renewals may follow each other at once, for example after a
-// change of the configuration: one request in a millisecond is no demand of a thousand a second.
+// change of the configuration, and one request in a millisecond is not a demand of a thousand a second.
 const minDemandInterval = 250 * time.Millisecond
 
 func newScheduler(rng *rand.Rand) *scheduler {
--- a/internal/entry/server/scheduler_test.go
+++ b/internal/entry/server/scheduler_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestRenewalsInARowReportTheSameDemand guards against an entry that reports a single request between two renewals which follow
-// each other at once as a demand of thousands a second, and so takes the other entries' shares of a team's limit.
+// each other at once as a demand of thousands a second, and so gets the other entries' shares of a team's limit.
 func TestRenewalsInARowReportTheSameDemand(t *testing.T) {
 	sched := newScheduler(rand.New(rand.NewPCG(1, 1)))
 	now := time.Unix(1000, 0)
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -42,7 +42,7 @@
 	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
 	MaxHeader     int
-	// MaxConnections bounds the callers' open connections. 0, and what is higher, is the default of httpserver.
+	// MaxConnections bounds the callers' open connections. The default of httpserver is used for 0 and for higher values.
 	MaxConnections int
 	// Callers bounds the memory that callers take. nil is a budget with the defaults.
 	Callers *httpserver.Budget
@@ -167,9 +167,9 @@
 	return group.Wait()
 }
 
-// Shutdown performs a planned stop. Readiness fails at once, requests are still
-// accepted for ShutdownDelay, then requests in flight finish, within DrainTimeout, and
-// the lease is given up. Those that last longer are cut, and their callers get an answer. It returns the number of requests that were cut.
+// Shutdown performs a planned stop. Readiness fails at once, requests are still accepted for ShutdownDelay, then requests in flight
+// finish, within DrainTimeout, and the lease is released. Those that last longer are cut, and their callers get an answer. It returns the
+// number of requests that were cut.
 func (s *Server) Shutdown(ctx context.Context) int {
 	s.stopping.Store(true)
 	pause.For(ctx, s.opts.ShutdownDelay)
--- a/internal/entry/server/session.go
+++ b/internal/entry/server/session.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// OnWelcome implements session.Daemon. The control host may be a new leader, which must learn of the crashes.
+// OnWelcome implements session.Daemon. The control host may be a new leader, to which the crashes must be reported.
 func (s *Server) OnWelcome(message.Welcome) { s.scheduler.resubscribed() }
 
 // OnMessage implements session.Daemon.
