api, explanation, dialect, freshness: comments in plain terms

Why: the last figurative words of these packages (an entry that has not heard of a token, an endpoint that wants no requests, lateness). What: comments only.

--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -73,7 +73,7 @@
 	// Configured reports whether the entry has a configuration yet.
 	Configured() bool
 	// ConfirmConfig returns true once control has confirmed after the call that the configuration in use is the
-	// newest, and false if that can't be had before ctx ends.
+	// newest, and false if there is no such confirmation before ctx ends.
 	ConfirmConfig(ctx context.Context) bool
 	// ResolveClass returns a class if the team may use it; an empty name means the
 	// team's default.
--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -217,7 +217,7 @@
 }
 
 // TestDenialNeedsAConfirmation guards against a token, class, model or service that was added and is denied by an entry which
-// has not heard of it yet.
+// has not received it yet.
 func TestDenialNeedsAConfirmation(t *testing.T) {
 	prompt := `{"model":"drafter","prompt":"a"}`
 	cases := map[string]struct {
--- a/internal/entry/api/confirmed.go
+++ b/internal/entry/api/confirmed.go
@@ -9,9 +9,9 @@
 // confirmTimeout bounds the wait for control to confirm the configuration. Renewals, which do that, are half a second apart.
 const confirmTimeout = time.Second
 
-// findConfirmed looks something up in the configuration by find, which reports whether it is there. What isn't there may have been
-// added meanwhile: control is asked after the request has arrived, and find is called again. It returns whether it was found,
-// and false for ok if control did not answer and the request was refused.
+// findConfirmed looks up an item of the configuration by find, which reports whether it exists. A missing item may have been added
+// in the meantime: control is asked after the request has arrived, and find is called again. It returns whether it was found, and
+// false for ok if control did not answer and the request was refused.
 func (a *API) findConfirmed(c *call, find func() bool) (found, ok bool) {
 	if find() {
 		return true, true
--- a/internal/entry/dialect/dialect.go
+++ b/internal/entry/dialect/dialect.go
@@ -34,9 +34,9 @@
 	Priority string
 	// LastEventID carries the ID of the event after which a stream is resumed.
 	LastEventID string
-	// Leaving marks the responses of an endpoint that leaves.
+	// Leaving marks the responses of a leaving endpoint.
 	Leaving string
-	// RetryAfter carries how long an endpoint that responds with 503 wants no requests.
+	// RetryAfter carries how long an endpoint that responds with 503 accepts no requests.
 	RetryAfter string
 	// Limit carries how many requests a second an endpoint takes from all gateways together.
 	Limit string
--- a/internal/entry/explanation/explanation.go
+++ b/internal/entry/explanation/explanation.go
@@ -1,4 +1,4 @@
-// Package explanation holds what a gateway tells operators about where a request would go, as it is sent and printed.
+// Package explanation holds a gateway's explanation of where a request would be sent, as it is transferred and printed.
 package explanation
 
 // Path is the path of a gateway's page, on its health listeners.
@@ -34,7 +34,7 @@
 	Parts string `json:"parts,omitempty"`
 }
 
-// Document says where a request would go and why. Fields that the gateway did not come to know before its verdict are zero.
+// Document says where a request would go and why. Fields that the gateway did not determine before its verdict are zero.
 type Document struct {
 	Gateway       string        `json:"gateway"`
 	FailureDomain string        `json:"failure_domain"`
@@ -94,7 +94,7 @@
 	AgeMs float64 `json:"age_ms"`
 	// Following reports that there is a subscription at the control leader.
 	Following bool `json:"following"`
-	// LatenessMs is how late the gateway runs, in milliseconds.
+	// LatenessMs is the scheduling delay of the gateway, in milliseconds.
 	LatenessMs float64 `json:"lateness_ms"`
 }
 
@@ -122,7 +122,7 @@
 	Occupied float64 `json:"occupied"`
 	Slots    int     `json:"slots"`
 	InFlight int     `json:"in_flight"`
-	// OccupiedFrom is what the estimate rests on: "endpoint" for a report of the endpoint, which is OccupiedAgeMs old, or "own" for the
+	// OccupiedFrom is the source of the estimate: "endpoint" for a report of the endpoint, which is OccupiedAgeMs old, or "own" for the
 	// requests of this gateway.
 	OccupiedFrom  string  `json:"occupied_from"`
 	OccupiedAgeMs float64 `json:"occupied_age_ms"`
--- a/internal/entry/explanation/text.go
+++ b/internal/entry/explanation/text.go
@@ -31,7 +31,7 @@
 
 // writeCandidates writes a table of the candidates.
 func (d Document) writeCandidates(out io.Writer) error {
-	if d.Service == "" { // The verdict came before the endpoints were looked at.
+	if d.Service == "" { // The verdict did not depend on the endpoints.
 		return nil
 	}
 	if len(d.Candidates) == 0 {
--- a/internal/entry/explanation/text_test.go
+++ b/internal/entry/explanation/text_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestTextTellsEachVerdict guards against a verdict whose reason or time to return is lost in the text, and against a table without
-// endpoints that looks like one that was cut off.
+// TestTextTellsEachVerdict guards against a verdict whose reason or Retry-After is missing from the text, and against an empty
+// table that can be mistaken for a truncated one.
 func TestTextTellsEachVerdict(t *testing.T) {
 	for expected, v := range map[string]Verdict{
 		"waits for capacity, at most 140 ms":                   {Action: ActionWaits, WaitMs: 140},
--- a/internal/entry/freshness/freshness.go
+++ b/internal/entry/freshness/freshness.go
@@ -1,5 +1,5 @@
 // Package freshness tracks how old a copy of replicated state can be. Its evidence is that control has answered a question:
-// the copy was the newest state at some time after the question was asked. Answers are told apart by the numbers of the
+// the copy was the newest state at some time after the question was asked. Answers are distinguished by the numbers of the
 // questions, not by times.
 package freshness
 
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// maxOpen bounds the unanswered questions whose times are remembered.
+// maxOpen bounds the unanswered questions whose times are stored.
 const maxOpen = 256
 
 // Tracker numbers the questions and records the answers. The zero value has asked nothing. It is safe for concurrent use.
