gateway, upstream: the rest of the comments in plain terms

Why: a second reading found figurative words that the first one had left (a request that may not pass, what a response makes a process hold).

--- a/internal/entry/gateway/body.go
+++ b/internal/entry/gateway/body.go
@@ -57,7 +57,7 @@
 	return nil
 }
 
-// grow makes room for a body of size bytes.
+// grow allocates space for a body of size bytes.
 func (b *heldBody) grow(size int) error {
 	if err := b.reserve(size); err != nil {
 		return err
@@ -105,7 +105,7 @@
 	}
 }
 
-// release gives back what the body has reserved.
+// release ends the body's reservation.
 func (b *heldBody) release() {
 	if b.memory != nil {
 		b.memory.release(b.reserved)
--- a/internal/entry/gateway/body_test.go
+++ b/internal/entry/gateway/body_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestBodiesBeyondTheMemoryForThemAreRefused sends more bodies at once than may be held. It guards against callers who end
-// the gateway by its memory limit, and against refusals that do not arrive because the body is unread.
+// TestBodiesBeyondTheMemoryForThemAreRefused sends more bodies at once than may be held. It guards against callers whose
+// bodies make the gateway exceed its memory limit, and against refusals that do not arrive because the body is unread.
 func TestBodiesBeyondTheMemoryForThemAreRefused(t *testing.T) {
 	const callers, bodyBytes, memory = 20, 800, 5 << 10
 	var got [callers]callerResponse
--- a/internal/entry/gateway/caller_left_test.go
+++ b/internal/entry/gateway/caller_left_test.go
@@ -16,7 +16,7 @@
 )
 
 // TestRequestWhoseCallerLeftIsNotSent guards against requests that reach endpoints although their callers closed the connection
-// before the gateway, which was late, accepted it.
+// before the gateway, whose scheduling was delayed, accepted it.
 func TestRequestWhoseCallerLeftIsNotSent(t *testing.T) {
 	const callers = 200
 	f := newFixture(t)
@@ -75,7 +75,7 @@
 	}
 }
 
-// lateListener accepts connections whose closing is not noticed by reading: once a request has been read, further reads wait until
+// lateListener accepts connections whose close is not detected by reading: once a request has been read, further reads wait until
 // late is closed, as the goroutine of net/http does in a process whose scheduling is delayed.
 type lateListener struct {
 	net.Listener
@@ -103,9 +103,10 @@
 	return c.TCPConn.Read(b)
 }
 
-// TestDepartureIsNoticedByALateProcess guards against endpoints that keep processing requests of callers that disconnected after the requests
-// were sent, while the gateway's scheduling is delayed: the attempt ends before net/http has noticed the end of the connection. Neither request
-// has a standby, whose send would check the connection as well: an unsafe request never has one, and a stream has none before its first event.
+// TestDepartureIsNoticedByALateProcess guards against endpoints that keep processing requests of callers that disconnected after the
+// requests were sent, while the gateway's scheduling is delayed: the attempt ends before net/http has detected the end of the connection.
+// Neither request has a standby, whose send would check the connection as well: an unsafe request never has one, and a stream has none
+// before its first event.
 func TestDepartureIsNoticedByALateProcess(t *testing.T) {
 	for _, path := range []string{"/unsafe/", "/stream/"} {
 		f := newFixture(t)
--- a/internal/entry/gateway/explain.go
+++ b/internal/entry/gateway/explain.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// explainBalance sets what the balancer would do with the request. It decides on a copy, so that requests aren't kept waiting.
+// explainBalance sets what the balancer would do with the request. It decides on a copy, so that requests aren't delayed.
 func (c *call) explainBalance(d *explanation.Document) {
 	g := c.g
 	req := c.balanceRequest(time.Duration(float64(c.route.Objective) * maxQueueShare))
--- a/internal/entry/gateway/explain_test.go
+++ b/internal/entry/gateway/explain_test.go
@@ -157,7 +157,7 @@
 }
 
 // TestExplanationOfAWholeFixture compares the page and its text with the files that cmd's test of the command uses. It guards against
-// a page that the command prints otherwise, and against a reason that is lost on its way.
+// a page that the command prints differently, and against a reason that is missing from the output.
 func TestExplanationOfAWholeFixture(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		explainedFixture(f)
--- a/internal/entry/gateway/faults_test.go
+++ b/internal/entry/gateway/faults_test.go
@@ -21,9 +21,9 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
-// TestFaultsLeaveNothingBehind guards against requests that stay counted at an endpoint or in the
-// queue, retries that the budget was not charged for, data races, joined responses and unsafe requests
-// that run twice, after random silences, refusals, breaks, crashes and callers that leave.
+// TestFaultsLeaveNothingBehind guards against requests that remain counted at an endpoint or in the
+// queue, retries that were not charged to the budget, data races, joined responses and unsafe requests
+// that run twice, after random silences, refusals, interruptions, crashes and disconnects of callers.
 func TestFaultsLeaveNothingBehind(t *testing.T) {
 	const seeds, callers, budget = 40, 30, 1000
 	for seed := range uint64(seeds) {
@@ -118,8 +118,8 @@
 	return total - len(received)
 }
 
-// randomFaults lets the endpoint do one of these with each request: decline it, break off, fail,
-// answer for another endpoint, crash, end inside an event, or be silent once.
+// randomFaults lets the endpoint do one of these with each request: decline it, interrupt the
+// response, fail, answer for another endpoint, crash, end inside an event, or be silent once.
 func (e *fakeEndpoint) randomFaults(seed uint64) {
 	var mu sync.Mutex
 	rng := rand.New(rand.NewPCG(seed, 3))
@@ -165,8 +165,8 @@
 	e.refuses.Store(false)
 }
 
-// TestCrashIsSeenByTheNextIncarnation guards against a crash that is overlooked because another endpoint serves at the
-// address, or something resets connections to it, before the gateway has looked.
+// TestCrashIsSeenByTheNextIncarnation guards against a crash that is not detected because another endpoint serves at
+// the address, or connections to it are reset, before the gateway has checked.
 func TestCrashIsSeenByTheNextIncarnation(t *testing.T) {
 	withFixture(t, func(f *fixture) {
 		forEach(f.plains, func(e *fakeEndpoint) {
--- a/internal/entry/gateway/first_event_test.go
+++ b/internal/entry/gateway/first_event_test.go
@@ -11,7 +11,7 @@
 	"github.com/egretreach/egretreach/internal/entry/overload"
 )
 
-// beginAndStaySilent lets the endpoint begin to run a request, maybe send the header of its response, and send nothing else.
+// beginAndStaySilent lets the endpoint begin to run a request, possibly send the header of its response, and send nothing else.
 func (e *fakeEndpoint) beginAndStaySilent(header bool) {
 	e.script = func(c net.Conn, r *http.Request, _ string) {
 		e.recordRun(r)
--- a/internal/entry/gateway/framing_test.go
+++ b/internal/entry/gateway/framing_test.go
@@ -26,7 +26,8 @@
 	return n, nil
 }
 
-// TestBothFramingsAreSeenInAnyPieces guards against a request with two framings that is not noticed because a name arrives in pieces.
+// TestBothFramingsAreSeenInAnyPieces guards against a request with two framings that is not detected because a name arrives in
+// pieces.
 func TestBothFramingsAreSeenInAnyPieces(t *testing.T) {
 	const both = "POST / HTTP/1.1\r\nHost: h\r\nCONTENT-Length: 5\r\nX-Content-Length: 1\r\ntransfer-ENCODING: chunked\r\n\r\n"
 	one := strings.Replace(both, "\r\nCONTENT", "\r\nXCONTENT", 1)
@@ -40,15 +41,15 @@
 	}
 }
 
-// TestLookingForFramingsAllocatesNothing guards against garbage of twice the size of all bodies.
+// TestLookingForFramingsAllocatesNothing guards against allocations of twice the size of all bodies.
 func TestLookingForFramingsAllocatesNothing(t *testing.T) {
 	body := bytes.Repeat([]byte("a line of a body\n"), 4<<10)
 	c := &framingConn{}
 	require.Zero(t, testing.AllocsPerRun(100, func() { c.lookAt(body) }))
 }
 
-// TestFramingConnEndsItsSendingDirection guards against a connection whose caller doesn't see the end of the response before the connection
-// is closed, which resets it if the caller sends more.
+// TestFramingConnEndsItsSendingDirection guards against a connection whose caller doesn't receive the end of the response before the
+// connection is closed, which resets it if the caller sends more.
 func TestFramingConnEndsItsSendingDirection(t *testing.T) {
 	var config net.ListenConfig
 	inner, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -76,8 +77,8 @@
 	require.NoError(t, err, "the other direction stays open")
 }
 
-// TestFramingConnMayHaveTwoReaders guards against a data race while an idle connection is closed: both net/http and what drops the caller's
-// further data read it then. The race detector finds it.
+// TestFramingConnMayHaveTwoReaders guards against a data race while an idle connection is closed: both net/http and the server's discarding
+// of further data read it then. The race detector reports it.
 func TestFramingConnMayHaveTwoReaders(t *testing.T) {
 	const size = 1 << 10
 	served, caller := net.Pipe()
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -146,7 +146,7 @@
 	// updated is set at each update from control.
 	updated  clock.Mark
 	stopping atomic.Bool
-	// serving ends by cut, when the time of a planned stop is up.
+	// serving is cancelled by cut at the end of the time of a planned stop.
 	serving context.Context
 	cut     context.CancelFunc
 	server  *httpserver.Server
--- a/internal/entry/gateway/hedging_test.go
+++ b/internal/entry/gateway/hedging_test.go
@@ -21,7 +21,7 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
-// hedgeAll lets the gateway hedge every slow request, and teaches it response times of the plain endpoints and the heads of 20 ms.
+// hedgeAll lets the gateway hedge every slow request, and records response times of 20 ms for the plain endpoints and the heads.
 func (f *fixture) hedgeAll() {
 	f.g.hedging.settings = hedge.Settings{Share: 1, Quantile: 0.95}
 	f.learn(20*time.Millisecond, 20*time.Millisecond)
@@ -89,8 +89,8 @@
 	})
 }
 
-// TestFailedHedgeLeavesTheFirstAttempt guards against a request that fails since its hedge failed, and against one that fails since its
-// first attempt failed after the hedge had started.
+// TestFailedHedgeLeavesTheFirstAttempt guards against a request that fails because its hedge failed, and against one that fails because
+// its first attempt failed after the hedge had started.
 func TestFailedHedgeLeavesTheFirstAttempt(t *testing.T) {
 	ends := map[string]func(f *fixture){
 		"the hedge breaks off": func(f *fixture) {
--- a/internal/entry/gateway/metrics.go
+++ b/internal/entry/gateway/metrics.go
@@ -31,10 +31,12 @@
 	evacuations metrics.Counter
 	withheld    metrics.Counter
 	cold        metrics.Counter
-	// coldAvoided and coldRefused count the requests that a warm-up limit has moved or refused.
+	// coldAvoided counts the requests that were sent elsewhere or later because of a warm-up limit, and coldRefused those that were
+	// refused.
 	coldAvoided, coldRefused metrics.Counter
 	overload                 overloadMetrics
-	// hedges counts hedges, of which hedgesWon gave the caller's response, and hedgesRefused slow requests without one.
+	// hedges counts hedges, hedgesWon those whose response was sent to the caller, and hedgesRefused slow requests that were not
+	// hedged.
 	hedges, hedgesWon, hedgesLost metrics.Counter
 	hedgesRefused                 map[hedge.Reason]metrics.Counter
 }
--- a/internal/entry/gateway/region_test.go
+++ b/internal/entry/gateway/region_test.go
@@ -66,7 +66,7 @@
 			f.heads[0].streamEvents(3, 50*time.Millisecond, closeInsideEvent)
 			require.Error(t, f.send(http.MethodPost, "/stream/x", "").err, c.name)
 		})
-		with(func(f *fixture) { // Nothing is left.
+		with(func(f *fixture) { // No endpoint is left.
 			f.moveEndpoint("p0", "b")
 			response := f.send(http.MethodPost, "/safe/x", "")
 			require.Equal(t, http.StatusServiceUnavailable, response.status, c.name)
--- a/internal/entry/gateway/report.go
+++ b/internal/entry/gateway/report.go
@@ -26,7 +26,7 @@
 		report := g.composeReport(time.Now())
 		report.Question = g.nextQuestion(urgent)
 		if stream.Send(report) != nil {
-			return // Receiving fails as well, and subscribes to another host.
+			return // Receiving fails as well, which leads to a subscription to another host.
 		}
 		if urgent && !pause.For(g.serving, urgentInterval) {
 			return
--- a/internal/entry/gateway/resolve.go
+++ b/internal/entry/gateway/resolve.go
@@ -8,7 +8,7 @@
 )
 
 // resolve sets the request's route, team, service, usage and deadlines, and adds the usage to the demand. It returns the denial of a
-// request that may not pass, else nil.
+// request that is not allowed, else nil.
 func (c *call) resolve(table *routes.Table) *denial {
 	if d := c.resolveRoute(table); d != nil {
 		return d
@@ -18,8 +18,8 @@
 	return nil
 }
 
-// resolveRoute sets the request's route, team, service and usage, and records nothing. It returns the denial of a request that may not
-// pass, else nil.
+// resolveRoute sets the request's route, team, service and usage, and records nothing. It returns the denial of a request that is not
+// allowed, else nil.
 func (c *call) resolveRoute(table *routes.Table) *denial {
 	if limit := table.Limits.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
 		return &denialHeaderTooLarge
@@ -92,7 +92,7 @@
 }
 
 // setDeadline sets the request's deadlines. A caller with a shorter timeout than others of its
-// route is taken to be retrying, and the difference to count towards the objective.
+// route is assumed to be retrying, and the difference counts towards the objective.
 func (c *call) setDeadline() {
 	c.deadline = c.arrivedAt.Add(c.route.Timeout)
 	c.objectiveDeadline = c.arrivedAt.Add(c.route.Objective)
--- a/internal/entry/gateway/retry_policy.go
+++ b/internal/entry/gateway/retry_policy.go
@@ -8,7 +8,7 @@
 	"github.com/egretreach/egretreach/internal/entry/balance"
 )
 
-// attemptResult is what is known of an attempt once its response has begun or it has failed.
+// attemptResult is the state of an attempt once its response has begun or it has failed.
 type attemptResult struct {
 	// attempt is nil if the balancer has refused it by decision.
 	attempt  *attempt
--- a/internal/entry/gateway/update.go
+++ b/internal/entry/gateway/update.go
@@ -63,7 +63,7 @@
 
 // dropReplaced removes the endpoints that have left from the balancer, and closes the idle
 // connections to those of changed that have left. In the roster an endpoint has also left if
-// another endpoint has taken over its address. mu must be held.
+// another endpoint uses its address now. mu must be held.
 func (g *Gateway) dropReplaced(changed []roster.Endpoint) {
 	if len(changed) == 0 {
 		return // An endpoint leaves or is replaced only by a change.
--- a/internal/entry/upstream/pool.go
+++ b/internal/entry/upstream/pool.go
@@ -33,8 +33,8 @@
 type Pool struct {
 	// Dial opens connections; nil uses TCP.
 	Dial Dialer
-	// MaxHeld bounds what the responses of all endpoints make the process hold, in bytes: heads, events, and bodies that
-	// are read whole. 0 is DefaultMaxHeld.
+	// MaxHeld bounds the memory that the responses of all endpoints take, in bytes: heads, events, and bodies that are
+	// read whole. 0 is DefaultMaxHeld.
 	MaxHeld int
 
 	mu   sync.Mutex
@@ -42,7 +42,7 @@
 	// checking says that a check of the idle connections is due.
 	checking bool
 	stats    Stats
-	// held counts what responses make the process hold.
+	// held counts the memory that responses take.
 	held heldMemory
 }
 
