gateway, upstream: comments of responses, planned stops and memory in plain terms

Why: comments used figurative words (a request that crosses the end of a connection, a sound endpoint, a time that is up).

--- a/internal/entry/gateway/response.go
+++ b/internal/entry/gateway/response.go
@@ -48,8 +48,9 @@
 	c.writeText(status, reason)
 }
 
-// failUnanswered ends a request that may have run without a response: with 504 if its time is
-// up, else with 502, also if the time of a planned stop is up. If the caller has left it sends nothing.
+// failUnanswered ends a request that may have run without a response: with 504 after its deadline, else
+// with 502, also at the end of the time of a planned stop. If the caller has disconnected it sends
+// nothing.
 func (c *call) failUnanswered(ctx context.Context, reason string) {
 	if c.r.Context().Err() != nil {
 		c.callerLeft()
@@ -66,15 +67,15 @@
 	c.fail(http.StatusGatewayTimeout, "no answer in time")
 }
 
-// reasonCut is the reason of a request that was in flight when the time of a planned stop was up.
+// reasonCut is the reason of a request that was in flight at the end of the time of a planned stop.
 const reasonCut = "cut by the end of the planned stop"
 
 // reasonCallerMemory is the reason of a request whose connection was closed because it held the most of the callers' memory.
 const reasonCallerMemory = "closed for the memory that callers hold"
 
-// callerLeft ends a request whose connection has ended before the end of the response: the caller has left, the time of a
-// planned stop is up, or the connection held too much memory. It breaks the connection off, since a caller that has closed only its sending side would take a normal end
-// for a success.
+// callerLeft ends a request whose connection has ended before the end of the response: the caller has disconnected, the time of a planned
+// stop has ended, or the connection held too much memory. It aborts the connection, since a caller that has closed only its sending side
+// would treat a normal end as a success.
 func (c *call) callerLeft() {
 	switch {
 	case c.g.isCutting():
@@ -88,14 +89,14 @@
 	panic(http.ErrAbortHandler)
 }
 
-// recordCut records a request that ends without a whole response because this process closes its connection.
+// recordCut records a request that ends without a complete response because this process closes its connection.
 func (c *call) recordCut(reason string) {
 	c.g.metrics.failed.Inc(1)
 	c.logEntry(event.RequestFailed).Str("reason", reason).Bool("begun", c.stats.timeToFirst > 0).Msg("")
 }
 
-// abort breaks off a response that has begun and cannot be completed, so that the caller does
-// not take it for complete.
+// abort interrupts a response that has begun and cannot be completed, so that the caller does not
+// treat it as complete.
 func (c *call) abort(reason string) {
 	if c.g.isCutting() {
 		reason = reasonCut
@@ -114,7 +115,7 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(text)+1))
 	c.w.WriteHeader(status)
-	_, _ = fmt.Fprintln(c.w, text) // An error means that the caller has left; the end is logged already.
+	_, _ = fmt.Fprintln(c.w, text) // An error means that the caller has disconnected; the end is logged already.
 }
 
 // logEntry starts the log entry of the request's end.
@@ -183,8 +184,7 @@
 	return entry
 }
 
-// copyResponseHeader copies the headers of an endpoint's response, but for those of the
-// connection.
+// copyResponseHeader copies the headers of an endpoint's response, except those of the connection.
 func (c *call) copyResponseHeader(from http.Header) {
 	to := c.w.Header()
 	for name, values := range from {
--- a/internal/entry/gateway/stop_test.go
+++ b/internal/entry/gateway/stop_test.go
@@ -38,7 +38,7 @@
 }
 
 // TestCutRequestIsLoggedAsFailed guards against a planned stop that cuts requests and logs that their
-// callers have left.
+// callers have disconnected.
 func TestCutRequestIsLoggedAsFailed(t *testing.T) {
 	var got callerResponse
 	var cut int
@@ -60,7 +60,7 @@
 	require.NotContains(t, lines.String(), "request_left")
 }
 
-// closingListener accepts connections on which a request can cross the end of the connection.
+// closingListener accepts connections on which a request can arrive while the gateway closes the connection.
 type closingListener struct {
 	net.Listener
 	armed chan struct{}
@@ -187,7 +187,7 @@
 }
 
 // TestCutRequestIsAnswered guards against a planned stop whose end closes the connections of callers
-// to which nothing has been sent, instead of telling them that the request may have run.
+// to which nothing has been sent, instead of responding that the request may have run.
 func TestCutRequestIsAnswered(t *testing.T) {
 	var got callerResponse
 	var cut int
@@ -216,8 +216,8 @@
 	require.Contains(t, lines.String(), `"status":502,"reason":"cut by the end of the planned stop"`)
 }
 
-// TestRequestThatEndsAfterTheNoticeIsRefused guards against a request whose body is whole only after the
-// notice, and that is passed on and cut by the end of the planned stop.
+// TestRequestThatEndsAfterTheNoticeIsRefused guards against a request whose body is complete only after
+// the notice, and that is forwarded and cut by the end of the planned stop.
 func TestRequestThatEndsAfterTheNoticeIsRefused(t *testing.T) {
 	var late callerResponse
 	var runs int
@@ -264,7 +264,7 @@
 	return nil, errors.New("accept failed")
 }
 
-// TestFailedListenerCutsNoRequests guards against a failure of the callers' listener that breaks off
+// TestFailedListenerCutsNoRequests guards against a failure of the callers' listener that interrupts
 // the requests on the connections that it has accepted.
 func TestFailedListenerCutsNoRequests(t *testing.T) {
 	var whole callerResponse
--- a/internal/entry/upstream/memory.go
+++ b/internal/entry/upstream/memory.go
@@ -11,9 +11,9 @@
 const (
 	// DefaultMaxHeld is the default of Pool.MaxHeld.
 	DefaultMaxHeld = 48 << 20
-	// maxHeldByEndpoint bounds what the responses of one endpoint make the process hold, in bytes.
+	// maxHeldByEndpoint bounds the memory that the responses of one endpoint take, in bytes.
 	maxHeldByEndpoint = 2 << 20
-	// ordinaryHeld is what an ordinary response makes the process hold at most, in bytes: a head and an event of a few
+	// ordinaryHeld is the greatest memory that an ordinary response takes, in bytes: a head and an event of a few
 	// kilobytes.
 	ordinaryHeld = 16 << 10
 	// ordinaryShare is the share of the bounds, as their divisor, that only ordinary responses may use.
@@ -34,18 +34,18 @@
 	return int(min(max(memory/heldShare, minMaxHeld), DefaultMaxHeld))
 }
 
-// heldMemory counts the bytes that the responses of endpoints make the process hold. The zero value is ready to use.
+// heldMemory counts the bytes of memory that the responses of endpoints take. The zero value is ready to use.
 type heldMemory struct {
 	mu        sync.Mutex
 	total     int
 	byAddress map[string]int
 }
 
-// heldLimits bound what responses make the process hold, in bytes.
+// heldLimits bound the memory that responses take, in bytes.
 type heldLimits struct{ byEndpoint, inAll int }
 
-// heldLimits returns the limits for an ordinary response or another. A part is for ordinary ones, so that long ones
-// don't break them off.
+// heldLimits returns the limits for an ordinary response or another. A part is reserved for ordinary ones, so that
+// long ones don't interrupt them.
 func (p *Pool) heldLimits(ordinary bool) heldLimits {
 	limits := heldLimits{byEndpoint: maxHeldByEndpoint, inAll: p.MaxHeld}
 	if limits.inAll == 0 {
@@ -76,11 +76,11 @@
 	return true
 }
 
-// errTooMuch is the cause of an interruption by a bound on what an endpoint may make the process hold.
+// errTooMuch is the cause of an interruption by a bound on the memory that an endpoint's responses take.
 var errTooMuch = errors.New("the endpoint sends more than may be held")
 
-// Reserve counts n more bytes that the exchange makes the process hold, or fewer if n is negative. It returns false if
-// that is too much. Close releases all.
+// Reserve counts n more bytes of memory for the exchange, or fewer if n is negative. It returns false if that is too
+// much. Close releases all.
 func (x *Exchange) Reserve(n int) bool { return x.reserve(n, true) }
 
 // reserve is Reserve. mayBeOrdinary says that the exchange counts as ordinary as long as it holds no more than one.
--- a/internal/entry/upstream/memory_test.go
+++ b/internal/entry/upstream/memory_test.go
@@ -13,10 +13,11 @@
 	"github.com/stretchr/testify/require"
 )
 
-// maxSent is what an endpoint sends in vain at most, in bytes: more than the sockets take once a caller reads no further.
+// maxSent is the greatest number of bytes that an endpoint sends to a caller that reads no further. It exceeds the buffers of the
+// sockets.
 const maxSent = 16 << 20
 
-// endless returns a script that sends a beginning and then a text again and again until the caller closes.
+// endless returns a script that sends a beginning and then a text repeatedly until the caller closes the connection.
 func endless(beginning, text string) script { return endlessTo(beginning, text, new(atomic.Int64)) }
 
 // endlessTo is endless. It counts in unbounded the connections on which the caller has taken maxSent bytes, and ends them.
@@ -38,8 +39,8 @@
 	}
 }
 
-// TestEndlessBytesFillNoMemory guards against an endpoint that sends bytes without end, in a head or a body, until
-// the process has no memory left.
+// TestEndlessBytesFillNoMemory guards against an endpoint that sends endless bytes, in a head or a body, until the
+// process has no memory left.
 func TestEndlessBytesFillNoMemory(t *testing.T) {
 	const (
 		exchanges    = 64
@@ -131,8 +132,8 @@
 	return listener.Addr().String()
 }
 
-// TestSoundAnswersAreNotCut guards against bounds that a sound endpoint meets: a large head, a large event and a body
-// that is too long to be held, which is passed on.
+// TestSoundAnswersAreNotCut guards against bounds that a healthy endpoint reaches: a large head, a large event and a
+// body that is too long to be held, which is passed on.
 func TestSoundAnswersAreNotCut(t *testing.T) {
 	var p Pool
 	head := "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Field: "+strings.Repeat("v", 100)+"\r\n", 200)
