entry: messages of tests and the comments of balance's notices in plain terms

Why: ten messages of tests used figurative words (nobody has asked, control's word, an excess that is paid for), as did a few comments. What: the text that a failing check prints, in admission, balance, explanation, freshness, gateway and suspicion; the checks and their bounds are the same. Comments of balance: an endpoint accepts no requests, instead of wanting none.

--- a/internal/entry/admission/admission_test.go
+++ b/internal/entry/admission/admission_test.go
@@ -87,7 +87,7 @@
 	require.Equal(t, CodeTeamRequests, take(at, 1))
 	at = at.Add(time.Second)
 	require.Empty(t, take(at, 2000), "larger than the burst passes alone")
-	require.Equal(t, CodeTeamTokens, take(at.Add(time.Second), 1), "and is paid for after")
+	require.Equal(t, CodeTeamTokens, take(at.Add(time.Second), 1), "the excess is charged to later requests")
 	require.Empty(t, take(at.Add(5*time.Second), 1))
 	require.Equal(t, map[string]float64{"a": 0.5}, q.Shares())
 	require.InDelta(t, 15.0/10, q.Demand(10 * time.Second)["a"], 1e-9)
--- a/internal/entry/balance/balancer_test.go
+++ b/internal/entry/balance/balancer_test.go
@@ -371,5 +371,5 @@
 	}
 	now = now.Add(lostBan - maxBan)
 	picked, _ := b.pick(newRequest(10, now), now)
-	require.Nil(t, picked, "four failures ban for longer than control's word")
+	require.Nil(t, picked, "four failures ban for longer than lostBan")
 }
--- a/internal/entry/balance/evacuation.go
+++ b/internal/entry/balance/evacuation.go
@@ -17,7 +17,7 @@
 
 // evacuations are the failure domains to whose endpoints no request is sent. The zero value has none.
 type evacuations struct {
-	// since is when this gateway learned that a domain is evacuated.
+	// since is when this gateway received the evacuation of a domain.
 	since map[string]time.Time
 }
 
--- a/internal/entry/balance/exclusion.go
+++ b/internal/entry/balance/exclusion.go
@@ -13,7 +13,7 @@
 	ExclusionNone Exclusion = iota
 	// ExclusionLeaving is an endpoint that has said in a response that it leaves.
 	ExclusionLeaving
-	// ExclusionBusy is an endpoint that has asked for no requests for a time.
+	// ExclusionBusy is an endpoint that has announced that it accepts no requests for a time.
 	ExclusionBusy
 	// ExclusionBanned is an endpoint that has failed.
 	ExclusionBanned
@@ -51,7 +51,7 @@
 type notice struct {
 	// leaving is never withdrawn.
 	leaving bool
-	// busyUntil is the end of the time for which it wants no requests.
+	// busyUntil is the end of the time for which it accepts no requests.
 	busyUntil time.Time
 	// ended says that the end of the notice has been reported by TakeEndedNotices.
 	ended bool
@@ -111,8 +111,8 @@
 	return ok && t.StartedMs == startedMs && t.notice.leaving
 }
 
-// MarkBusy records that an incarnation of an endpoint wants no requests for a time from now. A shorter
-// time than the one in force changes nothing. It reports whether the end is new.
+// MarkBusy records that an incarnation of an endpoint accepts no requests for a time from now. A
+// shorter time than the one in force changes nothing. It reports whether the end is new.
 func (b *Balancer) MarkBusy(id string, startedMs int64, busy time.Duration, now time.Time) bool {
 	t, ok := b.endpoints[id]
 	until := now.Add(busy)
--- a/internal/entry/balance/limit_test.go
+++ b/internal/entry/balance/limit_test.go
@@ -22,7 +22,7 @@
 	require.False(t, b.HearLimit(limited("p0"), 0, noon, noon), "no limit yet")
 	require.True(t, b.HearLimit(limited("p0"), 5, noon, noon.Add(time.Second)))
 	require.False(t, b.HearLimit(limited("p0"), 5, noon, noon.Add(time.Second)))
-	require.False(t, b.HearLimit(limited("p0"), 0, noon.Add(500*time.Millisecond), noon.Add(2*time.Second)), "sent before the limit was heard")
+	require.False(t, b.HearLimit(limited("p0"), 0, noon.Add(500*time.Millisecond), noon.Add(2*time.Second)), "sent before the limit was received")
 	require.True(t, b.HasLimits())
 	require.True(t, b.HearLimit(limited("p0"), 0, noon.Add(1500*time.Millisecond), noon.Add(2*time.Second)))
 	require.False(t, b.HasLimits())
--- a/internal/entry/balance/pick.go
+++ b/internal/entry/balance/pick.go
@@ -57,7 +57,7 @@
 }
 
 // pick returns the endpoint of the lowest cost that has capacity for a request, if any. avoided is
-// the number of endpoints that serve the request and have asked for none, or for no more.
+// the number of endpoints that serve the request and accept none, or no more.
 func (b *Balancer) pick(req Request, now time.Time) (best *endpointState, avoided int) {
 	var lowest float64
 	for _, t := range b.serving(req) {
--- a/internal/entry/balance/queue.go
+++ b/internal/entry/balance/queue.go
@@ -96,10 +96,10 @@
 
 // Availability describes the capacity of the endpoints at the time of a refusal.
 type Availability struct {
-	// Serving counts the endpoints that serve the request, Banned those of them that are
-	// banned or have stalled, Leaving those that have said that they leave, and Busy those that have
-	// asked for no requests for a time, and Limited those whose limit is used up. Cold are
-	// those whose warm-up limit is.
+	// Serving counts the endpoints that serve the request, Banned those of them that are banned or
+	// have stalled, Leaving those that have said that they leave, and Busy those that accept no
+	// requests for a time, and Limited those whose limit is used up. Cold are those whose warm-up
+	// limit is.
 	Serving, Banned, Leaving, Busy, Limited, Cold int
 	// Evacuated counts those in evacuated failure domains, and Region those outside the allowed regions.
 	Evacuated, Region int
--- a/internal/entry/balance/retry_budget.go
+++ b/internal/entry/balance/retry_budget.go
@@ -7,8 +7,8 @@
 type RetryBudget struct {
 	// Ratio is the number of retries earned by each request.
 	Ratio float64
-	// Burst is the greatest number of retries saved up, with which the budget starts. Half
-	// of it is earned in each Window.
+	// Burst is the greatest number of accumulated retries, with which the budget starts. Half of it
+	// is earned in each Window.
 	Burst  float64
 	Window time.Duration
 
--- a/internal/entry/explanation/text_test.go
+++ b/internal/entry/explanation/text_test.go
@@ -31,5 +31,5 @@
 	}
 	var out strings.Builder
 	require.NoError(t, Document{}.WriteText(&out))
-	require.NotContains(t, out.String(), "no endpoint is ready", "no endpoint was looked for")
+	require.NotContains(t, out.String(), "no endpoint is ready", "the verdict did not depend on endpoints")
 }
--- a/internal/entry/freshness/freshness_test.go
+++ b/internal/entry/freshness/freshness_test.go
@@ -27,7 +27,7 @@
 	require.Equal(t, 2*time.Second, age)
 	tracker.Confirm(99)
 	age, _ = tracker.Age(began.Add(3 * time.Second))
-	require.Equal(t, 2*time.Second, age, "nobody has asked question 99")
+	require.Equal(t, 2*time.Second, age, "question 99 was never asked")
 }
 
 // TestAnswerToEarlierQuestionEndsNoWait guards against a request that is taken to be confirmed by the answer to a question
--- a/internal/entry/gateway/evacuation_test.go
+++ b/internal/entry/gateway/evacuation_test.go
@@ -187,7 +187,7 @@
 		age, _ := g.freshness.Age(clock.Now())
 		require.Equal(t, time.Second, age, "revision 6 is missing")
 		g.applyUpdate(&message.Picture{Version: 5, EvacuationRevision: 3, Evacuated: &message.Evacuated{}, Complete: true})
-		require.Equal(t, uint64(4), g.evacuationRevision, "another host is behind")
+		require.Equal(t, uint64(4), g.evacuationRevision, "another host lags")
 		g.applyUpdate(&message.Picture{Version: 5, EvacuationRevision: 6, Evacuated: &message.Evacuated{}, Confirmed: question.Number})
 		age, _ = g.freshness.Age(clock.Now())
 		require.Zero(t, age)
--- a/internal/entry/gateway/stream_error_test.go
+++ b/internal/entry/gateway/stream_error_test.go
@@ -71,7 +71,7 @@
 				got := f.send(http.MethodPost, "/stream/x", "")
 				require.Equal(t, http.StatusOK, got.status)
 				require.Equal(t, eventTexts(3), got.body)
-				require.Error(t, got.err, "the stream must not look whole")
+				require.Error(t, got.err, "the stream must not seem complete")
 				require.Equal(t, 2, f.runCount())
 			})
 		})
--- a/internal/entry/gateway/warm_up_test.go
+++ b/internal/entry/gateway/warm_up_test.go
@@ -194,7 +194,7 @@
 	withFixture(t, func(f *fixture) {
 		withWarmUp(f)
 		f.g.applyUpdate(coldUpdate(0, 0, 0))
-		require.Empty(t, f.g.composeReport(time.Now()).Limits.Cold, "control has said so")
+		require.Empty(t, f.g.composeReport(time.Now()).Limits.Cold, "control has sent the cold times itself")
 		f.g.resubscribed, f.g.warmUps.subscribedAt = true, time.Now()
 		whole := &message.Picture{Version: 4, Granting: true, WarmUp: &message.WarmUp{Judged: true}}
 		f.g.applyUpdate(whole)
@@ -202,6 +202,6 @@
 		require.Equal(t, http.StatusServiceUnavailable, f.send("POST", "/unsafe/", "x").status)
 		time.Sleep(coldHandoverTime)
 		f.g.applyUpdate(whole)
-		require.Equal(t, http.StatusOK, f.send("POST", "/unsafe/", "x").status, "it has had the time to hear of them")
+		require.Equal(t, http.StatusOK, f.send("POST", "/unsafe/", "x").status, "the gateways have had the time to report cold endpoints")
 	})
 }
--- a/internal/entry/suspicion/observer_test.go
+++ b/internal/entry/suspicion/observer_test.go
@@ -57,7 +57,7 @@
 	o.Crashed(endpoint, Broken{Keys: keysOf("b"), SentAt: now}, now)
 	require.True(t, o.HasEnded(endpoint))
 	report := func(after time.Duration) []message.Crash { return o.Report(now.Add(after)).Crashes }
-	require.Empty(t, report(0), "more requests may break off")
+	require.Empty(t, report(0), "more requests may be interrupted")
 	crashes := report(time.Second)
 	require.Len(t, crashes, 1)
 	require.Equal(t, 2, crashes[0].Requests)
