--- a/internal/entry/balance/balancer.go
+++ b/internal/entry/balance/balancer.go
@@ -343,7 +343,7 @@
 	// WaitingFor is how long these have been waiting for data. Without open streams it counts at the earliest from when a
 	// request was last sent to the idle endpoint or the last one ended.
 	WaitingFor time.Duration
-	// SinceLastData is how long the endpoint has sent this gateway nothing, whatever was sent to it meanwhile, at most
+	// SinceLastData is how long the endpoint has sent this gateway nothing, regardless of what was sent to it, at most
 	// maxSinceLastData.
 	SinceLastData time.Duration
 }
--- a/internal/entry/balance/evacuation_test.go
+++ b/internal/entry/balance/evacuation_test.go
@@ -68,7 +68,7 @@
 	require.Zero(t, b.Waiting())
 }
 
-// TestEndpointsAreColdAfterAWithdrawal guards against endpoints that get their whole load at once although they got no requests for a
+// TestEndpointsAreColdAfterAWithdrawal guards against endpoints that get their full load at once although they got no requests for a
 // while, and against memory that grows with each domain that was ever evacuated.
 func TestEndpointsAreColdAfterAWithdrawal(t *testing.T) {
 	b := inDomains("a", "b")
--- a/internal/entry/balance/exclusion_test.go
+++ b/internal/entry/balance/exclusion_test.go
@@ -21,8 +21,8 @@
 
 // TestNoRequestGoesAgainstANotice draws endpoints, notices, restarts, announcements and requests. It
 // guards against a request to an incarnation that has said that it leaves, or within the time for
-// which it has asked for none, and against a request that isn't placed although an endpoint without a
-// notice has room.
+// which it accepts none, and against a request that isn't placed although an endpoint without a
+// notice has capacity.
 func TestNoRequestGoesAgainstANotice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b, now := plain(4), noon
--- a/internal/entry/balance/heads_model_test.go
+++ b/internal/entry/balance/heads_model_test.go
@@ -107,7 +107,7 @@
 	return l
 }
 
-// modelCount counts the callers of one kind or team by what they got.
+// modelCount counts the callers of one kind or team by their results.
 type modelCount struct {
 	offered, inTime, late, refused, promised, returned, returnServed, gaveUp int
 }
--- a/internal/entry/balance/limit.go
+++ b/internal/entry/balance/limit.go
@@ -32,7 +32,7 @@
 	perSecond float64
 	// told is the limit as of the last change that was reported.
 	told float64
-	// heardAt is when the limit was last named, as far as this gateway knows, or when it ended.
+	// heardAt is when the limit was last announced, as far as this gateway knows, or when it ended.
 	heardAt time.Time
 	// unreported says that the limit, from the answer to a request that was sent at sentAt, has yet to be
 	// reported to control.
--- a/internal/entry/balance/warm_up.go
+++ b/internal/entry/balance/warm_up.go
@@ -27,8 +27,8 @@
 
 // warmUp is the warm-up of an incarnation of an endpoint, as far as this gateway knows. The zero value is a warm endpoint.
 type warmUp struct {
-	// ownUntil is the end of the cold time by what the gateway itself has found, ownSince its beginning, and controlUntil the end by what
-	// control says.
+	// ownUntil is the end of the cold time by the gateway's own observations, ownSince its beginning, and controlUntil the end according
+	// to control.
 	ownUntil, ownSince, controlUntil time.Time
 	// unreported says that ownUntil has yet to be reported to control.
 	unreported bool
@@ -112,7 +112,7 @@
 	return rate
 }
 
-// assumeCold makes an endpoint cold until a time at least, by what the gateway itself has found.
+// assumeCold makes an endpoint cold until a time at least, by the gateway's own observations.
 func (b *Balancer) assumeCold(t *endpointState, until, now time.Time) {
 	w := &t.warm
 	if !b.warmUps[t.Service].IsSet() || !until.After(w.ownUntil) {
--- a/internal/entry/balance/warm_up_test.go
+++ b/internal/entry/balance/warm_up_test.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// TestWithdrawalMakesADomainCold guards against a domain that gets its whole load at once when its evacuation is withdrawn.
+// TestWithdrawalMakesADomainCold guards against a domain that gets its full load at once when its evacuation is withdrawn.
 func TestWithdrawalMakesADomainCold(t *testing.T) {
 	b := warming(1)
 	domain := b.endpoints["p0"].FailureDomain
--- a/internal/entry/gateway/config_change_test.go
+++ b/internal/entry/gateway/config_change_test.go
@@ -51,8 +51,8 @@
 
 // TestRequestsAreAnsweredWhileConfigurationsChange applies configurations (routes, services, weights,
 // teams, keys, timeouts and limits) and changes of endpoints while requests and streams run and wait.
-// Each request must end with a whole response, or with a correct refusal. It guards against a handler
-// that fails, a lock that is not released and a connection that ends without an answer.
+// Each request must end with a complete response, or with a correct refusal. It guards against a
+// handler that fails, a lock that is not released and a connection that ends without an answer.
 func TestRequestsAreAnsweredWhileConfigurationsChange(t *testing.T) {
 	for seed := range uint64(configChangeSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
--- a/internal/entry/gateway/confirmation.go
+++ b/internal/entry/gateway/confirmation.go
@@ -27,7 +27,7 @@
 // reasonUnconfirmed is the reason of a refusal for the age of the configuration and the evacuations.
 const reasonUnconfirmed = "the configuration may be outdated"
 
-// evidence is what a gateway knows about the age of its configuration.
+// evidence holds the data by which a gateway bounds the age of its configuration.
 type evidence struct {
 	// age is the time since control was asked the latest question that it has answered.
 	age time.Duration
@@ -128,7 +128,7 @@
 	return g.freshness.Wait(ctx, question)
 }
 
-// askUrgently has the next question sent at once.
+// askUrgently sends the next question at once.
 func (g *Gateway) askUrgently() {
 	select {
 	case g.urgent <- struct{}{}:
@@ -141,9 +141,9 @@
 	return message.Question{Number: g.freshness.Ask(clock.Now()), Urgent: urgent}
 }
 
-// applyConfig puts the configuration of an update in force if its version is above the one in force. The first one of this
-// process needs the confirmation that it is the newest: control hosts may be behind. holdsEvacuations reports that the gateway has the
-// evacuations that the update names, without which it confirms nothing.
+// applyConfig puts the configuration of an update in force if its version is above the one in force. The first one of this process
+// needs the confirmation that it is the newest: control hosts may lag. holdsEvacuations reports that the gateway has the evacuations
+// that the update names, without which it confirms nothing.
 func (g *Gateway) applyConfig(update *message.Picture, holdsEvacuations bool) {
 	current := g.table.Load()
 	if len(update.Document) > 0 && (current == nil || update.Version > current.Version) {
--- a/internal/entry/gateway/evacuation.go
+++ b/internal/entry/gateway/evacuation.go
@@ -20,7 +20,7 @@
 
 func (e errWithheld) Error() string { return e.reason }
 
-// applyEvacuations takes over the evacuated failure domains of an update whose revision is above the one in force, and reports whether
+// applyEvacuations applies the evacuated failure domains of an update whose revision is above the one in force, and reports whether
 // the gateway has those of the update's revision or later ones.
 func (g *Gateway) applyEvacuations(update *message.Picture) bool {
 	g.mu.Lock()
@@ -76,8 +76,8 @@
 	return ""
 }
 
-// confirmedToSend reports whether requests may be sent by what the gateway knows of control. If that may be outdated control is asked
-// first.
+// confirmedToSend reports whether requests may be sent with the evacuations that the gateway has. If these may be outdated control is
+// asked first.
 func (g *Gateway) confirmedToSend(ctx context.Context) bool {
 	if g.evidence().allowsService(g.configAge()) {
 		return true
--- a/internal/entry/gateway/first_event_test.go
+++ b/internal/entry/gateway/first_event_test.go
@@ -22,7 +22,7 @@
 	}
 }
 
-// TestStreamWithoutAnEventIsTriedElsewhere guards against a stream that waits for its first event until its time is up, because the
+// TestStreamWithoutAnEventIsTriedElsewhere guards against a stream that waits for its first event until its deadline, because the
 // gateway has no other stream at the endpoint, by which it could detect the silence. It runs at most twice, as its route allows.
 func TestStreamWithoutAnEventIsTriedElsewhere(t *testing.T) {
 	for _, header := range []bool{false, true} {
--- a/internal/entry/gateway/notice_test.go
+++ b/internal/entry/gateway/notice_test.go
@@ -41,7 +41,7 @@
 }
 
 // TestEndpointThatSaysItLeavesGetsNoRequests guards against requests to an endpoint that has said in any
-// kind of response that it leaves, whatever is announced or said later.
+// kind of response that it leaves, regardless of later announcements and responses.
 func TestEndpointThatSaysItLeavesGetsNoRequests(t *testing.T) {
 	const leaving = "X-Leaving: 1\r\n"
 	cases := map[string]struct {
--- a/internal/entry/gateway/silence_test.go
+++ b/internal/entry/gateway/silence_test.go
@@ -106,7 +106,7 @@
 }
 
 // TestLongSilenceInsideAnEventEndsNoStream guards against a time limit on single reads, which
-// breaks off a stream whose endpoint is silent inside an event.
+// interrupts a stream whose endpoint is silent inside an event.
 func TestLongSilenceInsideAnEventEndsNoStream(t *testing.T) {
 	var got callerResponse
 	withFixture(t, func(f *fixture) {
--- a/internal/entry/gateway/slow_response_test.go
+++ b/internal/entry/gateway/slow_response_test.go
@@ -22,8 +22,8 @@
 }
 
 // TestLongResponseOutlastsASilentSecond guards against a response that is longer than the gateway
-// buffers and is broken off, because its endpoint is silent for a second midway and another endpoint
-// has answered meanwhile.
+// buffers and is interrupted, because its endpoint is silent for a second midway and another
+// endpoint has answered meanwhile.
 func TestLongResponseOutlastsASilentSecond(t *testing.T) {
 	const size = maxBufferedResponse + 1000
 	var got callerResponse
--- a/internal/entry/gateway/standby_test.go
+++ b/internal/entry/gateway/standby_test.go
@@ -55,7 +55,7 @@
 
 // TestStandbyThatFailsAfterItsHeaderKeepsTheStream guards against the loss of a stream whose endpoint
 // is silent for a second and then continues, if another endpoint has sent the header of its response,
-// but no event, and then breaks off or is silent.
+// but no event, and then fails or is silent.
 func TestStandbyThatFailsAfterItsHeaderKeepsTheStream(t *testing.T) {
 	ends := map[string]func(c net.Conn){"it breaks off": closeConnection, "it is silent": keepConnectionOpen}
 	for name, end := range ends {
@@ -77,8 +77,8 @@
 	}
 }
 
-// TestSilentStandbyIsReplaced guards against a stream that waits for a silent standby until its time is
-// up, after its own endpoint has crashed and although another endpoint has room.
+// TestSilentStandbyIsReplaced guards against a stream that waits for a silent standby until its
+// deadline, after its own endpoint has crashed and although another endpoint has capacity.
 func TestSilentStandbyIsReplaced(t *testing.T) {
 	var got callerResponse
 	withFixture(t, func(f *fixture) {
--- a/internal/entry/gateway/stream_error_test.go
+++ b/internal/entry/gateway/stream_error_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestErrorNeverReachesABegunStream guards against a stream that breaks off, is resumed at an endpoint that answers with an error, and then has
-// the error's text or head in its middle, or ends as if it were whole.
+// TestErrorNeverReachesABegunStream guards against a stream that is interrupted, is resumed at an endpoint that answers with an error, and
+// then contains the error's text or head, or ends as if it were complete.
 func TestErrorNeverReachesABegunStream(t *testing.T) {
 	const text = "overloaded: id: 4\ndata: try later\n\n"
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(text))
--- a/internal/entry/gateway/subscription.go
+++ b/internal/entry/gateway/subscription.go
@@ -18,8 +18,8 @@
 	// updateTimeout is how long a control host may send no update before the gateway changes to
 	// another one. A control host sends at least three updates in this time.
 	updateTimeout = time.Second
-	// maxLeaderless is how long a control host may know no leader before the gateway changes
-	// to another one. Such a host may be cut off from the others.
+	// maxLeaderless is how long a control host may know no leader before the gateway changes to
+	// another one. Such a host may be disconnected from the others.
 	maxLeaderless = 350 * time.Millisecond
 	// avoidTime is how long a control host that failed is not tried again.
 	avoidTime = 2 * time.Second
@@ -32,7 +32,7 @@
 	// maxLateness is the greatest scheduling delay of this process at which missing messages count as a fault of
 	// control or of the link.
 	maxLateness = 250 * time.Millisecond
-	// allowedLateness is how often the lateness of the process is added to a timeout: a handshake has several steps.
+	// allowedLateness is the multiple of the scheduling delay that is added to a timeout: a handshake has several steps.
 	allowedLateness = 4
 )
 
--- a/internal/entry/gateway/warm_up.go
+++ b/internal/entry/gateway/warm_up.go
@@ -17,7 +17,7 @@
 // coldHandoverTime is the time after a subscription in which the gateways report to the control host which endpoints are cold.
 const coldHandoverTime = time.Second
 
-// warmUps is what a gateway knows of the permits for cold endpoints. The zero value is that of a gateway without a subscription.
+// warmUps is a gateway's state of the permits for cold endpoints. The zero value is that of a gateway without a subscription.
 type warmUps struct {
 	// report is the number of the latest report, and sentAt are the times of the latest reports by clock.Now, the oldest first.
 	report uint64
--- a/internal/entry/overload/scope.go
+++ b/internal/entry/overload/scope.go
@@ -212,9 +212,9 @@
 	})
 }
 
-// LateReserve returns the objective for which a late request leaves room at a head, or 0: the shortest of the ranks with requests
-// lately. While one of them is short of capacity it is less by shortLateShare, so that late requests don't take the places of those
-// that are yet to arrive.
+// LateReserve returns the objective for which a late request leaves room at a head, or 0: the shortest of the ranks with recent
+// requests. While one of them is short of capacity it is less by shortLateShare, so that late requests don't take the places of
+// those that are yet to arrive.
 func (s *Scope) LateReserve(now time.Time) time.Duration {
 	reserve := s.shortest(now, func(int, *rank) bool { return true })
 	if s.shortest(now, func(_ int, r *rank) bool { return r.share(now) < shortShare }) > 0 {
