--- a/internal/entry/balance/evacuation.go
+++ b/internal/entry/balance/evacuation.go
@@ -17,7 +17,7 @@
 
 // evacuations are the failure domains to whose endpoints no request is sent. The zero value has none.
 type evacuations struct {
-	// since is when this gateway learned that a domain is evacuated.
+	// since is when this gateway received the evacuation of a domain.
 	since map[string]time.Time
 }
 
@@ -55,7 +55,7 @@
 }
 
 // Bars returns ExclusionEvacuated or ExclusionRegion if an endpoint must not get a request, whatever its state, and ExclusionNone if it
-// may. Time alone ends neither.
+// may. Neither ends with time alone.
 func (b *Balancer) Bars(e roster.Endpoint, req Request) Exclusion {
 	if _, evacuated := b.evacuations.since[e.FailureDomain]; evacuated {
 		return ExclusionEvacuated
--- a/internal/entry/gateway/body.go
+++ b/internal/entry/gateway/body.go
@@ -57,7 +57,7 @@
 	return nil
 }
 
-// grow makes room for a body of size bytes.
+// grow allocates space for a body of size bytes.
 func (b *heldBody) grow(size int) error {
 	if err := b.reserve(size); err != nil {
 		return err
@@ -66,8 +66,8 @@
 	return nil
 }
 
-// readFrom reads a body, of length bytes or, if length is negative, of a length that is not known. If it can't be held it reads the rest all the
-// same, so that the caller gets the refusal, and returns errBodyMemory. A known length counts as a whole from the beginning.
+// readFrom reads a body, of length bytes or, if length is negative, of a length that is not known. If it can't be held, the rest is still read
+// so that the caller receives the refusal, and returns errBodyMemory. A known length counts as a whole from the beginning.
 func (b *heldBody) readFrom(r io.Reader, length int64) error {
 	if length == 0 {
 		return nil
@@ -105,7 +105,7 @@
 	}
 }
 
-// release gives back what the body has reserved.
+// release ends the body's reservation.
 func (b *heldBody) release() {
 	if b.memory != nil {
 		b.memory.release(b.reserved)
--- a/internal/entry/gateway/confirmation.go
+++ b/internal/entry/gateway/confirmation.go
@@ -27,21 +27,22 @@
 // reasonUnconfirmed is the reason of a refusal for the age of the configuration and the evacuations.
 const reasonUnconfirmed = "the configuration may be outdated"
 
-// evidence is what a gateway knows about the age of its configuration.
+// evidence holds the data by which a gateway bounds the age of its configuration.
 type evidence struct {
 	// age is the time since control was asked the latest question that it has answered.
 	age time.Duration
 	// following reports that there is a subscription at the control leader.
 	following bool
-	// lateness is how late this process runs.
+	// lateness is the scheduling delay of this process.
 	lateness time.Duration
 }
 
-// outOfReach reports whether control can't be reached. The silence of control shows that only to a process that runs in time.
+// outOfReach reports whether control can't be reached. A process whose scheduling is delayed can't conclude that from a missing
+// message.
 func (e evidence) outOfReach() bool { return !e.following && e.lateness <= maxLateness }
 
-// allowsService reports whether requests are served without a further question. A gateway that can't reach control serves by
-// what it has; Options.RefuseAfter ends that.
+// allowsService reports whether requests are served without a further question. A gateway that can't reach control serves
+// with the configuration it has until Options.RefuseAfter has passed.
 func (e evidence) allowsService(maxAge time.Duration) bool { return e.age <= maxAge || e.outOfReach() }
 
 // log adds the evidence to a log line.
@@ -127,7 +128,7 @@
 	return g.freshness.Wait(ctx, question)
 }
 
-// askUrgently has the next question sent at once.
+// askUrgently sends the next question at once.
 func (g *Gateway) askUrgently() {
 	select {
 	case g.urgent <- struct{}{}:
@@ -140,9 +141,9 @@
 	return message.Question{Number: g.freshness.Ask(clock.Now()), Urgent: urgent}
 }
 
-// applyConfig puts the configuration of an update in force if its version is above the one in force. The first one of this
-// process needs the confirmation that it is the newest: control hosts may be behind. holdsEvacuations reports that the gateway has the
-// evacuations that the update names, without which it confirms nothing.
+// applyConfig puts the configuration of an update in force if its version is above the one in force. The first one of this process
+// needs the confirmation that it is the newest: control hosts may lag. holdsEvacuations reports that the gateway has the evacuations
+// that the update names, without which it confirms nothing.
 func (g *Gateway) applyConfig(update *message.Picture, holdsEvacuations bool) {
 	current := g.table.Load()
 	if len(update.Document) > 0 && (current == nil || update.Version > current.Version) {
--- a/internal/entry/gateway/first_event_test.go
+++ b/internal/entry/gateway/first_event_test.go
@@ -11,7 +11,7 @@
 	"github.com/egretreach/egretreach/internal/entry/overload"
 )
 
-// beginAndStaySilent lets the endpoint begin to run a request, maybe send the header of its response, and send nothing else.
+// beginAndStaySilent lets the endpoint begin to run a request, possibly send the header of its response, and send nothing else.
 func (e *fakeEndpoint) beginAndStaySilent(header bool) {
 	e.script = func(c net.Conn, r *http.Request, _ string) {
 		e.recordRun(r)
@@ -22,8 +22,8 @@
 	}
 }
 
-// TestStreamWithoutAnEventIsTriedElsewhere guards against a stream that waits for its first event until its time is up, because the
-// gateway has no other stream at the endpoint, which would show that it is silent. It runs at most twice, as its route allows.
+// TestStreamWithoutAnEventIsTriedElsewhere guards against a stream that waits for its first event until its deadline, because the
+// gateway has no other stream at the endpoint, by which it could detect the silence. It runs at most twice, as its route allows.
 func TestStreamWithoutAnEventIsTriedElsewhere(t *testing.T) {
 	for _, header := range []bool{false, true} {
 		var got callerResponse
--- a/internal/entry/gateway/notice_test.go
+++ b/internal/entry/gateway/notice_test.go
@@ -41,7 +41,7 @@
 }
 
 // TestEndpointThatSaysItLeavesGetsNoRequests guards against requests to an endpoint that has said in any
-// kind of response that it leaves, whatever is announced or said later.
+// kind of response that it leaves, regardless of later announcements and responses.
 func TestEndpointThatSaysItLeavesGetsNoRequests(t *testing.T) {
 	const leaving = "X-Leaving: 1\r\n"
 	cases := map[string]struct {
@@ -197,8 +197,8 @@
 	}
 }
 
-// TestAllEndpointsBusy guards against requests that wait in vain while all endpoints are busy, and
-// against a Retry-After that has nothing to do with their return.
+// TestAllEndpointsBusy guards against requests that wait although all endpoints are busy, and
+// against a Retry-After that doesn't follow from the end of the busy time.
 func TestAllEndpointsBusy(t *testing.T) {
 	var first, refused, waited callerResponse
 	withFixture(t, func(f *fixture) {
