httpserver: a planned stop refuses the requests that net/http answers by itself

What an operator saw: one caller that sends OPTIONS * every 20 ms kept a planned stop going until its time was up. Cause: net/http answers OPTIONS * past the handler, so the request isn't refused, its connection isn't closed, and its idle time begins again. Change: all requests reach the handler. TestStopRefusesAllRequestsAlike fails 3 of 3 times without the change, passes with it.

--- /dev/null
+++ b/internal/process/httpserver/arrivals_test.go
@@ -0,0 +1,42 @@
+package httpserver
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/standin/memnet"
+)
+
+// duringStop serves on connections in memory, calls before with one of them, begins a planned stop and calls during. The stop must end by
+// itself.
+func duringStop(t *testing.T, before, during func(c net.Conn)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(&http.Server{Handler: handle(200, "served", 0)}, handle(503, "refused", 0))
+		l := memnet.NewListener("h")
+		go func() { _ = s.Serve(l) }()
+		c, err := l.Dial(t.Context(), "", "")
+		require.NoError(t, err)
+		before(c)
+		synctest.Wait()
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Stop(t.Context()) }()
+		synctest.Wait()
+		during(c)
+		require.NoError(t, <-stopped)
+	})
+}
+
+// TestStopRefusesAllRequestsAlike guards against a caller that keeps a planned stop going by requests which net/http answers by itself.
+func TestStopRefusesAllRequestsAlike(t *testing.T) {
+	duringStop(t, func(c net.Conn) { _, _ = get(c) }, func(c net.Conn) {
+		go func() { _, _ = io.WriteString(c, "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n") }()
+		answer, err := read(c)
+		require.NoError(t, err)
+		require.Equal(t, "503 refused", answer)
+	})
+}
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -75,6 +75,7 @@
 	s.limits = s.limits.withDefaults()
 	serve := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.handle(serve, refuse, w, r) })
+	server.DisableGeneralOptionsHandler = true // All requests are counted and refused alike.
 	server.ConnState = s.conns.changed
 	server.ConnContext = withConn
 	return s
