httpserver: a log line never names an earlier request of its connection

What an operator saw: response_left with the ID of a request that had been answered before. Cause: the ID that a handler gives was kept until the next handler gives one; some never do. Change: it is cleared once the header of the next request has been read. Measured: TestRequestWithoutAnIDHasNotThatOfTheOneBefore fails 3 of 3 times without the change, passes with it.

--- a/internal/process/httpserver/arrivals_test.go
+++ b/internal/process/httpserver/arrivals_test.go
@@ -40,3 +40,22 @@
 		require.Equal(t, "503 refused", answer)
 	})
 }
+
+// admitted returns a connection of a caller that a server has accepted.
+func admitted(t *testing.T) (s *Server, caller *net.TCPConn, c *limitedConn) {
+	l := listenTCP(t)
+	s = New(&http.Server{}, handle(503, "refused", 0))
+	t.Cleanup(func() { _ = s.Close() })
+	caller = dialSlow(t, l)
+	inner, err := l.Accept()
+	require.NoError(t, err)
+	return s, caller, s.admit(inner)
+}
+
+// TestRequestWithoutAnIDHasNotThatOfTheOneBefore guards against a log line that names another request of the connection.
+func TestRequestWithoutAnIDHasNotThatOfTheOneBefore(t *testing.T) {
+	_, _, c := admitted(t)
+	c.request = "request-1"
+	c.headerRead(false)
+	require.Empty(t, c.lastRequest())
+}
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -301,6 +301,7 @@
 	defer c.mu.Unlock()
 	c.meter.headerRead()
 	c.hasTrailer = hasTrailer
+	c.request = "" // The handler names the request if it has an ID.
 }
 
 // requestEnded releases what a request has held.
