httpserver: a planned stop answers connections that the process has not accepted yet

What callers saw: a connection that was established, and on which they had sent a whole request, was reset. Cause: the stop closed the listener at once, and the end of a listener resets what lies in its queue. Change: the listener accepts for 100 ms more, so that these callers get 503, not run; then it ends. The stop waits for that. Measured: TestStopRefusesRequestsOfTheAcceptQueue fails 3 of 3 times without the change, passes with it.

--- a/internal/entry/gateway/framing.go
+++ b/internal/entry/gateway/framing.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -111,6 +112,14 @@
 // framingListener accepts connections as framingConns.
 type framingListener struct{ net.Listener }
 
+// SetDeadline limits the time of Accept if the inner listener supports that.
+func (l framingListener) SetDeadline(t time.Time) error {
+	if inner, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok {
+		return inner.SetDeadline(t)
+	}
+	return errors.New("the listener has no deadlines")
+}
+
 // Accept implements net.Listener.
 func (l framingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
--- a/internal/process/httpserver/arrivals_test.go
+++ b/internal/process/httpserver/arrivals_test.go
@@ -6,12 +6,50 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/standin/memnet"
 )
 
+// gatedListener accepts connections once its gate is open, as a process that is busy does.
+type gatedListener struct {
+	*net.TCPListener
+	gate chan struct{}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// TestStopRefusesRequestsOfTheAcceptQueue guards against a planned stop that resets connections which callers have opened, and on which they
+// have sent requests, before the process has accepted them.
+func TestStopRefusesRequestsOfTheAcceptQueue(t *testing.T) {
+	inner := listenTCP(t).Listener.(*net.TCPListener)
+	l := &gatedListener{inner, make(chan struct{})}
+	s := New(&http.Server{Handler: handle(200, "served", 0)}, handle(503, "refused", 0))
+	go func() { _ = s.Serve(l) }()
+	require.Eventually(t, func() bool { return s.listener.Load() != nil }, time.Second, time.Millisecond)
+	var callers []net.Conn
+	for range 10 {
+		c := dialSlow(t, l)
+		send(t, c, simpleRequest)
+		callers = append(callers, c)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(t.Context()) }()
+	require.Eventually(t, s.Stopping, time.Second, time.Millisecond)
+	close(l.gate)
+	for _, c := range callers {
+		answer, err := read(c)
+		require.NoError(t, err)
+		require.Equal(t, "503 refused", answer)
+	}
+	require.NoError(t, <-stopped)
+}
+
 // duringStop serves on connections in memory, calls before with one of them, begins a planned stop and calls during. The stop must end by
 // itself.
 func duringStop(t *testing.T, before, during func(c net.Conn)) {
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -388,7 +388,7 @@
 // Accept implements net.Listener.
 func (l limitedListener) Accept() (net.Conn, error) {
 	for {
-		inner, err := l.Listener.Accept()
+		inner, err := l.acceptNext()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -29,6 +29,8 @@
 	stopping atomic.Bool
 	// listener is nil before Serve.
 	listener atomic.Pointer[net.Listener]
+	// accepted is closed once Serve accepts no more connections.
+	accepted chan struct{}
 }
 
 // CallerLimits bound what the callers of a server may take. The zero value has the defaults.
@@ -68,7 +70,7 @@
 // and, once Stop has been called, by refuse. It changes server, which must not be used otherwise, and sets
 // its ConnState and ConnContext. limits may be omitted.
 func New(server *http.Server, refuse http.Handler, limits ...CallerLimits) *Server {
-	s := &Server{server: server, maxKept: maxKeptConnections(), lingering: newLingering()}
+	s := &Server{server: server, maxKept: maxKeptConnections(), lingering: newLingering(), accepted: make(chan struct{})}
 	for _, l := range limits {
 		s.limits = l
 	}
@@ -133,6 +135,7 @@
 // Serve serves the connections of listener until Stop or Close is called, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	s.listener.Store(&listener)
+	defer close(s.accepted)
 	err := s.server.Serve(limitedListener{listener, s})
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
@@ -145,20 +148,19 @@
 	idleExpiry = 100 * time.Millisecond
 	// maxIdleWait is when it is closed at the latest: a busy process may take long to read a request that has arrived.
 	maxIdleWait = 2 * time.Second
+	// acceptTime is how long connections are still accepted, for requests that callers have sent before they could know of the stop.
+	acceptTime = 100 * time.Millisecond
 )
 
 // Stop accepts no more connections, closes idle ones and refuses requests. It returns nil once callers
 // have received all responses and all connections are closed, or the error of ctx if it ends first. It
 // uses neither the Shutdown nor the SetKeepAlivesEnabled of net/http, which drop requests that have arrived.
 func (s *Server) Stop(ctx context.Context) error {
-	s.stopping.Store(true)
+	accepted := s.stopAccepting()
 	s.requests.Refuse()
-	if listener := s.listener.Load(); listener != nil {
-		_ = (*listener).Close()
-	}
 	s.conns.end(idleExpiry)
 	for {
-		if !awaitIdle(ctx, s.conns.whenIdle()) || !awaitIdle(ctx, s.lingering.conns.WhenIdle()) {
+		if !awaitIdle(ctx, s.conns.whenIdle()) || !awaitIdle(ctx, s.lingering.conns.WhenIdle()) || !awaitIdle(ctx, accepted) {
 			return ctx.Err()
 		}
 		if s.conns.count.Count() == 0 { // A request may have been read while a slow caller was waited for.
