httpserver: a connection is not closed over a request that has arrived on it

What callers saw: EOF or a reset in place of a response or a refusal, without a line of log, in four ways. A planned stop closed connections that had carried no request yet, though the first one had arrived (527 of 1,500 callers who sent at that moment). A process that stood still for 3 s in a stop closed kept connections by force before it read them (86 of 100). A header that came in parts, 150 ms apart, over the begin of a stop was not waited for. And without a stop, a connection whose idle time ended while the process stood still (18 of 50). Found by a review. Cause: the process closes by its own state or clock, and doesn't look whether something has arrived. Change: a stop treats unused connections like idle ones once everything else has ended; a connection is closed by force only if nothing has arrived; a header that has begun gets a second; and a deadline that ends the wait for a request doesn't count if data lies in the socket.

--- a/internal/process/httpserver/arrivals_test.go
+++ b/internal/process/httpserver/arrivals_test.go
@@ -69,9 +69,40 @@
 	})
 }
 
+// TestStopAnswersTheFirstRequestOfAConnection guards against a planned stop that closes connections which have not carried a request yet,
+// while the first one arrives.
+func TestStopAnswersTheFirstRequestOfAConnection(t *testing.T) {
+	duringStop(t, func(net.Conn) {}, func(c net.Conn) {
+		answer, err := get(c)
+		require.NoError(t, err)
+		require.Equal(t, "503 refused", answer)
+	})
+}
+
+// TestStopAnswersARequestWhoseHeaderComesInParts guards against a planned stop that closes a connection while a header arrives, of which
+// a part was lost on its way and is sent again.
+func TestStopAnswersARequestWhoseHeaderComesInParts(t *testing.T) {
+	for name, before := range map[string]func(c net.Conn){
+		"first request": func(net.Conn) {},
+		"later request": func(c net.Conn) { _, _ = get(c) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			duringStop(t, before, func(c net.Conn) {
+				_, err := io.WriteString(c, simpleRequest[:10])
+				require.NoError(t, err)
+				time.Sleep(headerExpiry / 2)
+				go func() { _, _ = io.WriteString(c, simpleRequest[10:]) }()
+				answer, err := read(c)
+				require.NoError(t, err)
+				require.Equal(t, "503 refused", answer)
+			})
+		})
+	}
+}
+
 // TestStopRefusesAllRequestsAlike guards against a caller that keeps a planned stop going by requests which net/http answers by itself.
 func TestStopRefusesAllRequestsAlike(t *testing.T) {
-	duringStop(t, func(c net.Conn) { _, _ = get(c) }, func(c net.Conn) {
+	duringStop(t, func(net.Conn) {}, func(c net.Conn) {
 		go func() { _, _ = io.WriteString(c, "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n") }()
 		answer, err := read(c)
 		require.NoError(t, err)
@@ -90,6 +121,44 @@
 	return s, caller, s.admit(inner)
 }
 
+// sendAndAwait sends a request and waits until it has arrived.
+func sendAndAwait(t *testing.T, caller net.Conn, c *limitedConn) {
+	send(t, caller, simpleRequest)
+	require.Eventually(t, func() bool {
+		q, ok := queuesOf(c.Conn)
+		return ok && q.unread == len(simpleRequest)
+	}, time.Second, time.Millisecond)
+}
+
+// TestConnectionWithUnreadDataIsNotClosedByForce guards against a planned stop of a process that stood still, which closes idle connections
+// before it reads what has arrived on them.
+func TestConnectionWithUnreadDataIsNotClosedByForce(t *testing.T) {
+	s, caller, c := admitted(t)
+	s.conns.changed(c, http.StateNew)
+	s.conns.changed(c, http.StateIdle)
+	s.conns.end(idleExpiry)
+	sendAndAwait(t, caller, c)
+	s.conns.closeIdle(c)
+	require.False(t, c.closed.Load())
+	buffer := make([]byte, len(simpleRequest))
+	_, err := c.Read(buffer)
+	require.NoError(t, err)
+	require.Equal(t, simpleRequest, string(buffer))
+	s.conns.changed(c, http.StateActive)
+}
+
+// TestRequestThatArrivesBeforeTheEndOfTheIdleTimeIsRead guards against a process that stood still, and closes kept connections for their idle time
+// although the next request has arrived on them.
+func TestRequestThatArrivesBeforeTheEndOfTheIdleTimeIsRead(t *testing.T) {
+	_, caller, c := admitted(t)
+	sendAndAwait(t, caller, c)
+	require.NoError(t, c.SetReadDeadline(longAgo))
+	buffer := make([]byte, len(simpleRequest))
+	_, err := c.Read(buffer)
+	require.NoError(t, err)
+	require.Equal(t, simpleRequest, string(buffer))
+}
+
 // TestRequestWithoutAnIDHasNotThatOfTheOneBefore guards against a log line that names another request of the connection.
 func TestRequestWithoutAnIDHasNotThatOfTheOneBefore(t *testing.T) {
 	_, _, c := admitted(t)
--- a/internal/process/httpserver/connections.go
+++ b/internal/process/httpserver/connections.go
@@ -18,6 +18,8 @@
 	busy map[net.Conn]bool
 	// idle has the timer that closes an idle connection in a planned stop, or nil before the stop.
 	idle map[net.Conn]*time.Timer
+	// unused are the connections on which no request has been read yet.
+	unused map[net.Conn]bool
 	// count counts the connections in busy.
 	count inflight.Requests
 	// expiry is how long an idle connection is kept in a planned stop, in which it counts as busy. It is 0 before the stop.
@@ -44,10 +46,23 @@
 		b.open--
 	case http.StateActive, http.StateIdle:
 	}
+	b.setUnused(c, state == http.StateNew)
 	b.setIdle(c, state == http.StateIdle)
 	b.setBusy(c, state == http.StateActive || state == http.StateIdle && b.expiry > 0)
 }
 
+// setUnused records whether a connection is unused; mu must be held.
+func (b *connections) setUnused(c net.Conn, unused bool) {
+	if !unused {
+		delete(b.unused, c)
+		return
+	}
+	if b.unused == nil {
+		b.unused = map[net.Conn]bool{}
+	}
+	b.unused[c] = true
+}
+
 // setIdle records whether a connection is idle, and lets an idle one expire in a planned stop; mu must be held.
 func (b *connections) setIdle(c net.Conn, idle bool) {
 	if !idle {
@@ -73,10 +88,14 @@
 	b.idle[c] = time.AfterFunc(maxIdleWait, func() { b.closeIdle(c) })
 }
 
-// closeIdle closes a connection if it is idle.
+// closeIdle closes a connection if it is idle and no part of a request has arrived, which a process that stood still comes to read late.
 func (b *connections) closeIdle(c net.Conn) {
 	b.mu.Lock()
-	_, idle := b.idle[c]
+	timer, idle := b.idle[c]
+	if limited, ok := c.(*limitedConn); ok && idle && limited.hasArrivals() {
+		timer.Reset(maxIdleWait)
+		idle = false
+	}
 	b.mu.Unlock()
 	if idle {
 		_ = c.Close() // One that has just ended needs none.
@@ -129,5 +148,18 @@
 	}
 }
 
+// expireUnused lets unused connections end by themselves like idle ones, and reports whether there are any. end must have been called.
+func (b *connections) expireUnused() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	any := len(b.unused) > 0
+	for c := range b.unused {
+		delete(b.unused, c)
+		b.setIdle(c, true)
+		b.setBusy(c, true)
+	}
+	return any
+}
+
 // whenIdle returns a channel that is closed once all responses have been sent.
 func (b *connections) whenIdle() <-chan struct{} { return b.count.WhenIdle() }
--- a/internal/process/httpserver/expiry_test.go
+++ b/internal/process/httpserver/expiry_test.go
@@ -1,7 +1,6 @@
 package httpserver
 
 import (
-	"net/http"
 	"os"
 	"testing"
 	"time"
@@ -12,23 +11,13 @@
 // TestExpiredConnectionIsReadIfDataHasArrived guards against a planned stop of a busy process that closes a connection on which a request has
 // arrived in time, since the process comes to read it late.
 func TestExpiredConnectionIsReadIfDataHasArrived(t *testing.T) {
-	l := listenTCP(t)
-	s := New(&http.Server{}, handle(503, "refused", 0))
-	t.Cleanup(func() { _ = s.Close() })
-	caller := dialSlow(t, l)
-	inner, err := l.Accept()
-	require.NoError(t, err)
-	c := s.admit(inner)
+	_, caller, c := admitted(t)
 	buffer := make([]byte, len(simpleRequest))
 
 	c.expireAt(time.Now().Add(-time.Second))
-	_, err = c.Read(buffer)
+	_, err := c.Read(buffer)
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
-	send(t, caller, simpleRequest)
-	require.Eventually(t, func() bool {
-		q, ok := queuesOf(inner)
-		return ok && q.unread == len(simpleRequest)
-	}, time.Second, time.Millisecond)
+	sendAndAwait(t, caller, c)
 	n, err := c.Read(buffer)
 	require.NoError(t, err)
 	require.Equal(t, simpleRequest, string(buffer[:n]))
@@ -37,16 +26,10 @@
 // TestDeadlineOfNetHTTPDoesNotKeepAnExpiringConnection guards against a planned stop that waits for an idle connection, since net/http removes
 // the deadline after it has called the connection idle.
 func TestDeadlineOfNetHTTPDoesNotKeepAnExpiringConnection(t *testing.T) {
-	l := listenTCP(t)
-	s := New(&http.Server{}, handle(503, "refused", 0))
-	t.Cleanup(func() { _ = s.Close() })
-	dialSlow(t, l)
-	inner, err := l.Accept()
-	require.NoError(t, err)
-	c := s.admit(inner)
+	_, _, c := admitted(t)
 	c.expireAt(time.Now().Add(time.Millisecond))
 	require.NoError(t, c.SetReadDeadline(time.Time{}))
 	var b [1]byte
-	_, err = c.Read(b[:])
+	_, err := c.Read(b[:])
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
--- a/internal/process/httpserver/limited.go
+++ b/internal/process/httpserver/limited.go
@@ -50,8 +50,10 @@
 	hasTrailer bool
 	// readDeadline and writeDeadline are those that net/http or a handler has set.
 	readDeadline, writeDeadline time.Time
-	// expiry is when the connection ends unless a request has arrived. It is zero if it doesn't.
-	expiry time.Time
+	// expiry is when the connection ends unless a request has arrived. It is zero if it doesn't. extended says that a part of a header has
+	// arrived, for the rest of which it was put off.
+	expiry   time.Time
+	extended bool
 	// refused says that a read has failed because of the memory, cut that this was while a handler ran, so that nothing may be written
 	// any more.
 	refused, cut bool
@@ -75,7 +77,7 @@
 		return 0, c.refuse(len(p))
 	}
 	limited := c.limitBodyRead(len(p))
-	n, err := c.readUnlessExpired(p)
+	n, err := c.readInTime(p)
 	if c.closed.Load() {
 		return 0, net.ErrClosed // No response to what has been read could be sent.
 	}
@@ -92,6 +94,7 @@
 func (c *limitedConn) count(data []byte, buffered bool) bool {
 	c.mu.Lock()
 	c.meter.read(data, buffered)
+	c.extendExpiry()
 	cost, tooEmpty, begun := c.cost(), c.meter.emptyLines > maxEmptyLines, c.meter.known
 	c.mu.Unlock()
 	set := c.budget.set
--- a/internal/process/httpserver/meter.go
+++ b/internal/process/httpserver/meter.go
@@ -121,6 +121,9 @@
 	*m = meter{size: m.restSize, lines: m.restLines, restSize: m.restSize, restLines: m.restLines, begun: m.restSize > 0}
 }
 
+// hasText reports whether a line that is not empty has begun.
+func (m *meter) hasText() bool { return m.begun || m.line == lineText }
+
 // isReading reports whether a header is being read of which something has arrived.
 func (m *meter) isReading() bool { return !m.known && m.size > 0 }
 
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -163,6 +163,9 @@
 		if !awaitIdle(ctx, s.conns.whenIdle()) || !awaitIdle(ctx, s.lingering.conns.WhenIdle()) || !awaitIdle(ctx, accepted) {
 			return ctx.Err()
 		}
+		if s.conns.expireUnused() {
+			continue
+		}
 		if s.conns.count.Count() == 0 { // A request may have been read while a slow caller was waited for.
 			return s.Close()
 		}
