transport: the large frames under way on a link have a bound in sum

A faulty peer that begins large frames on many streams of its link and ends none could take all memory of a process.

Cause: a frame was bounded (8 MiB) and took memory as it arrived, but nothing bounded the sum over the 65,536 streams of a link.

Change: a frame above 64 KiB reserves its announced length from 32 MiB of its link before its body is read. It waits unread, in order, while there is no room, so that flow control holds the peer back; the wait ends with the deadline of the stream, Cancel, Close or the link. Streams that wait hold receive windows, which the frames under way need as well. So at most half of the link's window may wait (128 streams at their first frame, 16 at later ones, whose windows may have grown); further large frames get ErrFramesWaiting. Their link logs the first with frame_rejected.

Why it works: what is reserved covers whole frames, and half of the window is never held by those that wait, so frames under way can always be completed by a peer that sends them. Each link has its own memory, so another link waits for nothing.

Cost: a peer that begins more large frames at once than fit and may wait (by the lengths, 32 MiB and 128 streams) has further calls ended unread.

--- a/internal/link/message/frame.go
+++ b/internal/link/message/frame.go
@@ -21,6 +21,9 @@
 // MaxFrameBytes is the maximum length of a frame: its kind and its body.
 const MaxFrameBytes = 8 << 20
 
+// SmallFrameBytes is the length up to which a frame is read without a reservation of its memory.
+const SmallFrameBytes = 64 << 10
+
 // firstPartBytes is the length up to which memory is taken for a body before it arrives.
 const firstPartBytes = 16 << 10
 
@@ -117,9 +120,18 @@
 	return err
 }
 
+// Reserve reserves the memory of a frame of a length, in bytes, and may wait for it. The returned function releases it.
+type Reserve func(bytes int) (release func(), err error)
+
 // Read reads and decodes one frame. It returns io.EOF if the stream ends between
 // frames, and an error that wraps io.ErrUnexpectedEOF if it ends within one.
 func Read(r io.Reader) (Message, error) {
+	return ReadReserved(r, func(int) (func(), error) { return func() {}, nil })
+}
+
+// ReadReserved is Read with a reservation for each frame that is longer than SmallFrameBytes. The frame holds it from before
+// its body is read until it is decoded.
+func ReadReserved(r io.Reader, reserve Reserve) (Message, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
@@ -136,6 +148,13 @@
 	if m == nil {
 		return nil, ErrUnknownKind{Kind: kind}
 	}
+	if size > SmallFrameBytes {
+		release, err := reserve(int(size))
+		if err != nil {
+			return nil, errors.Wrap(err, "memory for a frame")
+		}
+		defer release()
+	}
 	body, err := readBody(r, int(size-1))
 	if err != nil {
 		return nil, errors.Wrap(err, "frame body")
--- a/internal/link/transport/conn.go
+++ b/internal/link/transport/conn.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 
 	"github.com/egretreach/egretreach/internal/link/identity"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
 // Error codes with which a link is closed.
@@ -41,14 +44,18 @@
 	peer identity.Identity
 	// receipts counts the answers to the peer's calls. It is nil on a link that this process has dialed.
 	receipts *receipts
+	memory   *frameMemory
+	// refused limits the log to the first frame of the link that is refused for want of memory.
+	refused sync.Once
+	logger  *log.Logger
 }
 
-func newConn(c *quic.Conn, self identity.Identity) (*Conn, error) {
+func newConn(c *quic.Conn, self identity.Identity, logger *log.Logger) (*Conn, error) {
 	peer, err := identity.FromConnectionState(c.ConnectionState().TLS)
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{conn: c, self: self, peer: peer}, nil
+	return &Conn{conn: c, self: self, peer: peer, memory: newFrameMemory(), logger: logger}, nil
 }
 
 // Self returns the identity by which the peer knows this process.
@@ -66,12 +73,27 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open stream")
 	}
-	return newStream(s, c.peer), nil
+	return newStream(s, c), nil
 }
 
 // Close ends the link and every call on it.
 func (c *Conn) Close() { _ = c.conn.CloseWithError(codeClosed, "") }
 
+// reserve reserves the memory of a large frame. It waits for it until ctx or the link ends.
+func (c *Conn) reserve(ctx context.Context, bytes, window int) (release func(), err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(c.conn.Context(), func() { cancel(context.Cause(c.conn.Context())) })
+	defer stop()
+	release, err = c.memory.reserve(ctx, bytes, window)
+	if IsErrFramesWaiting(err) {
+		c.refused.Do(func() {
+			event.FrameRejected.On(c.logger).Str("peer", c.peer.String()).Str("reason", err.Error()).Msg("")
+		})
+	}
+	return release, err
+}
+
 // serve handles the calls that the peer starts on the link until ctx or the link ends. The link ends with it.
 func (c *Conn) serve(ctx context.Context, handle Handler) {
 	defer c.logUnreceived()
@@ -84,7 +106,7 @@
 			return
 		}
 		go func() {
-			stream := newStream(s, c.peer)
+			stream := newStream(s, c)
 			stream.receipts = c.receipts
 			defer stream.Close()
 			handle(s.Context(), stream)
--- a/internal/link/transport/stream.go
+++ b/internal/link/transport/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -24,7 +25,14 @@
 type Stream struct {
 	stream *quic.Stream
 	reader *bufio.Reader
-	peer   identity.Identity
+	conn   *Conn
+	// canceled ends when this process stops reading.
+	canceled context.Context
+	cancel   context.CancelFunc
+	// readDeadline is that of the wait for the memory of a large frame.
+	readDeadline time.Time
+	// hasReceived is set once a frame was received. The receive window of the stream may have grown then.
+	hasReceived bool
 	// receipts counts the answer until the peer has received it. It is nil if this process has started the call.
 	receipts *receipts
 	// answered is set by Answer.
@@ -34,12 +42,13 @@
 	buf    []byte
 }
 
-func newStream(s *quic.Stream, peer identity.Identity) *Stream {
-	return &Stream{stream: s, reader: bufio.NewReaderSize(s, readBufferBytes), peer: peer}
+func newStream(s *quic.Stream, conn *Conn) *Stream {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Stream{stream: s, reader: bufio.NewReaderSize(s, readBufferBytes), conn: conn, canceled: ctx, cancel: cancel}
 }
 
 // Peer returns the identity in the peer's certificate.
-func (s *Stream) Peer() identity.Identity { return s.peer }
+func (s *Stream) Peer() identity.Identity { return s.conn.peer }
 
 // Send writes one frame. It blocks while the peer's receive window is full.
 func (s *Stream) Send(m message.Message) error {
@@ -83,8 +92,27 @@
 // isLinkLost reports whether a read or write of a stream has failed because its link has ended.
 func isLinkLost(err error) bool { return errors.Is(err, net.ErrClosed) }
 
-// Receive reads one frame. It returns io.EOF after the peer has closed its side.
-func (s *Stream) Receive() (message.Message, error) { return message.Read(s.reader) }
+// Receive reads one frame. It returns io.EOF after the peer has closed its side. A large frame waits, unread, while the large frames
+// of other calls take the memory that the link has for them. If too many wait it returns ErrFramesWaiting.
+func (s *Stream) Receive() (message.Message, error) {
+	m, err := message.ReadReserved(s.reader, s.reserve)
+	s.hasReceived = true
+	return m, err
+}
+
+// reserve reserves the memory of a large frame. The wait for it ends as a read of the stream would end.
+func (s *Stream) reserve(bytes int) (release func(), err error) {
+	ctx, window := s.canceled, initialStreamWindow
+	if s.hasReceived {
+		window = maxStreamWindow
+	}
+	if !s.readDeadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadlineCause(ctx, s.readDeadline, os.ErrDeadlineExceeded)
+		defer cancel()
+	}
+	return s.conn.reserve(ctx, bytes, window)
+}
 
 // Await waits until a frame begins to arrive. Unlike Receive it may be called again after its deadline has passed, as
 // it consumes nothing.
@@ -93,8 +121,11 @@
 	return err
 }
 
-// SetReadDeadline sets the deadline of Await and Receive. A zero time means none.
-func (s *Stream) SetReadDeadline(t time.Time) error { return s.stream.SetReadDeadline(t) }
+// SetReadDeadline sets the deadline of the next calls of Await and Receive. A zero time means none.
+func (s *Stream) SetReadDeadline(t time.Time) error {
+	s.readDeadline = t
+	return s.stream.SetReadDeadline(t)
+}
 
 // CloseSend closes this side for sending. The peer receives io.EOF.
 func (s *Stream) CloseSend() error {
@@ -106,11 +137,13 @@
 // Close ends the call after what was sent, and stops reading.
 func (s *Stream) Close() {
 	_ = s.CloseSend()
+	s.cancel()
 	s.stream.CancelRead(codeCanceled)
 }
 
 // Cancel aborts the call in both directions. Data that was sent may be lost.
 func (s *Stream) Cancel() {
+	s.cancel()
 	s.stream.CancelWrite(codeCanceled)
 	s.stream.CancelRead(codeCanceled)
 }
--- a/internal/link/transport/transport.go
+++ b/internal/link/transport/transport.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return nil, ErrDial{Address: address, Cause: err}
 	}
-	return newConn(conn, self)
+	return newConn(conn, self, s.opts.Logger)
 }
 
 func (s *Socket) dial(ctx context.Context, to *net.UDPAddr) (*quic.Conn, error) {
@@ -172,7 +172,7 @@
 		if err != nil {
 			return errors.Wrap(err, "accept")
 		}
-		conn, err := newConn(accepted, s.Self())
+		conn, err := newConn(accepted, s.Self(), s.opts.Logger)
 		if err != nil {
 			_ = accepted.CloseWithError(codeIdentity, err.Error())
 			continue
