httpserver: the queue of a listener is emptied when its time is up, also by a process that is late

Cause: the deadline of Accept comes before what lies in the queue; a process that is late sees only the deadline.

--- a/internal/process/httpserver/arrivals_test.go
+++ b/internal/process/httpserver/arrivals_test.go
@@ -41,6 +41,7 @@
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.Stop(t.Context()) }()
 	require.Eventually(t, s.Stopping, time.Second, time.Millisecond)
+	require.NoError(t, inner.SetDeadline(longAgo), "the process comes to the queue late")
 	close(l.gate)
 	for _, c := range callers {
 		answer, err := read(c)
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -31,6 +31,7 @@
 	listener atomic.Pointer[net.Listener]
 	// accepted is closed once Serve accepts no more connections.
 	accepted chan struct{}
+	drain    queueDrain
 }
 
 // CallerLimits bound what the callers of a server may take. The zero value has the defaults.
