--- a/internal/check/callers/callers_test.go
+++ b/internal/check/callers/callers_test.go
@@ -59,6 +59,8 @@
 	observed observer
 	// addresses are those of the first portal, the gateway and the gateway's health pages.
 	portalAPI, gatewayAPI, health string
+	// portalAPIs are the addresses of all portals.
+	portalAPIs []string
 }
 
 // The settings that bound what callers may take: half of the default memory, and a part of the crowd, since the connections to endpoints
@@ -84,6 +86,11 @@
 
 // startSystemWith starts a system whose gateway has the given settings beside those that it needs, and which has served one request.
 func startSystemWith(t *testing.T, gatewaySettings string) *system {
+	return startSystemOf(t, gatewaySettings, callerSettings("portal"))
+}
+
+// startSystemOf starts a system whose processes have the given settings beside those that they need, and which has served one request.
+func startSystemOf(t *testing.T, gatewaySettings, portalSettings string) *system {
 	ips := []string{loopback}
 	for i := range portalCount {
 		ips = append(ips, fmt.Sprintf("127.0.0.%d", 2+i))
@@ -101,10 +108,10 @@
 		require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 		return startProcess(t, role, "--config", path)
 	}
-	s := &system{portalAPI: seeds[0], gatewayAPI: fmt.Sprintf("%s:%d", loopback, api), health: fmt.Sprintf("%s:%d", loopback, health)}
+	s := &system{portalAPIs: seeds, portalAPI: seeds[0], gatewayAPI: fmt.Sprintf("%s:%d", loopback, api), health: fmt.Sprintf("%s:%d", loopback, health)}
 	for i, ip := range ips[1:] {
 		name := fmt.Sprint("portal-", i+1)
-		s.portals = append(s.portals, start("portal", name, ip, fmt.Sprintf("first_start: true\ndata_folder: %s\n%s", filepath.Join(folder, name+"-data"), callerSettings("portal"))))
+		s.portals = append(s.portals, start("portal", name, ip, fmt.Sprintf("first_start: true\ndata_folder: %s\n%s", filepath.Join(folder, name+"-data"), portalSettings)))
 	}
 	s.gateway = start("gateway", "gateway-1", loopback, gatewaySettings)
 	listener, err := net.Listen("tcp", loopback+":0")
