httpserver: names and comments of the planned stop, read as a newcomer

Why: a variable named as a builtin, a parameter that was shadowed, and a doc comment of Stop that no longer said when it accepts connections. Change: names and comments; no behaviour. Measured: httpserver's tests and the linter pass.

--- a/internal/process/httpserver/connections.go
+++ b/internal/process/httpserver/connections.go
@@ -152,13 +152,13 @@
 func (b *connections) expireUnused() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	any := len(b.unused) > 0
+	found := len(b.unused) > 0
 	for c := range b.unused {
 		delete(b.unused, c)
 		b.setIdle(c, true)
 		b.setBusy(c, true)
 	}
-	return any
+	return found
 }
 
 // whenIdle returns a channel that is closed once all responses have been sent.
--- a/internal/process/httpserver/expiry.go
+++ b/internal/process/httpserver/expiry.go
@@ -40,7 +40,7 @@
 	if q, ok := queuesOf(c.Conn); !ok || q.unread == 0 {
 		return n, err
 	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(idleExpiry)) // The read shows whether the connection has ended.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(idleExpiry)) // Until net/http sets another one, behind the header at the latest.
 	return c.Conn.Read(p)
 }
 
--- a/internal/process/httpserver/linger.go
+++ b/internal/process/httpserver/linger.go
@@ -54,14 +54,15 @@
 	return nil
 }
 
-// await closes a connection, of which the caller has not acknowledged unsent bytes, once its caller has received everything or has left, or
+// await closes a connection, of which the caller has not acknowledged pending bytes, once its caller has received everything or has left, or
 // when ctx ends.
-func (l *lingering) await(c *limitedConn, unsent int) {
+func (l *lingering) await(c *limitedConn, pending int) {
 	defer l.conns.End()
 	defer func() { _ = c.release() }() // Everything was received, or the loss is recorded.
 	received := sync.OnceFunc(l.unreceived.End)
 	defer received()
-	switch reason, unsent := c.linger(l.ctx, unsent, received); {
+	reason, unsent := c.linger(l.ctx, pending, received)
+	switch {
 	case reason == unsentNothing:
 	case reason.isByCaller():
 		c.recordLeft(reason, unsent)
--- a/internal/process/httpserver/server.go
+++ b/internal/process/httpserver/server.go
@@ -153,8 +153,8 @@
 	acceptTime = 100 * time.Millisecond
 )
 
-// Stop accepts no more connections, closes idle ones and refuses requests. It returns nil once callers
-// have received all responses and all connections are closed, or the error of ctx if it ends first. It
+// Stop refuses requests, closes connections once they are idle, and accepts no more of them after acceptTime. It returns nil
+// once callers have received all responses and all connections are closed, or the error of ctx if it ends first. It
 // uses neither the Shutdown nor the SetKeepAlivesEnabled of net/http, which drop requests that have arrived.
 func (s *Server) Stop(ctx context.Context) error {
 	accepted := s.stopAccepting()
