--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -31,6 +31,7 @@
 	program = "target/egretreach"
 	// putPatience is how long a configuration is sent again.
 	putPatience = 20 * time.Second
+	portalCount = 3
 )
 
 // fleet is a small deployment.
@@ -110,14 +111,14 @@
 	return net.JoinHostPort(f.gateways[i].ip, strconv.Itoa(f.front))
 }
 
-// startAll starts some portals and gateways for the first time, with the settings that the deploy file gives them.
-func (f *fleet) startAll(portals, gateways int) error {
+// startAll starts three portals and some gateways for the first time, with the settings that the deploy file gives them.
+func (f *fleet) startAll(gateways int) error {
 	var seeds []string
-	for i := range min(portals, 3) {
+	for i := range portalCount {
 		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(f.ip(10+i), strconv.Itoa(f.control))))
 	}
 	list := "[" + strings.Join(seeds, ", ") + "]"
-	for i := range portals {
+	for i := range portalCount {
 		d := &daemon{role: "portal", name: fmt.Sprintf("core-%d", i+1), ip: f.ip(10 + i)}
 		settings := fmt.Sprintf("host:\n  id: %q\n  failure_domain: \"a\"\nlink:\n  address: \"%s:%d\"\n  private_network: true\napi: \"%s:%d\"\n"+
 			"health:\n  address: \"%s:%d\"\nseeds: %s\nfirst_start: true\ndata_folder: %q\nheartbeat: 1200ms\nstop:\n  grace: 8s\n%s",
--- a/review/stand2/group.go
+++ b/review/stand2/group.go
@@ -272,7 +272,7 @@
 
 // groupCase lets another writer send a heartbeat with fields missing for the head of a group that serves.
 func groupCase(f *fleet, trouble bool) int {
-	if f.startAll(3, 1) != nil || !f.put(engineDocument(1)) {
+	if f.startAll(1) != nil || !f.put(engineDocument(1)) {
 		return exitNotRun
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -22,6 +22,8 @@
 		status = memoryCase(f, trouble)
 	case "group":
 		status = groupCase(f, trouble)
+	case "unframed":
+		status = unframedCase(f, trouble)
 	case "recover":
 		status = recoverCase(f, trouble)
 	}
--- a/review/stand2/memory.go
+++ b/review/stand2/memory.go
@@ -86,7 +86,7 @@
 // memoryCase changes the configuration as often as the users do in a day, and watches the memory of the portals.
 func memoryCase(f *fleet, trouble bool) int {
 	f.portalSettings = fmt.Sprintf("memory:\n  process: %dMiB\n", coreMemoryMB)
-	if f.startAll(3, 1) != nil {
+	if f.startAll(1) != nil {
 		return exitNotRun
 	}
 	routes := usualRoutes
--- a/review/stand2/recover.go
+++ b/review/stand2/recover.go
@@ -159,7 +159,7 @@
 // recoverCase brings about a final fault of the core while some clients ask for models that aren't there, and looks whether ordinary requests are
 // served afterwards.
 func recoverCase(f *fleet, trouble bool) int {
-	if f.startAll(3, 2) != nil || !f.put(engineDocument(1)) {
+	if f.startAll(2) != nil || !f.put(engineDocument(1)) {
 		f.note("the deployment doesn't start")
 		return exitNotRun
 	}
