--- a/cmd/control.go
+++ b/cmd/control.go
@@ -37,6 +37,7 @@
 	links := pool.New(deps.Socket)
 	replicated := server.ReplicatedLogOptions{
 		ID: s.Host.ID, Hosts: hosts, FileSystem: journal.OSFileSystem{}, Folder: s.DataFolder, Pool: links, Logger: deps.Logger,
+		Metrics: deps.Metrics,
 	}
 	control, err := server.NewDaemon(server.Options{
 		ID: s.Host.ID, Socket: deps.Socket, Pool: links, Hosts: hosts, Log: replicated.Open, Logger: deps.Logger,
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -156,7 +156,7 @@
 // New returns a portal.
 func New(opts Options) *Portal {
 	self := message.Founder{Host: opts.Self, Address: opts.LinkAddress}
-	return &Portal{
+	p := &Portal{
 		opts:   opts,
 		linkID: opts.Self,
 		discovery: bootstrap.New(bootstrap.Options{
@@ -174,6 +174,8 @@
 		voterMovedAt:   map[host.ID]time.Time{},
 		tracker:        warmup.Tracker{FirstStart: opts.FirstStart, MaxSilence: opts.Heartbeat*5/3 + unprobedTimeout},
 	}
+	replication.RegisterMetrics(opts.Metrics, p.logStatus)
+	return p
 }
 
 // Run runs the portal until ctx ends.
@@ -266,6 +268,14 @@
 	return p.log
 }
 
+// logStatus returns the status of the running log, or the zero Status.
+func (p *Portal) logStatus() replication.Status {
+	if l := p.currentLog(); l != nil {
+		return l.Status()
+	}
+	return replication.Status{}
+}
+
 // firstFrameTimeout bounds the wait for the first frame of a stream.
 const firstFrameTimeout = 5 * time.Second
 
--- a/internal/control/quorum/leader.go
+++ b/internal/control/quorum/leader.go
@@ -20,10 +20,7 @@
 	n.resetRole()
 	n.role, n.leader = RoleLeader, n.self
 	n.timerDue = now
-	n.writes.uncommittedBytes = 0
-	for _, e := range n.log.slice(n.commit+1, n.log.last()) {
-		n.writes.uncommittedBytes += e.size()
-	}
+	n.writes.uncommittedBytes = totalSize(n.log.slice(n.commit+1, n.log.last()))
 	n.progress = map[host.ID]*progress{}
 	membership := n.log.membership()
 	for _, id := range n.peers {
--- a/internal/control/quorum/log.go
+++ b/internal/control/quorum/log.go
@@ -1,5 +1,7 @@
 package quorum
 
+import "slices"
+
 // entryLog holds entries in memory: those after a snapshot and the last few before it that
 // are kept for lagging peers.
 type entryLog struct {
@@ -7,6 +9,8 @@
 	prevIndex Index
 	prevTerm  Term
 	entries   []Entry
+	// bytes is the size of entries.
+	bytes int
 	// baseMembership is the membership at prevIndex; membershipChanges are those in entries.
 	baseMembership    *Membership
 	membershipChanges []membershipChange
@@ -84,11 +88,22 @@
 		}
 	}
 	l.entries = append(l.entries, entries...)
+	l.bytes += totalSize(entries)
+}
+
+// totalSize returns the size of entries in bytes.
+func totalSize(entries []Entry) int {
+	bytes := 0
+	for _, e := range entries {
+		bytes += e.size()
+	}
+	return bytes
 }
 
 // truncate drops the entries from first on. Slices returned earlier keep their content.
 func (l *entryLog) truncate(first Index) {
 	keep := first - l.prevIndex - 1
+	l.bytes -= totalSize(l.entries[keep:])
 	l.entries = l.entries[:keep:keep]
 	for len(l.membershipChanges) > 0 && l.membershipChanges[len(l.membershipChanges)-1].index >= first {
 		l.membershipChanges = l.membershipChanges[: len(l.membershipChanges)-1 : len(l.membershipChanges)-1]
@@ -105,7 +120,9 @@
 	for len(l.membershipChanges) > 0 && l.membershipChanges[0].index <= last {
 		l.membershipChanges = l.membershipChanges[1:]
 	}
-	l.entries = append([]Entry(nil), l.entries[last-l.prevIndex:]...)
+	covered := last - l.prevIndex
+	l.bytes -= totalSize(l.entries[:covered])
+	l.entries = slices.Clone(l.entries[covered:])
 	l.prevIndex, l.prevTerm = last, term
 }
 
--- a/internal/control/quorum/node.go
+++ b/internal/control/quorum/node.go
@@ -278,10 +278,7 @@
 		return
 	}
 	entries := n.log.slice(n.commit+1, index)
-	for _, e := range entries {
-		n.writes.uncommittedBytes -= e.size()
-	}
-	n.writes.uncommittedBytes = max(n.writes.uncommittedBytes, 0)
+	n.writes.uncommittedBytes = max(n.writes.uncommittedBytes-totalSize(entries), 0)
 	n.commit, n.applied = index, index
 	n.emit(Apply{Entries: entries})
 	n.checkAdmission()
--- a/internal/control/quorum/status.go
+++ b/internal/control/quorum/status.go
@@ -20,6 +20,8 @@
 	SnapshotIndex Index
 	// StableIndex is the last index that is on this host's disk. It is set on a leader only.
 	StableIndex Index
+	// Memory is what the log holds in memory.
+	Memory Memory
 	// HasLease is true on a leader that may serve reads.
 	HasLease bool
 	// Transferring is true on a leader that is transferring its leadership.
@@ -30,12 +32,27 @@
 	MissingPromises []host.ID
 }
 
+// Memory is what a log holds in memory, in bytes. What is named twice may be the same memory.
+type Memory struct {
+	// Entries are those after the snapshot and those that are kept behind it.
+	Entries int
+	// Uncommitted are the entries that no majority holds yet. It is 0 on a host that has not led.
+	Uncommitted int
+	// Pending are the entries and snapshots that wait for this host's disk.
+	Pending int
+	// Snapshot is the latest snapshot, and Incoming the part that has arrived of another one.
+	Snapshot int
+	Incoming int
+}
+
 // PeerStatus is the status of a peer as known to the leader.
 type PeerStatus struct {
 	Host           host.ID
 	Match          Index
 	SinceLastReply time.Duration
 	Admitted       bool
+	// UnackedBytes is the size of the entries that were sent to the peer and not acknowledged, or of the snapshot that is being sent.
+	UnackedBytes int
 }
 
 // Status returns the status at time now.
@@ -44,6 +61,7 @@
 		Role: n.role, Term: n.hard.Term, Leader: n.leader,
 		Generation: n.hard.Generation, Admitted: n.hard.Admitted,
 		LastIndex: n.log.last(), CommitIndex: n.commit, SnapshotIndex: n.snapshot.Index,
+		Memory: n.memory(),
 	}
 	if n.fresh() && n.self == n.bootstrapHost() {
 		s.MissingPromises = n.missingPromises()
@@ -57,11 +75,19 @@
 		p := n.progress[id]
 		s.Peers = append(s.Peers, PeerStatus{
 			Host: id, Match: p.match, SinceLastReply: now.Sub(p.lastReply), Admitted: p.admitted,
+			UnackedBytes: p.inflightBytes + len(p.snapshot.Data),
 		})
 	}
 	return s
 }
 
+func (n *Node) memory() Memory {
+	return Memory{
+		Entries: n.log.bytes, Uncommitted: n.writes.uncommittedBytes, Pending: n.writes.pendingBytes(),
+		Snapshot: len(n.snapshot.Data), Incoming: len(n.incoming.data),
+	}
+}
+
 // IsReplaced reports whether this host's committed log names another disk than g as that of the host id, and no later entry
 // of the log names g.
 func (n *Node) IsReplaced(id host.ID, g Generation) bool {
--- a/internal/control/quorum/writes.go
+++ b/internal/control/quorum/writes.go
@@ -28,6 +28,17 @@
 	sequence uint64
 	last     Index
 	hard     HardState
+	// bytes is the size of the write's entries and snapshot.
+	bytes int
+}
+
+// pendingBytes returns the size of what waits for the disk.
+func (w *writes) pendingBytes() int {
+	bytes := 0
+	for _, p := range w.pending {
+		bytes += p.bytes
+	}
+	return bytes
 }
 
 type heldMessage struct {
@@ -62,7 +73,7 @@
 		p.Hard, w.hard = &hard, hard
 	}
 	w.entries, w.snapshot, w.reset = nil, nil, false
-	w.pending = append(w.pending, pendingWrite{sequence: w.lastSequence, last: n.log.last(), hard: n.hard})
+	w.pending = append(w.pending, pendingWrite{sequence: w.lastSequence, last: n.log.last(), hard: n.hard, bytes: p.size()})
 	// The write comes first, so that it runs while the messages are sent.
 	n.actions = append([]Action{p}, n.actions...)
 }
--- a/internal/control/replication/status.go
+++ b/internal/control/replication/status.go
@@ -21,6 +21,8 @@
 	LastIndex     uint64
 	CommitIndex   uint64
 	SnapshotIndex uint64
+	// Memory is what the log holds in memory.
+	Memory quorum.Memory
 	// StableIndex, the last index on this host's disk, and Peers are set on the leader only.
 	StableIndex uint64
 	Peers       []PeerStatus
@@ -56,6 +58,8 @@
 	Silent bool
 	// Admitted is true if the peer's disk may vote.
 	Admitted bool
+	// UnackedBytes is the size of the entries that were sent to the peer and not acknowledged, or of the snapshot that is being sent.
+	UnackedBytes int
 }
 
 // Status returns the present status of the log on this host.
@@ -87,12 +91,13 @@
 		Leader: nodeStatus.Leader, LeaderAddress: l.addresses.get(nodeStatus.Leader),
 		Generation: nodeStatus.Generation, Admitted: nodeStatus.Admitted, LastIndex: uint64(nodeStatus.LastIndex),
 		CommitIndex: uint64(nodeStatus.CommitIndex), SnapshotIndex: uint64(nodeStatus.SnapshotIndex),
-		StableIndex: uint64(nodeStatus.StableIndex),
+		StableIndex: uint64(nodeStatus.StableIndex), Memory: nodeStatus.Memory,
 	}
 	for _, p := range nodeStatus.Peers {
 		s.Peers = append(s.Peers, PeerStatus{
 			Host: p.Host, Address: l.addresses.get(p.Host), Match: uint64(p.Match),
 			SinceLastReply: p.SinceLastReply, Silent: p.SinceLastReply > l.timing.ElectionTimeout, Admitted: p.Admitted,
+			UnackedBytes: p.UnackedBytes,
 		})
 	}
 	return s
--- a/internal/control/server/replicated.go
+++ b/internal/control/server/replicated.go
@@ -13,6 +13,7 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/pool"
 	"github.com/egretreach/egretreach/internal/link/transport"
+	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
 
 // ReplicatedLogOptions holds the options of a log that the control hosts replicate and keep on
@@ -27,6 +28,8 @@
 	Logger *log.Logger
 	// Timing holds the heartbeat and election times.
 	Timing quorum.Timing
+	// Metrics gets the gauges of the log. It may be nil.
+	Metrics *metric.Registry
 }
 
 // Open opens the journal and returns the log that applies its commands to machine. It is meant for
@@ -41,6 +44,7 @@
 		Self: r.ID, Hosts: r.Hosts, Journal: opened, StateMachine: machine, Pool: r.Pool, Logger: r.Logger,
 		Timing: r.Timing, OnStatusChange: l.onStatusChange,
 	})
+	replication.RegisterMetrics(r.Metrics, l.Log.Status)
 	return l, nil
 }
 
