--- a/internal/control/quorum/log.go
+++ b/internal/control/quorum/log.go
@@ -126,6 +126,19 @@
 	l.prevIndex, l.prevTerm = last, term
 }
 
+// lastBefore returns the index of the entry before the last ones up to index, of which there are at most entries, with at most limit bytes.
+func (l *entryLog) lastBefore(index, entries Index, limit int) Index {
+	before, bytes := index, 0
+	for before > l.prevIndex && index-before < entries {
+		bytes += l.entries[before-l.prevIndex-1].size()
+		if bytes > limit {
+			break
+		}
+		before--
+	}
+	return before
+}
+
 // membershipAt returns the membership as of index i, or nil before the bootstrap.
 func (l *entryLog) membershipAt(i Index) *Membership {
 	for k := len(l.membershipChanges) - 1; k >= 0; k-- {
--- /dev/null
+++ b/internal/control/quorum/memory_test.go
@@ -0,0 +1,85 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+)
+
+// singleNode is a node whose log needs no other host.
+type singleNode struct {
+	t    *testing.T
+	node *Node
+	now  time.Time
+	// written holds the writes that the node has asked for. They are confirmed at once unless slowDisk is set.
+	written  []Persist
+	slowDisk bool
+	rejected []Rejected
+	lastID   uint64
+}
+
+func newSingleNode(t *testing.T) *singleNode {
+	now := time.Unix(1_000_000, 0)
+	opts := Options{Self: "c1", Hosts: []host.ID{"c1"}}
+	s := &singleNode{t: t, now: now, node: New(now, opts, RecoveredState{Hard: HardState{Generation: 1}})}
+	s.step(Tick{})
+	require.Equal(t, RoleLeader, s.node.Status(now).Role)
+	return s
+}
+
+func (s *singleNode) step(e Event) {
+	for _, action := range s.node.Step(s.now, e) {
+		switch a := action.(type) {
+		case Persist:
+			s.written = append(s.written, a)
+			if !s.slowDisk {
+				s.step(Persisted{Sequence: a.Sequence})
+			}
+		case Rejected:
+			s.rejected = append(s.rejected, a)
+		}
+	}
+}
+
+// propose proposes a command of some bytes.
+func (s *singleNode) propose(bytes int) {
+	s.lastID++
+	s.step(Propose{Proposals: []Proposal{{ID: s.lastID, Command: make([]byte, bytes)}}})
+}
+
+func (s *singleNode) snapshot() {
+	s.step(SnapshotTaken{Index: s.node.applied, Data: []byte("state")})
+}
+
+// TestLargeEntriesBehindASnapshotAreDropped guards against a host that runs out of memory because it keeps a number of entries behind each
+// snapshot, however large they are.
+func TestLargeEntriesBehindASnapshotAreDropped(t *testing.T) {
+	const changes, changesPerSnapshot, changeBytes = 1100, 20, 844 << 10
+	const most = 4 << 20 // What a peer that answers in time may lag by.
+	s := newSingleNode(t)
+	for i := range changes {
+		s.propose(changeBytes)
+		if i%changesPerSnapshot == changesPerSnapshot-1 {
+			s.snapshot()
+			require.LessOrEqual(t, s.node.Status(s.now).Memory.Entries, most, "after %d changes", i+1)
+		}
+	}
+	require.Empty(t, s.rejected)
+}
+
+// TestSmallEntriesAreKeptForAPeerThatLags guards against a snapshot for each peer that lags by a few entries.
+func TestSmallEntriesAreKeptForAPeerThatLags(t *testing.T) {
+	const changes, changeBytes = 3000, 100
+	s := newSingleNode(t)
+	for range changes {
+		s.propose(changeBytes)
+	}
+	s.snapshot()
+	_, known := s.node.log.term(s.node.log.last() - DefaultKeptEntries)
+	require.True(t, known)
+	_, known = s.node.log.term(s.node.log.last() - DefaultKeptEntries - 1)
+	require.False(t, known)
+}
--- a/internal/control/quorum/node.go
+++ b/internal/control/quorum/node.go
@@ -301,7 +301,7 @@
 }
 
 // compact has a snapshot of the application state made durable. It drops the entries that the
-// snapshot covers, except the last keptEntries.
+// snapshot covers, except the last ones, of which keptEntries and maxKeptBytes limit how many.
 func (n *Node) compact(e SnapshotTaken) {
 	term, known := n.log.term(e.Index)
 	membership := n.log.membershipAt(e.Index)
@@ -310,7 +310,5 @@
 	}
 	n.snapshot = Snapshot{Index: e.Index, Term: term, Membership: *membership, Data: e.Data}
 	n.writes.snapshot = &n.snapshot
-	if e.Index > n.keptEntries {
-		n.log.compact(e.Index - n.keptEntries)
-	}
+	n.log.compact(n.log.lastBefore(e.Index, n.keptEntries, maxKeptBytes))
 }
--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -191,6 +191,8 @@
 	chunkBytes = 512 << 10
 	// DefaultKeptEntries is the default of Options.KeptEntries.
 	DefaultKeptEntries = 1024
+	// maxKeptBytes limits the entries that stay in memory behind a snapshot. A peer that answers lags by no more.
+	maxKeptBytes = maxInflightBytes
 )
 
 // Options configures the Raft instance of one host.
@@ -199,8 +201,8 @@
 	// Hosts are all control hosts, including this one. A majority of them decides.
 	Hosts  []host.ID
 	Timing Timing
-	// KeptEntries is how many of the entries that a snapshot covers stay in memory, so that a
-	// slightly lagging peer needs no snapshot; 0 means DefaultKeptEntries.
+	// KeptEntries is how many of the entries that a snapshot covers stay in memory at most, so that a
+	// slightly lagging peer needs no snapshot; 0 means DefaultKeptEntries. Large entries are dropped earlier.
 	KeptEntries int
 	// Seed seeds the random part of election timeouts.
 	Seed uint64
