quorum: a message that waits for a peer holds only its own entries

A peer that stands still keeps messages with entries in the leader's queue for it.

Cause: the entries of an Append were a slice of the log's own array.

Change: an Append has a copy of its entries; the commands themselves are still shared.

Result: TestMessageHoldsOnlyItsOwnEntries fails before (the batch shows a change of the log's array).

--- a/internal/control/quorum/log.go
+++ b/internal/control/quorum/log.go
@@ -65,8 +65,8 @@
 	return l.entries[from:to:to]
 }
 
-// batch returns the entries from first on that fit into limit bytes, at least one if there is
-// any, and their size in bytes.
+// batch returns a copy of the entries from first on that fit into limit bytes, at least one if there is
+// any, and their size in bytes. A message that waits for a peer keeps only its own entries in memory.
 func (l *entryLog) batch(first Index, limit int) ([]Entry, int) {
 	bytes, last := 0, first-1
 	for last < l.last() {
@@ -77,7 +77,7 @@
 		bytes += size
 		last++
 	}
-	return l.slice(first, last), bytes
+	return slices.Clone(l.slice(first, last)), bytes
 }
 
 // append adds entries to the end of the log.
--- a/internal/control/quorum/memory_test.go
+++ b/internal/control/quorum/memory_test.go
@@ -83,3 +83,19 @@
 	_, known = s.node.log.term(s.node.log.last() - DefaultKeptEntries - 1)
 	require.False(t, known)
 }
+
+// TestMessageHoldsOnlyItsOwnEntries guards against a peer that stands still and so keeps entries in memory that the log has dropped: the
+// messages that wait for it must not refer to the log's own array.
+func TestMessageHoldsOnlyItsOwnEntries(t *testing.T) {
+	const changes, changeBytes = 64, 1 << 20
+	s := newSingleNode(t)
+	for range changes {
+		s.propose(changeBytes)
+	}
+	batch, bytes := s.node.log.batch(1, maxBatchBytes)
+	require.LessOrEqual(t, bytes, maxBatchBytes)
+	for i := range s.node.log.entries {
+		s.node.log.entries[i].Term = 0
+	}
+	require.Equal(t, bootstrapTerm, batch[0].Term, "the batch shares the array of the log")
+}
