--- a/internal/control/quorum/follower.go
+++ b/internal/control/quorum/follower.go
@@ -107,7 +107,7 @@
 	n.log.reset(s)
 	n.commit, n.applied = s.Index, s.Index
 	n.writes.entries, n.writes.uncommittedBytes = nil, 0
-	n.writes.snapshot, n.writes.reset = &n.snapshot, true
+	n.writes.snapshot, n.writes.reset = &s, true
 	n.emit(Restore{Snapshot: s})
 	if n.hard.Admitted && s.Membership.Current[n.self] != n.hard.Generation {
 		n.expel()
--- a/internal/control/quorum/memory_test.go
+++ b/internal/control/quorum/memory_test.go
@@ -99,3 +99,21 @@
 	}
 	require.Equal(t, bootstrapTerm, batch[0].Term, "the batch shares the array of the log")
 }
+
+// TestUnfinishedWriteKeepsItsSnapshot guards against a write whose snapshot changes to a later one before it has begun.
+func TestUnfinishedWriteKeepsItsSnapshot(t *testing.T) {
+	s := newSingleNode(t)
+	var indexes []Index
+	for range 2 {
+		s.propose(1)
+		s.snapshot()
+		indexes = append(indexes, s.node.applied)
+	}
+	var written []Index
+	for _, w := range s.written {
+		if w.Snapshot != nil {
+			written = append(written, w.Snapshot.Index)
+		}
+	}
+	require.Equal(t, indexes, written)
+}
--- a/internal/control/quorum/node.go
+++ b/internal/control/quorum/node.go
@@ -308,7 +308,7 @@
 	if !known || membership == nil || e.Index <= n.snapshot.Index || e.Index > n.applied {
 		return
 	}
-	n.snapshot = Snapshot{Index: e.Index, Term: term, Membership: *membership, Data: e.Data}
-	n.writes.snapshot = &n.snapshot
+	snapshot := Snapshot{Index: e.Index, Term: term, Membership: *membership, Data: e.Data}
+	n.snapshot, n.writes.snapshot = snapshot, &snapshot
 	n.log.compact(n.log.lastBefore(e.Index, n.keptEntries, maxKeptBytes))
 }
