quorum: a leader whose disk has fallen behind refuses commands

The others commit without the leader's disk, so a leader whose disk stands still collects everything that was committed since in memory.

Cause: only entries that no majority holds were limited (32 MiB); what waits for the leader's own disk was not.

Change: beyond 32 MiB of it the leader refuses commands as busy, at once, as it does with as much uncommitted. Nothing else ends: it accepts commands again once the disk has caught up.

--- a/internal/control/quorum/event.go
+++ b/internal/control/quorum/event.go
@@ -120,7 +120,7 @@
 const (
 	ReasonNotLeader RejectReason = "not_leader"
 	ReasonTooLarge  RejectReason = "too_large"
-	// ReasonBusy means that the uncommitted entries exceed maxUncommittedBytes.
+	// ReasonBusy means that the uncommitted entries exceed maxUncommittedBytes, or that the disk has fallen behind by maxPendingBytes.
 	ReasonBusy RejectReason = "busy"
 )
 
--- a/internal/control/quorum/memory_test.go
+++ b/internal/control/quorum/memory_test.go
@@ -117,3 +117,25 @@
 	}
 	require.Equal(t, indexes, written)
 }
+
+// TestLeaderWithASlowDiskRefusesCommands guards against a leader whose disk stands still and which collects in memory what the others commit.
+func TestLeaderWithASlowDiskRefusesCommands(t *testing.T) {
+	const changes, changeBytes = 100, 1 << 20
+	s, leader, _ := newSimulationWithLeader(t, 8)
+	leader.syncTime = time.Hour
+	for i := range changes {
+		s.step(leader, Propose{Proposals: []Proposal{{ID: uint64(1000 + i), Command: make([]byte, changeBytes)}}})
+		s.run(100 * time.Millisecond)
+	}
+	require.Equal(t, RoleLeader, leader.node.role)
+	require.LessOrEqual(t, leader.node.Status(s.now).Memory.Pending, maxPendingBytes)
+	leader.syncTime = 0
+	for i := range leader.pendingWrites {
+		leader.pendingWrites[i].at = s.now
+	}
+	s.run(time.Second)
+	before := len(s.committed)
+	s.propose(leader, 1)
+	s.run(time.Second)
+	require.Equal(t, before+1, len(s.committed))
+}
--- a/internal/control/quorum/node.go
+++ b/internal/control/quorum/node.go
@@ -255,6 +255,8 @@
 		return ReasonTooLarge
 	case n.writes.uncommittedBytes+len(p.Command) > maxUncommittedBytes:
 		return ReasonBusy
+	case n.writes.pendingBytes+len(p.Command) > maxPendingBytes:
+		return ReasonBusy
 	default:
 		return ""
 	}
--- a/internal/control/quorum/status.go
+++ b/internal/control/quorum/status.go
@@ -83,7 +83,7 @@
 
 func (n *Node) memory() Memory {
 	return Memory{
-		Entries: n.log.bytes, Uncommitted: n.writes.uncommittedBytes, Pending: n.writes.pendingBytes(),
+		Entries: n.log.bytes, Uncommitted: n.writes.uncommittedBytes, Pending: n.writes.pendingBytes,
 		Snapshot: len(n.snapshot.Data), Incoming: len(n.incoming.data),
 	}
 }
--- a/internal/control/quorum/writes.go
+++ b/internal/control/quorum/writes.go
@@ -16,7 +16,9 @@
 	// stableHard is the hard state known to be on disk.
 	stableHard HardState
 	pending    []pendingWrite
-	held       []heldMessage
+	// pendingBytes is the size of what waits for the disk.
+	pendingBytes int
+	held         []heldMessage
 	// stableIndex is the last index known to be on disk. It is valid on a leader only: the
 	// leader's vote for itself was written after everything that it truncated as a follower.
 	stableIndex Index
@@ -32,15 +34,6 @@
 	bytes int
 }
 
-// pendingBytes returns the size of what waits for the disk.
-func (w *writes) pendingBytes() int {
-	bytes := 0
-	for _, p := range w.pending {
-		bytes += p.bytes
-	}
-	return bytes
-}
-
 type heldMessage struct {
 	sequence uint64
 	message  Message
@@ -74,6 +67,7 @@
 	}
 	w.entries, w.snapshot, w.reset = nil, nil, false
 	w.pending = append(w.pending, pendingWrite{sequence: w.lastSequence, last: n.log.last(), hard: n.hard, bytes: p.size()})
+	w.pendingBytes += p.size()
 	// The write comes first, so that it runs while the messages are sent.
 	n.actions = append([]Action{p}, n.actions...)
 }
@@ -84,6 +78,7 @@
 	w.doneSequence = max(w.doneSequence, sequence)
 	for len(w.pending) > 0 && w.pending[0].sequence <= w.doneSequence {
 		w.stableIndex, w.stableHard = w.pending[0].last, w.pending[0].hard
+		w.pendingBytes -= w.pending[0].bytes
 		w.pending = w.pending[1:]
 	}
 	if n.role == RoleCandidate && w.doneSequence >= n.voteSequence {
