--- a/internal/control/journal/journal.go
+++ b/internal/control/journal/journal.go
@@ -43,7 +43,9 @@
 	activeFile  File
 	activeBytes int
 	buf         []byte
-	failure     error
+	// unsynced is true if the current segment has data that may not be on disk.
+	unsynced bool
+	failure  error
 }
 
 // segment is a segment file. lastIndex is the highest index of its entries.
@@ -135,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := j.readSegments(found.segments)
+	r, err := j.readSegments(found.segments, snapshot.Index)
 	if err != nil {
 		return err
 	}
@@ -149,34 +151,45 @@
 	return j.rewrite(found)
 }
 
-// readSegments replays the segments, starting with the latest one that voids those before it.
-func (j *Journal) readSegments(sequences []uint64) (replay, error) {
-	contents := make([][]byte, len(sequences))
-	start := 0
-	for i := len(sequences) - 1; i >= 0 && start == 0; i-- {
-		name := j.segmentName(sequences[i])
-		raw, err := j.fileSystem.ReadFile(name)
-		if err != nil {
-			return replay{}, classifyError("read", name, err)
-		}
-		contents[i] = raw
-		if resetsLog(raw) {
-			start = i
-		}
+// readSegments replays the segments, starting with the latest one that voids those before it. It drops the commands of the entries that
+// the snapshot at index covered contains. One file at a time is in memory.
+func (j *Journal) readSegments(sequences []uint64, covered quorum.Index) (replay, error) {
+	start, err := j.firstSegment(sequences)
+	if err != nil {
+		return replay{}, err
 	}
-	var r replay
+	r := replay{covered: covered}
 	for i := start; i < len(sequences); i++ {
 		name := j.segmentName(sequences[i])
 		if i > start && sequences[i] != sequences[i-1]+1 {
 			return r, ErrCorrupt{File: name, Reason: "the segment before this one is missing"}
 		}
-		if err := r.addSegment(name, sequences[i], contents[i], i == len(sequences)-1); err != nil {
+		raw, err := j.fileSystem.ReadFile(name)
+		if err != nil {
+			return r, classifyError("read", name, err)
+		}
+		if err := r.addSegment(name, sequences[i], raw, i == len(sequences)-1); err != nil {
 			return r, err
 		}
 	}
 	return r, nil
 }
 
+// firstSegment returns the position of the latest segment that voids those before it, or 0.
+func (j *Journal) firstSegment(sequences []uint64) (int, error) {
+	for i, sequence := range slices.Backward(sequences) {
+		name := j.segmentName(sequence)
+		raw, err := j.fileSystem.ReadFile(name)
+		if err != nil {
+			return 0, classifyError("read", name, err)
+		}
+		if resetsLog(raw) {
+			return i, nil
+		}
+	}
+	return 0, nil
+}
+
 // ensureGeneration sets a random generation if the journal is new. A journal that has files but
 // no generation is corrupt.
 func (j *Journal) ensureGeneration(found folderFiles) error {
--- a/internal/control/journal/replay.go
+++ b/internal/control/journal/replay.go
@@ -13,6 +13,8 @@
 	// firstIndex is the index of entries[0], or the next index if there are none; 0 means unknown.
 	firstIndex quorum.Index
 	tornBytes  int
+	// covered is the index of the snapshot. The commands of the entries up to it are dropped.
+	covered quorum.Index
 }
 
 func (r *replay) nextIndex() quorum.Index { return r.firstIndex + quorum.Index(len(r.entries)) }
@@ -101,6 +103,9 @@
 	if e.Index < r.firstIndex {
 		r.entries, r.firstIndex = nil, e.Index
 	}
+	if e.Index <= r.covered {
+		e.Command = nil
+	}
 	r.entries = append(r.entries[:e.Index-r.firstIndex], e)
 	return nil
 }
--- a/internal/control/journal/write.go
+++ b/internal/control/journal/write.go
@@ -1,14 +1,19 @@
 package journal
 
 import (
-	"slices"
-
 	"github.com/egretreach/egretreach/internal/control/quorum"
 )
 
-// entriesPerRecord is the largest number of entries per record when entries are copied to a new
-// segment.
-const entriesPerRecord = 4096
+// entriesPerRecord and bytesPerRecord limit the records when entries are copied to a new segment. A larger entry
+// has a record of its own.
+const (
+	entriesPerRecord = 4096
+	bytesPerRecord   = 1 << 20
+)
+
+// bufferBytes is the size from which the buffer is written to the file, before the sync. A buffer that has grown beyond twice this size
+// is not kept.
+const bufferBytes = 1 << 20
 
 // Write makes writes durable, in order, with as few syncs as possible. It returns ErrDiskFull or
 // ErrIO if the file system fails, and ErrFailedBefore for every call after one that failed. After
@@ -76,27 +81,42 @@
 
 func (j *Journal) bufferRecord(kind recordKind, value any) error {
 	buf, err := appendRecord(j.buf, kind, value)
-	if err == nil {
-		j.buf = buf
+	if err != nil {
+		return err
 	}
-	return err
+	j.buf = buf
+	if len(j.buf) < bufferBytes {
+		return nil
+	}
+	return j.flush()
 }
 
 func (j *Journal) currentSegment() *segment { return &j.segments[len(j.segments)-1] }
 
-// sync writes the buffer to the current segment and waits until it is on disk.
-func (j *Journal) sync() error {
-	if len(j.buf) == 0 {
-		return nil
-	}
-	name := j.segmentName(j.currentSegment().sequence)
+// flush writes the buffer to the current segment. It is on disk after the next sync.
+func (j *Journal) flush() error {
 	n, err := j.activeFile.Write(j.buf)
 	j.activeBytes += n
+	j.unsynced = true
 	j.buf = j.buf[:0]
-	if err != nil {
-		return classifyError("write", name, err)
+	if cap(j.buf) > 2*bufferBytes {
+		j.buf = nil
 	}
-	return classifyError("sync", name, j.activeFile.Sync())
+	return classifyError("write", j.segmentName(j.currentSegment().sequence), err)
+}
+
+// sync writes the buffer to the current segment and waits until all of it is on disk.
+func (j *Journal) sync() error {
+	if len(j.buf) > 0 {
+		if err := j.flush(); err != nil {
+			return err
+		}
+	}
+	if !j.unsynced {
+		return nil
+	}
+	j.unsynced = false
+	return classifyError("sync", j.segmentName(j.currentSegment().sequence), j.activeFile.Sync())
 }
 
 // startSegment starts a new segment, which begins with the current hard state. The file gets its
@@ -129,10 +149,12 @@
 	if err := j.bufferWrite(&j.hard, nil); err != nil {
 		return err
 	}
-	for part := range slices.Chunk(entries, entriesPerRecord) {
-		if err := j.bufferWrite(nil, part); err != nil {
+	for len(entries) > 0 {
+		n := entriesOfRecord(entries)
+		if err := j.bufferWrite(nil, entries[:n]); err != nil {
 			return err
 		}
+		entries = entries[n:]
 	}
 	if err := j.sync(); err != nil {
 		return err
@@ -143,6 +165,18 @@
 	return j.syncFolder()
 }
 
+// entriesOfRecord returns how many of the first entries share a record, at least one.
+func entriesOfRecord(entries []quorum.Entry) int {
+	bytes := 0
+	for i, e := range entries {
+		bytes += len(e.Command)
+		if i > 0 && (i == entriesPerRecord || bytes > bytesPerRecord) {
+			return i
+		}
+	}
+	return len(entries)
+}
+
 func (j *Journal) syncFolder() error {
 	return classifyError("sync folder", j.folder, j.fileSystem.SyncFolder(j.folder))
 }
