transport: a stream keeps no large frame

A process sends a configuration on a stream to each gateway or entry that stays open.

Cause: a stream kept the buffer of the largest frame that it had sent: for each gateway, and each peer of the log, one more copy of the largest configuration or batch of entries.

--- a/internal/link/transport/frame_memory_test.go
+++ b/internal/link/transport/frame_memory_test.go
@@ -235,3 +235,26 @@
 		})
 	}
 }
+
+// TestStreamKeepsNoLargeFrame guards against a process that keeps the largest frame that it has sent on each of its streams, such as a
+// configuration for each gateway, for as long as the stream is open.
+func TestStreamKeepsNoLargeFrame(t *testing.T) {
+	const streams = 16
+	withLargeFrames(t, func(f *largeFrames) {
+		conn, closeConn := f.dial("10.0.0.2:7000")
+		defer closeConn()
+		before := heapInUse()
+		var open []*Stream
+		for range streams {
+			stream, err := conn.Open(f.t.Context())
+			require.NoError(f.t, err)
+			require.NoError(f.t, stream.Send(&message.Quorum{Body: make([]byte, largestBody)}))
+			require.Equal(f.t, largestBody, f.next())
+			open = append(open, stream)
+		}
+		require.LessOrEqual(f.t, heapInUse()-before, int64(message.MaxFrameBytes))
+		for _, stream := range open {
+			stream.Close()
+		}
+	})
+}
--- a/internal/link/transport/stream.go
+++ b/internal/link/transport/stream.go
@@ -39,7 +39,8 @@
 	answered bool
 
 	sendMu sync.Mutex
-	buf    []byte
+	// buf is the buffer of small frames.
+	buf []byte
 }
 
 func newStream(s *quic.Stream, conn *Conn) *Stream {
@@ -58,7 +59,9 @@
 	if err != nil {
 		return err
 	}
-	s.buf = buf
+	if cap(buf) <= message.SmallFrameBytes {
+		s.buf = buf
+	}
 	_, err = s.stream.Write(buf)
 	return err
 }
