upstream: a response with an invalid status is no response

What callers saw: an endpoint in trouble answers with the status 000, 099 or +20: the caller waits until its deadline and gets 504. With 600 or 999 it gets that status and the body as a complete answer, also for a request that may not be repeated.

Cause: net/http's reader takes any three characters that read as a number. The gateway took everything from 200 on for a final response and everything below for an informational one, behind which it read on: the body of the odd response was read as the next head.

Change: package httpstatus has one rule (RFC 9110, section 15): 200 to 599 are final, 1xx but 101 informational. Anything else ends the exchange as one that broke off, so the caller gets 502 or the request is repeated where that is allowed.

--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/egretreach/egretreach/internal/process/httpstatus"
 )
 
 const (
@@ -128,8 +130,8 @@
 }
 
 // readResponse reads the status and headers of the final response. It skips informational (1xx)
-// responses. The size of all of them is bounded by maxHead, and an incomplete head is reserved with
-// reserve.
+// responses and returns an error for any other status that no final response may have. The size of all of them is
+// bounded by maxHead, and an incomplete head is reserved with reserve.
 func (c *conn) readResponse(method string, reserve func(n int) bool) (*http.Response, error) {
 	c.head = &headMeter{reserve: reserve}
 	defer c.endHead()
@@ -138,12 +140,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if httpstatus.IsInformational(response.StatusCode) {
+			continue
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("endpoint switched protocols")
+		if err := httpstatus.CheckFinal(response.StatusCode); err != nil {
+			return nil, err
 		}
+		return response, nil
 	}
 	return nil, errTooMuch
 }
--- a/internal/entry/upstream/upstream_test.go
+++ b/internal/entry/upstream/upstream_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/process/httpstatus"
 )
 
 // script serves one connection of an endpoint.
@@ -303,3 +305,22 @@
 		require.Equal(t, want, c.idleTimeout, header)
 	}
 }
+
+// TestInvalidStatusIsInterrupted guards against a response of an endpoint in trouble that is passed on as its answer, or taken for an
+// informational one, so that the caller waits until its deadline and what follows is read as another head. The connection stays open.
+func TestInvalidStatusIsInterrupted(t *testing.T) {
+	for _, status := range []string{"000", "000 Trouble", "001", "099", "+20", "+99", "600", "999"} {
+		for _, earlier := range []string{"", "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+			var p Pool
+			response := earlier + "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok"
+			address := serve(t, respond(response, ""), respond(response, ""))
+			for range 2 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				_, err := p.Do(ctx, address, getRequest(), waitForever)
+				require.True(t, IsErrInterrupted(err), "%q: %v", response, err)
+				require.True(t, httpstatus.IsErrInvalid(err), "%q: %v", response, err)
+				cancel()
+			}
+		}
+	}
+}
