plainservice, dispatch: an answer with an invalid status is no answer

What callers saw: a plain service in trouble behind an agent answers with the status 000: the caller gets 200, Egretreach-Outcome: complete, for GET and POST alike. With 099 or +20 the entry's handler panics and the connection ends without a response; 600 and 999 come as they are, as complete.

Cause: the agent passed on any status, and the entry wrote 200 in place of 0. The entry believed an End without a Head as well.

Change: the agent ends such a call as one whose answer broke off: it may have run. The entry does the same with a Head of an agent of an earlier version, with a complete End without a Head, and with an answer that the ledger or an agent has kept: 502, outcome unknown; a call that may be repeated is.

--- a/internal/agent/plainservice/client.go
+++ b/internal/agent/plainservice/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/process/httpstatus"
 )
 
 // RequestIDHeader is the header field with the ID of the request.
@@ -90,6 +91,9 @@
 		return ErrResponseCut{Cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := httpstatus.CheckFinal(resp.StatusCode); err != nil {
+		return ErrResponseCut{Cause: err}
+	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
 		return ErrResponseCut{Cause: errors.New("the answer has neither a length nor chunks, so its end can't be told")}
 	}
--- a/internal/agent/plainservice/client_test.go
+++ b/internal/agent/plainservice/client_test.go
@@ -83,3 +83,17 @@
 		require.Equal(t, recorder{}, got)
 	}
 }
+
+// TestAnswerWithInvalidStatusIsNotPassedOn guards against an answer of a service in trouble that its caller gets as a complete one, or that
+// ends the entry's handler. A change of protocols, which nobody has asked for, is no answer either.
+func TestAnswerWithInvalidStatusIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"000", "000 Trouble", "099", "+20", "600", "999", "101 Switching Protocols"} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			var got recorder
+			client := New(Options{URL: serveOnce(t, "HTTP/1.1 "+status+"\r\nContent-Length: 5\r\n\r\nwhole")})
+			err := client.Call(t.Context(), &message.Dispatch{Call: &message.Call{Method: method, Path: "/a"}}, &got)
+			require.True(t, IsErrResponseCut(err), "%s: %v", status, err)
+			require.Equal(t, recorder{}, got)
+		}
+	}
+}
--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -242,3 +242,16 @@
 		})
 	}
 }
+
+// TestKeptAnswerWithInvalidStatusIsNotPassedOn guards against an answer of a service in trouble that an earlier version has kept, and that its
+// caller gets as a complete one or that ends the handler.
+func TestKeptAnswerWithInvalidStatusIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{0, 20, 99, 101, 600, 999} {
+		result := complete("x")
+		result.Answer.Status = status
+		response := send(t, &fakeBackend{result: result}, http.MethodPost, "/services/records/signoffs", "x")
+		require.Equal(t, http.StatusBadGateway, response.StatusCode)
+		require.Equal(t, string(request.OutcomeUnknown), response.Header.Get(HeaderOutcome))
+		require.NoError(t, response.Body.Close())
+	}
+}
--- a/internal/entry/api/service.go
+++ b/internal/entry/api/service.go
@@ -6,9 +6,11 @@
 	"strings"
 
 	"github.com/egretreach/egretreach/internal/entry/dispatch"
+	"github.com/egretreach/egretreach/internal/entry/execution"
 	"github.com/egretreach/egretreach/internal/fleet/request"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/process/httpserver"
+	"github.com/egretreach/egretreach/internal/process/httpstatus"
 )
 
 // droppedHeaders are the hop-by-hop headers (RFC 9110, section 7.6.1), Authorization,
@@ -55,20 +57,27 @@
 		a.writeError(c, newErrorResponse(result))
 		return
 	}
+	if err := httpstatus.CheckFinal(result.Answer.Status); err != nil {
+		a.writeError(c, newErrorResponse(invalidAnswer(err)))
+		return
+	}
 	a.writeResponse(c, result.Answer)
 }
 
+// invalidAnswer returns the result of a call whose answer, which an earlier version has kept, can't be passed on. The call has run.
+func invalidAnswer(cause error) dispatch.Result {
+	return dispatch.Result{Result: execution.Result{
+		Outcome: request.OutcomeUnknown, Code: execution.CodeEndpointFailed, Reason: cause.Error(),
+	}}
+}
+
 func (a *API) writeResponse(c *call, answer *message.Answer) {
 	h := c.w.Header()
 	for name, values := range forwardedHeaders(answer.Header) {
 		h[http.CanonicalHeaderKey(name)] = values
 	}
 	h.Set(HeaderOutcome, string(request.OutcomeComplete))
-	status := answer.Status
-	if status == 0 {
-		status = http.StatusOK
-	}
-	c.w.WriteHeader(status)
+	c.w.WriteHeader(answer.Status)
 	httpserver.HoldResponse(c.r.Context(), len(answer.Body))
 	_, _ = c.w.Write(answer.Body)
 }
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/process/httpserver"
+	"github.com/egretreach/egretreach/internal/process/httpstatus"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
@@ -105,7 +106,7 @@
 			RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
 		}, true
 	case *message.Head:
-		e.progress.head = m
+		return e.handleHead(m)
 	case *message.Chunk:
 		return e.handleChunk(m, start)
 	case *message.End:
@@ -115,6 +116,14 @@
 	return execution.Ended{}, false
 }
 
+func (e *executor) handleHead(m *message.Head) (execution.Ended, bool) {
+	if err := httpstatus.CheckFinal(m.Status); err != nil {
+		return execution.Ended{Kind: execution.EndLost, Code: execution.CodeEndpointFailed, Reason: err.Error()}, true
+	}
+	e.progress.head = m
+	return execution.Ended{}, false
+}
+
 func (e *executor) handleChunk(m *message.Chunk, start time.Time) (execution.Ended, bool) {
 	if !e.progress.firstTokenSeen && e.route.OnFirstToken != nil {
 		e.route.OnFirstToken(time.Since(start))
@@ -147,6 +156,9 @@
 				Reason: "the answer ended before its whole length had arrived",
 			}
 		}
+		if !e.progress.hasHead() {
+			return execution.Ended{Kind: execution.EndLost, Code: execution.CodeEndpointFailed, Reason: "the answer ended without its head"}
+		}
 		e.progress.end = *m
 		return execution.Ended{Kind: execution.EndComplete, Answer: e.progress.ledgerAnswer()}
 	case request.OutcomeNotRun:
--- a/internal/entry/dispatch/attempt_test.go
+++ b/internal/entry/dispatch/attempt_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretreach/egretreach/internal/entry/execution"
+	"github.com/egretreach/egretreach/internal/fleet/request"
+	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/process/httpserver"
 )
 
@@ -36,3 +38,24 @@
 	require.NoError(t, s.Close())
 	require.NoError(t, <-served)
 }
+
+// TestHeadWithInvalidStatusIsNoAnswer guards against an agent of an earlier version that passes on the answer of a service in trouble.
+func TestHeadWithInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []int{-1, 0, 20, 99, 100, 101, 600, 999} {
+		ended, last := (&executor{}).handleFrame(&message.Head{Status: status}, message.Ref{}, time.Now())
+		require.True(t, last, status)
+		require.Equal(t, execution.EndLost, ended.Kind)
+		require.Equal(t, execution.CodeEndpointFailed, ended.Code)
+	}
+	_, last := (&executor{}).handleFrame(&message.Head{Status: http.StatusOK}, message.Ref{}, time.Now())
+	require.False(t, last)
+}
+
+// TestAnswerWithoutHeadIsNoAnswer guards against a call to a service that ends as complete although its head has not arrived.
+func TestAnswerWithoutHeadIsNoAnswer(t *testing.T) {
+	e := &executor{}
+	e.progress.work.Body = ServiceCall{}
+	ended := e.handleEnd(&message.End{Outcome: request.OutcomeComplete})
+	require.Equal(t, execution.EndLost, ended.Kind)
+	require.Equal(t, execution.CodeEndpointFailed, ended.Code)
+}
--- a/internal/entry/dispatch/progress.go
+++ b/internal/entry/dispatch/progress.go
@@ -74,6 +74,12 @@
 	}
 }
 
+// hasHead reports whether the head of the answer has arrived, which only a call to a service has.
+func (p *answerProgress) hasHead() bool {
+	_, ok := p.work.Body.(ServiceCall)
+	return !ok || p.head != nil
+}
+
 // silence returns for how long nothing of the current attempt has arrived.
 func (p *answerProgress) silence(now time.Time) time.Duration { return now.Sub(p.heardAt) }
 
