engine: a refusal with an invalid status proves nothing

What callers saw: nothing yet; found while looking at every reader of a status. An engine that answers with a status such as 000 and the body of a refusal is believed that the generation did not run, so the caller is told not_run or the generation runs elsewhere too.

Cause: the agent looked at the body of any status but 200.

Change: an invalid status is an answer that broke off.

Result: TestRefusalWithInvalidStatusIsNoProof fails before ("engine refused with status 0").

--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/process/httpstatus"
 )
 
 const (
@@ -164,7 +165,7 @@
 
 // roundTrip sends req. It returns ErrNotSent if the transport never got a
 // connection, and ErrResponseCut for a later failure, after which the call may have
-// run. Any status other than 200 becomes ErrRefused, or ErrResponseCut if the body
+// run. Any status other than 200 becomes ErrRefused, or ErrResponseCut if it is invalid or the body
 // gives no code.
 func (c *Client) roundTrip(req *http.Request) (*http.Response, error) {
 	connected := false
@@ -187,6 +188,9 @@
 
 func decodeRefusal(resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
+	if err := httpstatus.CheckFinal(resp.StatusCode); err != nil {
+		return ErrResponseCut{Cause: err}
+	}
 	var r Refusal
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRefusalBytes)).Decode(&r); err != nil || r.Code == "" {
 		return ErrResponseCut{Cause: errors.Errorf("status %d without a reason", resp.StatusCode)}
--- a/internal/agent/engine/client_test.go
+++ b/internal/agent/engine/client_test.go
@@ -117,3 +117,17 @@
 		}
 	}
 }
+
+// TestRefusalWithInvalidStatusIsNoProof guards against an engine in trouble whose answer passes for a refusal, so that a caller is told that
+// a generation did not run that the engine runs.
+func TestRefusalWithInvalidStatusIsNoProof(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "600", "999"} {
+		url := serveEngine(t, func(c net.Conn, _ *http.Request, _ int) {
+			const body = `{"code":"busy","reason":"no slot"}`
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+		})
+		d := &message.Dispatch{Generate: &message.Generate{Path: "/v1/completions"}}
+		_, err := New(Options{URL: url}).Generate(t.Context(), d, nil)
+		require.True(t, IsErrResponseCut(err), "%s: %v", status, err)
+	}
+}
