state: the texts of earlier configurations are limited in bytes

Cause: a list bounded by a count whose items have no bound of their own.

Change: beyond 8 MiB of texts the oldest are dropped as well; the text of the latest configuration always stays. Changes and their IDs are remembered as before. During an upgrade control hosts of both versions may keep a different number of old texts, on which no decision depends.

Result: TestTextsOfLargeConfigurationsAreLimited fails before (100,663,296 bytes).

--- a/internal/control/state/config_history.go
+++ b/internal/control/state/config_history.go
@@ -12,8 +12,9 @@
 const (
 	// maxChangesKept is the number of latest changes whose IDs are remembered.
 	maxChangesKept = 4096
-	// maxTextsKept is the number of latest configurations whose text is kept.
-	maxTextsKept = 32
+	// maxTextsKept and maxTextBytesKept limit the latest configurations whose text is kept. The text of the latest one always is.
+	maxTextsKept     = 32
+	maxTextBytesKept = 8 << 20
 )
 
 // configChange is one accepted change of the configuration.
@@ -21,8 +22,7 @@
 	message.ConfigChange `cbor:"1,keyasint"`
 	Base                 view.Revision `cbor:"2,keyasint"`
 	Sum                  [32]byte      `cbor:"3,keyasint"`
-	// YAML is the text of the configuration, or nil if the change is older than the last
-	// maxTextsKept.
+	// YAML is the text of the configuration, or nil if it is no longer kept.
 	YAML []byte `cbor:"4,keyasint,omitempty"`
 }
 
@@ -80,8 +80,22 @@
 	if over := len(h.Changes) - maxChangesKept; over > 0 {
 		h.Changes = slices.Delete(h.Changes, 0, over)
 	}
-	if old := len(h.Changes) - maxTextsKept - 1; old >= 0 {
-		h.Changes[old].YAML = nil
+	h.trimTexts()
+}
+
+// trimTexts drops the texts of the oldest configurations beyond the limits.
+func (h *configHistory) trimTexts() {
+	texts, bytes := 0, 0
+	for i := range slices.Backward(h.Changes) {
+		c := &h.Changes[i]
+		if c.YAML == nil {
+			return // All older texts are gone too.
+		}
+		texts++
+		bytes += len(c.YAML)
+		if texts > 1 && (texts > maxTextsKept || bytes > maxTextBytesKept) {
+			c.YAML = nil
+		}
 	}
 }
 
--- a/internal/control/state/machine_test.go
+++ b/internal/control/state/machine_test.go
@@ -247,3 +247,22 @@
 		require.NoError(t, m.Err())
 	}
 }
+
+// TestTextsOfLargeConfigurationsAreLimited guards against a control host that runs out of memory because it keeps a number of earlier
+// configurations, in its state and in each snapshot, however large they are.
+func TestTextsOfLargeConfigurationsAreLimited(t *testing.T) {
+	const changes, textBytes = 40, 3 << 20
+	const most = 8 << 20 // Two configurations of the largest size of a command.
+	var h configHistory
+	for i := range changes {
+		applied := h.apply(0, ApplyConfig{Base: h.latestRevision(), ChangeID: fmt.Sprint(i), YAML: make([]byte, textBytes)})
+		require.True(t, applied.Accepted)
+	}
+	kept := 0
+	for _, c := range h.Changes {
+		kept += len(c.YAML)
+	}
+	require.LessOrEqual(t, kept, most)
+	require.NotNil(t, h.Changes[changes-1].YAML)
+	require.NotNil(t, h.Changes[changes-2].YAML, "the configuration before the latest one")
+}
