--- a/internal/control/state/machine_test.go
+++ b/internal/control/state/machine_test.go
@@ -255,7 +255,7 @@
 	const most = 8 << 20 // Two configurations of the largest size of a command.
 	var h configHistory
 	for i := range changes {
-		applied := h.apply(0, ApplyConfig{Base: h.latestRevision(), ChangeID: fmt.Sprint(i), YAML: make([]byte, textBytes)})
+		applied := h.apply(0, ApplyConfig{Base: h.latestRevision(), ChangeID: strconv.Itoa(i), YAML: make([]byte, textBytes)})
 		require.True(t, applied.Accepted)
 	}
 	kept := 0
