transport: a process resets links that it does not know any more

Cause: QUIC's idle timeout is at least three probe timeouts, which follow the measured round trip. A process that stood still measures that as a round trip, so its timeout grows from 1.5 s to tens of seconds. Its peer ends the link in silence after 1.5 s, and the process goes on sending pre-votes and entries into it. Seen in the goroutines of a portal in that state: a stream that is open for more than a minute, without a handler at the peer.

Change: a process answers packets of links that it does not know with a stateless reset (RFC 9000, section 10.3), with a key that is drawn at each start. Open: links to a peer that was restarted.

--- a/internal/link/transport/transport.go
+++ b/internal/link/transport/transport.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net"
 	"time"
 
@@ -16,8 +17,8 @@
 	"github.com/egretreach/egretreach/internal/process/inflight"
 )
 
-// Timeouts and limits of a link. A link on which nothing arrives for idleTimeout is
-// closed, regardless of the state that network devices between the peers hold for it.
+// Timeouts and limits of a link. A link on which nothing arrives for idleTimeout, or for longer if round trips
+// take longer than a third of it, is closed, regardless of the state that network devices between the peers hold for it.
 const (
 	keepAlive        = 600 * time.Millisecond
 	idleTimeout      = 1500 * time.Millisecond
@@ -97,9 +98,17 @@
 }
 
 // New returns a Socket that uses pc and authenticates with credentials. The Socket owns
-// pc and closes it.
+// pc and closes it. It resets links that it doesn't know any more (RFC 9000, section 10.3): a peer whose round trip
+// time was measured across a standstill would go on with them for many times idleTimeout.
 func New(pc net.PacketConn, credentials *identity.Credentials, opts Options) *Socket {
-	return &Socket{transport: &quic.Transport{Conn: opts.wrapConn(pc)}, credentials: credentials, opts: opts}
+	transport := &quic.Transport{Conn: opts.wrapConn(pc), StatelessResetKey: newResetKey()}
+	return &Socket{transport: transport, credentials: credentials, opts: opts}
+}
+
+func newResetKey() *quic.StatelessResetKey {
+	var key quic.StatelessResetKey
+	_, _ = rand.Read(key[:]) // It never returns an error.
+	return &key
 }
 
 // Address returns the local address on which links are accepted.
