portal: reads of the confirmed state share their check

Cause: Read and Evacuations had the same lines for the check that this host still leads.

Change: confirmState has them once.

Result: the tests of the package pass; no behaviour differs.

--- a/internal/control/portal/evacuation.go
+++ b/internal/control/portal/evacuation.go
@@ -71,12 +71,8 @@
 func (p *Portal) Evacuations(ctx context.Context) (portalstate.Evacuations, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	l := p.currentLog()
-	if l == nil {
-		return portalstate.Evacuations{}, ErrUnavailable{Reason: "the replicated log does not run here"}
-	}
-	if err := l.Barrier(ctx); err != nil {
-		return portalstate.Evacuations{}, p.translateLogError(0, err)
+	if _, err := p.confirmState(ctx); err != nil {
+		return portalstate.Evacuations{}, err
 	}
 	return p.machine.Evacuations(), nil
 }
--- a/internal/control/portal/operator.go
+++ b/internal/control/portal/operator.go
@@ -100,12 +100,9 @@
 func (p *Portal) Read(ctx context.Context) (portalstate.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	l := p.currentLog()
-	if l == nil {
-		return portalstate.Document{}, ErrUnavailable{Reason: "the replicated log does not run here"}
-	}
-	if err := l.Barrier(ctx); err != nil {
-		return portalstate.Document{}, p.translateLogError(0, err)
+	l, err := p.confirmState(ctx)
+	if err != nil {
+		return portalstate.Document{}, err
 	}
 	document := p.machine.Current()
 	if document.Version == 0 {
@@ -117,6 +114,19 @@
 	return document, nil
 }
 
+// confirmState waits until the state of this host, which a majority confirms as the leader, has all that was acknowledged before the call. It
+// returns the log. Its errors are ErrNotLeader and ErrUnavailable.
+func (p *Portal) confirmState(ctx context.Context) (*replication.Log, error) {
+	l := p.currentLog()
+	if l == nil {
+		return nil, ErrUnavailable{Reason: "the replicated log does not run here"}
+	}
+	if err := l.Barrier(ctx); err != nil {
+		return nil, p.translateLogError(0, err)
+	}
+	return l, nil
+}
+
 // translateLogError converts an error of the replicated log into ErrNotLeader, if another leader
 // is known, or ErrUnavailable, and logs it. version is that of the proposed document, or 0 for a
 // read.
