--- a/internal/control/quorum/log.go
+++ b/internal/control/quorum/log.go
@@ -126,17 +126,18 @@
 	l.prevIndex, l.prevTerm = last, term
 }
 
-// lastBefore returns the index of the entry before the last ones up to index, of which there are at most entries, with at most limit bytes.
-func (l *entryLog) lastBefore(index, entries Index, limit int) Index {
-	before, bytes := index, 0
-	for before > l.prevIndex && index-before < entries {
-		bytes += l.entries[before-l.prevIndex-1].size()
-		if bytes > limit {
+// droppable returns the index up to which entries may be dropped, so that of those that a snapshot covers at most maxEntries stay, with at
+// most maxBytes bytes.
+func (l *entryLog) droppable(snapshot, maxEntries Index, maxBytes int) Index {
+	last, bytes := snapshot, 0
+	for last > l.prevIndex && snapshot-last < maxEntries {
+		bytes += l.entries[last-l.prevIndex-1].size()
+		if bytes > maxBytes {
 			break
 		}
-		before--
+		last--
 	}
-	return before
+	return last
 }
 
 // membershipAt returns the membership as of index i, or nil before the bootstrap.
--- a/internal/control/quorum/node.go
+++ b/internal/control/quorum/node.go
@@ -312,5 +312,5 @@
 	}
 	snapshot := Snapshot{Index: e.Index, Term: term, Membership: *membership, Data: e.Data}
 	n.snapshot, n.writes.snapshot = snapshot, &snapshot
-	n.log.compact(n.log.lastBefore(e.Index, n.keptEntries, maxKeptBytes))
+	n.log.compact(n.log.droppable(e.Index, n.keptEntries, maxKeptBytes))
 }
