--- a/internal/control/quorum/event.go
+++ b/internal/control/quorum/event.go
@@ -72,15 +72,6 @@
 	Reset bool
 }
 
-// size returns the size of the entries and the snapshot in bytes.
-func (p Persist) size() int {
-	bytes := totalSize(p.Entries)
-	if p.Snapshot != nil {
-		bytes += len(p.Snapshot.Data)
-	}
-	return bytes
-}
-
 // Send asks to send a message to Message.To. The message may be lost.
 type Send struct{ Message Message }
 
--- a/internal/control/quorum/memory_test.go
+++ b/internal/control/quorum/memory_test.go
@@ -139,3 +139,13 @@
 	s.run(time.Second)
 	require.Equal(t, before+1, len(s.committed))
 }
+
+// TestUnfinishedSnapshotRefusesNoCommand guards against a leader with a large state that refuses commands each time it writes a snapshot.
+func TestUnfinishedSnapshotRefusesNoCommand(t *testing.T) {
+	s := newSingleNode(t)
+	s.propose(1)
+	s.slowDisk = true
+	s.step(SnapshotTaken{Index: s.node.applied, Data: make([]byte, maxPendingBytes+1)})
+	s.propose(1)
+	require.Empty(t, s.rejected)
+}
--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -187,7 +187,7 @@
 	maxInflight      = 64
 	// maxUncommittedBytes limits the uncommitted entries with which a leader accepts proposals.
 	maxUncommittedBytes = 32 << 20
-	// maxPendingBytes limits what waits for the disk of a leader that accepts proposals. The others commit without it.
+	// maxPendingBytes limits the entries that wait for the disk of a leader that accepts proposals. The others commit without it.
 	maxPendingBytes = 32 << 20
 	// chunkBytes is the data size of one chunk of a snapshot.
 	chunkBytes = 512 << 10
--- a/internal/control/quorum/status.go
+++ b/internal/control/quorum/status.go
@@ -38,7 +38,7 @@
 	Entries int
 	// Uncommitted are the entries that no majority holds yet. It is 0 on a host that has not led.
 	Uncommitted int
-	// Pending are the entries and snapshots that wait for this host's disk.
+	// Pending are the entries that wait for this host's disk.
 	Pending int
 	// Snapshot is the latest snapshot, and Incoming the part that has arrived of another one.
 	Snapshot int
--- a/internal/control/quorum/writes.go
+++ b/internal/control/quorum/writes.go
@@ -16,7 +16,7 @@
 	// stableHard is the hard state known to be on disk.
 	stableHard HardState
 	pending    []pendingWrite
-	// pendingBytes is the size of what waits for the disk.
+	// pendingBytes is the size of the entries that wait for the disk.
 	pendingBytes int
 	held         []heldMessage
 	// stableIndex is the last index known to be on disk. It is valid on a leader only: the
@@ -30,7 +30,7 @@
 	sequence uint64
 	last     Index
 	hard     HardState
-	// bytes is the size of the write's entries and snapshot.
+	// bytes is the size of the write's entries.
 	bytes int
 }
 
@@ -66,8 +66,9 @@
 		p.Hard, w.hard = &hard, hard
 	}
 	w.entries, w.snapshot, w.reset = nil, nil, false
-	w.pending = append(w.pending, pendingWrite{sequence: w.lastSequence, last: n.log.last(), hard: n.hard, bytes: p.size()})
-	w.pendingBytes += p.size()
+	bytes := totalSize(p.Entries)
+	w.pending = append(w.pending, pendingWrite{sequence: w.lastSequence, last: n.log.last(), hard: n.hard, bytes: bytes})
+	w.pendingBytes += bytes
 	// The write comes first, so that it runs while the messages are sent.
 	n.actions = append([]Action{p}, n.actions...)
 }
