agent: a generation has a connection of its own again

What callers saw: an engine that writes an earlier refusal once more on a kept connection makes the agent believe that a generation did not run that the engine runs: the caller is told not_run, or it runs elsewhere as well.

Cause: the client makes a transport without kept connections from an *http.Transport, but the agent gives it one that is wrapped to hear limits, so that the type doesn't match. Found while looking at every reader of a status. Class: a protection that a later layer switches off without a test that sees it in place.

Change: the client makes both transports and wraps each of them with a function that the agent passes.

--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -39,6 +39,16 @@
 	OrdererToken string
 	// Transport replaces the TCP transport, for tests.
 	Transport http.RoundTripper
+	// Wrap returns a transport around the given one, which observes the responses. It is called for each transport that the client uses, and
+	// may be nil.
+	Wrap func(http.RoundTripper) http.RoundTripper
+}
+
+func (o Options) wrap(transport http.RoundTripper) http.RoundTripper {
+	if o.Wrap == nil {
+		return transport
+	}
+	return o.Wrap(transport)
 }
 
 // Client is an HTTP client of one engine. Use New.
@@ -57,13 +67,16 @@
 	if transport == nil {
 		transport = NewTransport()
 	}
-	c := &Client{baseURL: strings.TrimSuffix(opts.URL, "/"), ordererToken: opts.OrdererToken, transport: transport, generation: transport}
+	generation := transport
 	if kept, ok := transport.(*http.Transport); ok {
 		single := kept.Clone()
 		single.DisableKeepAlives = true
-		c.generation = single
+		generation = single
+	}
+	return &Client{
+		baseURL: strings.TrimSuffix(opts.URL, "/"), ordererToken: opts.OrdererToken,
+		transport: opts.wrap(transport), generation: opts.wrap(generation),
 	}
-	return c
 }
 
 // NewTransport returns the transport for an engine.
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,14 +113,14 @@
 		waiters:        map[attempt.WaiterID]chan message.AskResult{},
 	}
 	if opts.EngineURL != "" {
-		transport := opts.EngineTransport
-		if transport == nil {
-			transport = engine.NewTransport()
-		}
 		s.engineLimit = &endpointLimit{name: "engine", logger: opts.Logger}
 		s.engineWarmUp = &warmUp{name: "engine", logger: opts.Logger}
-		transport = limitTransport{transport, s.engineLimit, isGeneration}
-		s.engine = engine.New(engine.Options{URL: opts.EngineURL, OrdererToken: opts.OrdererToken, Transport: transport})
+		s.engine = engine.New(engine.Options{
+			URL: opts.EngineURL, OrdererToken: opts.OrdererToken, Transport: opts.EngineTransport,
+			Wrap: func(next http.RoundTripper) http.RoundTripper {
+				return limitTransport{next, s.engineLimit, isGeneration}
+			},
+		})
 	}
 	for name, url := range opts.Services {
 		transport := opts.ServiceTransport
