agent: a response with an invalid status names no limit

What callers saw: nothing yet; found while looking again at every reader of a status. A service in trouble that answers with the status 000 and a limit slows down its later calls, and its answer counts as a sign that it serves.

Cause: the rule for a status stood in the two clients, above the transports that hear limits and warm-ups.

Change: httpstatus.Transport has it, below both, and the clients' own checks are gone. The path of a sign-off through entry, agent and service gets its case of an invalid status.

Result: TestInvalidStatusNamesNoLimit fails before; the case of TestSignoffRunsOnceWhateverFails fails on ("complete" in place of "unknown"). The clients' earlier tests pass unchanged.

--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -39,16 +39,17 @@
 	OrdererToken string
 	// Transport replaces the TCP transport, for tests.
 	Transport http.RoundTripper
-	// Wrap returns a transport around the given one, which observes the responses. It is called for each transport that the client uses, and
-	// may be nil.
+	// Wrap returns a transport around the given one, which observes the responses with a valid status. It is called for each transport that
+	// the client uses, and may be nil.
 	Wrap func(http.RoundTripper) http.RoundTripper
 }
 
 func (o Options) wrap(transport http.RoundTripper) http.RoundTripper {
+	checked := httpstatus.Transport{Next: transport}
 	if o.Wrap == nil {
-		return transport
+		return checked
 	}
-	return o.Wrap(transport)
+	return o.Wrap(checked)
 }
 
 // Client is an HTTP client of one engine. Use New.
@@ -178,7 +179,7 @@
 
 // roundTrip sends req. It returns ErrNotSent if the transport never got a
 // connection, and ErrResponseCut for a later failure, after which the call may have
-// run. Any status other than 200 becomes ErrRefused, or ErrResponseCut if it is invalid or the body
+// run. Any valid status other than 200 becomes ErrRefused, or ErrResponseCut if the body
 // gives no code.
 func (c *Client) roundTrip(req *http.Request) (*http.Response, error) {
 	connected := false
@@ -201,9 +202,6 @@
 
 func decodeRefusal(resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
-	if err := httpstatus.CheckFinal(resp.StatusCode); err != nil {
-		return ErrResponseCut{Cause: err}
-	}
 	var r Refusal
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRefusalBytes)).Decode(&r); err != nil || r.Code == "" {
 		return ErrResponseCut{Cause: errors.Errorf("status %d without a reason", resp.StatusCode)}
--- a/internal/agent/plainservice/client.go
+++ b/internal/agent/plainservice/client.go
@@ -37,6 +37,8 @@
 	URL string
 	// Transport replaces the TCP transport, for tests.
 	Transport http.RoundTripper
+	// Wrap returns a transport around the given one, which observes the responses with a valid status. It may be nil.
+	Wrap func(http.RoundTripper) http.RoundTripper
 }
 
 // Client is an HTTP client of one service. Use New.
@@ -51,6 +53,10 @@
 	if transport == nil {
 		transport = NewTransport()
 	}
+	transport = httpstatus.Transport{Next: transport}
+	if opts.Wrap != nil {
+		transport = opts.Wrap(transport)
+	}
 	return &Client{baseURL: strings.TrimSuffix(opts.URL, "/"), transport: transport}
 }
 
@@ -91,9 +97,6 @@
 		return ErrResponseCut{Cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := httpstatus.CheckFinal(resp.StatusCode); err != nil {
-		return ErrResponseCut{Cause: err}
-	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
 		return ErrResponseCut{Cause: errors.New("the answer has neither a length nor chunks, so its end can't be told")}
 	}
--- a/internal/agent/server/endpoint_limit_test.go
+++ b/internal/agent/server/endpoint_limit_test.go
@@ -2,23 +2,34 @@
 
 import (
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+
+	"github.com/egretreach/egretreach/internal/agent/plainservice"
+	"github.com/egretreach/egretreach/internal/link/message"
 )
 
 // limitedEndpoint names a limit in its responses.
-type limitedEndpoint struct{ perSecond float64 }
+type limitedEndpoint struct {
+	perSecond float64
+	status    int
+}
 
 // RoundTrip implements http.RoundTripper.
-func (e *limitedEndpoint) RoundTrip(*http.Request) (*http.Response, error) {
+func (e *limitedEndpoint) RoundTrip(r *http.Request) (*http.Response, error) {
+	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
 	h := http.Header{}
 	if e.perSecond > 0 {
 		h.Set(LimitHeader, strconv.FormatFloat(e.perSecond, 'f', -1, 64))
 	}
-	return &http.Response{StatusCode: http.StatusOK, Header: h, Body: http.NoBody}, nil
+	return &http.Response{StatusCode: e.status, Header: h, Body: http.NoBody}, nil
 }
 
 // TestEndpointGetsNoMoreThanItsLimit guards against an endpoint that gets more work than the limit that it names, and
@@ -26,7 +37,7 @@
 func TestEndpointGetsNoMoreThanItsLimit(t *testing.T) {
 	const perSecond, window = 5.0, 4
 	var limit endpointLimit
-	endpoint := &limitedEndpoint{perSecond: perSecond}
+	endpoint := &limitedEndpoint{perSecond: perSecond, status: http.StatusOK}
 	transport := limitTransport{endpoint, &limit, func(r *http.Request) bool { return r.URL.Path == "/work" }}
 	ask := func(path string) {
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://e"+path, http.NoBody)
@@ -58,3 +69,24 @@
 	ask("/work")
 	require.Nil(t, limit.limiter)
 }
+
+// TestInvalidStatusNamesNoLimit guards against the answer of a service in trouble that slows down its later calls, or counts as a sign that
+// it serves.
+func TestInvalidStatusNamesNoLimit(t *testing.T) {
+	endpoint := &limitedEndpoint{perSecond: 5}
+	s := New(Options{Services: map[string]string{"records": "http://e"}, ServiceTransport: endpoint})
+	call := &message.Dispatch{Call: &message.Call{Method: http.MethodGet, Path: "/a"}}
+	endpoint.status = 0
+	require.True(t, plainservice.IsErrResponseCut(s.services["records"].Call(t.Context(), call, nil)))
+	require.Nil(t, s.serviceLimits["records"].limiter)
+	endpoint.status = http.StatusOK
+	require.Error(t, s.services["records"].Call(t.Context(), call, failingSink{}))
+	require.NotNil(t, s.serviceLimits["records"].limiter)
+}
+
+// failingSink takes nothing of an answer.
+type failingSink struct{}
+
+func (failingSink) WriteHeader(int, http.Header) error { return errors.New("nothing is taken") }
+
+func (failingSink) WriteData([]byte) error { return nil }
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -123,15 +123,15 @@
 		})
 	}
 	for name, url := range opts.Services {
-		transport := opts.ServiceTransport
-		if transport == nil {
-			transport = plainservice.NewTransport()
-		}
 		s.serviceLimits[name] = &endpointLimit{name: name, logger: opts.Logger}
 		s.serviceWarmUps[name] = &warmUp{name: name, logger: opts.Logger}
 		s.serviceWarmUps[name].begin(time.Now(), warmUpStart)
-		transport = warmUpTransport{limitTransport{transport, s.serviceLimits[name], isServiceCall}, s.serviceWarmUps[name]}
-		s.services[name] = plainservice.New(plainservice.Options{URL: url, Transport: transport})
+		s.services[name] = plainservice.New(plainservice.Options{
+			URL: url, Transport: opts.ServiceTransport,
+			Wrap: func(next http.RoundTripper) http.RoundTripper {
+				return warmUpTransport{limitTransport{next, s.serviceLimits[name], isServiceCall}, s.serviceWarmUps[name]}
+			},
+		})
 	}
 	s.registerMetrics()
 	s.session = session.New(session.Options{Pool: opts.Pool, ControlAddresses: opts.ControlAddresses, Daemon: s, Logger: opts.Logger})
--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -124,6 +124,7 @@
 		"link cut":           {service.FailureHang, func(s *fixture, busy host.ID) { s.cutLink("entry-1", busy) }, "unknown", "complete", 1},
 		"links silent":       {service.FailureHang, func(s *fixture, _ host.ID) { s.sockets.Network.DropFlows() }, "complete", "complete", 1},
 		"dropped after run":  {service.FailureDropAfter, func(*fixture, host.ID) {}, "unknown", "unknown", 1},
+		"invalid status":     {service.FailureInvalidStatus, func(*fixture, host.ID) {}, "unknown", "unknown", 1},
 		"dropped before run": {service.FailureDropBefore, func(*fixture, host.ID) {}, "unknown", "unknown", 0},
 	}
 	for name, c := range cases {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -35,6 +35,8 @@
 	FailureDropBefore Failure = "drop_before"
 	// FailureDropAfter drops the connection after the sign-off has run.
 	FailureDropAfter Failure = "drop_after"
+	// FailureInvalidStatus runs a sign-off and responds with the status 000.
+	FailureInvalidStatus Failure = "invalid_status"
 )
 
 // Service is the records service. Create it with New.
@@ -135,6 +137,9 @@
 	case FailureNone, FailureDropBefore:
 	case FailureDropAfter:
 		panic(http.ErrAbortHandler)
+	case FailureInvalidStatus:
+		writeInvalidStatus(w)
+		return
 	case FailureHang:
 		select {
 		case <-released:
@@ -157,6 +162,16 @@
 	return s.total
 }
 
+// writeInvalidStatus responds with the status 000, which net/http refuses to write.
+func writeInvalidStatus(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "HTTP/1.1 000\r\nContent-Length: 2\r\n\r\nok")
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
