transport: links of the process before a restart are reset too

Cause: the key of resets was drawn at each start, so the new process couldn't reset the links of the old one.

Change: it is derived from the private key, or, on a private network, where keys don't outlive a process and every process is trusted, from the identity.

--- a/internal/link/identity/credentials.go
+++ b/internal/link/identity/credentials.go
@@ -73,6 +73,17 @@
 // Self returns the identity in the process's own certificate.
 func (c *Credentials) Self() Identity { return c.current.Load().self }
 
+// LastingSecret returns what only this process knows and has again after a restart: its private key. On a private network, where every process
+// is trusted and keys don't outlive a process, it returns the identity, which is no secret.
+func (c *Credentials) LastingSecret() ([]byte, error) {
+	now := c.current.Load()
+	if c.unverified {
+		return []byte(now.self.String()), nil
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(now.pair.PrivateKey)
+	return secret, errors.Wrap(err, "encode private key")
+}
+
 // Server returns the TLS configuration of a listener.
 func (c *Credentials) Server() *tls.Config {
 	return &tls.Config{
--- a/internal/link/transport/transport.go
+++ b/internal/link/transport/transport.go
@@ -5,7 +5,8 @@
 
 import (
 	"context"
-	"crypto/rand"
+	"crypto/hkdf"
+	"crypto/sha256"
 	"net"
 	"time"
 
@@ -101,13 +102,25 @@
 // pc and closes it. It resets links that it doesn't know any more (RFC 9000, section 10.3): a peer whose round trip
 // time was measured across a standstill would go on with them for many times idleTimeout.
 func New(pc net.PacketConn, credentials *identity.Credentials, opts Options) *Socket {
-	transport := &quic.Transport{Conn: opts.wrapConn(pc), StatelessResetKey: newResetKey()}
+	transport := &quic.Transport{Conn: opts.wrapConn(pc), StatelessResetKey: resetKey(credentials)}
 	return &Socket{transport: transport, credentials: credentials, opts: opts}
 }
 
-func newResetKey() *quic.StatelessResetKey {
-	var key quic.StatelessResetKey
-	_, _ = rand.Read(key[:]) // It never returns an error.
+// resetLabel tells the key of resets from other keys that are derived from the same secret.
+const resetLabel = "egretreach link reset"
+
+// resetKey returns a key that a process has again after a restart, so that it resets the links of the process before it. It returns nil, with
+// which no link is reset, if the secret can't be read.
+func resetKey(credentials *identity.Credentials) *quic.StatelessResetKey {
+	secret, err := credentials.LastingSecret()
+	if err != nil {
+		return nil
+	}
+	derived, err := hkdf.Key(sha256.New, secret, nil, resetLabel, len(quic.StatelessResetKey{}))
+	if err != nil {
+		return nil
+	}
+	key := quic.StatelessResetKey(derived)
 	return &key
 }
 
