quorum: a disk is named once it holds the log

Cause: a leader listed a new disk in the membership on its first answer, with nothing of the log on it. From then until the disk was admitted the host counted nowhere, and the disk that it was to replace was given up for good, also if it returned meanwhile. A new leader counted the silence of all hosts from its election, so it could not tell the leader that was lost before from a host that froze later. A disk that came with a log was sent all of it again.

Change: a disk that answers for a silent host is a learner: it is sent the log, from the end of what it holds, in rounds (Ongaro 2014, section 4.2.1), and listed when it holds it. The listed disk counts again if it answers before. Of the leader before it, a new leader knows since when it is silent. Events quorum_learner_added and quorum_learner_named say when a disk had the whole log and what it took. The random histories have processes that run on beside their successors, and displaced disks that take the place of those of other hosts with the entries and votes of their own terms.

--- a/internal/control/quorum/admission.go
+++ b/internal/control/quorum/admission.go
@@ -82,23 +82,6 @@
 	}
 }
 
-// replaceDisk replaces a peer's lost disk in the membership once the new disk has answered a
-// heartbeat sent at sent. The entry commits without the peer's vote, because a disk that is
-// not admitted is not counted. While the listed disk still answers, another disk that claims
-// the same host ID does not replace it.
-func (n *Node) replaceDisk(now time.Time, msg Message, sent LeaderTime) {
-	p := n.progress[msg.From]
-	recent := sent > 0 && now.Sub(n.sendTime(sent)) < n.timing.ElectionTimeout
-	active := p.admitted && now.Sub(p.lastReply) < n.timing.ElectionTimeout
-	if !recent || active || n.commit < n.termStart || n.log.hasMembershipAfter(n.commit) {
-		return
-	}
-	next := n.log.membership().With(msg.From, msg.Generation)
-	n.appendAsLeader(Entry{Kind: EntryMembership, Membership: &next})
-	p.reset(msg.Generation, 1)
-	n.sendEntriesToAll(now)
-}
-
 func (n *Node) receivePromise(now time.Time, msg Message, body Promise) {
 	if !n.fresh() || n.self != n.bootstrapHost() || body.BootstrapDisk != n.hard.Generation {
 		return
@@ -195,12 +178,10 @@
 	}
 }
 
-// expel handles a log that names another disk for this host. The disk continues under a new
-// generation, so that an entry listing the old generation can never admit it again.
+// expel handles a log that names another disk for this host.
 func (n *Node) expel() {
 	n.emit(Expelled{Generation: n.hard.Generation})
-	n.hard.Admitted = false
-	n.hard.Generation = n.hard.Generation.successor()
+	n.hard = n.hard.WithoutVote()
 }
 
 // successor derives a new generation by one step of SplitMix64.
--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -99,7 +99,7 @@
 // recordLeaderContact follows the leader of the current term and restarts the election timer.
 func (n *Node) recordLeaderContact(now time.Time, leader host.ID) {
 	n.becomeFollower(now, n.hard.Term, leader)
-	n.leaderContact = now
+	n.leaderContact, n.contactedBy = now, leader
 	n.timerDue = now.Add(n.electionTimeout())
 }
 
--- a/internal/control/quorum/event.go
+++ b/internal/control/quorum/event.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "github.com/egretreach/egretreach/internal/fleet/host"
+import (
+	"time"
+
+	"github.com/egretreach/egretreach/internal/fleet/host"
+)
 
 // Event is an input of the Raft node. Only this package implements it.
 type Event interface{ event() }
@@ -132,6 +136,21 @@
 // This host then accepts no entries or snapshots of that log.
 type HostsDiffer struct{ InitialHosts []host.ID }
 
+// LearnerAdded reports that this leader begins to send the log to another disk than the listed one of a host.
+type LearnerAdded struct {
+	Host       host.ID
+	Generation Generation
+}
+
+// LearnerNamed reports that the disk of a learner holds the log, and that the entry at Index lists it in place of the host's lost
+// disk. After is the time since LearnerAdded.
+type LearnerNamed struct {
+	Host       host.ID
+	Generation Generation
+	Index      Index
+	After      time.Duration
+}
+
 func (Persist) action() {}
 
 func (Send) action() {}
@@ -153,3 +172,7 @@
 func (Expelled) action() {}
 
 func (HostsDiffer) action() {}
+
+func (LearnerAdded) action() {}
+
+func (LearnerNamed) action() {}
--- a/internal/control/quorum/final_fault_test.go
+++ b/internal/control/quorum/final_fault_test.go
@@ -17,6 +17,9 @@
 		s.crash(id)
 		s.nodes[id].syncTime = defaultSyncTime
 	}
+	for _, n := range s.strays {
+		s.crashNode(n)
+	}
 	s.inFlight = nil
 	for _, id := range lost {
 		s.loseDisk(id)
@@ -123,7 +126,7 @@
 		s.lossy = true
 		for range rapid.IntRange(1, 4).Draw(t, "final faults") {
 			for range rapid.IntRange(5, 30).Draw(t, "steps") {
-				injectFault(t, s, lastFaultOfPresentDisk)
+				injectFault(t, s, faultOfPresentDisk)
 				slowDisk(t, s)
 				proposeAndRead(s)
 				s.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * tick)
--- a/internal/control/quorum/history_test.go
+++ b/internal/control/quorum/history_test.go
@@ -7,17 +7,24 @@
 	"pgregory.net/rapid"
 )
 
-// TestRandomHistories runs random histories of faults and checks at every action that a term has
+// TestRandomHistories runs random histories of faults, among them disks that take the place of those of other hosts with
+// the entries and votes of their own terms, and checks at every action that a term has
 // one leader, that committed entries are never lost or changed, that applied logs are equal and
 // that reads are linearizable. After all faults are healed, every host must be admitted and apply
 // a new command. rapid prints the seed of a history that fails.
-func TestRandomHistories(t *testing.T) { runRandomHistories(t, false) }
+func TestRandomHistories(t *testing.T) { runRandomHistories(t, false, anyFault) }
 
 // TestRandomHistoriesWithSuspendedHosts is the same with hosts that are suspended while their clocks stand still. It
 // guards against a read that rests on a clock: a lease that is long over, or an answer to an earlier message.
-func TestRandomHistoriesWithSuspendedHosts(t *testing.T) { runRandomHistories(t, true) }
+func TestRandomHistoriesWithSuspendedHosts(t *testing.T) { runRandomHistories(t, true, anyFault) }
 
-func runRandomHistories(t *testing.T, suspends bool) {
+// TestRandomHistoriesOfReplacedProcesses is the same with faults around replaced processes. Displaced disks come back, or take the place of
+// those of other hosts, with the entries and votes of their own terms. It guards against a disk that counts before the log names it.
+func TestRandomHistoriesOfReplacedProcesses(t *testing.T) {
+	runRandomHistories(t, false, []int{0, 2, 2, 6, 7, 9, 9, 10, 10, 11, 12, 13, 14, 14, 14, 15, 15, 15, 15, 16})
+}
+
+func runRandomHistories(t *testing.T, suspends bool, faults []int) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.SampledFrom([]int{3, 3, 5, 7}).Draw(t, "hosts")
 		s := newSimulation(t, n, rapid.Uint64().Draw(t, "seed"))
@@ -29,10 +36,11 @@
 			if suspends && rapid.IntRange(0, 4).Draw(t, "suspend") == 0 {
 				suspendLeader(s)
 			}
-			injectFault(t, s, lastFault)
+			injectFault(t, s, faults)
 			proposeAndRead(s)
 			s.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * tick)
 		}
+		s.settleStrays()
 		s.heal()
 		s.run(10 * time.Second)
 		leader := s.leader()
@@ -60,17 +68,16 @@
 	s.suspend(n, time.Duration(500+s.random.IntN(4000))*time.Millisecond)
 }
 
-// lastFault is the highest number of a fault in injectFault. Up to lastFaultOfPresentDisk, no host
-// gets back a disk that it had lost.
-const (
-	lastFaultOfPresentDisk = 13
-	lastFault              = 14
+// anyFault has the numbers of all faults of injectFault. faultOfPresentDisk are those by which no host gets back a disk that it had lost.
+var (
+	anyFault           = []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
+	faultOfPresentDisk = anyFault[:16]
 )
 
-// injectFault injects one random fault at a random host. last limits its number.
-func injectFault(t *rapid.T, s *simulation, last int) {
+// injectFault injects one random fault of some at a random host.
+func injectFault(t *rapid.T, s *simulation, faults []int) {
 	n := s.nodes[rapid.SampledFrom(s.hosts).Draw(t, "host")]
-	switch rapid.IntRange(0, last).Draw(t, "fault") {
+	switch rapid.SampledFrom(faults).Draw(t, "fault") {
 	case 0, 1:
 		if !n.down {
 			s.crash(n.id)
@@ -82,6 +89,10 @@
 	case 5:
 		loseDisk(s, n)
 	case 14:
+		displace(s, n)
+	case 15:
+		moveStray(s, n)
+	case 16:
 		restorePreviousDisk(s, n)
 	case 6:
 		s.block(n.id, true, true)
@@ -106,15 +117,45 @@
 
 // loseDisk empties the disk of n, unless a majority would then be without a voting disk.
 func loseDisk(s *simulation, n *simNode) {
+	if !mayLoseDisk(s, n) {
+		return
+	}
+	s.crash(n.id)
+	s.loseDisk(n.id)
+}
+
+// mayLoseDisk reports whether a majority keeps a voting disk if n loses its own.
+func mayLoseDisk(s *simulation, n *simNode) bool {
 	lost := s.nonVotingDisks()
 	if s.hasVotingDisk(n) {
 		lost++
 	}
-	if lost > (len(s.hosts)-1)/2 {
+	return lost <= (len(s.hosts)-1)/2
+}
+
+// displace replaces the process of n while it stands still or is cut off for up to three seconds, unless a majority would then be without a
+// voting disk. The log has been bootstrapped: until then there is one process for each host.
+func displace(s *simulation, n *simNode) {
+	if n.down || !n.disk.Hard.Admitted || !mayLoseDisk(s, n) {
 		return
 	}
-	s.crash(n.id)
-	s.loseDisk(n.id)
+	absence := time.Duration(s.random.IntN(3000)) * time.Millisecond
+	if s.random.IntN(2) == 0 {
+		n.pausedUntil = s.now.Add(absence)
+	} else {
+		n.cutUntil = s.now.Add(absence)
+	}
+	s.displace(n)
+}
+
+// moveStray gives the disk of a displaced process, with its log and the votes that it gave, to n in place of its own.
+func moveStray(s *simulation, n *simNode) {
+	for _, stray := range s.strays {
+		if stray.id != n.id && s.isDisplaced(stray) && mayLoseDisk(s, n) {
+			s.moveStray(stray, n)
+			return
+		}
+	}
 }
 
 // restorePreviousDisk gives a host back the disk that it lost last. If its present disk has been
--- a/internal/control/quorum/leader.go
+++ b/internal/control/quorum/leader.go
@@ -21,15 +21,24 @@
 	n.role, n.leader = RoleLeader, n.self
 	n.timerDue = now
 	n.writes.uncommittedBytes = totalSize(n.log.slice(n.commit+1, n.log.last()))
-	n.progress = map[host.ID]*progress{}
+	n.progress, n.learners = map[host.ID]*progress{}, map[host.ID]*learner{}
 	membership := n.log.membership()
 	for _, id := range n.peers {
-		p := &progress{generation: membership.Current[id], lastReply: now}
+		p := &progress{generation: membership.Current[id], lastReply: n.lastSign(now, id)}
 		p.becomeProbe(n.log.last() + 1)
 		n.progress[id] = p
 	}
 }
 
+// lastSign returns when a new leader takes a peer to have been reachable last. The peer that led before it has been silent since
+// its last message; of the others nothing is known.
+func (n *Node) lastSign(now time.Time, id host.ID) time.Time {
+	if id == n.contactedBy {
+		return n.leaderContact
+	}
+	return now
+}
+
 // leaderTick is the periodic work of a leader. It steps down without a majority, aborts a
 // transfer after its deadline, and otherwise sends heartbeats and outstanding entries.
 func (n *Node) leaderTick(now time.Time) {
@@ -43,9 +52,9 @@
 		n.startPreVote(now)
 		return
 	}
+	n.dropSilentLearners(now)
 	for _, id := range n.peers {
-		p := n.progress[id]
-		n.expireInflight(now, p)
+		n.expireInflight(now, n.receiver(id))
 		n.sendEntries(now, id)
 	}
 	n.sendHeartbeats(now)
@@ -61,13 +70,17 @@
 		}
 	}
 	for _, id := range n.peers {
-		p := n.progress[id]
-		n.send(n.newMessage(id, p.generation, Heartbeat{
-			Commit: min(n.commit, p.match), Sent: n.stamp(now),
-		}))
+		n.sendHeartbeat(now, id, n.progress[id])
+		if l := n.learners[id]; l != nil {
+			n.sendHeartbeat(now, id, &l.progress)
+		}
 	}
 }
 
+func (n *Node) sendHeartbeat(now time.Time, id host.ID, p *progress) {
+	n.send(n.newMessage(id, p.generation, Heartbeat{Commit: min(n.commit, p.match), Sent: n.stamp(now)}))
+}
+
 // expireInflight stops waiting for replies that are overdue, so that the next sendEntries
 // sends the messages again.
 func (n *Node) expireInflight(now time.Time, p *progress) {
@@ -204,6 +217,7 @@
 	}
 	n.advanceCommit(now)
 	n.sendEntries(now, msg.From)
+	n.nameLearner(now, msg.From)
 	n.completeTransfer()
 }
 
@@ -212,6 +226,7 @@
 func (n *Node) receiveHeartbeatReply(now time.Time, msg Message, body HeartbeatReply) {
 	if n.recordReply(now, msg, body.Sent) != nil {
 		n.advanceCommit(now)
+		n.nameLearner(now, msg.From)
 	}
 }
 
@@ -224,9 +239,9 @@
 	n.sendEntries(now, msg.From)
 }
 
-// recordReply records that a peer has answered a message sent at sent. It returns the sender's
-// progress, or nil if this host does not lead or the message is not from the disk that the
-// leader's log names.
+// recordReply records that a peer has answered a message sent at sent. It returns the progress of the
+// sender's disk, or nil if this host does not lead or the disk is neither the one that the leader's
+// log names nor a learner.
 func (n *Node) recordReply(now time.Time, msg Message, sent LeaderTime) *progress {
 	if n.role != RoleLeader {
 		return nil
@@ -236,13 +251,13 @@
 		return nil
 	}
 	if p.generation != msg.Generation {
-		n.replaceDisk(now, msg, sent)
-		return nil
+		return n.recordLearnerReply(now, msg, sent)
 	}
 	p.admitted = msg.Admitted
 	if !msg.Admitted {
 		return p
 	}
+	delete(n.learners, msg.From)
 	p.lastReply = now
 	if sent > p.acked {
 		p.acked, p.ackedSendTime = sent, n.sendTime(sent)
@@ -260,7 +275,7 @@
 // sendEntries sends a peer the entries or the snapshot that it lacks, as far as flow control
 // allows.
 func (n *Node) sendEntries(now time.Time, id host.ID) {
-	p := n.progress[id]
+	p := n.receiver(id)
 	if p == nil {
 		return
 	}
--- a/internal/control/quorum/node.go
+++ b/internal/control/quorum/node.go
@@ -30,9 +30,10 @@
 
 	role   Role
 	leader host.ID
-	// leaderContact is when the leader's last message arrived. For an election timeout after
-	// it, this host supports no other candidate.
+	// leaderContact is when the last message of a leader arrived, and contactedBy that leader. For an
+	// election timeout after it, this host supports no other candidate.
 	leaderContact time.Time
+	contactedBy   host.ID
 	// timerDue is the time of the next pre-vote or, on a leader, of the next heartbeat.
 	timerDue time.Time
 	// joinDue is when a host that is not admitted sends its next Join.
@@ -56,6 +57,7 @@
 	// which leadership is being transferred, empty if there is none. leaseRevoked is true once that
 	// peer has been asked to start an election.
 	progress         map[host.ID]*progress
+	learners         map[host.ID]*learner
 	termStart        Index
 	pendingReads     []pendingRead
 	roundSentAt      time.Time
@@ -228,7 +230,7 @@
 	for _, r := range n.pendingReads {
 		n.emit(Rejected{ID: r.id, Reason: ReasonNotLeader, Leader: n.leader})
 	}
-	n.pendingReads, n.progress, n.votes, n.neverLeads = nil, nil, nil, nil
+	n.pendingReads, n.progress, n.learners, n.votes, n.neverLeads = nil, nil, nil, nil, nil
 	n.roundSentAt = time.Time{}
 	n.transferee, n.leaseRevoked, n.byTransfer = "", false, false
 }
--- a/internal/control/quorum/progress.go
+++ b/internal/control/quorum/progress.go
@@ -73,10 +73,3 @@
 	p.becomeProbe(p.match + 1)
 	p.state = progressReplicate
 }
-
-// reset clears the progress of a peer that has a new disk with generation g.
-func (p *progress) reset(g Generation, next Index) {
-	lastReply := p.lastReply
-	*p = progress{generation: g, lastReply: lastReply}
-	p.becomeProbe(next)
-}
--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -11,9 +11,10 @@
 // Each journal has a random Generation. Membership entries in the log name the generation of
 // each host. A host votes, and counts towards a majority, only while it is admitted. A host with
 // a new journal is not admitted. It sends Join until a leader commits a Membership entry with
-// its generation, for which the leader needs a majority without that host. The host is admitted
-// once it knows that this entry is committed; it then holds every entry that its lost disk may
-// have helped to commit. A vote that the lost disk gave in a later term is harmless: the
+// its generation, for which the leader needs a majority without that host. Until the new disk holds
+// the log it is a learner: the leader sends it the log, and the lost disk stays listed, so that it
+// counts again if it was only out of reach. The host is admitted once it knows that the entry is
+// committed; it then holds every entry that its lost disk may have helped to commit. A vote that the lost disk gave in a later term is harmless: the
 // candidate does not have the Membership entry, and every majority includes a host that has it.
 //
 // # Bootstrap
@@ -106,6 +107,13 @@
 	Challenge Generation `cbor:"6,keyasint,omitempty"`
 }
 
+// WithoutVote returns the state of a disk that has lost its vote. It has another generation, so that an entry that lists the old
+// one can never admit it again. The term and the vote in it stay.
+func (h HardState) WithoutVote() HardState {
+	h.Admitted, h.Generation = false, h.Generation.successor()
+	return h
+}
+
 // Snapshot replaces all entries up to and including Index.
 type Snapshot struct {
 	Index      Index      `cbor:"1,keyasint"`
--- a/internal/control/quorum/simulation_test.go
+++ b/internal/control/quorum/simulation_test.go
@@ -27,12 +27,14 @@
 // simulation runs nodes with simulated disks, clocks and network in small time steps. It checks
 // the safety of the log at every action.
 type simulation struct {
-	t        testingT
-	random   *rand.Rand
-	start    time.Time
-	now      time.Time
-	hosts    []host.ID
-	nodes    map[host.ID]*simNode
+	t      testingT
+	random *rand.Rand
+	start  time.Time
+	now    time.Time
+	hosts  []host.ID
+	nodes  map[host.ID]*simNode
+	// strays are processes that run on with a disk that another one was to replace. They have the host's ID too.
+	strays   []*simNode
 	inFlight []delayedMessage
 	blocked  map[[2]host.ID]bool
 	tick     time.Duration
@@ -45,7 +47,7 @@
 	// readsOnResume is true if a host that was suspended is asked for a read before it learns of anything else.
 	readsOnResume bool
 
-	leaders     map[Term]host.ID
+	leaders     map[Term]*simNode
 	committed   []committedEntry
 	hashes      []uint64
 	readsServed int
@@ -61,6 +63,8 @@
 	pendingWrites []pendingPersist
 	down          bool
 	pausedUntil   time.Time
+	// cutUntil is when a process that is cut off can be reached again. Unlike the host's links, those of its successor work.
+	cutUntil time.Time
 	// suspended is the time that the node's clock has not counted. Until standsUntil it shows stoodAt.
 	suspended   time.Duration
 	standsUntil time.Time
@@ -83,6 +87,7 @@
 
 type delayedMessage struct {
 	at  time.Time
+	to  *simNode
 	msg Message
 }
 
@@ -94,7 +99,7 @@
 func newSimulation(t testingT, n int, seed uint64) *simulation {
 	s := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1_000_000, 0),
-		nodes: map[host.ID]*simNode{}, blocked: map[[2]host.ID]bool{}, leaders: map[Term]host.ID{},
+		nodes: map[host.ID]*simNode{}, blocked: map[[2]host.ID]bool{}, leaders: map[Term]*simNode{},
 		hashes: []uint64{0}, tick: tick,
 	}
 	s.now = s.start
@@ -116,8 +121,9 @@
 	s.nodes[id].disk = RecoveredState{Hard: HardState{Generation: Generation(s.random.Uint64() | 1)}}
 }
 
-func (s *simulation) boot(id host.ID) {
-	n := s.nodes[id]
+func (s *simulation) boot(id host.ID) { s.bootNode(s.nodes[id]) }
+
+func (s *simulation) bootNode(n *simNode) {
 	n.down, n.pendingWrites, n.reads = false, nil, map[uint64]int{}
 	n.applied, n.hash = n.disk.Snapshot.Index, 0
 	if n.applied > 0 {
@@ -125,12 +131,13 @@
 	}
 	recovered := n.disk
 	recovered.Entries = slices.Clone(recovered.Entries)
-	n.node = New(s.clock(n), Options{Self: id, Hosts: s.hosts, Timing: testTiming, KeptEntries: 3, Seed: s.random.Uint64()}, recovered)
+	n.node = New(s.clock(n), Options{Self: n.id, Hosts: s.hosts, Timing: testTiming, KeptEntries: 3, Seed: s.random.Uint64()}, recovered)
 }
 
 // crash stops a node. A random number of its pending writes, from the first on, reach the disk.
-func (s *simulation) crash(id host.ID) {
-	n := s.nodes[id]
+func (s *simulation) crash(id host.ID) { s.crashNode(s.nodes[id]) }
+
+func (s *simulation) crashNode(n *simNode) {
 	n.down = true
 	for _, p := range n.pendingWrites[:s.random.IntN(len(n.pendingWrites)+1)] {
 		n.store(p.write)
@@ -181,13 +188,22 @@
 		s.now = s.now.Add(s.tick)
 		s.readOnResume()
 		s.deliver()
-		for _, id := range s.hosts {
-			s.runNode(s.nodes[id])
+		for _, n := range s.processes() {
+			s.runNode(n)
 		}
 		s.checkLeases()
 	}
 }
 
+// processes returns all processes, those of the hosts first.
+func (s *simulation) processes() []*simNode {
+	var all []*simNode
+	for _, id := range s.hosts {
+		all = append(all, s.nodes[id])
+	}
+	return append(all, s.strays...)
+}
+
 // readOnResume asks each host that has just resumed, and still takes itself for the leader, for a read.
 func (s *simulation) readOnResume() {
 	for _, id := range s.hosts {
@@ -220,17 +236,27 @@
 func (s *simulation) deliver() {
 	var later, due []delayedMessage
 	for _, p := range s.inFlight {
-		to := s.nodes[p.msg.To]
 		switch {
-		case s.now.Before(p.at) || s.now.Before(to.pausedUntil):
+		case s.now.Before(p.at) || s.now.Before(p.to.pausedUntil):
 			later = append(later, p)
-		case !to.down && !s.blocked[[2]host.ID{p.msg.From, p.msg.To}]:
+		case !p.to.down && !s.now.Before(p.to.cutUntil) && !s.blocked[[2]host.ID{p.msg.From, p.msg.To}]:
 			due = append(due, p)
 		}
 	}
 	s.inFlight = later
 	for _, p := range due {
-		s.step(s.nodes[p.msg.To], Received{Message: p.msg})
+		if !p.to.down {
+			s.step(p.to, Received{Message: p.msg})
+		}
+	}
+}
+
+// post puts a message on its way, to each process that has the ID of the receiver.
+func (s *simulation) post(m Message, delay time.Duration) {
+	for _, n := range s.processes() {
+		if n.id == m.To {
+			s.inFlight = append(s.inFlight, delayedMessage{at: s.now.Add(delay), to: n, msg: m})
+		}
 	}
 }
 
@@ -275,6 +301,9 @@
 
 func (s *simulation) send(n *simNode, m Message) {
 	n.sent++
+	if s.now.Before(n.cutUntil) {
+		return
+	}
 	if s.drop != nil && s.drop(m) {
 		return
 	}
@@ -286,10 +315,10 @@
 			return
 		case 1:
 			late := time.Duration(s.random.IntN(3000)) * time.Millisecond
-			s.inFlight = append(s.inFlight, delayedMessage{at: s.now.Add(late), msg: m})
+			s.post(m, late)
 		}
 	}
-	s.inFlight = append(s.inFlight, delayedMessage{at: s.now.Add(delay), msg: m})
+	s.post(m, delay)
 }
 
 func (s *simulation) apply(n *simNode, e Entry) {
@@ -318,10 +347,10 @@
 // checkElected checks that a term has one leader and that it holds the entries committed in
 // earlier terms.
 func (s *simulation) checkElected(n *simNode, term Term) {
-	if other, taken := s.leaders[term]; taken && other != n.id {
-		s.t.Fatalf("term %d is led by %s and %s", term, other, n.id)
+	if other, taken := s.leaders[term]; taken && other != n {
+		s.t.Fatalf("term %d is led by %s and %s", term, other.id, n.id)
 	}
-	s.leaders[term] = n.id
+	s.leaders[term] = n
 	for _, e := range s.committed {
 		got, known := n.node.log.term(e.Index)
 		if e.appliedIn < term && e.Index > n.node.commit && (!known || got != e.Term) {
@@ -333,10 +362,9 @@
 // checkLeases checks that no two hosts hold a lease at the same time.
 func (s *simulation) checkLeases() {
 	var leased []host.ID
-	for _, id := range s.hosts {
-		n := s.nodes[id]
+	for _, n := range s.processes() {
 		if !n.down && n.node.Status(s.clock(n)).HasLease {
-			leased = append(leased, id)
+			leased = append(leased, n.id)
 		}
 	}
 	if len(leased) > 1 && !s.suspended {
@@ -347,7 +375,7 @@
 // leader returns the running leader of the highest term, or nil.
 func (s *simulation) leader() *simNode {
 	var best *simNode
-	for _, n := range s.nodes {
+	for _, n := range s.processes() {
 		leads := !n.down && n.node.role == RoleLeader
 		if leads && (best == nil || n.node.hard.Term > best.node.hard.Term) {
 			best = n
@@ -387,16 +415,67 @@
 	}
 }
 
+// settleStrays ends one of the processes of each host that has several. That one goes on whose disk the newest committed membership names.
+func (s *simulation) settleStrays() {
+	var committed *Membership
+	for _, e := range s.committed {
+		if e.Membership != nil {
+			committed = e.Membership
+		}
+	}
+	for _, n := range s.strays {
+		if committed != nil && committed.Current[n.id] == n.disk.Hard.Generation {
+			s.nodes[n.id] = n
+		}
+	}
+	s.strays = nil
+}
+
 func (s *simulation) heal() {
 	s.blocked, s.lossy = map[[2]host.ID]bool{}, false
-	for _, id := range s.hosts {
-		s.nodes[id].pausedUntil = time.Time{}
-		if s.nodes[id].down {
-			s.boot(id)
+	for _, n := range s.processes() {
+		n.pausedUntil, n.cutUntil = time.Time{}, time.Time{}
+		if n.down {
+			s.bootNode(n)
 		}
 	}
 }
 
+// displace starts another process, with an empty disk, in place of n, which runs on.
+func (s *simulation) displace(n *simNode) {
+	successor := &simNode{id: n.id, clockRate: n.clockRate, syncTime: defaultSyncTime, previousDisk: n.previousDisk}
+	s.nodes[n.id], s.strays = successor, append(s.strays, n)
+	s.loseDisk(n.id)
+	successor.previousDisk = n.previousDisk
+	s.bootNode(successor)
+}
+
+// isDisplaced reports whether the hosts have another disk than that of the process n in its place for good: the newest committed membership
+// says so, and the leader's log names it no more.
+func (s *simulation) isDisplaced(n *simNode) bool {
+	leader := s.leader()
+	if leader == nil || !leader.node.IsReplaced(n.id, n.disk.Hard.Generation) {
+		return false
+	}
+	for _, e := range slices.Backward(s.committed) {
+		if e.Membership != nil {
+			return e.Membership.Current[n.id] != n.disk.Hard.Generation
+		}
+	}
+	return false
+}
+
+// moveStray ends a displaced process and gives its disk, without its vote, to the host to, whose own disk is lost.
+func (s *simulation) moveStray(n, to *simNode) {
+	s.strays = slices.DeleteFunc(s.strays, func(other *simNode) bool { return other == n })
+	s.crashNode(n)
+	s.crash(to.id)
+	s.loseDisk(to.id)
+	to.disk = n.disk
+	to.disk.Hard = n.disk.Hard.WithoutVote()
+	s.boot(to.id)
+}
+
 // nonVotingDisks counts the hosts whose disk is not admitted or for which some host's log lists
 // another disk.
 func (s *simulation) nonVotingDisks() int {
--- a/internal/control/quorum/status.go
+++ b/internal/control/quorum/status.go
@@ -22,6 +22,8 @@
 	StableIndex Index
 	// Memory is what the log holds in memory.
 	Memory Memory
+	// LeaderSilence is the time since the last message of a leader. It is 0 on the leader.
+	LeaderSilence time.Duration
 	// HasLease is true on a leader that may serve reads.
 	HasLease bool
 	// Transferring is true on a leader that is transferring its leadership.
@@ -51,6 +53,8 @@
 	Match          Index
 	SinceLastReply time.Duration
 	Admitted       bool
+	// Joining is true while another disk than the one that the log names answers for the peer and is sent the log.
+	Joining bool
 	// UnackedBytes is the size of the entries that were sent to the peer and not acknowledged, or of the snapshot that is being sent.
 	UnackedBytes int
 }
@@ -67,15 +71,16 @@
 		s.MissingPromises = n.missingPromises()
 	}
 	if n.role != RoleLeader {
+		s.LeaderSilence = now.Sub(n.leaderContact)
 		return s
 	}
 	s.StableIndex = n.writes.stableIndex
 	s.HasLease, s.Transferring = n.hasLease(now), n.transferee != ""
 	for _, id := range n.peers {
-		p := n.progress[id]
+		p, receiver := n.progress[id], n.receiver(id)
 		s.Peers = append(s.Peers, PeerStatus{
-			Host: id, Match: p.match, SinceLastReply: now.Sub(p.lastReply), Admitted: p.admitted,
-			UnackedBytes: p.inflightBytes + len(p.snapshot.Data),
+			Host: id, Match: p.match, SinceLastReply: now.Sub(p.lastReply), Admitted: p.admitted, Joining: receiver != p,
+			UnackedBytes: receiver.inflightBytes + len(receiver.snapshot.Data),
 		})
 	}
 	return s
--- a/internal/control/replication/loop.go
+++ b/internal/control/replication/loop.go
@@ -120,6 +120,11 @@
 		l.applyQueue.put(applyJob{barrier: l.takeWaiter(a.ID)})
 	case quorum.RoleChanged:
 		l.handleRoleChange(ctx, a)
+	case quorum.LearnerAdded:
+		event.QuorumLearnerAdded.On(l.opts.Logger).Str("peer", string(a.Host)).Uint64("generation", uint64(a.Generation)).Msg("")
+	case quorum.LearnerNamed:
+		event.QuorumLearnerNamed.On(l.opts.Logger).Str("peer", string(a.Host)).Uint64("generation", uint64(a.Generation)).
+			Uint64("index", uint64(a.Index)).Int64("after", a.After.Milliseconds()).Msg("")
 	case quorum.Admitted:
 		event.QuorumAdmitted.On(l.opts.Logger).Uint64("generation", uint64(a.Generation)).Msg("")
 	case quorum.HostsDiffer:
--- a/internal/control/replication/status.go
+++ b/internal/control/replication/status.go
@@ -26,6 +26,8 @@
 	// StableIndex, the last index on this host's disk, and Peers are set on the leader only.
 	StableIndex uint64
 	Peers       []PeerStatus
+	// LeaderSilence is the time since the last message of a leader, 0 on the leader.
+	LeaderSilence time.Duration
 }
 
 // IsLeader reports whether this host is the leader.
@@ -58,6 +60,8 @@
 	Silent bool
 	// Admitted is true if the peer's disk may vote.
 	Admitted bool
+	// Joining is true while another disk than the one that the log names answers for the peer and is sent the log.
+	Joining bool
 	// UnackedBytes is the size of the entries that were sent to the peer and not acknowledged, or of the snapshot that is being sent.
 	UnackedBytes int
 }
@@ -91,13 +95,13 @@
 		Leader: nodeStatus.Leader, LeaderAddress: l.addresses.get(nodeStatus.Leader),
 		Generation: nodeStatus.Generation, Admitted: nodeStatus.Admitted, LastIndex: uint64(nodeStatus.LastIndex),
 		CommitIndex: uint64(nodeStatus.CommitIndex), SnapshotIndex: uint64(nodeStatus.SnapshotIndex),
-		StableIndex: uint64(nodeStatus.StableIndex), Memory: nodeStatus.Memory,
+		StableIndex: uint64(nodeStatus.StableIndex), Memory: nodeStatus.Memory, LeaderSilence: nodeStatus.LeaderSilence,
 	}
 	for _, p := range nodeStatus.Peers {
 		s.Peers = append(s.Peers, PeerStatus{
 			Host: p.Host, Address: l.addresses.get(p.Host), Match: uint64(p.Match),
 			SinceLastReply: p.SinceLastReply, Silent: p.SinceLastReply > l.timing.ElectionTimeout, Admitted: p.Admitted,
-			UnackedBytes: p.UnackedBytes,
+			Joining: p.Joining, UnackedBytes: p.UnackedBytes,
 		})
 	}
 	return s
--- a/internal/telemetry/event/quorum.go
+++ b/internal/telemetry/event/quorum.go
@@ -15,4 +15,6 @@
 	QuorumPeerConnected = register(108, "quorum_peer_connected", log.InfoLevel)
 	QuorumWaiting       = register(109, "quorum_waiting", log.WarnLevel)
 	QuorumHostsDiffer   = register(110, "quorum_hosts_differ", log.ErrorLevel)
+	QuorumLearnerAdded  = register(111, "quorum_learner_added", log.InfoLevel)
+	QuorumLearnerNamed  = register(112, "quorum_learner_named", log.WarnLevel)
 )
