replication: a new address of a peer is used at once

Cause: a change of a peer's address ended an open stream to the old address, but neither an attempt to connect to it nor the pause after one. An attempt that came before the host knew its new ID waited for the rest of a second, too.

Change: an attempt, its stream and its pause share a context that ends when the address changes. A pause also ends when the peer connects to this host, which shows that it can be reached by its new ID.

--- a/internal/control/replication/addresses.go
+++ b/internal/control/replication/addresses.go
@@ -35,8 +35,7 @@
 	return true
 }
 
-// SetAddress sets the address of a control host that another process, with an empty disk, has
-// replaced.
+// SetAddress sets the address of a control host that another process has replaced.
 func (l *Log) SetAddress(id host.ID, address string) {
 	if l.addresses.set(id, address) {
 		if s := l.senders[id]; s != nil {
--- a/internal/control/replication/link.go
+++ b/internal/control/replication/link.go
@@ -26,18 +26,28 @@
 	log   *Log
 	peer  host.ID
 	queue chan quorum.Message
-	// addressChanged receives a value when the peer's address has changed.
+	// addressChanged receives a value when the peer's address has changed, and reachable when the peer has connected to this host.
 	addressChanged chan struct{}
+	reachable      chan struct{}
 }
 
 func newSender(l *Log, peer host.ID) *sender {
-	return &sender{log: l, peer: peer, queue: make(chan quorum.Message, senderQueueSize), addressChanged: make(chan struct{}, 1)}
+	return &sender{
+		log: l, peer: peer, queue: make(chan quorum.Message, senderQueueSize),
+		addressChanged: make(chan struct{}, 1), reachable: make(chan struct{}, 1),
+	}
 }
 
-// notifyAddressChange makes connect end the stream to the peer's old address.
-func (s *sender) notifyAddressChange() {
+// notifyAddressChange ends the attempt to connect to the peer's old address, or the stream to it.
+func (s *sender) notifyAddressChange() { notify(s.addressChanged) }
+
+// notifyReachable ends the pause before the next attempt to connect.
+func (s *sender) notifyReachable() { notify(s.reachable) }
+
+// notify sends to a channel of size 1 unless a value waits there already.
+func notify(c chan<- struct{}) {
 	select {
-	case s.addressChanged <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -52,15 +62,29 @@
 
 func (s *sender) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		started := time.Now()
-		s.connect(ctx)
-		s.pause(ctx, max(minDialPause, minDialInterval-time.Since(started)))
+		s.attempt(ctx)
 	}
 	return nil
 }
 
-// pause waits for d before the next attempt. It drops the messages queued meanwhile, since they
-// would be stale by then.
+// attempt connects to the peer's present address, sends until the stream ends, and pauses. It returns at once when the address changes.
+func (s *sender) attempt(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-s.addressChanged:
+			cancel()
+		}
+	}()
+	started := time.Now()
+	s.connect(ctx)
+	s.pause(ctx, max(minDialPause, minDialInterval-time.Since(started)))
+}
+
+// pause waits for d before the next attempt, or until the peer has connected to this host. It drops the messages queued meanwhile,
+// since they would be stale by then.
 func (s *sender) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -70,13 +94,14 @@
 			return
 		case <-timer.C:
 			return
+		case <-s.reachable:
+			return
 		case <-s.queue:
 		}
 	}
 }
 
-// connect opens a stream and sends queued messages over it until the stream ends, the peer's
-// address changes or ctx ends.
+// connect opens a stream and sends queued messages over it until the stream or ctx ends.
 func (s *sender) connect(ctx context.Context) {
 	address := s.log.addresses.get(s.peer)
 	stream, err := s.log.opts.Pool.Open(ctx, address)
@@ -107,8 +132,6 @@
 			return
 		case <-closed:
 			return
-		case <-s.addressChanged:
-			return
 		case m := <-s.queue:
 			if s.send(stream, m) != nil {
 				return
@@ -135,6 +158,7 @@
 	}
 	stop := stream.CancelOn(ctx)
 	defer stop()
+	l.senders[peer.Host].notifyReachable()
 	for frame := first; ; {
 		m, err := quorum.Decode(frame.Body, peer.Host, l.opts.Self)
 		if err != nil {
