bootstrap: a host that does not answer delays no other

Cause: a host without a vote asked all known hosts in rounds, and a round lasted until the last of them had answered or timed out (0.7 s). Beside a lost host, which is when votes are given, the leader was asked every 0.85 s only. A displaced host asked about its vote in the same rounds.

Change: each host is asked on its own, again 150 ms after its answer or its time-out.

--- a/internal/control/bootstrap/discovery.go
+++ b/internal/control/bootstrap/discovery.go
@@ -27,14 +27,13 @@
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/pool"
-	"github.com/egretreach/egretreach/internal/process/pause"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
 const (
-	// queryInterval is the time between two rounds of queries.
+	// queryInterval is the time between the end of a query and the next one to the same host.
 	queryInterval = 150 * time.Millisecond
-	// queryTimeout bounds one round of queries.
+	// queryTimeout bounds one query.
 	queryTimeout = 700 * time.Millisecond
 	// minGatherTime is the least time that a first start waits for hosts. The set is decided when
 	// no new host has become known for quietTime. The hosts of a system start within a fraction of
@@ -184,19 +183,13 @@
 	if err != nil {
 		return nil, err
 	}
-	began, fresh := time.Now(), d.isFirstStart()
-	for len(controlHosts) == 0 {
-		if controlHosts = d.queryHosts(ctx); len(controlHosts) == 0 {
-			controlHosts = d.decide(began)
+	fresh := d.isFirstStart()
+	if len(controlHosts) == 0 {
+		if controlHosts, err = d.discover(ctx); err != nil {
+			return nil, err
 		}
-		if len(controlHosts) > 0 {
-			if err := d.opts.Store.Save(controlHosts); err != nil {
-				return nil, err
-			}
-			break
-		}
-		if !pause.For(ctx, queryInterval) {
-			return nil, ctx.Err()
+		if err := d.opts.Store.Save(controlHosts); err != nil {
+			return nil, err
 		}
 	}
 	d.setKnown(controlHosts)
--- a/internal/control/bootstrap/query.go
+++ b/internal/control/bootstrap/query.go
@@ -2,55 +2,56 @@
 
 import (
 	"context"
-	"iter"
 	"slices"
+	"time"
 
 	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
-// queryHosts asks all known hosts. It returns the decided set if one of them has a set that
-// contains this host and is no older than the one known here, and nil otherwise.
-func (d *Discovery) queryHosts(ctx context.Context) []message.Founder {
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+// discover asks the known hosts until one of them has a set that contains this host and is no older than the one known here, or
+// until this host has decided the set.
+func (d *Discovery) discover(ctx context.Context) ([]message.Founder, error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	known := setVersion(d.known())
-	for answer := range d.answers(ctx, &message.FounderQuery{Self: d.opts.Self, FirstStart: d.isFirstStart()}) {
-		if d.includesSelf(answer.Decided) && setVersion(answer.Decided) >= known {
-			return answer.Decided
+	began := time.Now()
+	p := d.newPoll(&message.FounderQuery{Self: d.opts.Self, FirstStart: d.isFirstStart()})
+	ticker := time.NewTicker(queryInterval)
+	defer ticker.Stop()
+	for {
+		p.start(ctx)
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case answer := <-p.answers:
+			if d.includesSelf(answer.Decided) && setVersion(answer.Decided) >= setVersion(d.known()) {
+				return answer.Decided, nil
+			}
+			d.Hear(answer.Decided)
+			d.Hear(answer.Seen)
+		case <-ticker.C:
+			if decided := d.decide(began); len(decided) > 0 {
+				return decided, nil
+			}
 		}
-		d.Hear(answer.Decided)
-		d.Hear(answer.Seen)
 	}
-	return nil
 }
 
-// AskVote asks the other control hosts whether the disk with which this host was a voter still counts. It returns the set without this host
-// once a majority has confirmed that another process has the vote for good, and nil otherwise.
+// AskVote asks the other control hosts for up to queryTimeout whether the disk with which this host was a voter still counts. It returns the
+// set without this host once a majority has confirmed that another process has the vote for good, and nil otherwise.
 func (d *Discovery) AskVote(ctx context.Context, voter host.ID, g quorum.Generation) []message.Founder {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	known := setVersion(d.known())
-	for answer := range d.answers(ctx, &message.FounderQuery{Self: d.opts.Self, Voter: voter, Generation: uint64(g)}) {
-		if answer.Replaced && setVersion(answer.Decided) > known && !d.includesSelf(answer.Decided) {
-			return answer.Decided
-		}
-	}
-	return nil
-}
-
-// answers sends a query to all known hosts and returns their answers as they arrive, until ctx ends.
-func (d *Discovery) answers(ctx context.Context, q *message.FounderQuery) iter.Seq[*message.Founders] {
-	targets := d.targets()
-	answers := make(chan *message.Founders, len(targets))
-	for _, address := range targets {
-		go func() { answers <- d.query(ctx, address, q) }()
-	}
-	return func(yield func(*message.Founders) bool) {
-		for range targets {
-			if answer := <-answers; answer != nil && !yield(answer) {
-				return
+	p := d.newPoll(&message.FounderQuery{Self: d.opts.Self, Voter: voter, Generation: uint64(g)})
+	p.start(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case answer := <-p.answers:
+			if answer.Replaced && setVersion(answer.Decided) > setVersion(d.known()) && !d.includesSelf(answer.Decided) {
+				return answer.Decided
 			}
 		}
 	}
