--- a/internal/control/bootstrap/discovery.go
+++ b/internal/control/bootstrap/discovery.go
@@ -10,7 +10,7 @@
 // not in the set, it goes on asking until control has moved the voter of a dead host to it.
 //
 // The voter of a host that stands still may be moved as well. That host learns of it once it goes on (AskVote), saves a set without
-// itself, by which it gives up its journal, and asks like a host with an empty disk.
+// itself, by which it gives up its vote, and asks like a host with an empty disk. Its journal keeps the log.
 package bootstrap
 
 import (
@@ -105,8 +105,8 @@
 	return ""
 }
 
-// SaveControlHosts replaces the set of control hosts after voters have been moved, and saves it. A set without this host gives up its vote and
-// its journal: the next Run removes the journal.
+// SaveControlHosts replaces the set of control hosts after voters have been moved, and saves it. A set without this host gives up its vote:
+// the next Run takes it from the journal.
 func (d *Discovery) SaveControlHosts(set []message.Founder) error {
 	d.saving.Lock()
 	defer d.saving.Unlock()
@@ -198,7 +198,7 @@
 }
 
 // load returns the saved set, or nil if there is none or this host is not in it. In the latter case the host has given up its vote, and load
-// removes its journal.
+// takes it from the journal.
 func (d *Discovery) load() ([]message.Founder, error) {
 	saved, err := d.opts.Store.Load()
 	if err != nil || len(saved) == 0 {
@@ -208,7 +208,7 @@
 	if d.includesSelf(saved) {
 		return saved, nil
 	}
-	return nil, journal.Discard(d.opts.Store.Files, d.opts.Store.Folder)
+	return nil, journal.GiveUpVote(d.opts.Store.Files, d.opts.Store.Folder)
 }
 
 // decide returns the set if this host has to decide it and no other host is expected, and nil
--- a/internal/control/journal/journal.go
+++ b/internal/control/journal/journal.go
@@ -89,26 +89,6 @@
 	return j, nil
 }
 
-// Discard removes the journal in folder for good. It must not be open. It returns ErrDiskFull or ErrIO if the file system fails.
-func Discard(fileSystem FileSystem, folder string) error {
-	j := &Journal{fileSystem: fileSystem, folder: folder}
-	found, err := j.scanFolder()
-	if err != nil {
-		return err
-	}
-	for _, sequence := range found.segments {
-		if err := j.removeFile(j.segmentName(sequence)); err != nil {
-			return err
-		}
-	}
-	for _, index := range found.snapshots {
-		if err := j.removeFile(j.snapshotName(quorum.Index(index))); err != nil {
-			return err
-		}
-	}
-	return classifyError("sync folder", folder, fileSystem.SyncFolder(folder))
-}
-
 // RecoveredState returns the state that the journal held when it was opened. After
 // DropRecoveredState it returns an empty state.
 func (j *Journal) RecoveredState() quorum.RecoveredState { return j.recovered }
