portal: votes are moved sooner, and a displaced host asks at once

Cause: a new host waited until the leader had led for 2.5 s, so that with an election and the admission it was not admitted within catch_up_s (4 s). A host that went on after a standstill heard one message of the new leader and then asked about its vote only after an election timeout. The vote of a lost host was kept for 5 s for a new host that had died.

Change: the choice is a module of its own, control/voter, without network. A vote may be moved after 1.5 s of silence, just above an election timeout; a wrong choice costs one move, as the displaced host keeps its log. A vote is kept for a new host only while its disk answers and is sent the log, or for 1.5 s after the move. The leader decides only after a majority has confirmed it, since after a standstill of its own all others look lost. A voter asks about its vote after three missed heartbeats. seat_moved has the silence.

--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -23,6 +23,7 @@
 	"github.com/egretreach/egretreach/internal/control/quarantine"
 	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/control/replication"
+	"github.com/egretreach/egretreach/internal/control/voter"
 	"github.com/egretreach/egretreach/internal/control/warmup"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
@@ -103,10 +104,8 @@
 	log *replication.Log
 	// controlHosts are the voters of the quorum, empty until they are known.
 	controlHosts []message.Founder
-	// voterID is this host's ID in the quorum, or "" if it has no vote. leaderSince is when it became the leader, or zero
-	// if it is not.
-	voterID     host.ID
-	leaderSince time.Time
+	// voterID is this host's ID in the quorum, or "" if it has no vote.
+	voterID host.ID
 	// leaderlessSince is when this host lost the leader that it knew, or zero while it knows one or has known none.
 	leaderlessSince time.Time
 	knewLeader      bool
@@ -114,11 +113,9 @@
 	linkID host.ID
 	// voteMoved is true if the replicated state says that another process has this host's vote.
 	voteMoved bool
-	// replacingVoter is true while a voter is being moved to another host.
-	replacingVoter bool
-	// voterMovedAt is when this host learned that a voter was moved to another host.
-	voterMovedAt map[host.ID]time.Time
-	roster       roster.Roster
+	// moves are those of voters to other hosts.
+	moves  voter.Moves
+	roster roster.Roster
 	// direct holds the endpoints whose last announcement was sent to this host.
 	direct map[string]bool
 	// contentChanged is when each endpoint last announced new content.
@@ -171,7 +168,6 @@
 		permitsReady:   make(chan struct{}),
 		reports:        map[host.ID]receivedReport{},
 		health:         map[string]endpointHealth{},
-		voterMovedAt:   map[host.ID]time.Time{},
 		tracker:        warmup.Tracker{FirstStart: opts.FirstStart, MaxSilence: opts.Heartbeat*5/3 + unprobedTimeout},
 	}
 	replication.RegisterMetrics(opts.Metrics, p.logStatus)
--- a/internal/control/portal/quorum.go
+++ b/internal/control/portal/quorum.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/control/replication"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -14,14 +15,19 @@
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
-// voteCheckInterval is the time between two checks whether this host still has its vote.
-const voteCheckInterval = 250 * time.Millisecond
+const (
+	// voteCheckInterval is the time between two checks whether this host still has its vote.
+	voteCheckInterval = 250 * time.Millisecond
+	// maxLeaderSilence is the time without a message of the leader after which a host asks whether it still has its vote. It is three
+	// heartbeats, so that a host that goes on after a standstill doesn't wait for an election timeout.
+	maxLeaderSilence = 3 * quorum.DefaultHeartbeatInterval
+)
 
 // errVoteLost ends a voter's work when another process has its vote for good.
 var errVoteLost = errors.New("another process has the vote of this host")
 
-// joinQuorum discovers the set of control hosts and works as a voter. If its vote is moved to another process while it stands still, it gives up
-// its journal and asks for another vote, like a host with an empty disk.
+// joinQuorum discovers the set of control hosts and works as a voter. If its vote is moved to another process while it stands still, it
+// asks for another vote, like a host with an empty disk. Its journal keeps the log.
 func (p *Portal) joinQuorum(ctx context.Context) error {
 	for ctx.Err() == nil {
 		controlHosts, err := p.discovery.Run(ctx)
@@ -73,7 +79,7 @@
 // leaveQuorum makes this process one without a vote again.
 func (p *Portal) leaveQuorum() error {
 	p.mu.Lock()
-	p.controlHosts, p.voterID, p.leaderSince = nil, "", time.Time{}
+	p.controlHosts, p.voterID = nil, ""
 	p.mu.Unlock()
 	return p.identify(p.opts.Self)
 }
@@ -91,8 +97,8 @@
 	return nil
 }
 
-// watchVote asks the other control hosts whether this host still has its vote, while it knows no leader or its own state says that the vote was
-// moved. It returns errVoteLost once the vote is lost for good, which is saved on disk by then.
+// watchVote asks the other control hosts whether this host still has its vote, while the leader is silent or its own state says that the vote
+// was moved. It returns errVoteLost once the vote is lost for good, which is saved on disk by then.
 func (p *Portal) watchVote(ctx context.Context, id host.ID) error {
 	for pause.For(ctx, voteCheckInterval) {
 		l := p.currentLog()
@@ -118,7 +124,7 @@
 func (p *Portal) doubtsVote(s replication.Status) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.voteMoved || s.Leader == "" && !s.IsLeader()
+	return p.voteMoved || !s.IsLeader() && (s.Leader == "" || s.LeaderSilence >= maxLeaderSilence)
 }
 
 // currentVoter returns this host's ID in the quorum, or "" if it has no vote.
--- a/internal/control/portal/voter.go
+++ b/internal/control/portal/voter.go
@@ -8,19 +8,12 @@
 	"github.com/egretreach/egretreach/internal/control/portalstate"
 	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/control/replication"
+	"github.com/egretreach/egretreach/internal/control/voter"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
-// voterReplaceTimeout is how long a control host must be unreachable before another host replaces
-// it. A restart takes less time.
-const voterReplaceTimeout = 2500 * time.Millisecond
-
-// voterJoinTimeout is how long a host that replaces a voter has to be admitted to the quorum. Until
-// then no other host replaces it.
-const voterJoinTimeout = 2 * voterReplaceTimeout
-
 // currentControlHosts returns the voters of the quorum with their current link addresses.
 func (p *Portal) currentControlHosts() []message.Founder {
 	p.mu.Lock()
@@ -28,7 +21,7 @@
 	return p.controlHosts
 }
 
-// onStatusChange records when this host became the leader, or that it is not the leader, and since when it knows none.
+// onStatusChange records since when this host knows no leader.
 func (p *Portal) onStatusChange(s replication.Status) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -39,12 +32,6 @@
 	case p.knewLeader && p.leaderlessSince.IsZero():
 		p.leaderlessSince = time.Now()
 	}
-	switch {
-	case !s.IsLeader():
-		p.leaderSince = time.Time{}
-	case p.leaderSince.IsZero():
-		p.leaderSince = time.Now()
-	}
 	p.notifyLocked()
 }
 
@@ -65,11 +52,13 @@
 	return answer
 }
 
-// considerReplacement lets a control host that is no voter replace a voter that has been
-// unreachable for voterReplaceTimeout. Only the leader decides this, and it needs the votes of a
-// majority without the replaced host.
+// considerReplacement lets a control host that is no voter replace a voter that is lost. Only the leader decides this, once a majority has
+// confirmed that it leads: after a standstill of its own all voters look lost to it.
 func (p *Portal) considerReplacement(ctx context.Context, l *replication.Log, q *message.FounderQuery) {
-	if id := p.claimReplacement(l.Status(), q.Self.Address, time.Now()); id != "" {
+	if _, found := p.lostVoter(l.Status(), q.Self.Address); !found || l.Barrier(ctx) != nil {
+		return
+	}
+	if id := p.claimReplacement(l.Status(), q.Self.Address); id != "" {
 		p.replaceVoter(ctx, l, id, q.Self)
 	}
 }
@@ -92,26 +81,40 @@
 func (p *Portal) claimReturn(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isVoterAddress(address) || p.replacingVoter {
-		return false
-	}
-	p.replacingVoter = true
-	return true
+	return !p.isVoterAddress(address) && p.moves.Begin()
 }
 
 // claimReplacement returns the voter that the host at address replaces, or "" if there is none. The
 // caller must then call replaceVoter, and until that ends no other voter is replaced.
-func (p *Portal) claimReplacement(s replication.Status, address string, now time.Time) host.ID {
+func (p *Portal) claimReplacement(s replication.Status, address string) host.ID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isVoterAddress(address) || p.replacingVoter || p.leaderSince.IsZero() || now.Sub(p.leaderSince) < voterReplaceTimeout {
+	id, found := p.lostVoterLocked(s, address)
+	if !found || !p.moves.Begin() {
 		return ""
 	}
-	id := p.longestUnreachable(s, now)
-	p.replacingVoter = id != ""
 	return id
 }
 
+// lostVoter returns the voter that the host at address may replace.
+func (p *Portal) lostVoter(s replication.Status, address string) (host.ID, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lostVoterLocked(s, address)
+}
+
+// lostVoterLocked is lostVoter while mu is held.
+func (p *Portal) lostVoterLocked(s replication.Status, address string) (host.ID, bool) {
+	if !s.IsLeader() || p.isVoterAddress(address) {
+		return "", false
+	}
+	peers := make([]voter.Peer, 0, len(s.Peers))
+	for _, peer := range s.Peers {
+		peers = append(peers, voter.Peer{Host: peer.Host, SinceLastReply: peer.SinceLastReply, Joining: peer.Joining})
+	}
+	return p.moves.Lost(peers, time.Now())
+}
+
 // isVoterAddress reports whether a voter has this address, also one that was moved to it just now. mu
 // is held.
 func (p *Portal) isVoterAddress(address string) bool {
@@ -119,50 +122,43 @@
 		slices.ContainsFunc(p.machine.MovedVoters(), func(v portalstate.Voter) bool { return v.Address == address })
 }
 
-// longestUnreachable returns the peer that has been unreachable the longest, or "" if none has
-// been for voterReplaceTimeout. It leaves out those that another host has just replaced. mu is held.
-func (p *Portal) longestUnreachable(s replication.Status, now time.Time) host.ID {
-	var unreachable host.ID
-	longest := voterReplaceTimeout
-	for _, peer := range s.Peers {
-		moved, known := p.voterMovedAt[peer.Host]
-		if known && now.Sub(moved) < voterJoinTimeout {
-			continue
-		}
-		if peer.SinceLastReply >= longest {
-			unreachable, longest = peer.Host, peer.SinceLastReply
-		}
-	}
-	return unreachable
-}
-
 // replaceVoter commits an entry that moves a voter, claimed by claimReplacement or claimReturn, to another host.
 func (p *Portal) replaceVoter(ctx context.Context, l *replication.Log, id host.ID, to message.Founder) {
-	defer p.finishReplacement(id)
+	defer p.finishMove(id)
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	sequence := uint64(1)
-	for _, voter := range p.machine.MovedVoters() {
-		if voter.Host == id {
-			sequence = voter.Sequence + 1
+	var moved portalstate.Voter
+	for _, v := range p.machine.MovedVoters() {
+		if v.Host == id {
+			moved = v
 		}
 	}
+	sequence := moved.Sequence + 1
+	silence := silenceOf(l.Status(), id)
 	command, err := portalstate.Voter{Host: id, Address: to.Address, Sequence: sequence}.Encode()
 	if err == nil {
 		_, err = l.Propose(ctx, command)
 	}
 	p.updateVoterAddresses() // So that the answer to the host already says so.
 	event.SeatMoved.On(p.opts.Logger).Str("seat", string(id)).Str("host", string(to.Host)).
-		Str("address", to.Address).Uint64("sequence", sequence).Err(err).Msg("")
+		Str("address", to.Address).Uint64("sequence", sequence).Int64("silence", silence.Milliseconds()).Err(err).Msg("")
+}
+
+// silenceOf returns the time since a voter's last reply as the leader knows it.
+func silenceOf(s replication.Status, id host.ID) time.Duration {
+	for _, peer := range s.Peers {
+		if peer.Host == id {
+			return peer.SinceLastReply
+		}
+	}
+	return 0
 }
 
-// finishReplacement allows other replacements again. The voter counts as moved even if the outcome
-// is not known, since the entry may still commit.
-func (p *Portal) finishReplacement(id host.ID) {
+// finishMove allows other moves again.
+func (p *Portal) finishMove(id host.ID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.replacingVoter = false
-	p.voterMovedAt[id] = time.Now()
+	p.moves.End(id, time.Now())
 }
 
 // updateVoterAddresses applies the replicated voter addresses to the log and to the known set of
@@ -171,8 +167,8 @@
 	voters := p.machine.MovedVoters()
 	controlHosts, changed := p.applyMoves(voters)
 	if l := p.currentLog(); l != nil {
-		for _, voter := range voters {
-			l.SetAddress(voter.Host, voter.Address)
+		for _, v := range voters {
+			l.SetAddress(v.Host, v.Address)
 		}
 	}
 	if !changed {
@@ -188,20 +184,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	controlHosts, changed := slices.Clone(p.controlHosts), false
-	for _, voter := range voters {
-		i := slices.IndexFunc(controlHosts, func(f message.Founder) bool { return f.Host == voter.Host })
-		if i < 0 || voter.Sequence <= controlHosts[i].Sequence {
+	for _, v := range voters {
+		i := slices.IndexFunc(controlHosts, func(f message.Founder) bool { return f.Host == v.Host })
+		if i < 0 || v.Sequence <= controlHosts[i].Sequence {
 			continue
 		}
-		if voter.Host == p.voterID {
-			if p.voteMoved = voter.Address != p.opts.LinkAddress; p.voteMoved {
+		if v.Host == p.voterID {
+			if p.voteMoved = v.Address != p.opts.LinkAddress; p.voteMoved {
 				continue
 			}
 		}
-		if controlHosts[i].Address != voter.Address {
-			p.voterMovedAt[voter.Host] = time.Now()
+		if controlHosts[i].Address != v.Address {
+			p.moves.Record(v.Host, time.Now())
 		}
-		controlHosts[i].Address, controlHosts[i].Sequence = voter.Address, voter.Sequence
+		controlHosts[i].Address, controlHosts[i].Sequence = v.Address, v.Sequence
 		changed = true
 	}
 	p.controlHosts = controlHosts
