--- a/internal/control/bootstrap/discovery.go
+++ b/internal/control/bootstrap/discovery.go
@@ -10,7 +10,8 @@
 // not in the set, it goes on asking until control has moved the voter of a dead host to it.
 //
 // The voter of a host that stands still may be moved as well. That host learns of it once it goes on (AskVote), saves a set without
-// itself, by which it gives up its vote, and asks like a host with an empty disk. Its journal keeps the log.
+// itself, by which it gives up its vote, and asks like a host with an empty disk. Its journal keeps the log. Package voter describes
+// how a vote moves as a whole.
 package bootstrap
 
 import (
--- a/internal/control/voter/moves.go
+++ b/internal/control/voter/moves.go
@@ -3,6 +3,22 @@
 // Nobody can tell a host that is gone from one that stands still or is cut off, so a vote may be moved from a host that returns. Such a
 // host keeps its log and gets the vote of the next lost host, or its own one while its disk still counts. A wrong choice therefore costs
 // one more move, and never a copy of the log.
+//
+// # How a vote moves
+//
+// The number of votes is fixed. Each has the ID of the host that had it first, a link address and a disk.
+//
+//  1. A host without a vote asks all control hosts that it knows (bootstrap.Discovery).
+//  2. The leader chooses a lost voter (Moves.Lost) and commits its new address, a portalstate.Voter. All hosts send to that address from
+//     then on (replication.Log.SetAddress).
+//  3. The host takes the voter's ID for its links (portal.Portal) and opens its journal, empty or with the log of an earlier vote.
+//  4. Its disk answers the leader under the voter's ID. The leader sends it what it lacks of the log, as a learner, and then commits an
+//     entry that names it in place of the lost disk (quorum.Node).
+//  5. The disk counts once it knows that this entry is committed.
+//
+// A voter that has not heard from the leader for a few heartbeats asks whether it still has its vote (bootstrap.Discovery.AskVote). Until
+// step 4 the vote is moved back to it. After that it saves that it has none, takes the vote from its journal (journal.GiveUpVote), and begins
+// with step 1.
 package voter
 
 import (
