portal: a full disk doesn't end a host without a vote

With a full disk that failed and ended the process. Saving the set of control hosts, once it had a vote, ended it in the same way before.

--- a/internal/control/portal/displaced_test.go
+++ b/internal/control/portal/displaced_test.go
@@ -120,6 +120,33 @@
 	})
 }
 
+// TestDisplacedHostStartsWithAFullDisk restarts a host that has lost its vote while its disk is full. It guards against a process that ends
+// since it can't write that it has no vote, and a lost vote that nobody takes.
+func TestDisplacedHostStartsWithAFullDisk(t *testing.T) {
+	runCluster(t, 5, func(c *cluster) {
+		c.put("1:first")
+		others := c.followers(c.leader())
+		displaced, lost := others[0], others[1]
+		c.partition(displaced, true)
+		time.Sleep(2 * time.Second)
+		c.start(c.add(7), false)
+		time.Sleep(catchUp)
+		c.partition(displaced, false)
+		time.Sleep(catchUp)
+		require.Empty(t, displaced.voter())
+
+		c.stopNode(displaced)
+		displaced.disk.SetFull(true)
+		c.start(displaced, false)
+		time.Sleep(time.Second)
+		displaced.disk.SetFull(false)
+		c.stopNode(lost)
+		c.awaitVote(displaced)
+		time.Sleep(catchUp)
+		c.requireAllVotersAdmitted()
+	})
+}
+
 // TestNewcomerThatDiesHalfWayIsReplacedInTime starts a new host that dies as soon as it has a vote, and another one after it. It guards against
 // a vote that is kept for a dead host.
 func TestNewcomerThatDiesHalfWayIsReplacedInTime(t *testing.T) {
--- a/internal/control/portal/quorum.go
+++ b/internal/control/portal/quorum.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/egretreach/egretreach/internal/control/journal"
 	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/control/replication"
 	"github.com/egretreach/egretreach/internal/fleet/host"
@@ -31,6 +32,11 @@
 func (p *Portal) joinQuorum(ctx context.Context) error {
 	for ctx.Err() == nil {
 		controlHosts, err := p.discovery.Run(ctx)
+		if journal.IsErrDiskFull(err) || journal.IsErrIO(err) {
+			event.JournalFailed.On(p.opts.Logger).Str("reason", err.Error()).Msg("")
+			pause.For(ctx, reopenDelay)
+			continue
+		}
 		if err != nil {
 			return err
 		}
