gateway, portal: nothing is counted by models that callers invent

Cause: demand and arrivals were counted by the model that a caller names, before anybody asked whether the service has it. Without a portal to report to, the demand grew without bound; a portal kept all names for 4 s. Arrivals were bounded in number, so that invented names pushed out real ones.

Change: requests for models that the service doesn't have are not counted, and a portal keeps the demand for models of its configuration only.

--- a/internal/control/portal/demand_test.go
+++ b/internal/control/portal/demand_test.go
@@ -36,3 +36,14 @@
 		require.InDelta(t, 2, d.replicas(now)["m"], 0.3)
 	}
 }
+
+// TestDemandForModelsOfTheConfigurationCounts guards against a portal whose memory grows with the names of models that callers choose.
+func TestDemandForModelsOfTheConfigurationCounts(t *testing.T) {
+	table, err := decode([]byte("1:one"))
+	require.NoError(t, err)
+	demand := []message.Demand{{Model: "invented"}, {Model: "m", EngineTime: time.Second}, {Model: ""}}
+	p := Portal{}
+	require.Empty(t, p.knownModels(demand))
+	p.table = table
+	require.Equal(t, []message.Demand{{Model: "m", EngineTime: time.Second}}, p.knownModels(demand))
+}
--- a/internal/control/portal/subscriber.go
+++ b/internal/control/portal/subscriber.go
@@ -7,6 +7,7 @@
 
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/process/pause"
@@ -62,7 +63,7 @@
 		p.mu.Lock()
 		now := time.Now()
 		p.reports[peer] = receivedReport{GatewayReport: *r, at: now}
-		p.demand.add(r.Demand, now)
+		p.demand.add(p.knownModels(r.Demand), now)
 		p.countCrashes(peer, r, now)
 		p.hearLimits(peer, r.Limits, now)
 		p.trafficStarted = p.trafficStarted || r.Requests > 0
@@ -70,6 +71,20 @@
 	}
 }
 
+// knownModels returns the demand for models of the configuration. Callers may have chosen other names, and a gateway with another
+// configuration may have passed them on. mu is held.
+func (p *Portal) knownModels(demand []message.Demand) []message.Demand {
+	if p.table == nil {
+		return nil
+	}
+	return slices.DeleteFunc(demand, func(d message.Demand) bool {
+		return !slices.ContainsFunc(p.table.Services, func(s routes.Service) bool {
+			_, known := s.Engine.Model(d.Model)
+			return known
+		})
+	})
+}
+
 // subscriberState is what has been sent to one subscriber, so that updates omit what has not
 // changed.
 type subscriberState struct {
--- a/internal/entry/gateway/handler.go
+++ b/internal/entry/gateway/handler.go
@@ -40,10 +40,12 @@
 	// keys identify what may crash endpoints: the whole request, or a part of the prompt.
 	keys suspicion.KeySet
 	// onTrial says that control allows the request as a trial although one of its keys is held.
-	onTrial  bool
-	service  string
-	model    string
-	priority int
+	onTrial bool
+	service string
+	model   string
+	// modelKnown is false if the service has no model of that name. Callers choose the names, so nothing is counted by an unknown one.
+	modelKnown bool
+	priority   int
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
 	// objectiveDeadline is the time by which the response should begin.
--- a/internal/entry/gateway/limit.go
+++ b/internal/entry/gateway/limit.go
@@ -41,6 +41,9 @@
 
 // countArrival counts a request for the division of endpoints' limits between the gateways.
 func (c *call) countArrival() {
+	if !c.modelKnown {
+		return
+	}
 	g := c.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/entry/gateway/resolve.go
+++ b/internal/entry/gateway/resolve.go
@@ -62,15 +62,17 @@
 	if length, err := strconv.Atoi(c.r.Header.Get(h.LengthHint)); err == nil && length > 0 {
 		c.usage.MaxOutputTokens = min(c.usage.MaxOutputTokens, length)
 	}
+	c.modelKnown = true
 	if service, ok := table.Service(c.service); ok && service.Engine != nil {
 		c.model = c.r.Header.Get(h.Model)
+		_, c.modelKnown = service.Engine.Model(c.model)
 	}
 }
 
 // addDemand adds the request's usage to the demand for its model.
 func (c *call) addDemand(table *routes.Table) {
 	service, ok := table.Service(c.service)
-	if !ok || service.Engine == nil {
+	if !ok || service.Engine == nil || !c.modelKnown {
 		return
 	}
 	c.g.mu.Lock()
