gateway: a report over the size of a frame loses only itself

Cause: a report over 8 MiB is refused by Send, which leaves the stream sound. The sender took it for the end of the stream and returned, so that no question reached control any more while updates went on.

Change: such a report is sent without what varies in size, and logged. After any other failure the gateway ends the subscription, which it then makes anew.

--- a/internal/entry/gateway/report.go
+++ b/internal/entry/gateway/report.go
@@ -7,6 +7,7 @@
 	"github.com/egretreach/egretreach/internal/link/message"
 	"github.com/egretreach/egretreach/internal/link/transport"
 	"github.com/egretreach/egretreach/internal/process/pause"
+	"github.com/egretreach/egretreach/internal/telemetry/event"
 )
 
 // sendReports sends the gateway's reports to control until ended is closed: one each reportInterval, and one at once if a
@@ -25,8 +26,10 @@
 		}
 		report := g.composeReport(time.Now())
 		report.Question = g.nextQuestion(urgent)
-		if stream.Send(report) != nil {
-			return // Receiving fails as well, which leads to a subscription to another host.
+		if err := g.sendReport(stream, report); err != nil {
+			event.ReportFailed.On(g.opts.Logger).Err(err).Msg("")
+			stream.Cancel() // Receiving fails as well then, which leads to another subscription.
+			return
 		}
 		if urgent && !pause.For(g.serving, urgentInterval) {
 			return
@@ -34,6 +37,18 @@
 	}
 }
 
+// sendReport sends a report. Of one that is larger than a frame it sends what has a fixed size: the gateway's question must not be lost with
+// the rest, since without answers to its questions the gateway refuses all requests.
+func (g *Gateway) sendReport(stream *transport.Stream, report *message.GatewayReport) error {
+	err := stream.Send(report)
+	if !message.IsErrFrameTooLarge(err) {
+		return err
+	}
+	event.ReportTooLarge.On(g.opts.Logger).Int("heads", len(report.Heads)).Int("demand", len(report.Demand)).
+		Int("crashes", len(report.Evidence.Crashes)).Int("limits", len(report.Limits.Limits)).Err(err).Msg("")
+	return stream.Send(&message.GatewayReport{Requests: report.Requests, Question: report.Question})
+}
+
 // composeReport returns the next report. It resets the demand and what is reported once.
 func (g *Gateway) composeReport(now time.Time) *message.GatewayReport {
 	r := &message.GatewayReport{Requests: g.requestCount.Load()}
--- a/internal/link/message/fuzz_test.go
+++ b/internal/link/message/fuzz_test.go
@@ -11,15 +11,18 @@
 
 // filled sets every field of m and returns it, so that a seed reaches the decoder of
 // every field.
-func filled(m Message) Message {
-	fill(reflect.ValueOf(m).Elem(), 0)
+func filled(m Message) Message { return filledWith(m, "x") }
+
+// filledWith sets every field of m, those that hold a string to text, and returns it.
+func filledWith(m Message, text string) Message {
+	fill(reflect.ValueOf(m).Elem(), 0, text)
 	return m
 }
 
 // fillDepth bounds the nesting of the fields that are set.
 const fillDepth = 6
 
-func fill(v reflect.Value, depth int) {
+func fill(v reflect.Value, depth int, text string) {
 	if depth > fillDepth {
 		return
 	}
@@ -27,25 +30,25 @@
 	case reflect.Struct:
 		for i := range v.NumField() {
 			if v.Field(i).CanSet() {
-				fill(v.Field(i), depth+1)
+				fill(v.Field(i), depth+1, text)
 			}
 		}
 	case reflect.Pointer:
 		v.Set(reflect.New(v.Type().Elem()))
-		fill(v.Elem(), depth+1)
+		fill(v.Elem(), depth+1, text)
 	case reflect.Slice:
 		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
-		fill(v.Index(0), depth+1)
+		fill(v.Index(0), depth+1, text)
 	case reflect.Array:
-		fill(v.Index(0), depth+1)
+		fill(v.Index(0), depth+1, text)
 	case reflect.Map:
 		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
-		fill(key, depth+1)
-		fill(value, depth+1)
+		fill(key, depth+1, text)
+		fill(value, depth+1, text)
 		v.Set(reflect.MakeMap(v.Type()))
 		v.SetMapIndex(key, value)
 	case reflect.String:
-		v.SetString("x")
+		v.SetString(text)
 	case reflect.Bool:
 		v.SetBool(true)
 	case reflect.Float64:
@@ -83,3 +86,30 @@
 		require.Equal(t, hex.EncodeToString(encoded), hex.EncodeToString(again))
 	})
 }
+
+// FuzzAppend encodes each message with a text that comes from outside, such as a name that a caller has chosen, in all its strings. What
+// Append accepts must be readable: a peer closes a link on which it reads anything else.
+func FuzzAppend(f *testing.F) {
+	for _, text := range []string{"", "model", "\x00\xff\xfe", "a\nb", string(make([]byte, 1<<10))} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		for _, make := range constructors {
+			frame, err := Append(nil, filledWith(make(), text))
+			if IsErrFrameTooLarge(err) {
+				continue
+			}
+			require.NoError(t, err)
+			_, err = Read(bytes.NewReader(frame))
+			require.NoError(t, err)
+		}
+	})
+}
+
+// TestFrameOverTheLimitIsRefusedWhole guards against a part of a frame that is sent, after which the peer can't read the stream.
+func TestFrameOverTheLimitIsRefusedWhole(t *testing.T) {
+	report := &GatewayReport{Demand: []Demand{{Model: string(make([]byte, MaxFrameBytes))}}}
+	buf, err := Append([]byte("before"), report)
+	require.True(t, IsErrFrameTooLarge(err))
+	require.Equal(t, "before", string(buf))
+}
--- a/internal/telemetry/event/gateway.go
+++ b/internal/telemetry/event/gateway.go
@@ -30,5 +30,8 @@
 	// HedgeRefused says that a request was slow and was not sent to a second endpoint.
 	HedgeRefused      = register(333, "hedge_refused", log.InfoLevel)
 	ExplanationFailed = register(334, "explanation_failed", log.ErrorLevel)
-	ColdHeard         = register(318, "cold_heard", log.InfoLevel)
+	// ReportTooLarge says that a report was sent without the parts that vary in size, ReportFailed that one could not be sent.
+	ReportTooLarge = register(335, "report_too_large", log.ErrorLevel)
+	ReportFailed   = register(336, "report_failed", log.InfoLevel)
+	ColdHeard      = register(318, "cold_heard", log.InfoLevel)
 )
