quorum: a leader that is elected again takes no follower for silent

Cause: since a new leader counts the silence of the leader before it from that one's last message, also if it has led itself in between. After a second election a follower that had led long ago looked lost until its first answer, so that a host without a vote could get that follower's vote.

Change: the leader before is forgotten once this host leads.

Measured: TestReelectedLeaderTakesNoFollowerForSilent fails before (11 s of silence of a host that answers) and passes.

--- a/internal/control/quorum/leader.go
+++ b/internal/control/quorum/leader.go
@@ -28,10 +28,11 @@
 		p.becomeProbe(n.log.last() + 1)
 		n.progress[id] = p
 	}
+	n.contactedBy = ""
 }
 
-// lastSign returns when a new leader takes a peer to have been reachable last. The peer that led before it has been silent since
-// its last message; of the others nothing is known.
+// lastSign returns when a new leader takes a peer to have been reachable last. The peer that led right before it has been silent
+// since its last message; of the others nothing is known.
 func (n *Node) lastSign(now time.Time, id host.ID) time.Time {
 	if id == n.contactedBy {
 		return n.leaderContact
--- a/internal/control/quorum/learner_test.go
+++ b/internal/control/quorum/learner_test.go
@@ -88,3 +88,24 @@
 		}
 	}
 }
+
+// TestReelectedLeaderTakesNoFollowerForSilent lets a host lead twice after another one, which has followed it in between. It guards against the
+// vote of a host that answers, and that is taken for silent since it led itself.
+func TestReelectedLeaderTakesNoFollowerForSilent(t *testing.T) {
+	s := newSimulation(t, 3, 34)
+	s.run(time.Second)
+	first := s.leader()
+	s.step(first, TransferLeadership{})
+	s.run(time.Second)
+	second := s.leader()
+	require.NotEqual(t, first, second)
+	s.run(10 * time.Second)
+
+	second.node.startElection(s.clock(second))
+	for second.node.role != RoleLeader {
+		s.run(tick)
+	}
+	for _, p := range second.node.Status(s.clock(second)).Peers {
+		require.Less(t, p.SinceLastReply, testTiming.ElectionTimeout, "%s", p.Host)
+	}
+}
--- a/internal/control/quorum/node.go
+++ b/internal/control/quorum/node.go
@@ -30,8 +30,8 @@
 
 	role   Role
 	leader host.ID
-	// leaderContact is when the last message of a leader arrived, and contactedBy that leader. For an
-	// election timeout after it, this host supports no other candidate.
+	// leaderContact is when the last message of a leader arrived. For an election timeout after it,
+	// this host supports no other candidate. contactedBy is that leader, or empty if this host has led since.
 	leaderContact time.Time
 	contactedBy   host.ID
 	// timerDue is the time of the next pre-vote or, on a leader, of the next heartbeat.
