gateway: requests that name no model are counted again

Cause: since an empty model counted as an unknown one, though a service with engines serves such requests at any of them. They were left out of the arrivals by which endpoints' limits are divided.

Change: only a name that the service doesn't have is unknown.

--- a/internal/entry/gateway/report_test.go
+++ b/internal/entry/gateway/report_test.go
@@ -29,6 +29,7 @@
 // control, that grow with the names that callers choose, and against such names that displace those of real models.
 func TestModelsThatCallersInventLeaveNoTrace(t *testing.T) {
 	withFixture(t, func(f *fixture) {
+		forEach(f.heads, func(e *fakeEndpoint) { e.streamEvents(1, 0, endStream) })
 		const invented = 300
 		for i := range invented {
 			f.sendWithin(50*time.Millisecond, "X-Model", fmt.Sprint("invented-", i, strings.Repeat("x", 1000)))
@@ -37,6 +38,12 @@
 		require.Empty(t, f.g.demand)
 		require.Empty(t, f.g.arrivals)
 		f.g.mu.Unlock()
+
+		f.sendWithin(50*time.Millisecond, "X-Model", "")
+		f.sendWithin(50*time.Millisecond, "X-Model", "m")
+		f.g.mu.Lock()
+		require.Equal(t, map[string]int{"llm/": 1, "llm/m": 1}, f.g.arrivals)
+		f.g.mu.Unlock()
 	})
 }
 
--- a/internal/entry/gateway/resolve.go
+++ b/internal/entry/gateway/resolve.go
@@ -65,7 +65,9 @@
 	c.modelKnown = true
 	if service, ok := table.Service(c.service); ok && service.Engine != nil {
 		c.model = c.r.Header.Get(h.Model)
-		_, c.modelKnown = service.Engine.Model(c.model)
+		if c.model != "" {
+			_, c.modelKnown = service.Engine.Model(c.model)
+		}
 	}
 }
 
