bootstrap: the first start asks in rounds again

Change: hosts that start for the first time ask in rounds, which wait for those that are about to start. Hosts without a vote, and those that ask about theirs, still ask each host on its own.

--- a/internal/control/bootstrap/discovery.go
+++ b/internal/control/bootstrap/discovery.go
@@ -186,7 +186,12 @@
 	}
 	fresh := d.isFirstStart()
 	if len(controlHosts) == 0 {
-		if controlHosts, err = d.discover(ctx); err != nil {
+		if fresh {
+			controlHosts, err = d.gather(ctx)
+		} else {
+			controlHosts, err = d.discover(ctx)
+		}
+		if err != nil {
 			return nil, err
 		}
 		if err := d.opts.Store.Save(controlHosts); err != nil {
--- a/internal/control/bootstrap/query.go
+++ b/internal/control/bootstrap/query.go
@@ -8,36 +8,79 @@
 	"github.com/egretreach/egretreach/internal/control/quorum"
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/process/pause"
 )
 
-// discover asks the known hosts until one of them has a set that contains this host and is no older than the one known here, or
-// until this host has decided the set.
+// gather asks the known hosts in rounds, at the first start, until one of them has a set that contains this host or this host has decided
+// the set. A round waits for hosts that are about to start, so that the set is not decided before the system is up.
+func (d *Discovery) gather(ctx context.Context) ([]message.Founder, error) {
+	began := time.Now()
+	for {
+		if set := d.queryRound(ctx); set != nil {
+			return set, nil
+		}
+		if set := d.decide(began); set != nil {
+			return set, nil
+		}
+		if !pause.For(ctx, queryInterval) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// queryRound asks all known hosts once and waits for their answers. It returns a set that contains this host, or nil.
+func (d *Discovery) queryRound(ctx context.Context) []message.Founder {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	targets := d.targets()
+	answers := make(chan *message.Founders, len(targets))
+	for _, address := range targets {
+		go func() { answers <- d.query(ctx, address, d.introduction()) }()
+	}
+	for range targets {
+		if answer := <-answers; answer != nil {
+			if set := d.accept(answer); set != nil {
+				return set
+			}
+		}
+	}
+	return nil
+}
+
+// discover asks the known hosts until one of them has a set that contains this host.
 func (d *Discovery) discover(ctx context.Context) ([]message.Founder, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	began := time.Now()
-	p := d.newPoll(&message.FounderQuery{Self: d.opts.Self, FirstStart: d.isFirstStart()})
-	ticker := time.NewTicker(queryInterval)
-	defer ticker.Stop()
+	p := d.newPoll(d.introduction())
 	for {
 		p.start(ctx)
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case answer := <-p.answers:
-			if d.includesSelf(answer.Decided) && setVersion(answer.Decided) >= setVersion(d.known()) {
-				return answer.Decided, nil
-			}
-			d.Hear(answer.Decided)
-			d.Hear(answer.Seen)
-		case <-ticker.C:
-			if decided := d.decide(began); len(decided) > 0 {
-				return decided, nil
+			if set := d.accept(answer); set != nil {
+				return set, nil
 			}
 		}
 	}
 }
 
+// introduction returns the query by which this host introduces itself.
+func (d *Discovery) introduction() *message.FounderQuery {
+	return &message.FounderQuery{Self: d.opts.Self, FirstStart: d.isFirstStart()}
+}
+
+// accept returns the set of an answer if it contains this host and is no older than the one known here. Otherwise it records the hosts in the
+// answer and returns nil.
+func (d *Discovery) accept(answer *message.Founders) []message.Founder {
+	if d.includesSelf(answer.Decided) && setVersion(answer.Decided) >= setVersion(d.known()) {
+		return answer.Decided
+	}
+	d.Hear(answer.Decided)
+	d.Hear(answer.Seen)
+	return nil
+}
+
 // AskVote asks the other control hosts for up to queryTimeout whether the disk with which this host was a voter still counts. It returns the
 // set without this host once a majority has confirmed that another process has the vote for good, and nil otherwise.
 func (d *Discovery) AskVote(ctx context.Context, voter host.ID, g quorum.Generation) []message.Founder {
