--- a/review/tools-3/fleet.go
+++ b/review/tools-3/fleet.go
@@ -201,17 +201,15 @@
 	return os.RemoveAll(f.dataFolder(m)) //nolint:gosec // A folder of its own.
 }
 
-// restart kills the process of a core machine and starts it again after downTime, without its disk if wipe is set.
-func (f *fleet) restart(m *machine, wipe bool, downTime time.Duration) error {
+// wipe ends the process of a core machine, empties its disk, and starts it again a second later.
+func (f *fleet) wipe(m *machine) error {
 	if err := f.kill(m); err != nil {
 		return err
 	}
-	if wipe {
-		if err := f.loseDisk(m); err != nil {
-			return err
-		}
+	if err := f.loseDisk(m); err != nil {
+		return err
 	}
-	time.Sleep(downTime)
+	time.Sleep(time.Second)
 	return f.startCore(m, false)
 }
 
--- a/review/tools-3/main.go
+++ b/review/tools-3/main.go
@@ -25,6 +25,7 @@
 // cases are the cases by their names on the command line.
 var cases = map[string]func(r *record, trouble bool) error{
 	"twice-moved":            twiceMoved,
+	"stale-address":          staleAddress,
 	"restart-at-first-start": restartAtFirstStart,
 	"loss-at-first-start":    lossAtFirstStart,
 	"other-writer":           otherWriter,
--- a/review/tools-3/twice_moved.go
+++ b/review/tools-3/twice_moved.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	if trouble {
-		if err := f.restart(f.cores[2], true, time.Second); err != nil {
+		if err := f.wipe(f.cores[2]); err != nil {
 			return err
 		}
 		time.Sleep(settleTime + settleTime/2)
