--- a/review/tools-3/first_start.go
+++ b/review/tools-3/first_start.go
@@ -58,7 +58,7 @@
 // firstStart starts all machines at once with empty disks, calls disrupt at troubleAt, and sends requests from trafficAt until endAt. The
 // rule is broken if no request is served.
 func firstStart(r *record, disrupt func(f *fleet) error) error {
-	f, err := newFleet(r, coreMachines)
+	f, err := newFleet(r)
 	if err != nil {
 		return err
 	}
--- a/review/tools-3/fleet.go
+++ b/review/tools-3/fleet.go
@@ -40,8 +40,8 @@
 	replaced int
 }
 
-// newFleet returns a fleet of which nothing runs, with count core machines.
-func newFleet(r *record, count int) (*fleet, error) {
+// newFleet returns a fleet of which nothing runs.
+func newFleet(r *record) (*fleet, error) {
 	if _, err := os.Stat(binary); err != nil {
 		return nil, err
 	}
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	f := &fleet{record: r, folder: folder, subnet: fmt.Sprintf("127.%d.%d.", 64+os.Getpid()/250%64, 1+os.Getpid()%250)}
-	for i := range count {
+	for i := range coreMachines {
 		f.cores = append(f.cores, &machine{name: fmt.Sprintf("core-%d", i+1), ip: fmt.Sprintf("%s%d", f.subnet, 11+i)})
 	}
 	f.front = &machine{name: "front-1", ip: f.subnet + "101"}
--- a/review/tools-3/other_writer.go
+++ b/review/tools-3/other_writer.go
@@ -22,7 +22,7 @@
 // their own and name a service that isn't in the configuration, so that they name no server to use. The rule is broken if no request is
 // served, though the servers stay up and their own heartbeats are acknowledged.
 func otherWriter(r *record, trouble bool) error {
-	f, err := newFleet(r, coreMachines)
+	f, err := newFleet(r)
 	if err != nil {
 		return err
 	}
--- a/review/tools-3/stale_address.go
+++ b/review/tools-3/stale_address.go
@@ -18,7 +18,7 @@
 // hold an acknowledged change lose their disks, and a third one was down when it was acknowledged. The rule is broken if the
 // acknowledged configuration doesn't come when it is read back.
 func staleAddress(r *record, trouble bool) error {
-	f, err := newFleet(r, coreMachines)
+	f, err := newFleet(r)
 	if err != nil {
 		return err
 	}
--- a/review/tools-3/twice_moved.go
+++ b/review/tools-3/twice_moved.go
@@ -26,7 +26,7 @@
 // at the end two more do, never more at once than the deployment tolerates. The rule is broken if the acknowledged configuration doesn't come
 // when it is read back.
 func twiceMoved(r *record, trouble bool) error {
-	f, err := newFleet(r, coreMachines)
+	f, err := newFleet(r)
 	if err != nil {
 		return err
 	}
