--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Starts a small deployment for the first time; the seed with the lowest address loses its disk a second later.
+# Replaces a machine of the core while another one is down; later two machines lose their disks.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3 restart-at-first-start review/12
+exec target/review-3 stale-address review/12
