--- a/review/tools-3/stale_address.go
+++ b/review/tools-3/stale_address.go
@@ -33,7 +33,7 @@
 		}
 	}
 	if !trouble {
-		return o.readBack()
+		return staleAddressControl(o)
 	}
 	if err := replaceDuringAbsence(f, o); err != nil {
 		return err
@@ -46,6 +46,22 @@
 	return o.readBack()
 }
 
+// staleAddressControl sends the same changes with the same waits while no machine is lost.
+func staleAddressControl(o *operator) error {
+	time.Sleep(absentTime)
+	for range 2 {
+		if _, err := o.put(smallTable); err != nil {
+			return err
+		}
+	}
+	time.Sleep(2 * settleTime)
+	if _, err := o.put(smallTable); err != nil {
+		return err
+	}
+	time.Sleep(shortLoss + recoverTime)
+	return o.readBack()
+}
+
 // replaceDuringAbsence replaces the first machine while the last one is down, and lets the successor lead before that one is back.
 func replaceDuringAbsence(f *fleet, o *operator) error {
 	absent := f.cores[len(f.cores)-1]
--- a/review/tools-3/twice_moved.go
+++ b/review/tools-3/twice_moved.go
@@ -38,28 +38,45 @@
 	if _, err := o.put(smallTable); err != nil {
 		return err
 	}
-	if trouble {
-		if err := replaceTwice(f, o); err != nil {
-			return err
-		}
-	} else if err := o.storm(); err != nil {
+	if !trouble {
+		return twiceMovedControl(o)
+	}
+	if err := replaceTwice(f, o); err != nil {
 		return err
 	}
-	if trouble {
-		if err := f.wipe(f.cores[2]); err != nil {
-			return err
-		}
-		time.Sleep(settleTime + settleTime/2)
+	if err := f.wipe(f.cores[2]); err != nil {
+		return err
 	}
+	time.Sleep(settleTime + settleTime/2)
 	if _, err := o.put(smallTable); err != nil {
 		return err
 	}
-	if trouble {
-		if err := finalFault(f); err != nil {
+	if err := finalFault(f); err != nil {
+		return err
+	}
+	time.Sleep(recoverTime)
+	return o.readBack()
+}
+
+// twiceMovedControl sends the same changes with the same waits while no machine is lost.
+func twiceMovedControl(o *operator) error {
+	for round := range 2 {
+		time.Sleep(settleTime + settleTime/2)
+		if _, err := o.put(smallTable); err != nil {
 			return err
 		}
-		time.Sleep(recoverTime)
+		if round > 0 {
+			break
+		}
+		if err := o.storm(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(settleTime + settleTime/2)
+	if _, err := o.put(smallTable); err != nil {
+		return err
 	}
+	time.Sleep(downTime + recoverTime)
 	return o.readBack()
 }
 
