portal: hosts tell each other where the votes are

Cause: a host knew the address of a vote from its disk and from its log. One that was away has the old address in both; the new holder reaches it, but its answers go to a machine that is gone, so that the log, and with it the new address, never comes. A restart reads the same. It asked nobody, as its leader was not silent.

Change: what a voter tells of the addresses of votes is learned by its sequence, like the moves of the log: in the first message of the gossip, which every voter sends to every other one as soon as it connects, after each change, and in any answer to AskVote. It is committed, so whoever tells it can only be late. Gossip follows a moved peer at once. The format of messages is as before; an older portal ignores what is new. The gauge portal_vote_moves shows a host that does not know of a move.

Why no host stays behind: of any two voters, the one whose vote was moved last learned the address of the other one with its own vote, or is told by the leader, so it connects, and tells.

--- a/internal/control/bootstrap/query.go
+++ b/internal/control/bootstrap/query.go
@@ -86,11 +86,8 @@
 		case <-ctx.Done():
 			return false
 		case answer := <-p.answers:
-			if !answer.Replaced {
-				continue
-			}
 			d.opts.Voters.Learn(answer.Decided, sourceAnswer)
-			if !d.includesSelf() {
+			if answer.Replaced && !d.includesSelf() {
 				return true
 			}
 		}
--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -113,7 +114,11 @@
 // ends.
 func (p *Portal) receiveAnnouncements(s *transport.Stream, first *message.RosterUpdate) {
 	p.discovery.Hear(first.Hosts)
+	peer := s.Peer()
 	for update := first; ; {
+		if peer.Role == host.RoleControl {
+			p.learnVoters(update.Hosts, string(peer.Host))
+		}
 		now := time.Now()
 		p.mu.Lock()
 		p.peerTraffic = p.peerTraffic || update.Traffic
@@ -133,16 +138,27 @@
 	}
 }
 
-// gossip forwards the announcements that arrive at this host to another control host, until ctx
-// ends.
+// gossip tells another control host what this one knows of endpoints and of the addresses of votes, until ctx ends.
 func (p *Portal) gossip(ctx context.Context, peer host.ID) error {
 	for ctx.Err() == nil {
-		p.gossipOnce(ctx, p.voters.Address(peer))
+		p.gossipUntilMoved(ctx, peer)
 		pause.For(ctx, gossipRetryDelay)
 	}
 	return nil
 }
 
+// gossipUntilMoved gossips with a control host until the stream ends or the host has another address.
+func (p *Portal) gossipUntilMoved(ctx context.Context, peer host.ID) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	address := p.voters.Address(peer)
+	go func() {
+		defer cancel()
+		p.voters.AwaitMove(ctx, peer, address)
+	}()
+	p.gossipOnce(ctx, address)
+}
+
 // sentState is the state of an endpoint that was last sent to another control host or to a
 // subscriber.
 type sentState struct {
@@ -170,8 +186,8 @@
 		defer cancel()
 		_, _ = s.Receive() // The peer sends nothing, so this returns when the stream ends.
 	}()
-	all := p.allAnnouncements()
-	if s.Send(&message.RosterUpdate{Heard: all, Hosts: p.voters.Votes(), Traffic: p.tellsTraffic()}) != nil {
+	all, votes := p.allAnnouncements(), p.voters.Votes()
+	if s.Send(&message.RosterUpdate{Heard: all, Hosts: votes, Traffic: p.tellsTraffic()}) != nil {
 		return
 	}
 	sent := map[string]sentState{}
@@ -179,8 +195,11 @@
 		sent[h.Endpoint.ID] = sentState{h.Endpoint.Sequence, h.Endpoint.StartedMs, h.Endpoint.State, time.Now(), takesRequests(h.Endpoint)}
 	}
 	for pause.For(ctx, gossipInterval) {
-		changes := p.changesSince(sent)
-		if len(changes) > 0 && s.Send(&message.RosterUpdate{Heard: changes, Traffic: p.tellsTraffic()}) != nil {
+		update := &message.RosterUpdate{Heard: p.changesSince(sent), Traffic: p.tellsTraffic()}
+		if latest := p.voters.Votes(); !slices.Equal(latest, votes) {
+			update.Hosts, votes = latest, latest
+		}
+		if (len(update.Heard) > 0 || len(update.Hosts) > 0) && s.Send(update) != nil {
 			return
 		}
 	}
--- a/internal/control/portal/metrics.go
+++ b/internal/control/portal/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/egretreach/egretreach/internal/control/voter"
 	"github.com/egretreach/egretreach/internal/telemetry/metric"
 )
 
@@ -22,6 +23,11 @@
 	cold          metrics.Counter
 }
 
+// registerVoterMetrics registers what a control host knows of the addresses of votes.
+func registerVoterMetrics(r *metric.Registry, voters *voter.Directory) {
+	r.GaugeFunc("portal_vote_moves", "Moves of votes to other hosts that this host has learned of.", func() float64 { return float64(voters.Moves()) })
+}
+
 func newPortalMetrics(r *metric.Registry) portalMetrics {
 	return portalMetrics{
 		announcements: r.Counter("portal_announcements_total", "Announcements of endpoints to this host."),
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -171,6 +171,7 @@
 		tracker:        warmup.Tracker{FirstStart: opts.FirstStart, MaxSilence: opts.Heartbeat*5/3 + unprobedTimeout},
 	}
 	replication.RegisterMetrics(opts.Metrics, p.logStatus)
+	registerVoterMetrics(opts.Metrics, voters)
 	return p
 }
 
--- a/internal/control/voter/moves.go
+++ b/internal/control/voter/moves.go
@@ -10,7 +10,8 @@
 //
 //  1. A host without a vote asks all control hosts that it knows (bootstrap.Discovery).
 //  2. The leader chooses a lost voter (Moves.Lost) and commits its new address, a portalstate.Voter. All hosts send to that address once
-//     they have learned of it (Directory).
+//     they have learned of it (Directory): from the log, or from any voter, which tells the others what it knows as soon as it connects.
+//     A host that was away sends its answers to the address before, so the log may never reach it.
 //  3. The host takes the voter's ID for its links (portal.Portal) and opens its journal, empty or with the log of an earlier vote.
 //  4. Its disk answers the leader under the voter's ID. The leader sends it what it lacks of the log, as a learner, and then commits an
 //     entry that names it in place of the lost disk (quorum.Node).
--- a/internal/link/message/portal.go
+++ b/internal/link/message/portal.go
@@ -20,7 +20,8 @@
 // answered.
 type RosterUpdate struct {
 	Heard []Heard `cbor:"1,keyasint,omitempty"`
-	// Hosts are the control hosts. They are set in the first message of a stream, for a host that has lost its disk and whose seeds are gone.
+	// Hosts are the control hosts with their addresses. They are set in the first message of a stream and after each change, for a host that
+	// was away when one of them was replaced, and for one that has lost its disk and whose seeds are gone.
 	Hosts []Founder `cbor:"2,keyasint,omitempty"`
 	// Traffic reports that callers' requests have begun. It is set while a service has a warm-up limit.
 	Traffic bool `cbor:"3,keyasint,omitempty"`
