portal: a service that is not listed changes nothing of other endpoints

Every request is refused with 503 from then on, although all servers are up and their own heartbeats are acknowledged.

Cause: an announcement was judged by its fields alone. The latest start time won an address (roster.claimAddress) and an ID (Endpoint.Supersedes), whatever the service.

Change: Portal.isListed judges each announcement in the one place through which all of them come (direct, forwarded by another control host, from the log), before it changes anything. One of a service that the configuration in force here doesn't list is kept aside (roster.Unlisted), compared with those of its ID and service only, and acknowledged. What that means for each order of events: - The configuration comes later (a first start, an added service): the endpoints are used with it, without waiting for a heartbeat, unless the endpoint that has the ID or the address was heard since. - It is older at one portal than at another: the announcement is forwarded all the same, and each portal judges by its own. - It has dropped the service while its endpoints finish their work: what continues a known incarnation, with its service and address, still counts. - This portal has none yet, or is sent the log: a departure is not acknowledged, so that the endpoint says it to another one. - An announcement of a known incarnation with another service, address, zone or kind (engine or not) is left out, also if its service is listed by now: an endpoint can't change these while it runs. - A sign-off names no service, and ends the ID it names, as before. Nothing of an unlisted service is kept in the log. Related paths: gateways get endpoints from portals only; on the native platform a certificate names the host of an announcement.

Two tests made portals without a configuration, or with one that lacks the index; they list the service of their endpoints now.

--- a/internal/control/portal/announce.go
+++ b/internal/control/portal/announce.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/egretreach/egretreach/internal/fleet/host"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
 	"github.com/egretreach/egretreach/internal/link/message"
@@ -35,11 +37,15 @@
 // Announce records an endpoint's announcement. One that says that the endpoint drains or leaves is acknowledged only when it is in the replicated log,
 // since the endpoint may say it just once. Announce returns ErrUnavailable if that takes too long, or while the other
 // control hosts are not known, because the announcement could not be forwarded to them. It also does so, although it has recorded the
-// announcement, once this host has known no leader for maxLeaderless.
+// announcement, once this host has known no leader for maxLeaderless, and for a departure while it may not know the endpoint's service yet.
+// What an endpoint of a service that the configuration doesn't list announces is forwarded, but not kept in the log.
 func (p *Portal) Announce(ctx context.Context, e roster.Endpoint) error {
 	if err := p.recordAnnouncement(e); err != nil {
 		return err
 	}
+	if p.isUnsureDeparture(e) {
+		return ErrUnavailable{Reason: "the service is not known here yet"}
+	}
 	if departing, ok := p.unkeptDeparture(e); ok {
 		return p.keepDeparture(ctx, departing)
 	}
@@ -78,6 +84,17 @@
 		p.skipAnnouncement(e, direct, err)
 		return
 	}
+	if !p.isListed(e) {
+		p.setAside(e, seenAt, direct)
+		return
+	}
+	if p.roster.Contradicts(e) {
+		p.skipAnnouncement(e, direct, errContradiction)
+		return
+	}
+	if isSignOff(e) {
+		p.unlisted.SignOff(e, seenAt)
+	}
 	if !p.warmUpOf(e.Service).IsSet() {
 		e.ColdMs = 0 // It limits nothing, so a change of it is no news.
 	}
@@ -106,6 +123,9 @@
 	p.notifyLocked()
 }
 
+// errContradiction is the reason for which an announcement that another writer has sent under the ID of an endpoint is left out.
+var errContradiction = errors.New("differs from the endpoint in what an endpoint can't change while it runs")
+
 func (p *Portal) skipAnnouncement(e roster.Endpoint, direct bool, err error) {
 	event.EndpointSkipped.On(p.opts.Logger).Str("endpoint", strconv.QuoteToASCII(e.ID)).Bool("direct", direct).Err(err).Msg("")
 }
@@ -190,9 +210,9 @@
 	if s.Send(&message.RosterUpdate{Heard: all, Hosts: votes, Traffic: p.tellsTraffic()}) != nil {
 		return
 	}
-	sent := map[string]sentState{}
+	sent := map[sentKey]sentState{}
 	for _, h := range all {
-		sent[h.Endpoint.ID] = sentState{h.Endpoint.Sequence, h.Endpoint.StartedMs, h.Endpoint.State, time.Now(), takesRequests(h.Endpoint)}
+		sent[keyOf(h.Endpoint)] = sentState{h.Endpoint.Sequence, h.Endpoint.StartedMs, h.Endpoint.State, time.Now(), takesRequests(h.Endpoint)}
 	}
 	for pause.For(ctx, gossipInterval) {
 		update := &message.RosterUpdate{Heard: p.changesSince(sent), Traffic: p.tellsTraffic()}
@@ -212,29 +232,50 @@
 	for _, e := range p.roster.All() {
 		all = append(all, message.Heard{Endpoint: e.Endpoint, Age: time.Since(e.LastSeen), Cold: p.coldRemaining(e.Endpoint, time.Now())})
 	}
+	for _, e := range p.unlisted.All() {
+		all = append(all, message.Heard{Endpoint: e.Endpoint, Age: time.Since(e.LastSeen)})
+	}
 	return all
 }
 
+// sentKey names those announcements that replace each other: another writer may use the ID of an endpoint for another service.
+type sentKey struct{ id, service string }
+
+func keyOf(e roster.Endpoint) sentKey { return sentKey{e.ID, e.Service} }
+
 // changesSince returns the announcements that arrived at this host and differ from sent, and
 // updates sent. An announcement without new content is returned only once per refreshInterval.
-func (p *Portal) changesSince(sent map[string]sentState) []message.Heard {
+func (p *Portal) changesSince(sent map[sentKey]sentState) []message.Heard {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var changes []message.Heard
-	for _, e := range p.roster.All() {
-		if !p.direct[e.ID] {
-			continue
-		}
-		last := sent[e.ID]
+	for _, e := range p.directAnnouncements() {
+		last := sent[keyOf(e.Endpoint)]
 		if last.sequence == e.Sequence && last.startedMs == e.StartedMs && last.state == e.State {
 			continue
 		}
 		if e.Unchanged && now.Sub(last.at) < refreshInterval {
 			continue
 		}
-		sent[e.ID] = sentState{e.Sequence, e.StartedMs, e.State, now, takesRequests(e.Endpoint)}
+		sent[keyOf(e.Endpoint)] = sentState{e.Sequence, e.StartedMs, e.State, now, takesRequests(e.Endpoint)}
 		changes = append(changes, message.Heard{Endpoint: e.Endpoint, Age: now.Sub(e.LastSeen), Cold: p.coldRemaining(e.Endpoint, now)})
 	}
 	return changes
 }
+
+// directAnnouncements returns the announcements that arrived at this host, those of unlisted services last. mu is held.
+func (p *Portal) directAnnouncements() []roster.Entry {
+	var entries []roster.Entry
+	for _, e := range p.roster.All() {
+		if p.direct[e.ID] {
+			entries = append(entries, e)
+		}
+	}
+	for _, e := range p.unlisted.All() {
+		if e.Direct {
+			entries = append(entries, e.Entry)
+		}
+	}
+	return entries
+}
--- a/internal/control/portal/planning.go
+++ b/internal/control/portal/planning.go
@@ -97,6 +97,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tracker.Step(now)
+	p.unlisted.Forget(now, forgetAfter)
 	for _, id := range p.roster.Forget(now, forgetAfter) {
 		delete(p.health, id)
 		delete(p.direct, id)
--- a/internal/control/portal/portal.go
+++ b/internal/control/portal/portal.go
@@ -114,6 +114,8 @@
 	// moves are those of voters to other hosts.
 	moves  voter.Moves
 	roster roster.Roster
+	// unlisted holds what endpoints of services that the configuration doesn't list have announced.
+	unlisted roster.Unlisted
 	// direct holds the endpoints whose last announcement was sent to this host.
 	direct map[string]bool
 	// contentChanged is when each endpoint last announced new content.
@@ -172,6 +174,7 @@
 	}
 	replication.RegisterMetrics(opts.Metrics, p.logStatus)
 	registerVoterMetrics(opts.Metrics, voters)
+	opts.Metrics.GaugeFunc("portal_endpoints_unlisted", "Endpoints of services that the configuration does not list.", p.unlistedCount)
 	return p
 }
 
--- a/internal/control/portal/subscriber_test.go
+++ b/internal/control/portal/subscriber_test.go
@@ -8,12 +8,31 @@
 
 	"github.com/egretreach/egretreach/internal/control/portalstate"
 	"github.com/egretreach/egretreach/internal/fleet/roster"
+	"github.com/egretreach/egretreach/internal/fleet/routes"
 )
 
+// newListing returns a portal whose configuration lists some services.
+func newListing(services ...string) *Portal {
+	p := New(Options{Self: "p"})
+	p.list(services...)
+	return p
+}
+
+// list puts a configuration in force that lists some services.
+func (p *Portal) list(services ...string) {
+	var table routes.Table
+	for _, name := range services {
+		table.Services = append(table.Services, routes.Service{Name: name})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setTable(table.WithIndex())
+}
+
 // TestGatewaysHearOfHeadsOnly guards against updates that grow with engines times gateways: what a member of a replica announces about itself
 // goes to no gateway, while every change of an endpoint that gets requests, or got some, does.
 func TestGatewaysHearOfHeadsOnly(t *testing.T) {
-	p := New(Options{Self: "p"})
+	p := newListing("llm")
 	p.machine = &portalstate.Machine{}
 	state := subscriberState{sent: map[string]sentState{}}
 	update := func() []string {
@@ -63,7 +82,7 @@
 
 // TestGatewaysHearOfLostEndpoints guards against requests that go to endpoints that control considers dead.
 func TestGatewaysHearOfLostEndpoints(t *testing.T) {
-	p := New(Options{Self: "p"})
+	p := newListing("llm")
 	plain, head, spare := engine(0, 1), engine(1, 1), engine(2, 1)
 	plain.Engine = false
 	head.Member = &roster.Membership{Replica: "r", Epoch: 1, State: roster.MemberOpen}
--- a/internal/control/portal/warm_up.go
+++ b/internal/control/portal/warm_up.go
@@ -19,7 +19,7 @@
 // warmUpOf returns the warm-up limit of a service. mu is held.
 func (p *Portal) warmUpOf(service string) routes.WarmUp { return p.warmUps[service] }
 
-// setTable puts a decoded configuration in force. mu is held.
+// setTable puts a decoded configuration in force, and uses the endpoints of the services that it is the first to list. mu is held.
 func (p *Portal) setTable(table *routes.Table) {
 	p.table, p.warmUps, p.coldAt = table, nil, time.Time{}
 	for _, s := range table.Services {
@@ -31,6 +31,7 @@
 		}
 		p.warmUps[s.Name] = s.WarmUp
 	}
+	p.takeListed()
 }
 
 // judgeAnnouncement lets the tracker judge an announcement that is not outdated. old is the entry before
--- a/internal/control/portal/warm_up_test.go
+++ b/internal/control/portal/warm_up_test.go
@@ -19,7 +19,7 @@
 	p := New(Options{Self: "p", FirstStart: true, Heartbeat: time.Second})
 	p.machine = &portalstate.Machine{}
 	p.trafficStarted = true
-	p.setTable(&routes.Table{Services: []routes.Service{{Name: "plain", WarmUp: warmUp}}})
+	p.setTable(routes.Table{Services: []routes.Service{{Name: "plain", WarmUp: warmUp}}}.WithIndex())
 	return p
 }
 
@@ -164,7 +164,7 @@
 			become(p, e)
 			require.Len(t, p.coldEndpoints(time.Now()), 1)
 			p, e = warm(t)
-			p.setTable(&routes.Table{Services: []routes.Service{{Name: "plain"}}})
+			p.setTable(routes.Table{Services: []routes.Service{{Name: "plain"}}}.WithIndex())
 			become(p, e)
 			require.Empty(t, p.coldEndpoints(time.Now()), "no warm-up limit")
 		})
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -278,6 +278,22 @@
 	return e, ok
 }
 
+// Continues reports whether an announcement is one of an incarnation that is known, with the service and the address that it had.
+func (r *Roster) Continues(e Endpoint) bool {
+	known, found := r.entries[e.ID]
+	return found && known.StartedMs == e.StartedMs && known.Service == e.Service && known.Address == e.Address
+}
+
+// Contradicts reports whether an announcement can't be of the incarnation that it names, since what an endpoint can't change while it runs
+// differs from what is known.
+func (r *Roster) Contradicts(e Endpoint) bool {
+	known, found := r.entries[e.ID]
+	if !found || known.StartedMs != e.StartedMs || known.Address == "" || e.Address == "" {
+		return false
+	}
+	return known.Service != e.Service || known.Address != e.Address || known.FailureDomain != e.FailureDomain || known.Engine != e.Engine
+}
+
 // At returns the entry of the latest incarnation at an address.
 func (r *Roster) At(address string) (Entry, bool) {
 	e, ok := r.entries[r.addresses[address]]
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -141,3 +142,21 @@
 	require.Equal(t, ChangeContent, announce(5, 3000, 5*time.Second))
 	require.Equal(t, ChangeContent, announce(6, 3000, 6*time.Second), "cold again")
 }
+
+// TestUnlistedIsBounded guards against another writer that announces ever new IDs until the process has no memory left, or until the
+// endpoints that still announce themselves are not known any more.
+func TestUnlistedIsBounded(t *testing.T) {
+	var u Unlisted
+	now := noon
+	for i := range 3 * maxUnlisted {
+		now = now.Add(time.Millisecond)
+		if i%1000 == 0 {
+			u.Announce(Endpoint{ID: "sound", Service: "s", StartedMs: 1, Sequence: uint64(i + 1)}, now, true)
+		}
+		u.Announce(Endpoint{ID: fmt.Sprint("e", i), Service: "s", StartedMs: 1, Sequence: 1}, now, true)
+	}
+	require.Equal(t, maxUnlisted, u.Len())
+	taken := u.Take(func(service string) bool { return service == "s" })
+	require.True(t, slices.ContainsFunc(taken, func(e UnlistedEntry) bool { return e.ID == "sound" }))
+	require.Zero(t, u.Len())
+}
--- a/internal/telemetry/event/control.go
+++ b/internal/telemetry/event/control.go
@@ -60,4 +60,6 @@
 	EndpointCold       = register(168, "endpoint_cold", log.InfoLevel)
 	// SeatLearned says that a control host has learned of a newer address of a voter.
 	SeatLearned = register(173, "seat_learned", log.InfoLevel)
+	// EndpointUnlisted says that an endpoint of a service that the configuration doesn't list has announced itself.
+	EndpointUnlisted = register(174, "endpoint_unlisted", log.InfoLevel)
 )
