portal: a vote is claimed with all applied moves known

A move whose outcome was not known (the leader's call timed out) may be applied just before the host asks again; the leader now takes the applied moves over first, as the code before the Directory did. The event founders_known says `fresh` again only if no set was on the disk.

--- a/internal/control/bootstrap/discovery.go
+++ b/internal/control/bootstrap/discovery.go
@@ -60,7 +60,7 @@
 	// FirstStart is true if the whole system starts for the first time.
 	FirstStart bool
 	Store      Store
-	// Voters is where the set of control hosts is kept while the process runs.
+	// Voters is where the set of control hosts is kept while the process runs. It must be set.
 	Voters *voter.Directory
 	Pool   *pool.Pool
 	// Logger may be nil.
@@ -72,14 +72,15 @@
 type Discovery struct {
 	opts Options
 
-	// saving is held while the set is saved, and guards the fields up to mu.
+	// saving is held while the set is saved. It guards own and saved.
 	saving sync.Mutex
 	// own is the vote that this host has on its disk, zero if it has none.
 	own message.Founder
 	// saved is the set that was last saved.
 	saved []message.Founder
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// seen are the control hosts to ask, by address.
 	seen map[string]message.Founder
 	// lastNew is when the last unknown host was seen.
 	lastNew time.Time
@@ -183,10 +184,10 @@
 // Run returns the ID of this host's vote once the set is decided, contains this host and is saved on its disk. It may be called again after
 // GiveUp.
 func (d *Discovery) Run(ctx context.Context) (host.ID, error) {
-	fresh := d.isFirstStart()
 	if err := d.load(); err != nil {
 		return "", err
 	}
+	fresh := d.isFirstStart()
 	var own host.ID
 	for own == "" {
 		if err := d.find(ctx); err != nil {
--- a/internal/control/portal/voter.go
+++ b/internal/control/portal/voter.go
@@ -51,6 +51,7 @@
 	if _, found := p.lostVoter(l.Status(), q.Self.Address); !found || l.Barrier(ctx) != nil {
 		return
 	}
+	p.learnMoves() // A move whose outcome was not known may have been applied.
 	if id := p.claimReplacement(l.Status(), q.Self.Address); id != "" {
 		p.replaceVoter(ctx, l, id, q.Self)
 	}
@@ -63,6 +64,7 @@
 	if l.Barrier(ctx) != nil {
 		return false // This host can't tell: it is not the leader, or no majority answers it.
 	}
+	p.learnMoves()
 	disk := quorum.Generation(q.Generation)
 	if l.IsCurrent(q.Voter, disk) && p.claimReturn(q.Self.Address) {
 		p.replaceVoter(ctx, l, q.Voter, q.Self)
--- a/internal/control/replication/replication.go
+++ b/internal/control/replication/replication.go
@@ -45,7 +45,7 @@
 // Options configures the log of one control host.
 type Options struct {
 	Self host.ID
-	// Voters has the link addresses of all control hosts, including this one. Links follow its changes.
+	// Voters has the link addresses of all control hosts, including this one. Links follow its changes. It must be set.
 	Voters       *voter.Directory
 	Journal      *journal.Journal
 	StateMachine StateMachine
