--- a/internal/control/bootstrap/discovery.go
+++ b/internal/control/bootstrap/discovery.go
@@ -250,23 +250,36 @@
 	d.saved = set
 }
 
-// decide decides the set if this host has to do so and no other host is expected. It reports whether it has.
-func (d *Discovery) decide(began time.Time) bool {
+// decide returns the set if this host has to decide it and no other host is expected, and nil
+// otherwise.
+func (d *Discovery) decide(began time.Time) []message.Founder {
 	if !d.isFirstStart() || len(d.opts.Seeds) == 0 || lowestAddress(d.opts.Seeds) != d.opts.Self.Address {
-		return false
+		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, seed := range d.opts.Seeds {
 		if _, seen := d.seen[seed]; !seen {
-			return false
+			return nil
 		}
 	}
 	if time.Since(began) < minGatherTime || time.Since(d.lastNew) < quietTime {
-		return false
+		return nil
 	}
-	d.opts.Voters.Adopt(d.sortedSeen(), sourceDecision)
-	return true
+	return d.sortedSeen()
+}
+
+// adoptDecision saves a set that this host has decided, and uses it and tells it to others from then on: after a restart it could decide
+// another one.
+func (d *Discovery) adoptDecision(set []message.Founder) error {
+	d.saving.Lock()
+	defer d.saving.Unlock()
+	if err := d.opts.Store.Save(set); err != nil {
+		return err
+	}
+	d.saved = set
+	d.opts.Voters.Adopt(set, sourceDecision)
+	return nil
 }
 
 // lowestAddress returns the lowest of some addresses, ordered by IP address and port.
--- a/internal/control/bootstrap/query.go
+++ b/internal/control/bootstrap/query.go
@@ -15,7 +15,10 @@
 // the set. A round waits for hosts that are about to start, so that the set is not decided before the system is up.
 func (d *Discovery) gather(ctx context.Context) error {
 	began := time.Now()
-	for !d.queryRound(ctx) && !d.decide(began) {
+	for !d.queryRound(ctx) {
+		if set := d.decide(began); set != nil {
+			return d.adoptDecision(set)
+		}
 		if !pause.For(ctx, queryInterval) {
 			return ctx.Err()
 		}
