upstream: a body that ends with its connection needs a request that was received

Cause: the operating system reports a reset once, to the first call that finds it. If that is the write of the upload, which has a goroutine of its own, the read gets the bytes that had arrived and then a plain end of file, which ends such a body. Nobody looked at the error of the write, and the probe for a crash finds the endpoint listening.

Change: when a connection ends such a body, Exchange looks at the request first. An upload that failed breaks the response off. One that is still going on is waited for, up to 0.3 s, and then stopped, which shows the error of a write whose goroutine was not scheduled; if nothing has rejected it the endpoint has closed its sending side only, and the response is whole. What was written but not acknowledged is waited for in the same way, since a connection that was closed in order is reset when the rest arrives, and no call returns that.

The request may have run: 502 where it may not be repeated, another endpoint for a safe one, a stream is resumed or broken off. Agents refuse answers without length and chunks, and the end of a generation is an event; tests for both were added and passed before.

--- a/internal/agent/engine/client_test.go
+++ b/internal/agent/engine/client_test.go
@@ -131,3 +131,31 @@
 		require.True(t, IsErrResponseCut(err), "%s: %v", status, err)
 	}
 }
+
+// TestEarlyGenerationThatIsResetIsNotComplete guards against an engine that answers a long prompt before it has read it, and resets the
+// connection after a part of its answer, be it tokens or a refusal. Its end isn't told by that of the connection.
+func TestEarlyGenerationThatIsResetIsNotComplete(t *testing.T) {
+	const promptBytes = 4 << 20
+	d := &message.Dispatch{Generate: &message.Generate{Path: "/v1/completions", Body: []byte(`"` + strings.Repeat("x", promptBytes) + `"`)}}
+	d.Ref.Attempt = 1
+	for _, part := range []string{
+		"200 OK\r\n\r\n" + fmt.Sprintf(`{"request_id":"%s","attempt":1,"offset":0,"text":"word"}`+"\n", d.Ref.Request.String()),
+		"409 Conflict\r\n\r\n" + `{"code":"busy","reason":"fu`,
+	} {
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 "+part)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}()
+		_, err = New(Options{URL: "http://" + listener.Addr().String()}).Generate(t.Context(), d, func(TokenBatch) error { return nil })
+		require.True(t, IsErrResponseCut(err), "%q: %v", part, err)
+	}
+}
--- a/internal/agent/plainservice/client_test.go
+++ b/internal/agent/plainservice/client_test.go
@@ -97,3 +97,27 @@
 		}
 	}
 }
+
+// TestEarlyAnswerThatIsResetIsNotPassedOnAsWhole guards against a service that answers a long upload before it has read it, and resets the
+// connection after a part of its answer: the write of the upload may get the reset, and the read a plain end of file.
+func TestEarlyAnswerThatIsResetIsNotPassedOnAsWhole(t *testing.T) {
+	const uploadBytes = 8 << 20
+	for _, framing := range []string{"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"} {
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+framing+"\r\n2\r\n")
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}()
+		call := &message.Call{Method: http.MethodPost, Path: "/a", Body: make([]byte, uploadBytes)}
+		err = New(Options{URL: "http://" + listener.Addr().String()}).Call(t.Context(), &message.Dispatch{Call: call}, &recorder{})
+		require.True(t, IsErrResponseCut(err), "%q: %v", framing, err)
+	}
+}
--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -225,6 +225,23 @@
 	return errors.As(err, &e)
 }
 
+// ErrRequestNotReceived is the cause of an ErrInterrupted if the endpoint has ended its side of the connection, and has not received the whole
+// request. A response that ends with its connection may be incomplete then.
+type ErrRequestNotReceived struct{ Cause error }
+
+func (e ErrRequestNotReceived) Error() string {
+	return "the connection ended before the request was received: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e ErrRequestNotReceived) Unwrap() error { return e.Cause }
+
+// IsErrRequestNotReceived reports whether err is an ErrRequestNotReceived.
+func IsErrRequestNotReceived(err error) bool {
+	var e ErrRequestNotReceived
+	return errors.As(err, &e)
+}
+
 // asUnexpectedEOF returns io.ErrUnexpectedEOF for io.EOF, and any other error unchanged.
 func asUnexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -93,10 +93,8 @@
 	// CheckEnd is called when a body with FramingClose has ended with its connection. An error says that it is
 	// incomplete. It may be nil.
 	CheckEnd func() error
-	// written is closed once a long body has been written, with the error in writeErr. It is
-	// nil for an inline body.
-	written   chan struct{}
-	writeErr  error
+	// upload writes a long body. It is nil for an inline body.
+	upload    *upload
 	bodyEnded bool
 	// held is what the exchange has reserved, in bytes.
 	held int
@@ -173,19 +171,13 @@
 	if _, err := x.conn.Write(head.Bytes()); err != nil {
 		return err
 	}
-	// The endpoint may respond before it has read a long body.
-	x.written = make(chan struct{})
-	go func() {
-		defer close(x.written)
-		if x.writeErr = x.conn.SetWriteDeadline(time.Time{}); x.writeErr == nil {
-			_, x.writeErr = x.conn.Write(r.Body)
-		}
-	}()
-	return nil
+	var err error
+	x.upload, err = startUpload(x.conn, r.Body)
+	return err
 }
 
 // Read reads the response's body. It returns io.EOF at the end of a complete body, an
-// ErrInterrupted if the body is cut short or CheckEnd fails, and an ErrAbandoned if the wait policy ends the wait.
+// ErrInterrupted if the body is cut short or may be, and an ErrAbandoned if the wait policy ends the wait.
 func (x *Exchange) Read(buf []byte) (int, error) {
 	n, err := x.Response.Body.Read(buf)
 	switch {
@@ -200,8 +192,8 @@
 
 // endBody returns the error of a read at the end of the body.
 func (x *Exchange) endBody() error {
-	if !x.bodyEnded && x.CheckEnd != nil && x.Framing() == FramingClose {
-		if err := x.CheckEnd(); err != nil {
+	if !x.bodyEnded && x.Framing() == FramingClose {
+		if err := x.checkClose(); err != nil {
 			return x.interrupted(err)
 		}
 	}
@@ -209,6 +201,17 @@
 	return io.EOF
 }
 
+// checkClose returns an error if the end of the connection may not be the end of the body.
+func (x *Exchange) checkClose() error {
+	if err := x.checkReceipt(); err != nil {
+		return ErrRequestNotReceived{Cause: err}
+	}
+	if x.CheckEnd == nil {
+		return nil
+	}
+	return x.CheckEnd()
+}
+
 // Reused reports whether the connection carried an earlier request.
 func (x *Exchange) Reused() bool { return x.conn.served }
 
@@ -233,15 +236,7 @@
 	if !x.bodyEnded || x.Response == nil || x.Response.Close || x.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if x.written == nil {
-		return true
-	}
-	select {
-	case <-x.written:
-		return x.writeErr == nil
-	default:
-		return false
-	}
+	return x.upload == nil || x.upload.isComplete()
 }
 
 // abort closes the connection.
