httphead: a head with a line that is no header field is no response

At gateways and agents, on all routes. Control bytes, empty names and missing colons were refused before.

Cause: net/textproto takes a blank in a name and keeps the name as it is, which no look-up finds, and joins a line that begins with a blank to the one before. Nobody behind it asked whether a name is a token.

Change: internal/process/httphead has the rule once (RFC 9112, section 5). Its Scanner reads the bytes of a head as they arrive, since neither a folded line nor the framing that was missed can be seen behind the reader. It is below the connections of entry/upstream (gateways, orders and probes of portals) and of the agents' transports (calls, generations, orders, reports, each response of a kept connection). Such a response broke off, so the request may have run: 502, or another endpoint where the route allows it, whatever else the head says.

Failed before, on the commit before this one: TestInvalidFieldNameIsNoAnswer of gateway (200, or 504 for the two framings) and of engine (a refusal of a generation that may have run), TestInvalidFieldNameIsTriedElsewhere, TestInvalidFieldNameIsInterrupted, TestAnswerWithInvalidFieldNameIsNotPassedOn, TestInvalidAnswersOfEnginesAreNone. They pass now.

--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -17,6 +18,7 @@
 
 	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/process/httphead"
 	"github.com/egretreach/egretreach/internal/process/httpstatus"
 )
 
@@ -83,6 +85,7 @@
 // NewTransport returns the transport for an engine.
 func NewTransport() *http.Transport {
 	return &http.Transport{
+		DialContext:         httphead.Checked((&net.Dialer{}).DialContext),
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
@@ -183,7 +186,10 @@
 // gives no code.
 func (c *Client) roundTrip(req *http.Request) (*http.Response, error) {
 	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected = true
+		httphead.ExpectResponse(info.Conn)
+	}}
 	transport := c.transport
 	if strings.HasSuffix(req.URL.Path, PathGenerate) {
 		transport = c.generation
--- a/internal/agent/engine/client_test.go
+++ b/internal/agent/engine/client_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/fleet/replica"
 	"github.com/egretreach/egretreach/internal/link/message"
 )
 
@@ -127,7 +128,8 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 		})
 		d := &message.Dispatch{Generate: &message.Generate{Path: "/v1/completions"}}
-		_, err := New(Options{URL: url}).Generate(t.Context(), d, nil)
+		client := New(Options{URL: url})
+		_, err := client.Generate(t.Context(), d, nil)
 		require.True(t, IsErrResponseCut(err), "%s: %v", status, err)
 	}
 }
@@ -159,3 +161,27 @@
 		require.True(t, IsErrResponseCut(err), "%q: %v", part, err)
 	}
 }
+
+// TestInvalidFieldNameIsNoAnswer guards against an engine in trouble, with a line in a head that is no header field, whose answer passes for a
+// report, on a kept connection too, or for the refusal of a generation that it runs.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"X Odd: v", "X-Odd : v", " X-Odd: v", "X\x00Odd: v", "Content-Length : 7"} {
+		url := serveEngine(t, func(c net.Conn, r *http.Request, earlier int) {
+			status, body := http.StatusOK, `{}`
+			if strings.HasSuffix(r.URL.Path, PathGenerate) {
+				status, body = http.StatusConflict, `{"code":"busy","reason":"no slot"}`
+			} else if earlier == 0 {
+				write(c, status, body)
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Sound: s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", status, line, len(body), body)
+		})
+		client := New(Options{URL: url})
+		_, err := client.Generate(t.Context(), &message.Dispatch{Generate: &message.Generate{Path: "/v1/completions"}}, nil)
+		require.True(t, IsErrResponseCut(err), "%q: %v", line, err)
+		r := replica.Replica{ID: "r"}
+		require.NoError(t, client.Load(t.Context(), r, true))
+		err = client.Load(t.Context(), r, true)
+		require.True(t, IsErrResponseCut(err), "%q on a kept connection: %v", line, err)
+	}
+}
--- a/internal/agent/plainservice/client.go
+++ b/internal/agent/plainservice/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretreach/egretreach/internal/link/message"
+	"github.com/egretreach/egretreach/internal/process/httphead"
 	"github.com/egretreach/egretreach/internal/process/httpstatus"
 )
 
@@ -62,7 +64,10 @@
 
 // NewTransport returns the transport for a service.
 func NewTransport() *http.Transport {
-	return &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	return &http.Transport{
+		DialContext:        httphead.Checked((&net.Dialer{}).DialContext), // Each connection carries one request.
+		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
 }
 
 // maxHeaderBytes bounds the header of a response in bytes, and maxHeaderFields the number of its fields.
--- a/internal/agent/plainservice/client_test.go
+++ b/internal/agent/plainservice/client_test.go
@@ -121,3 +121,22 @@
 		require.True(t, IsErrResponseCut(err), "%q: %v", framing, err)
 	}
 }
+
+// TestAnswerWithInvalidFieldNameIsNotPassedOn guards against an answer of a service in trouble that its caller gets as a complete one, with a
+// line that is no header field left out or joined to the one before.
+func TestAnswerWithInvalidFieldNameIsNotPassedOn(t *testing.T) {
+	for _, line := range []string{
+		"X Odd: v", "X-Odd : v", " X-Odd: v", "\tX-Odd: v", "Content-Length : 7", "Transfer-Encoding : chunked", "X\x00Odd: v", "X\x7fOdd: v",
+		": v", "nocolon", "X-Odd: a\x00b",
+	} {
+		for _, earlier := range []string{"", "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				var got recorder
+				client := New(Options{URL: serveOnce(t, earlier+"HTTP/1.1 200 OK\r\nX-Sound: s\r\n"+line+"\r\nContent-Length: 5\r\n\r\nwhole")})
+				err := client.Call(t.Context(), &message.Dispatch{Call: &message.Call{Method: method, Path: "/a"}}, &got)
+				require.True(t, IsErrResponseCut(err), "%q: %v", line, err)
+				require.Equal(t, recorder{}, got)
+			}
+		}
+	}
+}
--- a/internal/entry/upstream/conn.go
+++ b/internal/entry/upstream/conn.go
@@ -19,6 +19,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/egretreach/egretreach/internal/process/httphead"
 	"github.com/egretreach/egretreach/internal/process/httpstatus"
 )
 
@@ -48,6 +49,8 @@
 	closed atomic.Bool
 	// head counts what is read while the head of a response is read, and is nil otherwise.
 	head *headMeter
+	// scanner checks the head of the present response.
+	scanner httphead.Scanner
 }
 
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
@@ -115,6 +118,9 @@
 		}
 		n, err := c.Conn.Read(b)
 		c.head.read(b[:n])
+		if err := c.scanner.Scan(b[:n]); err != nil {
+			return 0, err
+		}
 		var timeout net.Error
 		if n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
 			return n, err
@@ -130,10 +136,10 @@
 }
 
 // readResponse reads the status and headers of the final response. It skips informational (1xx)
-// responses and returns an error for any other status that no final response may have. The size of all of them is
-// bounded by maxHead, and an incomplete head is reserved with reserve.
+// responses and returns an error for any other status that no final response may have, and for a header field with an invalid name. The
+// size of all of them is bounded by maxHead, and an incomplete head is reserved with reserve.
 func (c *conn) readResponse(method string, reserve func(n int) bool) (*http.Response, error) {
-	c.head = &headMeter{reserve: reserve}
+	c.head, c.scanner = &headMeter{reserve: reserve}, httphead.Scanner{}
 	defer c.endHead()
 	for range maxInformational + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
--- a/internal/entry/upstream/upstream_test.go
+++ b/internal/entry/upstream/upstream_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretreach/egretreach/internal/process/httphead"
 	"github.com/egretreach/egretreach/internal/process/httpstatus"
 )
 
@@ -324,3 +325,35 @@
 		}
 	}
 }
+
+// TestInvalidFieldNameIsInterrupted guards against a head with a line that is no field and that is left out, or joined to the line before, so
+// that the response seems sound. The connection stays open.
+func TestInvalidFieldNameIsInterrupted(t *testing.T) {
+	for _, line := range []string{
+		"X Odd: v", "X-Odd : v", "X-Odd\t: v", " X-Odd: v", "\tX-Odd: v", "Content-Length : 7", "Transfer-Encoding : chunked",
+		"X\x00Odd: v", "X\x7fOdd: v", "X\x80Odd: v", ": v", "no colon",
+	} {
+		for _, head := range []string{
+			"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok",
+			"HTTP/1.1 200 OK\r\nX-Sound: s\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok",
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Long: " + strings.Repeat("x", 2*readBufferSize) + "\r\n" + line + "\r\n\r\nok",
+			"HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok",
+		} {
+			const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
+			var p Pool
+			address := serve(t, respond(sound, head, ""))
+			x, err := p.Do(t.Context(), address, getRequest(), waitForever)
+			require.NoError(t, err)
+			_, err = io.ReadAll(x)
+			require.NoError(t, err)
+			x.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, err = p.Do(ctx, address, getRequest(), waitForever)
+			cancel()
+			require.True(t, IsErrInterrupted(err), "%q: %v", head, err)
+			require.True(t, httphead.IsErrInvalidName(err), "%q: %v", head, err)
+			require.Equal(t, uint64(1), p.Stats().Reused)
+		}
+	}
+}
