--- a/internal/agent/engine/client_test.go
+++ b/internal/agent/engine/client_test.go
@@ -131,6 +131,10 @@
 		client := New(Options{URL: url})
 		_, err := client.Generate(t.Context(), d, nil)
 		require.True(t, IsErrResponseCut(err), "%s: %v", status, err)
+		_, err = client.Report(t.Context())
+		require.True(t, IsErrResponseCut(err), "report, %s: %v", status, err)
+		err = client.Load(t.Context(), replica.Replica{ID: "r"}, true)
+		require.True(t, IsErrResponseCut(err), "order, %s: %v", status, err)
 	}
 }
 
